Serve a request from caller to endpoint through separate processes

Cause: there was no code.

Ruled out: blacksheep's client for calls to endpoints.

Change: errors, verdicts, typed requests and the Protocols of every slice; stand-ins for log, cloud, instance list, weight store, engine and service, and a fault proxy; configuration by log order; gossip over pyzmq; dispatch with retries that keep the delivered tokens; callers' and operators' HTTP APIs; the command line; demo; bench harness with real processes.

--- /dev/null
+++ b/acaciaward/administration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP API."""
--- /dev/null
+++ b/acaciaward/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Priorities, deadlines, limits, fair shares and retry budgets."""
--- /dev/null
+++ b/acaciaward/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP API: discovery, requests, streams and resume."""
--- /dev/null
+++ b/acaciaward/callers/discovery.py
@@ -0,0 +1,65 @@
+"""
+Tells callers which entries to use.
+
+An answer names live entries only, those of the caller's data centre first, in
+an order drawn anew each time so that callers spread, and says how long it
+holds.
+"""
+
+import random
+import typing
+
+from acaciaward.membership import interfaces
+
+MAX_NAMED = 16
+
+
+class EntryAddress(typing.TypedDict):
+    """One entry as callers see it."""
+
+    name: str
+    address: str
+    port: int
+    data_centre: str
+
+
+class EntriesAnswer(typing.TypedDict):
+    """The answer of ``GET /v1/entries``; ``lifetime_s`` is in seconds."""
+
+    entries: list[EntryAddress]
+    lifetime_s: float
+
+
+class Discovery:
+    """Answers where callers should connect."""
+
+    def __init__(
+        self,
+        membership: interfaces.Membership,
+        *,
+        lifetime_s: float,
+        chooser: random.Random | None = None,
+    ):
+        self._membership = membership
+        self._lifetime_s = lifetime_s
+        self._random = chooser or random.Random()
+
+    def answer(self, data_centre: str | None = None) -> EntriesAnswer:
+        """Return live entries, those of ``data_centre`` first."""
+        live = [
+            peer
+            for peer in self._membership.peers()
+            if peer.state is interfaces.PeerState.LIVE
+        ]
+        self._random.shuffle(live)
+        live.sort(key=lambda peer: peer.data_centre != data_centre)
+        entries: list[EntryAddress] = [
+            {
+                "name": peer.name,
+                "address": peer.address,
+                "port": peer.port,
+                "data_centre": peer.data_centre,
+            }
+            for peer in live[:MAX_NAMED]
+        ]
+        return {"entries": entries, "lifetime_s": self._lifetime_s}
--- /dev/null
+++ b/acaciaward/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims for non-idempotent requests."""
--- /dev/null
+++ b/acaciaward/cli/entry.py
@@ -0,0 +1,52 @@
+"""The ``entry`` command: runs one entry until it is told to stop."""
+
+import asyncio
+import logging
+import signal
+
+import click
+
+from acaciaward import errors
+from acaciaward.entry import process
+from acaciaward.observability import logs
+from acaciaward.settings import loader
+
+log = logging.getLogger(__name__)
+
+
+@click.command()
+@click.option(
+    "--settings", "path", required=True, type=click.Path(), help="JSON settings file."
+)
+def entry(path: str):
+    """Run one entry. SIGTERM stops it gracefully, a second one at once."""
+    settings = loader.load(path)
+    instance = settings["instance"]
+    logs.configure(
+        settings["logging"]["level"],
+        {"instance": instance["name"], "data_centre": instance["data_centre"]},
+    )
+    try:
+        asyncio.run(_run(settings))
+    except OSError as error:
+        raise errors.OperatorError(f"can't start: {error}") from error
+
+
+async def _run(settings: loader.Settings) -> None:
+    running = process.EntryProcess(settings)
+    signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    await running.start()
+    await signals.get()
+    stopping = asyncio.create_task(running.stop())
+    second = asyncio.create_task(signals.get())
+    await asyncio.wait({stopping, second}, return_when=asyncio.FIRST_COMPLETED)
+    if not stopping.done():
+        log.warning("second signal, stopping at once")
+        stopping.cancel()
+        await running.kill()
+        return
+    second.cancel()
+    await stopping
--- /dev/null
+++ b/acaciaward/client/__init__.py
@@ -0,0 +1,1 @@
+"""A small asyncio caller of the system."""
--- /dev/null
+++ b/acaciaward/client/sse.py
@@ -0,0 +1,23 @@
+"""Reads the server-sent events of an answer."""
+
+import typing
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from acaciaward import httpclient
+
+DATA_PREFIX = b"data: "
+DONE = b"[DONE]"
+
+
+async def events(response: httpclient.Response) -> AsyncIterator[typing.Any]:
+    """Yield the JSON body of each event until the explicit end."""
+    async for line in response.lines():
+        if not line.startswith(DATA_PREFIX):
+            continue
+        data = line[len(DATA_PREFIX) :]
+        if data == DONE:
+            return
+        yield msgspec.json.decode(data)
+    raise httpclient.ConnectionLostError("the stream ended without its final event")
--- /dev/null
+++ b/acaciaward/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered configuration agreed by the order of log records."""
--- /dev/null
+++ b/acaciaward/configuration/interfaces.py
@@ -0,0 +1,24 @@
+"""What the other slices need of the configuration."""
+
+import typing
+from collections.abc import Callable
+
+from acaciaward import documents, requests
+
+
+class Configuration(typing.Protocol):
+    """The configuration in force at this entry."""
+
+    @property
+    def view(self) -> documents.View:
+        """The newest accepted version; version 0 is the empty document."""
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the entry can show, within its bound, that the view is current."""
+
+    def endpoints(self, deployment: str) -> list[requests.Endpoint]:
+        """Return the endpoints of a deployment, empty if there is none."""
+
+    def subscribe(self, listener: Callable[[documents.View], None]) -> None:
+        """Call a listener with each new view."""
--- /dev/null
+++ b/acaciaward/demonstration/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the whole system with stand-ins in one process."""
--- /dev/null
+++ b/acaciaward/demonstration/world.py
@@ -0,0 +1,151 @@
+"""
+The stand-ins and entries of a demonstration, all in one event loop.
+
+A world is built from one of the examples: its first patch gives organisations,
+deployments and data centres; addresses are replaced by loopback ports.
+"""
+
+import asyncio
+import copy
+import hashlib
+import secrets
+import socket
+import typing
+
+from acaciaward import schemas
+from acaciaward.entry import process
+from acaciaward.identity import apikeys
+from acaciaward.settings import loader
+from standins import cloud, engine, log, service, store
+
+ADDRESS = "127.0.0.1"
+EXAMPLES = ("puzzle-agency", "stock-agents")
+ENTRY_COUNT = 3
+START_WAIT_S = 10.0
+RESUME_KEY_BYTES = 32
+MAKERS = {"model": engine.EngineStandIn, "service": service.ServiceStandIn}
+
+
+def find_free_port() -> int:
+    """Return a TCP port that is free on the loopback address now."""
+    with socket.socket() as probe:
+        probe.bind((ADDRESS, 0))
+        return probe.getsockname()[1]
+
+
+class World:
+    """A running system; ``keys`` maps organisations to an API key each."""
+
+    def __init__(self, example: str, *, entry_count: int = ENTRY_COUNT):
+        patch = schemas.read_shipped(f"examples.{example}", "first-patch.json")
+        self.document: dict[str, typing.Any] = copy.deepcopy(patch["changes"])
+        self.operator_key = secrets.token_urlsafe(RESUME_KEY_BYTES)
+        self.keys: dict[str, str] = {}
+        self.endpoints: dict[str, typing.Any] = {}
+        self.log = log.LogStandIn(ADDRESS, find_free_port())
+        self.cloud = cloud.CloudStandIn(ADDRESS, find_free_port())
+        self.instances = cloud.InstanceListStandIn(
+            (ADDRESS, self.cloud.port), ADDRESS, find_free_port()
+        )
+        self.store = store.WeightStoreStandIn(ADDRESS, find_free_port())
+        self._make_keys()
+        self._make_endpoints()
+        self.entries = self._make_entries(entry_count)
+
+    def deployment(self, kind: str) -> str:
+        """Return the name of the first deployment of a kind."""
+        deployments = self.document["deployments"]
+        return next(name for name, d in deployments.items() if d["kind"] == kind)
+
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        """Where callers reach the entries."""
+        return [
+            (own.address, own.port)
+            for own in (entry.membership.peers()[0] for entry in self.entries)
+        ]
+
+    def _make_keys(self) -> None:
+        for name, organisation in self.document["organisations"].items():
+            key, entry = apikeys.make_organisation_key(name, "demo")
+            organisation["keys"] = {"demo": entry}
+            self.keys[name] = key
+        self.document["resume_keys"] = [secrets.token_urlsafe(RESUME_KEY_BYTES)]
+
+    def _make_endpoints(self) -> None:
+        for deployment in self.document["deployments"].values():
+            for name, place in deployment["endpoints"].items():
+                standin = MAKERS[deployment["kind"]](ADDRESS, find_free_port())
+                place |= {"address": ADDRESS, "port": standin.port}
+                self.endpoints[name] = standin
+                self.cloud.add_instance(
+                    name, port=standin.port, data_centre=place["data_centre"]
+                )
+
+    def _make_entries(self, count: int) -> list[process.EntryProcess]:
+        peer_ports = [find_free_port() for _ in range(count)]
+        return [
+            process.EntryProcess(self._entry_settings(number, peer_ports))
+            for number in range(count)
+        ]
+
+    def _entry_settings(self, number: int, peer_ports: list[int]) -> loader.Settings:
+        places = sorted(
+            {
+                place["data_centre"]
+                for deployment in self.document["deployments"].values()
+                for place in deployment["endpoints"].values()
+            }
+        )
+        digest = hashlib.sha256(self.operator_key.encode()).hexdigest()
+        return loader.check(
+            {
+                "instance": {
+                    "name": f"entry-{number + 1}",
+                    "data_centre": places[number % len(places)],
+                    "region": "demonstration",
+                },
+                "callers": {"port": find_free_port(), "discovery_lifetime_s": 1.0},
+                "peers": {
+                    "port": peer_ports[number],
+                    "seeds": [{"address": ADDRESS, "port": p} for p in peer_ports],
+                    "probe_interval_s": 0.1,
+                },
+                "platform": {
+                    name: {"address": ADDRESS, "port": standin.port}
+                    for name, standin in self._platform().items()
+                },
+                "administration": {"bootstrap_key_digest": digest},
+            }
+        )
+
+    def _platform(self) -> dict[str, typing.Any]:
+        return {
+            "log": self.log,
+            "cloud": self.cloud,
+            "instances": self.instances,
+            "weights": self.store,
+        }
+
+    async def start(self) -> None:
+        """Start everything and put the document in force at every entry."""
+        standins = [*self._platform().values(), *self.endpoints.values()]
+        for standin in standins:
+            await standin.start()
+        for entry in self.entries:
+            await entry.start()
+        await self.entries[0].configuration.submit(
+            base=0, author="demo", changes=self.document
+        )
+        async with asyncio.timeout(START_WAIT_S):
+            for entry in self.entries:
+                while entry.configuration.view.version < 1:
+                    await asyncio.sleep(0.01)
+                while len(entry.membership.peers()) < len(self.entries):
+                    await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await asyncio.gather(*(entry.stop() for entry in self.entries))
+        for standin in [*self.endpoints.values(), *self._platform().values()]:
+            await standin.stop()
--- /dev/null
+++ b/acaciaward/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The life of one request: attempts, verdicts, retries and moves."""
--- /dev/null
+++ b/acaciaward/dispatch/assembler.py
@@ -0,0 +1,68 @@
+"""
+Puts the numbered tokens of one answer together over all its attempts.
+
+Each index is passed on once and in order. A repeated index is dropped, a gap is
+an error of the attempt, and the answer is whole only when the engine's final
+frame agrees with the number of tokens passed on.
+"""
+
+import hashlib
+import typing
+
+from acaciaward import errors, requests, verdicts
+
+
+class StreamAssembler:
+    """
+    The tokens of one answer, delivered so far.
+
+        assembler = StreamAssembler()
+        assembler.accept(requests.TokenFrame(0, "box"))  # True: pass it on
+        assembler.accept(requests.TokenFrame(0, "box"))  # False: seen before
+    """
+
+    def __init__(self, delivered: typing.Iterable[str] = ()):
+        self._texts: list[str] = []
+        self._digest = hashlib.sha256()
+        for text in delivered:
+            self._append(text)
+
+    @property
+    def texts(self) -> list[str]:
+        """The delivered tokens, in order."""
+        return self._texts
+
+    @property
+    def count(self) -> int:
+        """Number of delivered tokens."""
+        return len(self._texts)
+
+    @property
+    def digest(self) -> str:
+        """Hexadecimal SHA-256 over the delivered text."""
+        return self._digest.hexdigest()
+
+    def accept(self, frame: requests.TokenFrame) -> bool:
+        """Return whether the token is the next one and must be passed on."""
+        if frame.index < self.count:
+            return False
+        if frame.index > self.count:
+            raise errors.EndpointError(
+                f"token {frame.index} came where {self.count} was due",
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        self._append(frame.text)
+        return True
+
+    def finish(self, completion: requests.Completion) -> requests.Completion:
+        """Return the end of a whole answer, or raise if tokens are missing."""
+        if completion.count != self.count:
+            raise errors.EndpointError(
+                f"answer ended at {completion.count} of {self.count} tokens",
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        return completion._replace(digest=self.digest)
+
+    def _append(self, text: str) -> None:
+        self._texts.append(text)
+        self._digest.update(text.encode())
--- /dev/null
+++ b/acaciaward/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/acaciaward/endpoints/interfaces.py
@@ -0,0 +1,131 @@
+"""
+What the entry needs of endpoints, as ``Protocol`` types.
+
+Failures are raised as ``errors.EndpointError`` with the verdict that the client
+can prove from what it saw on the wire.
+"""
+
+import typing
+from collections.abc import AsyncIterator, Sequence
+
+from acaciaward import requests
+
+
+class StreamStarted(typing.NamedTuple):
+    """First frame of an attempt: the engine's own name of the stream."""
+
+    stream: str
+    cached_tokens: int = 0
+
+
+class GenerateOrder(typing.NamedTuple):
+    """
+    One attempt of a model request.
+
+    ``attempt`` names the attempt uniquely. ``delivered`` are the tokens that
+    the caller has, which the engine takes as part of the prompt: its first
+    frame then has index ``len(delivered)``. ``kv_handle`` names an imported
+    cache that spares the engine computing prompt and tokens again.
+    ``priority`` is lower for more urgent work, ``cache_salt`` separates the
+    prefix caches of organisations, ``deadline_s`` is the time left in seconds.
+    """
+
+    attempt: str
+    request: requests.Request
+    delivered: Sequence[str]
+    priority: int
+    cache_salt: str
+    deadline_s: float
+    kv_handle: str | None = None
+
+
+EngineFrame = StreamStarted | requests.TokenFrame | requests.Completion
+
+
+class EngineLoad(typing.NamedTuple):
+    """An engine's report of its load, ``age_s`` seconds old."""
+
+    running: int
+    waiting: int
+    free_slots: int
+    step_s: float
+    leaving: bool
+    age_s: float
+
+
+class CacheEvent(typing.NamedTuple):
+    """A prompt prefix entered or left an engine's cache; offsets may have gaps."""
+
+    offset: int
+    block: str
+    stored: bool
+
+
+class EngineOrder(typing.NamedTuple):
+    """An order to an engine; ``action`` is load, unload or role."""
+
+    action: str
+    model: str
+    version: str
+    fence: int
+    adapter: str | None = None
+    role: str | None = None
+
+
+class ModelEngine(typing.Protocol):
+    """Client of model engines; every call names the endpoint."""
+
+    def generate(
+        self, endpoint: requests.Endpoint, order: GenerateOrder
+    ) -> AsyncIterator[EngineFrame]:
+        """
+        Run one attempt.
+
+        Frames of another request, organisation or attempt are dropped, counted
+        and logged here. Leaving the iterator early closes the connection and
+        cancels the stream at the engine.
+        """
+
+    def resume(
+        self,
+        endpoint: requests.Endpoint,
+        *,
+        stream: str,
+        request: requests.Request,
+        from_index: int,
+    ) -> AsyncIterator[EngineFrame]:
+        """Go on reading a stream that another entry began."""
+
+    async def cancel(self, endpoint: requests.Endpoint, stream: str) -> None:
+        """Stop a stream; one that has ended is no error."""
+
+    async def export_kv(self, endpoint: requests.Endpoint, stream: str) -> bytes:
+        """Stop a stream and return its KV cache; its length in bytes counts."""
+
+    async def import_kv(self, endpoint: requests.Endpoint, blob: bytes) -> str:
+        """Give a KV cache to an engine and return the handle for ``generate``."""
+
+    async def load(self, endpoint: requests.Endpoint) -> EngineLoad:
+        """Return the engine's lagging report of its load."""
+
+    async def cache_events(
+        self, endpoint: requests.Endpoint, from_offset: int
+    ) -> list[CacheEvent]:
+        """Return cache events from an offset on, late and with gaps."""
+
+    async def order(self, endpoint: requests.Endpoint, order: EngineOrder) -> None:
+        """Give an order; a fenced engine refuses an old number."""
+
+
+class PlainService(typing.Protocol):
+    """Client of plain services."""
+
+    async def call(
+        self,
+        endpoint: requests.Endpoint,
+        request: requests.Request,
+        *,
+        attempt: str,
+        deadline_s: float,
+    ) -> requests.ServiceAnswer:
+        """Send the body once and return the whole answer."""
--- /dev/null
+++ b/acaciaward/endpoints/service.py
@@ -0,0 +1,81 @@
+"""HTTP client of plain services."""
+
+import logging
+
+from acaciaward import errors, httpclient, requests, verdicts
+from acaciaward.endpoints import attempts
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
+
+
+class HttpPlainService:
+    """Implements ``interfaces.PlainService`` over HTTP."""
+
+    def __init__(self, client: httpclient.HttpClient):
+        self._client = client
+
+    async def call(
+        self,
+        endpoint: requests.Endpoint,
+        request: requests.Request,
+        *,
+        attempt: str,
+        deadline_s: float,
+    ) -> requests.ServiceAnswer:
+        """
+        Send the body once and return the whole answer.
+
+        The service gets the identity of request and attempt and may send them
+        back; an answer that names another one is never passed on.
+        """
+        headers = {
+            "content-type": request.content_type,
+            "x-request-id": request.request_id,
+            "x-attempt": attempt,
+            "x-organisation": request.organisation,
+            "x-deadline-s": f"{deadline_s:.3f}",
+        }
+        if request.key is not None:
+            headers["idempotency-key"] = request.key
+        try:
+            async with self._client.send(
+                "POST",
+                endpoint.address,
+                endpoint.port,
+                f"/{request.path}",
+                headers=headers,
+                body=request.body,
+                timeout_s=deadline_s,
+                fresh=not request.idempotent,
+            ) as response:
+                body = await response.read()
+        except httpclient.HttpError as error:
+            raise attempts.error_from_transport(error) from error
+        if response.status in attempts.REFUSAL_STATUSES:
+            raise attempts.error_from_refusal(response, body)
+        self._check_identity(endpoint, request, attempt, response)
+        content_type = response.headers.get("content-type", "application/octet-stream")
+        return requests.ServiceAnswer(response.status, content_type, body)
+
+    def _check_identity(
+        self,
+        endpoint: requests.Endpoint,
+        request: requests.Request,
+        attempt: str,
+        response: httpclient.Response,
+    ) -> None:
+        named = (
+            response.headers.get("x-request-id", request.request_id),
+            response.headers.get("x-attempt", attempt),
+        )
+        if named == (request.request_id, attempt):
+            return
+        log.warning(
+            "dropped an answer to another request",
+            extra=logs.fields(endpoint=endpoint.name, request=request.request_id),
+        )
+        raise errors.EndpointError(
+            "the answer belongs to another request",
+            verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        )
--- /dev/null
+++ b/acaciaward/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Assembles the slices into one entry process."""
--- /dev/null
+++ b/acaciaward/errors.py
@@ -0,0 +1,221 @@
+"""
+The exception tree of the project.
+
+Every error that a caller or an operator may see derives from
+``AcaciawardError``. Errors about one request derive from ``RequestError`` and
+carry what the answer needs: the HTTP status, a short machine-readable code,
+the verdict and, where it makes sense, the number of seconds after which to
+come back.
+
+    raise errors.NoEndpointError("no live endpoint", retry_after_s=2.0)
+"""
+
+from acaciaward import verdicts
+
+
+class AcaciawardError(Exception):
+    """Base class of all errors of the project."""
+
+
+class OperatorError(AcaciawardError):
+    """
+    A mistake of the operator: settings, arguments or files.
+
+    The command line prints the message as one line, without a traceback, and
+    exits with ``exit_code``.
+    """
+
+    exit_code = 1
+
+
+class SettingsError(OperatorError):
+    """A settings file that can't be used; the message names the key's path."""
+
+    exit_code = 2
+
+
+class RequestError(AcaciawardError):
+    """
+    A request that ends without its answer.
+
+    ``verdict`` says whether the request may have run, ``retry_after_s`` when
+    it makes sense to ask again, in seconds, or None when it never does.
+    """
+
+    status = 500
+    code = "internal_error"
+    default_verdict = verdicts.Verdict.NOT_RUN
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        verdict: verdicts.Verdict | None = None,
+        retry_after_s: float | None = None,
+    ):
+        super().__init__(message)
+        self.verdict = verdict or self.default_verdict
+        self.retry_after_s = retry_after_s
+
+
+class InvalidRequestError(RequestError):
+    """Malformed input: the request was not run and never will be as it is."""
+
+    status = 400
+    code = "invalid_request_error"
+
+
+class BodyTooLargeError(InvalidRequestError):
+    """The body is larger than the settings allow."""
+
+    status = 413
+    code = "body_too_large"
+
+
+class AuthenticationError(RequestError):
+    """The key is missing, unknown or revoked."""
+
+    status = 401
+    code = "invalid_api_key"
+
+
+class PermissionDeniedError(RequestError):
+    """The key is valid but doesn't allow this."""
+
+    status = 403
+    code = "permission_denied"
+
+
+class NotFoundError(RequestError):
+    """The named deployment, stream, key or version doesn't exist for the caller."""
+
+    status = 404
+    code = "not_found"
+
+
+class ConflictError(RequestError):
+    """The request contradicts an earlier one, such as a key with another body."""
+
+    status = 409
+    code = "conflict"
+
+
+class LimitExceededError(RequestError):
+    """A limit of the organisation is reached."""
+
+    status = 429
+    code = "limit_exceeded"
+
+
+class OverloadedError(RequestError):
+    """The work can't be done before its deadline, so it was not begun."""
+
+    status = 503
+    code = "overloaded"
+
+
+class NoEndpointError(RequestError):
+    """No live endpoint serves the deployment."""
+
+    status = 503
+    code = "no_endpoint"
+
+
+class NotCurrentError(RequestError):
+    """This entry can't show that its configuration is current."""
+
+    status = 503
+    code = "not_current"
+
+
+class PlatformUnavailableError(RequestError):
+    """What the request needs from the platform's log can't be had now."""
+
+    status = 503
+    code = "platform_unavailable"
+
+
+class QuarantinedError(RequestError):
+    """The request is quarantined since endpoints died while running it."""
+
+    status = 422
+    code = "quarantined"
+
+
+class DeadlineExceededError(RequestError):
+    """The deadline passed before the answer was complete."""
+
+    status = 504
+    code = "deadline_exceeded"
+    default_verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+
+class AttemptFailedError(RequestError):
+    """Every attempt that the request was allowed failed."""
+
+    status = 502
+    code = "attempt_failed"
+    default_verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+
+class OutcomeUnknownError(RequestError):
+    """The key is owned by another run, whose result can't be had."""
+
+    status = 409
+    code = "outcome_unknown"
+    default_verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+
+class PlatformError(AcaciawardError):
+    """A call to the platform failed; see the subclasses for what is certain."""
+
+    def __init__(self, message: str, *, retry_after_s: float | None = None):
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class PlatformRefusedError(PlatformError):
+    """The platform refused: the action certainly had no effect."""
+
+
+class PlatformUnknownError(PlatformError):
+    """The answer was lost: the action may have taken effect, or may yet."""
+
+
+class RecordsExpiredError(PlatformError):
+    """The wanted offset is older than what the log retains."""
+
+    def __init__(self, message: str, *, first_offset: int):
+        super().__init__(message)
+        self.first_offset = first_offset
+
+
+class PeerUnreachableError(AcaciawardError):
+    """A peer entry did not answer in time."""
+
+
+class WireError(AcaciawardError):
+    """A message from a peer that can't be decoded."""
+
+
+class EndpointError(AcaciawardError):
+    """
+    An attempt at an endpoint failed.
+
+    ``verdict`` is what the client can prove about the attempt, and
+    ``endpoint_died`` is True when the connection broke in a way that a crash
+    of the endpoint would explain.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        verdict: verdicts.Verdict,
+        endpoint_died: bool = False,
+        retry_after_s: float | None = None,
+    ):
+        super().__init__(message)
+        self.verdict = verdict
+        self.endpoint_died = endpoint_died
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/acaciaward/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Moves streams away from endpoints that are being reclaimed."""
--- /dev/null
+++ b/acaciaward/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What to rent, load and release, and what it costs."""
--- /dev/null
+++ b/acaciaward/httpserver.py
@@ -0,0 +1,129 @@
+"""
+Serves a blacksheep application with uvicorn inside a running event loop.
+
+uvicorn's own signal handlers stay out, so that a process may hold several
+servers and decide itself what a signal means.
+
+    server = httpserver.HttpServer(application, "127.0.0.1", 8100)
+    await server.start()
+    await server.stop()
+"""
+
+import asyncio
+import contextlib
+import functools
+import typing
+from collections.abc import Callable
+
+import blacksheep
+import blacksheep.server.routing
+import uvicorn
+
+START_POLL_S = 0.005
+
+
+def make_application() -> blacksheep.Application:
+    """Return an application with a router of its own, not the shared one."""
+    router = blacksheep.server.routing.Router()
+    return blacksheep.Application(router=router)
+
+
+def add_route(
+    application: blacksheep.Application, method: str, path: str, handler: Callable
+) -> None:
+    """
+    Add a route whose handler may be a bound method.
+
+    blacksheep marks handlers with an attribute, which bound methods can't have,
+    so the handler is wrapped in a function of the same signature.
+    """
+
+    @functools.wraps(handler)
+    async def route_handler(*args: typing.Any, **kwargs: typing.Any):
+        return await handler(*args, **kwargs)
+
+    application.router.add(method, path, route_handler)
+
+
+class _QuietServer(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+
+class HttpServer:
+    """One listening HTTP or HTTPS server."""
+
+    def __init__(
+        self,
+        application: typing.Any,
+        address: str,
+        port: int,
+        *,
+        tls: dict[str, str] | None = None,
+        max_connections: int | None = None,
+    ):
+        config = uvicorn.Config(
+            application,
+            host=address,
+            port=port,
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            limit_concurrency=max_connections,
+            timeout_keep_alive=30,
+            server_header=False,
+            ssl_certfile=tls["certificate"] if tls else None,
+            ssl_keyfile=tls["private_key"] if tls else None,
+        )
+        self._application = application
+        self._port = port
+        self._server = _QuietServer(config)
+        self._task: asyncio.Task | None = None
+
+    @property
+    def port(self) -> int:
+        """The TCP port."""
+        return self._port
+
+    async def start(self) -> None:
+        """Listen, or raise OSError when the port can't be had."""
+        await self._application.start()
+        self._task = asyncio.create_task(self._serve())
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+                raise OSError("the HTTP server ended before it had started")
+            await asyncio.sleep(START_POLL_S)
+
+    async def _serve(self) -> None:
+        # uvicorn reports a port that can't be had by SystemExit, which must
+        # not end the whole process from inside a task.
+        try:
+            await self._server.serve()
+        except SystemExit as error:
+            raise OSError("the HTTP server could not listen") from error
+
+    async def stop(self) -> None:
+        """Stop listening, finish what runs and return."""
+        if self._task is None:
+            return
+        self._server.should_exit = True
+        await self._task
+
+    async def kill(self) -> None:
+        """Close everything at once, as a crash would."""
+        if self._task is None:
+            return
+        for listener in getattr(self._server, "servers", []):
+            listener.close()
+        for connection in list(self._server.server_state.connections):
+            transport = getattr(connection, "transport", None)
+            if transport is not None:
+                transport.abort()
+        self._server.force_exit = True
+        self._server.should_exit = True
+        await self._task
--- /dev/null
+++ b/acaciaward/identity/__init__.py
@@ -0,0 +1,1 @@
+"""Keys of organisations and operators, TLS, CURVE and token signing."""
--- /dev/null
+++ b/acaciaward/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Duty leases and fencing numbers taken from log order."""
--- /dev/null
+++ b/acaciaward/leases/interfaces.py
@@ -0,0 +1,30 @@
+"""What the holders of duties need of leases."""
+
+import typing
+
+
+class Lease(typing.NamedTuple):
+    """
+    A duty held for a while.
+
+    ``fence`` is the offset of the lease record, so it rises with each holder.
+    ``expires`` is in seconds of the monotonic clock.
+    """
+
+    duty: str
+    holder: str
+    fence: int
+    expires: float
+
+
+class Leases(typing.Protocol):
+    """Duties that one entry at a time should do."""
+
+    def held(self, duty: str) -> Lease | None:
+        """Return the lease if this entry holds it now by the monotonic clock."""
+
+    def want(self, duty: str) -> None:
+        """Try to hold the duty from now on, renewing and taking over as needed."""
+
+    def give_up(self, duty: str) -> None:
+        """Stop renewing the duty."""
--- /dev/null
+++ b/acaciaward/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Gossip between entries and the hints that it carries."""
--- /dev/null
+++ b/acaciaward/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines, metrics and burn-rate arithmetic."""
--- /dev/null
+++ b/acaciaward/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log, cloud, weight store, instance list."""
--- /dev/null
+++ b/acaciaward/platform/calls.py
@@ -0,0 +1,93 @@
+"""
+One HTTP call to a service of the platform, with the certainty of its outcome.
+
+A call that could not be sent, or that the service refused, raises
+``PlatformRefusedError``. A call whose answer was lost raises
+``PlatformUnknownError``, since it may have taken effect.
+"""
+
+import typing
+
+import msgspec
+
+from acaciaward import errors, httpclient
+
+REFUSED_STATUSES = frozenset({400, 404, 409, 410, 413, 429, 503})
+ERROR_CHARACTERS = 200
+
+
+class PlatformReply(typing.NamedTuple):
+    """Status and decoded JSON body of a service's answer."""
+
+    status: int
+    body: typing.Any
+
+
+class PlatformService:
+    """One service of the platform at an IP number and port."""
+
+    def __init__(
+        self,
+        client: httpclient.HttpClient,
+        address: str,
+        port: int,
+        *,
+        timeout_s: float,
+    ):
+        self._client = client
+        self._address = address
+        self._port = port
+        self._timeout_s = timeout_s
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+        *,
+        wait_s: float = 0,
+        accepted: frozenset[int] = frozenset(),
+    ) -> PlatformReply:
+        """
+        Call the service and return its reply.
+
+        ``wait_s`` is time that the service may spend waiting on purpose, and
+        ``accepted`` lists statuses, besides those of success, to return.
+        """
+        payload = b"" if body is None else msgspec.json.encode(body)
+        try:
+            async with self._client.send(
+                method,
+                self._address,
+                self._port,
+                path,
+                headers={"content-type": "application/json"},
+                body=payload,
+                timeout_s=self._timeout_s + wait_s,
+            ) as response:
+                answer = await response.read()
+        except httpclient.ConnectFailedError as error:
+            raise errors.PlatformRefusedError(str(error)) from error
+        except httpclient.HttpError as error:
+            raise errors.PlatformUnknownError(f"{method} {path}: {error}") from error
+        if response.status < 300 or response.status in accepted:
+            return PlatformReply(response.status, _decode(answer))
+        self._raise_for_status(response, answer)
+
+    def _raise_for_status(
+        self, response: httpclient.Response, answer: bytes
+    ) -> typing.NoReturn:
+        text = answer[:ERROR_CHARACTERS].decode(errors="replace")
+        message = f"status {response.status}: {text}"
+        if response.status in REFUSED_STATUSES:
+            raise errors.PlatformRefusedError(
+                message, retry_after_s=response.retry_after_s
+            )
+        raise errors.PlatformUnknownError(message)
+
+
+def _decode(answer: bytes) -> typing.Any:
+    try:
+        return msgspec.json.decode(answer)
+    except msgspec.DecodeError as error:
+        raise errors.PlatformUnknownError(f"answer is not JSON: {error}") from error
--- /dev/null
+++ b/acaciaward/platform/log.py
@@ -0,0 +1,47 @@
+"""HTTP client of the platform's append-only log service."""
+
+from collections.abc import Sequence
+
+from acaciaward import errors
+from acaciaward.platform import calls, interfaces
+
+EXPIRED_STATUS = 410
+
+
+class HttpLog:
+    """Implements ``interfaces.Log`` over HTTP."""
+
+    def __init__(self, service: calls.PlatformService):
+        self._service = service
+
+    async def append(self, stream: str, records: Sequence[dict]) -> list[int]:
+        """Append all records as one call and return their offsets."""
+        reply = await self._service.call(
+            "POST", f"/streams/{stream}/records", {"records": list(records)}
+        )
+        return reply.body["offsets"]
+
+    async def read(
+        self, stream: str, from_offset: int, *, limit: int = 1000, wait_s: float = 0
+    ) -> interfaces.LogPage:
+        """Return records from an offset on; see ``interfaces.Log.read``."""
+        query = f"from={from_offset}&limit={limit}&wait_s={wait_s}"
+        reply = await self._service.call(
+            "GET",
+            f"/streams/{stream}/records?{query}",
+            wait_s=wait_s,
+            accepted=frozenset({EXPIRED_STATUS}),
+        )
+        body = reply.body
+        if reply.status == EXPIRED_STATUS:
+            raise errors.RecordsExpiredError(
+                f"offset {from_offset} of {stream} is no longer retained",
+                first_offset=body["first_offset"],
+            )
+        records = [
+            interfaces.LogRecord(record["offset"], record["time"], record["data"])
+            for record in body["records"]
+        ]
+        return interfaces.LogPage(
+            records, body["first_offset"], body["next_offset"], body["time"]
+        )
--- /dev/null
+++ b/acaciaward/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the endpoints that run them."""
--- /dev/null
+++ b/acaciaward/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an endpoint for a request."""
--- /dev/null
+++ b/acaciaward/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Reading and checking of the JSON settings file."""
--- /dev/null
+++ b/acaciaward/settings/loader.py
@@ -0,0 +1,70 @@
+"""
+Reads a settings file, fills in the defaults and checks the result.
+
+The shipped ``schema.json`` describes every key and ``defaults.json`` holds every
+default. A mistake raises ``SettingsError`` with one line that names the file
+and the key's path:
+
+    entry.json: callers.port: 'http' is not of type 'integer'
+"""
+
+import functools
+import json
+import pathlib
+import typing
+
+from acaciaward import errors, schemas
+
+PACKAGE = "acaciaward.settings"
+
+Settings = dict[str, typing.Any]
+
+
+@functools.cache
+def _schema() -> schemas.Schema:
+    return schemas.Schema(PACKAGE, "schema.json")
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Return the effective settings of a file, or raise ``SettingsError``."""
+    try:
+        text = pathlib.Path(path).read_text()
+    except OSError as error:
+        raise errors.SettingsError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise errors.SettingsError(f"{path}: not UTF-8 text") from error
+    try:
+        given = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise errors.SettingsError(f"{path}: not JSON: {error}") from error
+    return check(given, name=str(path))
+
+
+def check(given: typing.Any, *, name: str = "settings") -> Settings:
+    """
+    Return the effective settings for a parsed file, or raise ``SettingsError``.
+
+    check({"instance": {...}, "callers": {"port": 8100}, ...})
+    """
+    if not isinstance(given, dict):
+        raise errors.SettingsError(f"{name}: expected a JSON object")
+    effective = merge_defaults(given)
+    mistake = _schema().first_mistake(effective)
+    if mistake is None:
+        return effective
+    place = f"{name}: {mistake.path}" if mistake.path else name
+    raise errors.SettingsError(f"{place}: {mistake.reason}")
+
+
+def merge_defaults(given: Settings) -> Settings:
+    """Return the settings with every missing key taken from the defaults."""
+    return _overlay(schemas.read_shipped(PACKAGE, "defaults.json"), given)
+
+
+def _overlay(base: typing.Any, given: typing.Any) -> typing.Any:
+    if not isinstance(base, dict) or not isinstance(given, dict):
+        return given
+    merged = dict(base)
+    for key, value in given.items():
+        merged[key] = _overlay(base.get(key), value)
+    return merged
--- /dev/null
+++ b/baseline/__init__.py
@@ -0,0 +1,1 @@
+"""The naive serving system that experiments are compared with."""
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments: `python -m bench NAME --seed N --json`."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,47 @@
+"""
+Runs one experiment: ``python -m bench NAME --seed N --json``.
+
+An experiment is a module of this package with ``async def run(options)`` that
+returns a JSON object, listed in ``EXPERIMENTS`` with what it measures.
+"""
+
+import asyncio
+import importlib
+import json
+import sys
+
+import click
+
+from acaciaward.observability import logs
+from bench import options as bench_options
+
+EXPERIMENTS: dict[str, str] = {}
+
+
+@click.command()
+@click.argument("name", type=click.Choice(sorted(EXPERIMENTS)))
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--quick", is_flag=True, help="A short run.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object last.")
+@click.option("--entries", default="", help="Entry counts, parted by commas.")
+@click.option("--endpoints", default="", help="Endpoint counts, parted by commas.")
+def main(name: str, seed: int, quick: bool, as_json: bool, entries: str, endpoints):
+    """Run the experiment NAME."""
+    logs.configure("error", {"bench": name})
+    module = importlib.import_module(f"bench.{name}")
+    chosen = bench_options.Options(
+        seed=seed,
+        quick=quick,
+        entries=_numbers(entries),
+        endpoints=_numbers(endpoints),
+    )
+    result = asyncio.run(module.run(chosen))
+    click.echo(json.dumps(result, indent=None if as_json else 2))
+
+
+def _numbers(text: str) -> tuple[int, ...]:
+    return tuple(int(part) for part in text.split(",") if part)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and first patches of deployments, as examples."""
--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,179 @@
+"""Steps for the whole path."""
+
+import asyncio
+import json
+
+from behave import given, then, when
+
+from acaciaward import httpclient
+from acaciaward.client import caller, sse
+from acaciaward.identity import apikeys
+from bench import cluster
+from standins import tokens
+
+PROMPT = "the long story of a box of puzzles"
+
+
+@given(
+    "{entries:d} entries, {engines:d} engines and {services:d} services, "
+    "with every engine behind a fault proxy"
+)
+def start_cluster(context, entries, engines, services):
+    names = [f"engine-{number + 1}" for number in range(engines)]
+    context.cluster = cluster.Cluster(
+        entry_count=entries,
+        engine_count=engines,
+        service_count=services,
+        proxied=names,
+    )
+    context.runner.run(context.cluster.start())
+
+
+@when("a caller streams an answer of {count:d} tokens")
+def plan_stream(context, count):
+    context.count = count
+
+
+@when("the engine that serves it is killed after {seen:d} tokens")
+def kill_serving_engine(context, seen):
+    context.runner.run(_stream_and_kill(context, seen))
+
+
+async def _stream_and_kill(context, seen):
+    running = context.cluster
+    client = httpclient.HttpClient()
+    body = {
+        "model": cluster.MODEL,
+        "prompt": PROMPT,
+        "max_tokens": context.count,
+        "stream": True,
+    }
+    headers = {"authorization": f"Bearer {running.keys['org-1']}"}
+    context.texts = []
+    context.opened = 0
+    context.end = None
+    async with client.send(
+        "POST",
+        *running.entry_addresses[0],
+        "/v1/completions",
+        headers=headers,
+        body=json.dumps(body).encode(),
+    ) as response:
+        async for event in sse.events(response):
+            if not event["choices"]:
+                context.opened += 1
+            elif "count" in event["acaciaward"]:
+                context.end = event["acaciaward"]
+            else:
+                context.texts.append(event["choices"][0]["text"])
+            if len(context.texts) == seen and context.opened == 1:
+                await _kill_busy_engine(running)
+    await client.close()
+
+
+async def _kill_busy_engine(running):
+    for name in running.engines:
+        if (await running.stats(name))["running"]:
+            await running.processes.kill(name)
+            return
+    raise AssertionError("no engine was running the stream")
+
+
+@then("the answer is whole and its own")
+def check_whole(context):
+    assert context.end["count"] == context.count, context.end
+    expected = tokens.expected_text(PROMPT, context.count)
+    assert "".join(context.texts) == expected
+
+
+@then("it moved at least once")
+def check_moved(context):
+    assert context.opened >= 2, context.opened
+
+
+@when('an operator adds the organisation "{name}"')
+def add_organisation(context, name):
+    key, entry = apikeys.make_organisation_key(name, "desk")
+    context.cluster.keys[name] = key
+    changes = {
+        "organisations": {name: {"keys": {"desk": entry}}},
+        "deployments": {
+            cluster.MODEL: {"organisations": [*cluster.ORGANISATIONS, name]}
+        },
+    }
+    outcome = context.runner.run(context.cluster.patch(changes))
+    assert outcome["status"] == "accepted", outcome
+
+
+@then('"{name}" gets a whole answer from every entry')
+def check_every_entry(context, name):
+    async def ask(address):
+        one = caller.Caller([address], key=context.cluster.keys[name])
+        one._entries, one._entries_expire = [address], float("inf")
+        answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=12)
+        await one.close()
+        return answer
+
+    async def ask_all():
+        addresses = context.cluster.entry_addresses
+        return await asyncio.gather(*(ask(address) for address in addresses))
+
+    answers = context.runner.run(ask_all())
+    assert len(answers) == 3
+    assert {answer.text for answer in answers} == {tokens.expected_text(PROMPT, 12)}
+
+
+BROKEN = (
+    (b"{not json", {}, 400, "invalid_request_error"),
+    (b"[]", {}, 400, "invalid_request_error"),
+    (b'{"model": "text", "prompt": 5}', {}, 400, "invalid_request_error"),
+    (b'{"model": "nothing", "prompt": "x"}', {}, 404, "not_found"),
+    (b'{"model": "text", "prompt": "x"}', {"authorization": "Bearer x"}, 401, None),
+    (b'{"model": "text", "prompt": "x"}', {"x-deadline-s": "soon"}, 400, None),
+    (b'{"model": "text", "prompt": "x"}', {"x-deadline-s": "nan"}, 400, None),
+    (b'{"model": "text", "prompt": "x"}', {"x-service-class": "rush"}, 400, None),
+    (b'{"model": "text", "prompt": "x", "max_tokens": 0}', {}, 400, None),
+    (b" " * 2_000_000, {}, 413, "body_too_large"),
+)
+
+
+@when("a caller sends each kind of broken input on one connection")
+def send_broken(context):
+    context.client = httpclient.HttpClient()
+    context.refusals = context.runner.run(_send_all(context))
+
+
+async def _send_all(context):
+    return [await _send(context, body, extra) for body, extra, _, _ in BROKEN]
+
+
+async def _send(context, body, extra):
+    running = context.cluster
+    headers = {"authorization": f"Bearer {running.keys['org-1']}"} | extra
+    async with context.client.send(
+        "POST",
+        *running.entry_addresses[0],
+        "/v1/completions",
+        headers=headers,
+        body=body,
+    ) as response:
+        return response.status, json.loads(await response.read())
+
+
+@then("each is refused as not run with the code expected")
+def check_refusals(context):
+    for (status, body), (_, _, wanted, code) in zip(
+        context.refusals, BROKEN, strict=True
+    ):
+        assert status == wanted, (status, body, wanted)
+        assert body["error"]["verdict"] == "not_run", body
+        assert body["error"]["request_id"], body
+        assert code in (None, body["error"]["code"]), body
+
+
+@then("a good request on the same connection is answered")
+def check_good(context):
+    body = json.dumps({"model": "text", "prompt": PROMPT, "max_tokens": 4}).encode()
+    status, answer = context.runner.run(_send(context, body, {}))
+    assert status == 200, answer
+    assert answer["choices"][0]["text"] == tokens.expected_text(PROMPT, 4)
--- /dev/null
+++ b/standins/base.py
@@ -0,0 +1,116 @@
+"""
+What all stand-ins share: a blacksheep application with a control address.
+
+``POST /control/faults`` sets faults by name, ``GET /control/faults`` returns
+them and ``GET /control/stats`` returns counters, so that tests and experiments
+can drive a stand-in from outside.
+"""
+
+import asyncio
+import json
+import os
+import typing
+from collections.abc import Callable
+
+import blacksheep
+from blacksheep.server.responses import json as json_response
+
+from acaciaward import httpserver
+
+EXIT_CODE_OF_CRASH = 70
+
+
+class StandIn:
+    """
+    One stand-in, embeddable in an event loop or run as its own process.
+
+    Subclasses set ``self.faults`` to a dict of fault names with their harmless
+    values and add routes to ``self.application``.
+    """
+
+    def __init__(self, address: str = "127.0.0.1", port: int = 0):
+        self.address = address
+        self.port = port
+        self.faults: dict[str, typing.Any] = {}
+        self.application = httpserver.make_application()
+        self.add_route("GET", "/control/faults", self._get_faults)
+        self.add_route("POST", "/control/faults", self._set_faults)
+        self.add_route("GET", "/control/stats", self._get_stats)
+        self._server: httpserver.HttpServer | None = None
+        self._is_own_process = False
+
+    def add_route(self, method: str, path: str, handler: Callable) -> None:
+        """Serve one more path."""
+        httpserver.add_route(self.application, method, path, handler)
+
+    async def start(self, *, own_process: bool = False) -> None:
+        """Listen; in a process of its own, a crash ends the process."""
+        self._is_own_process = own_process
+        self._server = httpserver.HttpServer(self.application, self.address, self.port)
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Stop listening after what runs has ended."""
+        if self._server is not None:
+            await self._server.stop()
+
+    async def crash(self) -> None:
+        """Die at once without a word, as a killed instance does."""
+        if self._is_own_process:
+            os._exit(EXIT_CODE_OF_CRASH)
+        if self._server is not None:
+            await self._server.kill()
+            self._server = None
+
+    def stats(self) -> dict[str, typing.Any]:
+        """Return the counters that ``GET /control/stats`` shows."""
+        return {}
+
+    async def _get_faults(self) -> blacksheep.Response:
+        return json_response(self.faults)
+
+    async def _set_faults(self, request: blacksheep.Request) -> blacksheep.Response:
+        given = await read_json(request)
+        unknown = set(given) - set(self.faults)
+        if unknown:
+            return refuse(400, f"unknown faults: {', '.join(sorted(unknown))}")
+        self.faults.update(given)
+        return json_response(self.faults)
+
+    async def _get_stats(self) -> blacksheep.Response:
+        return json_response(self.stats())
+
+
+async def read_json(request: blacksheep.Request) -> dict[str, typing.Any]:
+    """Return the JSON object of a request's body, empty when there is none."""
+    body = await request.read()
+    return json.loads(body) if body else {}
+
+
+def refuse(
+    status: int, message: str, *, retry_after_s: float | None = None
+) -> blacksheep.Response:
+    """Return a refusal that says that nothing was done."""
+    response = json_response({"error": message, "verdict": "not_run"}, status=status)
+    if retry_after_s is not None:
+        response.add_header(b"retry-after", f"{retry_after_s:.3f}".encode())
+    return response
+
+
+def lost_answer() -> blacksheep.Response:
+    """Return a response that breaks off, so that the client learns nothing."""
+
+    async def broken():
+        yield b" "
+        await asyncio.sleep(0)
+        raise ConnectionAbortedError("stand-in loses this answer on purpose")
+
+    return blacksheep.Response(
+        200, content=blacksheep.StreamedContent(b"application/json", broken)
+    )
+
+
+def first_query(request: blacksheep.Request, name: str, default: str) -> str:
+    """Return the first value of a query parameter."""
+    values = request.query.get(name)
+    return values[0] if values else default
--- /dev/null
+++ b/standins/faultproxy.py
@@ -0,0 +1,131 @@
+"""
+A TCP proxy that injects faults between two processes.
+
+Faults can be set at run time through ``faults`` or the control address:
+``mode`` is one of pass, hold (accept and forward nothing), refuse (close each
+connection at once) and cut (close all connections now and each new one after
+``cut_after_bytes``). ``direction`` says which way a hold or cut applies:
+request, answer or both. ``delay_s`` delays each piece of data both ways.
+"""
+
+import asyncio
+import contextlib
+import typing
+
+from standins import base
+
+READ_BYTES = 65536
+HOLD_POLL_S = 0.02
+MODES = frozenset({"pass", "hold", "refuse", "cut"})
+
+
+class FaultProxy:
+    """Forwards connections from one listening port to one target."""
+
+    def __init__(self, target: tuple[str, int], address: str = "127.0.0.1", port=0):
+        self._target = target
+        self._address = address
+        self.port = port
+        self.faults: dict[str, typing.Any] = {
+            "mode": "pass",
+            "direction": "both",
+            "delay_s": 0.0,
+            "cut_after_bytes": 0,
+        }
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen; with port 0 any free port, shown by ``port``."""
+        self._server = await asyncio.start_server(self._serve, self._address, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Close every connection and stop listening."""
+        self.cut_connections()
+        if self._server is not None:
+            self._server.close()
+
+    def cut_connections(self) -> None:
+        """Abort every open connection."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.faults["mode"] == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            target_reader, target_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = {writer, target_writer}
+        self._writers |= pair
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, target_writer, "request", pair))
+                group.create_task(self._pump(target_reader, writer, "answer", pair))
+        finally:
+            self._writers -= pair
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: str,
+        pair: set[asyncio.StreamWriter],
+    ) -> None:
+        forwarded = 0
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                await asyncio.sleep(self.faults["delay_s"])
+                while self._applies("hold", direction):
+                    await asyncio.sleep(HOLD_POLL_S)
+                if self._applies("cut", direction):
+                    allowed = max(0, self.faults["cut_after_bytes"] - forwarded)
+                    if len(data) >= allowed:
+                        writer.write(data[:allowed])
+                        await writer.drain()
+                        break
+                forwarded += len(data)
+                writer.write(data)
+                await writer.drain()
+        for one in pair:
+            one.close()
+
+    def _applies(self, mode: str, direction: str) -> bool:
+        is_direction = self.faults["direction"] in ("both", direction)
+        return self.faults["mode"] == mode and is_direction
+
+
+class FaultProxyStandIn(base.StandIn):
+    """A fault proxy with a control address; ``port`` is the control port."""
+
+    def __init__(
+        self,
+        target: tuple[str, int],
+        listen_port: int,
+        address: str = "127.0.0.1",
+        port: int = 0,
+    ):
+        super().__init__(address, port)
+        self.proxy = FaultProxy(target, address, listen_port)
+        self.faults = self.proxy.faults
+        self.add_route("POST", "/control/cut", self._control_cut)
+
+    async def start(self, *, own_process: bool = False) -> None:
+        """Listen on both ports."""
+        await self.proxy.start()
+        await super().start(own_process=own_process)
+
+    async def stop(self) -> None:
+        """Stop both sides."""
+        await self.proxy.stop()
+        await super().stop()
+
+    async def _control_cut(self) -> dict[str, bool]:
+        self.proxy.cut_connections()
+        return {"cut": True}
