Split dispatch by path: streams, calls and what their attempts share

Ruled out: a base class for both paths; they share a runner object instead. Change: attempts.py, streams.py, calls.py behind the same Dispatcher. Conclusion: no behaviour changed.

--- a/acaciaward/callers/api.py
+++ b/acaciaward/callers/api.py
@@ -19,7 +19,7 @@
 from acaciaward.callers import answers, discovery, parsing
 from acaciaward.claims import interfaces as claims_interfaces
 from acaciaward.configuration import interfaces as configuration_interfaces
-from acaciaward.dispatch import dispatcher
+from acaciaward.dispatch import dispatcher, streams
 from acaciaward.identity import apikeys, resumetokens
 from acaciaward.observability import logs, metrics
 
@@ -141,7 +141,7 @@
     async def _collect(
         self,
         request: requests.Request,
-        events: AsyncIterator[dispatcher.StreamEvent],
+        events: AsyncIterator[streams.StreamEvent],
         form: answers.Form,
     ) -> blacksheep.Response:
         texts = []
@@ -158,7 +158,7 @@
         self,
         request: blacksheep.Request,
         model_request: requests.Request,
-        events: AsyncIterator[dispatcher.StreamEvent],
+        events: AsyncIterator[streams.StreamEvent],
         form: answers.Form,
     ) -> blacksheep.Response:
         # The first event is awaited here, so that a request that never begins
@@ -179,8 +179,8 @@
         self,
         request: blacksheep.Request,
         model_request: requests.Request,
-        first: dispatcher.StreamEvent,
-        events: AsyncIterator[dispatcher.StreamEvent],
+        first: streams.StreamEvent,
+        events: AsyncIterator[streams.StreamEvent],
         form: answers.Form,
     ) -> AsyncIterator[bytes]:
         chunks = answers.Chunks(form, model_request)
@@ -199,7 +199,7 @@
         self,
         chunks: answers.Chunks,
         request: requests.Request,
-        event: dispatcher.StreamEvent,
+        event: streams.StreamEvent,
     ) -> bytes:
         if isinstance(event, requests.TokenFrame):
             return chunks.token(event)
@@ -208,7 +208,7 @@
         return chunks.opened(self._resume_token(request, event))
 
     def _resume_token(
-        self, request: requests.Request, opened: dispatcher.Opened
+        self, request: requests.Request, opened: streams.Opened
     ) -> str | None:
         keys = self._configuration.view.document.get("resume_keys", [])
         if not keys:
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -17,7 +17,7 @@
 from acaciaward.callers import api as callers_api, discovery
 from acaciaward.claims import local
 from acaciaward.configuration import follower
-from acaciaward.dispatch import dispatcher
+from acaciaward.dispatch import attempts, dispatcher
 from acaciaward.endpoints import engine, service
 from acaciaward.membership import (
     gossip,
@@ -130,7 +130,7 @@
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
         self._claims = local.LocalClaimBook(self.name)
-        collaborators = dispatcher.Collaborators(
+        collaborators = attempts.Collaborators(
             router=leastloaded.LeastLoadedRouter(self._configuration, self._hints),
             admission=counting.CountingAdmission(
                 max_in_flight=admission["max_in_flight"],
@@ -145,7 +145,7 @@
             ),
             service=service.HttpPlainService(self._client),
         )
-        limits = dispatcher.RetryLimits(
+        limits = attempts.RetryLimits(
             settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
         )
         self._dispatcher = dispatcher.Dispatcher(collaborators, limits)
