--- /dev/null
+++ b/acaciaward/endpoints/features/httpclient.feature
@@ -0,0 +1,34 @@
+Feature: The HTTP client says exactly what it knows
+
+  Scenario: A refused connection proves that nothing was written
+    Given a server that nobody runs
+    When a request is sent
+    Then it fails as "ConnectFailedError" and no request arrived
+
+  Scenario Outline: A broken answer is never taken for a whole one
+    Given a server that answers with <answer>
+    When a request is sent
+    Then it fails as "<error>" and 1 request arrived
+
+    Examples:
+      | answer                       | error                |
+      | nothing and closes           | ConnectionLostError  |
+      | half a body of known length  | ConnectionLostError  |
+      | a chunk without its end      | ConnectionLostError  |
+      | no HTTP at all               | ConnectionLostError  |
+      | silence                      | ResponseTimeoutError |
+
+  Scenario: A request on a reused connection that closes is not repeated
+    Given a server that closes a reused connection after reading the request
+    When two requests are sent one after the other
+    Then the second fails as "ConnectionLostError" and 2 requests arrived
+
+  Scenario: Leaving a response early closes the connection
+    Given a server that answers without end
+    When the response is left after its first chunk
+    Then the server sees the connection closed
+
+  Scenario: A reader that stops holds the sender back
+    Given a server that answers without end
+    When the response is not read for a while
+    Then the server could send less than 8000000 bytes
--- /dev/null
+++ b/acaciaward/endpoints/features/steps/httpclient_steps.py
@@ -0,0 +1,176 @@
+"""Steps for the HTTP client, against raw TCP servers."""
+
+import asyncio
+import contextlib
+
+from behave import given, then, when
+
+from acaciaward import httpclient
+
+ADDRESS = "127.0.0.1"
+SILENCE_S = 0.3
+WAIT_S = 10.0
+CHUNK = b"10000\r\n" + bytes(0x10000) + b"\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\n"
+ANSWERS = {
+    "nothing and closes": b"",
+    "half a body of known length": HEAD + b"content-length: 10\r\n\r\nhalf",
+    "a chunk without its end": HEAD
+    + b"transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    "no HTTP at all": b"what do you want?\r\n\r\n",
+}
+WHOLE = HEAD + b"content-length: 2\r\n\r\nok"
+
+
+class RawServer:
+    """Counts requests and answers as it is told."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        self.requests = 0
+        self.sent = 0
+        self.closed = asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, ADDRESS, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        turn = 0
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                turn += 1
+                if not await self._answer(self, writer, turn):
+                    break
+        writer.transport.abort()
+        self.closed.set()
+
+
+async def start(context, answer):
+    context.server = RawServer(answer)
+    await context.server.start()
+    context.port = context.server.port
+    context.client = httpclient.HttpClient()
+
+
+async def send(context):
+    async with context.client.send(
+        "GET", ADDRESS, context.port, "/", timeout_s=SILENCE_S
+    ) as response:
+        return await response.read()
+
+
+async def send_and_note(context):
+    context.error = None
+    try:
+        await send(context)
+    except httpclient.HttpError as error:
+        context.error = type(error).__name__
+
+
+@given("a server that nobody runs")
+def no_server(context):
+    async def prepare():
+        await start(context, None)
+        context.server.server.close()
+        await context.server.server.wait_closed()
+
+    context.runner.run(prepare())
+
+
+@given("a server that answers with {answer}")
+def broken_server(context, answer):
+    async def respond(server, writer, turn):
+        if answer == "silence":
+            await asyncio.sleep(WAIT_S)
+        writer.write(ANSWERS[answer])
+        await writer.drain()
+        writer.write_eof()
+        await asyncio.sleep(SILENCE_S / 3)
+        return False
+
+    context.runner.run(start(context, respond))
+
+
+@given("a server that closes a reused connection after reading the request")
+def closing_server(context):
+    async def respond(server, writer, turn):
+        if turn == 1:
+            writer.write(WHOLE)
+        return turn == 1
+
+    context.runner.run(start(context, respond))
+
+
+@given("a server that answers without end")
+def endless_server(context):
+    async def respond(server, writer, turn):
+        writer.write(HEAD + b"transfer-encoding: chunked\r\n\r\n")
+        while True:
+            writer.write(CHUNK)
+            await writer.drain()
+            server.sent += len(CHUNK)
+            await asyncio.sleep(0)
+
+    context.runner.run(start(context, respond))
+
+
+@when("a request is sent")
+def send_one(context):
+    context.runner.run(send_and_note(context))
+
+
+@when("two requests are sent one after the other")
+def send_two(context):
+    async def both():
+        assert await send(context) == b"ok"
+        await send_and_note(context)
+
+    context.runner.run(both())
+
+
+@when("the response is left after its first chunk")
+def leave_early(context):
+    async def leave():
+        async with context.client.send("GET", ADDRESS, context.port, "/") as response:
+            async with contextlib.aclosing(response.chunks()) as chunks:
+                await anext(chunks)
+                return
+
+    context.runner.run(leave())
+
+
+@when("the response is not read for a while")
+def do_not_read(context):
+    async def wait():
+        async with context.client.send("GET", ADDRESS, context.port, "/"):
+            seen = -1
+            while seen != context.server.sent:
+                seen = context.server.sent
+                await asyncio.sleep(SILENCE_S)
+
+    context.runner.run(wait())
+
+
+@then('it fails as "{name}" and {count} request arrived')
+@then('the second fails as "{name}" and {count} requests arrived')
+def check_failure(context, name, count):
+    assert context.error == name, context.error
+    arrived = 0 if count == "no" else int(count)
+    assert context.server.requests == arrived, context.server.requests
+
+
+@then("the server sees the connection closed")
+def check_closed(context):
+    async def wait():
+        async with asyncio.timeout(WAIT_S):
+            await context.server.closed.wait()
+
+    context.runner.run(wait())
+
+
+@then("the server could send less than {limit:d} bytes")
+def check_held_back(context, limit):
+    assert 0 < context.server.sent < limit, context.server.sent
