--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,7 +15,9 @@
 from acaciaward.observability import logs
 from bench import options as bench_options
 
-EXPERIMENTS: dict[str, str] = {}
+EXPERIMENTS = {
+    "chaos": "every promise under faults of every kind at once",
+}
 
 
 @click.command()
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -49,6 +49,7 @@
         self.processes = processes.Processes()
         self.operator_key = secrets.token_urlsafe(32)
         self.keys: dict[str, str] = {}
+        self.exit_codes: list[int] = []
         self.entry_settings: dict[str, dict[str, typing.Any]] = {}
         self._ports: dict[str, int] = {}
         self._control_ports: dict[str, int] = {}
@@ -102,7 +103,7 @@
             *(self._start_standin(name, "engine") for name in self.engines),
             *(self._start_standin(name, "service") for name in self.services),
         )
-        await self._tell_cloud()
+        await self.announce_endpoints([*self.engines, *self.services])
         await asyncio.gather(*(self.start_entry(name) for name in self.entries))
         await self.patch(self._document_in_place())
 
@@ -221,14 +222,15 @@
         arguments += ["--control-port", str(self._control_ports[proxy])]
         await self.processes.start(proxy, arguments, self._control_ports[proxy])
 
-    async def _tell_cloud(self) -> None:
+    async def announce_endpoints(self, names: typing.Sequence[str]) -> None:
+        """Make endpoints known to the cloud as its instances."""
         instances = [
             {
                 "name": name,
                 "port": self._port(name),
                 "data_centre": self.data_centre(name),
             }
-            for name in [*self.engines, *self.services]
+            for name in names
         ]
         await self.control("cloud", "/control/instances", {"instances": instances})
 
