Move streams off endpoints that leave

Cause: nothing listened to reclaim notices, so an endpoint got work until it died and its streams were computed again from the start of the prompt. An engine that ended a stream itself (cancelled, exported, given up) was taken for the end of a whole answer.

Change: three watchers (notices, instance list, the engine's own word) announce departures, which become ENDPOINT_LEAVING hints. One task for each leaving endpoint ends its streams there, urgent ones first, by KV export or cancel; the task that reads the stream sees that end and goes on at the target. Failures at a leaving endpoint take no attempt and no retry budget.

Ruled out: racing each frame against a move signal (two tasks a token); the engine's own final frame carries the news in order with the tokens.

--- a/acaciaward/dispatch/assembler.py
+++ b/acaciaward/dispatch/assembler.py
@@ -11,6 +11,8 @@
 
 from acaciaward import errors, requests, verdicts
 
+WHOLE_REASONS = frozenset({"length", "stop"})
+
 
 class StreamAssembler:
     """
@@ -55,7 +57,17 @@
         return True
 
     def finish(self, completion: requests.Completion) -> requests.Completion:
-        """Return the end of a whole answer, or raise if tokens are missing."""
+        """
+        Return the end of a whole answer, or raise if tokens are missing.
+
+        An engine also ends a stream that was cancelled, exported or given up
+        with a final frame, whose reason says that more was to come.
+        """
+        if completion.finish_reason not in WHOLE_REASONS:
+            raise errors.EndpointError(
+                f"stream was ended at its engine: {completion.finish_reason}",
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+            )
         if completion.count != self.count:
             raise errors.EndpointError(
                 f"answer ended at {completion.count} of {self.count} tokens",
--- a/acaciaward/dispatch/attempts.py
+++ b/acaciaward/dispatch/attempts.py
@@ -15,6 +15,7 @@
 from acaciaward.claims import interfaces as claims_interfaces
 from acaciaward.dispatch import inflight, retries
 from acaciaward.endpoints import interfaces as endpoints_interfaces
+from acaciaward.evacuation import interfaces as evacuation_interfaces
 from acaciaward.observability import logs
 from acaciaward.quarantine import interfaces as quarantine_interfaces
 from acaciaward.routing import interfaces as routing_interfaces
@@ -22,6 +23,7 @@
 log = logging.getLogger(__name__)
 
 RETRY_AFTER_FAILURE_S = 1.0
+PAUSE_AFTER_RECLAIM_S = 0.02
 MINIMUM_ATTEMPT_S = 0.005
 
 
@@ -34,6 +36,7 @@
     quarantine: quarantine_interfaces.Quarantine
     engine: endpoints_interfaces.ModelEngine
     service: endpoints_interfaces.PlainService
+    evacuation: evacuation_interfaces.Evacuation = evacuation_interfaces.NoEvacuation()
 
 
 class RetryLimits(typing.NamedTuple):
@@ -121,6 +124,9 @@
                 reason=error,
             ),
         )
+        if self._is_forgiven(progress, endpoint):
+            await asyncio.sleep(PAUSE_AFTER_RECLAIM_S)
+            return
         if error.endpoint_died:
             in_flight = [request, *self._in_flight.at(endpoint)]
             await self._with.quarantine.endpoint_died(endpoint, in_flight)
@@ -134,6 +140,21 @@
         )
         await asyncio.sleep(min(pause_s, max(0.0, self.time_left(request))))
 
+    def _is_forgiven(self, progress: Progress, endpoint: requests.Endpoint) -> bool:
+        """
+        Return whether a failure is part of an announced reclaim.
+
+        Such a failure takes nothing from the attempts or the retry budget and
+        makes no request a suspect.
+        """
+        if not self._with.evacuation.is_leaving(endpoint.name):
+            return False
+        is_allowed = retries.may_retry(
+            idempotent=progress.request.idempotent, verdict=progress.verdict
+        )
+        progress.attempts -= 1 if is_allowed else 0
+        return is_allowed
+
     def _raise_if_final(self, progress: Progress, error: errors.EndpointError) -> None:
         request = progress.request
         is_allowed = retries.may_retry(
--- a/acaciaward/dispatch/dispatcher.py
+++ b/acaciaward/dispatch/dispatcher.py
@@ -6,7 +6,6 @@
 """
 
 import random
-import typing
 from collections.abc import AsyncIterator
 
 from acaciaward import requests
@@ -33,10 +32,14 @@
         return self._runner.in_flight
 
     def stream(
-        self, request: requests.Request, *, delivered: typing.Sequence[str] = ()
+        self,
+        request: requests.Request,
+        *,
+        taken_up: streams.TakenUp | None = None,
+        control: streams.StreamControl | None = None,
     ) -> AsyncIterator[streams.StreamEvent]:
         """Run a model request; see ``StreamDispatcher.stream``."""
-        return self._streams.stream(request, delivered=delivered)
+        return self._streams.stream(request, taken_up=taken_up, control=control)
 
     async def call(self, request: requests.Request) -> requests.ServiceAnswer:
         """Run a plain service's request and return its whole answer."""
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -11,7 +11,7 @@
 import time
 import typing
 
-from acaciaward import httpclient, httpserver
+from acaciaward import documents, httpclient, httpserver, requests
 from acaciaward.administration import api as administration_api
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, discovery
@@ -19,6 +19,7 @@
 from acaciaward.configuration import follower
 from acaciaward.dispatch import attempts, dispatcher
 from acaciaward.endpoints import engine, service
+from acaciaward.evacuation import departures, evacuator, watchers
 from acaciaward.membership import (
     gossip,
     hints,
@@ -27,7 +28,7 @@
     transport,
 )
 from acaciaward.observability import logs
-from acaciaward.platform import calls, log as platform_log
+from acaciaward.platform import calls, cloud, log as platform_log
 from acaciaward.quarantine import permissive
 from acaciaward.routing import leastloaded
 from acaciaward.settings import loader
@@ -49,6 +50,7 @@
         )
         self._build_membership()
         self._build_configuration()
+        self._build_evacuation()
         self._build_dispatch()
         self._build_server()
 
@@ -126,12 +128,65 @@
             timeout_s=platform["timeout_s"],
         )
 
+    def _build_evacuation(self) -> None:
+        settings = self._settings["evacuation"]
+        self._departures = departures.Departures(
+            self._hints, spread=self._membership.spread_now
+        )
+        self._engine = engine.HttpModelEngine(
+            self._client,
+            token_timeout_s=self._settings["dispatch"]["token_timeout_s"],
+        )
+        self._router = leastloaded.LeastLoadedRouter(self._configuration, self._hints)
+        self._evacuator = evacuator.Evacuator(
+            self._departures,
+            self._engine,
+            self._router,
+            self._weights_of,
+            evacuator.Limits(
+                settings["source_bytes_per_s"], settings["target_bytes_per_s"]
+            ),
+        )
+        self._watch_limits = watchers.WatchLimits(
+            settings["poll_s"], settings["assumed_notice_s"]
+        )
+
+    def _weights_of(self, deployment: str) -> documents.Weights:
+        deployments = self._configuration.view.document.get("deployments", {})
+        return deployments.get(deployment, {}).get("weights", {})
+
+    def _start_watchers(self) -> None:
+        known, limits = self._departures, self._watch_limits
+        notices = self._platform_service("cloud")
+        if notices is not None:
+            own_cloud = cloud.HttpCloud(notices)
+            self._start_task(watchers.watch_notices(own_cloud, known, limits))
+        listing = self._platform_service("instances")
+        if listing is not None:
+            own_list = cloud.HttpInstanceList(listing)
+            self._start_task(watchers.watch_instances(own_list, known, limits))
+        busy = self._evacuator.busy_endpoints
+        self._start_task(
+            watchers.watch_engines(
+                self._engine, busy, self._model_endpoints, known, limits
+            )
+        )
+
+    def _model_endpoints(self) -> list[requests.Endpoint]:
+        deployments = self._configuration.view.document.get("deployments", {})
+        return [
+            endpoint
+            for name, entry in deployments.items()
+            if entry["kind"] == requests.DeploymentKind.MODEL.value
+            for endpoint in self._configuration.endpoints(name)
+        ]
+
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
         self._claims = local.LocalClaimBook(self.name)
         collaborators = attempts.Collaborators(
-            router=leastloaded.LeastLoadedRouter(self._configuration, self._hints),
+            router=self._router,
             admission=counting.CountingAdmission(
                 max_in_flight=admission["max_in_flight"],
                 max_queued=admission["max_queued"],
@@ -140,10 +195,9 @@
             ),
             claims=self._claims,
             quarantine=permissive.PermissiveQuarantine(),
-            engine=engine.HttpModelEngine(
-                self._client, token_timeout_s=settings["token_timeout_s"]
-            ),
+            engine=self._engine,
             service=service.HttpPlainService(self._client),
+            evacuation=self._evacuator,
         )
         limits = attempts.RetryLimits(
             settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
@@ -187,6 +241,7 @@
             log.warning("started without a current configuration")
         await self._server.start()
         self._start_task(self._membership.run())
+        self._start_watchers()
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
     async def stop(self) -> None:
@@ -217,6 +272,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._evacuator.stop()
         await self._transport.stop()
         await self._client.close()
 
--- a/acaciaward/errors.py
+++ b/acaciaward/errors.py
@@ -166,6 +166,14 @@
     default_verdict = verdicts.Verdict.MAY_HAVE_RUN
 
 
+class StreamGoneError(RequestError):
+    """A stream that its caller wants to take up no longer exists."""
+
+    status = 410
+    code = "stream_gone"
+    default_verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+
 class PlatformError(AcaciawardError):
     """A call to the platform failed; see the subclasses for what is certain."""
 
--- /dev/null
+++ b/acaciaward/evacuation/departures.py
@@ -0,0 +1,133 @@
+"""
+Knows which instances leave, whoever said so first.
+
+A departure is announced by the cloud's notice, the platform's instance list, the
+engine itself or another entry. It becomes a hint that spreads by gossip, and
+routing leaves the endpoint out as soon as the hint is held.
+"""
+
+import asyncio
+import logging
+import time
+import typing
+from collections.abc import Awaitable, Callable
+
+import prometheus_client
+
+from acaciaward.membership import interfaces as membership_interfaces
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
+
+KEPT_AFTER_DEADLINE_S = 15.0
+
+DEPARTURES = prometheus_client.Counter(
+    "acaciaward_departures_total",
+    "Leaving instances by who announced them first here",
+    ["source"],
+)
+
+
+class Departure(typing.NamedTuple):
+    """
+    An instance ends at ``deadline``, in seconds of the monotonic clock.
+
+    A deadline is firm when the cloud named it, and otherwise an assumption
+    that a firm one replaces.
+    """
+
+    instance: str
+    deadline: float
+    is_firm: bool
+
+
+Listener = Callable[[Departure], None]
+
+
+class Departures:
+    """
+    The leaving instances that this entry knows of.
+
+        departures.announce("engine-3", time.time() + 5, source="notice")
+        departures.is_leaving("engine-3")  # True
+    """
+
+    def __init__(
+        self,
+        hints: membership_interfaces.Hints,
+        *,
+        spread: Callable[[], Awaitable[None]] | None = None,
+    ):
+        self._hints = hints
+        self._spread = spread
+        self._known: dict[str, Departure] = {}
+        self._listeners: list[Listener] = []
+        self._spreading: asyncio.Task | None = None
+        hints.subscribe(
+            membership_interfaces.HintKind.ENDPOINT_LEAVING, self._take_hint
+        )
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call a listener with each departure that is new here."""
+        self._listeners.append(listener)
+
+    def is_leaving(self, instance: str) -> bool:
+        """Return whether an instance is leaving or has just left."""
+        return self._current(instance) is not None
+
+    def _current(self, instance: str) -> Departure | None:
+        known = self._known.get(instance)
+        if known is None:
+            return None
+        if known.deadline + KEPT_AFTER_DEADLINE_S < time.monotonic():
+            del self._known[instance]
+            return None
+        return known
+
+    def deadline_of(self, instance: str) -> float | None:
+        """Return when a leaving instance ends, by the monotonic clock."""
+        known = self._current(instance)
+        return known.deadline if known else None
+
+    def announce(
+        self, instance: str, deadline: float, *, source: str, is_firm: bool = False
+    ) -> None:
+        """Take in that an instance ends at ``deadline``, in Unix seconds."""
+        left_s = deadline - time.time()
+        if left_s <= -KEPT_AFTER_DEADLINE_S or not self._is_news(instance, is_firm):
+            return
+        log.info(
+            "instance leaving",
+            extra=logs.fields(instance=instance, left_s=left_s, source=source),
+        )
+        DEPARTURES.labels(source).inc()
+        self._hints.publish(
+            membership_interfaces.HintKind.ENDPOINT_LEAVING,
+            instance,
+            {"deadline": deadline, "firm": is_firm},
+            lifetime_s=max(0.0, left_s) + KEPT_AFTER_DEADLINE_S,
+        )
+        if self._spread is not None:
+            self._spreading = asyncio.ensure_future(self._spread())
+
+    def _is_news(self, instance: str, is_firm: bool) -> bool:
+        known = self._current(instance)
+        if known is None:
+            return True
+        if known.is_firm:
+            return False
+        # An assumed deadline that has passed is renewed while the instance
+        # still says that it leaves.
+        return is_firm or known.deadline < time.monotonic()
+
+    def _take_hint(self, hint: membership_interfaces.Hint) -> None:
+        deadline = hint.value.get("deadline")
+        is_firm = hint.value.get("firm") is True
+        is_number = isinstance(deadline, int | float)
+        if not is_number or not self._is_news(hint.subject, is_firm):
+            return
+        left_s = deadline - time.time()
+        departure = Departure(hint.subject, time.monotonic() + left_s, is_firm)
+        self._known[hint.subject] = departure
+        for listener in self._listeners:
+            listener(departure)
--- /dev/null
+++ b/acaciaward/evacuation/evacuator.py
@@ -0,0 +1,218 @@
+"""
+Moves the streams of this entry away from endpoints that leave.
+
+One task for each leaving endpoint goes through its streams, urgent ones first,
+until none is left or the endpoint is gone. The evacuation ends a stream at its
+engine, by exporting its KV cache or by a cancel; the task that reads the stream
+sees that end, and asks here where to go on.
+"""
+
+import asyncio
+import collections
+import logging
+import time
+import typing
+from collections.abc import Callable
+
+import prometheus_client
+
+from acaciaward import documents, errors, requests
+from acaciaward.endpoints import interfaces as endpoints_interfaces
+from acaciaward.evacuation import budgets, departures, interfaces, plans
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
+
+ROUND_S = 0.05
+MAX_MOVES_AT_ONCE = 4
+MAX_BLOB_BYTES = 32 * 1024 * 1024
+FIRST_BYTES_PER_TOKEN = 1024.0
+DEFAULT_STEP_S = 0.005
+
+MOVES = prometheus_client.Counter(
+    "acaciaward_moves_total", "Streams moved off leaving endpoints by way", ["way"]
+)
+
+
+class Limits(typing.NamedTuple):
+    """Rates of KV transfers, in bytes a second for each endpoint."""
+
+    source_bytes_per_s: float
+    target_bytes_per_s: float
+
+
+class Evacuator:
+    """Implements ``interfaces.Evacuation``."""
+
+    def __init__(
+        self,
+        known: departures.Departures,
+        engine: endpoints_interfaces.ModelEngine,
+        targets: interfaces.TargetChooser,
+        weights: Callable[[str], documents.Weights],
+        limits: Limits,
+    ):
+        self._known = known
+        self._engine = engine
+        self._targets = targets
+        self._weights = weights
+        self._sources = budgets.ByteBudget(limits.source_bytes_per_s)
+        self._receivers = budgets.ByteBudget(limits.target_bytes_per_s)
+        self._streams: dict[str, set[interfaces.RunningStream]] = (
+            collections.defaultdict(set)
+        )
+        self._bytes_per_token = FIRST_BYTES_PER_TOKEN
+        self._step_s: dict[str, float] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+        known.subscribe(self._begin)
+
+    def is_leaving(self, endpoint: str) -> bool:
+        """Return whether an endpoint is about to go."""
+        return self._known.is_leaving(endpoint)
+
+    def add(self, running: interfaces.RunningStream) -> None:
+        """Watch over a stream that has started."""
+        self._streams[running.endpoint.name].add(running)
+
+    def remove(self, running: interfaces.RunningStream) -> None:
+        """Forget a stream that has ended at its engine."""
+        name = running.endpoint.name
+        self._streams[name].discard(running)
+        if not self._streams[name]:
+            del self._streams[name]
+
+    def busy_endpoints(self) -> list[requests.Endpoint]:
+        """Return the endpoints that run streams of this entry."""
+        return [
+            next(iter(streams)).endpoint
+            for streams in self._streams.values()
+            if streams
+        ]
+
+    async def stop(self) -> None:
+        """End every move."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _begin(self, departure: departures.Departure) -> None:
+        name = departure.instance
+        if name in self._tasks:
+            return
+        self._tasks[name] = asyncio.ensure_future(self._evacuate(name))
+        self._tasks[name].add_done_callback(lambda _: self._tasks.pop(name, None))
+
+    async def _evacuate(self, name: str) -> None:
+        # A stream that starts while the news spreads is seen in a later round.
+        while (deadline := self._known.deadline_of(name) or 0.0) > time.monotonic():
+            waiting = [
+                running
+                for running in self._streams.get(name, ())
+                if running.moving is None
+            ]
+            waiting.sort(key=_urgency)
+            if waiting:
+                await self._learn_step(waiting[0].endpoint)
+            for first in range(0, len(waiting), MAX_MOVES_AT_ONCE):
+                batch = waiting[first : first + MAX_MOVES_AT_ONCE]
+                await asyncio.gather(
+                    *(self._move(running, deadline) for running in batch)
+                )
+            await asyncio.sleep(ROUND_S)
+
+    async def _learn_step(self, endpoint: requests.Endpoint) -> None:
+        if endpoint.name in self._step_s:
+            return
+        self._step_s[endpoint.name] = DEFAULT_STEP_S
+        try:
+            load = await self._engine.load(endpoint)
+        except errors.EndpointError:
+            return
+        self._step_s[endpoint.name] = load.step_s
+
+    async def _move(self, running: interfaces.RunningStream, deadline: float) -> None:
+        try:
+            target = self._targets.choose(
+                running.request, excluded={running.endpoint.name}
+            )
+        except errors.NoEndpointError:
+            # Without a target the stream is best left where it still runs.
+            return
+        way = self._choose_way(running, target, deadline)
+        # The stream may have ended while others of its batch were moved.
+        is_gone = running not in self._streams.get(running.endpoint.name, ())
+        if way is plans.Way.FINISH or is_gone or running.moving is not None:
+            return
+        running.moving = asyncio.get_running_loop().create_future()
+        move = interfaces.Move()
+        try:
+            if way is plans.Way.MOVE_KV:
+                move = await self._move_kv(running, target)
+            if move.kv_handle is None:
+                await self._engine.cancel(running.endpoint, running.stream)
+        except errors.EndpointError as error:
+            _log_failure(running, error)
+        finally:
+            if not running.moving.done():
+                running.moving.set_result(move)
+        done = plans.Way.MOVE_KV if move.kv_handle else plans.Way.RECOMPUTE
+        MOVES.labels(done.value).inc()
+
+    def _choose_way(
+        self,
+        running: interfaces.RunningStream,
+        target: requests.Endpoint,
+        deadline: float,
+    ) -> plans.Way:
+        request = running.request
+        count = running.count()
+        queued_s = max(
+            self._sources.wait_s(running.endpoint.name),
+            self._receivers.wait_s(target.name),
+        )
+        snapshot = plans.Snapshot(
+            left_s=deadline - time.monotonic() - queued_s,
+            context_tokens=request.prompt_tokens + count,
+            remaining_tokens=request.max_tokens - count,
+            step_s=self._step_s.get(running.endpoint.name, DEFAULT_STEP_S),
+            bytes_per_token=self._bytes_per_token,
+            bytes_per_s=min(self._sources.bytes_per_s, self._receivers.bytes_per_s),
+            max_bytes=MAX_BLOB_BYTES,
+        )
+        return plans.choose_way(snapshot, self._weights(request.deployment))
+
+    async def _move_kv(
+        self, running: interfaces.RunningStream, target: requests.Endpoint
+    ) -> interfaces.Move:
+        tokens = max(1, running.request.prompt_tokens + running.count())
+        size = int(tokens * self._bytes_per_token)
+        await self._sources.reserve(running.endpoint.name, size)
+        await self._receivers.reserve(target.name, size)
+        try:
+            blob = await self._engine.export_kv(running.endpoint, running.stream)
+            self._bytes_per_token = len(blob) / tokens
+            handle = await self._engine.import_kv(target, blob)
+        except errors.EndpointError as error:
+            _log_failure(running, error)
+            return interfaces.Move()
+        return interfaces.Move(target, handle)
+
+
+def _urgency(running: interfaces.RunningStream) -> tuple[int, float, int]:
+    request = running.request
+    context = request.prompt_tokens + running.count()
+    return plans.urgency(request.service_class, request.deadline, context)
+
+
+def _log_failure(
+    running: interfaces.RunningStream, error: errors.EndpointError
+) -> None:
+    log.warning(
+        "move failed, recomputing",
+        extra=logs.fields(
+            request=running.request.request_id,
+            endpoint=running.endpoint.name,
+            reason=error,
+        ),
+    )
--- /dev/null
+++ b/features/steps/evacuation_steps.py
@@ -0,0 +1,200 @@
+"""Steps for reclaimed endpoints."""
+
+import asyncio
+import json
+import time
+
+from behave import given, then, when
+
+from acaciaward import httpclient
+from acaciaward.client import sse
+from bench import cluster
+from standins import tokens
+
+SEEN_BEFORE_NOTICE = 20
+
+
+@given(
+    "a cluster of {entries:d} entries and {engines:d} engines whose steps "
+    "take {step_s:f} s"
+)
+def start_engines(context, entries, engines, step_s):
+    context.cluster = cluster.Cluster(
+        entry_count=entries,
+        engine_count=engines,
+        service_count=1,
+        faults={"engine": {"step_s": step_s}},
+    )
+    deployment = context.cluster.document["deployments"][cluster.MODEL]
+    deployment["weights"] = {"cost": 0.2, "recomputed_tokens": 0.8}
+    context.runner.run(context.cluster.start())
+
+
+@given("no engine imports a KV cache")
+def refuse_imports(context):
+    async def refuse():
+        for name in context.cluster.engines:
+            await context.cluster.set_faults(name, refuse_import=True)
+
+    context.runner.run(refuse())
+
+
+@given("cloud and instance list are out")
+def stop_platform(context):
+    async def stop():
+        await context.cluster.set_faults("cloud", outage=True)
+        await context.cluster.set_faults("instances", outage=True)
+
+    context.runner.run(stop())
+
+
+class _Reader:
+    """Reads one stream and keeps everything that came."""
+
+    def __init__(self, running, number, count):
+        self.prompt = f"story {number} of many pieces"
+        self.count = count
+        self.texts = []
+        self.end = {}
+        self.error = None
+        self._running = running
+        self._number = number
+
+    async def read(self):
+        running = self._running
+        client = httpclient.HttpClient()
+        body = {"model": cluster.MODEL, "prompt": self.prompt, "stream": True}
+        body["max_tokens"] = self.count
+        addresses = running.entry_addresses
+        async with client.send(
+            "POST",
+            *addresses[self._number % len(addresses)],
+            "/v1/completions",
+            headers={"authorization": f"Bearer {running.keys['org-1']}"},
+            body=json.dumps(body).encode(),
+        ) as response:
+            async for event in sse.events(response):
+                self._take(event)
+        await client.close()
+
+    def _take(self, event):
+        if "error" in event:
+            self.error = event["error"]
+        elif event["choices"] and "count" in event["acaciaward"]:
+            self.end = event["acaciaward"] | event["usage"]
+        elif event["choices"]:
+            assert event["acaciaward"]["index"] == len(self.texts), event
+            self.texts.append(event["choices"][0]["text"])
+
+
+async def _run_streams(context, streams, count, disturb):
+    running = context.cluster
+    context.readers = [_Reader(running, n, count) for n in range(streams)]
+    tasks = [asyncio.create_task(reader.read()) for reader in context.readers]
+    while min(len(reader.texts) for reader in context.readers) < SEEN_BEFORE_NOTICE:
+        for task in tasks:
+            if task.done():
+                task.result()
+        await asyncio.sleep(0.01)
+    await disturb(running)
+    await asyncio.gather(*tasks)
+
+
+async def _busiest(running):
+    counts = {name: (await running.stats(name))["running"] for name in running.engines}
+    return max(counts, key=counts.get)
+
+
+@when(
+    "{streams:d} streams of {count:d} tokens run and "
+    "one engine gets a notice of {notice_s:d} s"
+)
+def reclaim_one(context, streams, count, notice_s):
+    async def disturb(running):
+        context.leaving = await _busiest(running)
+        await running.reclaim([context.leaving], notice_s)
+        await asyncio.sleep(2)
+        before = (await running.stats(context.leaving))["streams"]
+        addresses = running.entry_addresses
+        one = running.caller("org-2")
+        for number in range(3 * len(addresses)):
+            await one.complete(cluster.MODEL, f"late {number}", max_tokens=2)
+        context.new_work = (await running.stats(context.leaving))["streams"] - before
+
+    context.runner.run(_run_streams(context, streams, count, disturb))
+
+
+@when(
+    "{streams:d} streams of {count:d} tokens run and "
+    "one engine says itself that it leaves"
+)
+def leave_one(context, streams, count):
+    async def disturb(running):
+        context.leaving = await _busiest(running)
+        await running.control(context.leaving, "/control/leave")
+
+    context.runner.run(_run_streams(context, streams, count, disturb))
+
+
+@when(
+    "{streams:d} streams of {count:d} tokens run and "
+    "every engine gets a notice of {notice_s:d} s"
+)
+def reclaim_all(context, streams, count, notice_s):
+    async def disturb(running):
+        context.reclaimed = time.monotonic()
+        await running.reclaim(running.engines, notice_s)
+        await _replace(context, running)
+
+    context.disturb = disturb
+    context.streams, context.count = streams, count
+
+
+async def _replace(context, running):
+    await asyncio.sleep(context.replaced_after_s)
+    name = "engine-9"
+    running.engines.append(name)
+    await running.start_endpoint(name)
+    endpoints = {name: running.endpoint_place(name)}
+    changes = {"deployments": {cluster.MODEL: {"endpoints": endpoints}}}
+    await running.patch(changes)
+
+
+@when("an engine comes back {after_s:f} s later under a new name")
+def replace_engine(context, after_s):
+    context.replaced_after_s = after_s
+    work = _run_streams(context, context.streams, context.count, context.disturb)
+    context.runner.run(work)
+
+
+@then("every answer is whole and right")
+def check_answers(context):
+    for reader in context.readers:
+        assert reader.error is None, reader.error
+        assert reader.end.get("count") == reader.count, reader.end
+        expected = tokens.expected_text(reader.prompt, reader.count)
+        assert "".join(reader.texts) == expected
+
+
+@then("tokens were moved and none was recomputed")
+def check_moved_tokens(context):
+    imports = context.runner.run(_sum_stats(context, "imports"))
+    recomputed = sum(reader.end["recomputed_tokens"] for reader in context.readers)
+    assert imports > 0, imports
+    assert recomputed == 0, recomputed
+
+
+@then("tokens were recomputed")
+def check_recomputed(context):
+    assert sum(reader.end["recomputed_tokens"] for reader in context.readers) > 0
+
+
+@then("the leaving engine got no new stream 2 s after the notice")
+def check_no_new_work(context):
+    assert context.new_work == 0, context.new_work
+
+
+async def _sum_stats(context, field):
+    running = context.cluster
+    names = [name for name in running.engines if running.processes.is_running(name)]
+    return sum([(await running.stats(name)).get(field, 0) for name in names])
