Report service-level burn and split the operators' API by duty

Cause: operators could see neither how fast objectives burn nor manage organisations but by hand-written patches; administration/api.py held every duty, and GET config showed the keys that sign resume tokens to viewers.

Change: answers are counted by slot, class, deployment and duration bound, with each objective's deadline as a bound, so merging entries is exact. ObservedDispatcher stands in front of the dispatcher; callers/api.py is unchanged. `acaciaward report burn` asks every entry and names the silent ones (exit 5). Routes and commands for organisations, keys, deployments, endpoints, quarantine, config diff and outcome, drain. Roles by a table of rights; an organisation's administrator gets 404 for all others. Signing keys are shown as "redacted", which is too short to be accepted back.

Ruled out: hdrhistogram, whose buckets are not exact at a deadline (3 digits); merging inside an entry, which would open a socket to every peer.

Found by the tests: a command without a key said "no answer from the entry: unsendable request" with code 4; now it says which variable to set, code 1.

--- a/acaciaward/cli/config.py
+++ b/acaciaward/cli/config.py
@@ -2,13 +2,12 @@
 
 import datetime
 import json
-import pathlib
 import typing
+import urllib.parse
 
 import click
 
-from acaciaward import errors
-from acaciaward.cli import connection
+from acaciaward.cli import connection, deployments, output
 
 
 @click.group()
@@ -18,12 +17,9 @@
 
 @config.command()
 @connection.options
-def get(entry: str, key_file: str | None):
+def get(target: connection.Connection):
     """Print the version in force and its document as JSON."""
-    view = connection.call(
-        connection.connect(entry, key_file), "GET", "/v1/admin/config"
-    )
-    click.echo(json.dumps(view, indent=2, sort_keys=True))
+    output.print_json(connection.call(target, "GET", "/v1/admin/config"))
 
 
 @config.command()
@@ -32,52 +28,73 @@
 @click.option("--id", "patch_id", help="Patch id; repeat it to settle an unknown one.")
 @connection.options
 def patch(
-    path: str, base: int | None, patch_id: str | None, entry: str, key_file: str | None
+    path: str, base: int | None, patch_id: str | None, target: connection.Connection
 ):
     """
     Submit the patch in PATH, a JSON object with base and changes.
 
     The changes are a JSON merge patch: null removes a key.
     """
-    body = _read_patch(path)
+    body = deployments.read_object(path)
     if base is not None:
         body["base"] = base
     if patch_id is not None:
         body["id"] = patch_id
-    outcome = connection.call(
-        connection.connect(entry, key_file),
-        "POST",
-        "/v1/admin/config/patches",
-        body,
-    )
+    outcome = connection.call(target, "POST", "/v1/admin/config/patches", body)
     click.echo(f"accepted as version {outcome['version']}")
 
 
-def _read_patch(path: str) -> dict[str, typing.Any]:
-    try:
-        body = json.loads(pathlib.Path(path).read_text())
-    except OSError as error:
-        raise errors.OperatorError(f"{path}: {error.strerror}") from error
-    except ValueError as error:
-        raise errors.OperatorError(f"{path}: not JSON: {error}") from error
-    if not isinstance(body, dict):
-        raise errors.OperatorError(f"{path}: expected a JSON object")
-    return body
+@config.command()
+@connection.options
+@output.json_option
+def history(target: connection.Connection, as_json: bool):
+    """Print the accepted patches, the newest last."""
+    answer = connection.call(target, "GET", "/v1/admin/config/history")
+    _print_patches(answer["history"], as_json)
 
 
 @config.command()
+@click.argument("first", type=click.IntRange(min=0))
+@click.argument("last", type=click.IntRange(min=0))
 @connection.options
-@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
-def history(entry: str, key_file: str | None, as_json: bool):
-    """Print the accepted patches, the newest last."""
-    answer = connection.call(
-        connection.connect(entry, key_file), "GET", "/v1/admin/config/history"
-    )
+@output.json_option
+def diff(first: int, last: int, target: connection.Connection, as_json: bool):
+    """Print the patches that lead from version FIRST to version LAST."""
+    path = f"/v1/admin/config/diff?from={first}&to={last}"
+    answer = connection.call(target, "GET", path)
+    if as_json:
+        output.print_json(answer)
+        return
+    for step in answer["patches"]:
+        click.echo(f"version {step['version']} by {step['author']}")
+        click.echo(json.dumps(step["changes"], indent=2, sort_keys=True))
+
+
+@config.command()
+@click.argument("patch_id")
+@connection.options
+@output.json_option
+def outcome(patch_id: str, target: connection.Connection, as_json: bool):
+    """Tell what became of the patch PATCH_ID, after an unknown outcome."""
+    quoted = urllib.parse.quote(patch_id, safe="")
+    answer = connection.call(target, "GET", f"/v1/admin/config/patches/{quoted}")
+    if as_json:
+        output.print_json(answer)
+        return
+    click.echo(f"{answer['status']} (version {answer['version']}) {answer['reason']}")
+
+
+def _print_patches(patches: list[dict[str, typing.Any]], as_json: bool) -> None:
     if as_json:
-        click.echo(json.dumps(answer["history"]))
+        output.print_json(patches)
         return
-    for item in answer["history"]:
-        moment = datetime.datetime.fromtimestamp(item["time"], datetime.UTC)
-        click.echo(
-            f"{item['version']:>6}  {moment:%Y-%m-%d %H:%M:%S}Z  {item['author']}"
-        )
+    rows = [
+        (item["version"], _moment(item["time"]), item["author"], item["patch_id"])
+        for item in patches
+    ]
+    output.print_table(["version", "time", "author", "patch id"], rows)
+
+
+def _moment(seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return f"{moment:%Y-%m-%d %H:%M:%S}Z"
--- a/acaciaward/cli/entry.py
+++ b/acaciaward/cli/entry.py
@@ -39,7 +39,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
     await running.start()
-    await signals.get()
+    ordered = asyncio.create_task(running.stop_requested.wait())
+    signalled = asyncio.create_task(signals.get())
+    await asyncio.wait({ordered, signalled}, return_when=asyncio.FIRST_COMPLETED)
+    # After a drain, the first signal is the one that ends the entry at once.
+    if not signalled.done():
+        signalled.cancel()
+    ordered.cancel()
     stopping = asyncio.create_task(running.stop())
     second = asyncio.create_task(signals.get())
     await asyncio.wait({stopping, second}, return_when=asyncio.FIRST_COMPLETED)
--- a/acaciaward/cli/keys.py
+++ b/acaciaward/cli/keys.py
@@ -6,7 +6,7 @@
 
 import click
 
-from acaciaward.identity import apikeys
+from acaciaward.identity import apikeys, curvekeys
 
 
 @click.group()
@@ -36,6 +36,18 @@
     _print(text, {"operators": {name: entry}})
 
 
+@key.command()
+def peer():
+    """
+    Make the CURVE key pair of one entry.
+
+    Both go into the entry's own settings under peers; the public key also goes
+    into peers.allowed_public_keys of all entries.
+    """
+    made = curvekeys.make_pair()
+    click.echo(json.dumps(made._asdict(), indent=2))
+
+
 @key.command()
 def bootstrap():
     """Make a first operator's key and the digest for the settings."""
--- /dev/null
+++ b/acaciaward/cli/reports.py
@@ -0,0 +1,167 @@
+"""The ``report`` commands: what all entries together have counted."""
+
+import pathlib
+import typing
+import urllib.parse
+
+import click
+
+from acaciaward import documents, errors
+from acaciaward.cli import connection, output
+from acaciaward.observability import burn
+
+EXIT_INCOMPLETE = 5
+NEVER = "-"
+
+
+class MergedBurn(typing.TypedDict):
+    """The burn report; ``silent`` maps entries that did not answer to why."""
+
+    at: float
+    objectives: list[burn.ObjectiveBurn]
+    answered: dict[str, float]
+    silent: dict[str, str]
+
+
+class Collected(typing.NamedTuple):
+    """What the entries answered, and who did not."""
+
+    at: float
+    objectives: dict[str, documents.Objective]
+    answers: list[burn.EntryBurn]
+    silent: dict[str, str]
+
+
+class IncompleteError(errors.OperatorError):
+    """Some entries did not answer, so the report lacks what they counted."""
+
+    exit_code = EXIT_INCOMPLETE
+
+
+@click.group()
+def report():
+    """Report on service levels over all entries."""
+
+
+@report.command("burn")
+@connection.options
+@output.json_option
+@click.option("--plot", type=click.Path(), help="Draw the burn rates into this file.")
+def report_burn(target: connection.Connection, as_json: bool, plot: str | None):
+    """
+    Show how fast each objective's error budget is being spent.
+
+    Any entry names the others, and each is asked for its counts. A burn rate of
+    1 spends the budget exactly within the objective's window. The exit code is
+    5 when an entry did not answer: its answers are missing from the report.
+
+    Example: acaciaward report burn --entry 10.20.1.11:8100 --plot burn.png
+    """
+    collected = collect(target, with_points=plot is not None)
+    merged = merge(collected)
+    if as_json:
+        output.print_json(merged)
+    else:
+        _print_burn(merged)
+    if plot is not None:
+        _plot(collected, pathlib.Path(plot))
+    if merged["silent"]:
+        names = ", ".join(sorted(merged["silent"]))
+        raise IncompleteError(f"the report lacks entries that did not answer: {names}")
+
+
+def collect(target: connection.Connection, *, with_points: bool = False) -> Collected:
+    """Ask every entry that one entry knows for its counts up to one moment."""
+    points = int(with_points)
+    first = connection.call(target, "GET", f"/v1/admin/burn?points={points}")
+    status = connection.call(target, "GET", "/v1/admin/status")
+    at = first["burn"]["at"]
+    path = f"/v1/admin/burn?{urllib.parse.urlencode({'at': at, 'points': points})}"
+    peers = [peer for peer in status["entries"] if peer["name"] != status["name"]]
+    places = [
+        target._replace(address=peer["address"], port=peer["port"]) for peer in peers
+    ]
+    answers = [first["burn"]]
+    silent = {}
+    for peer, answer in zip(
+        peers, connection.call_each(places, "GET", path), strict=True
+    ):
+        if isinstance(answer, errors.OperatorError):
+            silent[peer["name"]] = str(answer)
+        else:
+            answers.append(answer["burn"])
+    return Collected(at, first["objectives"], answers, silent)
+
+
+def merge(collected: Collected) -> MergedBurn:
+    """Return the report over what was collected."""
+    return {
+        "at": collected.at,
+        "objectives": burn.report(collected.objectives, collected.answers),
+        "answered": {one["name"]: one["since"] for one in collected.answers},
+        "silent": collected.silent,
+    }
+
+
+def _print_burn(merged: MergedBurn) -> None:
+    rows = []
+    for row in merged["objectives"]:
+        whole = row["windows"][-1]
+        rates = [f"{_span(one['window_s'])}:{_rate(one)}" for one in row["windows"]]
+        rows.append(
+            [
+                row["objective"],
+                row["deployment"],
+                f"{row['share']:.4%} in {row['deadline_s']:g} s",
+                whole["total"],
+                whole["total"] - whole["good"],
+                " ".join(rates),
+                _share(row["budget_left"]),
+                ",".join(sorted({one["severity"] for one in row["alerts"]})) or NEVER,
+            ]
+        )
+    headings = ["objective", "deployment", "target", "answers", "bad"]
+    output.print_table([*headings, "burn rates", "budget left", "alert"], rows)
+    click.echo(f"entries that answered: {', '.join(sorted(merged['answered']))}")
+    for name, reason in sorted(merged["silent"].items()):
+        click.echo(f"entry without an answer: {name} ({reason})")
+
+
+def _span(seconds: float) -> str:
+    for size, unit in ((86400, "d"), (3600, "h"), (60, "m")):
+        if seconds >= size:
+            return f"{seconds / size:g}{unit}"
+    return f"{seconds:g}s"
+
+
+def _rate(window: burn.WindowBurn) -> str:
+    return NEVER if window["rate"] is None else f"{window['rate']:.2f}"
+
+
+def _share(budget_left: float | None) -> str:
+    return NEVER if budget_left is None else f"{budget_left:.1%}"
+
+
+def _plot(collected: Collected, path: pathlib.Path) -> None:
+    try:
+        # An optional extra, imported only where it is used.
+        from matplotlib import figure
+    except ImportError as error:
+        raise errors.OperatorError(
+            "--plot needs matplotlib: pip install 'acaciaward[plot]'"
+        ) from error
+    drawing = figure.Figure(figsize=(10, 5), layout="constrained")
+    axes = drawing.subplots()
+    for name, objective in sorted(collected.objectives.items()):
+        points = burn.points(name, collected.answers)
+        rates = [burn.burn_rate(found, objective["share"]) for _, found in points]
+        hours = [(start - collected.at) / 3600 for start, _ in points]
+        axes.step(hours, rates, where="post", label=name)
+    axes.axhline(1.0, linestyle="--", linewidth=1)
+    axes.set(xlabel="hours before now", ylabel="burn rate")
+    if collected.objectives:
+        axes.legend()
+    try:
+        drawing.savefig(path)
+    except (OSError, ValueError) as error:
+        raise errors.OperatorError(f"{path}: {error}") from error
--- a/acaciaward/cli/status.py
+++ b/acaciaward/cli/status.py
@@ -1,27 +1,29 @@
 """The ``status`` command: what one entry knows of all."""
 
-import json
-
 import click
 
-from acaciaward.cli import connection
+from acaciaward.cli import connection, output
 
 
 @click.command()
 @connection.options
-@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
-def status(entry: str, key_file: str | None, as_json: bool):
+@output.json_option
+def status(target: connection.Connection, as_json: bool):
     """Show the entries with their state and configuration version."""
-    answer = connection.call(
-        connection.connect(entry, key_file), "GET", "/v1/admin/status"
-    )
+    answer = connection.call(target, "GET", "/v1/admin/status")
     if as_json:
-        click.echo(json.dumps(answer))
+        output.print_json(answer)
         return
     current = "current" if answer["current"] else "NOT current"
     click.echo(f"{answer['name']}: version {answer['version']}, {current}")
-    for peer in answer["entries"]:
-        click.echo(
-            f"{peer['name']:<24} {peer['state']:<8} {peer['data_centre']:<20} "
-            f"{peer['address']}:{peer['port']}  version {peer['configuration_version']}"
+    rows = [
+        (
+            peer["name"],
+            peer["state"],
+            peer["data_centre"],
+            f"{peer['address']}:{peer['port']}",
+            peer["configuration_version"],
         )
+        for peer in answer["entries"]
+    ]
+    output.print_table(["entry", "state", "data centre", "address", "version"], rows)
--- a/acaciaward/configuration/follower.py
+++ b/acaciaward/configuration/follower.py
@@ -60,6 +60,10 @@
         """The accepted patches that are still known, oldest first."""
         return self._replay.history
 
+    def outcome(self, patch_id: str) -> replay.PatchOutcome | None:
+        """Return what became of a patch, or None if it isn't known here."""
+        return self._replay.outcome(patch_id)
+
     def endpoints(self, deployment: str) -> list[requests.Endpoint]:
         """Return the endpoints of a deployment, empty if there is none."""
         if deployment not in self._endpoints:
--- /dev/null
+++ b/acaciaward/dispatch/observed.py
@@ -0,0 +1,66 @@
+"""
+A dispatcher that tells a recorder how each request ended.
+
+It has the interface of ``dispatcher.Dispatcher`` and stands in front of one, so
+that neither dispatch nor the callers' API knows about service-level objectives.
+"""
+
+import contextlib
+import time
+import typing
+from collections.abc import AsyncIterator
+
+from acaciaward import errors, requests
+from acaciaward.dispatch import dispatcher, inflight, streams
+from acaciaward.observability import recorder
+
+
+class ObservedDispatcher:
+    """Runs requests and records their ends."""
+
+    def __init__(self, inner: dispatcher.Dispatcher, observed: recorder.Recorder):
+        self._inner = inner
+        self._recorder = observed
+
+    @property
+    def in_flight(self) -> inflight.InFlight:
+        """The attempts that run now."""
+        return self._inner.in_flight
+
+    async def stream(
+        self, request: requests.Request, **options: typing.Any
+    ) -> AsyncIterator[streams.StreamEvent]:
+        """Run a model request; a stream that its caller leaves isn't counted."""
+        started = time.monotonic()
+        events = self._inner.stream(request, **options)
+        with self._recorded_refusal(request):
+            async with contextlib.aclosing(events):
+                async for event in events:
+                    if isinstance(event, requests.Completion):
+                        self._answered(request, started)
+                    yield event
+
+    async def call(self, request: requests.Request) -> requests.ServiceAnswer:
+        """Run a plain service's request and return its whole answer."""
+        started = time.monotonic()
+        with self._recorded_refusal(request):
+            answer = await self._inner.call(request)
+        self._answered(request, started)
+        return answer
+
+    def _answered(self, request: requests.Request, started: float) -> None:
+        self._recorder.answered(
+            request.service_class.value,
+            request.deployment,
+            seconds=time.monotonic() - started,
+        )
+
+    @contextlib.contextmanager
+    def _recorded_refusal(self, request: requests.Request):
+        try:
+            yield
+        except errors.RequestError as error:
+            self._recorder.refused(
+                request.service_class.value, request.deployment, error
+            )
+            raise
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -11,13 +11,18 @@
 import time
 import typing
 
+import blacksheep
+
 from acaciaward import httpclient, httpserver
-from acaciaward.administration import api as administration_api
+from acaciaward.administration import (
+    api as administration_api,
+    messages as administration_messages,
+)
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, discovery
 from acaciaward.claims import local
 from acaciaward.configuration import follower
-from acaciaward.dispatch import attempts, dispatcher
+from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
 from acaciaward.membership import (
     gossip,
@@ -26,7 +31,7 @@
     messages as membership_messages,
     transport,
 )
-from acaciaward.observability import logs
+from acaciaward.observability import logs, recorder
 from acaciaward.platform import calls, log as platform_log
 from acaciaward.quarantine import permissive
 from acaciaward.routing import leastloaded
@@ -39,11 +44,12 @@
 
 
 class EntryProcess:
-    """All slices of one entry."""
+    """All slices of one entry; ``stop_requested`` is set when it is drained."""
 
     def __init__(self, settings: loader.Settings):
         self._settings = settings
         self._tasks: list[asyncio.Task] = []
+        self.stop_requested = asyncio.Event()
         self._client = httpclient.HttpClient(
             connect_timeout_s=settings["dispatch"]["connect_timeout_s"]
         )
@@ -73,7 +79,9 @@
         peers = self._settings["peers"]
         self._hints = hints.HintBoard(instance["name"])
         self._transport = transport.PeerTransport(
-            peers["address"], peers["port"], membership_messages.KINDS
+            peers["address"],
+            peers["port"],
+            membership_messages.KINDS | administration_messages.KINDS,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -148,7 +156,11 @@
         limits = attempts.RetryLimits(
             settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
         )
-        self._dispatcher = dispatcher.Dispatcher(collaborators, limits)
+        self._recorder = recorder.Recorder(self.name)
+        self._configuration.subscribe(lambda view: self._recorder.follow(view.document))
+        self._dispatcher = observed.ObservedDispatcher(
+            dispatcher.Dispatcher(collaborators, limits), self._recorder
+        )
 
     def _build_server(self) -> None:
         callers = self._settings["callers"]
@@ -163,14 +175,7 @@
             ),
             max_body_bytes=callers["max_body_bytes"],
         )
-        administration_api.AdministrationApi(
-            application,
-            configuration=self._configuration,
-            membership=self._membership,
-            bootstrap_key_digest=self._settings["administration"][
-                "bootstrap_key_digest"
-            ],
-        )
+        self._build_administration(application)
         self._server = httpserver.HttpServer(
             application,
             callers["address"],
@@ -179,6 +184,23 @@
             max_connections=callers["max_connections"],
         )
 
+    def _build_administration(self, application: blacksheep.Application) -> None:
+        collaborators = administration_api.Collaborators(
+            configuration=self._configuration,
+            membership=self._membership,
+            hints=self._hints,
+            claims=self._claims,
+            observed=self._recorder,
+            drain=self.stop_requested.set,
+        )
+        administration_api.add_api(
+            application,
+            collaborators,
+            bootstrap_key_digest=self._settings["administration"][
+                "bootstrap_key_digest"
+            ],
+        )
+
     async def start(self) -> None:
         """Start every slice; return when callers can connect."""
         await self._transport.start()
--- a/acaciaward/errors.py
+++ b/acaciaward/errors.py
@@ -135,6 +135,14 @@
     code = "platform_unavailable"
 
 
+class PeerSilentError(RequestError):
+    """Another entry, which the request is for, did not answer."""
+
+    status = 504
+    code = "peer_silent"
+    default_verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+
 class QuarantinedError(RequestError):
     """The request is quarantined since endpoints died while running it."""
 
--- a/acaciaward/identity/apikeys.py
+++ b/acaciaward/identity/apikeys.py
@@ -21,7 +21,7 @@
 OPERATOR_PREFIX = "aw-op"
 SECRET_BYTES = 32
 SALT_BYTES = 16
-DEFAULT_ROLES = {ORGANISATION_PREFIX: "caller", OPERATOR_PREFIX: "operator"}
+ORGANISATION_ROLES = ("caller", "administrator")
 
 
 class Caller(typing.NamedTuple):
--- /dev/null
+++ b/acaciaward/observability/features/burn.feature
@@ -0,0 +1,31 @@
+Feature: Service-level burn
+
+  Scenario: The merged report equals a naive recount over raw events
+    Given 3 entries that count for objectives whose deadlines change
+    When 60 drawn histories of answers and failures are counted
+    Then every window of every objective equals the naive recount
+
+  Scenario Outline: Burn rates follow from the share of bad answers
+    When <bad> of <total> answers were bad and the objective wants <share>
+    Then the burn rate is <rate>
+
+    Examples:
+      | bad | total | share | rate |
+      | 0   | 0     | 0.99  | none |
+      | 0   | 1000  | 0.99  | 0    |
+      | 10  | 1000  | 0.99  | 1    |
+      | 20  | 1000  | 0.99  | 2    |
+      | 1   | 10    | 1.0   | 1e9  |
+
+  Scenario: An alert needs its long and its short window to burn
+    When an hour of bad answers ended 40 minutes ago within a window of a month
+    Then no rule pages for it
+    When the answers turn bad again
+    Then a rule pages for it
+
+  Scenario: What callers get wrong does not burn, what the system fails does
+    Then each error counts as a failure only if it is the system's
+
+  Scenario: Counts stay bounded in number
+    When answers of 40 days are counted
+    Then no level keeps more slots than it may
--- /dev/null
+++ b/acaciaward/observability/recorder.py
@@ -0,0 +1,139 @@
+"""
+Counts how callers' requests ended, for the burn report and for ``/metrics``.
+
+A request counts when it ended with its answer, or was refused or broken off by
+the system. What the caller got wrong, or broke off itself, doesn't count.
+
+    recorder = Recorder("entry-1")
+    recorder.follow(configuration.view.document)
+    recorder.answered("urgent", "desk", seconds=0.012)
+"""
+
+import contextlib
+import time
+from collections.abc import Callable, Iterable, Iterator
+
+import prometheus_client
+
+from acaciaward import documents, errors
+from acaciaward.observability import burn, slots
+
+FIRST_FAILURE_STATUS = 500
+RESULTS = ("good", "bad")
+SERVICE_CLASSES = ("urgent", "short", "long")
+
+DURATION = prometheus_client.Histogram(
+    "acaciaward_answer_seconds",
+    "Time from a request's dispatch to the end of its answer",
+    ["service_class", "deployment"],
+    buckets=slots.DEFAULT_BOUNDS_S,
+)
+JUDGED = prometheus_client.Counter(
+    "acaciaward_objective_answers_total",
+    "Answers judged by an objective, by whether they were good",
+    ["objective", "result"],
+)
+
+
+class Recorder:
+    """The answers that this entry has given since it started."""
+
+    def __init__(self, name: str, *, clock: Callable[[], float] = time.time):
+        self._name = name
+        self._clock = clock
+        self._since = clock()
+        self._book = slots.SlotBook()
+        self._objectives: dict[str, documents.Objective] = {}
+        self._deployments: frozenset[str] = frozenset()
+
+    def follow(self, document: documents.Document) -> None:
+        """Judge answers by a document's objectives, and forget what it lacks."""
+        objectives = document.get("objectives", {})
+        deployments = document.get("deployments", {})
+        for gone in self._objectives.keys() - objectives.keys():
+            _forget(JUDGED, ((gone, result) for result in RESULTS))
+        for gone in self._deployments - deployments.keys():
+            _forget(DURATION, ((name, gone) for name in SERVICE_CLASSES))
+        self._objectives = objectives
+        self._deployments = frozenset(deployments)
+        deadlines = [one["deadline_s"] for one in objectives.values()]
+        self._book.set_bounds([*slots.DEFAULT_BOUNDS_S, *deadlines])
+
+    def answered(self, service_class: str, deployment: str, *, seconds: float) -> None:
+        """Count a whole answer."""
+        DURATION.labels(service_class, deployment).observe(seconds)
+        self._add(service_class, deployment, seconds, is_failure=False)
+
+    def refused(
+        self, service_class: str, deployment: str, error: errors.RequestError
+    ) -> None:
+        """Count a request that ended with an error, if it is the system's."""
+        if is_failure(error):
+            self._add(service_class, deployment, 0.0, is_failure=True)
+
+    def _add(
+        self, service_class: str, deployment: str, seconds: float, *, is_failure: bool
+    ) -> None:
+        self._book.add(
+            self._clock(),
+            service_class,
+            deployment,
+            seconds=seconds,
+            is_failure=is_failure,
+        )
+        for name, objective in self._objectives.items():
+            if objective["service_class"] == service_class:
+                is_good = not is_failure and seconds <= objective["deadline_s"]
+                JUDGED.labels(name, "good" if is_good else "bad").inc()
+
+    def snapshot(
+        self, at: float | None = None, *, with_points: bool = False
+    ) -> burn.EntryBurn:
+        """Return the counts of every window of every objective, up to ``at``."""
+        end = self._clock() if at is None else at
+        windows = {
+            window_s
+            for objective in self._objectives.values()
+            for window_s in burn.windows_of(objective)
+        }
+        return {
+            "name": self._name,
+            "at": end,
+            "since": self._since,
+            "windows": [self._window(end, window_s) for window_s in sorted(windows)],
+            "points": self._points(end) if with_points else [],
+        }
+
+    def _window(self, at: float, window_s: float) -> burn.WindowFields:
+        counts = self._book.sum(at=at, window_s=window_s)
+        return {"window_s": window_s, "counts": burn.fields_of(counts)}
+
+    def _points(self, at: float) -> list[burn.PointFields]:
+        return [
+            {"objective": name, "start": start, **tally._asdict()}
+            for name, objective in sorted(self._objectives.items())
+            for start, tally in self._tallies(at, objective)
+        ]
+
+    def _tallies(
+        self, at: float, objective: documents.Objective
+    ) -> Iterator[tuple[int, burn.Tally]]:
+        found = self._book.series(at=at, window_s=objective["window_s"])
+        for start, counts in found.items():
+            yield start, burn.tally(burn.fields_of(counts), objective)
+
+
+def is_failure(error: errors.RequestError) -> bool:
+    """Return whether an error is the system's and not the caller's."""
+    is_outcome_lost = isinstance(error, errors.OutcomeUnknownError)
+    return error.status >= FIRST_FAILURE_STATUS or is_outcome_lost
+
+
+def _forget(
+    metric: prometheus_client.Counter | prometheus_client.Histogram,
+    label_values: Iterable[tuple[str, str]],
+) -> None:
+    for values in label_values:
+        # Only the combinations that were counted have a child.
+        with contextlib.suppress(KeyError):
+            metric.remove(*values)
