Let two faults of an experiment never hold the same process

Ruled out: the entries, which answered all along. Change: a fault holds its processes; others choose among the rest.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import typing
 
@@ -29,51 +30,71 @@
     kind: str
 
 
-def _pick_running(running: cluster.Cluster, names: list[str], chooser: random.Random):
-    alive = [name for name in names if running.processes.is_running(name)]
-    # At least one process of each role stays, since the platform never takes
-    # the last one of them in these runs.
-    return chooser.choice(alive) if len(alive) > 1 else None
+# Processes that a fault is at work on; a second fault would repair the first.
+_held: set[str] = set()
+
+
+@contextlib.contextmanager
+def _hold_one(running: cluster.Cluster, names: list[str], chooser: random.Random):
+    """Hold one running process that no other fault holds, or None."""
+    free = [
+        name
+        for name in names
+        if running.processes.is_running(name) and name not in _held
+    ]
+    # At least one process of each role stays untouched.
+    chosen = [chooser.choice(free)] if len(free) > 1 else []
+    with _hold(chosen):
+        yield chosen[0] if chosen else None
+
+
+@contextlib.contextmanager
+def _hold(names: list[str]):
+    _held.update(names)
+    try:
+        yield names
+    finally:
+        _held.difference_update(names)
 
 
 async def kill_entry(running: cluster.Cluster, chooser: random.Random) -> None:
     """Kill an entry without a word and start a replacement."""
-    name = _pick_running(running, running.entries, chooser)
-    if name is None:
-        return
-    await running.processes.kill(name)
-    await asyncio.sleep(REPLACEMENT_DELAY_S)
-    await running.start_entry(name)
+    with _hold_one(running, running.entries, chooser) as name:
+        if name is None:
+            return
+        await running.processes.kill(name)
+        await asyncio.sleep(REPLACEMENT_DELAY_S)
+        await running.start_entry(name)
 
 
 async def freeze_entry(running: cluster.Cluster, chooser: random.Random) -> None:
     """Pause an entry for longer than any time-out between entries."""
-    name = _pick_running(running, running.entries, chooser)
-    if name is None:
-        return
-    running.processes.freeze(name)
-    await asyncio.sleep(FREEZE_S)
-    running.processes.thaw(name)
+    with _hold_one(running, running.entries, chooser) as name:
+        if name is None:
+            return
+        running.processes.freeze(name)
+        await asyncio.sleep(FREEZE_S)
+        running.processes.thaw(name)
 
 
 async def replace_entry(running: cluster.Cluster, chooser: random.Random) -> None:
     """Stop an entry gracefully and start a replacement."""
-    name = _pick_running(running, running.entries, chooser)
-    if name is None:
-        return
-    code = await running.processes.terminate(name)
-    running.exit_codes.append(code)
-    await running.start_entry(name)
+    with _hold_one(running, running.entries, chooser) as name:
+        if name is None:
+            return
+        code = await running.processes.terminate(name)
+        running.exit_codes.append(code)
+        await running.start_entry(name)
 
 
 async def kill_engine(running: cluster.Cluster, chooser: random.Random) -> None:
     """Kill an engine without notice and start it anew."""
-    name = _pick_running(running, running.engines, chooser)
-    if name is None:
-        return
-    await running.processes.kill(name)
-    await asyncio.sleep(REPLACEMENT_DELAY_S)
-    await running.start_endpoint(name)
+    with _hold_one(running, running.engines, chooser) as name:
+        if name is None:
+            return
+        await running.processes.kill(name)
+        await asyncio.sleep(REPLACEMENT_DELAY_S)
+        await running.start_endpoint(name)
 
 
 async def reclaim_data_centre(running: cluster.Cluster, chooser: random.Random) -> None:
@@ -84,14 +105,16 @@
         for name in running.engines
         if running.data_centre(name) == data_centre
         and running.processes.is_running(name)
+        and name not in _held
     ]
-    await running.reclaim(victims, NOTICE_S)
-    for name in victims:
-        await running.processes.wait(name)
-    await asyncio.sleep(REPLACEMENT_DELAY_S)
-    for name in victims:
-        await running.start_endpoint(name)
-    await running.announce_endpoints(victims)
+    with _hold(victims):
+        await running.reclaim(victims, NOTICE_S)
+        for name in victims:
+            await running.processes.wait(name)
+        await asyncio.sleep(REPLACEMENT_DELAY_S)
+        for name in victims:
+            await running.start_endpoint(name)
+        await running.announce_endpoints(victims)
 
 
 async def log_outage(running: cluster.Cluster, chooser: random.Random) -> None:
