--- /dev/null
+++ b/acaciaward/configuration/features/steps/follower_steps.py
@@ -0,0 +1,470 @@
+"""Steps for following the log; entries are objects in one event loop."""
+
+import asyncio
+
+from behave import given, then, when
+
+from acaciaward import errors
+from acaciaward.configuration import (
+    follower,
+    joining,
+    peering,
+    replay,
+    serving,
+    snapshots,
+)
+from acaciaward.configuration.features import fakes
+
+BOUND_S = 0.8
+POLL_S = 0.1
+WAIT_S = 5.0
+RETENTION_S = 1.2
+
+
+class World:
+    """Entries over one log and one network."""
+
+    def __init__(self):
+        self.log = fakes.FakeLog()
+        self.networks = {}
+        self.cut = set()
+        self.logs = {}
+        self.entries = {}
+        self.tasks = {}
+        self.outcome = None
+        self.counts = []
+
+    def start(self, name, data_centre, retention_s=3600.0):
+        network = fakes.FakeNetwork(name, data_centre, self.networks, self.cut)
+        reached = CuttableLog(self.log, network, self.cut)
+        entry = follower.LogConfiguration(
+            reached,
+            stream="s",
+            poll_wait_s=POLL_S,
+            current_bound_s=BOUND_S,
+            in_force_wait_s=0.5,
+            outcome_wait_s=2.5,
+            retention_s=retention_s,
+            peers=peering.PeerSide(
+                network, data_centre=data_centre, readers_per_data_centre=2
+            ),
+        )
+        entry.subscribe(lambda view: network.set_configuration_version(view.version))
+        serving.PeerAnswers(entry, network)
+        self.entries[name] = entry
+        self.tasks[name] = asyncio.create_task(entry.run())
+
+    async def end(self, name):
+        task = self.tasks.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        del self.entries[name], self.networks[name]
+
+    async def stop(self):
+        for name in list(self.entries):
+            await self.end(name)
+
+    async def wait(self, condition, timeout_s=WAIT_S):
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def submit(self, base=0, patch_id=None, name="entry-1", quarantine_s=60.0):
+        return await self.entries[name].submit(
+            base=base,
+            author="ann",
+            changes={"quarantine_s": quarantine_s},
+            patch_id=patch_id,
+        )
+
+    def patches(self):
+        return [one for one in self.log.records if one.data["kind"] == "patch"]
+
+    def versions(self):
+        return {entry.view.version for entry in self.entries.values()}
+
+
+class CuttableLog:
+    """The log as an entry reaches it, unless its data centre is cut off."""
+
+    def __init__(self, log, network, cut):
+        self._log = log
+        self._network = network
+        self._cut = cut
+
+    def _check(self):
+        if self._network.data_centre in self._cut:
+            raise errors.PlatformRefusedError("cut off")
+
+    async def append(self, stream, records):
+        self._check()
+        return await self._log.append(stream, records)
+
+    async def read(self, stream, from_offset, *, limit=1000, wait_s=0):
+        self._check()
+        page = await self._log.read(stream, from_offset, limit=limit, wait_s=wait_s)
+        self._check()
+        return page
+
+
+@given("{count:d} entries in {centres:d} data centres")
+def start_entries(context, count, centres):
+    context.world = World()
+
+    async def start():
+        for number in range(count):
+            name = f"entry-{number + 1}"
+            context.world.start(name, f"dc-{number % centres + 1}")
+        await context.world.wait(
+            lambda: all(one.is_current for one in context.world.entries.values())
+        )
+
+    context.runner.run(start())
+
+
+@when("the log loses {count:d} answers after the effect")
+def lose_answers(context, count):
+    context.world.log.lose_answers = count
+
+
+@when("the log loses {count:d} appends before the effect")
+def lose_appends(context, count):
+    context.world.log.drop_and_lose = count
+
+
+@when("appends land {late:f} s late")
+def land_late(context, late):
+    context.world.log.late_s = late
+
+
+@when("a patch is submitted")
+def submit(context):
+    context.world.outcome = context.runner.run(context.world.submit())
+
+
+@then("it is accepted as version 1 at every entry")
+def check_accepted(context):
+    world = context.world
+    assert world.outcome.status is replay.PatchStatus.ACCEPTED, world.outcome
+    assert world.outcome.version == 1
+    assert world.outcome.missing == (), world.outcome
+    assert world.versions() == {1}
+
+
+@then("the log holds {count:d} copies of it")
+def check_copies(context, count):
+    assert len(context.world.patches()) == count
+
+
+@then("a second copy that lands later leaves version 1 in force")
+def check_second_copy(context):
+    async def check():
+        world = context.world
+        world.log.put(world.patches()[0].data)
+        end = world.log.next_offset
+        await world.wait(
+            lambda: all(
+                one.replayed.next_offset >= end for one in world.entries.values()
+            )
+        )
+        assert len(world.patches()) >= 2
+        assert world.versions() == {1}
+
+    context.runner.run(check())
+
+
+@when("the log is down")
+def stop_log(context):
+    context.world.log.is_down = True
+    context.world.log.reads.clear()
+
+
+@then("a patch is refused with nothing on the log")
+def check_refused(context):
+    try:
+        context.runner.run(context.world.submit())
+    except errors.PlatformRefusedError:
+        assert not context.world.log.records
+    else:
+        raise AssertionError("the patch was answered")
+
+
+@when("the log is back after {delay:f} s while a patch is submitted")
+def return_log(context, delay):
+    async def run():
+        world = context.world
+        asyncio.get_running_loop().call_later(
+            delay, lambda: setattr(world.log, "is_down", False)
+        )
+        world.outcome = await world.submit()
+
+    context.runner.run(run())
+
+
+@then("the same id with the same content is answered alike and not appended")
+def check_same_id(context):
+    world = context.world
+    patch_id = world.outcome.patch_id
+    again = context.runner.run(world.submit(patch_id=patch_id, name="entry-2"))
+    assert again == world.outcome
+    assert len(world.patches()) == 1
+
+
+@then("the same id with another content is refused as a conflict")
+def check_other_content(context):
+    world = context.world
+    patch_id = world.outcome.patch_id
+    try:
+        context.runner.run(world.submit(patch_id=patch_id, quarantine_s=5.0))
+    except errors.ConflictError:
+        assert len(world.patches()) == 1
+    else:
+        raise AssertionError("two patches share an id")
+
+
+@then("a patch against version 0 is stale and hears of version 1 and its author")
+def check_stale(context):
+    outcome = context.runner.run(context.world.submit(quarantine_s=9.0))
+    assert outcome.status is replay.PatchStatus.STALE
+    assert outcome.version == 1
+    assert [(one.version, one.author) for one in outcome.since] == [(1, "ann")]
+
+
+@when("{name} answers nothing any more")
+def silence(context, name):
+    async def never(sender, body):
+        await asyncio.sleep(3600)
+
+    handlers = context.world.networks[name].handlers
+    handlers.update(dict.fromkeys(handlers, never))
+
+
+@then("it is accepted and {name} is named as missing")
+def check_missing(context, name):
+    outcome = context.world.outcome
+    assert outcome.status is replay.PatchStatus.ACCEPTED
+    assert outcome.missing == (name,), outcome
+
+
+@when("the log is down for {factor:d} times the bound")
+def stop_log_for(context, factor):
+    stop_log(context)
+    context.runner.run(asyncio.sleep(factor * BOUND_S))
+
+
+@then("every entry is current")
+def check_all_current(context):
+    entries = context.world.entries
+    late = [name for name, one in entries.items() if not one.is_current]
+    assert not late, late
+
+
+@then("the log was asked at most {count:d} times while down")
+def check_asked(context, count):
+    assert len(context.world.log.reads) <= count, len(context.world.log.reads)
+
+
+@when("{centre} loses the log and the other data centres")
+def cut_centre(context, centre):
+    context.world.cut.add(centre)
+
+
+def _by_centre(world, centre):
+    inside = [
+        entry
+        for name, entry in world.entries.items()
+        if world.networks[name].data_centre == centre
+    ]
+    return inside, [one for one in world.entries.values() if one not in inside]
+
+
+@then("its entries stop within the bound and the others are current")
+def check_stopped(context):
+    async def check():
+        world = context.world
+        inside, outside = _by_centre(world, "dc-3")
+        await asyncio.sleep(BOUND_S + 0.1)
+        assert not any(entry.is_current for entry in inside)
+        assert all(entry.is_current for entry in outside)
+        world.outcome = await world.submit()
+        assert world.outcome.missing == ("entry-3", "entry-6"), world.outcome
+
+    context.runner.run(check())
+
+
+@then("after the cut they hold what was accepted meanwhile")
+def check_healed(context):
+    async def check():
+        world = context.world
+        world.cut.clear()
+        inside, _ = _by_centre(world, "dc-3")
+        await world.wait(lambda: all(entry.is_current for entry in inside))
+        assert world.versions() == {1}
+
+    context.runner.run(check())
+
+
+@when("a newcomer starts in {centre}")
+def start_newcomer(context, centre):
+    async def start():
+        context.world.start("newcomer", centre)
+        await asyncio.sleep(BOUND_S)
+
+    context.runner.run(start())
+
+
+@then("the newcomer is current with version {version:d}")
+def check_newcomer(context, version):
+    async def check():
+        newcomer = context.world.entries["newcomer"]
+        await context.world.wait(lambda: newcomer.is_current)
+        assert newcomer.view.version == version
+
+    context.runner.run(check())
+
+
+@when("{name} reports version {version:d}")
+def report_version(context, name, version):
+    context.world.networks[name].set_configuration_version(version)
+
+
+@then("the newcomer has no state")
+def check_no_state(context):
+    newcomer = context.world.entries["newcomer"]
+    assert newcomer.replayed is None
+    assert not newcomer.is_current
+
+
+@when("a record of a newer rule set lands")
+def land_newer(context):
+    context.world.log.put({"kind": "patch", "rules": 2, "id": "a", "more": []})
+
+
+@then("every entry stops taking new work and keeps its version")
+def check_halted(context):
+    async def check():
+        entries = context.world.entries.values()
+        await context.world.wait(lambda: not any(one.is_current for one in entries))
+        await asyncio.sleep(BOUND_S)
+        assert not any(one.is_current for one in entries)
+        assert context.world.versions() == {0}
+
+    context.runner.run(check())
+
+
+@when("the reads of {seconds:f} s are counted")
+def count_reads(context, seconds):
+    async def count():
+        before = len(context.world.log.reads)
+        await asyncio.sleep(seconds)
+        context.world.counts.append(len(context.world.log.reads) - before)
+
+    context.runner.run(count())
+
+
+@when("{count:d} more entries start in {centre}")
+def start_more(context, count, centre):
+    async def start():
+        for number in range(count):
+            context.world.start(f"more-{number}", centre)
+        entries = context.world.entries.values()
+        await context.world.wait(lambda: all(one.is_current for one in entries))
+
+    context.runner.run(start())
+
+
+@then("the second count is at most {factor:f} times the first")
+def check_counts(context, factor):
+    first, second = context.world.counts
+    assert 0 < second <= factor * first, context.world.counts
+
+
+@given("the log retains records for {seconds:f} s")
+def retain(context, seconds):
+    async def restart():
+        world = context.world
+        world.log.retention_s = seconds
+        for name in list(world.entries):
+            centre = world.networks[name].data_centre
+            await world.end(name)
+            world.start(name, centre, retention_s=seconds)
+        entries = world.entries.values()
+        await world.wait(lambda: all(one.is_current for one in entries))
+
+    context.runner.run(restart())
+
+
+@when("patches go on while every entry is replaced {rounds:d} times")
+def replace_all(context, rounds):
+    async def run():
+        world = context.world
+        context.accepted = []
+        for number in range(rounds * 3):
+            name = f"entry-{number % 3 + 1}"
+            helper = f"entry-{(number + 1) % 3 + 1}"
+            outcome = await world.submit(
+                base=number, name=helper, quarantine_s=number + 1.0
+            )
+            context.accepted.append((outcome.status, outcome.version))
+            await world.end(name)
+            await asyncio.sleep(RETENTION_S / 3)
+            world.start(name, f"dc-{number % 3 + 1}", retention_s=RETENTION_S)
+            await world.wait(lambda name=name: world.entries[name].is_current)
+
+    context.runner.run(run())
+
+
+@then("every version is in force and none was lost")
+def check_replaced(context):
+    wanted = [(replay.PatchStatus.ACCEPTED, number + 1) for number in range(9)]
+    assert context.accepted == wanted, context.accepted
+    assert context.world.log.first_offset > 0, "nothing expired"
+    assert context.world.versions() == {9}
+
+
+@then("an entry that starts from the log alone has the same document")
+def check_from_log(context):
+    joined = context.runner.run(_join(context.world.log))
+    view = context.world.entries["entry-1"].view
+    assert joined.replay.view == view, (joined.replay.view, view)
+
+
+async def _join(log):
+    clock = snapshots.RenewalClock(renew_after_s=10, renew_after_records=10)
+    return await joining.join(log, "s", None, oldest=replay.Replay(), renewal=clock)
+
+
+def _log_of_patches(count):
+    log = fakes.FakeLog()
+    whole = replay.Replay()
+    made = []
+    for number in range(count):
+        data = {"kind": "patch", "rules": 1, "id": f"p{number}", "base": number}
+        log.put(data | {"author": "ann", "changes": {"quarantine_s": number + 1.0}})
+        whole.apply(log.records[-1])
+        made.append(snapshots.make(whole))
+    return log, whole, made
+
+
+@then("a newcomer refuses a log whose snapshots leave a gap")
+def check_gap(context):
+    log, _, made = _log_of_patches(5)
+    log.put(made[1])
+    log.expire_before(3)
+    try:
+        context.runner.run(_join(log))
+    except errors.PlatformUnknownError as error:
+        assert "no usable snapshot" in str(error)
+    else:
+        raise AssertionError("a gap was passed over")
+
+
+@then("a newcomer passes over a snapshot that claims a later offset")
+def check_future(context):
+    log, whole, made = _log_of_patches(5)
+    log.put(made[2])
+    log.put(made[1] | {"offset": 90})
+    log.expire_before(3)
+    joined = context.runner.run(_join(log))
+    assert joined.replay.view == whole.view
+    assert joined.replay.next_offset == log.next_offset
--- /dev/null
+++ b/acaciaward/configuration/history.py
@@ -0,0 +1,88 @@
+"""
+The accepted patches that are still known, and what changed between versions.
+
+Each entry keeps its changes and their reverse, so that an older document can be
+worked out from the newest one. The history is bounded by count and by bytes;
+both bounds are part of the rule set, since the history is part of snapshots.
+"""
+
+import collections
+import typing
+
+import json_merge_patch
+import msgspec
+
+from acaciaward import documents, errors
+from acaciaward.configuration import document
+
+MAX_ENTRIES = 1000
+MAX_BYTES = 512 * 1024
+
+
+class HistoryEntry(typing.NamedTuple):
+    """
+    One accepted patch; ``time`` is the log's, in Unix seconds.
+
+    ``reverse`` is the merge patch that leads back to the version before.
+    """
+
+    version: int
+    patch_id: str
+    author: str
+    time: float
+    changes: dict[str, typing.Any]
+    reverse: dict[str, typing.Any]
+
+
+class History:
+    """Bounded list of accepted patches, oldest first."""
+
+    def __init__(self, entries: typing.Iterable[HistoryEntry] = ()):
+        self._entries: collections.deque[HistoryEntry] = collections.deque()
+        self._sizes: collections.deque[int] = collections.deque()
+        self._bytes = 0
+        for entry in entries:
+            self.add(entry)
+
+    @property
+    def entries(self) -> list[HistoryEntry]:
+        """The known patches, oldest first."""
+        return list(self._entries)
+
+    def add(self, entry: HistoryEntry) -> None:
+        """Keep one more patch and drop the oldest beyond the bounds."""
+        size = len(msgspec.json.encode(entry))
+        self._entries.append(entry)
+        self._sizes.append(size)
+        self._bytes += size
+        while len(self._entries) > MAX_ENTRIES or self._bytes > MAX_BYTES:
+            self._entries.popleft()
+            self._bytes -= self._sizes.popleft()
+
+    def since(self, version: int) -> tuple[HistoryEntry, ...]:
+        """Return the known patches that made the versions after ``version``."""
+        return tuple(entry for entry in self._entries if entry.version > version)
+
+    def document_at(self, version: int, view: documents.View) -> documents.Document:
+        """
+        Return the document of an older version, worked back from a view.
+
+        Raises ``NotFoundError`` for a version that is ahead or forgotten.
+        """
+        later = self.since(version)
+        if version > view.version or version < 0:
+            raise errors.NotFoundError(f"there is no version {version} yet")
+        if len(later) != view.version - version:
+            raise errors.NotFoundError(f"version {version} is no longer known")
+        found = view.document
+        for entry in reversed(later):
+            found = document.merge(found, entry.reverse)
+        return found
+
+    def diff(
+        self, older: int, newer: int, view: documents.View
+    ) -> dict[str, typing.Any]:
+        """Return the merge patch that leads from one version to another."""
+        return json_merge_patch.create_patch(
+            self.document_at(older, view), self.document_at(newer, view)
+        )
--- /dev/null
+++ b/acaciaward/configuration/recent.py
@@ -0,0 +1,63 @@
+"""
+The newest log records in memory, for peers that don't read the log themselves.
+"""
+
+import collections
+
+import msgspec
+
+from acaciaward.configuration import records
+from acaciaward.platform import interfaces as platform_interfaces
+
+MAX_BYTES = 8 * 1024 * 1024
+MAX_ANSWER_BYTES = 512 * 1024
+
+
+class RecentRecords:
+    """Consecutive records, bounded by their size."""
+
+    def __init__(self):
+        self._records: collections.deque[platform_interfaces.LogRecord] = (
+            collections.deque()
+        )
+        self._sizes: collections.deque[int] = collections.deque()
+        self._bytes = 0
+        self._next_offset = 0
+
+    def clear(self, next_offset: int) -> None:
+        """Forget all and go on with the record at ``next_offset``."""
+        self._records.clear()
+        self._sizes.clear()
+        self._bytes = 0
+        self._next_offset = next_offset
+
+    def add(self, record: platform_interfaces.LogRecord) -> None:
+        """Keep the next record and drop the oldest beyond the bound."""
+        if record.offset < self._next_offset:
+            return
+        if record.offset > self._next_offset:
+            self.clear(record.offset)
+        if not records.is_plain(record.data):
+            record = record._replace(data=None)
+        size = len(msgspec.msgpack.encode(record))
+        self._records.append(record)
+        self._sizes.append(size)
+        self._bytes += size
+        self._next_offset = record.offset + 1
+        while self._bytes > MAX_BYTES and len(self._records) > 1:
+            self._records.popleft()
+            self._bytes -= self._sizes.popleft()
+
+    def since(self, offset: int) -> list[platform_interfaces.LogRecord] | None:
+        """Return records from an offset on as one answer, None if not held."""
+        first = self._next_offset - len(self._records)
+        if not first <= offset <= self._next_offset:
+            return None
+        found = []
+        size = 0
+        for number in range(offset - first, len(self._records)):
+            size += self._sizes[number]
+            if found and size > MAX_ANSWER_BYTES:
+                break
+            found.append(self._records[number])
+        return found
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -16,7 +16,12 @@
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, discovery
 from acaciaward.claims import local
-from acaciaward.configuration import follower
+from acaciaward.configuration import (
+    follower,
+    messages as configuration_messages,
+    peering,
+    serving,
+)
 from acaciaward.dispatch import attempts, dispatcher
 from acaciaward.endpoints import engine, service
 from acaciaward.membership import (
@@ -73,7 +78,9 @@
         peers = self._settings["peers"]
         self._hints = hints.HintBoard(instance["name"])
         self._transport = transport.PeerTransport(
-            peers["address"], peers["port"], membership_messages.KINDS
+            peers["address"],
+            peers["port"],
+            membership_messages.KINDS | configuration_messages.KINDS,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -109,7 +116,16 @@
             stream=settings["stream"],
             poll_wait_s=settings["poll_wait_s"],
             current_bound_s=settings["current_bound_s"],
+            in_force_wait_s=settings["in_force_wait_s"],
+            outcome_wait_s=settings["outcome_wait_s"],
+            retention_s=settings["retention_s"],
+            peers=peering.PeerSide(
+                self._membership,
+                data_centre=self._settings["instance"]["data_centre"],
+                readers_per_data_centre=settings["readers_per_data_centre"],
+            ),
         )
+        serving.PeerAnswers(self._configuration, self._membership)
         self._configuration.subscribe(
             lambda view: self._membership.set_configuration_version(view.version)
         )
@@ -182,11 +198,11 @@
     async def start(self) -> None:
         """Start every slice; return when callers can connect."""
         await self._transport.start()
+        self._start_task(self._membership.run())
         self._start_task(self._configuration.run())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
         await self._server.start()
-        self._start_task(self._membership.run())
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
     async def stop(self) -> None:
--- a/acaciaward/platform/calls.py
+++ b/acaciaward/platform/calls.py
@@ -6,6 +6,7 @@
 ``PlatformUnknownError``, since it may have taken effect.
 """
 
+import json
 import typing
 
 import msgspec
@@ -16,6 +17,10 @@
 ERROR_CHARACTERS = 200
 
 
+class AnswerTooDeepError(errors.PlatformUnknownError):
+    """The answer is nested deeper than any decoder here follows."""
+
+
 class PlatformReply(typing.NamedTuple):
     """Status and decoded JSON body of a service's answer."""
 
@@ -87,7 +92,18 @@
 
 
 def _decode(answer: bytes) -> typing.Any:
+    # The log holds records of other authors. What the strict decoder refuses
+    # (infinite numbers, half surrogates) must not hide the records around it.
     try:
         return msgspec.json.decode(answer)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return _decode_leniently(answer)
+
+
+def _decode_leniently(answer: bytes) -> typing.Any:
+    try:
+        return json.loads(answer)
+    except RecursionError as error:
+        raise AnswerTooDeepError("answer is nested too deep") from error
+    except ValueError as error:
         raise errors.PlatformUnknownError(f"answer is not JSON: {error}") from error
--- a/acaciaward/platform/log.py
+++ b/acaciaward/platform/log.py
@@ -24,7 +24,24 @@
     async def read(
         self, stream: str, from_offset: int, *, limit: int = 1000, wait_s: float = 0
     ) -> interfaces.LogPage:
-        """Return records from an offset on; see ``interfaces.Log.read``."""
+        """
+        Return records from an offset on; see ``interfaces.Log.read``.
+
+        A record that no decoder follows comes back alone, with ``data`` None.
+        """
+        try:
+            return await self._read_page(stream, from_offset, limit, wait_s)
+        except calls.AnswerTooDeepError:
+            if limit > 1:
+                return await self.read(stream, from_offset, limit=limit // 2)
+            unreadable = interfaces.LogRecord(from_offset, 0.0, None)
+            # The offset behind it is unknown here; claiming one more record
+            # keeps the reader from taking itself for current.
+            return interfaces.LogPage([unreadable], from_offset, from_offset + 2, 0.0)
+
+    async def _read_page(
+        self, stream: str, from_offset: int, limit: int, wait_s: float
+    ) -> interfaces.LogPage:
         query = f"from={from_offset}&limit={limit}&wait_s={wait_s}"
         reply = await self._service.call(
             "GET",
