Decide the run of a non-idempotent request by the order of the log

Cause: claims were held in the memory of one entry, so a caller that retried through another entry ran its request twice. Now each request appends a claim with a nonce, reads it back and runs only as the first claim that isn't released; see acaciaward/claims. Verdicts: an endpoint's refusal counts only by the verdict at the top of its JSON body (a body that echoed "not_run" passed for one before); a quarantine found after an attempt carries that attempt's verdict; the client library hands on the worst verdict over its tries. Ruled out: forgetting claims from before a key's time (entries with different skews would disagree); expiry in arrival order (a claim on a key ahead of the log's time was forgotten before that key's window ended; found by the differential test). Without the coverage rule or the order rule generated schedules run a key twice.

--- a/acaciaward/callers/api.py
+++ b/acaciaward/callers/api.py
@@ -15,7 +15,7 @@
 
 import blacksheep
 
-from acaciaward import errors, httpserver, requests
+from acaciaward import errors, httpserver, requests, verdicts
 from acaciaward.callers import answers, discovery, parsing
 from acaciaward.claims import interfaces as claims_interfaces
 from acaciaward.configuration import interfaces as configuration_interfaces
@@ -75,7 +75,7 @@
             ]
             return answers.json_response({"object": "list", "data": listed})
 
-        return await _answered(answer)
+        return await _answered(answer, request)
 
     async def _post_completion(self, request: blacksheep.Request):
         return await self._complete(request, answers.COMPLETION)
@@ -100,7 +100,7 @@
             work = self._collect(model_request, events, form)
             return await _unless_disconnected(request, work)
 
-        return await _answered(answer)
+        return await _answered(answer, request)
 
     def _model_request(
         self,
@@ -266,7 +266,7 @@
                 result.status, [sent_id, (b"x-verdict", b"ran")], content
             )
 
-        return await _answered(answer)
+        return await _answered(answer, request)
 
     async def _get_outcome(
         self, key: str, request: blacksheep.Request
@@ -287,7 +287,7 @@
                 body["body"] = outcome.answer.body.decode(errors="replace")
             return answers.json_response(body)
 
-        return await _answered(answer)
+        return await _answered(answer, request)
 
     def _authenticate(self, request: blacksheep.Request) -> apikeys.Caller:
         document = self._configuration.view.document
@@ -338,12 +338,14 @@
 
 async def _answered(
     answer: Callable[[str], Awaitable[blacksheep.Response]],
+    request: blacksheep.Request,
 ) -> blacksheep.Response:
     """Run a handler and turn its request errors into answers."""
     request_id = f"req-{uuid.uuid4().hex}"
     try:
         response = await answer(request_id)
     except errors.RequestError as error:
+        error.verdict = _verdict_over_resends(error.verdict, request)
         _log_refusal(error, request_id)
         return answers.error_response(error, request_id)
     except Exception:
@@ -354,6 +356,22 @@
     return response
 
 
+def _verdict_over_resends(
+    verdict: verdicts.Verdict, request: blacksheep.Request
+) -> verdicts.Verdict:
+    """
+    Return the verdict of a request whose earlier sending may have run.
+
+    A caller that sends a request again after a try that may have run says so by
+    ``X-Resend``. The earlier try may still be on its way to an endpoint from
+    another entry, so nothing that is seen here can prove that it doesn't run.
+    """
+    is_resend = request.get_first_header(b"x-resend") == b"true"
+    if is_resend and verdict is verdicts.Verdict.NOT_RUN:
+        return verdicts.Verdict.MAY_HAVE_RUN
+    return verdict
+
+
 def _log_refusal(error: errors.RequestError, request_id: str) -> None:
     metrics.ANSWERS.labels(error.code).inc()
     log.info(
--- a/acaciaward/callers/parsing.py
+++ b/acaciaward/callers/parsing.py
@@ -3,7 +3,7 @@
 
 The bodies have the form that clients of completion APIs already use. What such
 APIs don't know travels in headers: ``Idempotency-Key``, ``X-Idempotent``,
-``X-Service-Class`` and ``X-Deadline-S``.
+``X-Service-Class``, ``X-Deadline-S`` and ``X-Resend``.
 """
 
 import hashlib
--- a/acaciaward/claims/interfaces.py
+++ b/acaciaward/claims/interfaces.py
@@ -17,9 +17,9 @@
     """
     The result of claiming a key.
 
-    ``nonce`` names the claim, ``owner`` the entry that owns the key, and
-    ``offset`` the claim's place in the log. Only with OWNED may the request be
-    dispatched, once, by the process that made the nonce.
+    ``nonce`` names the claim that owns the key, ``owner`` the entry that made
+    it, and ``offset`` the claim's place in the log. Only with OWNED may the
+    request be dispatched, once, by the process that made the nonce.
     """
 
     ownership: Ownership
@@ -29,7 +29,12 @@
 
 
 class Outcome(typing.NamedTuple):
-    """What is known of the one run of a key."""
+    """
+    What is known of the one run of a key.
+
+    NOT_RUN says that no claim on the key is left that could run it, as far as
+    the log has been read.
+    """
 
     verdict: verdicts.Verdict
     answer: requests.ServiceAnswer | None = None
@@ -48,15 +53,25 @@
         """
 
     def confirm(self, claim: Claim) -> bool:
-        """Judge again, just before the first byte, that the claim may dispatch."""
+        """
+        Judge again, just before the first byte, that the claim may dispatch.
 
-    async def release(self, request: requests.Request, claim: Claim) -> None:
-        """Give the key back; only allowed while not a byte was written."""
+        A claim is confirmed once; see ``withdraw``.
+        """
+
+    def withdraw(self, claim: Claim) -> None:
+        """Take a confirmation back, since the attempt is proved not to have run."""
+
+    def release(self, request: requests.Request, claim: Claim) -> None:
+        """Give the key back; only allowed while nothing can have run."""
 
     def complete(
         self, request: requests.Request, claim: Claim, outcome: Outcome
     ) -> None:
         """Keep the outcome of an owned run for later askers."""
 
+    async def outcome_of(self, claim: Claim, *, wait_s: float) -> Outcome:
+        """Return what the owner knows of a lost claim's run, waiting for its end."""
+
     async def outcome(self, organisation: str, key: str) -> Outcome:
-        """Return what is known of a key here or at its owner."""
+        """Return what is known of a key, or raise ``NotFoundError``."""
--- a/acaciaward/client/caller.py
+++ b/acaciaward/client/caller.py
@@ -27,7 +27,9 @@
 DISCOVERY_TIMEOUT_S = 2.0
 MAX_TRIES = 8
 PAUSE_BETWEEN_TRIES_S = 0.1
-RETRIED_STATUSES = frozenset({429, 502, 503, 504})
+NO_STATUS = 0
+RETRIED_STATUSES = frozenset({NO_STATUS, 429, 502, 503, 504})
+PATIENCE_MARGIN_S = 1.0
 
 
 class Answer(typing.NamedTuple):
@@ -107,7 +109,7 @@
         headers = self._headers(service_class, deadline_s)
         payload = msgspec.json.encode(body)
         return await self._with_retries(
-            lambda entry: self._complete_at(entry, payload, headers)
+            headers, lambda entry: self._complete_at(entry, payload, headers)
         )
 
     async def call(
@@ -132,7 +134,8 @@
             headers["x-idempotent"] = "false"
             headers["idempotency-key"] = key or new_key()
         return await self._with_retries(
-            lambda entry: self._call_at(entry, service, path, body, headers)
+            headers,
+            lambda entry: self._call_at(entry, service, path, body, headers),
         )
 
     async def _complete_at(
@@ -184,36 +187,44 @@
             f"/v1/services/{service}/{path}",
             headers=headers,
             body=body,
+            timeout_s=_patience_s(headers),
         ) as response:
             answer = await response.read()
         if response.headers.get("x-verdict") != verdicts.Verdict.RAN.value:
             raise _error_from_answer(response, answer)
         return ServiceReply(response.status, answer, verdicts.Verdict.RAN)
 
-    async def _with_retries(self, attempt: typing.Callable) -> typing.Any:
-        last: Exception | None = None
+    async def _with_retries(
+        self, headers: dict[str, str], attempt: typing.Callable
+    ) -> typing.Any:
+        """
+        Try entry after entry; an error carries the worst verdict of all tries.
+
+        A "not run" from one entry says nothing of a try at another that was
+        left without an answer, so only tries that all prove it leave NOT_RUN.
+        """
+        may_have_run = False
+        last: CallerError | None = None
         for number in range(MAX_TRIES):
             entry = await self._next_entry()
             try:
                 return await attempt(entry)
             except httpclient.HttpError as error:
                 self._forget(entry)
-                last = error
+                last = _error_from_transport(error)
                 pause_s = PAUSE_BETWEEN_TRIES_S * number
             except CallerError as error:
-                if error.status not in RETRIED_STATUSES:
-                    raise
                 last = error
                 pause_s = error.retry_after_s or PAUSE_BETWEEN_TRIES_S
+            may_have_run |= last.verdict is verdicts.Verdict.MAY_HAVE_RUN
+            if may_have_run:
+                headers["x-resend"] = "true"
+            if last.status not in RETRIED_STATUSES:
+                break
             await asyncio.sleep(pause_s)
-        if isinstance(last, CallerError):
-            raise last
-        raise CallerError(
-            f"no entry answered: {last}",
-            status=0,
-            verdict=verdicts.Verdict.MAY_HAVE_RUN,
-            retry_after_s=None,
-        )
+        if may_have_run and last.verdict is verdicts.Verdict.NOT_RUN:
+            last.verdict = verdicts.Verdict.MAY_HAVE_RUN
+        raise last
 
     async def _next_entry(self) -> Address:
         if not self._entries or time.monotonic() > self._entries_expire:
@@ -260,6 +271,25 @@
     return str(uuid6.uuid7())
 
 
+def _patience_s(headers: dict[str, str]) -> float:
+    """Return how long to wait for an entry, in seconds."""
+    deadline_s = headers.get("x-deadline-s")
+    if deadline_s is None:
+        return httpclient.DEFAULT_TIMEOUT_S
+    return float(deadline_s) + PATIENCE_MARGIN_S
+
+
+def _error_from_transport(error: httpclient.HttpError) -> CallerError:
+    is_unsent = isinstance(error, httpclient.ConnectFailedError)
+    verdict = verdicts.Verdict.NOT_RUN if is_unsent else verdicts.Verdict.MAY_HAVE_RUN
+    return CallerError(
+        f"no entry answered: {error}",
+        status=NO_STATUS,
+        verdict=verdict,
+        retry_after_s=None,
+    )
+
+
 def _error_from_answer(response: httpclient.Response, body: bytes) -> CallerError:
     try:
         fields = msgspec.json.decode(body)["error"]
--- a/acaciaward/dispatch/attempts.py
+++ b/acaciaward/dispatch/attempts.py
@@ -124,7 +124,7 @@
         if error.endpoint_died:
             in_flight = [request, *self._in_flight.at(endpoint)]
             await self._with.quarantine.endpoint_died(endpoint, in_flight)
-            self._with.quarantine.check(request)
+            self.check_quarantine(progress)
         self._raise_if_final(progress, error)
         pause_s = retries.backoff_s(
             progress.attempts,
@@ -134,6 +134,14 @@
         )
         await asyncio.sleep(min(pause_s, max(0.0, self.time_left(request))))
 
+    def check_quarantine(self, progress: Progress) -> None:
+        """Raise ``QuarantinedError`` with the verdict of all attempts so far."""
+        try:
+            self._with.quarantine.check(progress.request)
+        except errors.QuarantinedError as error:
+            error.verdict = retries.worst(progress.verdict, error.verdict)
+            raise
+
     def _raise_if_final(self, progress: Progress, error: errors.EndpointError) -> None:
         request = progress.request
         is_allowed = retries.may_retry(
--- a/acaciaward/endpoints/attempts.py
+++ b/acaciaward/endpoints/attempts.py
@@ -4,9 +4,13 @@
 The table of ``verdicts`` decides; this module only names the transport event.
 """
 
+import msgspec
+
 from acaciaward import errors, httpclient, verdicts
 
 REFUSAL_STATUSES = frozenset({409, 429, 503})
+OVERLOAD_STATUSES = frozenset({429, 503})
+NOT_RUN = verdicts.Verdict.NOT_RUN.value
 
 _EVENT_OF_ERROR = {
     httpclient.ConnectFailedError: verdicts.TransportEvent.CONNECT_FAILED,
@@ -26,6 +30,27 @@
     )
 
 
+def says_not_run(response: httpclient.Response, body: bytes) -> bool:
+    """
+    Return whether the endpoint itself says that it refused to run the request.
+
+    Only the field ``verdict`` at the top of a JSON object counts: a body may
+    repeat whatever the request said.
+    """
+    if response.status not in REFUSAL_STATUSES:
+        return False
+    try:
+        answer = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return False
+    return isinstance(answer, dict) and answer.get("verdict") == NOT_RUN
+
+
+def is_failure(response: httpclient.Response, body: bytes) -> bool:
+    """Return whether a service's whole answer is a failure of the attempt."""
+    return response.status in OVERLOAD_STATUSES or says_not_run(response, body)
+
+
 def error_from_refusal(
     response: httpclient.Response, body: bytes
 ) -> errors.EndpointError:
@@ -34,7 +59,7 @@
 
     Only an endpoint that says in its own words that it refused proves NOT_RUN.
     """
-    is_refusal = response.status in REFUSAL_STATUSES and b'"not_run"' in body
+    is_refusal = says_not_run(response, body)
     event = (
         verdicts.TransportEvent.REFUSED_BY_ENDPOINT
         if is_refusal
--- a/acaciaward/endpoints/interfaces.py
+++ b/acaciaward/endpoints/interfaces.py
@@ -6,7 +6,7 @@
 """
 
 import typing
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 from acaciaward import requests
 
@@ -127,5 +127,11 @@
         *,
         attempt: str,
         deadline_s: float,
+        before_write: Callable[[], None] | None = None,
     ) -> requests.ServiceAnswer:
-        """Send the body once and return the whole answer."""
+        """
+        Send the body once and return the whole answer.
+
+        ``before_write`` is called just before the first byte is written and
+        stops the call by raising.
+        """
--- a/acaciaward/endpoints/service.py
+++ b/acaciaward/endpoints/service.py
@@ -1,6 +1,8 @@
 """HTTP client of plain services."""
 
+import asyncio
 import logging
+from collections.abc import Callable
 
 from acaciaward import errors, httpclient, requests, verdicts
 from acaciaward.endpoints import attempts
@@ -22,13 +24,42 @@
         *,
         attempt: str,
         deadline_s: float,
+        before_write: Callable[[], None] | None = None,
     ) -> requests.ServiceAnswer:
         """
         Send the body once and return the whole answer.
 
         The service gets the identity of request and attempt and may send them
-        back; an answer that names another one is never passed on.
+        back; an answer that names another one is never passed on. An answer
+        that isn't whole within ``deadline_s`` is given up.
         """
+        event = verdicts.TransportEvent.CONNECT_FAILED
+
+        def note_write() -> None:
+            nonlocal event
+            if before_write is not None:
+                before_write()
+            event = verdicts.TransportEvent.TIMED_OUT
+
+        try:
+            async with asyncio.timeout(max(0.0, deadline_s)):
+                return await self._send(
+                    endpoint, request, attempt, deadline_s, note_write
+                )
+        except TimeoutError as error:
+            raise errors.EndpointError(
+                "no whole answer before the deadline",
+                verdict=verdicts.judge(verdicts.Verdict.NOT_RUN, event),
+            ) from error
+
+    async def _send(
+        self,
+        endpoint: requests.Endpoint,
+        request: requests.Request,
+        attempt: str,
+        deadline_s: float,
+        before_write: Callable[[], None],
+    ) -> requests.ServiceAnswer:
         headers = {
             "content-type": request.content_type,
             "x-request-id": request.request_id,
@@ -48,11 +79,12 @@
                 body=request.body,
                 timeout_s=deadline_s,
                 fresh=not request.idempotent,
+                before_write=before_write,
             ) as response:
                 body = await response.read()
         except httpclient.HttpError as error:
             raise attempts.error_from_transport(error) from error
-        if response.status in attempts.REFUSAL_STATUSES:
+        if attempts.is_failure(response, body):
             raise attempts.error_from_refusal(response, body)
         self._check_identity(endpoint, request, attempt, response)
         content_type = response.headers.get("content-type", "application/octet-stream")
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -15,7 +15,7 @@
 from acaciaward.administration import api as administration_api
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, discovery
-from acaciaward.claims import local
+from acaciaward.claims import book as claims_book, messages as claims_messages
 from acaciaward.configuration import follower
 from acaciaward.dispatch import attempts, dispatcher
 from acaciaward.endpoints import engine, service
@@ -73,7 +73,9 @@
         peers = self._settings["peers"]
         self._hints = hints.HintBoard(instance["name"])
         self._transport = transport.PeerTransport(
-            peers["address"], peers["port"], membership_messages.KINDS
+            peers["address"],
+            peers["port"],
+            membership_messages.KINDS | claims_messages.KINDS,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -126,10 +128,23 @@
             timeout_s=platform["timeout_s"],
         )
 
+    def _build_claims(self) -> None:
+        self._claims = claims_book.LogClaimBook(
+            self.name,
+            platform_log.HttpLog(self._platform_service("log")),
+            self._membership,
+            self._settings["claims"],
+            live_entries=self._count_live_entries,
+        )
+
+    def _count_live_entries(self) -> int:
+        live = membership_interfaces.PeerState.LIVE
+        return sum(1 for peer in self._membership.peers() if peer.state is live)
+
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
-        self._claims = local.LocalClaimBook(self.name)
+        self._build_claims()
         collaborators = attempts.Collaborators(
             router=leastloaded.LeastLoadedRouter(self._configuration, self._hints),
             admission=counting.CountingAdmission(
@@ -185,6 +200,9 @@
         self._start_task(self._configuration.run())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
+        self._start_task(self._claims.run())
+        if not await self._claims.wait_until_replayed(START_WAIT_S):
+            log.warning("started without having replayed the claims")
         await self._server.start()
         self._start_task(self._membership.run())
         log.info("entry started", extra=logs.fields(port=self._server.port))
--- a/acaciaward/httpclient.py
+++ b/acaciaward/httpclient.py
@@ -18,7 +18,7 @@
 import contextlib
 import ssl
 import typing
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import h11
 
@@ -174,13 +174,16 @@
         body: bytes = b"",
         timeout_s: float = DEFAULT_TIMEOUT_S,
         fresh: bool = False,
+        before_write: Callable[[], None] | None = None,
     ) -> AsyncIterator[Response]:
         """
         Send one request and yield its response.
 
         ``timeout_s`` bounds the wait for the head and each silence inside the
         body. ``fresh`` asks for a new connection, since an idle one may have
-        been closed at the other end without this side knowing. Raises
+        been closed at the other end without this side knowing. ``before_write``
+        is called once connected, just before the first byte is written, and
+        stops the request by raising. Raises
         ``ConnectFailedError`` while nothing was written, and afterwards
         ``ConnectionLostError`` or ``ResponseTimeoutError``.
         """
@@ -188,6 +191,8 @@
         connection = None if fresh else self._take_idle(target)
         connection = connection or await self._connect(target)
         try:
+            if before_write is not None:
+                before_write()
             self._write(connection, method, target, path, headers or {}, body)
             head = await self._read_head(connection, timeout_s)
             response = Response(connection, head, timeout_s)
