--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -11,11 +11,17 @@
 import time
 import typing
 
-from acaciaward import httpclient, httpserver
-from acaciaward.administration import api as administration_api
+import blacksheep
+
+from acaciaward import documents, httpclient, httpserver, requests
+from acaciaward.administration import (
+    api as administration_api,
+    messages as administration_messages,
+)
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, discovery
 from acaciaward.claims import local
+<<<<<<< HEAD
 from acaciaward.configuration import (
     follower,
     messages as configuration_messages,
@@ -23,7 +29,12 @@
     serving,
 )
 from acaciaward.dispatch import attempts, dispatcher
+=======
+from acaciaward.configuration import follower
+from acaciaward.dispatch import attempts, dispatcher, observed
+>>>>>>> main
 from acaciaward.endpoints import engine, service
+from acaciaward.evacuation import departures, evacuator, watchers
 from acaciaward.membership import (
     gossip,
     hints,
@@ -31,8 +42,8 @@
     messages as membership_messages,
     transport,
 )
-from acaciaward.observability import logs
-from acaciaward.platform import calls, log as platform_log
+from acaciaward.observability import logs, recorder
+from acaciaward.platform import calls, cloud, log as platform_log
 from acaciaward.quarantine import permissive
 from acaciaward.routing import leastloaded
 from acaciaward.settings import loader
@@ -44,16 +55,18 @@
 
 
 class EntryProcess:
-    """All slices of one entry."""
+    """All slices of one entry; ``stop_requested`` is set when it is drained."""
 
     def __init__(self, settings: loader.Settings):
         self._settings = settings
         self._tasks: list[asyncio.Task] = []
+        self.stop_requested = asyncio.Event()
         self._client = httpclient.HttpClient(
             connect_timeout_s=settings["dispatch"]["connect_timeout_s"]
         )
         self._build_membership()
         self._build_configuration()
+        self._build_evacuation()
         self._build_dispatch()
         self._build_server()
 
@@ -80,7 +93,11 @@
         self._transport = transport.PeerTransport(
             peers["address"],
             peers["port"],
+<<<<<<< HEAD
             membership_messages.KINDS | configuration_messages.KINDS,
+=======
+            membership_messages.KINDS | administration_messages.KINDS,
+>>>>>>> main
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -142,12 +159,65 @@
             timeout_s=platform["timeout_s"],
         )
 
+    def _build_evacuation(self) -> None:
+        settings = self._settings["evacuation"]
+        self._departures = departures.Departures(
+            self._hints, spread=self._membership.spread_now
+        )
+        self._engine = engine.HttpModelEngine(
+            self._client,
+            token_timeout_s=self._settings["dispatch"]["token_timeout_s"],
+        )
+        self._router = leastloaded.LeastLoadedRouter(self._configuration, self._hints)
+        self._evacuator = evacuator.Evacuator(
+            self._departures,
+            self._engine,
+            self._router,
+            self._weights_of,
+            evacuator.Limits(
+                settings["source_bytes_per_s"], settings["target_bytes_per_s"]
+            ),
+        )
+        self._watch_limits = watchers.WatchLimits(
+            settings["poll_s"], settings["assumed_notice_s"]
+        )
+
+    def _weights_of(self, deployment: str) -> documents.Weights:
+        deployments = self._configuration.view.document.get("deployments", {})
+        return deployments.get(deployment, {}).get("weights", {})
+
+    def _start_watchers(self) -> None:
+        known, limits = self._departures, self._watch_limits
+        notices = self._platform_service("cloud")
+        if notices is not None:
+            own_cloud = cloud.HttpCloud(notices)
+            self._start_task(watchers.watch_notices(own_cloud, known, limits))
+        listing = self._platform_service("instances")
+        if listing is not None:
+            own_list = cloud.HttpInstanceList(listing)
+            self._start_task(watchers.watch_instances(own_list, known, limits))
+        busy = self._evacuator.busy_endpoints
+        self._start_task(
+            watchers.watch_engines(
+                self._engine, busy, self._model_endpoints, known, limits
+            )
+        )
+
+    def _model_endpoints(self) -> list[requests.Endpoint]:
+        deployments = self._configuration.view.document.get("deployments", {})
+        return [
+            endpoint
+            for name, entry in deployments.items()
+            if entry["kind"] == requests.DeploymentKind.MODEL.value
+            for endpoint in self._configuration.endpoints(name)
+        ]
+
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
         self._claims = local.LocalClaimBook(self.name)
         collaborators = attempts.Collaborators(
-            router=leastloaded.LeastLoadedRouter(self._configuration, self._hints),
+            router=self._router,
             admission=counting.CountingAdmission(
                 max_in_flight=admission["max_in_flight"],
                 max_queued=admission["max_queued"],
@@ -156,15 +226,18 @@
             ),
             claims=self._claims,
             quarantine=permissive.PermissiveQuarantine(),
-            engine=engine.HttpModelEngine(
-                self._client, token_timeout_s=settings["token_timeout_s"]
-            ),
+            engine=self._engine,
             service=service.HttpPlainService(self._client),
+            evacuation=self._evacuator,
         )
         limits = attempts.RetryLimits(
             settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
         )
-        self._dispatcher = dispatcher.Dispatcher(collaborators, limits)
+        self._recorder = recorder.Recorder(self.name)
+        self._configuration.subscribe(lambda view: self._recorder.follow(view.document))
+        self._dispatcher = observed.ObservedDispatcher(
+            dispatcher.Dispatcher(collaborators, limits), self._recorder
+        )
 
     def _build_server(self) -> None:
         callers = self._settings["callers"]
@@ -179,14 +252,7 @@
             ),
             max_body_bytes=callers["max_body_bytes"],
         )
-        administration_api.AdministrationApi(
-            application,
-            configuration=self._configuration,
-            membership=self._membership,
-            bootstrap_key_digest=self._settings["administration"][
-                "bootstrap_key_digest"
-            ],
-        )
+        self._build_administration(application)
         self._server = httpserver.HttpServer(
             application,
             callers["address"],
@@ -195,6 +261,23 @@
             max_connections=callers["max_connections"],
         )
 
+    def _build_administration(self, application: blacksheep.Application) -> None:
+        collaborators = administration_api.Collaborators(
+            configuration=self._configuration,
+            membership=self._membership,
+            hints=self._hints,
+            claims=self._claims,
+            observed=self._recorder,
+            drain=self.stop_requested.set,
+        )
+        administration_api.add_api(
+            application,
+            collaborators,
+            bootstrap_key_digest=self._settings["administration"][
+                "bootstrap_key_digest"
+            ],
+        )
+
     async def start(self) -> None:
         """Start every slice; return when callers can connect."""
         await self._transport.start()
@@ -203,6 +286,11 @@
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
         await self._server.start()
+<<<<<<< HEAD
+=======
+        self._start_task(self._membership.run())
+        self._start_watchers()
+>>>>>>> main
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
     async def stop(self) -> None:
@@ -233,6 +321,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._evacuator.stop()
         await self._transport.stop()
         await self._client.close()
 
--- a/acaciaward/errors.py
+++ b/acaciaward/errors.py
@@ -135,6 +135,14 @@
     code = "platform_unavailable"
 
 
+class PeerSilentError(RequestError):
+    """Another entry, which the request is for, did not answer."""
+
+    status = 504
+    code = "peer_silent"
+    default_verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+
 class QuarantinedError(RequestError):
     """The request is quarantined since endpoints died while running it."""
 
@@ -166,6 +174,14 @@
     default_verdict = verdicts.Verdict.MAY_HAVE_RUN
 
 
+class StreamGoneError(RequestError):
+    """A stream that its caller wants to take up no longer exists."""
+
+    status = 410
+    code = "stream_gone"
+    default_verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+
 class PlatformError(AcaciawardError):
     """A call to the platform failed; see the subclasses for what is certain."""
 
