--- a/acaciaward/administration/configuration.py
+++ b/acaciaward/administration/configuration.py
@@ -56,7 +56,13 @@
 
     def _history(self) -> list[dict[str, typing.Any]]:
         return [
-            entry._asdict() | {"changes": redact(entry.changes)}
+            {
+                "version": entry.version,
+                "patch_id": entry.patch_id,
+                "author": entry.author,
+                "time": entry.time,
+                "changes": redact(entry.changes),
+            }
             for entry in self._configuration.history
         ]
 
--- a/acaciaward/administration/patches.py
+++ b/acaciaward/administration/patches.py
@@ -22,12 +22,19 @@
 
 
 class PatchAnswer(typing.TypedDict):
-    """What became of a patch; ``id`` settles an unknown one later."""
+    """
+    What became of a patch; ``id`` settles an unknown one later.
+
+    ``missing`` names the entries that have not reported an accepted version,
+    ``since`` the patches accepted after the base of a stale one.
+    """
 
     status: str
     version: int
     reason: str
     id: str
+    missing: list[str]
+    since: list[dict[str, typing.Any]]
 
 
 class Patches:
@@ -67,5 +74,10 @@
         "version": outcome.version,
         "reason": outcome.reason,
         "id": patch_id,
+        "missing": list(outcome.missing),
+        "since": [
+            {"version": one.version, "id": one.patch_id, "author": one.author}
+            for one in outcome.since
+        ],
     }
     return routes.Answer(body | extra, STATUS_OF_OUTCOME[outcome.status])
--- a/acaciaward/configuration/follower.py
+++ b/acaciaward/configuration/follower.py
@@ -159,10 +159,6 @@
         """Return the outcome of a patch, or None if it isn't known."""
         return self._replay.outcome(patch_id)
 
-    def outcome(self, patch_id: str) -> replay.PatchOutcome | None:
-        """Return what became of a patch, or None if it isn't known here."""
-        return self._replay.outcome(patch_id)
-
     def endpoints(self, deployment: str) -> list[requests.Endpoint]:
         """Return the endpoints of a deployment, empty if there is none."""
         if deployment not in self._endpoints:
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -21,18 +21,13 @@
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, discovery
 from acaciaward.claims import local
-<<<<<<< HEAD
 from acaciaward.configuration import (
     follower,
     messages as configuration_messages,
     peering,
     serving,
 )
-from acaciaward.dispatch import attempts, dispatcher
-=======
-from acaciaward.configuration import follower
 from acaciaward.dispatch import attempts, dispatcher, observed
->>>>>>> main
 from acaciaward.endpoints import engine, service
 from acaciaward.evacuation import departures, evacuator, watchers
 from acaciaward.membership import (
@@ -52,6 +47,11 @@
 
 START_WAIT_S = 10.0
 DRAIN_POLL_S = 0.05
+PEER_KINDS: dict[str, type] = {
+    **membership_messages.KINDS,
+    **configuration_messages.KINDS,
+    **administration_messages.KINDS,
+}
 
 
 class EntryProcess:
@@ -91,13 +91,7 @@
         peers = self._settings["peers"]
         self._hints = hints.HintBoard(instance["name"])
         self._transport = transport.PeerTransport(
-            peers["address"],
-            peers["port"],
-<<<<<<< HEAD
-            membership_messages.KINDS | configuration_messages.KINDS,
-=======
-            membership_messages.KINDS | administration_messages.KINDS,
->>>>>>> main
+            peers["address"], peers["port"], PEER_KINDS
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -286,11 +280,7 @@
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
         await self._server.start()
-<<<<<<< HEAD
-=======
-        self._start_task(self._membership.run())
         self._start_watchers()
->>>>>>> main
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
     async def stop(self) -> None:
