--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -20,19 +19,6 @@
 POLL_S = 0.02
 STOP_TIMEOUT_S = 40.0
 
-_given_ports: set[int] = set()
-
-
-def find_free_port() -> int:
-    """Return a loopback port that is free and was not given out before."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind((ADDRESS, 0))
-            port = probe.getsockname()[1]
-        if port not in _given_ports:
-            _given_ports.add(port)
-            return port
-
 
 class Processes:
     """
