--- a/acaciaward/administration/api.py
+++ b/acaciaward/administration/api.py
@@ -63,6 +63,7 @@
     )
     for duty in duties:
         routes.add_routes(application, duty.routes())
+    routes.add_fallback(application)
     _add_description(application)
 
 
--- a/acaciaward/administration/features/environment.py
+++ b/acaciaward/administration/features/environment.py
@@ -8,6 +8,6 @@
 
 
 def after_feature(context, feature):
-    if getattr(context, "world", None) is not None:
-        context.runner.run(context.world.stop())
+    if hasattr(feature, "world"):
+        context.runner.run(feature.world.stop())
     context.runner.close()
--- a/acaciaward/administration/routes.py
+++ b/acaciaward/administration/routes.py
@@ -47,6 +47,16 @@
         httpserver.add_route(application, route.method, route.path, handler)
 
 
+def add_fallback(application: blacksheep.Application) -> None:
+    """Answer requests for paths that don't exist, in the form of all errors."""
+
+    async def answer_unknown(request: blacksheep.Request) -> blacksheep.Response:
+        unknown = errors.NotFoundError("there is no such path or method")
+        return answers.error_response(unknown, f"adm-{uuid.uuid4().hex}")
+
+    application.router.fallback = answer_unknown
+
+
 def _answered(handler: Callable) -> Callable:
     @functools.wraps(handler)
     async def answer(*args: typing.Any, **kwargs: typing.Any):
--- a/acaciaward/callers/answers.py
+++ b/acaciaward/callers/answers.py
@@ -71,6 +71,9 @@
     if error.retry_after_s is not None:
         seconds = max(1, round(error.retry_after_s))
         headers.append((b"retry-after", str(seconds).encode()))
+    if isinstance(error, errors.BodyTooSlowError):
+        # The rest of the body may still come and is not wanted.
+        headers.append((b"connection", b"close"))
     body = {"error": error_fields(error, request_id)}
     return json_response(body, error.status, headers)
 
--- a/acaciaward/callers/api.py
+++ b/acaciaward/callers/api.py
@@ -15,7 +15,7 @@
 
 import blacksheep
 
-from acaciaward import errors, httpserver, requests
+from acaciaward import errors, httplimits, httpserver, requests
 from acaciaward.callers import answers, discovery, parsing
 from acaciaward.claims import interfaces as claims_interfaces
 from acaciaward.configuration import interfaces as configuration_interfaces
@@ -26,6 +26,7 @@
 log = logging.getLogger(__name__)
 
 BEARER = "bearer "
+BODY_TIMEOUT_S = 30.0
 DISCONNECT_POLL_S = 0.2
 NOT_CURRENT_RETRY_S = 2.0
 
@@ -42,12 +43,14 @@
         claims: claims_interfaces.ClaimBook,
         entries: discovery.Discovery,
         max_body_bytes: int,
+        owners: httplimits.Connections,
     ):
         self._configuration = configuration
         self._dispatcher = requests_dispatcher
         self._claims = claims
         self._entries = entries
         self._max_body_bytes = max_body_bytes
+        self._owners = owners
         routes = (
             ("GET", "/v1/entries", self._get_entries),
             ("GET", "/v1/models", self._get_models),
@@ -291,7 +294,9 @@
 
     def _authenticate(self, request: blacksheep.Request) -> apikeys.Caller:
         document = self._configuration.view.document
-        return apikeys.authenticate_caller(document, read_bearer(request))
+        caller = apikeys.authenticate_caller(document, read_bearer(request))
+        self._owners.bind(request, caller.organisation)
+        return caller
 
     def _check_current(self) -> None:
         if not self._configuration.is_current:
@@ -321,11 +326,15 @@
         raise errors.BodyTooLargeError(message)
     parts = []
     size = 0
-    async for part in request.stream():
-        size += len(part)
-        if size > limit:
-            raise errors.BodyTooLargeError(message)
-        parts.append(part)
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for part in request.stream():
+                size += len(part)
+                if size > limit:
+                    raise errors.BodyTooLargeError(message)
+                parts.append(part)
+    except TimeoutError as error:
+        raise errors.BodyTooSlowError("the body did not arrive in time") from error
     return b"".join(parts)
 
 
--- a/acaciaward/client/caller.py
+++ b/acaciaward/client/caller.py
@@ -21,6 +21,7 @@
 
 from acaciaward import errors, httpclient, verdicts
 from acaciaward.client import sse
+from acaciaward.identity import tls
 
 Address = tuple[str, int]
 
@@ -66,7 +67,12 @@
 
 
 class Caller:
-    """Sends requests of one organisation."""
+    """
+    Sends requests of one organisation.
+
+    With ``ca_file`` connections are encrypted, and each entry must show a
+    certificate for its IP number that this authority has signed.
+    """
 
     def __init__(
         self,
@@ -75,11 +81,13 @@
         key: str,
         data_centre: str | None = None,
         client: httpclient.HttpClient | None = None,
+        ca_file: str | None = None,
     ):
+        trust = tls.client_context(ca_file) if ca_file else None
         self._seeds = list(seeds)
         self._key = key
         self._data_centre = data_centre
-        self._client = client or httpclient.HttpClient()
+        self._client = client or httpclient.HttpClient(tls=trust)
         self._entries: list[Address] = []
         self._entries_expire = 0.0
         self._turn = 0
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -13,7 +13,7 @@
 
 import blacksheep
 
-from acaciaward import httpclient, httpserver
+from acaciaward import httpclient, httplimits, httpserver
 from acaciaward.administration import (
     api as administration_api,
     messages as administration_messages,
@@ -165,6 +165,9 @@
     def _build_server(self) -> None:
         callers = self._settings["callers"]
         application = httpserver.make_application()
+        owners = httplimits.Connections(
+            maximum=callers["max_connections_per_organisation"]
+        )
         callers_api.CallersApi(
             application,
             configuration=self._configuration,
@@ -174,6 +177,7 @@
                 self._membership, lifetime_s=callers["discovery_lifetime_s"]
             ),
             max_body_bytes=callers["max_body_bytes"],
+            owners=owners,
         )
         self._build_administration(application)
         self._server = httpserver.HttpServer(
@@ -182,6 +186,10 @@
             callers["port"],
             tls=callers["tls"],
             max_connections=callers["max_connections"],
+            limits=httplimits.Limits(
+                callers["max_header_bytes"], callers["header_timeout_s"]
+            ),
+            owners=owners,
         )
 
     def _build_administration(self, application: blacksheep.Application) -> None:
--- a/acaciaward/errors.py
+++ b/acaciaward/errors.py
@@ -72,6 +72,13 @@
     code = "body_too_large"
 
 
+class BodyTooSlowError(InvalidRequestError):
+    """The body did not arrive in time."""
+
+    status = 408
+    code = "body_too_slow"
+
+
 class AuthenticationError(RequestError):
     """The key is missing, unknown or revoked."""
 
--- /dev/null
+++ b/acaciaward/httplimits.py
@@ -0,0 +1,186 @@
+"""
+Bounds what one connection and one organisation may take of an HTTP server.
+
+uvicorn's parser takes headers of any size at any pace, and a connection that
+sends nothing is kept for ever. Here a connection is answered with 431 or closed
+when its head is too large or too slow. The number of connections that an
+organisation holds is bounded once its key was checked, never by a name that
+anybody could claim.
+
+    connections = Connections(maximum=1000)
+    connections.bind(request, "library")    # raises LimitExceededError
+"""
+
+import asyncio
+import collections
+import logging
+import typing
+
+import blacksheep
+from uvicorn.protocols.http import httptools_impl
+
+from acaciaward import errors
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
+
+SCOPE_KEY = "acaciaward.connection"
+RETRY_AFTER_S = 1.0
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-type: application/json\r\n"
+    b"connection: close\r\n"
+)
+HEAD_TOO_LARGE_BODY = (
+    b'{"error":{"message":"the headers are too large","code":"headers_too_large",'
+    b'"type":"invalid_request_error","verdict":"not_run"}}'
+)
+
+
+class Limits(typing.NamedTuple):
+    """
+    Bounds of one connection.
+
+    ``head_bytes`` bounds request line and headers, ``head_timeout_s`` the time
+    from the connection's start, or a request's first byte, to the end of them.
+    """
+
+    head_bytes: int
+    head_timeout_s: float
+
+
+class Connections:
+    """Counts the connections of each organisation."""
+
+    def __init__(self, *, maximum: int):
+        self._maximum = maximum
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    def count(self, organisation: str) -> int:
+        """Return the number of connections that an organisation holds."""
+        return self._counts[organisation]
+
+    def bind(self, request: blacksheep.Request, organisation: str) -> None:
+        """
+        Count a request's connection for its organisation.
+
+        A connection belongs to the organisation that used it last. Raises
+        ``LimitExceededError`` when the organisation holds too many.
+        """
+        connection = request.scope.get(SCOPE_KEY)
+        if connection is None or connection.organisation == organisation:
+            return
+        if self._counts[organisation] >= self._maximum:
+            raise errors.LimitExceededError(
+                f"the organisation holds {self._maximum} connections to this entry",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        self.release(connection)
+        connection.organisation = organisation
+        self._counts[organisation] += 1
+
+    def release(self, connection: "LimitedProtocol") -> None:
+        """Stop counting a connection."""
+        organisation = connection.organisation
+        connection.organisation = None
+        if organisation is None:
+            return
+        self._counts[organisation] -= 1
+        if not self._counts[organisation]:
+            del self._counts[organisation]
+
+
+class LimitedProtocol(httptools_impl.HttpToolsProtocol):
+    """uvicorn's protocol with bounds on the head of each request."""
+
+    def __init__(
+        self,
+        *args: typing.Any,
+        limits: Limits,
+        owners: Connections,
+        **kwargs: typing.Any,
+    ):
+        super().__init__(*args, **kwargs)
+        self.organisation: str | None = None
+        self._limits = limits
+        self._owners = owners
+        self._head_bytes = 0
+        self._is_in_head = True
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Start the time for the first head."""
+        super().connection_made(transport)
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop counting the connection."""
+        self._stop_head_timer()
+        self._owners.release(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse data unless the head grows too large."""
+        if self._is_in_head:
+            self._head_bytes += len(data)
+            # Bytes between two requests need not begin a message.
+            if self._head_timer is None:
+                self._start_head_timer()
+        super().data_received(data)
+        if self._is_in_head and self._head_bytes > self._limits.head_bytes:
+            self._refuse_head()
+
+    def on_message_begin(self) -> None:
+        """Let handlers find the connection of a request."""
+        super().on_message_begin()
+        self.scope[SCOPE_KEY] = self
+
+    def on_headers_complete(self) -> None:
+        """End the head of a request, or refuse one that came in one large piece."""
+        self._is_in_head = False
+        self._head_bytes = 0
+        self._stop_head_timer()
+        if self._header_bytes() > self._limits.head_bytes:
+            self._refuse_head()
+            return
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """End a request; one whose head was refused never began."""
+        self._is_in_head = True
+        if not self.transport.is_closing():
+            super().on_message_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body, unless the head was refused."""
+        if not self.transport.is_closing():
+            super().on_body(body)
+
+    def _header_bytes(self) -> int:
+        return len(self.url) + sum(
+            len(name) + len(value) for name, value in self.headers
+        )
+
+    def _refuse_head(self) -> None:
+        if self.transport.is_closing():
+            return
+        log.warning("request refused", extra=logs.fields(reason="headers too large"))
+        length = b"content-length: %d\r\n\r\n" % len(HEAD_TOO_LARGE_BODY)
+        self.transport.write(HEAD_TOO_LARGE + length + HEAD_TOO_LARGE_BODY)
+        self.transport.close()
+
+    def _start_head_timer(self) -> None:
+        self._stop_head_timer()
+        self._head_timer = self.loop.call_later(
+            self._limits.head_timeout_s, self._close_slow
+        )
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _close_slow(self) -> None:
+        if not self.transport.is_closing():
+            log.info("connection closed", extra=logs.fields(reason="slow headers"))
+            self.transport.close()
--- a/acaciaward/httpserver.py
+++ b/acaciaward/httpserver.py
@@ -12,6 +12,7 @@
 import asyncio
 import contextlib
 import functools
+import ssl
 import typing
 from collections.abc import Callable
 
@@ -19,7 +20,13 @@
 import blacksheep.server.routing
 import uvicorn
 
+from acaciaward import httplimits
+from acaciaward.identity import tls as tls_contexts
+
 START_POLL_S = 0.005
+TLS_RELOAD_INTERVAL_S = 2.0
+DEFAULT_LIMITS = httplimits.Limits(head_bytes=65536, head_timeout_s=30.0)
+DEFAULT_CONNECTIONS = 2000
 
 
 def make_application() -> blacksheep.Application:
@@ -62,7 +69,15 @@
         *,
         tls: dict[str, str] | None = None,
         max_connections: int | None = None,
+        limits: httplimits.Limits = DEFAULT_LIMITS,
+        owners: httplimits.Connections | None = None,
     ):
+        self._tls = tls_contexts.Files(**tls) if tls else None
+        self._tls_context: ssl.SSLContext | None = None
+        owners = owners or httplimits.Connections(maximum=DEFAULT_CONNECTIONS)
+        protocol = functools.partial(
+            httplimits.LimitedProtocol, limits=limits, owners=owners
+        )
         config = uvicorn.Config(
             application,
             host=address,
@@ -71,24 +86,29 @@
             access_log=False,
             lifespan="off",
             loop="asyncio",
-            http="httptools",
+            http=protocol,
             ws="none",
             limit_concurrency=max_connections,
             timeout_keep_alive=30,
             server_header=False,
-            ssl_certfile=tls["certificate"] if tls else None,
-            ssl_keyfile=tls["private_key"] if tls else None,
+            proxy_headers=False,
+            ssl_context_factory=self._make_context if tls else None,
         )
         self._application = application
         self._port = port
         self._server = _QuietServer(config)
         self._task: asyncio.Task | None = None
+        self._reload_task: asyncio.Task | None = None
 
     @property
     def port(self) -> int:
         """The TCP port."""
         return self._port
 
+    def _make_context(self, *args: object) -> ssl.SSLContext:
+        self._tls_context = tls_contexts.server_context(self._tls)
+        return self._tls_context
+
     async def start(self) -> None:
         """Listen, or raise OSError when the port can't be had."""
         await self._application.start()
@@ -98,6 +118,11 @@
                 await self._task
                 raise OSError("the HTTP server ended before it had started")
             await asyncio.sleep(START_POLL_S)
+        if self._tls is not None:
+            reloader = tls_contexts.Reloader(
+                self._tls_context, self._tls, interval_s=TLS_RELOAD_INTERVAL_S
+            )
+            self._reload_task = asyncio.create_task(reloader.run())
 
     async def _serve(self) -> None:
         # uvicorn reports a port that can't be had by SystemExit, which must
@@ -112,12 +137,18 @@
         if self._task is None:
             return
         self._server.should_exit = True
+        self._stop_reloading()
         await self._task
 
+    def _stop_reloading(self) -> None:
+        if self._reload_task is not None:
+            self._reload_task.cancel()
+
     async def kill(self) -> None:
         """Close everything at once, as a crash would."""
         if self._task is None:
             return
+        self._stop_reloading()
         for listener in getattr(self._server, "servers", []):
             listener.close()
         for connection in list(self._server.server_state.connections):
--- a/standins/service.py
+++ b/standins/service.py
@@ -80,5 +80,5 @@
 def _echo(body: bytes) -> typing.Any:
     try:
         return json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
