--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -196,6 +196,10 @@
         body = {"instances": list(names), "notice_s": notice_s}
         await self.control("cloud", "/control/reclaim", body)
 
+    def port(self, name: str) -> int:
+        """Return the port of a process itself, never that of its proxy."""
+        return self._port(name)
+
     def _port(self, name: str) -> int:
         if name not in self._ports:
             self._ports[name] = processes.find_free_port()
