--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -12,6 +12,7 @@
 from standins import tokens
 
 PROMPT = "the long story of a box of puzzles"
+STEP_S = 0.02
 
 
 @given(
@@ -25,6 +26,7 @@
         engine_count=engines,
         service_count=services,
         proxied=names,
+        faults={"engine": {"step_s": STEP_S}},
     )
     context.runner.run(context.cluster.start())
 
