--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -11,14 +11,20 @@
 import time
 import typing
 
-from acaciaward import httpclient, httpserver
-from acaciaward.administration import api as administration_api
+import blacksheep
+
+from acaciaward import documents, httpclient, httpserver, requests
+from acaciaward.administration import (
+    api as administration_api,
+    messages as administration_messages,
+)
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, discovery
 from acaciaward.claims import book as claims_book, messages as claims_messages
 from acaciaward.configuration import follower
-from acaciaward.dispatch import attempts, dispatcher
+from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
+from acaciaward.evacuation import departures, evacuator, watchers
 from acaciaward.membership import (
     gossip,
     hints,
@@ -26,8 +32,8 @@
     messages as membership_messages,
     transport,
 )
-from acaciaward.observability import logs
-from acaciaward.platform import calls, log as platform_log
+from acaciaward.observability import logs, recorder
+from acaciaward.platform import calls, cloud, log as platform_log
 from acaciaward.quarantine import permissive
 from acaciaward.routing import leastloaded
 from acaciaward.settings import loader
@@ -39,16 +45,18 @@
 
 
 class EntryProcess:
-    """All slices of one entry."""
+    """All slices of one entry; ``stop_requested`` is set when it is drained."""
 
     def __init__(self, settings: loader.Settings):
         self._settings = settings
         self._tasks: list[asyncio.Task] = []
+        self.stop_requested = asyncio.Event()
         self._client = httpclient.HttpClient(
             connect_timeout_s=settings["dispatch"]["connect_timeout_s"]
         )
         self._build_membership()
         self._build_configuration()
+        self._build_evacuation()
         self._build_dispatch()
         self._build_server()
 
@@ -75,7 +83,9 @@
         self._transport = transport.PeerTransport(
             peers["address"],
             peers["port"],
-            membership_messages.KINDS | claims_messages.KINDS,
+            membership_messages.KINDS
+            | administration_messages.KINDS
+            | claims_messages.KINDS,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -141,12 +151,65 @@
         live = membership_interfaces.PeerState.LIVE
         return sum(1 for peer in self._membership.peers() if peer.state is live)
 
+    def _build_evacuation(self) -> None:
+        settings = self._settings["evacuation"]
+        self._departures = departures.Departures(
+            self._hints, spread=self._membership.spread_now
+        )
+        self._engine = engine.HttpModelEngine(
+            self._client,
+            token_timeout_s=self._settings["dispatch"]["token_timeout_s"],
+        )
+        self._router = leastloaded.LeastLoadedRouter(self._configuration, self._hints)
+        self._evacuator = evacuator.Evacuator(
+            self._departures,
+            self._engine,
+            self._router,
+            self._weights_of,
+            evacuator.Limits(
+                settings["source_bytes_per_s"], settings["target_bytes_per_s"]
+            ),
+        )
+        self._watch_limits = watchers.WatchLimits(
+            settings["poll_s"], settings["assumed_notice_s"]
+        )
+
+    def _weights_of(self, deployment: str) -> documents.Weights:
+        deployments = self._configuration.view.document.get("deployments", {})
+        return deployments.get(deployment, {}).get("weights", {})
+
+    def _start_watchers(self) -> None:
+        known, limits = self._departures, self._watch_limits
+        notices = self._platform_service("cloud")
+        if notices is not None:
+            own_cloud = cloud.HttpCloud(notices)
+            self._start_task(watchers.watch_notices(own_cloud, known, limits))
+        listing = self._platform_service("instances")
+        if listing is not None:
+            own_list = cloud.HttpInstanceList(listing)
+            self._start_task(watchers.watch_instances(own_list, known, limits))
+        busy = self._evacuator.busy_endpoints
+        self._start_task(
+            watchers.watch_engines(
+                self._engine, busy, self._model_endpoints, known, limits
+            )
+        )
+
+    def _model_endpoints(self) -> list[requests.Endpoint]:
+        deployments = self._configuration.view.document.get("deployments", {})
+        return [
+            endpoint
+            for name, entry in deployments.items()
+            if entry["kind"] == requests.DeploymentKind.MODEL.value
+            for endpoint in self._configuration.endpoints(name)
+        ]
+
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
         self._build_claims()
         collaborators = attempts.Collaborators(
-            router=leastloaded.LeastLoadedRouter(self._configuration, self._hints),
+            router=self._router,
             admission=counting.CountingAdmission(
                 max_in_flight=admission["max_in_flight"],
                 max_queued=admission["max_queued"],
@@ -155,15 +218,18 @@
             ),
             claims=self._claims,
             quarantine=permissive.PermissiveQuarantine(),
-            engine=engine.HttpModelEngine(
-                self._client, token_timeout_s=settings["token_timeout_s"]
-            ),
+            engine=self._engine,
             service=service.HttpPlainService(self._client),
+            evacuation=self._evacuator,
         )
         limits = attempts.RetryLimits(
             settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
         )
-        self._dispatcher = dispatcher.Dispatcher(collaborators, limits)
+        self._recorder = recorder.Recorder(self.name)
+        self._configuration.subscribe(lambda view: self._recorder.follow(view.document))
+        self._dispatcher = observed.ObservedDispatcher(
+            dispatcher.Dispatcher(collaborators, limits), self._recorder
+        )
 
     def _build_server(self) -> None:
         callers = self._settings["callers"]
@@ -178,14 +244,7 @@
             ),
             max_body_bytes=callers["max_body_bytes"],
         )
-        administration_api.AdministrationApi(
-            application,
-            configuration=self._configuration,
-            membership=self._membership,
-            bootstrap_key_digest=self._settings["administration"][
-                "bootstrap_key_digest"
-            ],
-        )
+        self._build_administration(application)
         self._server = httpserver.HttpServer(
             application,
             callers["address"],
@@ -194,6 +253,23 @@
             max_connections=callers["max_connections"],
         )
 
+    def _build_administration(self, application: blacksheep.Application) -> None:
+        collaborators = administration_api.Collaborators(
+            configuration=self._configuration,
+            membership=self._membership,
+            hints=self._hints,
+            claims=self._claims,
+            observed=self._recorder,
+            drain=self.stop_requested.set,
+        )
+        administration_api.add_api(
+            application,
+            collaborators,
+            bootstrap_key_digest=self._settings["administration"][
+                "bootstrap_key_digest"
+            ],
+        )
+
     async def start(self) -> None:
         """Start every slice; return when callers can connect."""
         await self._transport.start()
@@ -205,6 +281,7 @@
             log.warning("started without having replayed the claims")
         await self._server.start()
         self._start_task(self._membership.run())
+        self._start_watchers()
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
     async def stop(self) -> None:
@@ -235,6 +312,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._evacuator.stop()
         await self._transport.stop()
         await self._client.close()
 
