--- a/acaciaward/client/caller.py
+++ b/acaciaward/client/caller.py
@@ -51,7 +51,11 @@
 
 
 class CallerError(errors.AcaciawardError):
-    """The request ended without its answer; ``verdict`` says if it may have run."""
+    """
+    The request ended without its answer; ``verdict`` says if it may have run.
+
+    ``is_stated`` is False when an entry answered without a verdict.
+    """
 
     def __init__(
         self,
@@ -60,11 +64,13 @@
         status: int,
         verdict: verdicts.Verdict,
         retry_after_s: float | None,
+        is_stated: bool = True,
     ):
         super().__init__(message)
         self.status = status
         self.verdict = verdict
         self.retry_after_s = retry_after_s
+        self.is_stated = is_stated
 
 
 class Caller:
@@ -77,6 +83,7 @@
         key: str,
         data_centre: str | None = None,
         client: httpclient.HttpClient | None = None,
+        max_tries: int = MAX_TRIES,
     ):
         self._seeds = list(seeds)
         self._key = key
@@ -84,12 +91,19 @@
         self._client = client or httpclient.HttpClient()
         self._entries: list[Address] = []
         self._entries_expire = 0.0
+        self._max_tries = max_tries
+        self._pinned: list[Address] = []
         self._turn = 0
 
     async def close(self) -> None:
         """Close idle connections."""
         await self._client.close()
 
+    def pin(self, entries: Sequence[Address]) -> None:
+        """Use these entries from now on, without asking which to use."""
+        self._entries = list(entries)
+        self._pinned = list(entries)
+
     async def complete(
         self,
         model: str,
@@ -205,7 +219,7 @@
         """
         may_have_run = False
         last: CallerError | None = None
-        for number in range(MAX_TRIES):
+        for number in range(self._max_tries):
             entry = await self._next_entry()
             try:
                 return await attempt(entry)
@@ -227,7 +241,8 @@
         raise last
 
     async def _next_entry(self) -> Address:
-        if not self._entries or time.monotonic() > self._entries_expire:
+        is_due = not self._entries or time.monotonic() > self._entries_expire
+        if is_due and not self._pinned:
             await self._discover()
         self._turn += 1
         return self._entries[self._turn % len(self._entries)]
@@ -253,6 +268,8 @@
         self._entries = self._entries or list(self._seeds)
 
     def _forget(self, entry: Address) -> None:
+        if self._pinned:
+            return
         self._entries = [known for known in self._entries if known != entry]
 
     def _headers(self, service_class: str, deadline_s: float | None) -> dict[str, str]:
@@ -305,4 +322,5 @@
         status=status,
         verdict=verdicts.Verdict(verdict),
         retry_after_s=fields.get("retry_after"),
+        is_stated="verdict" in fields,
     )
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,7 @@
 
 EXPERIMENTS = {
     "chaos": "every promise under faults of every kind at once",
+    "once": "runs of non-idempotent requests under faults",
 }
 
 
