Show no signing key in history and refused patches

Change: one module, redaction.py, makes every view of a patch; answers also name the entries that have not reported a version, and the command prints them.

--- a/acaciaward/administration/configuration.py
+++ b/acaciaward/administration/configuration.py
@@ -1,18 +1,13 @@
 """Routes that read the numbered configuration and patch it."""
 
-import copy
 import typing
 
 import blacksheep
 
-from acaciaward import documents, errors
-from acaciaward.administration import access, patches, routes
+from acaciaward import errors
+from acaciaward.administration import access, patches, redaction, routes
 from acaciaward.configuration import follower
 
-# Shorter than a real key may be, so that a document that was read and sent
-# back is refused instead of replacing the keys.
-REDACTED = "redacted"
-
 
 class PatchBody(typing.TypedDict, total=False):
     """The body of a patch; ``id`` makes a repeated submission harmless."""
@@ -47,32 +42,31 @@
         """Return the version in force and its document, without signing keys."""
         self._access.require(request, access.Right.READ)
         view = self._configuration.view
-        return {"version": view.version, "document": redact(view.document)}
+        return {"version": view.version, "document": redaction.redact(view.document)}
 
     async def _get_history(self, request: blacksheep.Request):
         """Return the accepted patches that are still known, oldest first."""
         self._access.require(request, access.Right.READ)
-        return {"history": self._history()}
-
-    def _history(self) -> list[dict[str, typing.Any]]:
-        return [
-            entry._asdict() | {"changes": redact(entry.changes)}
-            for entry in self._configuration.history
-        ]
+        history = [redaction.show(entry) for entry in self._configuration.history]
+        return {"history": history}
 
     async def _get_diff(self, request: blacksheep.Request):
-        """Return the patches that lead from version ``from`` to version ``to``."""
+        """Return the patches and the changes between two versions."""
         self._access.require(request, access.Right.READ)
-        first = routes.read_number(request, "from", 0)
-        last = routes.read_number(request, "to", self._configuration.view.version)
-        if first > last or last > self._configuration.view.version:
+        newest = self._configuration.view.version
+        first = int(routes.read_number(request, "from", 0))
+        last = int(routes.read_number(request, "to", newest))
+        if first > last or last > newest:
             raise errors.InvalidRequestError(
                 "from and to must be versions that exist, in this order"
             )
-        steps = [one for one in self._history() if first < one["version"] <= last]
-        if len(steps) != int(last) - int(first):
-            raise errors.NotFoundError("the history no longer reaches back that far")
-        return {"from": int(first), "to": int(last), "patches": steps}
+        steps = self._configuration.changes_since(first)
+        return {
+            "from": first,
+            "to": last,
+            "changes": redaction.redact(self._configuration.diff(first, last)),
+            "patches": [redaction.show(one) for one in steps if one.version <= last],
+        }
 
     async def _post_patch(self, request: blacksheep.Request):
         """Submit a JSON merge patch against a numbered version."""
@@ -89,11 +83,3 @@
         if outcome is None:
             raise errors.NotFoundError("no patch of this id is known here")
         return patches.answer_of(outcome, patch_id)._replace(status=200)
-
-
-def redact(document: documents.Document) -> documents.Document:
-    """Return a copy of a document, or of changes to one, without signing keys."""
-    shown = copy.deepcopy(document)
-    if shown.get("resume_keys"):
-        shown["resume_keys"] = [REDACTED] * len(shown["resume_keys"])
-    return shown
--- a/acaciaward/administration/features/administration.feature
+++ b/acaciaward/administration/features/administration.feature
@@ -27,6 +27,7 @@
     And what scoala-alba may read names no other organisation
 
   Scenario: Signing keys are not shown, and what is shown can't replace them
+    When an operator rotates the keys that sign resume tokens
     Then the configuration and its history hold no signing key
     And sending the shown document back is refused
 
--- a/acaciaward/administration/features/steps/administration_steps.py
+++ b/acaciaward/administration/features/steps/administration_steps.py
@@ -299,14 +299,30 @@
         assert not [name for name in others if name in text], text
 
 
+@when("an operator rotates the keys that sign resume tokens")
+def rotate_signing_keys(context):
+    context.signing = [*context.world.document["resume_keys"], "n" * 43]
+    key = context.keys["operator"]
+    _, view = _http(context, "GET", "/v1/admin/config", key)
+    body = {"base": view["version"], "changes": {"resume_keys": context.signing}}
+    status, _ = _http(context, "POST", "/v1/admin/config/patches", key, body)
+    assert status == 200
+    status, context.stale = _http(
+        context, "POST", "/v1/admin/config/patches", key, body
+    )
+    assert status == 409
+
+
 @then("the configuration and its history hold no signing key")
 def check_redacted(context):
-    secret = context.world.document["resume_keys"][0]
+    shown = [context.stale]
     for path in ("", "/history", "/diff"):
         _, answer = _http(
             context, "GET", f"/v1/admin/config{path}", context.keys["operator"]
         )
-        assert secret not in json.dumps(answer)
+        shown.append(answer)
+    text = json.dumps(shown)
+    assert not [secret for secret in context.signing if secret in text]
 
 
 @then("sending the shown document back is refused")
--- a/acaciaward/administration/patches.py
+++ b/acaciaward/administration/patches.py
@@ -3,7 +3,7 @@
 import typing
 import uuid
 
-from acaciaward.administration import access, routes
+from acaciaward.administration import access, redaction, routes
 from acaciaward.configuration import follower, replay
 
 STATUS_OF_OUTCOME = {
@@ -22,12 +22,19 @@
 
 
 class PatchAnswer(typing.TypedDict):
-    """What became of a patch; ``id`` settles an unknown one later."""
+    """
+    What became of a patch; ``id`` settles an unknown one later.
+
+    ``missing`` names live entries that have not reported an accepted version,
+    ``since`` holds what was accepted after the base of a stale one.
+    """
 
     status: str
     version: int
     reason: str
     id: str
+    missing: list[str]
+    since: list[redaction.ShownPatch]
 
 
 class Patches:
@@ -67,5 +74,7 @@
         "version": outcome.version,
         "reason": outcome.reason,
         "id": patch_id,
+        "missing": list(outcome.missing),
+        "since": [redaction.show(entry) for entry in outcome.since],
     }
     return routes.Answer(body | extra, STATUS_OF_OUTCOME[outcome.status])
--- a/acaciaward/cli/config.py
+++ b/acaciaward/cli/config.py
@@ -41,7 +41,7 @@
     if patch_id is not None:
         body["id"] = patch_id
     outcome = connection.call(target, "POST", "/v1/admin/config/patches", body)
-    click.echo(f"accepted as version {outcome['version']}")
+    output.print_change(outcome, as_json=False)
 
 
 @config.command()
--- a/acaciaward/cli/output.py
+++ b/acaciaward/cli/output.py
@@ -49,6 +49,9 @@
         print_json(answer)
         return
     click.echo(f"accepted as version {answer['version']}")
+    if answer.get("missing"):
+        names = ", ".join(answer["missing"])
+        click.echo(f"not yet reported in force by: {names}", err=True)
     if "key" in answer:
         click.echo("The key is shown only this once:", err=True)
         click.echo(answer["key"])
