--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 from bench import options as bench_options
 
 EXPERIMENTS = {
+    "binary": "size, start time and memory of the program as one file",
     "chaos": "every promise under faults of every kind at once",
 }
 
