--- a/acaciaward/identity/features/steps/tls_steps.py
+++ b/acaciaward/identity/features/steps/tls_steps.py
@@ -14,23 +14,22 @@
 from acaciaward import errors, httpclient
 from acaciaward.cli import main
 from acaciaward.client import caller
-from acaciaward.demonstration import world
 from acaciaward.entry import process
 from acaciaward.identity import apikeys, curvekeys, tls
 from acaciaward.settings import loader
-from standins import log
+from standins import log, ports
 
 WAIT_S = 15.0
 BOOTSTRAP = "first-operator"
 
 
 def _settings(log_port, files):
-    port = world.find_free_port()
+    port = ports.find_free_port()
     return loader.check(
         {
             "instance": {"name": "entry-1", "data_centre": "dc-1", "region": "r"},
             "callers": {"port": port, "discovery_lifetime_s": 0.1, "tls": files},
-            "peers": {"port": world.find_free_port()},
+            "peers": {"port": ports.find_free_port()},
             "platform": {"log": {"address": "127.0.0.1", "port": log_port}},
             "administration": {
                 "bootstrap_key_digest": hashlib.sha256(BOOTSTRAP.encode()).hexdigest()
@@ -47,7 +46,7 @@
         "private_key": str(context.folder / "entry.key"),
     }
     context.serial = context.authority.issue(context.files)
-    standin = log.LogStandIn("127.0.0.1", world.find_free_port())
+    standin = log.LogStandIn("127.0.0.1", ports.find_free_port())
     context.runner.run(standin.start())
     context.closers.append(standin.stop)
     settings = _settings(standin.port, context.files)
--- a/bench/binary.py
+++ b/bench/binary.py
@@ -19,7 +19,7 @@
 
 from acaciaward import httpclient
 from bench import options, processes
-from standins import log
+from standins import log, ports
 
 STARTS = 5
 QUICK_STARTS = 2
@@ -48,7 +48,7 @@
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(scratch)
         build_s, binary = _build(folder)
-        standin = log.LogStandIn(processes.ADDRESS, processes.find_free_port())
+        standin = log.LogStandIn(processes.ADDRESS, ports.find_free_port())
         await standin.start()
         try:
             measured = [
@@ -92,7 +92,7 @@
 
 
 async def _start(binary: Binary, folder: pathlib.Path, log_port: int) -> Start:
-    port = processes.find_free_port()
+    port = ports.find_free_port()
     path = folder / "entry.json"
     # A few hundred bytes, written before anything is timed.
     path.write_text(_settings(port, log_port))  # noqa: ASYNC240
@@ -126,7 +126,7 @@
     return f"""{{
       "instance": {{"name": "entry-1", "data_centre": "dc-1", "region": "r"}},
       "callers": {{"port": {port}, "discovery_lifetime_s": 0.1}},
-      "peers": {{"port": {processes.find_free_port()}}},
+      "peers": {{"port": {ports.find_free_port()}}},
       "platform": {{"log": {{"address": "127.0.0.1", "port": {log_port}}}}}
     }}"""
 
--- a/features/steps/binary_steps.py
+++ b/features/steps/binary_steps.py
@@ -16,7 +16,7 @@
 from acaciaward.client import caller
 from acaciaward.identity import apikeys
 from bench import processes
-from standins import log, service
+from standins import log, ports, service
 
 BOOTSTRAP = "first-operator"
 START_WAIT_S = 60.0
@@ -42,10 +42,10 @@
     return {
         "instance": {"name": "entry-1", "data_centre": "dc-1", "region": "r"},
         "callers": {
-            "port": processes.find_free_port(),
+            "port": ports.find_free_port(),
             "discovery_lifetime_s": 0.2,
         },
-        "peers": {"port": processes.find_free_port()},
+        "peers": {"port": ports.find_free_port()},
         "platform": {"log": {"address": ADDRESS, "port": log_port}},
         "administration": {
             "bootstrap_key_digest": hashlib.sha256(BOOTSTRAP.encode()).hexdigest()
@@ -74,8 +74,8 @@
 
 
 async def _start(context):
-    context.log = log.LogStandIn(ADDRESS, processes.find_free_port())
-    context.service = service.ServiceStandIn(ADDRESS, processes.find_free_port())
+    context.log = log.LogStandIn(ADDRESS, ports.find_free_port())
+    context.service = service.ServiceStandIn(ADDRESS, ports.find_free_port())
     await context.log.start()
     await context.service.start()
     context.cluster = _Running(context)
