Take streams up at any entry, and hand them over at a stop

Cause: resume tokens were signed and never read; a stop waited for what ran, up to its limit, and then cut it; a caller that left while its engine made no progress was noticed after the token timeout only.

Change: POST /v1/resume takes token, last index, the request and, to continue a stream whose engine is gone too, the delivered texts with their proof, a keyed hash over stream, count and text. A feed with a bounded buffer stands between dispatch and connection; it watches the caller, and can be handed over without a cancel. The stop goes through phases (leaving, handing over, giving up).

Ruled out: believing the caller's texts (the final digest would vouch for words that no engine gave); regenerating and splicing (engines may differ); keeping state at a peer (lost with two entries, and costs every stream).

--- a/acaciaward/administration/api.py
+++ b/acaciaward/administration/api.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from acaciaward import errors, httpserver
-from acaciaward.callers import answers, api as callers_api
+from acaciaward.callers import answers, handling
 from acaciaward.configuration import follower, replay
 from acaciaward.identity import apikeys
 from acaciaward.membership import interfaces as membership_interfaces
@@ -140,7 +140,7 @@
         return answers.json_response(body, STATUS_OF_OUTCOME[outcome.status])
 
     async def _read_patch(self, request: blacksheep.Request) -> PatchBody:
-        body = await callers_api.read_limited(request, MAX_PATCH_BYTES)
+        body = await handling.read_limited(request, MAX_PATCH_BYTES)
         try:
             patch = msgspec.json.decode(body, type=PatchBody)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
@@ -152,6 +152,6 @@
     def _authenticate(self, request: blacksheep.Request) -> apikeys.Operator:
         return apikeys.authenticate_operator(
             self._configuration.view.document,
-            callers_api.read_bearer(request),
+            handling.read_bearer(request),
             self._bootstrap_key_digest,
         )
--- a/acaciaward/callers/answers.py
+++ b/acaciaward/callers/answers.py
@@ -75,6 +75,16 @@
     return json_response(body, error.status, headers)
 
 
+def redirect(location: str, request_id: str) -> blacksheep.Response:
+    """Return the answer that sends a request on to another entry, unanswered."""
+    headers = [
+        (b"location", location.encode()),
+        (b"x-request-id", request_id.encode()),
+        (b"x-verdict", verdicts.Verdict.NOT_RUN.value.encode()),
+    ]
+    return json_response({"location": location}, 307, headers)
+
+
 def sse(body: typing.Any) -> bytes:
     """Return one server-sent event with a JSON body."""
     return b"data: " + msgspec.json.encode(body) + b"\n\n"
@@ -97,17 +107,24 @@
             "model": request.deployment,
         }
 
-    def opened(self, resume: str | None) -> bytes:
+    def opened(self, resume: str | None, proof: str | None = None) -> bytes:
         """Return the event that carries the resume token."""
-        extra = {"resume": resume} if resume else {}
+        extra = {"resume": resume, "proof": proof} if resume else {}
         return sse(self._base | {"choices": [], "acaciaward": extra})
 
-    def token(self, frame: requests.TokenFrame) -> bytes:
+    def token(self, frame: requests.TokenFrame, proof: str | None = None) -> bytes:
         """Return the event of one token."""
         choice = self._choice(frame.text, None)
-        extra = {"index": frame.index}
+        extra: dict[str, typing.Any] = {"index": frame.index}
+        if proof:
+            extra["proof"] = proof
         return sse(self._base | {"choices": [choice], "acaciaward": extra})
 
+    def moved(self, peer: typing.Mapping[str, typing.Any]) -> bytes:
+        """Return the last event of a stream that goes on at another entry."""
+        extra = {"moved": dict(peer)}
+        return sse(self._base | {"choices": [], "acaciaward": extra})
+
     def end(self, completion: requests.Completion) -> bytes:
         """Return the events that end a whole answer."""
         choice = self._choice("", completion.finish_reason)
--- /dev/null
+++ b/acaciaward/callers/handling.py
@@ -0,0 +1,127 @@
+"""
+What every handler of callers' requests needs: who asks, and the final answer.
+
+A handler runs inside ``answered``, which gives it a request id, counts it as
+open and turns its errors into answers.
+"""
+
+import logging
+import uuid
+from collections.abc import Awaitable, Callable
+
+import blacksheep
+
+from acaciaward import errors
+from acaciaward.callers import answers, drain
+from acaciaward.configuration import interfaces as configuration_interfaces
+from acaciaward.identity import apikeys
+from acaciaward.observability import logs, metrics
+
+log = logging.getLogger(__name__)
+
+BEARER = "bearer "
+NOT_CURRENT_RETRY_S = 2.0
+CLOSE = (b"connection", b"close")
+
+Handler = Callable[[str], Awaitable[blacksheep.Response]]
+
+
+class Handling:
+    """What the handlers of one entry share."""
+
+    def __init__(
+        self,
+        configuration: configuration_interfaces.Configuration,
+        stop: drain.Drain,
+        *,
+        max_body_bytes: int,
+    ):
+        self.configuration = configuration
+        self.drain = stop
+        self._max_body_bytes = max_body_bytes
+
+    def authenticate(self, request: blacksheep.Request) -> apikeys.Caller:
+        """Return who asks, or raise ``AuthenticationError``."""
+        document = self.configuration.view.document
+        return apikeys.authenticate_caller(document, read_bearer(request))
+
+    def check_current(self) -> None:
+        """Raise ``NotCurrentError`` unless the configuration is current."""
+        if not self.configuration.is_current:
+            raise errors.NotCurrentError(
+                "this entry can't show that its configuration is current",
+                retry_after_s=NOT_CURRENT_RETRY_S,
+            )
+
+    async def read_body(self, request: blacksheep.Request) -> bytes:
+        """Return a request's body within the bound of the settings."""
+        return await read_limited(request, self._max_body_bytes)
+
+    async def answered(self, handler: Handler) -> blacksheep.Response:
+        """Run a handler and turn its request errors into answers."""
+        request_id = f"req-{uuid.uuid4().hex}"
+        with self.drain.counted():
+            response = await self._answer(handler, request_id)
+        if self.drain.phase >= drain.Phase.LEAVING:
+            response.add_header(*CLOSE)
+        return response
+
+    async def _answer(self, handler: Handler, request_id: str) -> blacksheep.Response:
+        try:
+            response = await handler(request_id)
+        except errors.RequestError as error:
+            log_refusal(error, request_id)
+            return answers.error_response(error, request_id)
+        except Exception:
+            log.exception("request failed", extra=logs.fields(request=request_id))
+            unexpected = errors.AttemptFailedError("internal error")
+            return answers.error_response(unexpected, request_id)
+        metrics.ANSWERS.labels("answered").inc()
+        return response
+
+
+def read_bearer(request: blacksheep.Request) -> str:
+    """Return the API key of a request, empty without one."""
+    value = request.get_first_header(b"authorization") or b""
+    text = value.decode("latin-1")
+    if text[: len(BEARER)].lower() != BEARER:
+        return ""
+    return text[len(BEARER) :].strip()
+
+
+async def read_limited(request: blacksheep.Request, limit: int) -> bytes:
+    """Return a request's body, or raise ``BodyTooLargeError``."""
+    message = f"the body may have at most {limit} bytes"
+    length = request.get_first_header(b"content-length") or b"0"
+    if length.isdigit() and int(length) > limit:
+        raise errors.BodyTooLargeError(message)
+    parts = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > limit:
+            raise errors.BodyTooLargeError(message)
+        parts.append(part)
+    return b"".join(parts)
+
+
+def read_headers(request: blacksheep.Request) -> dict[str, str]:
+    """Return the headers by their lower-case names."""
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in request.headers
+    }
+
+
+def log_refusal(error: errors.RequestError, request_id: str) -> None:
+    """Count and log a request that ends without its answer."""
+    metrics.ANSWERS.labels(error.code).inc()
+    log.info(
+        "request refused",
+        extra=logs.fields(
+            request=request_id,
+            code=error.code,
+            verdict=error.verdict.value,
+            reason=error,
+        ),
+    )
--- /dev/null
+++ b/acaciaward/callers/resuming.py
@@ -0,0 +1,134 @@
+"""
+Reads what a caller sends to take up a stream, and makes the tokens for it.
+
+A token is enough while the engine still has the stream: the entry reads the
+stream from its first token and passes on what the caller lacks. With the texts
+that it has, and their proof, a caller gets its answer also when the stream is
+lost. Everything that doesn't fit is refused in the same words.
+"""
+
+import typing
+
+import msgspec
+
+from acaciaward import errors, requests
+from acaciaward.callers import answers
+from acaciaward.configuration import interfaces as configuration_interfaces
+from acaciaward.dispatch import streams
+from acaciaward.identity import resumetokens
+
+PATHS = {
+    answers.COMPLETION: "/v1/completions",
+    answers.CHAT: "/v1/chat/completions",
+}
+
+
+class ResumeBody(typing.TypedDict, total=False):
+    """
+    What a caller posts to ``/v1/resume``.
+
+    ``resume`` and ``proof`` are the newest that came, ``last_index`` the last
+    token's index or -1, ``body`` the bytes of the request as they were sent,
+    ``chat`` whether that was a chat. ``texts`` are the tokens' texts in order.
+    """
+
+    resume: typing.Required[str]
+    body: str
+    chat: bool
+    last_index: int
+    texts: list[str]
+    proof: str
+
+
+_decoder = msgspec.json.Decoder(ResumeBody)
+
+
+def read_body(raw: bytes) -> ResumeBody:
+    """Return the checked body of a request to take up a stream."""
+    try:
+        body = _decoder.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise errors.InvalidRequestError(f"malformed body: {error}") from error
+    if "body" not in body:
+        raise errors.InvalidRequestError("malformed body: body is missing")
+    return body
+
+
+class Resumer:
+    """Makes and checks the tokens of one entry."""
+
+    def __init__(
+        self,
+        configuration: configuration_interfaces.Configuration,
+        *,
+        lifetime_s: float,
+    ):
+        self._configuration = configuration
+        self._lifetime_s = lifetime_s
+
+    @property
+    def lifetime_s(self) -> float:
+        """Seconds for which a token holds."""
+        return self._lifetime_s
+
+    @property
+    def _keys(self) -> list[str]:
+        return self._configuration.view.document.get("resume_keys", [])
+
+    def token(
+        self, request: requests.Request, opened: streams.Opened | None
+    ) -> resumetokens.ResumeToken | None:
+        """Return the token of a stream, or None where nothing can be signed."""
+        if opened is None or not self._keys:
+            return None
+        return resumetokens.ResumeToken(
+            request.organisation,
+            request.request_id,
+            request.deployment,
+            request.digest,
+            opened.endpoint,
+            opened.stream,
+        )
+
+    def sign(self, token: resumetokens.ResumeToken) -> str:
+        """Return the signed form of a token."""
+        return resumetokens.sign(self._keys, token)
+
+    def prove(
+        self, token: resumetokens.ResumeToken | None, count: int, digest: str
+    ) -> str | None:
+        """Return the proof of the delivered tokens, or None without a token."""
+        if token is None or not self._keys:
+            return None
+        return resumetokens.prove_delivered(self._keys, token, count, digest)
+
+    def take_up(
+        self, wanted: ResumeBody, request: requests.Request
+    ) -> tuple[str, streams.TakenUp]:
+        """Return the id of the request and where its stream is."""
+        token = resumetokens.read(
+            self._keys,
+            wanted["resume"],
+            organisation=request.organisation,
+            lifetime_s=self._lifetime_s,
+        )
+        if (token.deployment, token.digest) != (request.deployment, request.digest):
+            raise errors.PermissionDeniedError(resumetokens.REFUSAL)
+        texts = wanted.get("texts", [])
+        last_index = wanted.get("last_index", len(texts) - 1)
+        if texts:
+            resumetokens.check_delivered(
+                self._keys, token, texts, wanted.get("proof", "")
+            )
+        is_known = not texts or last_index == len(texts) - 1
+        if not is_known or not -1 <= last_index < request.max_tokens:
+            raise errors.InvalidRequestError("last_index doesn't fit the texts")
+        endpoint = self._endpoint(token)
+        taken_up = streams.TakenUp(endpoint, token.stream, last_index, tuple(texts))
+        return token.request_id, taken_up
+
+    def _endpoint(self, token: resumetokens.ResumeToken) -> requests.Endpoint | None:
+        for endpoint in self._configuration.endpoints(token.deployment):
+            if endpoint.name == token.endpoint:
+                return endpoint
+        return None
--- a/acaciaward/cli/entry.py
+++ b/acaciaward/cli/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import signal
+import sys
 
 import click
 
@@ -13,13 +14,22 @@
 
 log = logging.getLogger(__name__)
 
+EXIT_CUT = 1
+NOTICE_MARGIN_S = 0.5
+SHORTEST_STOP_S = 0.5
+
 
 @click.command()
 @click.option(
     "--settings", "path", required=True, type=click.Path(), help="JSON settings file."
 )
 def entry(path: str):
-    """Run one entry. SIGTERM stops it gracefully, a second one at once."""
+    """
+    Run one entry. SIGTERM stops it gracefully, a second one at once.
+
+    The exit code is 0, or 1 when requests were cut: by a second signal, or at
+    the limit of the stop.
+    """
     settings = loader.load(path)
     instance = settings["instance"]
     logs.configure(
@@ -27,26 +37,42 @@
         {"instance": instance["name"], "data_centre": instance["data_centre"]},
     )
     try:
-        asyncio.run(_run(settings))
+        exit_code = asyncio.run(_run(settings))
     except OSError as error:
         raise errors.OperatorError(f"can't start: {error}") from error
+    sys.exit(exit_code)
 
 
-async def _run(settings: loader.Settings) -> None:
+async def _run(settings: loader.Settings) -> int:
     running = process.EntryProcess(settings)
     signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
     await running.start()
-    await signals.get()
-    stopping = asyncio.create_task(running.stop())
+    limit_s = await _wait_for_stop(running, signals)
+    stopping = asyncio.create_task(running.stop(limit_s))
     second = asyncio.create_task(signals.get())
     await asyncio.wait({stopping, second}, return_when=asyncio.FIRST_COMPLETED)
     if not stopping.done():
         log.warning("second signal, stopping at once")
         stopping.cancel()
         await running.kill()
-        return
+        return EXIT_CUT
     second.cancel()
-    await stopping
+    return EXIT_CUT if stopping.result() else 0
+
+
+async def _wait_for_stop(
+    running: process.EntryProcess, signals: asyncio.Queue[signal.Signals]
+) -> float | None:
+    """Return when told to stop; the limit in seconds if a notice set one."""
+    asked = asyncio.create_task(signals.get())
+    noticed = asyncio.create_task(running.wait_for_notice())
+    await asyncio.wait({asked, noticed}, return_when=asyncio.FIRST_COMPLETED)
+    limit_s = None
+    if noticed.done():
+        limit_s = max(SHORTEST_STOP_S, noticed.result() - NOTICE_MARGIN_S)
+    asked.cancel()
+    noticed.cancel()
+    return limit_s
--- a/acaciaward/client/caller.py
+++ b/acaciaward/client/caller.py
@@ -11,33 +11,43 @@
 """
 
 import asyncio
-import hashlib
+import contextlib
 import time
 import typing
-from collections.abc import Sequence
+import urllib.parse
+from collections.abc import AsyncIterator, Sequence
 
 import msgspec
 import uuid6
 
-from acaciaward import errors, httpclient, verdicts
-from acaciaward.client import sse
+from acaciaward import httpclient, verdicts
+from acaciaward.client import entries, refusals, streaming
 
 Address = tuple[str, int]
 
-DISCOVERY_TIMEOUT_S = 2.0
 MAX_TRIES = 8
 PAUSE_BETWEEN_TRIES_S = 0.1
+MAX_REDIRECTS = 4
+MINIMUM_DEADLINE_S = 0.001
 RETRIED_STATUSES = frozenset({429, 502, 503, 504})
+# What a resume is refused with when the stream can't be taken up.
+LOST_STREAM_STATUSES = frozenset({403, 410})
 
 
 class Answer(typing.NamedTuple):
-    """A whole answer; ``moves`` counts changes of endpoint on the way."""
+    """
+    A whole answer.
+
+    ``moves`` counts changes of endpoint or entry on the way, ``entry`` is the
+    one that sent the end, ``usage`` are the token counts that it told.
+    """
 
     request_id: str
     text: str
     count: int
     moves: int
     entry: Address
+    usage: dict[str, int] = {}
 
 
 class ServiceReply(typing.NamedTuple):
@@ -48,21 +58,7 @@
     verdict: verdicts.Verdict
 
 
-class CallerError(errors.AcaciawardError):
-    """The request ended without its answer; ``verdict`` says if it may have run."""
-
-    def __init__(
-        self,
-        message: str,
-        *,
-        status: int,
-        verdict: verdicts.Verdict,
-        retry_after_s: float | None,
-    ):
-        super().__init__(message)
-        self.status = status
-        self.verdict = verdict
-        self.retry_after_s = retry_after_s
+CallerError = refusals.CallerError
 
 
 class Caller:
@@ -76,13 +72,9 @@
         data_centre: str | None = None,
         client: httpclient.HttpClient | None = None,
     ):
-        self._seeds = list(seeds)
         self._key = key
-        self._data_centre = data_centre
         self._client = client or httpclient.HttpClient()
-        self._entries: list[Address] = []
-        self._entries_expire = 0.0
-        self._turn = 0
+        self._entries = entries.Entries(seeds, self._client, data_centre)
 
     async def close(self) -> None:
         """Close idle connections."""
@@ -97,18 +89,29 @@
         service_class: str = "short",
         deadline_s: float | None = None,
     ) -> Answer:
-        """Return the whole streamed answer, trying other entries as needed."""
-        body = {
-            "model": model,
-            "prompt": prompt,
-            "max_tokens": max_tokens,
-            "stream": True,
-        }
-        headers = self._headers(service_class, deadline_s)
-        payload = msgspec.json.encode(body)
-        return await self._with_retries(
-            lambda entry: self._complete_at(entry, payload, headers)
-        )
+        """Return the whole answer, whatever happens to entries on the way."""
+        run = _StreamRun(self, model, prompt, max_tokens, service_class, deadline_s)
+        async for _ in run.tokens():
+            pass
+        return run.answer()
+
+    def stream(
+        self,
+        model: str,
+        prompt: str,
+        *,
+        max_tokens: int = 64,
+        service_class: str = "short",
+        deadline_s: float | None = None,
+    ) -> AsyncIterator[str]:
+        """
+        Yield the tokens' texts, each once, until the answer is whole.
+
+        An answer that was lost and comes out different when it is made again
+        raises ``CallerError``: what was yielded can't be taken back.
+        """
+        run = _StreamRun(self, model, prompt, max_tokens, service_class, deadline_s)
+        return run.tokens()
 
     async def call(
         self,
@@ -127,7 +130,7 @@
         A call that isn't idempotent gets a new key unless one is given, and is
         repeated under the same key, so that it runs at most once.
         """
-        headers = self._headers(service_class, deadline_s)
+        headers = self.headers(service_class, deadline_s)
         if not idempotent:
             headers["x-idempotent"] = "false"
             headers["idempotency-key"] = key or new_key()
@@ -135,41 +138,6 @@
             lambda entry: self._call_at(entry, service, path, body, headers)
         )
 
-    async def _complete_at(
-        self, entry: Address, payload: bytes, headers: dict[str, str]
-    ) -> Answer:
-        async with self._client.send(
-            "POST", *entry, "/v1/completions", headers=headers, body=payload
-        ) as response:
-            if response.status != 200:
-                raise _error_from_answer(response, await response.read())
-            return await self._read_stream(entry, response)
-
-    async def _read_stream(
-        self, entry: Address, response: httpclient.Response
-    ) -> Answer:
-        texts: list[str] = []
-        opened = 0
-        end: dict[str, typing.Any] = {}
-        async for event in sse.events(response):
-            if "error" in event:
-                raise _error_from_fields(response.status, event["error"])
-            extra = event["acaciaward"]
-            if not event["choices"]:
-                opened += 1
-            elif "count" in extra:
-                end = extra
-            else:
-                if extra["index"] != len(texts):
-                    raise httpclient.ConnectionLostError("a token came out of turn")
-                texts.append(event["choices"][0]["text"])
-        text = "".join(texts)
-        digest = hashlib.sha256(text.encode()).hexdigest()
-        if end.get("count") != len(texts) or end.get("digest") != digest:
-            raise httpclient.ConnectionLostError("the answer isn't whole")
-        request_id = response.headers.get("x-request-id", "")
-        return Answer(request_id, text, len(texts), max(0, opened - 1), entry)
-
     async def _call_at(
         self,
         entry: Address,
@@ -178,73 +146,46 @@
         body: bytes,
         headers: dict[str, str],
     ) -> ServiceReply:
-        async with self._client.send(
-            "POST",
-            *entry,
-            f"/v1/services/{service}/{path}",
-            headers=headers,
-            body=body,
+        async with self.post(
+            entry, f"/v1/services/{service}/{path}", headers, body
         ) as response:
             answer = await response.read()
         if response.headers.get("x-verdict") != verdicts.Verdict.RAN.value:
-            raise _error_from_answer(response, answer)
+            raise refusals.from_answer(response, answer)
         return ServiceReply(response.status, answer, verdicts.Verdict.RAN)
 
+    @contextlib.asynccontextmanager
+    async def post(
+        self, entry: Address, path: str, headers: dict[str, str], body: bytes
+    ) -> AsyncIterator[httpclient.Response]:
+        """Post to an entry and follow it when it sends the request on."""
+        for _ in range(MAX_REDIRECTS):
+            async with self._client.send(
+                "POST", *entry, path, headers=headers, body=body
+            ) as response:
+                if response.status != httpclient.TEMPORARY_REDIRECT:
+                    yield response
+                    return
+                await response.read()
+            entry, path = _read_location(response)
+        raise httpclient.ConnectionLostError("sent on too many times")
+
     async def _with_retries(self, attempt: typing.Callable) -> typing.Any:
-        last: Exception | None = None
-        for number in range(MAX_TRIES):
-            entry = await self._next_entry()
+        tries = Tries(self._entries)
+        while True:
+            entry = await tries.next_entry()
             try:
                 return await attempt(entry)
-            except httpclient.HttpError as error:
-                self._forget(entry)
-                last = error
-                pause_s = PAUSE_BETWEEN_TRIES_S * number
-            except CallerError as error:
-                if error.status not in RETRIED_STATUSES:
-                    raise
-                last = error
-                pause_s = error.retry_after_s or PAUSE_BETWEEN_TRIES_S
-            await asyncio.sleep(pause_s)
-        if isinstance(last, CallerError):
-            raise last
-        raise CallerError(
-            f"no entry answered: {last}",
-            status=0,
-            verdict=verdicts.Verdict.MAY_HAVE_RUN,
-            retry_after_s=None,
-        )
+            except (httpclient.HttpError, CallerError) as error:
+                await tries.after_failure(entry, error)
 
-    async def _next_entry(self) -> Address:
-        if not self._entries or time.monotonic() > self._entries_expire:
-            await self._discover()
-        self._turn += 1
-        return self._entries[self._turn % len(self._entries)]
+    @property
+    def entries(self) -> entries.Entries:
+        """The entries that this caller uses."""
+        return self._entries
 
-    async def _discover(self) -> None:
-        query = f"?data_centre={self._data_centre}" if self._data_centre else ""
-        for seed in [*self._entries, *self._seeds]:
-            try:
-                async with self._client.send(
-                    "GET",
-                    *seed,
-                    f"/v1/entries{query}",
-                    timeout_s=DISCOVERY_TIMEOUT_S,
-                ) as response:
-                    answer = msgspec.json.decode(await response.read())
-            except (httpclient.HttpError, msgspec.DecodeError):
-                continue
-            if answer["entries"]:
-                self._entries = [(e["address"], e["port"]) for e in answer["entries"]]
-                self._entries_expire = time.monotonic() + answer["lifetime_s"]
-                return
-        # Without any answer the addresses known so far are still the best guess.
-        self._entries = self._entries or list(self._seeds)
-
-    def _forget(self, entry: Address) -> None:
-        self._entries = [known for known in self._entries if known != entry]
-
-    def _headers(self, service_class: str, deadline_s: float | None) -> dict[str, str]:
+    def headers(self, service_class: str, deadline_s: float | None) -> dict[str, str]:
+        """Return the headers of a request."""
         headers = {
             "authorization": f"Bearer {self._key}",
             "content-type": "application/json",
@@ -260,19 +201,123 @@
     return str(uuid6.uuid7())
 
 
-def _error_from_answer(response: httpclient.Response, body: bytes) -> CallerError:
-    try:
-        fields = msgspec.json.decode(body)["error"]
-    except (msgspec.DecodeError, KeyError, TypeError):
-        fields = {}
-    return _error_from_fields(response.status, fields)
+class Tries:
+    """Which entry to try next, and when a request has failed for good."""
+
+    def __init__(self, known: entries.Entries):
+        self._known = known
+        self._count = 0
+        self._wanted: Address | None = None
+
+    async def next_entry(self) -> Address:
+        """Return the entry that was named, or the next one in turn."""
+        wanted, self._wanted = self._wanted, None
+        return wanted or await self._known.next()
+
+    async def after_failure(self, entry: Address, error: Exception) -> None:
+        """Wait as the entry asked, or raise the request's final error."""
+        if isinstance(error, streaming.MovedError):
+            self._known.forget(entry)
+            self._wanted = error.entry
+            return
+        self._count += 1
+        pause_s = PAUSE_BETWEEN_TRIES_S * (self._count - 1)
+        if isinstance(error, CallerError):
+            if error.status not in RETRIED_STATUSES or self._count >= MAX_TRIES:
+                raise error
+            pause_s = error.retry_after_s or PAUSE_BETWEEN_TRIES_S
+        else:
+            self._known.forget(entry)
+        if self._count >= MAX_TRIES:
+            raise CallerError(
+                f"no entry answered: {error}",
+                status=0,
+                verdict=verdicts.Verdict.MAY_HAVE_RUN,
+                retry_after_s=None,
+            ) from error
+        await asyncio.sleep(pause_s)
+
+
+class _StreamRun:
+    """One completion, over as many entries as it takes."""
 
+    def __init__(
+        self,
+        caller: Caller,
+        model: str,
+        prompt: str,
+        max_tokens: int,
+        service_class: str,
+        deadline_s: float | None,
+    ):
+        self._caller = caller
+        self._service_class = service_class
+        self._deadline = time.monotonic() + deadline_s if deadline_s else None
+        self._body = msgspec.json.encode(
+            {
+                "model": model,
+                "prompt": prompt,
+                "max_tokens": max_tokens,
+                "stream": True,
+            }
+        )
+        self._state = streaming.StreamState()
+        self._entry: Address = ("", 0)
+
+    def answer(self) -> Answer:
+        """Return the whole answer."""
+        state = self._state
+        return Answer(
+            state.request_id,
+            state.text,
+            len(state.texts),
+            max(0, state.opened - 1),
+            self._entry,
+            state.usage,
+        )
 
-def _error_from_fields(status: int, fields: dict[str, typing.Any]) -> CallerError:
-    verdict = fields.get("verdict", verdicts.Verdict.MAY_HAVE_RUN.value)
-    return CallerError(
-        fields.get("message", f"status {status}"),
-        status=status,
-        verdict=verdicts.Verdict(verdict),
-        retry_after_s=fields.get("retry_after"),
-    )
+    async def tokens(self) -> AsyncIterator[str]:
+        """Yield each token once until the answer is whole."""
+        tries = Tries(self._caller.entries)
+        while not self._state.is_whole:
+            self._entry = await tries.next_entry()
+            try:
+                async with contextlib.aclosing(self._tokens_at(self._entry)) as texts:
+                    async for text in texts:
+                        yield text
+            except (httpclient.HttpError, CallerError) as error:
+                if self._is_lost(error):
+                    self._state.restart()
+                else:
+                    await tries.after_failure(self._entry, error)
+
+    def _is_lost(self, error: Exception) -> bool:
+        is_refusal = isinstance(error, CallerError)
+        has_token = self._state.resume is not None
+        return has_token and is_refusal and error.status in LOST_STREAM_STATUSES
+
+    async def _tokens_at(self, entry: Address) -> AsyncIterator[str]:
+        path, body = "/v1/completions", self._body
+        if self._state.resume is not None:
+            path = "/v1/resume"
+            body = msgspec.json.encode(self._state.resume_body(self._body))
+        headers = self._caller.headers(self._service_class, self._time_left())
+        async with self._caller.post(entry, path, headers, body) as response:
+            if response.status != httpclient.OK:
+                raise refusals.from_answer(response, await response.read())
+            async with contextlib.aclosing(self._state.read(response)) as texts:
+                async for text in texts:
+                    yield text
+
+    def _time_left(self) -> float | None:
+        if self._deadline is None:
+            return None
+        return max(MINIMUM_DEADLINE_S, self._deadline - time.monotonic())
+
+
+def _read_location(response: httpclient.Response) -> tuple[Address, str]:
+    parts = urllib.parse.urlsplit(response.headers.get("location", ""))
+    if not parts.hostname or not parts.port:
+        raise httpclient.ConnectionLostError("sent on without a usable location")
+    query = f"?{parts.query}" if parts.query else ""
+    return (parts.hostname, parts.port), f"{parts.path}{query}"
--- a/acaciaward/dispatch/streams.py
+++ b/acaciaward/dispatch/streams.py
@@ -37,10 +37,11 @@
     A stream that another entry began, to be read on from its engine.
 
     Tokens up to ``last_index`` are with the caller already; ``delivered`` holds
-    their texts if the caller could prove them, and is empty otherwise.
+    their texts if the caller could prove them, and is empty otherwise. The
+    endpoint is None if the configuration no longer has it.
     """
 
-    endpoint: requests.Endpoint
+    endpoint: requests.Endpoint | None
     stream: str
     last_index: int
     delivered: tuple[str, ...] = ()
@@ -51,11 +52,14 @@
     Lets the reader of a stream leave it to another entry.
 
     Closing the events of a stream cancels it at its engine, unless
-    ``is_handed_over`` was set before.
+    ``is_handed_over`` was set before. ``opened`` is where the stream was opened
+    last, and ``tokens`` what has been passed on.
     """
 
     def __init__(self):
         self.is_handed_over = False
+        self.opened: Opened | None = None
+        self.tokens = assembler.StreamAssembler()
 
 
 class _Answer:
@@ -78,6 +82,7 @@
         self.cause = evacuation_interfaces.Cause.LOSS
         self.running: evacuation_interfaces.RunningStream | None = None
         self.is_whole = False
+        control.tokens = self.tokens
 
     @property
     def can_go_on(self) -> bool:
@@ -132,11 +137,15 @@
         progress = attempts.Progress(request)
         try:
             if taken_up is not None:
+                answer.cause = evacuation_interfaces.Cause.RESUME
+            if taken_up is not None and taken_up.endpoint is not None:
                 async with contextlib.aclosing(
                     self._take_up(answer, progress, taken_up)
                 ) as events:
                     async for event in events:
                         yield event
+            if not answer.can_go_on:
+                raise errors.StreamGoneError("the stream can't be taken up any more")
             while not answer.is_whole:
                 attempt = await self._next_attempt(answer, progress)
                 async with contextlib.aclosing(
@@ -162,11 +171,8 @@
                 async for event in events:
                     yield event
         except errors.EndpointError as error:
-            answer.cause = evacuation_interfaces.Cause.RESUME
             progress.note_failure(taken_up.endpoint, error)
         await self._take_in_move(answer)
-        if not answer.can_go_on:
-            raise errors.StreamGoneError("the stream can't be taken up any more")
 
     async def _next_attempt(
         self, answer: _Answer, progress: attempts.Progress
@@ -282,7 +288,8 @@
             lambda: answer.tokens.count,
         )
         self._with.evacuation.add(answer.running)
-        return Opened(attempt.endpoint.name, started.stream)
+        answer.control.opened = Opened(attempt.endpoint.name, started.stream)
+        return answer.control.opened
 
     def _take_end(
         self, answer: _Answer, frame: requests.Completion
@@ -306,8 +313,7 @@
         if running is None:
             return
         self._with.evacuation.remove(running)
-        is_left = answer.is_whole or answer.is_moving or answer.control.is_handed_over
-        if is_left:
+        if answer.is_whole or answer.is_moving or answer.control.is_handed_over:
             return
         # Nobody waits for a cancel: an endpoint that can't be reached would
         # hold up the next attempt.
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -14,11 +14,12 @@
 from acaciaward import documents, httpclient, httpserver, requests
 from acaciaward.administration import api as administration_api
 from acaciaward.admission import counting
-from acaciaward.callers import api as callers_api, discovery
+from acaciaward.callers import api as callers_api, completions, discovery, drain
 from acaciaward.claims import local
 from acaciaward.configuration import follower
 from acaciaward.dispatch import attempts, dispatcher
 from acaciaward.endpoints import engine, service
+from acaciaward.entry import stopping
 from acaciaward.evacuation import departures, evacuator, watchers
 from acaciaward.membership import (
     gossip,
@@ -36,7 +37,6 @@
 log = logging.getLogger(__name__)
 
 START_WAIT_S = 10.0
-DRAIN_POLL_S = 0.05
 
 
 class EntryProcess:
@@ -207,15 +207,22 @@
     def _build_server(self) -> None:
         callers = self._settings["callers"]
         application = httpserver.make_application()
+        entries = discovery.Discovery(
+            self._membership, lifetime_s=callers["discovery_lifetime_s"]
+        )
+        self._drain = drain.Drain(entries, scheme="https" if callers["tls"] else "http")
+        dispatch = self._settings["dispatch"]
         callers_api.CallersApi(
             application,
             configuration=self._configuration,
             requests_dispatcher=self._dispatcher,
             claims=self._claims,
-            entries=discovery.Discovery(
-                self._membership, lifetime_s=callers["discovery_lifetime_s"]
-            ),
+            entries=entries,
+            stop=self._drain,
             max_body_bytes=callers["max_body_bytes"],
+            stream_limits=completions.StreamLimits(
+                dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
+            ),
         )
         administration_api.AdministrationApi(
             application,
@@ -233,8 +240,19 @@
             max_connections=callers["max_connections"],
         )
 
+    async def wait_for_notice(self) -> float:
+        """Wait until this entry's own instance leaves; return the seconds left."""
+        return await self._own_departure
+
+    def _take_departure(self, departure: departures.Departure) -> None:
+        if departure.instance == self.name and not self._own_departure.done():
+            left_s = departure.deadline - time.monotonic()
+            self._own_departure.set_result(max(0.0, left_s))
+
     async def start(self) -> None:
         """Start every slice; return when callers can connect."""
+        self._own_departure = asyncio.get_running_loop().create_future()
+        self._departures.subscribe(self._take_departure)
         await self._transport.start()
         self._start_task(self._configuration.run())
         if not await self._configuration.wait_until_current(START_WAIT_S):
@@ -244,30 +262,32 @@
         self._start_watchers()
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
-    async def stop(self) -> None:
-        """Leave, serve callers with older answers, finish what runs, and end."""
-        limit_s = self._settings["callers"]["stop_limit_s"]
-        log.info("entry leaving", extra=logs.fields(limit_s=limit_s))
+    async def stop(self, limit_s: float | None = None) -> int:
+        """
+        Leave, finish or hand over what runs, and end within the limit.
+
+        Returns the number of requests that had to be cut.
+        """
+        settings = self._settings["callers"]
+        limits = stopping.StopLimits(
+            limit_s or settings["stop_limit_s"],
+            settings["discovery_lifetime_s"],
+            settings["finish_s"],
+        )
+        log.info("entry leaving", extra=logs.fields(limit_s=limits.limit_s))
         self._membership.set_leaving()
         await self._membership.spread_now()
-        deadline = time.monotonic() + limit_s
-        await self._wait_for_older_answers(deadline)
-        while self._dispatcher.in_flight.total() and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-        await self._server.stop()
+        left_s = await stopping.drain_requests(self._drain, limits)
+        cut = await stopping.stop_server(self._server, self._drain, left_s)
         await self._end()
-        log.info("entry stopped")
+        log.info("entry stopped", extra=logs.fields(cut=cut))
+        return cut
 
     async def kill(self) -> None:
         """End at once, as a crash would; for demonstrations and tests."""
         await self._server.kill()
         await self._end()
 
-    async def _wait_for_older_answers(self, deadline: float) -> None:
-        lifetime_s = self._settings["callers"]["discovery_lifetime_s"]
-        left_s = max(0.0, deadline - time.monotonic())
-        await asyncio.sleep(min(lifetime_s, left_s))
-
     async def _end(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -109,7 +109,7 @@
 def check_every_entry(context, name):
     async def ask(address):
         one = caller.Caller([address], key=context.cluster.keys[name])
-        one._entries, one._entries_expire = [address], float("inf")
+        one.entries._known, one.entries._expire = [address], float("inf")
         answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=12)
         await one.close()
         return answer
--- /dev/null
+++ b/features/steps/streams_steps.py
@@ -0,0 +1,360 @@
+"""Steps for entries that end and callers that leave."""
+
+import asyncio
+import contextlib
+import json
+import signal
+import time
+
+from behave import given, then, when
+
+from acaciaward import httpclient
+from acaciaward.client import caller, sse
+from bench import cluster, processes
+from standins import tokens
+
+PROMPT = "a swap dossier about many boxes of puzzles"
+
+
+@given("{entries:d} entries and {engines:d} engines whose steps take {step_s:f} s")
+def start_system(context, entries, engines, step_s):
+    context.cluster = cluster.Cluster(
+        entry_count=entries,
+        engine_count=engines,
+        service_count=1,
+        faults={"engine": {"step_s": step_s}},
+        settings={"callers": {"discovery_lifetime_s": 0.5, "finish_s": 0.5}},
+    )
+    context.runner.run(context.cluster.start())
+
+
+def _post(running, address, path, body, organisation="org-1"):
+    headers = {"authorization": f"Bearer {running.keys[organisation]}"}
+    client = httpclient.HttpClient()
+    payload = json.dumps(body).encode()
+    return client.send("POST", *address, path, headers=headers, body=payload)
+
+
+def _body(count, *, stream=True):
+    return {
+        "model": cluster.MODEL,
+        "prompt": PROMPT,
+        "max_tokens": count,
+        "stream": stream,
+    }
+
+
+async def _entry_of(running, port):
+    for name in running.entries:
+        if running.address(name)[1] == port:
+            return name
+    raise AssertionError(f"no entry at port {port}")
+
+
+async def _engine_that_runs(running):
+    for name in running.engines:
+        if (
+            running.processes.is_running(name)
+            and (await running.stats(name))["running"]
+        ):
+            return name
+    raise AssertionError("no engine runs the stream")
+
+
+async def _stream_and(context, count, seen, disturb):
+    """Stream through the client library and disturb after some tokens."""
+    running = context.cluster
+    context.count = count
+    one = running.caller("org-1")
+    # The caller must know every entry before one of them goes.
+    await one.complete(cluster.MODEL, "warm up", max_tokens=1)
+    context.streams_before = await _total(running, "streams")
+    context.texts = []
+    stream = one.stream(cluster.MODEL, PROMPT, max_tokens=count)
+    async with contextlib.aclosing(stream):
+        async for text in stream:
+            context.texts.append(text)
+            if len(context.texts) == seen:
+                context.decoded_before = await _total(running, "computed_decode")
+                await disturb(running)
+
+
+async def _busy_entry(running):
+    """Return the entry that serves the only stream."""
+    for name in running.entries:
+        async with httpclient.HttpClient().send(
+            "GET", *running.address(name), "/metrics"
+        ) as response:
+            text = (await response.read()).decode()
+        if "acaciaward_open_requests 1.0" in text:
+            return name
+    raise AssertionError("no entry has an open request")
+
+
+async def _total(running, field):
+    names = [name for name in running.engines if running.processes.is_running(name)]
+    return sum([(await running.stats(name)).get(field, 0) for name in names])
+
+
+@when("a caller streams {count:d} tokens and its entry is killed after {seen:d}")
+def kill_entry(context, count, seen):
+    async def disturb(running):
+        await running.processes.kill(await _busy_entry(running))
+
+    context.runner.run(_stream_and(context, count, seen, disturb))
+
+
+@when(
+    "a caller streams {count:d} tokens and its entry and its engine are killed "
+    "after {seen:d}"
+)
+def kill_both(context, count, seen):
+    async def disturb(running):
+        entry = await _busy_entry(running)
+        engine = await _engine_that_runs(running)
+        running.processes.send_signal(engine, signal.SIGKILL)
+        await running.processes.kill(entry)
+
+    context.runner.run(_stream_and(context, count, seen, disturb))
+
+
+@then("the caller has the whole answer, each token once")
+def check_answer(context):
+    assert context.texts == tokens.expected_tokens(PROMPT, context.count)
+
+
+@then("no engine began a second stream")
+def check_one_stream(context):
+    total = context.runner.run(_total(context.cluster, "streams"))
+    assert total - context.streams_before == 1, (total, context.streams_before)
+
+
+@then("the engines generated no token of the first {seen:d} again")
+def check_decoded(context, seen):
+    # One engine is gone with its counters; the other made the rest only.
+    total = context.runner.run(_total(context.cluster, "computed_decode"))
+    assert total <= context.count - seen + 1, total
+
+
+@when("a caller breaks off a stream and others try its resume token")
+def try_tokens(context):
+    context.runner.run(_try_tokens(context))
+
+
+async def _try_tokens(context):
+    running = context.cluster
+    address = running.entry_addresses[0]
+    body = _body(200)
+    raw = json.dumps(body)
+    texts, resume, proof = [], None, None
+    async with _post(running, address, "/v1/completions", body) as response:
+        async for event in sse.events(response):
+            extra = event["acaciaward"]
+            resume, proof = extra.get("resume", resume), extra.get("proof", proof)
+            texts += [choice["text"] for choice in event["choices"]]
+            if len(texts) == 10:
+                break
+        good = {"resume": resume, "body": raw, "texts": texts, "proof": proof}
+        last = chr((ord(resume[-2]) + 1 - 48) % 10 + 48)
+        tries = (
+            (good, "org-2"),
+            (good | {"resume": f"{resume[:-2]}{last}{resume[-1]}"}, "org-1"),
+            (good | {"resume": "x"}, "org-1"),
+            (good | {"body": json.dumps(body | {"prompt": "other"})}, "org-1"),
+            (good | {"texts": ["forged", *texts[1:]]}, "org-1"),
+            (good | {"texts": texts[:-1]}, "org-1"),
+            (good | {"proof": "AAAA"}, "org-1"),
+        )
+        context.refusals = [await _try(running, *one) for one in tries]
+        context.accepted = await _try(running, good, "org-1")
+
+
+async def _try(running, body, organisation):
+    address = running.entry_addresses[1]
+    async with _post(running, address, "/v1/resume", body, organisation) as response:
+        if response.status == httpclient.OK:
+            return response.status, ""
+        answer = json.loads(await response.read())
+    answer["error"].pop("request_id")
+    return response.status, json.dumps(answer, sort_keys=True)
+
+
+@then("every try is refused with the same words")
+def check_refusals(context):
+    assert context.accepted[0] == httpclient.OK, context.accepted
+    assert {status for status, _ in context.refusals} == {403}, context.refusals
+    assert len({text for _, text in context.refusals}) == 1, context.refusals
+
+
+@when(
+    "an entry is told to stop while {streams:d} streams and {wholes:d} whole "
+    "answers of {count:d} tokens run"
+)
+def stop_entry(context, streams, wholes, count):
+    context.runner.run(_stop_entry(context, streams, wholes, count))
+
+
+async def _whole(running, address, count):
+    """Ask for a whole answer and follow the entry that sends it on."""
+    path = "/v1/completions"
+    for _ in range(3):
+        body = _body(count, stream=False)
+        async with _post(running, address, path, body) as response:
+            answer = json.loads(await response.read())
+        if response.status != httpclient.TEMPORARY_REDIRECT:
+            assert response.status == httpclient.OK, answer
+            return answer["choices"][0]["text"], answer["usage"]
+        place = response.headers["location"].removeprefix("http://")
+        host, _, path = place.partition("/")
+        path = f"/{path}"
+        address = (host.partition(":")[0], int(host.partition(":")[2]))
+    raise AssertionError("sent on and on")
+
+
+async def _streamed(running, address, count):
+    one = caller.Caller([address], key=running.keys["org-1"])
+    one.entries._known, one.entries._expire = [address], float("inf")
+    answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=count)
+    await one.close()
+    return answer.text, answer.usage
+
+
+async def _stop_entry(context, streams, wholes, count):
+    running = context.cluster
+    context.count = count
+    address = running.address("entry-1")
+    work = [
+        asyncio.create_task(_streamed(running, address, count)) for _ in "x" * streams
+    ]
+    work += [asyncio.create_task(_whole(running, address, count)) for _ in "x" * wholes]
+    while await _total(running, "running") < streams + wholes:
+        await asyncio.sleep(0.02)
+    running.processes.send_signal("entry-1", signal.SIGTERM)
+    context.left_s = await _seconds_until_unlisted(running)
+    context.exit_code = await running.processes.wait("entry-1")
+    context.running_at_exit = await _total(running, "running")
+    context.answers = await asyncio.gather(*work)
+
+
+async def _seconds_until_unlisted(running):
+    started = time.monotonic()
+    own = running.address("entry-1")[1]
+    for name in ("entry-2", "entry-3"):
+        while own in await _listed_ports(running.address(name)):
+            await asyncio.sleep(0.02)
+    return time.monotonic() - started
+
+
+async def _listed_ports(address):
+    async with httpclient.HttpClient().send("GET", *address, "/v1/entries") as response:
+        answer = json.loads(await response.read())
+    return [entry["port"] for entry in answer["entries"]]
+
+
+@then("every answer is whole and none was recomputed")
+def check_stopped_answers(context):
+    expected = tokens.expected_text(PROMPT, context.count)
+    assert {text for text, _ in context.answers} == {expected}
+    assert sum(usage["recomputed_tokens"] for _, usage in context.answers) == 0
+
+
+@then("the entry left discovery within 1 s")
+def check_left(context):
+    assert context.left_s < 1.0, context.left_s
+
+
+@then("it exited while they still ran")
+def check_running(context):
+    assert context.running_at_exit > 0
+
+
+@then("it exited with {code:d}")
+def check_exit(context, code):
+    assert context.exit_code == code, context.exit_code
+
+
+@then("it exited with {code:d} within {limit_s:d} s")
+def check_exit_in_time(context, code, limit_s):
+    assert context.exit_code == code, context.exit_code
+    assert context.stop_s < limit_s, context.stop_s
+
+
+async def _cut_stream(context, name, signals, count=2000):
+    running = context.cluster
+    work = asyncio.create_task(_streamed(running, running.address(name), count))
+    while not await _total(running, "running"):
+        await asyncio.sleep(0.02)
+    started = time.monotonic()
+    for _ in range(signals):
+        running.processes.send_signal(name, signal.SIGTERM)
+        await asyncio.sleep(0.3)
+    context.exit_code = await running.processes.wait(name)
+    context.stop_s = time.monotonic() - started
+    work.cancel()
+    await asyncio.gather(work, return_exceptions=True)
+
+
+@when("an entry gets two signals while a stream runs")
+def signal_twice(context):
+    context.runner.run(_cut_stream(context, "entry-1", 2))
+
+
+@when("the only entry is told to stop with a limit of {limit_s:d} s")
+def stop_only_entry(context, limit_s):
+    running = context.cluster
+
+    async def restart_with_limit():
+        await running.processes.kill("entry-1")
+        running._settings["callers"]["stop_limit_s"] = limit_s
+        await running.start_entry("entry-1")
+        await running.wait_in_force(1)
+
+    context.runner.run(restart_with_limit())
+    context.runner.run(_cut_stream(context, "entry-1", 1))
+
+
+@when("a caller streams {count:d} tokens and its entry gets a notice of {notice_s:d} s")
+def reclaim_entry(context, count, notice_s):
+    async def disturb(running):
+        context.entry = await _busy_entry(running)
+        instance = {"name": context.entry, "port": processes.find_free_port()}
+        await running.control("cloud", "/control/instances", {"instances": [instance]})
+        context.started = time.monotonic()
+        await running.reclaim([context.entry], notice_s)
+
+    context.runner.run(_stream_and(context, count, 20, disturb))
+    context.exit_code = context.runner.run(
+        context.cluster.processes.wait(context.entry)
+    )
+    context.stop_s = time.monotonic() - context.started
+
+
+@when("callers of a stream and of a whole answer go away while the engine stalls")
+def leave_early(context):
+    context.runner.run(_leave_early(context))
+
+
+async def _leave_early(context):
+    running = context.cluster
+    address = running.entry_addresses[0]
+    work = [
+        asyncio.create_task(_whole(running, address, 2000)),
+        asyncio.create_task(_streamed(running, address, 2000)),
+    ]
+    while await _total(running, "running") < 2:
+        await asyncio.sleep(0.02)
+    await running.set_faults("engine-1", stall=True)
+    for task in work:
+        task.cancel()
+    await asyncio.gather(*work, return_exceptions=True)
+    started = time.monotonic()
+    while await _total(running, "cancelled") < 2 and time.monotonic() - started < 5:
+        await asyncio.sleep(0.02)
+    context.cancelled = await _total(running, "cancelled")
+    context.cancel_s = time.monotonic() - started
+
+
+@then("the engine has cancelled both within 1 s")
+def check_cancelled(context):
+    assert context.cancelled == 2, context.cancelled
+    assert context.cancel_s < 1.0, context.cancel_s
