--- a/acaciaward/callers/answers.py
+++ b/acaciaward/callers/answers.py
@@ -75,12 +75,14 @@
     return json_response(body, error.status, headers)
 
 
-def redirect(location: str, request_id: str) -> blacksheep.Response:
+def redirect(
+    location: str, request_id: str, verdict: verdicts.Verdict
+) -> blacksheep.Response:
     """Return the answer that sends a request on to another entry, unanswered."""
     headers = [
         (b"location", location.encode()),
         (b"x-request-id", request_id.encode()),
-        (b"x-verdict", verdicts.Verdict.NOT_RUN.value.encode()),
+        (b"x-verdict", verdict.value.encode()),
     ]
     return json_response({"location": location}, 307, headers)
 
--- a/acaciaward/callers/api.py
+++ b/acaciaward/callers/api.py
@@ -68,7 +68,7 @@
             ]
             return answers.json_response({"object": "list", "data": listed})
 
-        return await self._handling.answered(answer)
+        return await self._handling.answered(answer, request)
 
     async def _post_service(
         self, deployment: str, path: str, request: blacksheep.Request
@@ -107,7 +107,7 @@
                 result.status, [sent_id, (b"x-verdict", b"ran")], content
             )
 
-        return await self._handling.answered(answer)
+        return await self._handling.answered(answer, request)
 
     async def _finish_call(
         self, request: blacksheep.Request, service_request: requests.Request
@@ -144,7 +144,7 @@
                 body["body"] = outcome.answer.body.decode(errors="replace")
             return answers.json_response(body)
 
-        return await self._handling.answered(answer)
+        return await self._handling.answered(answer, request)
 
 
 async def _never() -> bool:
--- a/acaciaward/callers/completions.py
+++ b/acaciaward/callers/completions.py
@@ -13,7 +13,7 @@
 
 import blacksheep
 
-from acaciaward import errors, httpserver, requests
+from acaciaward import errors, httpserver, requests, verdicts
 from acaciaward.callers import answers, drain, feed, handling, parsing, resuming
 from acaciaward.dispatch import dispatcher, streams
 from acaciaward.identity import apikeys, resumetokens
@@ -78,7 +78,7 @@
             order = self._order(request, caller, request_id, raw, form, wanted)
             return await self._answer(request, order)
 
-        return await self._handling.answered(answer)
+        return await self._handling.answered(answer, request)
 
     async def _post_resume(self, request: blacksheep.Request) -> blacksheep.Response:
         async def answer(request_id: str) -> blacksheep.Response:
@@ -90,7 +90,7 @@
             order = self._order(request, caller, request_id, raw, form, wanted)
             return await self._answer(request, order)
 
-        return await self._handling.answered(answer)
+        return await self._handling.answered(answer, request)
 
     def _order(
         self,
@@ -271,7 +271,12 @@
         if token is not None:
             path = f"{path}?resume={self._resumer.sign(token)}"
         location = stop.location(peer, path)
-        return answers.redirect(location, order.request.request_id)
+        verdict = (
+            verdicts.Verdict.NOT_RUN
+            if control.opened is None
+            else verdicts.Verdict.MAY_HAVE_RUN
+        )
+        return answers.redirect(location, order.request.request_id, verdict)
 
 
 class _Encoder:
--- a/acaciaward/callers/handling.py
+++ b/acaciaward/callers/handling.py
@@ -11,7 +11,7 @@
 
 import blacksheep
 
-from acaciaward import errors
+from acaciaward import errors, verdicts
 from acaciaward.callers import answers, drain
 from acaciaward.configuration import interfaces as configuration_interfaces
 from acaciaward.identity import apikeys
@@ -57,19 +57,24 @@
         """Return a request's body within the bound of the settings."""
         return await read_limited(request, self._max_body_bytes)
 
-    async def answered(self, handler: Handler) -> blacksheep.Response:
+    async def answered(
+        self, handler: Handler, request: blacksheep.Request
+    ) -> blacksheep.Response:
         """Run a handler and turn its request errors into answers."""
         request_id = f"req-{uuid.uuid4().hex}"
         with self.drain.counted():
-            response = await self._answer(handler, request_id)
+            response = await self._answer(handler, request, request_id)
         if self.drain.phase >= drain.Phase.LEAVING:
             response.add_header(*CLOSE)
         return response
 
-    async def _answer(self, handler: Handler, request_id: str) -> blacksheep.Response:
+    async def _answer(
+        self, handler: Handler, request: blacksheep.Request, request_id: str
+    ) -> blacksheep.Response:
         try:
             response = await handler(request_id)
         except errors.RequestError as error:
+            error.verdict = _verdict_over_resends(error.verdict, request)
             log_refusal(error, request_id)
             return answers.error_response(error, request_id)
         except Exception:
@@ -113,6 +118,22 @@
     }
 
 
+def _verdict_over_resends(
+    verdict: verdicts.Verdict, request: blacksheep.Request
+) -> verdicts.Verdict:
+    """
+    Return the verdict of a request whose earlier sending may have run.
+
+    A caller that sends a request again after a try that may have run says so by
+    ``X-Resend``. The earlier try may still be on its way to an endpoint from
+    another entry, so nothing that is seen here can prove that it doesn't run.
+    """
+    is_resend = request.get_first_header(b"x-resend") == b"true"
+    if is_resend and verdict is verdicts.Verdict.NOT_RUN:
+        return verdicts.Verdict.MAY_HAVE_RUN
+    return verdict
+
+
 def log_refusal(error: errors.RequestError, request_id: str) -> None:
     """Count and log a request that ends without its answer."""
     metrics.ANSWERS.labels(error.code).inc()
--- a/acaciaward/cli/entry.py
+++ b/acaciaward/cli/entry.py
@@ -15,8 +15,6 @@
 log = logging.getLogger(__name__)
 
 EXIT_CUT = 1
-NOTICE_MARGIN_S = 0.5
-SHORTEST_STOP_S = 0.5
 
 
 @click.command()
@@ -50,8 +48,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
     await running.start()
-    limit_s = await _wait_for_stop(running, signals)
-    stopping = asyncio.create_task(running.stop(limit_s))
+    ordered = asyncio.create_task(running.stop_requested.wait())
+    signalled = asyncio.create_task(signals.get())
+    await asyncio.wait({ordered, signalled}, return_when=asyncio.FIRST_COMPLETED)
+    # After a drain, the first signal is the one that ends the entry at once.
+    if not signalled.done():
+        signalled.cancel()
+    ordered.cancel()
+    stopping = asyncio.create_task(running.stop())
     second = asyncio.create_task(signals.get())
     await asyncio.wait({stopping, second}, return_when=asyncio.FIRST_COMPLETED)
     if not stopping.done():
@@ -61,18 +65,3 @@
         return EXIT_CUT
     second.cancel()
     return EXIT_CUT if stopping.result() else 0
-
-
-async def _wait_for_stop(
-    running: process.EntryProcess, signals: asyncio.Queue[signal.Signals]
-) -> float | None:
-    """Return when told to stop; the limit in seconds if a notice set one."""
-    asked = asyncio.create_task(signals.get())
-    noticed = asyncio.create_task(running.wait_for_notice())
-    await asyncio.wait({asked, noticed}, return_when=asyncio.FIRST_COMPLETED)
-    limit_s = None
-    if noticed.done():
-        limit_s = max(SHORTEST_STOP_S, noticed.result() - NOTICE_MARGIN_S)
-    asked.cancel()
-    noticed.cancel()
-    return limit_s
--- a/acaciaward/client/caller.py
+++ b/acaciaward/client/caller.py
@@ -10,7 +10,6 @@
     answer.text
 """
 
-import asyncio
 import contextlib
 import time
 import typing
@@ -21,15 +20,13 @@
 import uuid6
 
 from acaciaward import httpclient, verdicts
-from acaciaward.client import entries, refusals, streaming
+from acaciaward.client import entries, refusals, streaming, tries
 
 Address = tuple[str, int]
 
-MAX_TRIES = 8
-PAUSE_BETWEEN_TRIES_S = 0.1
 MAX_REDIRECTS = 4
 MINIMUM_DEADLINE_S = 0.001
-RETRIED_STATUSES = frozenset({429, 502, 503, 504})
+PATIENCE_MARGIN_S = 1.0
 # What a resume is refused with when the stream can't be taken up.
 LOST_STREAM_STATUSES = frozenset({403, 410})
 
@@ -62,7 +59,12 @@
 
 
 class Caller:
-    """Sends requests of one organisation."""
+    """
+    Sends requests of one organisation.
+
+    ``seeds`` are asked for the entries to use; without ``discover`` they are
+    used themselves.
+    """
 
     def __init__(
         self,
@@ -70,11 +72,14 @@
         *,
         key: str,
         data_centre: str | None = None,
+        discover: bool = True,
         client: httpclient.HttpClient | None = None,
     ):
         self._key = key
         self._client = client or httpclient.HttpClient()
-        self._entries = entries.Entries(seeds, self._client, data_centre)
+        self._entries = entries.Entries(
+            seeds, self._client, data_centre=data_centre, discover=discover
+        )
 
     async def close(self) -> None:
         """Close idle connections."""
@@ -135,7 +140,8 @@
             headers["x-idempotent"] = "false"
             headers["idempotency-key"] = key or new_key()
         return await self._with_retries(
-            lambda entry: self._call_at(entry, service, path, body, headers)
+            headers,
+            lambda entry: self._call_at(entry, service, path, body, headers),
         )
 
     async def _call_at(
@@ -161,7 +167,12 @@
         """Post to an entry and follow it when it sends the request on."""
         for _ in range(MAX_REDIRECTS):
             async with self._client.send(
-                "POST", *entry, path, headers=headers, body=body
+                "POST",
+                *entry,
+                path,
+                headers=headers,
+                body=body,
+                timeout_s=_patience_s(headers),
             ) as response:
                 if response.status != httpclient.TEMPORARY_REDIRECT:
                     yield response
@@ -170,14 +181,16 @@
             entry, path = _read_location(response)
         raise httpclient.ConnectionLostError("sent on too many times")
 
-    async def _with_retries(self, attempt: typing.Callable) -> typing.Any:
-        tries = Tries(self._entries)
+    async def _with_retries(
+        self, headers: dict[str, str], attempt: typing.Callable
+    ) -> typing.Any:
+        run = tries.Tries(self._entries, headers)
         while True:
-            entry = await tries.next_entry()
+            entry = await run.next_entry()
             try:
                 return await attempt(entry)
             except (httpclient.HttpError, CallerError) as error:
-                await tries.after_failure(entry, error)
+                await run.after_failure(entry, error)
 
     @property
     def entries(self) -> entries.Entries:
@@ -201,43 +214,6 @@
     return str(uuid6.uuid7())
 
 
-class Tries:
-    """Which entry to try next, and when a request has failed for good."""
-
-    def __init__(self, known: entries.Entries):
-        self._known = known
-        self._count = 0
-        self._wanted: Address | None = None
-
-    async def next_entry(self) -> Address:
-        """Return the entry that was named, or the next one in turn."""
-        wanted, self._wanted = self._wanted, None
-        return wanted or await self._known.next()
-
-    async def after_failure(self, entry: Address, error: Exception) -> None:
-        """Wait as the entry asked, or raise the request's final error."""
-        if isinstance(error, streaming.MovedError):
-            self._known.forget(entry)
-            self._wanted = error.entry
-            return
-        self._count += 1
-        pause_s = PAUSE_BETWEEN_TRIES_S * (self._count - 1)
-        if isinstance(error, CallerError):
-            if error.status not in RETRIED_STATUSES or self._count >= MAX_TRIES:
-                raise error
-            pause_s = error.retry_after_s or PAUSE_BETWEEN_TRIES_S
-        else:
-            self._known.forget(entry)
-        if self._count >= MAX_TRIES:
-            raise CallerError(
-                f"no entry answered: {error}",
-                status=0,
-                verdict=verdicts.Verdict.MAY_HAVE_RUN,
-                retry_after_s=None,
-            ) from error
-        await asyncio.sleep(pause_s)
-
-
 class _StreamRun:
     """One completion, over as many entries as it takes."""
 
@@ -251,7 +227,7 @@
         deadline_s: float | None,
     ):
         self._caller = caller
-        self._service_class = service_class
+        self._headers = caller.headers(service_class, deadline_s)
         self._deadline = time.monotonic() + deadline_s if deadline_s else None
         self._body = msgspec.json.encode(
             {
@@ -278,18 +254,20 @@
 
     async def tokens(self) -> AsyncIterator[str]:
         """Yield each token once until the answer is whole."""
-        tries = Tries(self._caller.entries)
+        run = tries.Tries(self._caller.entries, self._headers)
         while not self._state.is_whole:
-            self._entry = await tries.next_entry()
+            self._entry = await run.next_entry()
             try:
                 async with contextlib.aclosing(self._tokens_at(self._entry)) as texts:
                     async for text in texts:
                         yield text
             except (httpclient.HttpError, CallerError) as error:
                 if self._is_lost(error):
+                    run.after_loss(error)
                     self._state.restart()
                 else:
-                    await tries.after_failure(self._entry, error)
+                    is_late = self._time_left() == MINIMUM_DEADLINE_S
+                    await run.after_failure(self._entry, error, is_final=is_late)
 
     def _is_lost(self, error: Exception) -> bool:
         is_refusal = isinstance(error, CallerError)
@@ -301,8 +279,9 @@
         if self._state.resume is not None:
             path = "/v1/resume"
             body = msgspec.json.encode(self._state.resume_body(self._body))
-        headers = self._caller.headers(self._service_class, self._time_left())
-        async with self._caller.post(entry, path, headers, body) as response:
+        if self._deadline is not None:
+            self._headers["x-deadline-s"] = str(self._time_left())
+        async with self._caller.post(entry, path, self._headers, body) as response:
             if response.status != httpclient.OK:
                 raise refusals.from_answer(response, await response.read())
             async with contextlib.aclosing(self._state.read(response)) as texts:
@@ -315,6 +294,14 @@
         return max(MINIMUM_DEADLINE_S, self._deadline - time.monotonic())
 
 
+def _patience_s(headers: dict[str, str]) -> float:
+    """Return how long to wait for an entry, in seconds."""
+    deadline_s = headers.get("x-deadline-s")
+    if deadline_s is None:
+        return httpclient.DEFAULT_TIMEOUT_S
+    return float(deadline_s) + PATIENCE_MARGIN_S
+
+
 def _read_location(response: httpclient.Response) -> tuple[Address, str]:
     parts = urllib.parse.urlsplit(response.headers.get("location", ""))
     if not parts.hostname or not parts.port:
--- a/acaciaward/client/entries.py
+++ b/acaciaward/client/entries.py
@@ -24,9 +24,12 @@
         self,
         seeds: Sequence[Address],
         client: httpclient.HttpClient,
-        data_centre: str | None,
+        *,
+        data_centre: str | None = None,
+        discover: bool = True,
     ):
         self._seeds = list(seeds)
+        self._is_fixed = not discover
         self._client = client
         self._data_centre = data_centre
         self._known: list[Address] = []
@@ -35,7 +38,9 @@
 
     async def next(self) -> Address:
         """Return the entry for the next request, asking anew when due."""
-        if not self._known or time.monotonic() > self._expire:
+        if self._is_fixed:
+            self._known = self._seeds
+        elif not self._known or time.monotonic() > self._expire:
             await self._discover()
         self._turn += 1
         return self._known[self._turn % len(self._known)]
--- a/acaciaward/client/refusals.py
+++ b/acaciaward/client/refusals.py
@@ -6,6 +6,7 @@
 
 from acaciaward import errors, httpclient, verdicts
 
+NO_STATUS = 0
 RETRIED_STATUS = 503
 FINAL_STATUS = 500
 
@@ -47,6 +48,18 @@
     )
 
 
+def from_transport(error: httpclient.HttpError) -> CallerError:
+    """Return the error of a request that an entry left without an answer."""
+    is_unsent = isinstance(error, httpclient.ConnectFailedError)
+    verdict = verdicts.Verdict.NOT_RUN if is_unsent else verdicts.Verdict.MAY_HAVE_RUN
+    return CallerError(
+        f"no entry answered: {error}",
+        status=NO_STATUS,
+        verdict=verdict,
+        retry_after_s=None,
+    )
+
+
 def from_event(fields: dict[str, typing.Any]) -> CallerError:
     """
     Return the error that ended a stream.
@@ -63,7 +76,7 @@
     """Return the error of an answer that came out different the second time."""
     return CallerError(
         "the answer was lost half-way and came out different when made again",
-        status=0,
+        status=FINAL_STATUS,
         verdict=verdicts.Verdict.MAY_HAVE_RUN,
         retry_after_s=None,
     )
--- a/acaciaward/dispatch/attempts.py
+++ b/acaciaward/dispatch/attempts.py
@@ -130,7 +130,7 @@
         if error.endpoint_died:
             in_flight = [request, *self._in_flight.at(endpoint)]
             await self._with.quarantine.endpoint_died(endpoint, in_flight)
-            self._with.quarantine.check(request)
+            self.check_quarantine(progress)
         self._raise_if_final(progress, error)
         pause_s = retries.backoff_s(
             progress.attempts,
@@ -155,6 +155,14 @@
         progress.attempts -= 1 if is_allowed else 0
         return is_allowed
 
+    def check_quarantine(self, progress: Progress) -> None:
+        """Raise ``QuarantinedError`` with the verdict of all attempts so far."""
+        try:
+            self._with.quarantine.check(progress.request)
+        except errors.QuarantinedError as error:
+            error.verdict = retries.worst(progress.verdict, error.verdict)
+            raise
+
     def _raise_if_final(self, progress: Progress, error: errors.EndpointError) -> None:
         request = progress.request
         is_allowed = retries.may_retry(
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -8,16 +8,27 @@
 
 import asyncio
 import logging
+import math
 import time
 import typing
 
+import blacksheep
+
 from acaciaward import documents, httpclient, httpserver, requests
-from acaciaward.administration import api as administration_api
+from acaciaward.administration import (
+    api as administration_api,
+    messages as administration_messages,
+)
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, completions, discovery, drain
-from acaciaward.claims import local
-from acaciaward.configuration import follower
-from acaciaward.dispatch import attempts, dispatcher
+from acaciaward.claims import book as claims_book, messages as claims_messages
+from acaciaward.configuration import (
+    follower,
+    messages as configuration_messages,
+    peering,
+    serving,
+)
+from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
 from acaciaward.entry import stopping
 from acaciaward.evacuation import departures, evacuator, watchers
@@ -28,7 +39,7 @@
     messages as membership_messages,
     transport,
 )
-from acaciaward.observability import logs
+from acaciaward.observability import logs, recorder
 from acaciaward.platform import calls, cloud, log as platform_log
 from acaciaward.quarantine import permissive
 from acaciaward.routing import leastloaded
@@ -37,14 +48,23 @@
 log = logging.getLogger(__name__)
 
 START_WAIT_S = 10.0
+NOTICE_MARGIN_S = 0.5
+SHORTEST_STOP_S = 0.5
+MESSAGE_KINDS = (
+    membership_messages.KINDS
+    | administration_messages.KINDS
+    | configuration_messages.KINDS
+    | claims_messages.KINDS
+)
 
 
 class EntryProcess:
-    """All slices of one entry."""
+    """All slices of one entry; ``stop_requested`` is set when it is drained."""
 
     def __init__(self, settings: loader.Settings):
         self._settings = settings
         self._tasks: list[asyncio.Task] = []
+        self.stop_requested = asyncio.Event()
         self._client = httpclient.HttpClient(
             connect_timeout_s=settings["dispatch"]["connect_timeout_s"]
         )
@@ -75,7 +95,9 @@
         peers = self._settings["peers"]
         self._hints = hints.HintBoard(instance["name"])
         self._transport = transport.PeerTransport(
-            peers["address"], peers["port"], membership_messages.KINDS
+            peers["address"],
+            peers["port"],
+            MESSAGE_KINDS,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -111,7 +133,16 @@
             stream=settings["stream"],
             poll_wait_s=settings["poll_wait_s"],
             current_bound_s=settings["current_bound_s"],
+            in_force_wait_s=settings["in_force_wait_s"],
+            outcome_wait_s=settings["outcome_wait_s"],
+            retention_s=settings["retention_s"],
+            peers=peering.PeerSide(
+                self._membership,
+                data_centre=self._settings["instance"]["data_centre"],
+                readers_per_data_centre=settings["readers_per_data_centre"],
+            ),
         )
+        serving.PeerAnswers(self._configuration, self._membership)
         self._configuration.subscribe(
             lambda view: self._membership.set_configuration_version(view.version)
         )
@@ -147,6 +178,8 @@
                 settings["source_bytes_per_s"], settings["target_bytes_per_s"]
             ),
         )
+        self._own_end = math.inf
+        self._departures.subscribe(self._take_departure)
         self._watch_limits = watchers.WatchLimits(
             settings["poll_s"], settings["assumed_notice_s"]
         )
@@ -181,10 +214,23 @@
             for endpoint in self._configuration.endpoints(name)
         ]
 
+    def _build_claims(self) -> None:
+        self._claims = claims_book.LogClaimBook(
+            self.name,
+            platform_log.HttpLog(self._platform_service("log")),
+            self._membership,
+            self._settings["claims"],
+            live_entries=self._count_live_entries,
+        )
+
+    def _count_live_entries(self) -> int:
+        live = membership_interfaces.PeerState.LIVE
+        return sum(1 for peer in self._membership.peers() if peer.state is live)
+
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
-        self._claims = local.LocalClaimBook(self.name)
+        self._build_claims()
         collaborators = attempts.Collaborators(
             router=self._router,
             admission=counting.CountingAdmission(
@@ -202,7 +248,11 @@
         limits = attempts.RetryLimits(
             settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
         )
-        self._dispatcher = dispatcher.Dispatcher(collaborators, limits)
+        self._recorder = recorder.Recorder(self.name)
+        self._configuration.subscribe(lambda view: self._recorder.follow(view.document))
+        self._dispatcher = observed.ObservedDispatcher(
+            dispatcher.Dispatcher(collaborators, limits), self._recorder
+        )
 
     def _build_server(self) -> None:
         callers = self._settings["callers"]
@@ -224,14 +274,7 @@
                 dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
             ),
         )
-        administration_api.AdministrationApi(
-            application,
-            configuration=self._configuration,
-            membership=self._membership,
-            bootstrap_key_digest=self._settings["administration"][
-                "bootstrap_key_digest"
-            ],
-        )
+        self._build_administration(application)
         self._server = httpserver.HttpServer(
             application,
             callers["address"],
@@ -240,37 +283,53 @@
             max_connections=callers["max_connections"],
         )
 
-    async def wait_for_notice(self) -> float:
-        """Wait until this entry's own instance leaves; return the seconds left."""
-        return await self._own_departure
-
     def _take_departure(self, departure: departures.Departure) -> None:
-        if departure.instance == self.name and not self._own_departure.done():
-            left_s = departure.deadline - time.monotonic()
-            self._own_departure.set_result(max(0.0, left_s))
+        if departure.instance == self.name:
+            self._own_end = departure.deadline
+            self.stop_requested.set()
+
+    def _build_administration(self, application: blacksheep.Application) -> None:
+        collaborators = administration_api.Collaborators(
+            configuration=self._configuration,
+            membership=self._membership,
+            hints=self._hints,
+            claims=self._claims,
+            observed=self._recorder,
+            drain=self.stop_requested.set,
+        )
+        administration_api.add_api(
+            application,
+            collaborators,
+            bootstrap_key_digest=self._settings["administration"][
+                "bootstrap_key_digest"
+            ],
+        )
 
     async def start(self) -> None:
         """Start every slice; return when callers can connect."""
-        self._own_departure = asyncio.get_running_loop().create_future()
-        self._departures.subscribe(self._take_departure)
         await self._transport.start()
+        self._start_task(self._membership.run())
         self._start_task(self._configuration.run())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
+        self._start_task(self._claims.run())
+        if not await self._claims.wait_until_replayed(START_WAIT_S):
+            log.warning("started without having replayed the claims")
         await self._server.start()
-        self._start_task(self._membership.run())
         self._start_watchers()
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
-    async def stop(self, limit_s: float | None = None) -> int:
+    async def stop(self) -> int:
         """
         Leave, finish or hand over what runs, and end within the limit.
 
-        Returns the number of requests that had to be cut.
+        The limit is that of the settings, or what is left of the notice that
+        this entry's own instance got. Returns the number of requests cut.
         """
         settings = self._settings["callers"]
+        notice_s = self._own_end - time.monotonic() - NOTICE_MARGIN_S
         limits = stopping.StopLimits(
-            limit_s or settings["stop_limit_s"],
+            max(SHORTEST_STOP_S, min(settings["stop_limit_s"], notice_s)),
             settings["discovery_lifetime_s"],
             settings["finish_s"],
         )
