--- a/acaciaward/client/refusals.py
+++ b/acaciaward/client/refusals.py
@@ -12,7 +12,11 @@
 
 
 class CallerError(errors.AcaciawardError):
-    """The request ended without its answer; ``verdict`` says if it may have run."""
+    """
+    The request ended without its answer; ``verdict`` says if it may have run.
+
+    ``is_stated`` is False when an entry answered without a verdict.
+    """
 
     def __init__(
         self,
@@ -21,8 +25,10 @@
         status: int,
         verdict: verdicts.Verdict,
         retry_after_s: float | None,
+        is_stated: bool = True,
     ):
         super().__init__(message)
+        self.is_stated = is_stated
         self.status = status
         self.verdict = verdict
         self.retry_after_s = retry_after_s
@@ -45,6 +51,7 @@
         status=status,
         verdict=verdicts.Verdict(verdict),
         retry_after_s=fields.get("retry_after"),
+        is_stated="verdict" in fields,
     )
 
 
