--- a/acaciaward/cli/keys.py
+++ b/acaciaward/cli/keys.py
@@ -1,17 +1,33 @@
-"""The ``key`` commands: make keys and the entries to patch in for them."""
+"""The ``key`` commands: make keys, certificates and the changes that go with them."""
 
 import hashlib
 import json
+import pathlib
 import secrets
+import typing
 
 import click
 
-from acaciaward.identity import apikeys, curvekeys
+from acaciaward.cli import deployments
+from acaciaward.identity import apikeys, certificates, curvekeys
+
+KEY_FILE = click.option(
+    "--key-file",
+    type=click.Path(path_type=pathlib.Path),
+    help="Write the key into this file instead of printing it.",
+)
+FOLDER = click.option(
+    "--folder",
+    type=click.Path(path_type=pathlib.Path),
+    default="tls",
+    show_default=True,
+    help="Folder of the authority and its certificates.",
+)
 
 
 @click.group()
 def key():
-    """Make API keys. A key is shown once; the configuration keeps its hash."""
+    """Make API keys, peer keys and certificates. An API key is shown once."""
 
 
 @key.command()
@@ -20,20 +36,52 @@
 @click.option(
     "--role", type=click.Choice(["caller", "administrator"]), default="caller"
 )
-def organisation(organisation: str, name: str, role: str):
+@KEY_FILE
+def organisation(organisation: str, name: str, role: str, key_file: pathlib.Path):
     """Make the key NAME of ORGANISATION and print it with its changes."""
     text, entry = apikeys.make_organisation_key(organisation, name, role)
     changes = {"organisations": {organisation: {"keys": {name: entry}}}}
-    _print(text, changes)
+    _print(text, {"changes": changes}, key_file)
 
 
 @key.command()
 @click.argument("name")
 @click.option("--role", type=click.Choice(["operator", "viewer"]), default="operator")
-def operator(name: str, role: str):
-    """Make the key of the operator NAME and print it with its changes."""
+@KEY_FILE
+def operator(name: str, role: str, key_file: pathlib.Path):
+    """
+    Make the key of the operator NAME and print it with its changes.
+
+    Example: acaciaward key operator ana --key-file ana.key > ana.json
+    """
     text, entry = apikeys.make_operator_key(name, role)
-    _print(text, {"operators": {name: entry}})
+    _print(text, {"changes": {"operators": {name: entry}}}, key_file)
+
+
+@key.command()
+@KEY_FILE
+def bootstrap(key_file: pathlib.Path):
+    """Make a first operator's key and the digest for the settings."""
+    text = secrets.token_urlsafe(apikeys.SECRET_BYTES)
+    digest = hashlib.sha256(text.encode()).hexdigest()
+    _print(text, {"bootstrap_key_digest": digest}, key_file)
+
+
+def _print(
+    text: str, rest: dict[str, typing.Any], key_file: pathlib.Path | None
+) -> None:
+    if key_file is None:
+        rest = {"key": text} | rest
+    else:
+        certificates.write_secret(key_file, f"{text}\n".encode())
+    click.echo(json.dumps(rest, indent=2))
+
+
+@key.command()
+def signing():
+    """Make a key that signs resume tokens, and print the changes for a first one."""
+    made = secrets.token_urlsafe(apikeys.SECRET_BYTES)
+    click.echo(json.dumps({"changes": {"resume_keys": [made]}}, indent=2))
 
 
 @key.command()
@@ -42,19 +90,48 @@
     Make the CURVE key pair of one entry.
 
     Both go into the entry's own settings under peers; the public key also goes
-    into peers.allowed_public_keys of all entries.
+    into peers.allowed_public_keys of all entries. See "key peers".
     """
     made = curvekeys.make_pair()
     click.echo(json.dumps(made._asdict(), indent=2))
 
 
 @key.command()
-def bootstrap():
-    """Make a first operator's key and the digest for the settings."""
-    text = secrets.token_urlsafe(apikeys.SECRET_BYTES)
-    digest = hashlib.sha256(text.encode()).hexdigest()
-    click.echo(json.dumps({"key": text, "bootstrap_key_digest": digest}, indent=2))
+@click.argument("paths", nargs=-1, required=True, type=click.Path())
+@click.option("--renew", type=click.Path(), help="Give this file a new key pair.")
+@click.option("--prune", is_flag=True, help="Disallow keys that no file has.")
+def peers(paths: tuple[str, ...], renew: str | None, prune: bool):
+    """
+    Put CURVE keys into the settings files PATHS of entries.
+
+    A file without a key pair gets one, and every file allows the keys of all.
+    Keys that are allowed already stay so unless pruned: when a key is renewed,
+    restart the other entries first, then its own, then prune.
+    """
+    files = {path: deployments.read_object(path) for path in paths}
+    if renew is not None and renew not in files:
+        raise click.UsageError("--renew must be one of PATHS")
+    if renew is not None:
+        files[renew].get("peers", {}).pop("secret_key", None)
+    curvekeys.share(list(files.values()), prune=prune)
+    for path, settings in files.items():
+        text = json.dumps(settings, indent=2) + "\n"
+        certificates.write_secret(pathlib.Path(path), text.encode())
+        click.echo(f"{path}: {settings['peers']['public_key']}")
+
+
+@key.command()
+@FOLDER
+def authority(folder: pathlib.Path):
+    """Make a certificate authority for entries."""
+    certificates.make_authority(folder)
+    click.echo(folder / f"{certificates.AUTHORITY}.pem")
 
 
-def _print(text: str, changes: dict) -> None:
-    click.echo(json.dumps({"key": text, "changes": changes}, indent=2))
+@key.command()
+@click.argument("address")
+@FOLDER
+def certificate(address: str, folder: pathlib.Path):
+    """Make or renew the certificate of the entry at the IP number ADDRESS."""
+    certificates.make_certificate(folder, address)
+    click.echo(folder / f"{address}.pem")
--- a/acaciaward/cli/main.py
+++ b/acaciaward/cli/main.py
@@ -1,10 +1,12 @@
 """
 The command line: one command a duty, each in a module of its own.
 
-A mistake of the operator is printed as one line and sets the exit code; it never
-shows a traceback.
+A command's module is imported when the command is named, so that asking an entry
+doesn't wait for the imports of running one. A mistake of the operator is printed
+as one line and sets the exit code; it never shows a traceback.
 """
 
+import importlib
 import sys
 import typing
 
@@ -12,19 +14,24 @@
 
 import acaciaward
 from acaciaward import errors
-from acaciaward.cli import (
-    completion,
-    config,
-    demo,
-    deployments,
-    entries,
-    entry,
-    keys,
-    organisations,
-    reports,
-    settings,
-    status,
-)
+
+# The module of each command, which holds it under the command's own name.
+MODULES = {
+    "completion": "completion",
+    "config": "config",
+    "demo": "demo",
+    "deployment": "deployments",
+    "drain": "entries",
+    "endpoints": "deployments",
+    "entry": "entry",
+    "key": "keys",
+    "organisation": "organisations",
+    "quarantine": "deployments",
+    "report": "reports",
+    "request": "request",
+    "settings": "settings",
+    "status": "status",
+}
 
 
 class _MistakeError(click.ClickException):
@@ -40,7 +47,18 @@
 
 
 class _Group(click.Group):
-    """The top command, which turns the project's errors into click's."""
+    """The top command: finds commands and turns the project's errors into click's."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted(MODULES)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Import and return a command."""
+        if cmd_name not in MODULES:
+            return None
+        module = importlib.import_module(f"acaciaward.cli.{MODULES[cmd_name]}")
+        return getattr(module, cmd_name)
 
     def invoke(self, ctx: click.Context) -> typing.Any:
         """Run the command that was named."""
@@ -56,24 +74,6 @@
     """Serve language models and plain services on reclaimable instances."""
 
 
-for command in (
-    entry.entry,
-    settings.settings,
-    config.config,
-    keys.key,
-    status.status,
-    entries.drain,
-    organisations.organisation,
-    deployments.deployment,
-    deployments.endpoints,
-    deployments.quarantine,
-    reports.report,
-    completion.completion,
-    demo.demo,
-):
-    cli.add_command(command)
-
-
 def run() -> None:
     """Run the command line and exit with its code."""
     try:
--- a/acaciaward/cli/output.py
+++ b/acaciaward/cli/output.py
@@ -48,10 +48,12 @@
     if as_json:
         print_json(answer)
         return
-    click.echo(f"accepted as version {answer['version']}")
+    # With a key, standard output holds nothing else and can go into a file.
+    has_key = "key" in answer
+    click.echo(f"accepted as version {answer['version']}", err=has_key)
     if answer.get("missing"):
         names = ", ".join(answer["missing"])
         click.echo(f"not yet reported in force by: {names}", err=True)
-    if "key" in answer:
+    if has_key:
         click.echo("The key is shown only this once:", err=True)
         click.echo(answer["key"])
--- a/acaciaward/identity/features/steps/tls_steps.py
+++ b/acaciaward/identity/features/steps/tls_steps.py
@@ -5,7 +5,6 @@
 import json
 import ssl
 
-import authority
 import click.testing
 import zmq
 from behave import given, then, when
@@ -15,7 +14,7 @@
 from acaciaward.cli import main
 from acaciaward.client import caller
 from acaciaward.entry import process
-from acaciaward.identity import apikeys, curvekeys, tls
+from acaciaward.identity import apikeys, certificates, curvekeys, tls
 from acaciaward.settings import loader
 from standins import log, ports
 
@@ -40,12 +39,13 @@
 
 @given("an entry with TLS and a certificate of our authority")
 def start_entry(context):
-    context.authority = authority.Authority(context.folder, "ours")
+    certificates.make_authority(context.folder)
+    context.authority = context.folder / "authority.pem"
     context.files = {
-        "certificate": str(context.folder / "entry.pem"),
-        "private_key": str(context.folder / "entry.key"),
+        "certificate": str(context.folder / "127.0.0.1.pem"),
+        "private_key": str(context.folder / "127.0.0.1.key"),
     }
-    context.serial = context.authority.issue(context.files)
+    context.serial = certificates.make_certificate(context.folder, "127.0.0.1")
     standin = log.LogStandIn("127.0.0.1", ports.find_free_port())
     context.runner.run(standin.start())
     context.closers.append(standin.stop)
@@ -72,14 +72,14 @@
 
 @then("a caller and the command line that trust the authority are answered")
 def check_trusting(context):
-    result = _status(context, context.authority.file)
+    result = _status(context, context.authority)
     assert result.exit_code == 0, result.output
 
     async def ask():
         one = caller.Caller(
             [("127.0.0.1", context.port)],
             key=context.key,
-            ca_file=str(context.authority.file),
+            ca_file=str(context.authority),
         )
         try:
             await one.complete("nothing", "x")
@@ -94,13 +94,14 @@
 
 @then("neither a client of another authority nor plain HTTP is answered")
 def check_foreign(context):
-    other = authority.Authority(context.folder, "other")
-    assert _status(context, other.file).exit_code == 4
+    certificates.make_authority(context.folder / "other")
+    other = context.folder / "other" / "authority.pem"
+    assert _status(context, other).exit_code == 4
     assert _status(context, None).exit_code == 4
 
 
 async def _serial(context):
-    trust = tls.client_context(str(context.authority.file))
+    trust = tls.client_context(str(context.authority))
     reader, writer = await asyncio.open_connection("127.0.0.1", context.port, ssl=trust)
     certificate = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
     writer.close()
@@ -114,12 +115,12 @@
 
 @when("the certificate is renewed while a connection is open")
 def renew(context):
-    trust = tls.client_context(str(context.authority.file))
+    trust = tls.client_context(str(context.authority))
     context.client = httpclient.HttpClient(tls=trust)
     context.closers.append(context.client.close)
     context.runner.run(_get(context.client, context.port))
     assert context.runner.run(_serial(context)) == context.serial
-    context.serial = context.authority.issue(context.files)
+    context.serial = certificates.make_certificate(context.folder, "127.0.0.1")
 
 
 @then("new connections are met with the new certificate and the open one goes on")
