--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "binary": "size, start time and memory of the program as one file",
     "configuration": "operators race patches while log and entries fail",
     "chaos": "every promise under faults of every kind at once",
+    "once": "runs of non-idempotent requests under faults",
 }
 
 
