--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -20,7 +20,7 @@
 )
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, discovery
-from acaciaward.claims import local
+from acaciaward.claims import book as claims_book, messages as claims_messages
 from acaciaward.configuration import (
     follower,
     messages as configuration_messages,
@@ -46,12 +46,13 @@
 log = logging.getLogger(__name__)
 
 START_WAIT_S = 10.0
+MESSAGE_KINDS = (
+    membership_messages.KINDS
+    | administration_messages.KINDS
+    | configuration_messages.KINDS
+    | claims_messages.KINDS
+)
 DRAIN_POLL_S = 0.05
-PEER_KINDS: dict[str, type] = {
-    **membership_messages.KINDS,
-    **configuration_messages.KINDS,
-    **administration_messages.KINDS,
-}
 
 
 class EntryProcess:
@@ -91,7 +92,9 @@
         peers = self._settings["peers"]
         self._hints = hints.HintBoard(instance["name"])
         self._transport = transport.PeerTransport(
-            peers["address"], peers["port"], PEER_KINDS
+            peers["address"],
+            peers["port"],
+            MESSAGE_KINDS,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -206,10 +209,23 @@
             for endpoint in self._configuration.endpoints(name)
         ]
 
+    def _build_claims(self) -> None:
+        self._claims = claims_book.LogClaimBook(
+            self.name,
+            platform_log.HttpLog(self._platform_service("log")),
+            self._membership,
+            self._settings["claims"],
+            live_entries=self._count_live_entries,
+        )
+
+    def _count_live_entries(self) -> int:
+        live = membership_interfaces.PeerState.LIVE
+        return sum(1 for peer in self._membership.peers() if peer.state is live)
+
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
-        self._claims = local.LocalClaimBook(self.name)
+        self._build_claims()
         collaborators = attempts.Collaborators(
             router=self._router,
             admission=counting.CountingAdmission(
@@ -279,6 +295,9 @@
         self._start_task(self._configuration.run())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
+        self._start_task(self._claims.run())
+        if not await self._claims.wait_until_replayed(START_WAIT_S):
+            log.warning("started without having replayed the claims")
         await self._server.start()
         self._start_watchers()
         log.info("entry started", extra=logs.fields(port=self._server.port))
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -21,6 +21,7 @@
 from acaciaward.client import caller
 from acaciaward.identity import apikeys
 from bench import processes
+from standins import ports
 
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 ORGANISATIONS = ("org-1", "org-2")
@@ -202,7 +203,7 @@
 
     def _port(self, name: str) -> int:
         if name not in self._ports:
-            self._ports[name] = processes.find_free_port()
+            self._ports[name] = ports.find_free_port()
         return self._ports[name]
 
     async def _start_standin(
@@ -218,8 +219,8 @@
 
     async def _start_proxy(self, name: str, port: int) -> None:
         proxy = f"proxy-{name}"
-        self._proxy_ports[name] = processes.find_free_port()
-        self._control_ports[proxy] = processes.find_free_port()
+        self._proxy_ports[name] = ports.find_free_port()
+        self._control_ports[proxy] = ports.find_free_port()
         arguments = ["-m", "standins", "proxy"]
         arguments += ["--port", str(self._proxy_ports[name])]
         arguments += ["--target", f"{processes.ADDRESS}:{port}"]
