Membership: SWIM at a constant cost, CURVE with allowed keys

Cause: each probe carried the whole peer list and all hints; a peer that one entry could not reach was suspected on its word; expired hints filled the board and then blocked it; CURVE keys of the settings were never passed on; a deep nested reply raised RecursionError and ended the task that receives replies.

Change: fixed probes of rendezvous-chosen neighbours, indirect probes, suspicion with refutation by incarnation, updates with a byte budget and a logarithmic number of transmissions, urgent ones in rounds within a byte allowance, digests and full exchange only where they differ, dead peers and seeds tried now and then; hints indexed by subject, expiry by heap; ZAP list, bounds per peer, handler errors counted; joining entries are not listed to callers.

Not separately proved: urgent rounds (probes alone pass the 2 s bound at 9 entries) and sparing others after an own pause.

--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -30,6 +30,7 @@
 from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
 from acaciaward.evacuation import departures, evacuator, watchers
+from acaciaward.identity import curvekeys
 from acaciaward.membership import (
     gossip,
     hints,
@@ -91,10 +92,12 @@
         callers = self._settings["callers"]
         peers = self._settings["peers"]
         self._hints = hints.HintBoard(instance["name"])
+        curve = self._curve_keys()
         self._transport = transport.PeerTransport(
             peers["address"],
             peers["port"],
             MESSAGE_KINDS,
+            curve=curve,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -104,25 +107,39 @@
             data_centre=instance["data_centre"],
             region=instance["region"],
             incarnation=int(time.time() * 1000),
-            state=membership_interfaces.PeerState.LIVE,
+            state=membership_interfaces.PeerState.JOINING,
             configuration_version=0,
         )
-        location = transport.PeerAddress(peers["address"], peers["port"])
+        location = transport.PeerAddress(
+            peers["address"], peers["port"], curve.public_key if curve else None
+        )
         seeds = [
-            transport.PeerAddress(seed["address"], seed["port"])
+            transport.PeerAddress(seed["address"], seed["port"], seed.get("public_key"))
             for seed in peers["seeds"]
         ]
         self._membership = gossip.GossipMembership(
             own,
             location,
-            [seed for seed in seeds if seed != location],
+            [seed for seed in seeds if seed[:2] != location[:2]],
             self._transport,
             self._hints,
             probe_interval_s=peers["probe_interval_s"],
             probe_timeout_s=peers["probe_timeout_s"],
             suspicion_s=peers["suspicion_s"],
+            sync_interval_s=peers["sync_interval_s"],
+            neighbours=peers["neighbours"],
+            gossip_bytes_per_s=peers["gossip_bytes_per_s"],
         )
 
+    def _curve_keys(self) -> transport.CurveKeys | None:
+        peers = self._settings["peers"]
+        if peers["secret_key"] is None:
+            return None
+        seeds = {seed.get("public_key") for seed in peers["seeds"]} - {None}
+        allowed = frozenset(peers["allowed_public_keys"]) | seeds
+        public_key = curvekeys.public_key_of(peers["secret_key"])
+        return transport.CurveKeys(public_key, peers["secret_key"], allowed)
+
     def _build_configuration(self) -> None:
         settings = self._settings["configuration"]
         self._configuration = follower.LogConfiguration(
@@ -293,6 +310,7 @@
         await self._transport.start()
         self._start_task(self._membership.run())
         self._start_task(self._configuration.run())
+        self._start_task(self._list_when_current())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
         self._start_task(self._claims.run())
@@ -302,6 +320,11 @@
         self._start_watchers()
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
+    async def _list_when_current(self) -> None:
+        while not await self._configuration.wait_until_current(START_WAIT_S):
+            pass
+        self._membership.set_ready()
+
     async def stop(self) -> None:
         """Leave, serve callers with older answers, finish what runs, and end."""
         limit_s = self._settings["callers"]["stop_limit_s"]
--- /dev/null
+++ b/acaciaward/membership/features/fakes.py
@@ -0,0 +1,168 @@
+"""A network in memory that cuts, freezes and counts, for tests of membership."""
+
+import asyncio
+import collections
+import random
+
+import msgspec
+
+from acaciaward import errors
+from acaciaward.membership import gossip, hints, interfaces, transport
+
+LIVE = interfaces.PeerState.LIVE
+DEAD = interfaces.PeerState.DEAD
+
+
+class Network:
+    """Which ways between nodes are cut, and what was sent."""
+
+    def __init__(self):
+        self.nodes = {}
+        self.cut = set()
+        self.frozen = {}
+        self.messages = collections.Counter()
+        self.bytes = collections.Counter()
+
+    def passes(self, sender, receiver):
+        return (sender, receiver) not in self.cut and receiver not in self.frozen
+
+
+class NodeTransport:
+    """Implements the part of ``PeerTransport`` that gossip uses."""
+
+    def __init__(self, name, location, network):
+        self.name = name
+        self.handlers = {}
+        self.dropped = 0
+        self._network = network
+        self._tasks = set()
+        network.nodes[location] = self
+
+    def handle(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def forget(self, peer):
+        pass
+
+    def count_dropped(self, reason):
+        self.dropped += 1
+
+    def _count(self, name, body):
+        self._network.messages[name] += 1
+        self._network.bytes[name] += len(msgspec.msgpack.encode(body))
+
+    async def request(self, peer, kind, body, *, timeout_s):
+        await self._wait_while_frozen()
+        self._count(self.name, body)
+        node = self._network.nodes.get(peer)
+        if node is None or not self._network.passes(self.name, node.name):
+            await asyncio.sleep(timeout_s)
+            await self._wait_while_frozen()
+            raise errors.PeerUnreachableError(peer.url)
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await node.handlers[kind](self.name, _copy(body))
+        except TimeoutError as error:
+            raise errors.PeerUnreachableError(peer.url) from error
+        if answer is None or not self._network.passes(node.name, self.name):
+            await asyncio.sleep(timeout_s)
+            await self._wait_while_frozen()
+            raise errors.PeerUnreachableError(peer.url)
+        self._count(node.name, answer)
+        return _copy(answer)
+
+    def notify(self, peer, kind, body):
+        self._count(self.name, body)
+        node = self._network.nodes.get(peer)
+        if node is not None and self._network.passes(self.name, node.name):
+            work = node.handlers[kind](self.name, _copy(body))
+            task = asyncio.ensure_future(work)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _wait_while_frozen(self):
+        thawed = self._network.frozen.get(self.name)
+        if thawed is not None:
+            await thawed.wait()
+
+
+def _copy(body):
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(body))
+
+
+class World:
+    """Entries that know one seed each."""
+
+    def __init__(self, pace=1.0):
+        self.network = Network()
+        self.pace = pace
+        self.entries = {}
+        self.boards = {}
+        self.tasks = {}
+        self.locations = {}
+        self.incarnations = collections.Counter()
+
+    def start(self, name, region="north"):
+        number = int(name.rpartition("-")[2])
+        location = transport.PeerAddress("127.0.0.1", 10_000 + number)
+        self.locations[name] = location
+        self.incarnations[name] += 100
+        own = interfaces.Peer(
+            name,
+            "127.0.0.1",
+            8000 + number,
+            location.port,
+            f"dc-{number % 3}",
+            region,
+            self.incarnations[name],
+            LIVE,
+            0,
+        )
+        board = hints.HintBoard(name)
+        entry = gossip.GossipMembership(
+            own,
+            location,
+            [transport.PeerAddress("127.0.0.1", 10_001)] if number != 1 else [],
+            NodeTransport(name, location, self.network),
+            board,
+            probe_interval_s=0.5 * self.pace,
+            probe_timeout_s=0.4 * self.pace,
+            suspicion_s=2.0 * self.pace,
+            sync_interval_s=10.0 * self.pace,
+            chooser=random.Random(number),
+        )
+        self.entries[name] = entry
+        self.boards[name] = board
+        self.tasks[name] = asyncio.create_task(entry.run())
+
+    async def kill(self, name):
+        task = self.tasks.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        del self.entries[name]
+        del self.network.nodes[self.locations[name]]
+
+    async def stop(self):
+        for name in list(self.entries):
+            await self.kill(name)
+
+    def states(self, subject):
+        """Return what every other entry believes of one."""
+        found = {}
+        for name, entry in self.entries.items():
+            if name != subject:
+                known = {peer.name: peer.state for peer in entry.peers()}
+                found[name] = known.get(subject)
+        return found
+
+    def all_live(self):
+        names = set(self.entries)
+        return all(
+            {peer.name for peer in entry.peers() if peer.state is LIVE} == names
+            for entry in self.entries.values()
+        )
+
+    async def wait(self, condition, timeout_s=15.0):
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.01)
--- a/acaciaward/membership/interfaces.py
+++ b/acaciaward/membership/interfaces.py
@@ -11,8 +11,13 @@
 
 
 class PeerState(enum.Enum):
-    """What an entry believes of a peer."""
+    """
+    What an entry believes of a peer.
+
+    A joining entry has no configuration yet; callers are not sent there.
+    """
 
+    JOINING = "joining"
     LIVE = "live"
     SUSPECT = "suspect"
     LEAVING = "leaving"
--- a/acaciaward/membership/messages.py
+++ b/acaciaward/membership/messages.py
@@ -4,7 +4,11 @@
 
 
 class PeerFields(typing.TypedDict):
-    """One entry as it travels; see ``interfaces.Peer`` for the meanings."""
+    """
+    One entry as it travels; see ``interfaces.Peer`` for the meanings.
+
+    ``public_key`` is the CURVE key in Z85, or null without encryption.
+    """
 
     name: str
     address: str
@@ -16,6 +20,7 @@
     incarnation: int
     state: str
     configuration_version: int
+    public_key: str | None
 
 
 class HintFields(typing.TypedDict):
@@ -30,11 +35,49 @@
 
 
 class Gossip(typing.TypedDict):
-    """What a probe and its answer carry: changed peers and hints."""
+    """What a probe, its answer and gossip carry: a few changes, the sender's first."""
 
     sender: str
     peers: list[PeerFields]
     hints: list[HintFields]
 
 
-KINDS = {"probe": Gossip, "probe_answer": Gossip}
+class IndirectProbe(typing.TypedDict):
+    """Asks a peer to probe another one that did not answer the sender."""
+
+    sender: str
+    target: str
+
+
+class IndirectProbeAnswer(typing.TypedDict):
+    """Whether the target answered."""
+
+    reached: bool
+
+
+class Sync(typing.TypedDict):
+    """Compares two entries' knowledge by digests; ``own`` is the sender."""
+
+    sender: str
+    own: PeerFields
+    peers_digest: int
+    hints_digest: int
+
+
+class SyncAnswer(typing.TypedDict):
+    """Everything of the parts whose digests differ."""
+
+    peers: list[PeerFields]
+    hints: list[HintFields]
+
+
+KINDS: dict[str, type] = {
+    "probe": Gossip,
+    "probe_answer": Gossip,
+    "probe_indirect": IndirectProbe,
+    "probe_indirect_answer": IndirectProbeAnswer,
+    "gossip": Gossip,
+    "gossip_answer": Gossip,
+    "sync": Sync,
+    "sync_answer": SyncAnswer,
+}
--- a/acaciaward/membership/transport.py
+++ b/acaciaward/membership/transport.py
@@ -3,18 +3,22 @@
 
 Each entry binds one ROUTER socket and keeps one DEALER socket for each peer it
 talks to. A request is the frames correlation number, kind and body; its reply
-carries the same number. Anything that can't be decoded is dropped and counted.
+carries the same number; a notice has the number 0 and no reply. Anything that
+can't be decoded is dropped and counted, and so is a handshake with a key that is
+not allowed.
 """
 
 import asyncio
 import itertools
 import logging
+import time
 import typing
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import prometheus_client
 import zmq
 import zmq.asyncio
+import zmq.auth.asyncio
 
 from acaciaward import errors, wire
 from acaciaward.membership import interfaces
@@ -23,12 +27,29 @@
 log = logging.getLogger(__name__)
 
 SEND_QUEUE_MESSAGES = 1000
-MAX_HANDLERS_RUNNING = 256
+PEER_QUEUE_MESSAGES = 100
+MAX_HANDLERS_RUNNING = 512
+MAX_HANDLERS_PER_PEER = 128
+IDLE_CHANNEL_S = 60.0
+IDLE_POLL_S = 10.0
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 3000
+NOTICE = b"0"
+# Frames beyond the limit of a message are cut off by ZeroMQ uncounted; those
+# up to twice as large still arrive and are counted.
+MAX_FRAME_BYTES = 2 * wire.MAX_MESSAGE_BYTES
 
 DROPPED_MESSAGES = prometheus_client.Counter(
     "acaciaward_peer_messages_dropped_total",
     "Messages from peers that were dropped as malformed or too many",
 )
+REFUSED_KEYS = prometheus_client.Counter(
+    "acaciaward_peer_keys_refused_total",
+    "Handshakes of peers whose CURVE key is not allowed",
+)
+PEER_MESSAGES = prometheus_client.Counter(
+    "acaciaward_peer_messages_total", "Messages exchanged with peers", ["direction"]
+)
 PEER_BYTES = prometheus_client.Counter(
     "acaciaward_peer_bytes_total", "Bytes exchanged with peers", ["direction"]
 )
@@ -62,6 +83,26 @@
         self.socket = socket
         self.waiting: dict[bytes, asyncio.Future] = {}
         self.task: asyncio.Task | None = None
+        self.used_at = time.monotonic()
+
+
+class _AllowedKeys:
+    """Answers ZAP requests, by the name that pyzmq's authenticator calls."""
+
+    def __init__(self, allowed: frozenset[str]):
+        self.allowed = allowed
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a client with this Z85 key may connect."""
+        is_allowed = key.decode(errors="replace") in self.allowed
+        if not is_allowed:
+            REFUSED_KEYS.inc()
+        return is_allowed
+
+
+def _count(direction: str, frames: list[bytes]) -> None:
+    PEER_MESSAGES.labels(direction).inc()
+    PEER_BYTES.labels(direction).inc(sum(len(frame) for frame in frames))
 
 
 class PeerTransport:
@@ -81,6 +122,11 @@
         self._curve = curve
         self._context = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
+        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
+        own = {curve.public_key} if curve else set()
+        self._configured = (curve.allowed if curve else frozenset()) | own
+        self._keys = _AllowedKeys(self._configured)
+        self._handling: dict[bytes, int] = {}
         self._handlers: dict[str, interfaces.MessageHandler] = {}
         self._channels: dict[PeerAddress, _Channel] = {}
         self._numbers = itertools.count(1)
@@ -90,18 +136,27 @@
         """Serve requests of a kind; the reply's kind is ``KIND_answer``."""
         self._handlers[kind] = handler
 
+    def allow(self, public_keys: Iterable[str]) -> None:
+        """Let these keys connect besides those of the settings."""
+        self._keys.allowed = self._configured | frozenset(public_keys)
+
     async def start(self) -> None:
         """Bind the ROUTER socket and serve it."""
+        if self._curve is not None:
+            self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+            self._authenticator.start()
+            self._authenticator.configure_curve_callback("*", self._keys)
         self._router = self._context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.LINGER, 0)
         self._router.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
-        self._router.setsockopt(zmq.MAXMSGSIZE, wire.MAX_MESSAGE_BYTES)
+        self._router.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         if self._curve is not None:
             self._router.curve_server = True
             self._router.curve_secretkey = self._curve.secret_key.encode()
             self._router.curve_publickey = self._curve.public_key.encode()
         self._router.bind(f"tcp://{self._address}:{self._port}")
         self._start_task(self._serve())
+        self._start_task(self._close_idle())
 
     async def stop(self) -> None:
         """Close every socket."""
@@ -112,6 +167,8 @@
             channel.socket.close()
         if self._router is not None:
             self._router.close()
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._context.term()
 
     async def request(
@@ -128,7 +185,7 @@
         reply = asyncio.get_running_loop().create_future()
         channel.waiting[number] = reply
         frames = [number, *self._table.encode(kind, body)]
-        PEER_BYTES.labels("sent").inc(sum(len(frame) for frame in frames))
+        _count("sent", frames)
         try:
             async with asyncio.timeout(timeout_s):
                 await channel.socket.send_multipart(frames)
@@ -138,6 +195,19 @@
         finally:
             del channel.waiting[number]
 
+    def notify(
+        self, peer: PeerAddress, kind: str, body: Mapping[str, typing.Any]
+    ) -> None:
+        """Send a message without reply; one that can't be queued is dropped."""
+        try:
+            channel = self._channel(peer)
+        except errors.PeerUnreachableError:
+            return
+        frames = [NOTICE, *self._table.encode(kind, body)]
+        _count("sent", frames)
+        sending = channel.socket.send_multipart(frames, flags=zmq.NOBLOCK)
+        sending.add_done_callback(_ignore_full_queue)
+
     def forget(self, peer: PeerAddress) -> None:
         """Close the socket to a peer that is gone."""
         channel = self._channels.pop(peer, None)
@@ -145,13 +215,30 @@
             channel.task.cancel()
             channel.socket.close(0)
 
+    def count_dropped(self, reason: object) -> None:
+        """Count a part of a message that a handler refused."""
+        DROPPED_MESSAGES.inc()
+        log.debug("dropped a peer's message", extra=logs.fields(reason=reason))
+
+    async def _close_idle(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_POLL_S)
+            oldest = time.monotonic() - IDLE_CHANNEL_S
+            for peer, channel in list(self._channels.items()):
+                if channel.used_at < oldest and not channel.waiting:
+                    self.forget(peer)
+
     def _channel(self, peer: PeerAddress) -> _Channel:
+        if self._curve is not None and peer.public_key is None:
+            raise errors.PeerUnreachableError(f"{peer.url}: no CURVE key is known")
         if peer not in self._channels:
             socket = self._context.socket(zmq.DEALER)
             socket.setsockopt(zmq.LINGER, 0)
-            socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
-            socket.setsockopt(zmq.MAXMSGSIZE, wire.MAX_MESSAGE_BYTES)
-            if self._curve is not None and peer.public_key:
+            socket.setsockopt(zmq.SNDHWM, PEER_QUEUE_MESSAGES)
+            socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+            socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+            socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+            if self._curve is not None:
                 socket.curve_secretkey = self._curve.secret_key.encode()
                 socket.curve_publickey = self._curve.public_key.encode()
                 socket.curve_serverkey = peer.public_key.encode()
@@ -159,16 +246,18 @@
             channel = _Channel(socket)
             channel.task = self._start_task(self._receive_replies(channel))
             self._channels[peer] = channel
-        return self._channels[peer]
+        channel = self._channels[peer]
+        channel.used_at = time.monotonic()
+        return channel
 
     async def _receive_replies(self, channel: _Channel) -> None:
         while True:
             number, *frames = await channel.socket.recv_multipart()
-            PEER_BYTES.labels("received").inc(sum(len(frame) for frame in frames))
+            _count("received", frames)
             try:
                 _, body = self._table.decode(frames)
             except errors.WireError as error:
-                self._drop(error)
+                self.count_dropped(error)
                 continue
             reply = channel.waiting.get(number)
             if reply is not None and not reply.done():
@@ -177,33 +266,53 @@
     async def _serve(self) -> None:
         while True:
             frames = await self._router.recv_multipart()
-            PEER_BYTES.labels("received").inc(sum(len(frame) for frame in frames))
-            if len(frames) != 4 or len(self._tasks) > MAX_HANDLERS_RUNNING:
-                self._drop("too many requests or frames")
+            _count("received", frames)
+            if len(frames) != 4 or not self._has_room(frames[0]):
+                self.count_dropped("too many requests or frames")
                 continue
-            self._start_task(self._answer(frames))
+            self._handling[frames[0]] = self._handling.get(frames[0], 0) + 1
+            self._start_task(self._answer_counted(frames))
+
+    def _has_room(self, identity: bytes) -> bool:
+        running = sum(self._handling.values())
+        of_peer = self._handling.get(identity, 0)
+        return running < MAX_HANDLERS_RUNNING and of_peer < MAX_HANDLERS_PER_PEER
+
+    async def _answer_counted(self, frames: list[bytes]) -> None:
+        identity = frames[0]
+        try:
+            await self._answer(frames)
+        except Exception as error:
+            # What a peer sends must not end anything here.
+            self.count_dropped(repr(error))
+            log.warning("peer's request failed", exc_info=error)
+        finally:
+            self._handling[identity] -= 1
+            if not self._handling[identity]:
+                del self._handling[identity]
 
     async def _answer(self, frames: list[bytes]) -> None:
         identity, number, *message = frames
         try:
             kind, body = self._table.decode(message)
         except errors.WireError as error:
-            self._drop(error)
+            self.count_dropped(error)
             return
         handler = self._handlers.get(kind)
         answer = await handler(body.get("sender", ""), body) if handler else None
-        if answer is None:
+        if answer is None or number == NOTICE:
             return
         reply = [identity, number, *self._table.encode(f"{kind}_answer", answer)]
-        PEER_BYTES.labels("sent").inc(sum(len(frame) for frame in reply))
+        _count("sent", reply)
         await self._router.send_multipart(reply)
 
-    def _drop(self, reason: object) -> None:
-        DROPPED_MESSAGES.inc()
-        log.debug("dropped a peer's message", extra=logs.fields(reason=reason))
-
     def _start_task(self, work: typing.Coroutine) -> asyncio.Task:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
+
+
+def _ignore_full_queue(sending: asyncio.Future) -> None:
+    if not sending.cancelled():
+        sending.exception()
--- a/acaciaward/wire.py
+++ b/acaciaward/wire.py
@@ -49,5 +49,5 @@
             raise errors.WireError(f"unknown message kind {name[:32]!r}")
         try:
             return name.decode(), decoder.decode(payload)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise errors.WireError(f"malformed {name.decode()}: {error}") from error
