--- a/acaciaward/callers/api.py
+++ b/acaciaward/callers/api.py
@@ -11,7 +11,7 @@
 
 import blacksheep
 
-from acaciaward import errors, httpserver, requests
+from acaciaward import errors, httplimits, httpserver, requests
 from acaciaward.callers import answers, completions, discovery, drain, handling, parsing
 from acaciaward.claims import interfaces as claims_interfaces
 from acaciaward.configuration import interfaces as configuration_interfaces
@@ -30,6 +30,7 @@
         claims: claims_interfaces.ClaimBook,
         entries: discovery.Discovery,
         stop: drain.Drain,
+        owners: httplimits.Connections,
         max_body_bytes: int,
         stream_limits: completions.StreamLimits,
     ):
@@ -38,7 +39,7 @@
         self._claims = claims
         self._entries = entries
         self._handling = handling.Handling(
-            configuration, stop, max_body_bytes=max_body_bytes
+            configuration, stop, owners=owners, max_body_bytes=max_body_bytes
         )
         routes = (
             ("GET", "/v1/entries", self._get_entries),
--- a/acaciaward/callers/handling.py
+++ b/acaciaward/callers/handling.py
@@ -5,13 +5,14 @@
 open and turns its errors into answers.
 """
 
+import asyncio
 import logging
 import uuid
 from collections.abc import Awaitable, Callable
 
 import blacksheep
 
-from acaciaward import errors, verdicts
+from acaciaward import errors, httplimits, verdicts
 from acaciaward.callers import answers, drain
 from acaciaward.configuration import interfaces as configuration_interfaces
 from acaciaward.identity import apikeys
@@ -21,6 +22,7 @@
 
 BEARER = "bearer "
 NOT_CURRENT_RETRY_S = 2.0
+BODY_TIMEOUT_S = 30.0
 CLOSE = (b"connection", b"close")
 
 Handler = Callable[[str], Awaitable[blacksheep.Response]]
@@ -34,8 +36,10 @@
         configuration: configuration_interfaces.Configuration,
         stop: drain.Drain,
         *,
+        owners: httplimits.Connections,
         max_body_bytes: int,
     ):
+        self._owners = owners
         self.configuration = configuration
         self.drain = stop
         self._max_body_bytes = max_body_bytes
@@ -43,7 +47,9 @@
     def authenticate(self, request: blacksheep.Request) -> apikeys.Caller:
         """Return who asks, or raise ``AuthenticationError``."""
         document = self.configuration.view.document
-        return apikeys.authenticate_caller(document, read_bearer(request))
+        caller = apikeys.authenticate_caller(document, read_bearer(request))
+        self._owners.bind(request, caller.organisation)
+        return caller
 
     def check_current(self) -> None:
         """Raise ``NotCurrentError`` unless the configuration is current."""
@@ -102,11 +108,15 @@
         raise errors.BodyTooLargeError(message)
     parts = []
     size = 0
-    async for part in request.stream():
-        size += len(part)
-        if size > limit:
-            raise errors.BodyTooLargeError(message)
-        parts.append(part)
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for part in request.stream():
+                size += len(part)
+                if size > limit:
+                    raise errors.BodyTooLargeError(message)
+                parts.append(part)
+    except TimeoutError as error:
+        raise errors.BodyTooSlowError("the body did not arrive in time") from error
     return b"".join(parts)
 
 
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -14,7 +14,7 @@
 
 import blacksheep
 
-from acaciaward import documents, httpclient, httpserver, requests
+from acaciaward import documents, httpclient, httplimits, httpserver, requests
 from acaciaward.administration import (
     api as administration_api,
     messages as administration_messages,
@@ -262,6 +262,9 @@
         )
         self._drain = drain.Drain(entries, scheme="https" if callers["tls"] else "http")
         dispatch = self._settings["dispatch"]
+        owners = httplimits.Connections(
+            maximum=callers["max_connections_per_organisation"]
+        )
         callers_api.CallersApi(
             application,
             configuration=self._configuration,
@@ -273,6 +276,7 @@
             stream_limits=completions.StreamLimits(
                 dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
             ),
+            owners=owners,
         )
         self._build_administration(application)
         self._server = httpserver.HttpServer(
@@ -281,6 +285,10 @@
             callers["port"],
             tls=callers["tls"],
             max_connections=callers["max_connections"],
+            limits=httplimits.Limits(
+                callers["max_header_bytes"], callers["header_timeout_s"]
+            ),
+            owners=owners,
         )
 
     def _take_departure(self, departure: departures.Departure) -> None:
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,7 +16,11 @@
 from bench import options as bench_options
 
 EXPERIMENTS = {
+    "configuration": "operators race patches while log and entries fail",
     "chaos": "every promise under faults of every kind at once",
+    "drain": "entries replaced under load",
+    "once": "runs of non-idempotent requests under faults",
+    "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
 }
 
 
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -12,6 +12,7 @@
 from standins import tokens
 
 PROMPT = "the long story of a box of puzzles"
+STEP_S = 0.02
 
 
 @given(
@@ -25,6 +26,7 @@
         engine_count=engines,
         service_count=services,
         proxied=names,
+        faults={"engine": {"step_s": STEP_S}},
     )
     context.runner.run(context.cluster.start())
 
@@ -109,7 +111,8 @@
 def check_every_entry(context, name):
     async def ask(address):
         key = context.cluster.keys[name]
-        one = caller.Caller([address], key=key, discover=False)
+        one = caller.Caller([address], key=key)
+        one.pin([address])
         answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=12)
         await one.close()
         return answer
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -10,8 +10,8 @@
 
 from acaciaward import httpclient
 from acaciaward.client import caller, sse
-from bench import cluster, processes
-from standins import tokens
+from bench import cluster
+from standins import ports, tokens
 
 PROMPT = "a swap dossier about many boxes of puzzles"
 
@@ -212,7 +212,8 @@
 
 
 async def _streamed(running, address, count):
-    one = caller.Caller([address], key=running.keys["org-1"], discover=False)
+    one = caller.Caller([address], key=running.keys["org-1"])
+    one.pin([address])
     answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=count)
     await one.close()
     return answer.text, answer.usage
@@ -316,7 +317,7 @@
 def reclaim_entry(context, count, notice_s):
     async def disturb(running):
         context.entry = await _busy_entry(running)
-        instance = {"name": context.entry, "port": processes.find_free_port()}
+        instance = {"name": context.entry, "port": ports.find_free_port()}
         await running.control("cloud", "/control/instances", {"instances": [instance]})
         context.started = time.monotonic()
         await running.reclaim([context.entry], notice_s)
