--- a/acaciaward/client/tries.py
+++ b/acaciaward/client/tries.py
@@ -18,20 +18,16 @@
 
 
 class Tries:
-    """
-    The tries of one request, ``most`` of them.
-
-    ``headers`` are those that the request is sent with.
-    """
+    """The tries of one request; ``headers`` are those that it is sent with."""
 
     def __init__(
         self,
         known: entries.Entries,
         headers: dict[str, str],
         *,
-        most: int = MAX_TRIES,
+        max_tries: int = MAX_TRIES,
     ):
-        self._most = most
+        self._max_tries = max_tries
         self._known = known
         self._headers = headers
         self._count = 0
@@ -62,7 +58,7 @@
             pause_s *= self._count - 1
             error = refusals.from_transport(error)
         self._note_verdict(error)
-        is_retried = error.status in RETRIED_STATUSES and self._count < self._most
+        is_retried = error.status in RETRIED_STATUSES and self._count < self._max_tries
         if is_final or not is_retried:
             self._raise(error)
         await asyncio.sleep(error.retry_after_s or pause_s)
@@ -70,7 +66,7 @@
     def after_loss(self, error: refusals.CallerError) -> None:
         """Count a stream that can't be taken up, or raise after too many."""
         self._count += 1
-        if self._count >= self._most:
+        if self._count >= self._max_tries:
             self._raise(error)
 
     def _note_verdict(self, error: refusals.CallerError) -> None:
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,7 +19,9 @@
     "binary": "size, start time and memory of the program as one file",
     "configuration": "operators race patches while log and entries fail",
     "chaos": "every promise under faults of every kind at once",
+    "drain": "entries replaced under load",
     "once": "runs of non-idempotent requests under faults",
+    "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
 }
 
 
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -212,7 +212,8 @@
 
 
 async def _streamed(running, address, count):
-    one = caller.Caller([address], key=running.keys["org-1"], discover=False)
+    one = caller.Caller([address], key=running.keys["org-1"])
+    one.pin([address])
     answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=count)
     await one.close()
     return answer.text, answer.usage
--- a/script/run_features.py
+++ b/script/run_features.py
@@ -1,9 +1,10 @@
 """
-Runs behave once for each features folder and sums the scenarios.
+Runs behave on every feature file and sums the scenarios.
 
-Every folder runs in a process of its own, a few at a time, since behave
-keeps its steps in one global registry. A scenario listed in KNOWN-RED.txt
-may fail without failing the run; it is printed and counted apart.
+Every file runs in a process of its own, a few at a time: behave keeps its steps
+in one global registry, and the files of one folder would take long one after
+another. A scenario listed in KNOWN-RED.txt may fail without failing the run; it
+is printed and counted apart.
 """
 
 import concurrent.futures
@@ -13,30 +14,33 @@
 import subprocess
 import sys
 import tempfile
+import time
 import typing
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-FOLDER_TIMEOUT_S = 420
-PARALLEL_FOLDERS = 4
-PASSING_STATES = frozenset({"passed"})
+FILE_TIMEOUT_S = 420
+PARALLEL_FILES = 5
+PASSED = "passed"
 
 
-class FolderResult(typing.NamedTuple):
-    """Outcome of one features folder: scenario names by outcome."""
+class FileResult(typing.NamedTuple):
+    """Outcome of one feature file: scenario names by outcome, time in seconds."""
 
-    folder: str
+    feature: str
     passed: list[str]
     failed: list[str]
     output: str
+    seconds: float
 
 
-def find_folders() -> list[pathlib.Path]:
-    """Return every folder named features that holds a feature file."""
-    folders = {path.parent for path in ROOT.glob("acaciaward/*/features/*.feature")}
-    folders |= {path.parent for path in ROOT.glob("*/features/*.feature")}
-    folders |= {path.parent for path in ROOT.glob("features/*.feature")}
-    return sorted(folders)
+def find_files(named: list[str]) -> list[pathlib.Path]:
+    """Return the feature files below the named paths, or all of the project."""
+    roots = [pathlib.Path(name).resolve() for name in named]
+    roots = roots or [ROOT / "features", ROOT / "acaciaward"]
+    files = {path for root in roots for path in root.rglob("*.feature")}
+    files |= {root for root in roots if root.is_file()}
+    return sorted(files, key=lambda path: (path.parent != ROOT / "features", path))
 
 
 def read_known_red() -> frozenset[str]:
@@ -44,7 +48,7 @@
     Return the scenarios that may fail.
 
     Each entry line of the file has five fields parted by ``|``: test,
-    command, seed, what was seen, issue. The test is ``FOLDER: SCENARIO``.
+    command, seed, what was seen, issue. The test is ``FILE: SCENARIO``.
     """
     if not KNOWN_RED.exists():
         return frozenset()
@@ -53,73 +57,78 @@
     return frozenset(entry.split("|")[0].strip() for entry in entries)
 
 
-def collect_scenarios(report: list[dict], folder: str) -> tuple[list[str], list[str]]:
+def collect_scenarios(report: list[dict], feature: str) -> tuple[list[str], list[str]]:
     """Split the scenarios of a behave JSON report into passed and failed."""
     passed = []
     failed = []
-    for feature in report:
-        for element in feature.get("elements", []):
+    for part in report:
+        for element in part.get("elements", []):
             if element.get("type") == "background":
                 continue
-            name = f"{folder}: {element['name']}"
-            is_passed = element.get("status") in PASSING_STATES
-            (passed if is_passed else failed).append(name)
+            name = f"{feature}: {element['name']}"
+            (passed if element.get("status") == PASSED else failed).append(name)
     return passed, failed
 
 
-def run_folder(path: pathlib.Path) -> FolderResult:
-    """Run behave on one folder and return its scenarios and its output."""
-    folder = str(path.relative_to(ROOT))
-    environment = dict(os.environ, PYTHONPATH=str(ROOT), PYTHONHASHSEED="0")
+def run_file(path: pathlib.Path) -> FileResult:
+    """Run behave on one file and return its scenarios and its output."""
+    feature = str(path.relative_to(ROOT))
+    begin = time.monotonic()
     with tempfile.TemporaryDirectory() as scratch:
         report = pathlib.Path(scratch) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-color", "--no-skipped"]
         command += ["--format", "json", "--outfile", str(report)]
         command += ["--format", "progress2", "--outfile", "/dev/stdout", str(path)]
+        code, output = _run(command)
         try:
-            finished = subprocess.run(
-                command,
-                cwd=ROOT,
-                env=environment,
-                stdout=subprocess.PIPE,
-                stderr=subprocess.STDOUT,
-                text=True,
-                timeout=FOLDER_TIMEOUT_S,
-            )
-            output = finished.stdout
-        except subprocess.TimeoutExpired as error:
-            output = f"{error.stdout}\ntimed out after {FOLDER_TIMEOUT_S} s"
-            return FolderResult(folder, [], [f"{folder}: timed out"], output)
-        try:
-            features = json.loads(report.read_text())
+            parts = json.loads(report.read_text())
         except (OSError, ValueError):
-            return FolderResult(folder, [], [f"{folder}: no report"], output)
-    passed, failed = collect_scenarios(features, folder)
-    if finished.returncode != 0 and not failed:
-        failed.append(f"{folder}: behave exited {finished.returncode}")
-    return FolderResult(folder, passed, failed, output)
+            parts = []
+    passed, failed = collect_scenarios(parts, feature)
+    if not failed and (code != 0 or not passed):
+        failed.append(f"{feature}: behave exited with {code}")
+    return FileResult(feature, passed, failed, output, time.monotonic() - begin)
+
+
+def _run(command: list[str]) -> tuple[int | None, str]:
+    environment = dict(os.environ, PYTHONPATH=str(ROOT), PYTHONHASHSEED="0")
+    try:
+        finished = subprocess.run(
+            command,
+            cwd=ROOT,
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            timeout=FILE_TIMEOUT_S,
+        )
+    except subprocess.TimeoutExpired as error:
+        return None, f"{error.stdout}\ntimed out after {FILE_TIMEOUT_S} s"
+    return finished.returncode, finished.stdout
+
+
+def print_result(result: FileResult, known_red: frozenset[str]) -> None:
+    """Print one file's sums, and its output if anything failed."""
+    sums = f"{len(result.passed)} passed, {len(result.failed)} failed"
+    print(f"{result.feature}: {sums} ({result.seconds:.0f} s)")
+    if result.failed:
+        print(result.output)
+    for name in result.failed:
+        label = "known red" if name in known_red else "FAILED"
+        print(f"{label}: {name}")
 
 
 def main() -> int:
-    """Run the folders named on the command line, or all; return an exit code."""
-    named = [pathlib.Path(argument).resolve() for argument in sys.argv[1:]]
-    folders = named or find_folders()
-    with concurrent.futures.ThreadPoolExecutor(PARALLEL_FOLDERS) as pool:
-        results = list(pool.map(run_folder, folders))
+    """Run the files or folders named on the command line, or all of them."""
     known_red = read_known_red()
-    unexpected = []
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_FILES) as pool:
+        results = list(pool.map(run_file, find_files(sys.argv[1:])))
     for result in results:
-        print(f"{result.folder}: {len(result.passed)} passed", end="")
-        print(f", {len(result.failed)} failed")
-        if result.failed:
-            print(result.output)
-        for name in result.failed:
-            label = "known red" if name in known_red else "FAILED"
-            print(f"{label}: {name}")
-        unexpected += [name for name in result.failed if name not in known_red]
+        print_result(result, known_red)
+    failures = [name for result in results for name in result.failed]
+    unexpected = [name for name in failures if name not in known_red]
     passed = sum(len(result.passed) for result in results)
-    failed = sum(len(result.failed) for result in results)
-    print(f"{passed} passed, {failed} failed")
+    print(f"{passed} passed, {len(failures)} failed")
     return 1 if unexpected or not passed else 0
 
 
