--- a/acaciaward/dispatch/attempts.py
+++ b/acaciaward/dispatch/attempts.py
@@ -140,14 +140,6 @@
         )
         await asyncio.sleep(min(pause_s, max(0.0, self.time_left(request))))
 
-    def check_quarantine(self, progress: Progress) -> None:
-        """Raise ``QuarantinedError`` with the verdict of all attempts so far."""
-        try:
-            self._with.quarantine.check(progress.request)
-        except errors.QuarantinedError as error:
-            error.verdict = retries.worst(progress.verdict, error.verdict)
-            raise
-
     def _is_forgiven(self, progress: Progress, endpoint: requests.Endpoint) -> bool:
         """
         Return whether a failure is part of an announced reclaim.
@@ -163,6 +155,14 @@
         progress.attempts -= 1 if is_allowed else 0
         return is_allowed
 
+    def check_quarantine(self, progress: Progress) -> None:
+        """Raise ``QuarantinedError`` with the verdict of all attempts so far."""
+        try:
+            self._with.quarantine.check(progress.request)
+        except errors.QuarantinedError as error:
+            error.verdict = retries.worst(progress.verdict, error.verdict)
+            raise
+
     def _raise_if_final(self, progress: Progress, error: errors.EndpointError) -> None:
         request = progress.request
         is_allowed = retries.may_retry(
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -13,7 +13,7 @@
 
 import blacksheep
 
-from acaciaward import documents, httpclient, httpserver, requests
+from acaciaward import documents, httpclient, httplimits, httpserver, requests
 from acaciaward.administration import (
     api as administration_api,
     messages as administration_messages,
@@ -21,7 +21,12 @@
 from acaciaward.admission import counting
 from acaciaward.callers import api as callers_api, discovery
 from acaciaward.claims import book as claims_book, messages as claims_messages
-from acaciaward.configuration import follower
+from acaciaward.configuration import (
+    follower,
+    messages as configuration_messages,
+    peering,
+    serving,
+)
 from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
 from acaciaward.evacuation import departures, evacuator, watchers
@@ -41,6 +46,12 @@
 log = logging.getLogger(__name__)
 
 START_WAIT_S = 10.0
+MESSAGE_KINDS = (
+    membership_messages.KINDS
+    | administration_messages.KINDS
+    | configuration_messages.KINDS
+    | claims_messages.KINDS
+)
 DRAIN_POLL_S = 0.05
 
 
@@ -83,9 +94,7 @@
         self._transport = transport.PeerTransport(
             peers["address"],
             peers["port"],
-            membership_messages.KINDS
-            | administration_messages.KINDS
-            | claims_messages.KINDS,
+            MESSAGE_KINDS,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -121,7 +130,16 @@
             stream=settings["stream"],
             poll_wait_s=settings["poll_wait_s"],
             current_bound_s=settings["current_bound_s"],
+            in_force_wait_s=settings["in_force_wait_s"],
+            outcome_wait_s=settings["outcome_wait_s"],
+            retention_s=settings["retention_s"],
+            peers=peering.PeerSide(
+                self._membership,
+                data_centre=self._settings["instance"]["data_centre"],
+                readers_per_data_centre=settings["readers_per_data_centre"],
+            ),
         )
+        serving.PeerAnswers(self._configuration, self._membership)
         self._configuration.subscribe(
             lambda view: self._membership.set_configuration_version(view.version)
         )
@@ -138,19 +156,6 @@
             timeout_s=platform["timeout_s"],
         )
 
-    def _build_claims(self) -> None:
-        self._claims = claims_book.LogClaimBook(
-            self.name,
-            platform_log.HttpLog(self._platform_service("log")),
-            self._membership,
-            self._settings["claims"],
-            live_entries=self._count_live_entries,
-        )
-
-    def _count_live_entries(self) -> int:
-        live = membership_interfaces.PeerState.LIVE
-        return sum(1 for peer in self._membership.peers() if peer.state is live)
-
     def _build_evacuation(self) -> None:
         settings = self._settings["evacuation"]
         self._departures = departures.Departures(
@@ -204,6 +209,19 @@
             for endpoint in self._configuration.endpoints(name)
         ]
 
+    def _build_claims(self) -> None:
+        self._claims = claims_book.LogClaimBook(
+            self.name,
+            platform_log.HttpLog(self._platform_service("log")),
+            self._membership,
+            self._settings["claims"],
+            live_entries=self._count_live_entries,
+        )
+
+    def _count_live_entries(self) -> int:
+        live = membership_interfaces.PeerState.LIVE
+        return sum(1 for peer in self._membership.peers() if peer.state is live)
+
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
@@ -234,6 +252,9 @@
     def _build_server(self) -> None:
         callers = self._settings["callers"]
         application = httpserver.make_application()
+        owners = httplimits.Connections(
+            maximum=callers["max_connections_per_organisation"]
+        )
         callers_api.CallersApi(
             application,
             configuration=self._configuration,
@@ -243,6 +264,7 @@
                 self._membership, lifetime_s=callers["discovery_lifetime_s"]
             ),
             max_body_bytes=callers["max_body_bytes"],
+            owners=owners,
         )
         self._build_administration(application)
         self._server = httpserver.HttpServer(
@@ -251,6 +273,10 @@
             callers["port"],
             tls=callers["tls"],
             max_connections=callers["max_connections"],
+            limits=httplimits.Limits(
+                callers["max_header_bytes"], callers["header_timeout_s"]
+            ),
+            owners=owners,
         )
 
     def _build_administration(self, application: blacksheep.Application) -> None:
@@ -273,6 +299,7 @@
     async def start(self) -> None:
         """Start every slice; return when callers can connect."""
         await self._transport.start()
+        self._start_task(self._membership.run())
         self._start_task(self._configuration.run())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
@@ -280,7 +307,6 @@
         if not await self._claims.wait_until_replayed(START_WAIT_S):
             log.warning("started without having replayed the claims")
         await self._server.start()
-        self._start_task(self._membership.run())
         self._start_watchers()
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
