--- a/acaciaward/claims/book.py
+++ b/acaciaward/claims/book.py
@@ -22,8 +22,6 @@
 
 from acaciaward import errors, requests, verdicts
 from acaciaward.claims import (
-    appender,
-    follower,
     interfaces,
     lookups,
     messages,
@@ -32,7 +30,7 @@
 )
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import logs
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.platform import appending, following, interfaces as platform_interfaces
 
 log = logging.getLogger(__name__)
 
@@ -66,10 +64,10 @@
         self._replay = replay.ClaimReplay(
             window_s=settings["window_s"], clock_skew_s=settings["clock_skew_s"]
         )
-        self._follower = follower.ClaimFollower(
+        self._follower = following.LogFollower(
             platform_log, settings["stream"], self._replay
         )
-        self._appender = appender.Appender(
+        self._appender = appending.BatchAppender(
             platform_log, settings["stream"], interval_s=self._interval_s
         )
         self._runs = runs.RunBook(kept_s=settings["window_s"])
--- a/acaciaward/dispatch/attempts.py
+++ b/acaciaward/dispatch/attempts.py
@@ -9,6 +9,7 @@
 import logging
 import random
 import typing
+from collections.abc import Set
 
 from acaciaward import errors, requests, verdicts
 from acaciaward.admission import interfaces as admission_interfaces
@@ -25,6 +26,7 @@
 RETRY_AFTER_FAILURE_S = 1.0
 PAUSE_AFTER_RECLAIM_S = 0.02
 MINIMUM_ATTEMPT_S = 0.005
+TURN_PAUSE_S = 0.05
 
 
 class Collaborators(typing.NamedTuple):
@@ -56,6 +58,7 @@
         self.verdict = verdicts.Verdict.NOT_RUN
         self.excluded: set[str] = set()
         self.avoided_data_centres: set[str] = set()
+        self.reserved: requests.Endpoint | None = None
 
     def note_failure(
         self, endpoint: requests.Endpoint, error: errors.EndpointError
@@ -94,17 +97,57 @@
                 "the deadline has passed", verdict=progress.verdict
             )
         progress.attempts += 1
+        reserved, progress.reserved = progress.reserved, None
+        return reserved or self._route(progress, progress.excluded)
+
+    def _route(
+        self, progress: Progress, excluded: Set[str], *, alone: bool = False
+    ) -> requests.Endpoint:
         try:
             return self._with.router.choose(
                 progress.request,
-                excluded=progress.excluded,
+                excluded=excluded,
                 avoided_data_centres=progress.avoided_data_centres,
-                alone=self._with.quarantine.is_suspect(progress.request),
+                alone=alone,
             )
         except errors.NoEndpointError as error:
             error.verdict = progress.verdict
             raise
 
+    async def prepare(self, progress: Progress) -> None:
+        """
+        Reserve an endpoint for a request that must run alone.
+
+        Call it before ``choose``. It waits for a turn until the deadline and
+        raises the final error when there can't be one.
+        """
+        busy: set[str] = set()
+        while self._with.quarantine.is_suspect(progress.request):
+            self.check_quarantine(progress)
+            if self.time_left(progress.request) <= MINIMUM_ATTEMPT_S:
+                return
+            try:
+                endpoint = self._route(progress, progress.excluded | busy, alone=True)
+            except errors.NoEndpointError:
+                if not busy:
+                    raise
+                busy.clear()
+                await asyncio.sleep(TURN_PAUSE_S)
+                continue
+            if await self._begin_alone(progress, endpoint):
+                progress.reserved = endpoint
+                return
+            busy.add(endpoint.name)
+
+    async def _begin_alone(
+        self, progress: Progress, endpoint: requests.Endpoint
+    ) -> bool:
+        try:
+            return await self._with.quarantine.begin_alone(progress.request, endpoint)
+        except errors.PlatformUnavailableError as error:
+            error.verdict = progress.verdict
+            raise
+
     async def after_failure(
         self,
         progress: Progress,
@@ -124,21 +167,32 @@
                 reason=error,
             ),
         )
+        try:
+            pause_s = await self._judge_failure(progress, endpoint, error)
+        finally:
+            self._with.quarantine.end_alone(request, endpoint, completed=False)
+        await asyncio.sleep(min(pause_s, max(0.0, self.time_left(request))))
+
+    async def _judge_failure(
+        self,
+        progress: Progress,
+        endpoint: requests.Endpoint,
+        error: errors.EndpointError,
+    ) -> float:
+        """Return the seconds to wait before the next attempt, or raise."""
         if self._is_forgiven(progress, endpoint):
-            await asyncio.sleep(PAUSE_AFTER_RECLAIM_S)
-            return
+            return PAUSE_AFTER_RECLAIM_S
         if error.endpoint_died:
-            in_flight = [request, *self._in_flight.at(endpoint)]
+            in_flight = [progress.request, *self._in_flight.at(endpoint)]
             await self._with.quarantine.endpoint_died(endpoint, in_flight)
             self.check_quarantine(progress)
         self._raise_if_final(progress, error)
-        pause_s = retries.backoff_s(
+        return retries.backoff_s(
             progress.attempts,
             first_s=self._limits.backoff_s,
             most_s=self._limits.backoff_max_s,
             chooser=self._random,
         )
-        await asyncio.sleep(min(pause_s, max(0.0, self.time_left(request))))
 
     def _is_forgiven(self, progress: Progress, endpoint: requests.Endpoint) -> bool:
         """
@@ -169,10 +223,13 @@
             idempotent=request.idempotent, verdict=progress.verdict
         )
         has_attempts = progress.attempts < self._limits.max_attempts
+        # A suspect runs alone and in turn, so its retries can't pile up, and
+        # the requests of a whole batch must not use up their budget at once.
+        is_suspect = self._with.quarantine.is_suspect(request)
         if (
             is_allowed
             and has_attempts
-            and self._with.admission.may_retry(request.organisation)
+            and (is_suspect or self._with.admission.may_retry(request.organisation))
         ):
             return
         raise errors.AttemptFailedError(
@@ -200,6 +257,11 @@
             raise
         finally:
             self._in_flight.remove(endpoint, request)
+            is_answered = end is routing_interfaces.AttemptEnd.ANSWERED
+            if end is not routing_interfaces.AttemptEnd.FAILED:
+                self._with.quarantine.end_alone(
+                    request, endpoint, completed=is_answered
+                )
             self._with.router.finished(endpoint, request, end)
 
     def time_left(self, request: requests.Request) -> float:
--- a/acaciaward/dispatch/calls.py
+++ b/acaciaward/dispatch/calls.py
@@ -95,6 +95,7 @@
     ) -> requests.ServiceAnswer:
         progress = attempts.Progress(request)
         while True:
+            await self._runner.prepare(progress)
             endpoint = self._runner.choose(progress)
             try:
                 with self._runner.counted(endpoint, request):
--- a/acaciaward/dispatch/streams.py
+++ b/acaciaward/dispatch/streams.py
@@ -192,6 +192,7 @@
         # gone it waits for one until its deadline.
         while True:
             try:
+                await self._runner.prepare(progress)
                 return self._runner.choose(progress)
             except errors.NoEndpointError:
                 if not answer.work.has_begun:
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -39,7 +39,7 @@
 )
 from acaciaward.observability import logs, recorder
 from acaciaward.platform import calls, cloud, log as platform_log
-from acaciaward.quarantine import permissive
+from acaciaward.quarantine import book as quarantine_book
 from acaciaward.routing import leastloaded
 from acaciaward.settings import loader
 
@@ -218,6 +218,14 @@
             live_entries=self._count_live_entries,
         )
 
+    def _build_quarantine(self) -> None:
+        self._quarantine = quarantine_book.LogQuarantine(
+            platform_log.HttpLog(self._platform_service("log")),
+            self._configuration,
+            self._hints,
+            self._settings["quarantine"],
+        )
+
     def _count_live_entries(self) -> int:
         live = membership_interfaces.PeerState.LIVE
         return sum(1 for peer in self._membership.peers() if peer.state is live)
@@ -226,6 +234,7 @@
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
         self._build_claims()
+        self._build_quarantine()
         collaborators = attempts.Collaborators(
             router=self._router,
             admission=counting.CountingAdmission(
@@ -235,7 +244,7 @@
                 retry_budget_minimum=admission["retry_budget_minimum"],
             ),
             claims=self._claims,
-            quarantine=permissive.PermissiveQuarantine(),
+            quarantine=self._quarantine,
             engine=self._engine,
             service=service.HttpPlainService(self._client),
             evacuation=self._evacuator,
@@ -304,6 +313,8 @@
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
         self._start_task(self._claims.run())
+        self._start_task(self._quarantine.run())
+        await self._quarantine.wait_until_replayed(START_WAIT_S)
         if not await self._claims.wait_until_replayed(START_WAIT_S):
             log.warning("started without having replayed the claims")
         await self._server.start()
--- a/acaciaward/claims/appender.py
+++ b/acaciaward/platform/appending.py
@@ -1,10 +1,10 @@
 """
-Appends records in batches, so that many claims share one call of the log.
+Appends records in batches, so that many share one call of the log.
 
 The first record after a pause leaves at once; the following ones wait until the
 interval since the last append is over and leave together.
 
-    appender = Appender(log, "claims", interval_s=lambda: 0.02)
+    appender = BatchAppender(log, "claims", interval_s=lambda: 0.02)
     await appender.append(record)
 """
 
@@ -26,11 +26,13 @@
 MAX_APPENDS_AT_ONCE = 16
 MAX_REFUSALS = 3
 LONGEST_PAUSE_S = 0.5
-RELEASE_PAUSE_S = 0.2
-MAX_RELEASES_WAITING = 20_000
+REPEAT_PAUSE_S = 0.2
+MAX_REPEATED = 20_000
 
 APPENDS = prometheus_client.Counter(
-    "acaciaward_claim_appends_total", "Appends to the claims stream", ["result"]
+    "acaciaward_log_appends_total",
+    "Batched appends by stream and result",
+    ["stream", "result"],
 )
 
 
@@ -39,7 +41,7 @@
     done: asyncio.Future
 
 
-class Appender:
+class BatchAppender:
     """Collects records and appends them; ``run`` does the work."""
 
     def __init__(
@@ -73,8 +75,8 @@
 
     def append_surely(self, record: typing.Mapping[str, typing.Any]) -> None:
         """Append a record that may be repeated, as often as the log needs."""
-        if len(self._repeated) >= MAX_RELEASES_WAITING:
-            log.error("too many releases wait for the log; one was dropped")
+        if len(self._repeated) >= MAX_REPEATED:
+            log.error("too many records wait for the log; one was dropped")
             return
         self._repeated.append(record)
         self._repeated_arrived.set()
@@ -89,7 +91,7 @@
                 try:
                     await asyncio.gather(*(self.append(record) for record in batch))
                 except errors.PlatformError:
-                    await asyncio.sleep(RELEASE_PAUSE_S)
+                    await asyncio.sleep(REPEAT_PAUSE_S)
                     continue
                 for _ in range(count):
                     self._repeated.popleft()
@@ -120,8 +122,11 @@
             if batch:
                 await self._append_with_pauses([dict(one.record) for one in batch])
         except errors.PlatformError as error:
-            APPENDS.labels(type(error).__name__).inc()
-            log.warning("claims not appended", extra=logs.fields(reason=error))
+            APPENDS.labels(self._stream, type(error).__name__).inc()
+            log.warning(
+                "records not appended",
+                extra=logs.fields(stream=self._stream, reason=error),
+            )
             for waiting in batch:
                 if not waiting.done.done():
                     waiting.done.set_exception(error)
@@ -137,7 +142,7 @@
         for refusals in range(1, MAX_REFUSALS + 1):
             try:
                 await self._log.append(self._stream, records)
-                APPENDS.labels("taken").inc()
+                APPENDS.labels(self._stream, "taken").inc()
                 return
             except errors.PlatformRefusedError as error:
                 pause_s = error.retry_after_s
--- a/acaciaward/claims/follower.py
+++ b/acaciaward/platform/following.py
@@ -1,18 +1,19 @@
 """
-Reads the claims stream to its end and wakes up who waits for a nonce.
+Reads a stream of the log to its end and wakes up who waits for a nonce.
 
-While nobody waits, the stream is read at a steady slow pace, so that the work of
-an entry doesn't grow with the batches of all others.
+While nobody waits, a busy stream is read at a steady slow pace, so that the work
+of an entry doesn't grow with the batches of all others.
 """
 
 import asyncio
 import logging
 import time
+import typing
+from collections.abc import Callable
 
 from acaciaward import errors
-from acaciaward.claims import replay
 from acaciaward.observability import logs
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.platform import interfaces
 
 log = logging.getLogger(__name__)
 
@@ -22,18 +23,43 @@
 RETRY_PAUSE_S = 0.1
 
 
-class ClaimFollower:
-    """Feeds a ``replay.ClaimReplay`` from the log."""
+class Replay(typing.Protocol):
+    """What a follower feeds."""
+
+    @property
+    def next_offset(self) -> int:
+        """The offset of the first record that hasn't been replayed."""
+
+    def restart(self, first_offset: int) -> None:
+        """Go on at an offset, since the records before it are gone."""
+
+    def apply_page(self, page: interfaces.LogPage) -> None:
+        """Replay consecutive records."""
+
+
+class LogFollower:
+    """
+    Feeds a replay from the log.
+
+    Records may have a field ``nonce`` that ``watch`` waits for. A quiet stream
+    is best read with ``waits_when_idle``, which leaves the waiting to the log.
+    ``after_page`` is called when a page was replayed.
+    """
 
     def __init__(
         self,
-        platform_log: platform_interfaces.Log,
+        platform_log: interfaces.Log,
         stream: str,
-        claim_replay: replay.ClaimReplay,
+        replay: Replay,
+        *,
+        waits_when_idle: bool = False,
+        after_page: Callable[[], None] | None = None,
     ):
         self._log = platform_log
         self._stream = stream
-        self._replay = claim_replay
+        self._replay = replay
+        self._waits_when_idle = waits_when_idle
+        self._after_page = after_page
         self._watched: dict[str, asyncio.Future] = {}
         self._wanted = asyncio.Event()
         self._page_read = asyncio.Condition()
@@ -53,7 +79,7 @@
         return self._log_time + time.monotonic() - self._log_time_seen
 
     def watch(self, nonce: str) -> asyncio.Future:
-        """Return a future that ends when a claim with this nonce is replayed."""
+        """Return a future that ends when a record with this nonce is replayed."""
         seen = asyncio.get_running_loop().create_future()
         self._watched[nonce] = seen
         self._wanted.set()
@@ -95,21 +121,24 @@
             try:
                 await self._read_once()
             except errors.RecordsExpiredError as error:
-                log.warning("claims expired unread", extra=logs.fields(error=error))
+                self._warn("records expired unread", error)
                 self._restart(error.first_offset)
             except errors.PlatformError as error:
                 self._is_reachable = False
-                log.warning("claims log unread", extra=logs.fields(error=error))
+                self._warn("stream unread", error)
                 await asyncio.sleep(RETRY_PAUSE_S)
             else:
                 await self._pause()
 
+    def _warn(self, event: str, reason: object) -> None:
+        log.warning(event, extra=logs.fields(stream=self._stream, reason=reason))
+
     def _restart(self, first_offset: int) -> None:
         self._replay.restart(first_offset)
         self._is_replayed = False
 
     async def _pause(self) -> None:
-        if not self._is_replayed or self._watched:
+        if not self._is_replayed or self._watched or self._waits_when_idle:
             return
         try:
             await asyncio.wait_for(self._wanted.wait(), IDLE_PAUSE_S)
@@ -118,13 +147,14 @@
         self._wanted.clear()
 
     async def _read_once(self) -> None:
-        wait_s = POLL_WAIT_S if self._watched else 0.0
+        waits = self._waits_when_idle or self._watched
+        wait_s = POLL_WAIT_S if waits else 0.0
         page = await self._log.read(
             self._stream, self._replay.next_offset, limit=READ_RECORDS, wait_s=wait_s
         )
         if page.next_offset < self._replay.next_offset:
             # The log has lost records, so nothing replayed so far is certain.
-            log.error("claims stream was cut", extra=logs.fields(at=page.next_offset))
+            self._warn("stream was cut", page.next_offset)
             self._restart(page.first_offset)
             return
         self._replay.apply_page(page)
@@ -134,12 +164,14 @@
         self._is_replayed = self._replay.next_offset >= page.next_offset
         for record in page.records:
             self._announce(record)
+        if self._after_page is not None:
+            self._after_page()
         self._pages += 1
         async with self._page_read:
             self._page_read.notify_all()
 
-    def _announce(self, record: platform_interfaces.LogRecord) -> None:
-        if not isinstance(record.data, dict) or record.data.get("kind") != "claim":
+    def _announce(self, record: interfaces.LogRecord) -> None:
+        if not isinstance(record.data, dict):
             return
         seen = self._watched.get(record.data.get("nonce"))
         if seen is not None and not seen.done():
--- /dev/null
+++ b/acaciaward/quarantine/book.py
@@ -0,0 +1,283 @@
+"""
+Quarantine of requests that crash endpoints, shared by the log and by gossip.
+
+Deaths, turns to run alone and clearances are records of a stream, so that a
+request which is sent again finds them at any entry, also after all entries have
+been replaced. Gossip bridges the moment until the log is read.
+"""
+
+import asyncio
+import logging
+import time
+import typing
+import uuid
+from collections.abc import Sequence
+
+import prometheus_client
+
+from acaciaward import errors, requests
+from acaciaward.configuration import interfaces as configuration_interfaces
+from acaciaward.membership import interfaces as membership_interfaces
+from acaciaward.observability import logs
+from acaciaward.platform import appending, following, interfaces as platform_interfaces
+from acaciaward.quarantine import deaths, replay
+
+log = logging.getLogger(__name__)
+
+SETTLE_S = 0.3
+READ_BACK_S = 1.5
+BRIDGE_S = 10.0
+APPEND_INTERVAL_S = 0.01
+RETRY_AFTER_S = 1.0
+HintKind = membership_interfaces.HintKind
+
+DEATHS = prometheus_client.Counter(
+    "acaciaward_endpoint_deaths_total", "Suspected deaths by their cause", ["cause"]
+)
+
+
+def subject_of(request: requests.Request) -> str:
+    """Return what names a request's body, whoever sends it when."""
+    return f"{request.organisation}/{request.digest}"
+
+
+class LogQuarantine:
+    """Implements ``interfaces.Quarantine`` over the log and gossip."""
+
+    def __init__(
+        self,
+        platform_log: platform_interfaces.Log,
+        configuration: configuration_interfaces.Configuration,
+        hints: membership_interfaces.Hints,
+        settings: dict[str, typing.Any],
+    ):
+        self._configuration = configuration
+        self._hints = hints
+        self._settings = settings
+        self._judge = deaths.DeathJudge(configuration, hints)
+        self._replay = replay.QuarantineReplay(
+            suspect_s=settings["suspect_s"], duration_s=settings["duration_s"]
+        )
+        self._follower = following.LogFollower(
+            platform_log,
+            settings["stream"],
+            self._replay,
+            waits_when_idle=True,
+            after_page=self._announce,
+        )
+        self._appender = appending.BatchAppender(
+            platform_log, settings["stream"], interval_s=lambda: APPEND_INTERVAL_S
+        )
+        self._turns: dict[tuple[str, str], str] = {}
+        self._reports: dict[tuple[str, str], float] = {}
+        # Hints are kept by subject here, since every request asks for its own.
+        self._told_suspects: dict[str, float] = {}
+        self._told_quarantines: dict[str, tuple[float, float]] = {}
+        hints.subscribe(HintKind.SUSPECT_REQUEST, self._take_suspect)
+        hints.subscribe(HintKind.QUARANTINED_REQUEST, self._take_quarantine)
+        self._announced: set[tuple[str, float]] = set()
+
+    async def run(self) -> None:
+        """Follow the log and append until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follower.run())
+            group.create_task(self._appender.run())
+
+    async def wait_until_replayed(self, timeout_s: float) -> bool:
+        """Return whether the stream was replayed to its end in time."""
+        return await self._follower.wait_until_replayed(timeout_s)
+
+    def check(self, request: requests.Request) -> None:
+        """Raise ``QuarantinedError`` for a request that must not run."""
+        since, until = self._quarantine_of(subject_of(request))
+        lifted = self._configuration.view.document.get("lifted", {})
+        is_lifted = lifted.get(request.digest, 0.0) >= since
+        if until <= time.time() or is_lifted:
+            return
+        end = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(until))
+        raise errors.QuarantinedError(
+            f"this request is quarantined until {end}, since endpoints died of it",
+            retry_after_s=max(0.0, until - time.time()),
+        )
+
+    def _quarantine_of(self, subject: str) -> tuple[float, float]:
+        """Return begin and end of a quarantine; the end is 0 without one."""
+        held = self._replay.quarantined.get(subject)
+        if held is not None:
+            return held.since, held.until
+        told = self._told_quarantines.get(subject)
+        if told is not None:
+            return told
+        if self._replay.sole_suspect_of_two(subject):
+            since = self._replay.suspected_at(subject)
+            return since, since + self._duration_s()
+        return 0.0, 0.0
+
+    def _duration_s(self) -> float:
+        document = self._configuration.view.document
+        return document.get("quarantine_s", self._settings["duration_s"])
+
+    def is_suspect(self, request: requests.Request) -> bool:
+        """Return whether the request must run alone on its endpoint."""
+        subject = subject_of(request)
+        if self._replay.suspected_at(subject) is not None:
+            return True
+        return self._told_suspects.get(subject, 0.0) > time.monotonic()
+
+    def _take_suspect(self, hint: membership_interfaces.Hint) -> None:
+        now = time.monotonic()
+        self._told_suspects = {
+            subject: until
+            for subject, until in self._told_suspects.items()
+            if until > now
+        }
+        self._told_suspects[hint.subject] = now + min(hint.lifetime_s, BRIDGE_S)
+
+    def _take_quarantine(self, hint: membership_interfaces.Hint) -> None:
+        now = time.time()
+        self._told_quarantines = {
+            subject: span
+            for subject, span in self._told_quarantines.items()
+            if span[1] > now
+        }
+        span = (hint.stamp, hint.stamp + hint.lifetime_s)
+        self._told_quarantines[hint.subject] = span
+
+    async def begin_alone(
+        self, request: requests.Request, endpoint: requests.Endpoint
+    ) -> bool:
+        """Return whether the request may run alone on the endpoint now."""
+        if not self._follower.is_reachable:
+            raise errors.PlatformUnavailableError(
+                "a suspected request runs alone, which the log must grant",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        nonce = uuid.uuid4().hex
+        record = {
+            "kind": "turn",
+            "nonce": nonce,
+            "endpoint": endpoint.name,
+            "subject": subject_of(request),
+        }
+        has_turn = False
+        try:
+            await self._append_and_read(record)
+            has_turn = self._replay.has_turn(nonce)
+        finally:
+            if not has_turn:
+                self._end_turn(nonce, endpoint.name)
+        if has_turn:
+            self._turns[request.request_id, endpoint.name] = nonce
+        return has_turn
+
+    async def _append_and_read(self, record: dict[str, typing.Any]) -> None:
+        """Append a record and wait a while until it was replayed."""
+        seen = self._follower.watch(record["nonce"])
+        try:
+            async with asyncio.timeout(READ_BACK_S):
+                try:
+                    await self._appender.append(record)
+                except errors.PlatformUnknownError:
+                    # Only reading tells whether the record has landed.
+                    pass
+                await seen
+        except (errors.PlatformRefusedError, TimeoutError) as error:
+            log.warning("quarantine record unread", extra=logs.fields(reason=error))
+        finally:
+            self._follower.unwatch(record["nonce"])
+
+    def _end_turn(self, nonce: str, endpoint: str) -> None:
+        record = {"kind": "turn_end", "nonce": nonce, "endpoint": endpoint}
+        self._appender.append_surely(record)
+
+    def end_alone(
+        self, request: requests.Request, endpoint: requests.Endpoint, *, completed: bool
+    ) -> None:
+        """Give a turn back; completing clears the suspect."""
+        nonce = self._turns.pop((request.request_id, endpoint.name), None)
+        if nonce is None:
+            return
+        if completed:
+            clear = {"kind": "clear", "nonce": nonce, "subject": subject_of(request)}
+            self._appender.append_surely(clear)
+        self._end_turn(nonce, endpoint.name)
+
+    async def endpoint_died(
+        self, endpoint: requests.Endpoint, in_flight: Sequence[requests.Request]
+    ) -> None:
+        """Find out whether an endpoint crashed under these requests, and note it."""
+        cause = await self._judge.judge(endpoint, self._replay.dead_endpoints())
+        DEATHS.labels(cause.value).inc()
+        fields = logs.fields(endpoint=endpoint.name, cause=cause.value)
+        log.warning("endpoint lost", extra=fields)
+        if cause in (deaths.DeathCause.ALIVE, deaths.DeathCause.ANNOUNCED):
+            return
+        subjects = self._unreported(endpoint, in_flight)
+        if subjects:
+            await self._report(endpoint, in_flight, subjects, cause)
+        # The reports of other entries about the same death arrive meanwhile.
+        await asyncio.sleep(SETTLE_S)
+
+    def _unreported(
+        self, endpoint: requests.Endpoint, in_flight: Sequence[requests.Request]
+    ) -> list[str]:
+        """Return the subjects that weren't reported for this death yet."""
+        now = time.monotonic()
+        recent = now - replay.MERGE_S
+        self._reports = {
+            key: reported
+            for key, reported in self._reports.items()
+            if reported > recent
+        }
+        subjects = {subject_of(request) for request in in_flight}
+        fresh = [one for one in subjects if (endpoint.name, one) not in self._reports]
+        self._reports |= {(endpoint.name, one): now for one in fresh}
+        return fresh
+
+    async def _report(
+        self,
+        endpoint: requests.Endpoint,
+        in_flight: Sequence[requests.Request],
+        subjects: list[str],
+        cause: deaths.DeathCause,
+    ) -> None:
+        for subject in subjects:
+            self._hints.publish(
+                HintKind.SUSPECT_REQUEST,
+                subject,
+                {"endpoint": endpoint.name},
+                lifetime_s=BRIDGE_S,
+            )
+        alone = [
+            subject_of(request)
+            for request in in_flight
+            if (request.request_id, endpoint.name) in self._turns
+        ]
+        record = {
+            "kind": "death",
+            "nonce": uuid.uuid4().hex,
+            "endpoint": endpoint.name,
+            "suspects": subjects,
+            "alone": alone,
+            "counts": cause is deaths.DeathCause.CRASHED,
+        }
+        await self._append_and_read(record)
+
+    def _announce(self) -> None:
+        """Tell the other entries and operators of quarantines that are new here."""
+        self._replay.duration_s = self._duration_s()
+        quarantined = self._replay.quarantined.values()
+        self._announced &= {(held.subject, held.since) for held in quarantined}
+        for held in quarantined:
+            key = (held.subject, held.since)
+            if key in self._announced:
+                continue
+            self._announced.add(key)
+            log.error("request quarantined", extra=logs.fields(subject=held.subject))
+            if not self._hints.get(HintKind.QUARANTINED_REQUEST, held.subject):
+                self._hints.publish(
+                    HintKind.QUARANTINED_REQUEST,
+                    held.subject,
+                    {"endpoints": list(held.endpoints)},
+                    lifetime_s=max(0.0, held.until - time.time()),
+                )
--- a/acaciaward/quarantine/interfaces.py
+++ b/acaciaward/quarantine/interfaces.py
@@ -15,10 +15,22 @@
     def is_suspect(self, request: requests.Request) -> bool:
         """Return whether the request must run alone on its endpoint."""
 
+    async def begin_alone(
+        self, request: requests.Request, endpoint: requests.Endpoint
+    ) -> bool:
+        """
+        Return whether the request may run alone on the endpoint now.
+
+        Raises ``PlatformUnavailableError`` while the log, which grants such
+        turns, can't be read.
+        """
+
+    def end_alone(
+        self, request: requests.Request, endpoint: requests.Endpoint, *, completed: bool
+    ) -> None:
+        """Give a turn back; completing clears the suspect."""
+
     async def endpoint_died(
         self, endpoint: requests.Endpoint, in_flight: Sequence[requests.Request]
     ) -> None:
-        """Note that an endpoint died without notice under these requests."""
-
-    def completed(self, request: requests.Request, *, alone: bool) -> None:
-        """Clear a suspect that completed."""
+        """Find out whether an endpoint crashed under these requests, and note it."""
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
 EXPERIMENTS = {
     "chaos": "every promise under faults of every kind at once",
     "once": "runs of non-idempotent requests under faults",
+    "poison": "a request that crashes each engine which runs it",
 }
 
 
--- a/bench/once.py
+++ b/bench/once.py
@@ -19,6 +19,7 @@
 from acaciaward import verdicts
 from acaciaward.client import caller
 from bench import cluster, faultplan, options as bench_options, processes
+from standins import ports
 
 ENTRIES = 3
 SERVICES = 3
@@ -263,15 +264,15 @@
             f"{name}={_joined(running.address(name))}" for name in running.services
         )
         endpoints = ",".join(places)
-        ports = {f"naive-{n + 1}": processes.find_free_port() for n in range(ENTRIES)}
+        naive_ports = {f"naive-{n + 1}": ports.find_free_port() for n in range(ENTRIES)}
 
         async def start(name: str) -> None:
-            arguments = ["-m", "baseline", "--port", str(ports[name])]
+            arguments = ["-m", "baseline", "--port", str(naive_ports[name])]
             arguments += ["--endpoints", endpoints]
-            await running.processes.start(name, arguments, ports[name])
+            await running.processes.start(name, arguments, naive_ports[name])
 
-        await asyncio.gather(*(start(name) for name in ports))
-        addresses = [(processes.ADDRESS, port) for port in ports.values()]
+        await asyncio.gather(*(start(name) for name in naive_ports))
+        addresses = [(processes.ADDRESS, port) for port in naive_ports.values()]
         load = Load(addresses, "none", seed)
         stack.push_async_callback(load.close)
         asks = draw_asks(seed, count)
