--- a/acaciaward/administration/features/steps/administration_steps.py
+++ b/acaciaward/administration/features/steps/administration_steps.py
@@ -240,9 +240,10 @@
 
     async def send():
         one = caller.Caller(
-            context.world.addresses[:1], key=context.keys["biblioteca-brasov caller"]
+            context.world.addresses[:1],
+            key=context.keys["biblioteca-brasov caller"],
+            discover=False,
         )
-        one._entries, one._entries_expire = context.world.addresses[:1], float("inf")
         reply = await one.call(
             SERVICE, "confirm", b'{"box": 7}', idempotent=False, key=context.request_key
         )
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import time
 import typing
 
@@ -19,7 +20,7 @@
     messages as administration_messages,
 )
 from acaciaward.admission import counting
-from acaciaward.callers import api as callers_api, discovery
+from acaciaward.callers import api as callers_api, completions, discovery, drain
 from acaciaward.claims import book as claims_book, messages as claims_messages
 from acaciaward.configuration import (
     follower,
@@ -29,7 +30,9 @@
 )
 from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
+from acaciaward.entry import stopping
 from acaciaward.evacuation import departures, evacuator, watchers
+from acaciaward.identity import curvekeys
 from acaciaward.membership import (
     gossip,
     hints,
@@ -46,13 +49,14 @@
 log = logging.getLogger(__name__)
 
 START_WAIT_S = 10.0
+NOTICE_MARGIN_S = 0.5
+SHORTEST_STOP_S = 0.5
 MESSAGE_KINDS = (
     membership_messages.KINDS
     | administration_messages.KINDS
     | configuration_messages.KINDS
     | claims_messages.KINDS
 )
-DRAIN_POLL_S = 0.05
 
 
 class EntryProcess:
@@ -91,10 +95,12 @@
         callers = self._settings["callers"]
         peers = self._settings["peers"]
         self._hints = hints.HintBoard(instance["name"])
+        curve = self._curve_keys()
         self._transport = transport.PeerTransport(
             peers["address"],
             peers["port"],
             MESSAGE_KINDS,
+            curve=curve,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -104,25 +110,39 @@
             data_centre=instance["data_centre"],
             region=instance["region"],
             incarnation=int(time.time() * 1000),
-            state=membership_interfaces.PeerState.LIVE,
+            state=membership_interfaces.PeerState.JOINING,
             configuration_version=0,
         )
-        location = transport.PeerAddress(peers["address"], peers["port"])
+        location = transport.PeerAddress(
+            peers["address"], peers["port"], curve.public_key if curve else None
+        )
         seeds = [
-            transport.PeerAddress(seed["address"], seed["port"])
+            transport.PeerAddress(seed["address"], seed["port"], seed.get("public_key"))
             for seed in peers["seeds"]
         ]
         self._membership = gossip.GossipMembership(
             own,
             location,
-            [seed for seed in seeds if seed != location],
+            [seed for seed in seeds if seed[:2] != location[:2]],
             self._transport,
             self._hints,
             probe_interval_s=peers["probe_interval_s"],
             probe_timeout_s=peers["probe_timeout_s"],
             suspicion_s=peers["suspicion_s"],
+            sync_interval_s=peers["sync_interval_s"],
+            neighbours=peers["neighbours"],
+            gossip_bytes_per_s=peers["gossip_bytes_per_s"],
         )
 
+    def _curve_keys(self) -> transport.CurveKeys | None:
+        peers = self._settings["peers"]
+        if peers["secret_key"] is None:
+            return None
+        seeds = {seed.get("public_key") for seed in peers["seeds"]} - {None}
+        allowed = frozenset(peers["allowed_public_keys"]) | seeds
+        public_key = curvekeys.public_key_of(peers["secret_key"])
+        return transport.CurveKeys(public_key, peers["secret_key"], allowed)
+
     def _build_configuration(self) -> None:
         settings = self._settings["configuration"]
         self._configuration = follower.LogConfiguration(
@@ -175,6 +195,8 @@
                 settings["source_bytes_per_s"], settings["target_bytes_per_s"]
             ),
         )
+        self._own_end = math.inf
+        self._departures.subscribe(self._take_departure)
         self._watch_limits = watchers.WatchLimits(
             settings["poll_s"], settings["assumed_notice_s"]
         )
@@ -264,16 +286,23 @@
         owners = httplimits.Connections(
             maximum=callers["max_connections_per_organisation"]
         )
+        entries = discovery.Discovery(
+            self._membership, lifetime_s=callers["discovery_lifetime_s"]
+        )
+        self._drain = drain.Drain(entries, scheme="https" if callers["tls"] else "http")
+        dispatch = self._settings["dispatch"]
         callers_api.CallersApi(
             application,
             configuration=self._configuration,
             requests_dispatcher=self._dispatcher,
             claims=self._claims,
-            entries=discovery.Discovery(
-                self._membership, lifetime_s=callers["discovery_lifetime_s"]
-            ),
+            entries=entries,
+            stop=self._drain,
             max_body_bytes=callers["max_body_bytes"],
             owners=owners,
+            stream_limits=completions.StreamLimits(
+                dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
+            ),
         )
         self._build_administration(application)
         self._server = httpserver.HttpServer(
@@ -288,6 +317,11 @@
             owners=owners,
         )
 
+    def _take_departure(self, departure: departures.Departure) -> None:
+        if departure.instance == self.name:
+            self._own_end = departure.deadline
+            self.stop_requested.set()
+
     def _build_administration(self, application: blacksheep.Application) -> None:
         collaborators = administration_api.Collaborators(
             configuration=self._configuration,
@@ -310,6 +344,7 @@
         await self._transport.start()
         self._start_task(self._membership.run())
         self._start_task(self._configuration.run())
+        self._start_task(self._list_when_current())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
         self._start_task(self._claims.run())
@@ -321,30 +356,39 @@
         self._start_watchers()
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
-    async def stop(self) -> None:
-        """Leave, serve callers with older answers, finish what runs, and end."""
-        limit_s = self._settings["callers"]["stop_limit_s"]
-        log.info("entry leaving", extra=logs.fields(limit_s=limit_s))
+    async def _list_when_current(self) -> None:
+        while not await self._configuration.wait_until_current(START_WAIT_S):
+            pass
+        self._membership.set_ready()
+
+    async def stop(self) -> int:
+        """
+        Leave, finish or hand over what runs, and end within the limit.
+
+        The limit is that of the settings, or what is left of the notice that
+        this entry's own instance got. Returns the number of requests cut.
+        """
+        settings = self._settings["callers"]
+        notice_s = self._own_end - time.monotonic() - NOTICE_MARGIN_S
+        limits = stopping.StopLimits(
+            max(SHORTEST_STOP_S, min(settings["stop_limit_s"], notice_s)),
+            settings["discovery_lifetime_s"],
+            settings["finish_s"],
+        )
+        log.info("entry leaving", extra=logs.fields(limit_s=limits.limit_s))
         self._membership.set_leaving()
         await self._membership.spread_now()
-        deadline = time.monotonic() + limit_s
-        await self._wait_for_older_answers(deadline)
-        while self._dispatcher.in_flight.total() and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-        await self._server.stop()
+        left_s = await stopping.drain_requests(self._drain, limits)
+        cut = await stopping.stop_server(self._server, self._drain, left_s)
         await self._end()
-        log.info("entry stopped")
+        log.info("entry stopped", extra=logs.fields(cut=cut))
+        return cut
 
     async def kill(self) -> None:
         """End at once, as a crash would; for demonstrations and tests."""
         await self._server.kill()
         await self._end()
 
-    async def _wait_for_older_answers(self, deadline: float) -> None:
-        lifetime_s = self._settings["callers"]["discovery_lifetime_s"]
-        left_s = max(0.0, deadline - time.monotonic())
-        await asyncio.sleep(min(lifetime_s, left_s))
-
     async def _end(self) -> None:
         for task in self._tasks:
             task.cancel()
