--- /dev/null
+++ b/features/steps/outcomes_steps.py
@@ -0,0 +1,398 @@
+"""Steps for non-idempotent requests and poison requests with real processes."""
+
+import asyncio
+import json
+import time
+import uuid
+
+from behave import given, then, when
+
+from acaciaward import verdicts
+from acaciaward.client import caller
+from bench import cluster
+
+DEADLINE_S = 3.0
+CLAIMED_WAIT_S = 5.0
+BODY = b'{"box": 7}'
+
+
+@given("{entries:d} entries and {services:d} services")
+def start_services(context, entries, services):
+    names = [f"service-{number + 1}" for number in range(services)]
+    start(context, entry_count=entries, service_count=services, proxied=[*names, "log"])
+
+
+@given('{entries:d} entries and {engines:d} engines that die of "{poison}"')
+def start_engines(context, entries, engines, poison):
+    context.poison = f"a {poison} piece"
+    faults = {"engine": {"poison": poison}}
+    start(context, entry_count=entries, engine_count=engines, faults=faults)
+
+
+def start(context, **options):
+    counts = {"engine_count": 0, "service_count": 0} | options
+    context.cluster = cluster.Cluster(**counts)
+    context.runner.run(context.cluster.start())
+    context.key = caller.new_key()
+
+
+def send(context, number, *, key=None, body=BODY, deadline_s=DEADLINE_S):
+    """Send a key through one entry, once."""
+    running = context.cluster
+    address = running.address(running.entries[number])
+    one = running.caller("org-1", max_tries=1)
+    one.pin([address])
+    return one.call(
+        cluster.SERVICE,
+        "confirm",
+        body,
+        idempotent=False,
+        key=key or context.key,
+        deadline_s=deadline_s,
+    )
+
+
+async def end_of(work):
+    """Return the verdict of a request, or None for an answer without one."""
+    try:
+        return (await work).verdict
+    except caller.CallerError as error:
+        return error.verdict if error.is_stated else None
+
+
+async def runs_of(context, key=None):
+    total = 0
+    for name in context.cluster.services:
+        runs = await context.cluster.control(name, "/control/runs", method="GET")
+        total += runs.get(key or context.key, 0)
+    return total
+
+
+async def wait_for_records(context, count):
+    """Wait until the log holds this many records more than at the start."""
+    async with asyncio.timeout(CLAIMED_WAIT_S):
+        while (await context.cluster.stats("log"))["records"] < context.before + count:
+            await asyncio.sleep(0.005)
+
+
+async def set_services(context, **faults):
+    for name in context.cluster.services:
+        await context.cluster.set_faults(name, **faults)
+
+
+async def set_proxies(context, **faults):
+    for name in context.cluster.services:
+        await context.cluster.set_proxy_faults(name, **faults)
+
+
+@when("{count:d} callers send the same key through all entries at once")
+def send_at_once(context, count):
+    async def send_all():
+        entries = len(context.cluster.entries)
+        return await asyncio.gather(*(send(context, n % entries) for n in range(count)))
+
+    context.replies = context.runner.run(send_all())
+
+
+@then("each gets the answer of the one run")
+def check_one_answer(context):
+    assert len({reply.body for reply in context.replies}) == 1, context.replies
+    assert json.loads(context.replies[0].body)["runs"] == 1
+    assert context.runner.run(runs_of(context)) == 1
+
+
+@when("the entry that owns another key is killed before the answer")
+def kill_owner(context):
+    context.key = caller.new_key()
+
+    async def kill():
+        await set_services(context, answer_delay_s=1.0)
+        first = asyncio.ensure_future(end_of(send(context, 0)))
+        while not await runs_of(context):
+            await asyncio.sleep(0.02)
+        await context.cluster.processes.kill(context.cluster.entries[0])
+        assert await first is verdicts.Verdict.MAY_HAVE_RUN
+
+    context.runner.run(kill())
+
+
+@when("the answer of the service is lost and another key is sent elsewhere")
+def lose_answer(context):
+    context.key = caller.new_key()
+
+    async def lose():
+        await set_proxies(context, mode="cut", direction="answer")
+        first = await end_of(send(context, 0))
+        assert first is verdicts.Verdict.MAY_HAVE_RUN, first
+        await set_proxies(context, mode="pass", direction="both")
+        context.end = await end_of(send(context, 1))
+
+    context.runner.run(lose())
+
+
+@when("the caller sends the key through another entry")
+def send_elsewhere(context):
+    context.end = context.runner.run(end_of(send(context, 1)))
+
+
+@then('it is told "{verdict}" and the key ran once')
+def check_told(context, verdict):
+    assert context.end is verdicts.Verdict(verdict), context.end
+    assert context.runner.run(runs_of(context)) == 1
+
+
+@when("an entry is frozen between the claim and the first byte")
+def freeze_owner(context):
+    async def freeze():
+        running = context.cluster
+        # The log's answers are held back, so that the entry is frozen between
+        # the landing of its claim and its reading back.
+        await running.set_proxy_faults("log", mode="hold", direction="answer")
+        context.before = (await running.stats("log"))["records"]
+        context.first = asyncio.ensure_future(end_of(send(context, 0)))
+        await wait_for_records(context, 1)
+        running.processes.freeze(running.entries[0])
+        await running.set_proxy_faults("log", mode="pass", direction="both")
+
+    context.runner.run(freeze())
+
+
+@then('it is told "{verdict}" and the woken entry never runs the key')
+def check_woken(context, verdict):
+    async def wake():
+        assert context.end is verdicts.Verdict(verdict), context.end
+        await asyncio.sleep(DEADLINE_S)
+        context.cluster.processes.thaw(context.cluster.entries[0])
+        await context.first
+        await asyncio.sleep(0.5)
+        assert await runs_of(context) == 0
+
+    context.runner.run(wake())
+
+
+@when("the log goes down before a request")
+def stop_log(context):
+    async def stop():
+        await context.cluster.set_faults("log", outage=True)
+        # The entries notice with their next read.
+        await asyncio.sleep(1.5)
+
+    context.runner.run(stop())
+
+
+@then('it is refused at once as "{verdict}" and the key didn\'t run')
+def check_refused_at_once(context, verdict):
+    async def check():
+        begin = time.monotonic()
+        assert await end_of(send(context, 0)) is verdicts.Verdict(verdict)
+        assert time.monotonic() - begin < DEADLINE_S / 2
+        assert await runs_of(context) == 0
+        await context.cluster.set_faults("log", outage=False)
+        await wait_until_served(context)
+
+    context.runner.run(check())
+
+
+async def wait_until_served(context):
+    async with asyncio.timeout(CLAIMED_WAIT_S):
+        for number in range(len(context.cluster.entries)):
+            while True:
+                key = caller.new_key()
+                if await end_of(send(context, number, key=key)) is verdicts.Verdict.RAN:
+                    break
+                await asyncio.sleep(0.1)
+
+
+@when("the log loses the answers to its next appends")
+def lose_appends(context):
+    context.key = caller.new_key()
+    context.runner.run(context.cluster.set_faults("log", lose_answers=2))
+
+
+@then("a request runs once and is answered")
+def check_ran(context):
+    async def check():
+        assert await end_of(send(context, 0)) is verdicts.Verdict.RAN
+        assert await runs_of(context) == 1
+
+    context.runner.run(check())
+
+
+@when("appends land late, after their answer was lost")
+def append_late(context):
+    async def delay():
+        context.key = caller.new_key()
+        await context.cluster.set_faults("log", lose_answers=0, late_s=2.5)
+
+    context.runner.run(delay())
+
+
+@then('a request is refused as "{verdict}" and runs once when sent again later')
+def check_late(context, verdict):
+    async def check():
+        assert await end_of(send(context, 0)) is verdicts.Verdict(verdict)
+        await context.cluster.set_faults("log", late_s=0.0)
+        # The claim lands now and its release has been or will be appended.
+        await asyncio.sleep(1.5)
+        assert await runs_of(context) == 0
+        assert await end_of(send(context, 1)) is verdicts.Verdict.RAN
+        assert await runs_of(context) == 1
+
+    context.runner.run(check())
+
+
+@when("the log goes down after a request has run")
+def stop_log_after(context):
+    async def stop():
+        context.key = caller.new_key()
+        assert await end_of(send(context, 0)) is verdicts.Verdict.RAN
+        await asyncio.sleep(0.5)
+        await context.cluster.set_faults("log", outage=True)
+
+    context.runner.run(stop())
+
+
+@then('another entry that is asked for its outcome doesn\'t say "{verdict}"')
+def check_outcome(context, verdict):
+    async def ask():
+        running = context.cluster
+        address = running.address(running.entries[1])
+        headers = {"authorization": f"Bearer {running.keys['org-1']}"}
+        path = f"/v1/outcomes/{context.key}"
+        async with running._client.send(
+            "GET", *address, path, headers=headers
+        ) as response:
+            return json.loads(await response.read())
+
+    answer = context.runner.run(ask())
+    told = answer.get("verdict") or answer["error"]["verdict"]
+    assert told != verdict, answer
+
+
+BAD_KEYS = (
+    ("nonsense", BODY),
+    (str(uuid.uuid4()), BODY),
+    (str(uuid.UUID(int=(1_000_000_000_000 << 80) | 7 << 76 | 2 << 62)), BODY),
+    (str(uuid.UUID(int=(4_000_000_000_000 << 80) | 7 << 76 | 2 << 62)), BODY),
+)
+
+
+@given("the log is up again")
+def restore_log(context):
+    context.key = caller.new_key()
+    context.runner.run(context.cluster.set_faults("log", outage=False))
+    context.runner.run(wait_until_served(context))
+
+
+@then('each bad key is refused as "{verdict}" and no service saw it')
+def check_bad_keys(context, verdict):
+    async def check():
+        for key, body in BAD_KEYS:
+            end = await end_of(send(context, 0, key=key, body=body))
+            assert end is verdicts.Verdict(verdict), (key, end)
+            assert await runs_of(context, key) == 0
+        assert await end_of(send(context, 0)) is verdicts.Verdict.RAN
+        other = await end_of(send(context, 0, body=b"{}"))
+        assert other is verdicts.Verdict(verdict), other
+        assert await runs_of(context) == 1
+
+    context.runner.run(check())
+
+
+def dead_engines(context):
+    running = context.cluster
+    return [name for name in running.engines if not running.processes.is_running(name)]
+
+
+async def send_poison(context, number):
+    running = context.cluster
+    one = running.caller("org-1", max_tries=1)
+    one.pin([running.address(running.entries[number])])
+    try:
+        await one.complete(cluster.MODEL, context.poison, max_tokens=4, deadline_s=10.0)
+    except caller.CallerError as error:
+        return error
+    return None
+
+
+@when("a poison request kills one engine and its entry dies too")
+def kill_with_poison(context):
+    async def kill():
+        running = context.cluster
+        context.before = (await running.stats("log"))["records"]
+        sending = asyncio.ensure_future(send_poison(context, 0))
+        async with asyncio.timeout(CLAIMED_WAIT_S):
+            while not dead_engines(context):
+                await asyncio.sleep(0.005)
+        # The death is on the log before the request runs anywhere else.
+        await wait_for_records(context, 1)
+        await running.processes.kill(running.entries[0])
+        await sending
+        assert len(dead_engines(context)) == 1, dead_engines(context)
+
+    context.runner.run(kill())
+
+
+@when("every entry is replaced")
+def replace_entries(context):
+    async def replace():
+        running = context.cluster
+        for name in running.entries:
+            if running.processes.is_running(name):
+                await running.processes.kill(name)
+        await asyncio.gather(*(running.start_entry(name) for name in running.entries))
+
+    context.runner.run(replace())
+
+
+@when("the poison is sent through each entry")
+def send_through_each(context):
+    async def send_all():
+        count = len(context.cluster.entries)
+        return [await send_poison(context, number) for number in range(count)]
+
+    context.refusals = context.runner.run(send_all())
+
+
+@then("two engines are dead and the answers name the quarantine and its end")
+def check_quarantine(context):
+    assert len(dead_engines(context)) == 2, dead_engines(context)
+    for error in context.refusals:
+        assert error.status == 422, error
+        assert "quarantined until 20" in str(error), error
+        assert error.retry_after_s > 60, error.retry_after_s
+
+
+@when("an operator lifts the quarantine")
+def lift(context):
+    async def lift_all():
+        running = context.cluster
+        entry = running.entry_addresses[0]
+        listing = await running.administer(entry, "GET", "/v1/admin/quarantine")
+        subjects = {one["subject"] for one in listing["quarantined"]}
+        assert len(subjects) == 1, listing
+        context.digest = subjects.pop().rpartition("/")[2]
+        path = f"/v1/admin/quarantine/{context.digest}/lift"
+        outcome = await running.administer(entry, "POST", path, {})
+        await running.wait_in_force(outcome["version"])
+        for name in running.engines:
+            if not running.processes.is_running(name):
+                await running.start_endpoint(name)
+            await running.set_faults(name, poison="")
+
+    context.runner.run(lift_all())
+
+
+@then("the history names who lifted it and the request is let through")
+def check_lifted(context):
+    async def check():
+        running = context.cluster
+        entry = running.entry_addresses[0]
+        path = "/v1/admin/config/history"
+        history = (await running.administer(entry, "GET", path))["history"]
+        patch = history[-1]
+        assert context.digest in patch["changes"]["lifted"], patch
+        assert patch["author"], patch
+        assert await send_poison(context, 0) is None
+
+    context.runner.run(check())
