--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
 EXPERIMENTS = {
     "configuration": "operators race patches while log and entries fail",
     "chaos": "every promise under faults of every kind at once",
+    "once": "runs of non-idempotent requests under faults",
 }
 
 
