--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -171,6 +171,7 @@
             place["address"],
             place["port"],
             timeout_s=platform["timeout_s"],
+            name=name,
         )
 
     def _build_evacuation(self) -> None:
--- a/acaciaward/platform/calls.py
+++ b/acaciaward/platform/calls.py
@@ -10,11 +10,23 @@
 import typing
 
 import msgspec
+import prometheus_client
 
 from acaciaward import errors, httpclient
 
 REFUSED_STATUSES = frozenset({400, 404, 409, 410, 413, 429, 503})
 ERROR_CHARACTERS = 200
+# Request line and headers of a call and of its answer, about.
+HEAD_BYTES = 200
+
+PLATFORM_CALLS = prometheus_client.Counter(
+    "acaciaward_platform_calls_total", "Calls to services of the platform", ["service"]
+)
+PLATFORM_BYTES = prometheus_client.Counter(
+    "acaciaward_platform_bytes_total",
+    "Bytes exchanged with services of the platform, heads reckoned",
+    ["service"],
+)
 
 
 class AnswerTooDeepError(errors.PlatformUnknownError):
@@ -38,7 +50,9 @@
         port: int,
         *,
         timeout_s: float,
+        name: str = "platform",
     ):
+        self._name = name
         self._client = client
         self._address = address
         self._port = port
@@ -60,6 +74,8 @@
         ``accepted`` lists statuses, besides those of success, to return.
         """
         payload = b"" if body is None else msgspec.json.encode(body)
+        PLATFORM_CALLS.labels(self._name).inc()
+        self._count_bytes(path, payload)
         try:
             async with self._client.send(
                 method,
@@ -71,6 +87,7 @@
                 timeout_s=self._timeout_s + wait_s,
             ) as response:
                 answer = await response.read()
+                self._count_bytes("", answer)
         except httpclient.ConnectFailedError as error:
             raise errors.PlatformRefusedError(str(error)) from error
         except httpclient.HttpError as error:
@@ -79,6 +96,10 @@
             return PlatformReply(response.status, _decode(answer))
         self._raise_for_status(response, answer)
 
+    def _count_bytes(self, path: str, body: bytes) -> None:
+        size = HEAD_BYTES + len(path) + len(body)
+        PLATFORM_BYTES.labels(self._name).inc(size)
+
     def _raise_for_status(
         self, response: httpclient.Response, answer: bytes
     ) -> typing.NoReturn:
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 from bench import options as bench_options
 
 EXPERIMENTS = {
+    "control": "what an entry spends on control, with slopes",
     "configuration": "operators race patches while log and entries fail",
     "chaos": "every promise under faults of every kind at once",
     "once": "runs of non-idempotent requests under faults",
