--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,7 @@
 
 EXPERIMENTS = {
     "control": "what an entry spends on control, with slopes",
+    "binary": "size, start time and memory of the program as one file",
     "configuration": "operators race patches while log and entries fail",
     "chaos": "every promise under faults of every kind at once",
     "once": "runs of non-idempotent requests under faults",
