Leases in the order of the log, with fencing by offset

Change: acquire, renew and release records judged by the log's order and times; the holder counts from before it sent, less a tenth, by the monotonic clock; a new holder after a lapse waits out the order time-out; a process that begins inside the stream finds its place by time and acts only once no belief from its first moments can mislead it; only three candidates a duty (rendezvous hashing) read the stream; duties are given back on a graceful stop.

--- a/acaciaward/configuration/peering.py
+++ b/acaciaward/configuration/peering.py
@@ -8,13 +8,12 @@
 """
 
 import asyncio
-import hashlib
 import random
 import typing
 
 from acaciaward import errors
 from acaciaward.configuration import messages
-from acaciaward.membership import interfaces as membership_interfaces
+from acaciaward.membership import interfaces as membership_interfaces, rendezvous
 
 ANSWER_TIMEOUT_S = 1.0
 STATE_SOURCES = 3
@@ -88,8 +87,7 @@
             if peer.data_centre == self._data_centre
             and peer.state is membership_interfaces.PeerState.LIVE
         ]
-        names.sort(key=_reader_rank)
-        return names[: self._readers_per_data_centre]
+        return rendezvous.choose("reader", names, self._readers_per_data_centre)
 
     async def read(self, from_offset: int, wait_s: float) -> messages.ReadAnswer:
         """Return records from one of the readers, or raise if none answers."""
@@ -188,7 +186,3 @@
         names = sorted(peer.name for peer in self._others())
         lacking = await asyncio.gather(*(lacks(name) for name in names))
         return tuple(name for name, lack in zip(names, lacking, strict=True) if lack)
-
-
-def _reader_rank(name: str) -> bytes:
-    return hashlib.sha256(f"reader/{name}".encode()).digest()
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -31,11 +31,13 @@
 from acaciaward.endpoints import engine, service
 from acaciaward.evacuation import departures, evacuator, watchers
 from acaciaward.identity import curvekeys
+from acaciaward.leases import keeper
 from acaciaward.membership import (
     gossip,
     hints,
     interfaces as membership_interfaces,
     messages as membership_messages,
+    rendezvous,
     transport,
 )
 from acaciaward.observability import logs, recorder
@@ -68,6 +70,7 @@
         )
         self._build_membership()
         self._build_configuration()
+        self._build_leases()
         self._build_evacuation()
         self._build_dispatch()
         self._build_server()
@@ -82,6 +85,11 @@
         """The configuration in force here."""
         return self._configuration
 
+    @property
+    def leases(self) -> keeper.LogLeases:
+        """The duties of this entry."""
+        return self._leases
+
     @property
     def membership(self) -> gossip.GossipMembership:
         """The entries that this one knows."""
@@ -161,6 +169,26 @@
             lambda view: self._membership.set_configuration_version(view.version)
         )
 
+    def _build_leases(self) -> None:
+        settings = self._settings["leases"]
+        self._leases = keeper.LogLeases(
+            platform_log.HttpLog(self._platform_service("log")),
+            self.name,
+            stream=settings["stream"],
+            duration_s=settings["duration_s"],
+            order_timeout_s=settings["order_timeout_s"],
+            is_candidate=self._is_candidate,
+        )
+
+    def _is_candidate(self, duty: str) -> bool:
+        live = [
+            peer.name
+            for peer in self._membership.peers()
+            if peer.state is membership_interfaces.PeerState.LIVE
+        ]
+        count = self._settings["leases"]["candidates"]
+        return self.name in rendezvous.choose(duty, live, count)
+
     def _platform_service(self, name: str) -> calls.PlatformService | None:
         platform = self._settings["platform"]
         place = platform[name]
@@ -319,6 +347,7 @@
         await self._transport.start()
         self._start_task(self._membership.run())
         self._start_task(self._configuration.run())
+        self._start_task(self._leases.run())
         self._start_task(self._list_when_current())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
@@ -341,6 +370,7 @@
         self._membership.set_leaving()
         await self._membership.spread_now()
         deadline = time.monotonic() + limit_s
+        await self._leases.leave(self._settings["leases"]["order_timeout_s"])
         await self._wait_for_older_answers(deadline)
         while self._dispatcher.in_flight.total() and time.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
--- a/acaciaward/leases/interfaces.py
+++ b/acaciaward/leases/interfaces.py
@@ -7,6 +7,9 @@
     """
     A duty held for a while.
 
+    Whoever gives an order for the duty asks ``Leases.held`` just before it and
+    sends the fence along.
+
     ``fence`` is the offset of the lease record, so it rises with each holder.
     ``expires`` is in seconds of the monotonic clock.
     """
@@ -27,4 +30,4 @@
         """Try to hold the duty from now on, renewing and taking over as needed."""
 
     def give_up(self, duty: str) -> None:
-        """Stop renewing the duty."""
+        """Give the duty back; call it once no order is on its way any more."""
--- /dev/null
+++ b/acaciaward/membership/rendezvous.py
@@ -0,0 +1,20 @@
+"""
+Rendezvous hashing (Thaler and Ravishankar, 1998): who is chosen for a key.
+
+Every entry that knows the same names chooses the same, and one name more or less
+changes few choices.
+
+    choose("fleet", ["entry-1", "entry-2", "entry-3"], 2)
+"""
+
+import hashlib
+from collections.abc import Iterable
+
+
+def choose(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Return the ``count`` names that rank lowest for a key."""
+    return sorted(names, key=lambda name: _rank(key, name))[:count]
+
+
+def _rank(key: str, name: str) -> bytes:
+    return hashlib.sha256(f"{key}/{name}".encode()).digest()
--- a/acaciaward/membership/table.py
+++ b/acaciaward/membership/table.py
@@ -5,14 +5,13 @@
 worse state wins, so that a suspicion holds until the peer refutes it.
 """
 
-import hashlib
 import logging
 import time
 import typing
 import zlib
 from collections.abc import Callable
 
-from acaciaward.membership import interfaces, messages, transport
+from acaciaward.membership import interfaces, messages, rendezvous, transport
 from acaciaward.observability import logs
 
 log = logging.getLogger(__name__)
@@ -124,13 +123,11 @@
                 for name, known in self._known.items()
                 if known.peer.state is not State.DEAD
             ]
-            names.sort(key=self._affinity)
-            self._neighbours = names[: self._neighbour_count]
+            self._neighbours = rendezvous.choose(
+                self._own_name, names, self._neighbour_count
+            )
         return self._neighbours
 
-    def _affinity(self, name: str) -> bytes:
-        return hashlib.sha256(f"{self._own_name}/{name}".encode()).digest()
-
     def digest(self, own: interfaces.Peer) -> int:
         """Return a number that is equal where the same peers are known."""
         peers = [own, *(known.peer for known in self._known.values())]
