--- a/acaciaward/administration/patches.py
+++ b/acaciaward/administration/patches.py
@@ -3,7 +3,7 @@
 import typing
 import uuid
 
-from acaciaward.administration import access, routes
+from acaciaward.administration import access, redaction, routes
 from acaciaward.configuration import follower, replay
 
 STATUS_OF_OUTCOME = {
@@ -25,8 +25,8 @@
     """
     What became of a patch; ``id`` settles an unknown one later.
 
-    ``missing`` names the entries that have not reported an accepted version,
-    ``since`` the patches accepted after the base of a stale one.
+    ``missing`` names live entries that have not reported an accepted version,
+    ``since`` holds what was accepted after the base of a stale one.
     """
 
     status: str
@@ -34,7 +34,7 @@
     reason: str
     id: str
     missing: list[str]
-    since: list[dict[str, typing.Any]]
+    since: list[redaction.ShownPatch]
 
 
 class Patches:
@@ -75,9 +75,6 @@
         "reason": outcome.reason,
         "id": patch_id,
         "missing": list(outcome.missing),
-        "since": [
-            {"version": one.version, "id": one.patch_id, "author": one.author}
-            for one in outcome.since
-        ],
+        "since": [redaction.show(entry) for entry in outcome.since],
     }
     return routes.Answer(body | extra, STATUS_OF_OUTCOME[outcome.status])
--- a/acaciaward/client/caller.py
+++ b/acaciaward/client/caller.py
@@ -25,7 +25,6 @@
 
 Address = tuple[str, int]
 
-MAX_TRIES = tries.MAX_TRIES
 MAX_REDIRECTS = 4
 MINIMUM_DEADLINE_S = 0.001
 PATIENCE_MARGIN_S = 1.0
@@ -64,9 +63,10 @@
     """
     Sends requests of one organisation.
 
-    ``seeds`` are asked for the entries to use. With ``ca_file`` connections are
-    encrypted, and each entry must show a certificate for its IP number that
-    this authority has signed.
+    ``seeds`` are asked for the entries to use; without ``discover`` they are
+    used themselves. With ``ca_file`` connections are encrypted, and each entry
+    must show a certificate for its IP number that this authority has signed.
+    A request that finds no answer is tried ``max_tries`` times.
     """
 
     def __init__(
@@ -75,15 +75,18 @@
         *,
         key: str,
         data_centre: str | None = None,
+        discover: bool = True,
         client: httpclient.HttpClient | None = None,
         ca_file: str | None = None,
         max_tries: int = tries.MAX_TRIES,
     ):
+        trust = tls.client_context(ca_file) if ca_file else None
         self._key = key
         self._max_tries = max_tries
-        trust = tls.client_context(ca_file) if ca_file else None
         self._client = client or httpclient.HttpClient(tls=trust)
-        self._entries = entries.Entries(seeds, self._client, data_centre)
+        self._entries = entries.Entries(
+            seeds, self._client, data_centre=data_centre, discover=discover
+        )
 
     async def close(self) -> None:
         """Close idle connections."""
@@ -196,13 +199,14 @@
             except (httpclient.HttpError, CallerError) as error:
                 await run.after_failure(entry, error)
 
-    def pin(self, addresses: Sequence[Address]) -> None:
-        """Use these entries from now on, without asking which to use."""
-        self._entries.pin(addresses)
-
     def make_tries(self, headers: dict[str, str]) -> tries.Tries:
-        """Return the tries of a request that is sent with these headers."""
-        return tries.Tries(self._entries, headers, max_tries=self._max_tries)
+        """Return the tries of one more request."""
+        return tries.Tries(self._entries, headers, most=self._max_tries)
+
+    @property
+    def entries(self) -> entries.Entries:
+        """The entries that this caller uses."""
+        return self._entries
 
     def headers(self, service_class: str, deadline_s: float | None) -> dict[str, str]:
         """Return the headers of a request."""
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -257,14 +257,14 @@
     def _build_server(self) -> None:
         callers = self._settings["callers"]
         application = httpserver.make_application()
+        owners = httplimits.Connections(
+            maximum=callers["max_connections_per_organisation"]
+        )
         entries = discovery.Discovery(
             self._membership, lifetime_s=callers["discovery_lifetime_s"]
         )
         self._drain = drain.Drain(entries, scheme="https" if callers["tls"] else "http")
         dispatch = self._settings["dispatch"]
-        owners = httplimits.Connections(
-            maximum=callers["max_connections_per_organisation"]
-        )
         callers_api.CallersApi(
             application,
             configuration=self._configuration,
@@ -273,10 +273,10 @@
             entries=entries,
             stop=self._drain,
             max_body_bytes=callers["max_body_bytes"],
+            owners=owners,
             stream_limits=completions.StreamLimits(
                 dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
             ),
-            owners=owners,
         )
         self._build_administration(application)
         self._server = httpserver.HttpServer(
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -111,8 +111,7 @@
 def check_every_entry(context, name):
     async def ask(address):
         key = context.cluster.keys[name]
-        one = caller.Caller([address], key=key)
-        one.pin([address])
+        one = caller.Caller([address], key=key, discover=False)
         answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=12)
         await one.close()
         return answer
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -212,8 +212,7 @@
 
 
 async def _streamed(running, address, count):
-    one = caller.Caller([address], key=running.keys["org-1"])
-    one.pin([address])
+    one = caller.Caller([address], key=running.keys["org-1"], discover=False)
     answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=count)
     await one.close()
     return answer.text, answer.usage
