--- /dev/null
+++ b/acaciaward/callers/features/steps/discovery_steps.py
@@ -0,0 +1,67 @@
+"""Steps for discovery."""
+
+import collections
+import random
+
+from behave import given, then, when
+
+from acaciaward.callers import discovery
+from acaciaward.membership import interfaces
+
+LIFETIME_S = 7.0
+SEED = 5
+
+
+class _Entries:
+    """Fixed entries in place of gossip."""
+
+    def __init__(self, states):
+        self._states = states
+
+    def peers(self):
+        return [
+            interfaces.Peer(name, "127.0.0.1", 1, 2, place, "here", 1, state, 1)
+            for name, place, state in self._states
+        ]
+
+
+@given("entries in two data centres, one of which leaves and one is dead")
+def take_entries(context):
+    live = interfaces.PeerState.LIVE
+    context.entries = _Entries(
+        [(f"near-{number}", "dc-2", live) for number in range(3)]
+        + [(f"far-{number}", "dc-1", live) for number in range(3)]
+        + [("leaving", "dc-2", interfaces.PeerState.LEAVING)]
+        + [("dead", "dc-2", interfaces.PeerState.DEAD)]
+    )
+
+
+@when('{count:d} callers of "{data_centre}" ask which entries to use')
+def ask(context, count, data_centre):
+    one = discovery.Discovery(
+        context.entries, lifetime_s=LIFETIME_S, chooser=random.Random(SEED)
+    )
+    context.answers = [one.answer(data_centre) for _ in range(count)]
+
+
+@then("no answer names an entry that leaves or is dead")
+def check_live(context):
+    named = {e["name"] for answer in context.answers for e in answer["entries"]}
+    assert named == {"near-0", "near-1", "near-2", "far-0", "far-1", "far-2"}, named
+
+
+@then(
+    'each answer names the entries of "{data_centre}" first and says how long it holds'
+)
+def check_near(context, data_centre):
+    for answer in context.answers:
+        places = [entry["data_centre"] for entry in answer["entries"]]
+        assert places[:3] == [data_centre] * 3, places
+        assert answer["lifetime_s"] == LIFETIME_S
+
+
+@then('every live entry of "{data_centre}" comes first in at least {least:d} answers')
+def check_spread(context, data_centre, least):
+    counts = collections.Counter(a["entries"][0]["name"] for a in context.answers)
+    assert len(counts) == 3, counts
+    assert min(counts.values()) >= least, counts
--- /dev/null
+++ b/acaciaward/evacuation/features/steps/plans_steps.py
@@ -0,0 +1,87 @@
+"""Steps for plans and budgets of moves."""
+
+import asyncio
+
+from behave import given, then, when
+
+from acaciaward import requests
+from acaciaward.evacuation import budgets, plans
+
+MAX_BYTES = 32 * 1024 * 1024
+
+
+@given(
+    "a stream of {context_tokens:d} tokens with {remaining:d} to come at 0.01 s each"
+)
+def take_stream(context, context_tokens, remaining):
+    context.stream = {"context_tokens": context_tokens, "remaining_tokens": remaining}
+
+
+@given("{left:g} s left, {size:d} bytes a token and {rate:d} bytes a second")
+def take_endpoint(context, left, size, rate):
+    context.snapshot = plans.Snapshot(
+        left_s=left,
+        step_s=0.01,
+        bytes_per_token=size,
+        bytes_per_s=rate,
+        max_bytes=MAX_BYTES,
+        **context.stream,
+    )
+
+
+@when("the weights are {cost:g} for cost and {recomputed:g} for recomputed tokens")
+def choose(context, cost, recomputed):
+    weights = {"cost": cost, "recomputed_tokens": recomputed}
+    context.way = plans.choose_way(context.snapshot, weights)
+
+
+@then('the way is "{way}"')
+def check_way(context, way):
+    assert context.way.value == way, context.way
+
+
+@given("streams of every class and deadline")
+def take_streams(context):
+    context.streams = [
+        (service_class, deadline)
+        for service_class in reversed(requests.ServiceClass)
+        for deadline in (9.0, 3.0)
+    ]
+
+
+@then("their order is urgent, short and long, each by its deadline")
+def check_order(context):
+    ordered = sorted(context.streams, key=lambda one: plans.urgency(*one, 100))
+    expected = [
+        (service_class, deadline)
+        for service_class in requests.ServiceClass
+        for deadline in (3.0, 9.0)
+    ]
+    assert ordered == expected, ordered
+
+
+@given("a budget of {rate:d} bytes a second")
+def take_budget(context, rate):
+    context.budget = budgets.ByteBudget(rate)
+
+
+@when("{first:d} and then {second:d} bytes are reserved at one endpoint")
+def reserve(context, first, second):
+    async def work():
+        await context.budget.reserve("engine-1", first)
+        # The second waits for the first's turn and isn't awaited here.
+        waiting = asyncio.ensure_future(context.budget.reserve("engine-1", second))
+        await asyncio.sleep(0)
+        context.waits = [context.budget.wait_s(n) for n in ("engine-1", "engine-2")]
+        waiting.cancel()
+
+    asyncio.run(work())
+
+
+@then(
+    "the next transfer there waits between {least:g} and {most:g} s, and elsewhere not"
+)
+def check_waits(context, least, most):
+    here, elsewhere = context.waits
+    assert least <= here <= most, here
+    assert elsewhere == 0, elsewhere
--- /dev/null
+++ b/acaciaward/identity/features/steps/resumetokens_steps.py
@@ -0,0 +1,97 @@
+"""Steps for resume tokens."""
+
+from behave import given, then
+
+from acaciaward import errors
+from acaciaward.dispatch import assembler
+from acaciaward.identity import resumetokens
+
+TEXTS = ["one", " two", " three"]
+LIFETIME_S = 60.0
+EXPIRED_S = -1.0
+
+
+@given('a token signed with the key "{key}"')
+def sign_token(context, key):
+    context.token = resumetokens.ResumeToken(
+        "org-1", "req-1", "text", "digest", "engine-1", "s1"
+    )
+    context.keys = [key]
+    context.signed = resumetokens.sign(context.keys, context.token)
+    digest = assembler.StreamAssembler(TEXTS).digest
+    context.proof = resumetokens.prove_delivered(
+        context.keys, context.token, len(TEXTS), digest
+    )
+
+
+def _read(context, keys, *, organisation="org-1", lifetime_s=LIFETIME_S, text=None):
+    return resumetokens.read(
+        keys,
+        text or context.signed,
+        organisation=organisation,
+        lifetime_s=lifetime_s,
+    )
+
+
+def _refusal(work):
+    try:
+        work()
+    except errors.PermissionDeniedError as error:
+        return str(error), error.verdict, error.retry_after_s
+    raise AssertionError("it was not refused")
+
+
+@then('it is read with the keys "{keys}"')
+def check_read(context, keys):
+    assert _read(context, keys.split(", ")) == context.token
+
+
+@then('it is refused with the keys "{keys}"')
+def check_refused(context, keys):
+    _refusal(lambda: _read(context, keys.split(", ")))
+
+
+@then('the proof of its tokens is read with the keys "{keys}"')
+def check_proof(context, keys):
+    resumetokens.check_delivered(keys.split(", "), context.token, TEXTS, context.proof)
+
+
+@then('the proof of its tokens is refused with the keys "{keys}"')
+def check_proof_refused(context, keys):
+    _refusal(
+        lambda: resumetokens.check_delivered(
+            keys.split(", "), context.token, TEXTS, context.proof
+        )
+    )
+
+
+@then("it is refused in the same words when expired, altered or foreign")
+def check_alike(context):
+    altered = "A" + context.signed[1:]
+    if altered == context.signed:
+        altered = "B" + context.signed[1:]
+    refusals = {
+        _refusal(lambda: _read(context, context.keys, lifetime_s=EXPIRED_S)),
+        _refusal(lambda: _read(context, context.keys, text=altered)),
+        _refusal(lambda: _read(context, context.keys, text="no token")),
+        _refusal(lambda: _read(context, context.keys, organisation="org-2")),
+    }
+    assert len(refusals) == 1, refusals
+
+
+@then("the proof of its tokens fits no other stream, count or text")
+def check_proof_bound(context):
+    token = context.token
+    others = (
+        (token._replace(stream="s2"), TEXTS),
+        (token._replace(organisation="org-2"), TEXTS),
+        (token._replace(digest="other"), TEXTS),
+        (token, TEXTS[:2]),
+        (token, ["One", *TEXTS[1:]]),
+    )
+    for other, texts in others:
+        _refusal(
+            lambda other=other, texts=texts: resumetokens.check_delivered(
+                context.keys, other, texts, context.proof
+            )
+        )
--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -26,3 +26,10 @@
     When 4 streams of 100 tokens run and every engine gets a notice of 1 s
     And an engine comes back 1.5 s later under a new name
     Then every answer is whole and right
+
+  Scenario: A service that leaves finishes its calls and gets no new ones
+    Given a cluster of 2 entries and 1 engines whose steps take 0.02 s
+    And 2 services whose answers take 0.8 s
+    When calls run at both services and one of them gets a notice of 3 s
+    Then every call is answered, each having run once
+    And the leaving service ran nothing that was sent 1 s after the notice
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -199,3 +199,61 @@
     running = context.cluster
     names = [name for name in running.engines if running.processes.is_running(name)]
     return sum([(await running.stats(name)).get(field, 0) for name in names])
+
+
+@given("{count:d} services whose answers take {delay_s:f} s")
+def slow_services(context, count, delay_s):
+    async def start():
+        running = context.cluster
+        for number in range(len(running.services), count):
+            name = f"service-{number + 1}"
+            running.services.append(name)
+            await running.start_endpoint(name)
+            endpoints = {name: running.endpoint_place(name)}
+            changes = {"deployments": {cluster.SERVICE: {"endpoints": endpoints}}}
+            await running.patch(changes)
+            place = {"name": name, "port": running.address(name)[1]}
+            await running.control("cloud", "/control/instances", {"instances": [place]})
+        for name in running.services:
+            await running.set_faults(name, answer_delay_s=delay_s)
+
+    context.runner.run(start())
+
+
+@when("calls run at both services and one of them gets a notice of {notice_s:d} s")
+def reclaim_service(context, notice_s):
+    async def work():
+        running = context.cluster
+        context.leaving = running.services[0]
+        senders = [running.caller("org-1", data_centre=dc) for dc in ("dc-1", "dc-2")]
+        early = [asyncio.create_task(_call(senders[n % 2])) for n in range(8)]
+        while not await _all_called(running):
+            await asyncio.sleep(0.02)
+        await running.reclaim([context.leaving], notice_s)
+        await asyncio.sleep(1)
+        before = (await running.stats(context.leaving))["keys"]
+        late = [asyncio.create_task(_call(senders[n % 2])) for n in range(8)]
+        context.replies = await asyncio.gather(*early, *late)
+        context.new_work = (await running.stats(context.leaving))["keys"] - before
+
+    context.runner.run(work())
+
+
+async def _call(sender):
+    return await sender.call(cluster.SERVICE, "check", b"{}", deadline_s=10)
+
+
+async def _all_called(running):
+    counts = [(await running.stats(name))["keys"] for name in running.services]
+    return all(counts) and sum(counts) >= 8
+
+
+@then("every call is answered, each having run once")
+def check_calls(context):
+    assert len(context.replies) == 16
+    assert {json.loads(reply.body)["runs"] for reply in context.replies} == {1}
+
+
+@then("the leaving service ran nothing that was sent 1 s after the notice")
+def check_no_new_calls(context):
+    assert context.new_work == 0, context.new_work
