--- a/acaciaward/administration/routes.py
+++ b/acaciaward/administration/routes.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from acaciaward import errors, httpserver
-from acaciaward.callers import answers, api as callers_api
+from acaciaward.callers import answers, handling
 from acaciaward.observability import logs
 
 log = logging.getLogger(__name__)
@@ -90,7 +90,7 @@
 
 async def read_json(request: blacksheep.Request, body_type: typing.Any) -> typing.Any:
     """Return a request's checked body, or raise ``InvalidRequestError``."""
-    body = await callers_api.read_limited(request, MAX_BODY_BYTES)
+    body = await handling.read_limited(request, MAX_BODY_BYTES)
     try:
         return msgspec.json.decode(body or b"{}", type=body_type)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
--- a/acaciaward/configuration/follower.py
+++ b/acaciaward/configuration/follower.py
@@ -223,7 +223,7 @@
         # A peer that can't confirm either may have lost the log alone; asking
         # the log itself stays rare, so that an outage brings no crowd.
         now = time.monotonic()
-        is_due = self._log_age_s() > self._current_bound_s / 2
+        is_due = self._log_age_s() > self._current_bound_s * 0.6
         if is_due and now >= self._next_direct_read:
             pause_s = self._current_bound_s * self._random.uniform(0.5, 1.5)
             self._next_direct_read = now + pause_s
@@ -290,7 +290,9 @@
         ]
         await self._take_records(found)
         if self._replay.next_offset >= answer["next_offset"]:
-            self._confirmed_at = max(self._confirmed_at, asked - answer["age_s"])
+            # The answer left no earlier than it was asked for and waited.
+            confirmed_at = asked + answer["waited_s"] - answer["age_s"]
+            self._confirmed_at = max(self._confirmed_at, confirmed_at)
         await self._notify()
 
     async def _take_records(
@@ -352,7 +354,7 @@
         pause_s = self._current_bound_s / 5
         while True:
             await asyncio.sleep(pause_s * self._random.uniform(0.5, 1.0))
-            is_doubtful = self._log_age_s() > self._current_bound_s / 3
+            is_doubtful = self._log_age_s() > self._current_bound_s / 2
             if self._has_state and is_doubtful:
                 await self._confirm_once()
 
--- a/acaciaward/configuration/serving.py
+++ b/acaciaward/configuration/serving.py
@@ -60,17 +60,20 @@
     async def _answer_read(
         self, sender: str, body: messages.ReadRequest
     ) -> messages.ReadAnswer:
+        asked = time.monotonic()
         wanted = body["from_offset"]
         if wanted == self._next_offset:
             await self._wait(lambda: self._next_offset > wanted, body["wait_s"])
         has_state = self._served.replayed is not None
         found = self._served.recent.since(wanted) if has_state else None
-        age_s = time.monotonic() - self._served.confirmed_at
+        now = time.monotonic()
+        age_s = now - self._served.confirmed_at
         return {
             "held": found is not None,
             "records": [record._asdict() for record in found or ()],
             "next_offset": self._next_offset,
             "age_s": min(age_s, MAX_AGE_S),
+            "waited_s": now - asked,
         }
 
     async def _answer_state(
--- a/bench/once.py
+++ b/bench/once.py
@@ -17,7 +17,7 @@
 import typing
 
 from acaciaward import verdicts
-from acaciaward.client import caller
+from acaciaward.client import caller, tries
 from bench import cluster, faultplan, options as bench_options, processes
 from standins import ports
 
@@ -31,7 +31,7 @@
 QUICK_COST_REQUESTS = 400
 DOUBLED_SHARE = 0.1
 DEADLINE_S = 1.5
-TRIES = (1, 2, caller.MAX_TRIES)
+TRIES = (1, 2, tries.MAX_TRIES)
 LOG_STREAM = "bench"
 APPEND_SAMPLES = 20
 
@@ -66,17 +66,15 @@
         self._key = key
         self._random = random.Random(seed)
         self._callers = {
-            tries: [self._make_caller(tries) for _ in addresses] for tries in TRIES
+            count: [self._make_caller(count) for _ in addresses] for count in TRIES
         }
 
-    def _make_caller(self, tries: int) -> caller.Caller:
+    def _make_caller(self, max_tries: int) -> caller.Caller:
         # The addresses are fixed, since the naive version has no discovery and
         # both must meet the same entries.
-        made = caller.Caller(self._addresses, key=self._key, max_tries=tries)
         order = list(self._addresses)
         self._random.shuffle(order)
-        made.pin(order)
-        return made
+        return caller.Caller(order, key=self._key, discover=False, max_tries=max_tries)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -110,8 +110,8 @@
 @then('"{name}" gets a whole answer from every entry')
 def check_every_entry(context, name):
     async def ask(address):
-        one = caller.Caller([address], key=context.cluster.keys[name])
-        one._entries, one._entries_expire = [address], float("inf")
+        key = context.cluster.keys[name]
+        one = caller.Caller([address], key=key, discover=False)
         answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=12)
         await one.close()
         return answer
