--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -408,9 +408,9 @@
         log.info("entry leaving", extra=logs.fields(limit_s=limits.limit_s))
         self._membership.set_leaving()
         await self._membership.spread_now()
-        _, left_s = await asyncio.gather(
-            self._leases.leave(self._settings["leases"]["order_timeout_s"]),
+        left_s, _ = await asyncio.gather(
             stopping.drain_requests(self._drain, limits),
+            self._leases.leave(self._settings["leases"]["order_timeout_s"]),
         )
         cut = await stopping.stop_server(self._server, self._drain, left_s)
         await self._end()
