--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,7 @@
     "drain": "entries replaced under load",
     "once": "runs of non-idempotent requests under faults",
     "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
+    "poison": "a request that crashes each engine which runs it",
 }
 
 
