Send resumes on to /v1/resume while handing over

Cause: a resume that came while an entry hands its streams over got the location of /v1/completions, where its body is malformed; a whole answer sent on twice lost its token; what began in that phase was opened at an engine and left there.

Change: the redirect keeps the path, and the token it came with; requests are sent on before anything begins.

Seen to fail before: the new scenario of features/streams.feature (location /v1/completions for a resume).

--- a/acaciaward/callers/completions.py
+++ b/acaciaward/callers/completions.py
@@ -27,13 +27,18 @@
 
 
 class _Order(typing.NamedTuple):
-    """A parsed request and, if its stream began elsewhere, where to go on."""
+    """
+    A parsed request and, if its stream began elsewhere, where to go on.
+
+    ``path`` is what it was posted to, ``resume`` the token that it came with.
+    """
 
     request: requests.Request
     body: parsing.CompletionBody
     form: answers.Form
     path: str
-    taken_up: streams.TakenUp | None
+    taken_up: streams.TakenUp | None = None
+    resume: str | None = None
 
 
 class CompletionRoutes:
@@ -55,7 +60,7 @@
         routes = (
             (resuming.PATHS[answers.COMPLETION], self._post_completion),
             (resuming.PATHS[answers.CHAT], self._post_chat),
-            ("/v1/resume", self._post_resume),
+            (resuming.RESUME_PATH, self._post_resume),
         )
         for path, handler in routes:
             httpserver.add_route(application, "POST", path, handler)
@@ -75,7 +80,8 @@
             raw = await self._handling.read_body(request)
             token = request.query.get("resume", [None])[0]
             wanted = resuming.ResumeBody(resume=token) if token else None
-            order = self._order(request, caller, request_id, raw, form, wanted)
+            path = resuming.PATHS[form]
+            order = self._order(request, caller, request_id, raw, form, path, wanted)
             return await self._answer(request, order)
 
         return await self._handling.answered(answer, request)
@@ -87,7 +93,8 @@
             wanted = resuming.read_body(await self._handling.read_body(request))
             form = answers.CHAT if wanted.get("chat", False) else answers.COMPLETION
             raw = wanted["body"].encode()
-            order = self._order(request, caller, request_id, raw, form, wanted)
+            path = resuming.RESUME_PATH
+            order = self._order(request, caller, request_id, raw, form, path, wanted)
             return await self._answer(request, order)
 
         return await self._handling.answered(answer, request)
@@ -99,6 +106,7 @@
         request_id: str,
         raw: bytes,
         form: answers.Form,
+        path: str,
         wanted: resuming.ResumeBody | None,
     ) -> _Order:
         body = parsing.read_body(raw)
@@ -106,12 +114,11 @@
         model_request = self._model_request(
             caller, request_id, raw, body, form, headers
         )
-        path = resuming.PATHS[form]
         if wanted is None:
-            return _Order(model_request, body, form, path, None)
+            return _Order(model_request, body, form, path)
         request_id, taken_up = self._resumer.take_up(wanted, model_request)
         resumed = model_request._replace(request_id=request_id)
-        return _Order(resumed, body, form, path, taken_up)
+        return _Order(resumed, body, form, path, taken_up, wanted["resume"])
 
     def _model_request(
         self,
@@ -153,6 +160,10 @@
         self, request: blacksheep.Request, order: _Order
     ) -> blacksheep.Response:
         control = streams.StreamControl()
+        stop = self._handling.drain
+        # What begins now would only be handed over: it is sent on at once.
+        if stop.phase >= drain.Phase.HANDING_OVER and stop.choose_peer() is not None:
+            return self._redirect(order, control)
         events = self._dispatcher.stream(
             order.request, taken_up=order.taken_up, control=control
         )
@@ -266,14 +277,15 @@
         if peer is None:
             raise stop.cut_error()
         control.is_handed_over = True
-        path = order.path
         token = self._resumer.token(order.request, control.opened)
-        if token is not None:
-            path = f"{path}?resume={self._resumer.sign(token)}"
-        location = stop.location(peer, path)
+        signed = self._resumer.sign(token) if token else order.resume
+        # A request to take a stream up carries its token in the body.
+        has_query = signed is not None and order.path != resuming.RESUME_PATH
+        query = f"?resume={signed}" if has_query else ""
+        location = stop.location(peer, f"{order.path}{query}")
         verdict = (
             verdicts.Verdict.NOT_RUN
-            if control.opened is None
+            if signed is None
             else verdicts.Verdict.MAY_HAVE_RUN
         )
         return answers.redirect(location, order.request.request_id, verdict)
--- a/acaciaward/callers/resuming.py
+++ b/acaciaward/callers/resuming.py
@@ -21,6 +21,7 @@
     answers.COMPLETION: "/v1/completions",
     answers.CHAT: "/v1/chat/completions",
 }
+RESUME_PATH = "/v1/resume"
 
 
 class ResumeBody(typing.TypedDict, total=False):
--- a/acaciaward/evacuation/departures.py
+++ b/acaciaward/evacuation/departures.py
@@ -84,6 +84,10 @@
             return None
         return known
 
+    def _forget_gone(self) -> None:
+        for instance in list(self._known):
+            self._current(instance)
+
     def deadline_of(self, instance: str) -> float | None:
         """Return when a leaving instance ends, by the monotonic clock."""
         known = self._current(instance)
@@ -126,6 +130,7 @@
         is_number = isinstance(deadline, int | float)
         if not is_number or not self._is_news(hint.subject, is_firm):
             return
+        self._forget_gone()
         left_s = deadline - time.time()
         departure = Departure(hint.subject, time.monotonic() + left_s, is_firm)
         self._known[hint.subject] = departure
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -360,3 +360,81 @@
 def check_cancelled(context):
     assert context.cancelled == 2, context.cancelled
     assert context.cancel_s < 1.0, context.cancel_s
+
+
+@when("an entry hands over while a slow call keeps it from ending")
+def hand_over(context):
+    context.runner.run(_hand_over(context))
+
+
+async def _hand_over(context):
+    running = context.cluster
+    leaving, other = running.address("entry-1"), running.address("entry-2")
+    await running.set_faults("service-1", answer_delay_s=4.0)
+    one = caller.Caller([leaving], key=running.keys["org-1"])
+    one.pin([leaving])
+    call = asyncio.create_task(
+        one.call(cluster.SERVICE, "check", b"{}", deadline_s=20, idempotent=False)
+    )
+    while not (await running.stats("service-1"))["keys"]:
+        await asyncio.sleep(0.02)
+    begun = await _break_off(running, other, 10)
+    running.processes.send_signal("entry-1", signal.SIGTERM)
+    context.sent_on = await _until_sent_on(running, leaving)
+    context.resumed_on = await _location(running, leaving, "/v1/resume", begun)
+    async with _post(running, other, "/v1/resume", begun) as response:
+        context.rest = [
+            event["choices"][0]["text"]
+            async for event in sse.events(response)
+            if event["choices"] and "index" in event["acaciaward"]
+        ]
+    context.begun = begun["texts"]
+    context.reply = await call
+    context.exit_code = await running.processes.wait("entry-1")
+    await one.close()
+
+
+async def _break_off(running, address, seen):
+    """Begin a stream, leave it, and return the body that takes it up."""
+    body = _body(60)
+    texts, resume, proof = [], None, None
+    async with _post(running, address, "/v1/completions", body) as response:
+        async for event in sse.events(response):
+            extra = event["acaciaward"]
+            resume, proof = extra.get("resume", resume), extra.get("proof", proof)
+            texts += [choice["text"] for choice in event["choices"]]
+            if len(texts) == seen:
+                break
+    raw = json.dumps(body)
+    return {"resume": resume, "body": raw, "texts": texts, "proof": proof}
+
+
+async def _location(running, address, path, body):
+    async with _post(running, address, path, body) as response:
+        await response.read()
+        return response.headers.get("location")
+
+
+async def _until_sent_on(running, address):
+    body = _body(2, stream=False)
+    while True:
+        location = await _location(running, address, "/v1/completions", body)
+        if location is not None:
+            return location
+        await asyncio.sleep(0.05)
+
+
+@then("new requests and resumes are sent on to the other entry, which answers them")
+def check_sent_on(context):
+    host, port = context.cluster.address("entry-2")
+    # One that had just begun takes its token along.
+    place = context.sent_on.partition("?")[0]
+    assert place == f"http://{host}:{port}/v1/completions", context.sent_on
+    assert context.resumed_on == f"http://{host}:{port}/v1/resume", context.resumed_on
+    assert context.begun + context.rest == tokens.expected_tokens(PROMPT, 60)
+
+
+@then("the slow call is answered and the entry exits with 0")
+def check_slow_call(context):
+    assert json.loads(context.reply.body)["runs"] == 1
+    assert context.exit_code == 0, context.exit_code
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -42,3 +42,9 @@
     When a caller streams 120 tokens and its entry gets a notice of 4 s
     Then the caller has the whole answer, each token once
     And it exited with 0 within 6 s
+
+  Scenario: An entry that hands over sends new requests and resumes on
+    Given 2 entries and 1 engines whose steps take 0.02 s
+    When an entry hands over while a slow call keeps it from ending
+    Then new requests and resumes are sent on to the other entry, which answers them
+    And the slow call is answered and the entry exits with 0
