--- a/acaciaward/configuration/messages.py
+++ b/acaciaward/configuration/messages.py
@@ -58,14 +58,15 @@
     Records that a peer holds.
 
     ``next_offset`` is the peer's own, ``age_s`` the time since the log
-    confirmed it, and ``held`` is false when the peer no longer holds the
-    wanted offset.
+    confirmed it, ``waited_s`` the time that the peer let the question wait, and
+    ``held`` is false when the peer no longer holds the wanted offset.
     """
 
     held: bool
     records: list[RecordFields]
     next_offset: int
     age_s: float
+    waited_s: float
 
 
 class StateRequest(typing.TypedDict):
--- a/acaciaward/membership/gossip.py
+++ b/acaciaward/membership/gossip.py
@@ -318,8 +318,15 @@
             self._transport.count_dropped("peer out of bounds")
         elif news.peer.name == self.name:
             self._refute(news.peer)
-        else:
-            self._table.take(news)
+        elif not self._table.take(news):
+            self._contradict(news.peer)
+
+    def _contradict(self, peer: interfaces.Peer) -> None:
+        """Let a peer that speaks, but is held for worse, hear it and refute."""
+        held = self._table.get(peer.name)
+        is_worse = held is not None and held.peer.state in (State.SUSPECT, State.DEAD)
+        if is_worse and peer.state is not held.peer.state:
+            self._spread_peer(held)
 
     def _refute(self, rumour: interfaces.Peer) -> None:
         is_newer = rumour.incarnation > self._own.incarnation
