--- a/acaciaward/administration/features/steps/administration_steps.py
+++ b/acaciaward/administration/features/steps/administration_steps.py
@@ -209,7 +209,7 @@
 
 
 def _routes(context):
-    application = context.world.entries[0]._server._application
+    application = context.world.entries[0].application
     return {
         (method.decode(), re.sub(r"\{[^}]*\}", "*", route.pattern.decode()))
         for method, routes in application.router.routes.items()
--- a/acaciaward/administration/health.py
+++ b/acaciaward/administration/health.py
@@ -1,10 +1,13 @@
 """Routes for probes and scrapers, which need no key."""
 
+import collections
+
 import blacksheep
 
 from acaciaward.administration import routes
 from acaciaward.callers import answers
 from acaciaward.configuration import interfaces as configuration_interfaces
+from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import metrics
 
 READINESS = {True: 200, False: 503}
@@ -13,8 +16,13 @@
 class HealthRoutes:
     """Whether the entry lives and is ready, and its metrics."""
 
-    def __init__(self, configuration: configuration_interfaces.Configuration):
+    def __init__(
+        self,
+        configuration: configuration_interfaces.Configuration,
+        membership: membership_interfaces.Membership,
+    ):
         self._configuration = configuration
+        self._membership = membership
 
     def routes(self) -> list[routes.Route]:
         """Return the routes of this duty."""
@@ -36,5 +44,12 @@
 
     async def _get_metrics(self) -> blacksheep.Response:
         """Return all metrics in the Prometheus text format."""
+        self._take_gauges()
         content = blacksheep.Content(b"text/plain; version=0.0.4", metrics.exposition())
         return blacksheep.Response(200, content=content)
+
+    def _take_gauges(self) -> None:
+        metrics.CONFIGURATION_CURRENT.set(self._configuration.is_current)
+        counts = collections.Counter(peer.state for peer in self._membership.peers())
+        for state in membership_interfaces.PeerState:
+            metrics.ENTRIES.labels(state.value).set(counts[state])
--- /dev/null
+++ b/acaciaward/entry/features/steps/versions_steps.py
@@ -0,0 +1,184 @@
+"""Steps for two versions side by side."""
+
+import asyncio
+import copy
+import json
+import types
+import typing
+import uuid
+
+import msgspec
+from behave import given, then, when
+
+from acaciaward import errors, wire
+from acaciaward.client import caller
+from acaciaward.demonstration import world
+from acaciaward.entry import process
+from acaciaward.membership import transport
+
+NEW_FIELD = "of_a_newer_version"
+NEW_VALUE = {"anything": [1, "two", None]}
+WAIT_S = 15.0
+SIMPLE = {str: "x", int: 3, float: 1.5, bool: True, bytes: b"x", typing.Any: None}
+
+
+def _sample(kind, extra):
+    if typing.is_typeddict(kind):
+        hints = typing.get_type_hints(kind)
+        made = {name: _sample(part, extra) for name, part in hints.items()}
+        return made | ({NEW_FIELD: NEW_VALUE} if extra else {})
+    if kind in SIMPLE:
+        return SIMPLE[kind]
+    origin, arguments = typing.get_origin(kind), typing.get_args(kind)
+    if origin in (list, tuple):
+        return [_sample(arguments[0], extra)]
+    if origin in (typing.Required, typing.NotRequired):
+        return _sample(arguments[0], extra)
+    if origin in (typing.Union, types.UnionType):
+        return _sample(arguments[0], extra)
+    if origin is typing.Literal:
+        return arguments[0]
+    if origin is dict or kind is dict:
+        return {}
+    if isinstance(kind, type) and issubclass(kind, tuple):
+        parts = typing.get_type_hints(kind).values()
+        return [_sample(part, extra) for part in parts]
+    raise AssertionError(f"no sample for {kind}")
+
+
+@then("each kind of message decodes to what it was before the fields were added")
+def check_messages(context):
+    table = wire.MessageTable(process.MESSAGE_KINDS)
+    assert len(process.MESSAGE_KINDS) >= 8
+    for kind, body_type in process.MESSAGE_KINDS.items():
+        plain = msgspec.msgpack.encode(_sample(body_type, extra=False))
+        newer = msgspec.msgpack.encode(_sample(body_type, extra=True))
+        assert plain != newer, kind
+        name = kind.encode()
+        assert table.decode([name, newer]) == table.decode([name, plain]), kind
+
+
+@then("a message of an unknown kind is refused without harm")
+def check_unknown_kind(context):
+    table = wire.MessageTable(process.MESSAGE_KINDS)
+    try:
+        table.decode([b"kind_of_the_future", msgspec.msgpack.encode({})])
+    except errors.WireError:
+        return
+    raise AssertionError("an unknown kind was decoded")
+
+
+def _make_newer(entry):
+    """Let an entry send what a newer version might."""
+    table = entry._transport._table
+    encode = table.encode
+
+    def encode_newer(kind, body):
+        return encode(kind, _widen(copy.deepcopy(dict(body))))
+
+    table.encode = encode_newer
+
+
+def _widen(value):
+    if isinstance(value, dict):
+        for name, kind_field, new_kind in (
+            ("hints", "kind", "kind_of_the_future"),
+            ("peers", "state", "state_of_the_future"),
+        ):
+            items = value.get(name)
+            if isinstance(items, list) and items and isinstance(items[0], dict):
+                future = items[0] | {kind_field: new_kind, "name": "entry-future"}
+                items.append(future)
+        widened = {name: _widen(part) for name, part in value.items()}
+        return widened | {NEW_FIELD: NEW_VALUE}
+    if isinstance(value, list):
+        return [_widen(part) for part in value]
+    return value
+
+
+@given("three entries, one of which adds fields, states and kinds to what it sends")
+def start_world(context):
+    context.dropped = transport.DROPPED_MESSAGES._value.get()
+    context.world = world.World("puzzle-agency")
+    _make_newer(context.world.entries[2])
+    context.cluster = context.world
+    context.runner.run(context.world.start())
+
+
+@when("records of unknown kinds and patches with unknown fields are appended")
+def append_records(context):
+    context.runner.run(_append(context.world.entries[0]))
+
+
+async def _append(entry):
+    log = entry.configuration._log
+    patch = {
+        "kind": "patch",
+        "rules": 1,
+        "id": str(uuid.uuid4()),
+        "base": 1,
+        "author": "newer",
+        "changes": {"quarantine_s": 60.0},
+        NEW_FIELD: NEW_VALUE,
+    }
+    unknown = {"kind": "record_of_the_future", NEW_FIELD: NEW_VALUE}
+    await log.append(entry._settings["configuration"]["stream"], [unknown, patch])
+    await log.append(entry._settings["claims"]["stream"], [unknown, dict(unknown)])
+
+
+@when("an operator patches through the newer entry and a caller calls through each")
+def use_all(context):
+    context.outcome = context.runner.run(_patch(context))
+    context.replies = context.runner.run(_call_each(context))
+
+
+async def _patch(context):
+    newer = context.world.entries[2]
+    async with asyncio.timeout(WAIT_S):
+        while newer.configuration.view.version < 2:
+            await asyncio.sleep(0.02)
+    return await newer.configuration.submit(
+        base=2, author="ana", changes={"quarantine_s": 90.0}
+    )
+
+
+async def _call_each(context):
+    replies = []
+    for address in context.world.addresses:
+        one = caller.Caller([address], key=context.world.keys["scoala-alba"])
+        one._entries, one._entries_expire = [address], float("inf")
+        replies.append(
+            await one.call("counter-desk", "confirm", b'{"box": 1}', idempotent=False)
+        )
+        await one.close()
+    return replies
+
+
+@then("all three know each other, have the same version and answered the calls")
+def check_together(context):
+    assert context.outcome.version == 3, context.outcome
+    context.runner.run(_wait_until_together(context.world.entries))
+    for reply in context.replies:
+        assert json.loads(reply.body)["runs"] == 1, reply
+
+
+async def _wait_until_together(entries):
+    names = {entry.name for entry in entries}
+    async with asyncio.timeout(WAIT_S):
+        for entry in entries:
+            while entry.configuration.view.version != 3:
+                await asyncio.sleep(0.02)
+            # The peer in an unknown state may be listed or not, but never live.
+            while _live(entry) != names:
+                await asyncio.sleep(0.02)
+
+
+def _live(entry):
+    return {
+        peer.name for peer in entry.membership.peers() if peer.state.value == "live"
+    }
+
+
+@then("no message between them was dropped")
+def check_dropped(context):
+    assert transport.DROPPED_MESSAGES._value.get() == context.dropped
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -76,6 +76,11 @@
         """The instance's name."""
         return self._settings["instance"]["name"]
 
+    @property
+    def application(self) -> blacksheep.Application:
+        """The HTTP application with the routes of callers and operators."""
+        return self._server.application
+
     @property
     def configuration(self) -> follower.LogConfiguration:
         """The configuration in force here."""
--- a/acaciaward/httpserver.py
+++ b/acaciaward/httpserver.py
@@ -100,6 +100,11 @@
         self._task: asyncio.Task | None = None
         self._reload_task: asyncio.Task | None = None
 
+    @property
+    def application(self) -> typing.Any:
+        """The application that is served."""
+        return self._application
+
     @property
     def port(self) -> int:
         """The TCP port."""
--- a/acaciaward/observability/metrics.py
+++ b/acaciaward/observability/metrics.py
@@ -5,6 +5,13 @@
 ANSWERS = prometheus_client.Counter(
     "acaciaward_answers_total", "Final answers to callers by their code", ["code"]
 )
+CONFIGURATION_CURRENT = prometheus_client.Gauge(
+    "acaciaward_configuration_current",
+    "Whether this entry can show that its configuration is current, 1 or 0",
+)
+ENTRIES = prometheus_client.Gauge(
+    "acaciaward_entries", "Entries that this one knows, by state", ["state"]
+)
 
 
 def exposition() -> bytes:
--- a/acaciaward/observability/recorder.py
+++ b/acaciaward/observability/recorder.py
@@ -33,6 +33,9 @@
     "Answers judged by an objective, by whether they were good",
     ["objective", "result"],
 )
+OBJECTIVE_SHARE = prometheus_client.Gauge(
+    "acaciaward_objective_share", "Share of good answers wanted", ["objective"]
+)
 
 
 class Recorder:
@@ -52,10 +55,13 @@
         deployments = document.get("deployments", {})
         for gone in self._objectives.keys() - objectives.keys():
             _forget(JUDGED, ((gone, result) for result in RESULTS))
+            _forget(OBJECTIVE_SHARE, [(gone,)])
         for gone in self._deployments - deployments.keys():
             _forget(DURATION, ((name, gone) for name in SERVICE_CLASSES))
         self._objectives = objectives
         self._deployments = frozenset(deployments)
+        for name, objective in objectives.items():
+            OBJECTIVE_SHARE.labels(name).set(objective["share"])
         deadlines = [one["deadline_s"] for one in objectives.values()]
         self._book.set_bounds([*slots.DEFAULT_BOUNDS_S, *deadlines])
 
@@ -130,8 +136,8 @@
 
 
 def _forget(
-    metric: prometheus_client.Counter | prometheus_client.Histogram,
-    label_values: Iterable[tuple[str, str]],
+    metric: prometheus_client.metrics.MetricWrapperBase,
+    label_values: Iterable[tuple[str, ...]],
 ) -> None:
     for values in label_values:
         # Only the combinations that were counted have a child.
--- /dev/null
+++ b/script/api_reference.py
@@ -0,0 +1,83 @@
+"""
+Writes docs/reference/api.md and docs/reference/commands.md from the program.
+
+The routes are those of an entry that is built but not started; descriptions are
+the doc comments of their handlers.
+"""
+
+import inspect
+import pathlib
+import re
+
+import click
+
+from acaciaward.cli import main as cli_main
+from acaciaward.entry import process
+from acaciaward.settings import loader
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+API = ROOT / "docs/reference/api.md"
+COMMANDS = ROOT / "docs/reference/commands.md"
+API_HEAD = """# HTTP API
+
+Every path under `/v1/admin` needs `Authorization: Bearer KEY` of an operator, a viewer
+or, for its own organisation, of an administrator. An entry serves this list in OpenAPI
+form at `/openapi.json`. Errors have the form `{"error": {"code", "message", "verdict",
+"retry_after", "request_id"}}`. This page is written by script/api_reference.py.
+
+"""
+COMMANDS_HEAD = """# Commands
+
+What `--help` says. This page is written by script/api_reference.py.
+
+"""
+SETTINGS = {
+    "instance": {"name": "entry-1", "data_centre": "dc-1", "region": "r"},
+    "callers": {"port": 8100},
+    "peers": {"port": 8101},
+    "platform": {"log": {"address": "127.0.0.1", "port": 9100}},
+}
+
+
+def describe_routes() -> str:
+    """Return the page of the HTTP API."""
+    entry = process.EntryProcess(loader.check(SETTINGS))
+    lines = []
+    entry.application.router.apply_routes()
+    for method, routes in entry.application.router.routes.items():
+        for route in routes:
+            path = re.sub(r":path}", "}", route.pattern.decode())
+            text = inspect.getdoc(route.handler) or ""
+            summary = " ".join(text.split("\n\n")[0].split())
+            lines.append((path, method.decode(), summary))
+    shown = [f"- `{method} {path}` {text}".rstrip() for path, method, text in lines]
+    return API_HEAD + "\n".join(sorted(shown, key=_by_path)) + "\n"
+
+
+def _by_path(line: str) -> tuple[str, str]:
+    method, path = line.split("`")[1].split(" ", 1)
+    return path, method
+
+
+def describe_commands() -> str:
+    """Return the page of all commands."""
+    return COMMANDS_HEAD + "\n".join(_help_of(cli_main.cli, "acaciaward"))
+
+
+def _help_of(command: click.Command, name: str) -> list[str]:
+    context = click.Context(command, info_name=name, max_content_width=84)
+    lines = [f"## {name}\n", "```", command.get_help(context), "```\n"]
+    if isinstance(command, click.Group):
+        for part in command.list_commands(context):
+            lines += _help_of(command.get_command(context, part), f"{name} {part}")
+    return lines
+
+
+def main() -> None:
+    """Write both pages."""
+    API.write_text(describe_routes())
+    COMMANDS.write_text(describe_commands())
+
+
+if __name__ == "__main__":
+    main()
