--- a/acaciaward/administration/access.py
+++ b/acaciaward/administration/access.py
@@ -14,7 +14,7 @@
 import blacksheep
 
 from acaciaward import errors
-from acaciaward.callers import api as callers_api
+from acaciaward.callers import handling
 from acaciaward.configuration import interfaces as configuration_interfaces
 from acaciaward.identity import apikeys
 
@@ -67,7 +67,7 @@
         Raises ``AuthenticationError``, ``PermissionDeniedError``, or
         ``NotFoundError`` for an organisation that isn't the administrator's.
         """
-        principal = self._authenticate(callers_api.read_bearer(request))
+        principal = self._authenticate(handling.read_bearer(request))
         if right not in RIGHTS.get(principal.role, frozenset()):
             raise errors.PermissionDeniedError(
                 f"the role {principal.role} may not do this"
--- a/acaciaward/administration/features/steps/robustness_steps.py
+++ b/acaciaward/administration/features/steps/robustness_steps.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies
 
 from acaciaward import errors
-from acaciaward.callers import api as callers_api
+from acaciaward.callers import handling
 from acaciaward.demonstration import world
 from acaciaward.entry import process
 from acaciaward.observability import metrics
@@ -84,9 +84,9 @@
 @given("one entry in process that gives headers half a second")
 def start_hasty(context):
     _start(context, header_timeout_s=0.5)
-    usual = callers_api.BODY_TIMEOUT_S
-    callers_api.BODY_TIMEOUT_S = 0.5
-    context.add_cleanup(setattr, callers_api, "BODY_TIMEOUT_S", usual)
+    usual = handling.BODY_TIMEOUT_S
+    handling.BODY_TIMEOUT_S = 0.5
+    context.add_cleanup(setattr, handling, "BODY_TIMEOUT_S", usual)
 
 
 @given("one entry in process where an organisation may hold {count:d} connections")
--- a/acaciaward/cli/entry.py
+++ b/acaciaward/cli/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import signal
+import sys
 
 import click
 
@@ -13,13 +14,20 @@
 
 log = logging.getLogger(__name__)
 
+EXIT_CUT = 1
+
 
 @click.command()
 @click.option(
     "--settings", "path", required=True, type=click.Path(), help="JSON settings file."
 )
 def entry(path: str):
-    """Run one entry. SIGTERM stops it gracefully, a second one at once."""
+    """
+    Run one entry. SIGTERM stops it gracefully, a second one at once.
+
+    The exit code is 0, or 1 when requests were cut: by a second signal, or at
+    the limit of the stop.
+    """
     settings = loader.load(path)
     instance = settings["instance"]
     logs.configure(
@@ -27,12 +35,13 @@
         {"instance": instance["name"], "data_centre": instance["data_centre"]},
     )
     try:
-        asyncio.run(_run(settings))
+        exit_code = asyncio.run(_run(settings))
     except OSError as error:
         raise errors.OperatorError(f"can't start: {error}") from error
+    sys.exit(exit_code)
 
 
-async def _run(settings: loader.Settings) -> None:
+async def _run(settings: loader.Settings) -> int:
     running = process.EntryProcess(settings)
     signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
     loop = asyncio.get_running_loop()
@@ -53,6 +62,6 @@
         log.warning("second signal, stopping at once")
         stopping.cancel()
         await running.kill()
-        return
+        return EXIT_CUT
     second.cancel()
-    await stopping
+    return EXIT_CUT if stopping.result() else 0
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import time
 import typing
 
@@ -19,7 +20,7 @@
     messages as administration_messages,
 )
 from acaciaward.admission import counting
-from acaciaward.callers import api as callers_api, discovery
+from acaciaward.callers import api as callers_api, completions, discovery, drain
 from acaciaward.claims import book as claims_book, messages as claims_messages
 from acaciaward.configuration import (
     follower,
@@ -29,6 +30,7 @@
 )
 from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
+from acaciaward.entry import stopping
 from acaciaward.evacuation import departures, evacuator, watchers
 from acaciaward.membership import (
     gossip,
@@ -46,13 +48,14 @@
 log = logging.getLogger(__name__)
 
 START_WAIT_S = 10.0
+NOTICE_MARGIN_S = 0.5
+SHORTEST_STOP_S = 0.5
 MESSAGE_KINDS = (
     membership_messages.KINDS
     | administration_messages.KINDS
     | configuration_messages.KINDS
     | claims_messages.KINDS
 )
-DRAIN_POLL_S = 0.05
 
 
 class EntryProcess:
@@ -180,6 +183,8 @@
                 settings["source_bytes_per_s"], settings["target_bytes_per_s"]
             ),
         )
+        self._own_end = math.inf
+        self._departures.subscribe(self._take_departure)
         self._watch_limits = watchers.WatchLimits(
             settings["poll_s"], settings["assumed_notice_s"]
         )
@@ -260,16 +265,23 @@
         owners = httplimits.Connections(
             maximum=callers["max_connections_per_organisation"]
         )
+        entries = discovery.Discovery(
+            self._membership, lifetime_s=callers["discovery_lifetime_s"]
+        )
+        self._drain = drain.Drain(entries, scheme="https" if callers["tls"] else "http")
+        dispatch = self._settings["dispatch"]
         callers_api.CallersApi(
             application,
             configuration=self._configuration,
             requests_dispatcher=self._dispatcher,
             claims=self._claims,
-            entries=discovery.Discovery(
-                self._membership, lifetime_s=callers["discovery_lifetime_s"]
-            ),
+            entries=entries,
+            stop=self._drain,
             max_body_bytes=callers["max_body_bytes"],
             owners=owners,
+            stream_limits=completions.StreamLimits(
+                dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
+            ),
         )
         self._build_administration(application)
         self._server = httpserver.HttpServer(
@@ -284,6 +296,11 @@
             owners=owners,
         )
 
+    def _take_departure(self, departure: departures.Departure) -> None:
+        if departure.instance == self.name:
+            self._own_end = departure.deadline
+            self.stop_requested.set()
+
     def _build_administration(self, application: blacksheep.Application) -> None:
         collaborators = administration_api.Collaborators(
             configuration=self._configuration,
@@ -315,30 +332,34 @@
         self._start_watchers()
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
-    async def stop(self) -> None:
-        """Leave, serve callers with older answers, finish what runs, and end."""
-        limit_s = self._settings["callers"]["stop_limit_s"]
-        log.info("entry leaving", extra=logs.fields(limit_s=limit_s))
+    async def stop(self) -> int:
+        """
+        Leave, finish or hand over what runs, and end within the limit.
+
+        The limit is that of the settings, or what is left of the notice that
+        this entry's own instance got. Returns the number of requests cut.
+        """
+        settings = self._settings["callers"]
+        notice_s = self._own_end - time.monotonic() - NOTICE_MARGIN_S
+        limits = stopping.StopLimits(
+            max(SHORTEST_STOP_S, min(settings["stop_limit_s"], notice_s)),
+            settings["discovery_lifetime_s"],
+            settings["finish_s"],
+        )
+        log.info("entry leaving", extra=logs.fields(limit_s=limits.limit_s))
         self._membership.set_leaving()
         await self._membership.spread_now()
-        deadline = time.monotonic() + limit_s
-        await self._wait_for_older_answers(deadline)
-        while self._dispatcher.in_flight.total() and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-        await self._server.stop()
+        left_s = await stopping.drain_requests(self._drain, limits)
+        cut = await stopping.stop_server(self._server, self._drain, left_s)
         await self._end()
-        log.info("entry stopped")
+        log.info("entry stopped", extra=logs.fields(cut=cut))
+        return cut
 
     async def kill(self) -> None:
         """End at once, as a crash would; for demonstrations and tests."""
         await self._server.kill()
         await self._end()
 
-    async def _wait_for_older_answers(self, deadline: float) -> None:
-        lifetime_s = self._settings["callers"]["discovery_lifetime_s"]
-        left_s = max(0.0, deadline - time.monotonic())
-        await asyncio.sleep(min(lifetime_s, left_s))
-
     async def _end(self) -> None:
         for task in self._tasks:
             task.cancel()
