--- a/acaciaward/administration/api.py
+++ b/acaciaward/administration/api.py
@@ -49,7 +49,7 @@
     configuration = collaborators.configuration
     allowed = access.Access(configuration, bootstrap_key_digest)
     duties = (
-        health.HealthRoutes(configuration, collaborators.membership),
+        health.HealthRoutes(configuration, collaborators.membership, allowed),
         configuration_routes.ConfigurationRoutes(configuration, allowed),
         organisations.OrganisationRoutes(configuration, allowed, collaborators.claims),
         deployments.DeploymentRoutes(configuration, allowed, collaborators.hints),
--- a/acaciaward/administration/features/steps/administration_steps.py
+++ b/acaciaward/administration/features/steps/administration_steps.py
@@ -71,7 +71,9 @@
             async with client.send(
                 method, *address, path, headers=headers, body=payload
             ) as response:
-                return response.status, json.loads(await response.read())
+                data = await response.read()
+                is_json = response.headers["content-type"] == "application/json"
+                return response.status, json.loads(data) if is_json else data
         finally:
             await client.close()
 
@@ -159,6 +161,7 @@
 # Statuses for operator, viewer, administrator, caller and no key at all. A 422
 # or 400 shows that the right was given and that the empty body was refused.
 RIGHTS = (
+    ("GET", "/metrics", (200, 200, 403, 403, 401)),
     ("GET", "/v1/admin/status", (200, 200, 403, 403, 401)),
     ("GET", "/v1/admin/config", (200, 200, 403, 403, 401)),
     ("GET", "/v1/admin/config/history", (200, 200, 403, 403, 401)),
--- a/acaciaward/administration/health.py
+++ b/acaciaward/administration/health.py
@@ -1,10 +1,10 @@
-"""Routes for probes and scrapers, which need no key."""
+"""Routes for probes, which need no key, and for scrapers, which do."""
 
 import collections
 
 import blacksheep
 
-from acaciaward.administration import routes
+from acaciaward.administration import access, routes
 from acaciaward.callers import answers
 from acaciaward.configuration import interfaces as configuration_interfaces
 from acaciaward.membership import interfaces as membership_interfaces
@@ -20,8 +20,10 @@
         self,
         configuration: configuration_interfaces.Configuration,
         membership: membership_interfaces.Membership,
+        allowed: access.Access,
     ):
         self._configuration = configuration
+        self._access = allowed
         self._membership = membership
 
     def routes(self) -> list[routes.Route]:
@@ -42,8 +44,9 @@
         body = {"current": is_current, "version": self._configuration.view.version}
         return answers.json_response(body, READINESS[is_current])
 
-    async def _get_metrics(self) -> blacksheep.Response:
-        """Return all metrics in the Prometheus text format."""
+    async def _get_metrics(self, request: blacksheep.Request) -> blacksheep.Response:
+        """Return all metrics in the Prometheus text format; needs a viewer's key."""
+        self._access.require(request, access.Right.READ)
         self._take_gauges()
         content = blacksheep.Content(b"text/plain; version=0.0.4", metrics.exposition())
         return blacksheep.Response(200, content=content)
--- a/acaciaward/callers/api.py
+++ b/acaciaward/callers/api.py
@@ -16,6 +16,7 @@
 from acaciaward.claims import interfaces as claims_interfaces
 from acaciaward.configuration import interfaces as configuration_interfaces
 from acaciaward.dispatch import dispatcher
+from acaciaward.observability import recorder
 
 
 class CallersApi:
@@ -33,13 +34,18 @@
         max_body_bytes: int,
         stream_limits: completions.StreamLimits,
         owners: httplimits.Connections,
+        observed: recorder.Recorder,
     ):
         self._configuration = configuration
         self._dispatcher = requests_dispatcher
         self._claims = claims
         self._entries = entries
         self._handling = handling.Handling(
-            configuration, stop, max_body_bytes=max_body_bytes, owners=owners
+            configuration,
+            stop,
+            max_body_bytes=max_body_bytes,
+            owners=owners,
+            observed=observed,
         )
         routes = (
             ("GET", "/v1/entries", self._get_entries),
@@ -76,7 +82,7 @@
     ) -> blacksheep.Response:
         async def answer(request_id: str) -> blacksheep.Response:
             caller = self._handling.authenticate(request)
-            self._handling.check_current()
+            self._handling.check_current(request)
             raw = await self._handling.read_body(request)
             headers = handling.read_headers(request)
             options = parsing.read_options(headers)
--- a/acaciaward/callers/completions.py
+++ b/acaciaward/callers/completions.py
@@ -71,7 +71,7 @@
     ) -> blacksheep.Response:
         async def answer(request_id: str) -> blacksheep.Response:
             caller = self._handling.authenticate(request)
-            self._handling.check_current()
+            self._handling.check_current(request)
             raw = await self._handling.read_body(request)
             token = request.query.get("resume", [None])[0]
             wanted = resuming.ResumeBody(resume=token) if token else None
@@ -83,7 +83,7 @@
     async def _post_resume(self, request: blacksheep.Request) -> blacksheep.Response:
         async def answer(request_id: str) -> blacksheep.Response:
             caller = self._handling.authenticate(request)
-            self._handling.check_current()
+            self._handling.check_current(request)
             wanted = resuming.read_body(await self._handling.read_body(request))
             form = answers.CHAT if wanted.get("chat", False) else answers.COMPLETION
             raw = wanted["body"].encode()
--- a/acaciaward/callers/handling.py
+++ b/acaciaward/callers/handling.py
@@ -16,7 +16,7 @@
 from acaciaward.callers import answers, drain
 from acaciaward.configuration import interfaces as configuration_interfaces
 from acaciaward.identity import apikeys
-from acaciaward.observability import logs, metrics
+from acaciaward.observability import logs, metrics, recorder
 
 log = logging.getLogger(__name__)
 
@@ -38,10 +38,12 @@
         *,
         max_body_bytes: int,
         owners: httplimits.Connections,
+        observed: recorder.Recorder,
     ):
         self.configuration = configuration
         self.drain = stop
         self._owners = owners
+        self._recorder = observed
         self._max_body_bytes = max_body_bytes
 
     def authenticate(self, request: blacksheep.Request) -> apikeys.Caller:
@@ -51,13 +53,17 @@
         self._owners.bind(request, caller.organisation)
         return caller
 
-    def check_current(self) -> None:
+    def check_current(self, request: blacksheep.Request) -> None:
         """Raise ``NotCurrentError`` unless the configuration is current."""
-        if not self.configuration.is_current:
-            raise errors.NotCurrentError(
-                "this entry can't show that its configuration is current",
-                retry_after_s=NOT_CURRENT_RETRY_S,
-            )
+        if self.configuration.is_current:
+            return
+        error = errors.NotCurrentError(
+            "this entry can't show that its configuration is current",
+            retry_after_s=NOT_CURRENT_RETRY_S,
+        )
+        named = request.get_first_header(b"x-service-class") or b""
+        self._recorder.refused_early(named.decode("latin-1"), error)
+        raise error
 
     async def read_body(self, request: blacksheep.Request) -> bytes:
         """Return a request's body within the bound of the settings."""
--- a/acaciaward/entry/features/steps/versions_steps.py
+++ b/acaciaward/entry/features/steps/versions_steps.py
@@ -145,8 +145,8 @@
 async def _call_each(context):
     replies = []
     for address in context.world.addresses:
-        one = caller.Caller([address], key=context.world.keys["scoala-alba"])
-        one._entries, one._entries_expire = [address], float("inf")
+        key = context.world.keys["scoala-alba"]
+        one = caller.Caller([address], key=key, discover=False)
         replies.append(
             await one.call("counter-desk", "confirm", b'{"box": 1}', idempotent=False)
         )
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -279,6 +279,7 @@
             stop=self._drain,
             max_body_bytes=callers["max_body_bytes"],
             owners=owners,
+            observed=self._recorder,
             stream_limits=completions.StreamLimits(
                 dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
             ),
--- a/acaciaward/observability/burn.py
+++ b/acaciaward/observability/burn.py
@@ -19,6 +19,7 @@
 SHORTEST_WINDOW_S = 60.0
 SHORT_WINDOW_RATIO = 12
 ALL_DEPLOYMENTS = "*"
+NO_DEPLOYMENT = "-"
 # Stands for infinity, which JSON can't express.
 NO_BUDGET_RATE = 1e9
 
--- a/acaciaward/observability/features/burn.feature
+++ b/acaciaward/observability/features/burn.feature
@@ -29,3 +29,7 @@
   Scenario: Counts stay bounded in number
     When answers of 40 days are counted
     Then no level keeps more slots than it may
+
+  Scenario: A refusal before the deployment is known burns its class
+    When requests of the classes urgent, rush and none are refused early
+    Then the report has 1 bad urgent and 2 bad short answers
--- a/acaciaward/observability/features/steps/burn_steps.py
+++ b/acaciaward/observability/features/steps/burn_steps.py
@@ -228,3 +228,23 @@
 def check_bounded(context):
     kept = [len(one) for one in context.book._slots]
     assert kept == [level.kept for level in slots.LEVELS], kept
+
+
+@when("requests of the classes urgent, rush and none are refused early")
+def refuse_early(context):
+    context.recorder = recorder.Recorder("entry-1", clock=Clock())
+    context.objectives = _objectives(2.0)
+    context.recorder.follow({"objectives": context.objectives})
+    for named in ("urgent", "rush", ""):
+        context.recorder.refused_early(named, errors.NotCurrentError("not current"))
+
+
+@then("the report has {urgent:d} bad urgent and {short:d} bad short answers")
+def check_refused_early(context, urgent, short):
+    rows = burn.report(context.objectives, [context.recorder.snapshot()])
+    whole = {
+        row["objective"]: row["windows"][-1] for row in rows if row["deployment"] == "*"
+    }
+    bad = {name: one["total"] - one["good"] for name, one in whole.items()}
+    assert bad["urgent-in-time"] == urgent, bad
+    assert bad["short-in-time"] == short, bad
--- a/acaciaward/observability/recorder.py
+++ b/acaciaward/observability/recorder.py
@@ -21,6 +21,7 @@
 FIRST_FAILURE_STATUS = 500
 RESULTS = ("good", "bad")
 SERVICE_CLASSES = ("urgent", "short", "long")
+DEFAULT_CLASS = "short"
 
 DURATION = prometheus_client.Histogram(
     "acaciaward_answer_seconds",
@@ -77,6 +78,12 @@
         if is_failure(error):
             self._add(service_class, deployment, 0.0, is_failure=True)
 
+    def refused_early(self, named_class: str, error: errors.RequestError) -> None:
+        """Count a request that was refused before its deployment was known."""
+        is_known = named_class in SERVICE_CLASSES
+        service_class = named_class if is_known else DEFAULT_CLASS
+        self.refused(service_class, burn.NO_DEPLOYMENT, error)
+
     def _add(
         self, service_class: str, deployment: str, seconds: float, *, is_failure: bool
     ) -> None:
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -81,9 +81,10 @@
 
 async def _busy_entry(running):
     """Return the entry that serves the only stream."""
+    headers = {"authorization": f"Bearer {running.operator_key}"}
     for name in running.entries:
         async with httpclient.HttpClient().send(
-            "GET", *running.address(name), "/metrics"
+            "GET", *running.address(name), "/metrics", headers=headers
         ) as response:
             text = (await response.read()).decode()
         if "acaciaward_open_requests 1.0" in text:
