--- a/acaciaward/callers/api.py
+++ b/acaciaward/callers/api.py
@@ -31,9 +31,9 @@
         claims: claims_interfaces.ClaimBook,
         entries: discovery.Discovery,
         stop: drain.Drain,
+        owners: httplimits.Connections,
         max_body_bytes: int,
         stream_limits: completions.StreamLimits,
-        owners: httplimits.Connections,
         observed: recorder.Recorder,
     ):
         self._configuration = configuration
--- a/bench/once.py
+++ b/bench/once.py
@@ -74,7 +74,9 @@
         # both must meet the same entries.
         order = list(self._addresses)
         self._random.shuffle(order)
-        return caller.Caller(order, key=self._key, discover=False, max_tries=max_tries)
+        made = caller.Caller(order, key=self._key, max_tries=max_tries)
+        made.pin(order)
+        return made
 
     async def close(self) -> None:
         """Close every connection."""
