--- a/acaciaward/callers/drain.py
+++ b/acaciaward/callers/drain.py
@@ -110,7 +110,8 @@
     async def wait_until_idle(self, timeout_s: float) -> bool:
         """Return whether no request was open before the time ran out."""
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._idle.wait(), max(0.0, timeout_s))
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await self._idle.wait()
         return self._idle.is_set()
 
     def choose_peer(self) -> discovery.EntryAddress | None:
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -33,16 +33,18 @@
 from acaciaward.entry import stopping
 from acaciaward.evacuation import departures, evacuator, watchers
 from acaciaward.identity import curvekeys
+from acaciaward.leases import keeper
 from acaciaward.membership import (
     gossip,
     hints,
     interfaces as membership_interfaces,
     messages as membership_messages,
+    rendezvous,
     transport,
 )
 from acaciaward.observability import logs, recorder
 from acaciaward.platform import calls, cloud, log as platform_log
-from acaciaward.quarantine import permissive
+from acaciaward.quarantine import book as quarantine_book
 from acaciaward.routing import leastloaded
 from acaciaward.settings import loader
 
@@ -71,6 +73,7 @@
         )
         self._build_membership()
         self._build_configuration()
+        self._build_leases()
         self._build_evacuation()
         self._build_dispatch()
         self._build_server()
@@ -90,6 +93,11 @@
         """The configuration in force here."""
         return self._configuration
 
+    @property
+    def leases(self) -> keeper.LogLeases:
+        """The duties of this entry."""
+        return self._leases
+
     @property
     def membership(self) -> gossip.GossipMembership:
         """The entries that this one knows."""
@@ -169,6 +177,26 @@
             lambda view: self._membership.set_configuration_version(view.version)
         )
 
+    def _build_leases(self) -> None:
+        settings = self._settings["leases"]
+        self._leases = keeper.LogLeases(
+            platform_log.HttpLog(self._platform_service("log")),
+            self.name,
+            stream=settings["stream"],
+            duration_s=settings["duration_s"],
+            order_timeout_s=settings["order_timeout_s"],
+            is_candidate=self._is_candidate,
+        )
+
+    def _is_candidate(self, duty: str) -> bool:
+        live = [
+            peer.name
+            for peer in self._membership.peers()
+            if peer.state is membership_interfaces.PeerState.LIVE
+        ]
+        count = self._settings["leases"]["candidates"]
+        return self.name in rendezvous.choose(duty, live, count)
+
     def _platform_service(self, name: str) -> calls.PlatformService | None:
         platform = self._settings["platform"]
         place = platform[name]
@@ -179,6 +207,7 @@
             place["address"],
             place["port"],
             timeout_s=platform["timeout_s"],
+            name=name,
         )
 
     def _build_evacuation(self) -> None:
@@ -245,6 +274,14 @@
             live_entries=self._count_live_entries,
         )
 
+    def _build_quarantine(self) -> None:
+        self._quarantine = quarantine_book.LogQuarantine(
+            platform_log.HttpLog(self._platform_service("log")),
+            self._configuration,
+            self._hints,
+            self._settings["quarantine"],
+        )
+
     def _count_live_entries(self) -> int:
         live = membership_interfaces.PeerState.LIVE
         return sum(1 for peer in self._membership.peers() if peer.state is live)
@@ -253,6 +290,7 @@
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
         self._build_claims()
+        self._build_quarantine()
         collaborators = attempts.Collaborators(
             router=self._router,
             admission=counting.CountingAdmission(
@@ -262,7 +300,7 @@
                 retry_budget_minimum=admission["retry_budget_minimum"],
             ),
             claims=self._claims,
-            quarantine=permissive.PermissiveQuarantine(),
+            quarantine=self._quarantine,
             engine=self._engine,
             service=service.HttpPlainService(self._client),
             evacuation=self._evacuator,
@@ -341,10 +379,13 @@
         await self._transport.start()
         self._start_task(self._membership.run())
         self._start_task(self._configuration.run())
+        self._start_task(self._leases.run())
         self._start_task(self._list_when_current())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
         self._start_task(self._claims.run())
+        self._start_task(self._quarantine.run())
+        await self._quarantine.wait_until_replayed(START_WAIT_S)
         if not await self._claims.wait_until_replayed(START_WAIT_S):
             log.warning("started without having replayed the claims")
         await self._server.start()
@@ -373,7 +414,10 @@
         log.info("entry leaving", extra=logs.fields(limit_s=limits.limit_s))
         self._membership.set_leaving()
         await self._membership.spread_now()
-        left_s = await stopping.drain_requests(self._drain, limits)
+        _, left_s = await asyncio.gather(
+            self._leases.leave(self._settings["leases"]["order_timeout_s"]),
+            stopping.drain_requests(self._drain, limits),
+        )
         cut = await stopping.stop_server(self._server, self._drain, left_s)
         await self._end()
         log.info("entry stopped", extra=logs.fields(cut=cut))
@@ -385,9 +429,7 @@
         await self._end()
 
     async def _end(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await stopping.end_tasks(self._tasks)
         await self._evacuator.stop()
         await self._transport.stop()
         await self._client.close()
--- a/acaciaward/evacuation/evacuator.py
+++ b/acaciaward/evacuation/evacuator.py
@@ -94,7 +94,8 @@
         tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks)
 
     def _begin(self, departure: departures.Departure) -> None:
         name = departure.instance
