--- a/script/api_reference.py
+++ b/script/api_reference.py
@@ -1,5 +1,5 @@
 """
-Writes docs/reference/api.md and docs/reference/commands.md from the program.
+Writes docs/reference/api.md, docs/reference/commands.md and the notes' index.
 
 The routes are those of an entry that is built but not started; descriptions are
 the doc comments of their handlers.
@@ -18,6 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 API = ROOT / "docs/reference/api.md"
 COMMANDS = ROOT / "docs/reference/commands.md"
+NOTES = ROOT / "docs/design/README.md"
 API_HEAD = """# HTTP API
 
 Every path under `/v1/admin` needs `Authorization: Bearer KEY` of an operator, a viewer
@@ -30,6 +31,12 @@
 
 What `--help` says. This page is written by script/api_reference.py.
 
+"""
+NOTES_HEAD = """# Design notes
+
+Each note sets out the ways weighed, what decides between them, and the measurement.
+This page is written by script/api_reference.py.
+
 """
 SETTINGS = {
     "instance": {"name": "entry-1", "data_centre": "dc-1", "region": "r"},
@@ -73,8 +80,19 @@
     return lines
 
 
+def describe_notes() -> str:
+    """Return the index of the design notes, by their titles."""
+    lines = []
+    for path in sorted(NOTES.parent.glob("*.md")):
+        if path != NOTES:
+            title = path.read_text().splitlines()[0].removeprefix("# ")
+            lines.append(f"- [{title}]({path.name})\n")
+    return NOTES_HEAD + "".join(lines)
+
+
 def main() -> None:
-    """Write both pages."""
+    """Write all pages."""
+    NOTES.write_text(describe_notes())
     API.write_text(describe_routes())
     COMMANDS.write_text(describe_commands())
 
