--- a/acaciaward/client/entries.py
+++ b/acaciaward/client/entries.py
@@ -24,29 +24,33 @@
         self,
         seeds: Sequence[Address],
         client: httpclient.HttpClient,
-        *,
         data_centre: str | None = None,
-        discover: bool = True,
     ):
         self._seeds = list(seeds)
-        self._is_fixed = not discover
+        self._is_pinned = False
         self._client = client
         self._data_centre = data_centre
         self._known: list[Address] = []
         self._expire = 0.0
         self._turn = 0
 
+    def pin(self, addresses: Sequence[Address]) -> None:
+        """Use these entries from now on, without asking which to use."""
+        self._known = list(addresses)
+        self._is_pinned = True
+
     async def next(self) -> Address:
         """Return the entry for the next request, asking anew when due."""
-        if self._is_fixed:
-            self._known = self._seeds
-        elif not self._known or time.monotonic() > self._expire:
+        is_due = not self._known or time.monotonic() > self._expire
+        if is_due and not self._is_pinned:
             await self._discover()
         self._turn += 1
         return self._known[self._turn % len(self._known)]
 
     def forget(self, entry: Address) -> None:
         """Leave an entry out until discovery names it again."""
+        if self._is_pinned:
+            return
         self._known = [known for known in self._known if known != entry]
 
     async def _discover(self) -> None:
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -2,8 +2,9 @@
 Finds free loopback ports for stand-ins and entries of experiments.
 
 Ports lie below the range from which the system takes those of outgoing
-connections, and each process searches from a place of its own, so that two
-experiments on one machine don't take each other's.
+connections. A port that was given out stays reserved until the process ends, by
+a UDP socket of the same number, so that two experiments on one machine don't
+take each other's while a server is being started anew.
 """
 
 import itertools
@@ -13,17 +14,18 @@
 ADDRESS = "127.0.0.1"
 FIRST_PORT = 10_000
 PORT_COUNT = 22_000
-PORTS_PER_PROCESS = 256
+PORTS_PER_PROCESS = 61
 
 _offsets = itertools.count()
+_reservations: list[socket.socket] = []
 
 
 def find_free_port() -> int:
-    """Return a loopback port that is free and was not given out before."""
+    """Return a loopback port that is free and reserved for this process."""
     while True:
         offset = os.getpid() * PORTS_PER_PROCESS + next(_offsets)
         port = FIRST_PORT + offset % PORT_COUNT
-        if _is_free(port):
+        if _is_free(port) and _reserve(port):
             return port
 
 
@@ -35,3 +37,14 @@
         except OSError:
             return False
     return True
+
+
+def _reserve(port: int) -> bool:
+    reservation = socket.socket(type=socket.SOCK_DGRAM)
+    try:
+        reservation.bind((ADDRESS, port))
+    except OSError:
+        reservation.close()
+        return False
+    _reservations.append(reservation)
+    return True
