--- a/acaciaward/configuration/features/replay.feature
+++ b/acaciaward/configuration/features/replay.feature
@@ -21,3 +21,6 @@
 
   Scenario: A snapshot of a process that slept doesn't put off the renewal
     Then only snapshots that leave no gap count as new
+
+  Scenario: Checking only what changed gives the verdict of the whole check
+    Then any change of a valid document is judged as the whole document would be
--- a/acaciaward/configuration/features/steps/replay_steps.py
+++ b/acaciaward/configuration/features/steps/replay_steps.py
@@ -361,3 +361,71 @@
     clock.note(fresh)
     assert not clock.is_due(7, 202.0)
     json.dumps(fresh.data)
+
+
+VALUES = strategies.sampled_from(
+    (None, True, 1, 1.0, 0, "model", "service", [], ["library"], {}, "10.0.0.1")
+)
+PLACES = strategies.dictionaries(
+    strategies.sampled_from(("address", "port", "data_centre", "reclaimable", "x")),
+    VALUES,
+    max_size=3,
+)
+ENTRIES_OF_MAPS = strategies.dictionaries(
+    strategies.sampled_from(
+        ("kind", "organisations", "suspended", "share", "fenced", "bad", "keys")
+    ),
+    VALUES,
+    max_size=3,
+) | strategies.fixed_dictionaries(
+    {
+        "endpoints": strategies.dictionaries(
+            strategies.sampled_from(("one", "two", "BAD NAME")), PLACES, max_size=2
+        )
+    }
+)
+ANY_CHANGES = strategies.dictionaries(
+    strategies.sampled_from(
+        ("organisations", "deployments", "operators", "lifted", "quarantine_s", "x")
+    ),
+    strategies.dictionaries(
+        strategies.sampled_from(("library", "text", "Bad Name")),
+        ENTRIES_OF_MAPS | VALUES,
+        max_size=2,
+    )
+    | VALUES,
+    max_size=2,
+)
+VALID = {
+    "organisations": {"library": {"suspended": True, "share": 1.0}},
+    "deployments": {
+        "text": {
+            "kind": "model",
+            "fenced": True,
+            "organisations": ["library"],
+            "endpoints": {
+                "one": {"address": "10.0.0.1", "port": 1, "data_centre": "dc-1"}
+            },
+        }
+    },
+}
+
+
+@then("any change of a valid document is judged as the whole document would be")
+def check_changes(context):
+    assert document.first_mistake(VALID) is None
+    verdicts = {True: 0, False: 0}
+
+    @hypothesis.settings(SETTINGS, max_examples=1500)
+    @hypothesis.given(ANY_CHANGES)
+    @hypothesis.example({"organisations": {"library": {"suspended": 1}}})
+    @hypothesis.example({"organisations": {"library": {"share": True}}})
+    def check(changes):
+        patched = document.merge(VALID, changes)
+        whole = document.first_mistake(patched) is None
+        verdicts[whole] += 1
+        changed = document.first_mistake_of_change(VALID, patched) is None
+        assert changed == whole, (changes, patched)
+
+    check()
+    assert min(verdicts.values()) > 50, verdicts
--- a/acaciaward/configuration/replay.py
+++ b/acaciaward/configuration/replay.py
@@ -217,7 +217,7 @@
             reason = f"base {patch['base']} is not the current version {version}"
             return PatchStatus.STALE, reason
         patched = document.merge(self._view.document, patch["changes"])
-        mistake = document.first_mistake(patched)
+        mistake = document.first_mistake_of_change(self._view.document, patched)
         if mistake is not None:
             return PatchStatus.INVALID, f"{mistake.path}: {mistake.reason}"
         if len(msgspec.json.encode(patched)) > MAX_DOCUMENT_BYTES:
