Append claims through two writers a region; tests of verdicts and quarantine

Cause: each entry appended its own batches, so the pause between appends had to grow with the entries to stay in the log's budget: 60 ms with today's 9. Two writers a region, chosen by rendezvous hashing, append for all; a record that is appended twice counts once, so nothing rests on the choice.

--- a/acaciaward/claims/book.py
+++ b/acaciaward/claims/book.py
@@ -6,7 +6,7 @@
 ends without a dispatch releases its nonce, and a nonce that was given up here is
 never dispatched, wherever its record may land.
 
-    book = LogClaimBook("entry-1", log, network, settings, live_entries=lambda: 3)
+    book = LogClaimBook("entry-1", log, membership, network, settings)
     claim = await book.claim(request)
     book.confirm(claim)
 """
@@ -16,7 +16,6 @@
 import time
 import typing
 import uuid
-from collections.abc import Callable
 
 import prometheus_client
 
@@ -27,6 +26,7 @@
     messages,
     replay,
     runs,
+    writers,
 )
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import logs
@@ -53,14 +53,12 @@
         self,
         name: str,
         platform_log: platform_interfaces.Log,
+        membership: membership_interfaces.Membership,
         network: membership_interfaces.PeerNetwork,
         settings: dict[str, typing.Any],
-        *,
-        live_entries: Callable[[], int],
     ):
         self._name = name
         self._settings = settings
-        self._live_entries = live_entries
         self._replay = replay.ClaimReplay(
             window_s=settings["window_s"], clock_skew_s=settings["clock_skew_s"]
         )
@@ -70,13 +68,14 @@
         self._appender = appending.BatchAppender(
             platform_log, settings["stream"], interval_s=self._interval_s
         )
+        self._writers = writers.RoutedAppender(membership, network, self._appender)
         self._runs = runs.RunBook(kept_s=settings["window_s"])
         self._lookup = lookups.OutcomeLookup(name, self._runs, network)
         REMEMBERED.set_function(lambda: self._replay.remembered)
 
     def _interval_s(self) -> float:
-        """Return the pause between appends that keeps all entries in the budget."""
-        shared_s = max(1, self._live_entries()) / self._settings["appends_per_s"]
+        """Return the pause between appends that keeps all writers in the budget."""
+        shared_s = self._writers.choice().total / self._settings["appends_per_s"]
         return max(self._settings["batch_delay_s"], shared_s)
 
     async def run(self) -> None:
@@ -143,7 +142,7 @@
     async def _append_until_seen(
         self, record: messages.ClaimRecord, seen: asyncio.Future
     ) -> None:
-        appended = asyncio.ensure_future(self._appender.append(record))
+        appended = asyncio.ensure_future(self._writers.append(record))
         try:
             await asyncio.wait({appended, seen}, return_when=asyncio.FIRST_COMPLETED)
             if not seen.done():
--- a/acaciaward/claims/messages.py
+++ b/acaciaward/claims/messages.py
@@ -46,4 +46,23 @@
     body: bytes
 
 
-KINDS = {"claims_outcome": OutcomeQuestion, "claims_outcome_answer": OutcomeAnswer}
+class AppendQuestion(typing.TypedDict):
+    """Asks a writer to append a claim."""
+
+    sender: str
+    record: ClaimRecord
+
+
+class AppendAnswer(typing.TypedDict):
+    """Whether the log has taken the claim: taken, refused or unknown."""
+
+    state: str
+    reason: str
+
+
+KINDS = {
+    "claims_outcome": OutcomeQuestion,
+    "claims_outcome_answer": OutcomeAnswer,
+    "claims_append": AppendQuestion,
+    "claims_append_answer": AppendAnswer,
+}
--- /dev/null
+++ b/acaciaward/claims/writers.py
@@ -0,0 +1,127 @@
+"""
+Sends claims to the few entries of a region that append for all others.
+
+The writers of a region are its first live entries by the hash of their names
+(rendezvous hashing), so all entries agree on them without a message. Nothing
+rests on that agreement: any entry may append, and a record that is appended
+twice counts once. A writer that doesn't answer is passed over for a while.
+"""
+
+import hashlib
+import time
+import typing
+
+from acaciaward import errors
+from acaciaward.claims import messages
+from acaciaward.membership import interfaces as membership_interfaces
+from acaciaward.platform import appending
+
+FORWARD = "claims_append"
+FORWARD_TIMEOUT_S = 0.5
+SHUNNED_S = 2.0
+WRITERS_PER_REGION = 2
+CHOICE_LIFETIME_S = 0.5
+
+
+class WriterChoice(typing.NamedTuple):
+    """The writers of the own region, and how many all regions have."""
+
+    own: tuple[str, ...] = ()
+    total: int = 1
+
+
+def choose_writers(
+    peers: typing.Iterable[membership_interfaces.Peer], region: str
+) -> WriterChoice:
+    """Return the live writers as every entry would choose them."""
+    regions: dict[str, list[str]] = {}
+    for peer in peers:
+        if peer.state is membership_interfaces.PeerState.LIVE:
+            regions.setdefault(peer.region, []).append(peer.name)
+    chosen = {
+        name: sorted(members, key=_weight)[:WRITERS_PER_REGION]
+        for name, members in regions.items()
+    }
+    total = sum(len(writers) for writers in chosen.values())
+    return WriterChoice(tuple(chosen.get(region, ())), max(1, total))
+
+
+def _weight(*names: str) -> bytes:
+    return hashlib.sha256("/".join(names).encode()).digest()
+
+
+class RoutedAppender:
+    """Appends a record here or through a writer."""
+
+    def __init__(
+        self,
+        membership: membership_interfaces.Membership,
+        network: membership_interfaces.PeerNetwork,
+        appender: appending.BatchAppender,
+    ):
+        self._membership = membership
+        self._network = network
+        self._appender = appender
+        self._choice = WriterChoice()
+        self._chosen_at = float("-inf")
+        self._shunned: dict[str, float] = {}
+        network.handle(FORWARD, self._answer)
+
+    def choice(self) -> WriterChoice:
+        """Return the writers, chosen anew now and then."""
+        now = time.monotonic()
+        if now - self._chosen_at > CHOICE_LIFETIME_S:
+            peers = self._membership.peers()
+            own = [peer for peer in peers if peer.name == self._membership.name]
+            self._choice = choose_writers(peers, own[0].region if own else "")
+            self._chosen_at = now
+        return self._choice
+
+    def _writer(self) -> str | None:
+        """Return the writer to send to, or None to append here."""
+        writers = self.choice().own
+        if self._membership.name in writers:
+            return None
+        now = time.monotonic()
+        usable = [name for name in writers if self._shunned.get(name, 0.0) <= now]
+        return min(
+            usable,
+            key=lambda name: _weight(name, self._membership.name),
+            default=None,
+        )
+
+    async def append(self, record: messages.ClaimRecord) -> None:
+        """Append a record; see ``BatchAppender.append`` for the errors."""
+        writer = self._writer()
+        if writer is None:
+            await self._appender.append(record)
+            return
+        question = {"sender": self._membership.name, "record": record}
+        try:
+            answer = await self._network.request(
+                writer, FORWARD, question, timeout_s=FORWARD_TIMEOUT_S
+            )
+        except errors.PeerUnreachableError:
+            self._shunned[writer] = time.monotonic() + SHUNNED_S
+            await self._appender.append(record)
+            return
+        error = _ERRORS.get(answer["state"])
+        if error is not None:
+            raise error(f"{writer}: {answer['reason']}")
+
+    async def _answer(
+        self, sender: str, question: dict[str, typing.Any]
+    ) -> messages.AppendAnswer:
+        try:
+            await self._appender.append(question["record"])
+        except errors.PlatformRefusedError as error:
+            return {"state": "refused", "reason": str(error)}
+        except errors.PlatformUnknownError as error:
+            return {"state": "unknown", "reason": str(error)}
+        return {"state": "taken", "reason": ""}
+
+
+_ERRORS = {
+    "refused": errors.PlatformRefusedError,
+    "unknown": errors.PlatformUnknownError,
+}
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -236,8 +236,8 @@
             self.name,
             platform_log.HttpLog(self._platform_service("log")),
             self._membership,
+            self._membership,
             self._settings["claims"],
-            live_entries=self._count_live_entries,
         )
 
     def _build_quarantine(self) -> None:
@@ -248,10 +248,6 @@
             self._settings["quarantine"],
         )
 
-    def _count_live_entries(self) -> int:
-        live = membership_interfaces.PeerState.LIVE
-        return sum(1 for peer in self._membership.peers() if peer.state is live)
-
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
         admission = self._settings["admission"]
--- /dev/null
+++ b/acaciaward/quarantine/features/steps/quarantine_steps.py
@@ -0,0 +1,228 @@
+"""Steps for quarantine: replayed records and probed endpoints."""
+
+import asyncio
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+
+from acaciaward import documents, requests
+from acaciaward.membership import hints, interfaces as membership_interfaces
+from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.quarantine import deaths, replay
+from standins import ports
+
+ADDRESS = "127.0.0.1"
+BETWEEN_DEATHS_S = 5.0
+
+
+class Stream:
+    """A replay and the log that it reads."""
+
+    def __init__(self):
+        self.replay = replay.QuarantineReplay(suspect_s=300.0, duration_s=1800.0)
+        self.time = 1000.0
+        self.count = 0
+
+    def put(self, **data):
+        data = {"nonce": f"n{self.count}"} | data
+        record = platform_interfaces.LogRecord(self.count, self.time, data)
+        self.count += 1
+        page = platform_interfaces.LogPage([record], 0, self.count, self.time)
+        self.replay.apply_page(page)
+
+    def put_death(self, endpoint, names, *, alone=(), counts=True):
+        self.put(
+            kind="death",
+            endpoint=endpoint,
+            suspects=list(names),
+            alone=list(alone),
+            counts=counts,
+        )
+
+
+def split(names):
+    return [name.strip() for name in names.split(",")]
+
+
+@given("a quarantine replay")
+def make_stream(context):
+    context.stream = Stream()
+
+
+@when('"{endpoint}" dies under "{names}"')
+def die(context, endpoint, names):
+    context.stream.put_death(endpoint, split(names))
+
+
+@when('"{endpoint}" dies under "{name}" alone')
+def die_alone(context, endpoint, name):
+    context.stream.time += BETWEEN_DEATHS_S
+    context.stream.put_death(endpoint, [name], alone=[name])
+
+
+@when('"{endpoint}" dies under "{name}" alone, with "{other}" of another entry')
+def die_shared(context, endpoint, name, other):
+    die_alone(context, endpoint, name)
+    context.stream.put_death(endpoint, [other])
+
+
+@when('"{endpoint}" is lost with its data centre under "{name}" alone')
+def lose(context, endpoint, name):
+    context.stream.time += BETWEEN_DEATHS_S
+    context.stream.put_death(endpoint, [name], alone=[name], counts=False)
+
+
+@when('"{name}" completes alone')
+def complete(context, name):
+    context.stream.put(kind="clear", subject=name)
+
+
+@when("{seconds:d} seconds pass")
+def wait(context, seconds):
+    context.stream.time += seconds
+    context.stream.put(kind="noise")
+
+
+@then('"{names}" are suspects and nobody is quarantined')
+def check_suspects(context, names):
+    one = context.stream.replay
+    assert all(one.suspected_at(name) is not None for name in split(names))
+    assert not one.quarantined
+
+
+@then('only "{name}" is quarantined')
+def check_only(context, name):
+    assert set(context.stream.replay.quarantined) == {name}
+    held = context.stream.replay.quarantined[name]
+    assert held.until - held.since == 1800.0
+    assert held.endpoints == ("e1", "e2")
+
+
+@then("nobody is quarantined")
+def check_none(context):
+    assert not context.stream.replay.quarantined
+
+
+@then("nobody is quarantined or suspected")
+def check_over(context):
+    check_none(context)
+    assert context.stream.replay.suspected_at("poison") is None
+
+
+@then('"{name}" is the sole suspect of two deaths, and "{others}" are not')
+def check_sole(context, name, others):
+    one = context.stream.replay
+    assert one.sole_suspect_of_two(name)
+    assert not any(one.sole_suspect_of_two(other) for other in split(others))
+
+
+@then("of all turns on any log at most one holds each endpoint and each subject")
+def check_turns(context):
+    names = strategies.sampled_from(["x", "y", "z"])
+    records = strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["turn", "turn", "turn_end"]),
+            strategies.integers(0, 7),
+            names,
+            names,
+            strategies.sampled_from([0.0, 1.0, 20.0]),
+        ),
+        max_size=20,
+    )
+
+    @hypothesis.settings(database=None, derandomize=True, max_examples=300)
+    @hypothesis.given(records)
+    def check(drawn):
+        stream = Stream()
+        made = {}
+        for kind, number, endpoint, subject, pause_s in drawn:
+            stream.time += pause_s
+            nonce = f"n{number}"
+            stream.put(kind=kind, nonce=nonce, endpoint=endpoint, subject=subject)
+            if kind == "turn":
+                made.setdefault(nonce, (endpoint, subject))
+            holders = [one for one in made if stream.replay.has_turn(one)]
+            # A nonce that comes again after its end stands for its first turn
+            # no longer, so endpoints are read from the replay itself.
+            turns = [stream.replay._turns[one] for one in holders]
+            assert len({turn.endpoint for turn in turns}) == len(turns)
+            assert len({turn.subject for turn in turns}) == len(turns)
+
+    check()
+
+
+class Places:
+    """A configuration of endpoints, some of which listen."""
+
+    def __init__(self, places):
+        self._endpoints = [
+            requests.Endpoint(
+                name,
+                ADDRESS,
+                ports.find_free_port(),
+                data_centre,
+                "text",
+                requests.DeploymentKind.MODEL,
+            )
+            for name, data_centre in places
+        ]
+        self.view = documents.View(1, {"deployments": {"text": {}}})
+
+    def endpoints(self, deployment):
+        return self._endpoints
+
+    def get(self, name):
+        return next(one for one in self._endpoints if one.name == name)
+
+
+@given('endpoints "{first}" in "{first_centre}" and "{second}" in "{second_centre}"')
+def start_endpoints(context, first, first_centre, second, second_centre):
+    places = [(name, first_centre) for name in split(first)]
+    places += [(name, second_centre) for name in split(second)]
+    context.places = Places(places)
+    context.board = hints.HintBoard("entry-1")
+    context.judge = deaths.DeathJudge(context.places, context.board)
+    context.servers = {}
+
+    async def serve(reader, writer):
+        writer.close()
+
+    async def start():
+        for name, _ in places:
+            place = context.places.get(name)
+            server = await asyncio.start_server(serve, place.address, place.port)
+            context.servers[name] = server
+
+    context.runner.run(start())
+
+
+@when('"{name}" stops listening')
+def stop(context, name):
+    async def close():
+        context.servers[name].close()
+
+    context.runner.run(close())
+
+
+@when('"{name}" is announced as leaving')
+def announce(context, name):
+    kind = membership_interfaces.HintKind.ENDPOINT_LEAVING
+    context.board.publish(kind, name, {}, lifetime_s=60)
+
+
+def cause_of(context, name, known_dead):
+    work = context.judge.judge(context.places.get(name), known_dead)
+    return context.runner.run(work)
+
+
+@then('the cause for "{name}" is "{cause}"')
+def check_cause(context, name, cause):
+    found = cause_of(context, name, set())
+    assert found is deaths.DeathCause(cause), found
+
+
+@then('the cause for "{name}" is "{cause}" if "{other}" had died before')
+def check_known_dead(context, name, cause, other):
+    found = cause_of(context, name, {other})
+    assert found is deaths.DeathCause(cause), found
--- a/bench/once.py
+++ b/bench/once.py
@@ -223,9 +223,11 @@
     }
 
 
-async def run_system(seed: int, count: int, cost_count: int) -> dict[str, typing.Any]:
+async def run_system(
+    seed: int, count: int, cost_count: int, entry_count: int = ENTRIES
+) -> dict[str, typing.Any]:
     """Run the requests against the system."""
-    running = make_cluster(ENTRIES)
+    running = make_cluster(entry_count)
     async with contextlib.AsyncExitStack() as stack:
         stack.push_async_callback(running.stop)
         await running.start()
@@ -299,6 +301,7 @@
     """Run the experiment."""
     count = QUICK_REQUESTS if options.quick else REQUESTS
     cost_count = QUICK_COST_REQUESTS if options.quick else COST_REQUESTS
-    result = await run_system(options.seed, count, cost_count)
+    entry_count = options.entries[0] if options.entries else ENTRIES
+    result = await run_system(options.seed, count, cost_count, entry_count)
     result["naive"] = await run_naive(options.seed, count)
     return result
--- a/bench/poison.py
+++ b/bench/poison.py
@@ -80,8 +80,8 @@
     """Send the poison through entry after entry; return the statuses."""
     statuses = []
     for number in range(count):
-        one = caller.Caller(addresses, key=key, max_tries=1)
-        one.pin([addresses[number % len(addresses)]])
+        address = addresses[number % len(addresses)]
+        one = caller.Caller([address], key=key, discover=False, max_tries=1)
         try:
             await one.complete(
                 cluster.MODEL, prompt, max_tokens=8, deadline_s=POISON_DEADLINE_S
@@ -179,9 +179,8 @@
         addresses = [(processes.ADDRESS, port) for port in free]
 
         def make_caller() -> caller.Caller:
-            one = caller.Caller(addresses, key="none")
-            one.pin(chooser.sample(addresses, len(addresses)))
-            return one
+            order = chooser.sample(addresses, len(addresses))
+            return caller.Caller(order, key="none", discover=False)
 
         others = Others(make_caller)
         batch = asyncio.create_task(others.run_batch(STREAMS_AT_ONCE))
--- a/features/steps/outcomes_steps.py
+++ b/features/steps/outcomes_steps.py
@@ -38,11 +38,7 @@
 
 def send(context, number, *, key=None, body=BODY, deadline_s=DEADLINE_S):
     """Send a key through one entry, once."""
-    running = context.cluster
-    address = running.address(running.entries[number])
-    one = running.caller("org-1", max_tries=1)
-    one.pin([address])
-    return one.call(
+    return caller_through(context, number).call(
         cluster.SERVICE,
         "confirm",
         body,
@@ -52,6 +48,17 @@
     )
 
 
+def caller_through(context, number):
+    """Return a caller that sends each request once, through one entry."""
+    running = context.cluster
+    address = running.address(running.entries[number])
+    one = caller.Caller(
+        [address], key=running.keys["org-1"], discover=False, max_tries=1
+    )
+    running._callers.append(one)
+    return one
+
+
 async def end_of(work):
     """Return the verdict of a request, or None for an answer without one."""
     try:
@@ -305,9 +312,7 @@
 
 
 async def send_poison(context, number):
-    running = context.cluster
-    one = running.caller("org-1", max_tries=1)
-    one.pin([running.address(running.entries[number])])
+    one = caller_through(context, number)
     try:
         await one.complete(cluster.MODEL, context.poison, max_tokens=4, deadline_s=10.0)
     except caller.CallerError as error:
