--- a/acaciaward/administration/features/steps/administration_steps.py
+++ b/acaciaward/administration/features/steps/administration_steps.py
@@ -242,8 +242,8 @@
         one = caller.Caller(
             context.world.addresses[:1],
             key=context.keys["biblioteca-brasov caller"],
-            discover=False,
         )
+        one.pin(context.world.addresses[:1])
         reply = await one.call(
             SERVICE, "confirm", b'{"box": 7}', idempotent=False, key=context.request_key
         )
--- a/acaciaward/callers/api.py
+++ b/acaciaward/callers/api.py
@@ -30,16 +30,16 @@
         claims: claims_interfaces.ClaimBook,
         entries: discovery.Discovery,
         stop: drain.Drain,
+        owners: httplimits.Connections,
         max_body_bytes: int,
         stream_limits: completions.StreamLimits,
-        owners: httplimits.Connections,
     ):
         self._configuration = configuration
         self._dispatcher = requests_dispatcher
         self._claims = claims
         self._entries = entries
         self._handling = handling.Handling(
-            configuration, stop, max_body_bytes=max_body_bytes, owners=owners
+            configuration, stop, owners=owners, max_body_bytes=max_body_bytes
         )
         routes = (
             ("GET", "/v1/entries", self._get_entries),
--- a/acaciaward/callers/handling.py
+++ b/acaciaward/callers/handling.py
@@ -21,8 +21,8 @@
 log = logging.getLogger(__name__)
 
 BEARER = "bearer "
-BODY_TIMEOUT_S = 30.0
 NOT_CURRENT_RETRY_S = 2.0
+BODY_TIMEOUT_S = 30.0
 CLOSE = (b"connection", b"close")
 
 Handler = Callable[[str], Awaitable[blacksheep.Response]]
@@ -36,12 +36,12 @@
         configuration: configuration_interfaces.Configuration,
         stop: drain.Drain,
         *,
-        max_body_bytes: int,
         owners: httplimits.Connections,
+        max_body_bytes: int,
     ):
+        self._owners = owners
         self.configuration = configuration
         self.drain = stop
-        self._owners = owners
         self._max_body_bytes = max_body_bytes
 
     def authenticate(self, request: blacksheep.Request) -> apikeys.Caller:
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -24,6 +24,7 @@
         engine_count=engines,
         service_count=1,
         faults={"engine": {"step_s": step_s}},
+        settings={"evacuation": {"assumed_notice_s": 2.0}},
     )
     deployment = context.cluster.document["deployments"][cluster.MODEL]
     deployment["weights"] = {"cost": 0.2, "recomputed_tokens": 0.8}
