--- a/acaciaward/dispatch/features/steps/verdict_steps.py
+++ b/acaciaward/dispatch/features/steps/verdict_steps.py
@@ -274,7 +274,8 @@
             port = ports.find_free_port()
             await asyncio.start_server(serving(seen, behave), ADDRESS, port)
             places.append((ADDRESS, port))
-        one = caller.Caller(places[::-1], key="k", discover=False)
+        one = caller.Caller(places, key="k")
+        one.pin(places[::-1])
         try:
             await one.call("desk", "confirm", b"{}", idempotent=False)
         except caller.CallerError as error:
--- a/acaciaward/dispatch/streams.py
+++ b/acaciaward/dispatch/streams.py
@@ -230,7 +230,8 @@
             return
         answer.cause = evacuation_interfaces.Cause.RECLAIM
         with contextlib.suppress(TimeoutError):
-            answer.move = await asyncio.wait_for(answer.running.moving, MOVE_TIMEOUT_S)
+            async with asyncio.timeout(MOVE_TIMEOUT_S):
+                answer.move = await asyncio.shield(answer.running.moving)
         answer.running = None
 
     async def _read(
--- a/acaciaward/membership/spreading.py
+++ b/acaciaward/membership/spreading.py
@@ -15,7 +15,7 @@
 import msgspec
 
 MAX_QUEUED = 4000
-TRANSMISSIONS_FACTOR = 3
+MIN_TRANSMISSIONS = 4
 
 _encode = msgspec.msgpack.Encoder().encode
 
@@ -59,7 +59,7 @@
     ) -> None:
         """Spread a change; beyond the bound the oldest of its kind gives way."""
         queue = self._queues[priority]
-        left = TRANSMISSIONS_FACTOR * math.ceil(math.log2(entry_count + 1))
+        left = max(MIN_TRANSMISSIONS, math.ceil(math.log2(entry_count + 1)))
         queue[key] = _Queued(fields, len(_encode(fields)), left)
         queue.move_to_end(key, last=False)
         if len(queue) > MAX_QUEUED:
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 from bench import options as bench_options
 
 EXPERIMENTS = {
+    "control": "what an entry spends on control, with slopes",
     "binary": "size, start time and memory of the program as one file",
     "configuration": "operators race patches while log and entries fail",
     "chaos": "every promise under faults of every kind at once",
@@ -23,6 +24,8 @@
     "once": "runs of non-idempotent requests under faults",
     "poison": "a request that crashes each engine which runs it",
     "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
+    "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
+    "poison": "a request that crashes each engine which runs it",
 }
 
 
--- a/bench/poison.py
+++ b/bench/poison.py
@@ -81,7 +81,8 @@
     statuses = []
     for number in range(count):
         address = addresses[number % len(addresses)]
-        one = caller.Caller([address], key=key, discover=False, max_tries=1)
+        one = caller.Caller([address], key=key, max_tries=1)
+        one.pin([address])
         try:
             await one.complete(
                 cluster.MODEL, prompt, max_tokens=8, deadline_s=POISON_DEADLINE_S
@@ -180,7 +181,9 @@
 
         def make_caller() -> caller.Caller:
             order = chooser.sample(addresses, len(addresses))
-            return caller.Caller(order, key="none", discover=False)
+            made = caller.Caller(order, key="none")
+            made.pin(order)
+            return made
 
         others = Others(make_caller)
         batch = asyncio.create_task(others.run_batch(STREAMS_AT_ONCE))
--- a/features/steps/outcomes_steps.py
+++ b/features/steps/outcomes_steps.py
@@ -52,9 +52,8 @@
     """Return a caller that sends each request once, through one entry."""
     running = context.cluster
     address = running.address(running.entries[number])
-    one = caller.Caller(
-        [address], key=running.keys["org-1"], discover=False, max_tries=1
-    )
+    one = caller.Caller([address], key=running.keys["org-1"], max_tries=1)
+    one.pin([address])
     running._callers.append(one)
     return one
 
