--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,8 +22,6 @@
     "chaos": "every promise under faults of every kind at once",
     "drain": "entries replaced under load",
     "once": "runs of non-idempotent requests under faults",
-    "poison": "a request that crashes each engine which runs it",
-    "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
     "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
     "poison": "a request that crashes each engine which runs it",
 }
