--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -14,7 +14,7 @@
 
 import blacksheep
 
-from acaciaward import documents, httpclient, httplimits, httpserver, requests
+from acaciaward import httpclient, httplimits, httpserver
 from acaciaward.administration import (
     api as administration_api,
     messages as administration_messages,
@@ -30,8 +30,8 @@
 )
 from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
-from acaciaward.entry import stopping
-from acaciaward.evacuation import departures, evacuator, watchers
+from acaciaward.entry import leaving, stopping
+from acaciaward.evacuation import departures
 from acaciaward.identity import curvekeys
 from acaciaward.leases import keeper
 from acaciaward.membership import (
@@ -43,7 +43,7 @@
     transport,
 )
 from acaciaward.observability import logs, recorder
-from acaciaward.platform import calls, cloud, log as platform_log
+from acaciaward.platform import calls, log as platform_log
 from acaciaward.quarantine import book as quarantine_book
 from acaciaward.routing import leastloaded
 from acaciaward.settings import loader
@@ -206,59 +206,27 @@
         )
 
     def _build_evacuation(self) -> None:
-        settings = self._settings["evacuation"]
-        self._departures = departures.Departures(
-            self._hints, spread=self._membership.spread_now
-        )
         self._engine = engine.HttpModelEngine(
             self._client,
             token_timeout_s=self._settings["dispatch"]["token_timeout_s"],
         )
         self._router = leastloaded.LeastLoadedRouter(self._configuration, self._hints)
-        self._evacuator = evacuator.Evacuator(
-            self._departures,
+        self._leaving = leaving.Leaving(
+            self._settings["evacuation"],
+            self._configuration,
+            self._hints,
             self._engine,
             self._router,
-            self._weights_of,
-            evacuator.Limits(
-                settings["source_bytes_per_s"], settings["target_bytes_per_s"]
-            ),
+            spread=self._membership.spread_now,
         )
         self._own_end = math.inf
-        self._departures.subscribe(self._take_departure)
-        self._watch_limits = watchers.WatchLimits(
-            settings["poll_s"], settings["assumed_notice_s"]
-        )
-
-    def _weights_of(self, deployment: str) -> documents.Weights:
-        deployments = self._configuration.view.document.get("deployments", {})
-        return deployments.get(deployment, {}).get("weights", {})
+        self._leaving.departures.subscribe(self._take_departure)
 
     def _start_watchers(self) -> None:
-        known, limits = self._departures, self._watch_limits
         notices = self._platform_service("cloud")
-        if notices is not None:
-            own_cloud = cloud.HttpCloud(notices)
-            self._start_task(watchers.watch_notices(own_cloud, known, limits))
         listing = self._platform_service("instances")
-        if listing is not None:
-            own_list = cloud.HttpInstanceList(listing)
-            self._start_task(watchers.watch_instances(own_list, known, limits))
-        busy = self._evacuator.busy_endpoints
-        self._start_task(
-            watchers.watch_engines(
-                self._engine, busy, self._model_endpoints, known, limits
-            )
-        )
-
-    def _model_endpoints(self) -> list[requests.Endpoint]:
-        deployments = self._configuration.view.document.get("deployments", {})
-        return [
-            endpoint
-            for name, entry in deployments.items()
-            if entry["kind"] == requests.DeploymentKind.MODEL.value
-            for endpoint in self._configuration.endpoints(name)
-        ]
+        for watcher in self._leaving.watchers(notices, listing):
+            self._start_task(watcher)
 
     def _build_claims(self) -> None:
         self._claims = claims_book.LogClaimBook(
@@ -298,7 +266,7 @@
             quarantine=self._quarantine,
             engine=self._engine,
             service=service.HttpPlainService(self._client),
-            evacuation=self._evacuator,
+            evacuation=self._leaving.evacuator,
         )
         limits = attempts.RetryLimits(
             settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
@@ -424,7 +392,7 @@
 
     async def _end(self) -> None:
         await stopping.end_tasks(self._tasks)
-        await self._evacuator.stop()
+        await self._leaving.evacuator.stop()
         await self._transport.stop()
         await self._client.close()
 
