--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -83,6 +83,11 @@
         """The instance's name."""
         return self._settings["instance"]["name"]
 
+    @property
+    def application(self) -> blacksheep.Application:
+        """The HTTP application with the routes of callers and operators."""
+        return self._server.application
+
     @property
     def configuration(self) -> follower.LogConfiguration:
         """The configuration in force here."""
@@ -297,6 +302,7 @@
             stop=self._drain,
             max_body_bytes=callers["max_body_bytes"],
             owners=owners,
+            observed=self._recorder,
             stream_limits=completions.StreamLimits(
                 dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
             ),
