--- a/acaciaward/membership/transport.py
+++ b/acaciaward/membership/transport.py
@@ -127,6 +127,7 @@
         self._configured = (curve.allowed if curve else frozenset()) | own
         self._keys = _AllowedKeys(self._configured)
         self._handling: dict[bytes, int] = {}
+        self._is_stopped = False
         self._handlers: dict[str, interfaces.MessageHandler] = {}
         self._channels: dict[PeerAddress, _Channel] = {}
         self._numbers = itertools.count(1)
@@ -160,6 +161,7 @@
 
     async def stop(self) -> None:
         """Close every socket."""
+        self._is_stopped = True
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -169,7 +171,8 @@
             self._router.close()
         if self._authenticator is not None:
             self._authenticator.stop()
-        self._context.term()
+        # A socket that is left open would let this wait for ever.
+        self._context.destroy(linger=0)
 
     async def request(
         self,
@@ -229,6 +232,8 @@
                     self.forget(peer)
 
     def _channel(self, peer: PeerAddress) -> _Channel:
+        if self._is_stopped:
+            raise errors.PeerUnreachableError("this entry has stopped")
         if self._curve is not None and peer.public_key is None:
             raise errors.PeerUnreachableError(f"{peer.url}: no CURVE key is known")
         if peer not in self._channels:
