--- a/acaciaward/httpclient.py
+++ b/acaciaward/httpclient.py
@@ -76,7 +76,9 @@
 
     async def _receive(self, timeout_s: float) -> bytes:
         try:
-            return await asyncio.wait_for(self.reader.read(READ_BYTES), timeout_s)
+            # wait_for of Python 3.11 loses a cancel that comes with the data.
+            async with asyncio.timeout(timeout_s):
+                return await self.reader.read(READ_BYTES)
         except TimeoutError as error:
             raise ResponseTimeoutError(f"no answer within {timeout_s} s") from error
         except OSError as error:
@@ -224,10 +226,10 @@
     async def _connect(self, target: Target) -> _Connection:
         address, port = target
         try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(address, port, ssl=self._tls),
-                self._connect_timeout_s,
-            )
+            async with asyncio.timeout(self._connect_timeout_s):
+                reader, writer = await asyncio.open_connection(
+                    address, port, ssl=self._tls
+                )
         except (OSError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
             raise ConnectFailedError(f"{address}:{port}: {reason}") from error
