Read a quiet claim stream once a second, and the instance list within a bound

Cause, from docs/CAPACITY.md: an idle entry read the claim stream ten times a second (9.9 reads a second and entry, 3,478 at 350), and the instance list whole twice a second (414 B/s an endpoint, 319 KB/s at 770). Ruled out: long polls of the claim stream by idle entries, which return with each batch of others; readers by rendezvous hashing for the list, since a bound on bytes keeps every entry independent. Change: the pause of a follower that nobody waits for is 1 s, a waiting claim ends it; the list is read every length / 10,000 B/s at least (16 s at 770; 0.5 s today).

--- a/acaciaward/entry/leaving.py
+++ b/acaciaward/entry/leaving.py
@@ -34,7 +34,9 @@
         self._configuration = configuration
         self._engine = engine
         self._limits = watchers.WatchLimits(
-            settings["poll_s"], settings["assumed_notice_s"]
+            settings["poll_s"],
+            settings["assumed_notice_s"],
+            settings["list_bytes_per_s"],
         )
         self._departures = departures.Departures(hints, spread=spread)
         self._evacuator = evacuator.Evacuator(
--- a/acaciaward/evacuation/features/plans.feature
+++ b/acaciaward/evacuation/features/plans.feature
@@ -24,3 +24,12 @@
     Given a budget of 1000000 bytes a second
     When 300000 and then 100000 bytes are reserved at one endpoint
     Then the next transfer there waits between 0.2 and 0.4 s, and elsewhere not
+
+  Scenario Outline: Reading the instance list costs an entry a bounded number of bytes
+    Given a pause of 0.5 s and a bound of 10000 bytes a second for the instance list
+    Then a list of <count> instances is read every <least> to <most> s
+
+    Examples:
+      | count | least | most |
+      | 9     | 0.5   | 0.5  |
+      | 770   | 15    | 20   |
--- a/acaciaward/evacuation/features/steps/plans_steps.py
+++ b/acaciaward/evacuation/features/steps/plans_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from acaciaward import requests
-from acaciaward.evacuation import budgets, plans
+from acaciaward.evacuation import budgets, plans, watchers
 
 MAX_BYTES = 32 * 1024 * 1024
 
@@ -85,3 +85,17 @@
     here, elsewhere = context.waits
     assert least <= here <= most, here
     assert elsewhere == 0, elsewhere
+
+
+@given(
+    "a pause of {pause_s:g} s and a bound of {bound:d} bytes a second for the "
+    "instance list"
+)
+def set_list_limits(context, pause_s, bound):
+    context.limits = watchers.WatchLimits(pause_s, 5.0, bound)
+
+
+@then("a list of {count:d} instances is read every {least:g} to {most:g} s")
+def check_list_pause(context, count, least, most):
+    pause_s = watchers.list_pause_s(count, context.limits)
+    assert least <= pause_s <= most, pause_s
--- a/acaciaward/evacuation/watchers.py
+++ b/acaciaward/evacuation/watchers.py
@@ -22,13 +22,30 @@
 
 NOTICE_WAIT_S = 10.0
 LEAVING_STATE = "leaving"
+INSTANCE_BYTES = 210
 
 
 class WatchLimits(typing.NamedTuple):
-    """Pause between two looks and the notice assumed when none is told."""
+    """
+    Pause between two looks and the notice assumed when none is told.
+
+    ``list_bytes_per_s`` bounds what reading the instance list may cost.
+    """
 
     poll_s: float
     assumed_notice_s: float
+    list_bytes_per_s: float
+
+
+def list_pause_s(instance_count: int, limits: WatchLimits) -> float:
+    """
+    Return the seconds between two reads of the instance list.
+
+    The list is read whole, so the pause grows with its length once its bytes
+    would pass the bound. Notices and engines' words don't wait for it.
+    """
+    bound_s = instance_count * INSTANCE_BYTES / limits.list_bytes_per_s
+    return max(limits.poll_s, bound_s)
 
 
 async def watch_notices(
@@ -68,7 +85,7 @@
             if instance.state == LEAVING_STATE:
                 deadline = time.time() + limits.assumed_notice_s
                 known.announce(instance.name, deadline, source="instance_list")
-        await asyncio.sleep(limits.poll_s)
+        await asyncio.sleep(list_pause_s(len(instances), limits))
 
 
 async def watch_engines(
--- a/acaciaward/platform/following.py
+++ b/acaciaward/platform/following.py
@@ -1,11 +1,12 @@
 """
 Reads a stream of the log to its end and wakes up who waits for a nonce.
 
-While nobody waits, a busy stream is read at a steady slow pace, so that the work
-of an entry doesn't grow with the batches of all others.
+While nobody waits, a stream is read at a steady slow pace, so that the work of an
+entry doesn't grow with the batches of all others.
 """
 
 import asyncio
+import contextlib
 import logging
 import time
 import typing
@@ -19,7 +20,7 @@
 
 READ_RECORDS = 5000
 POLL_WAIT_S = 1.0
-IDLE_PAUSE_S = 0.1
+IDLE_PAUSE_S = 1.0
 RETRY_PAUSE_S = 0.1
 
 
@@ -140,10 +141,9 @@
     async def _pause(self) -> None:
         if not self._is_replayed or self._watched or self._waits_when_idle:
             return
-        try:
-            await asyncio.wait_for(self._wanted.wait(), IDLE_PAUSE_S)
-        except TimeoutError:
-            pass
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_PAUSE_S):
+                await self._wanted.wait()
         self._wanted.clear()
 
     async def _read_once(self) -> None:
