--- a/bench/faultplan.py
+++ b/bench/faultplan.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import random
 import typing
@@ -95,6 +96,9 @@
         self._cluster = running
         self._restart_entry = restart_entry
         self._process_of = process_of
+        self._entry_locks: dict[str, asyncio.Lock] = collections.defaultdict(
+            asyncio.Lock
+        )
 
     async def run(self, plan: typing.Sequence[Fault]) -> None:
         """Carry out every fault and return when the last has ended."""
@@ -104,8 +108,12 @@
 
     async def _carry_out(self, fault: Fault) -> None:
         await asyncio.sleep(fault.begin_s)
-        async with _MAKERS[fault.kind](self, fault.target):
-            await asyncio.sleep(fault.duration_s)
+        # An entry that is being started anew can't be killed or frozen before
+        # it runs, since nobody could tell that from a failed start.
+        lock = self._entry_locks[fault.target]
+        async with lock if fault.kind in ENTRY_FAULTS else contextlib.nullcontext():
+            async with _MAKERS[fault.kind](self, fault.target):
+                await asyncio.sleep(fault.duration_s)
 
     @contextlib.asynccontextmanager
     async def _killed(self, target: str):
