--- a/acaciaward/administration/deployments.py
+++ b/acaciaward/administration/deployments.py
@@ -114,7 +114,8 @@
         return {
             "quarantined": [
                 {
-                    "subject": hint.subject,
+                    "organisation": hint.subject.rpartition("/")[0],
+                    "digest": hint.subject.rpartition("/")[2],
                     "origin": hint.origin,
                     "since": hint.stamp,
                     "until": hint.stamp + hint.lifetime_s,
--- a/acaciaward/administration/features/administration.feature
+++ b/acaciaward/administration/features/administration.feature
@@ -37,6 +37,11 @@
   Scenario: Every list is a table for people and JSON for scripts
     Then every reading command prints a table, and JSON with --json
 
+  Scenario: An operator finds a quarantined request and lifts its quarantine
+    Given a request of scoala-alba is quarantined
+    When an operator lifts the digest that "quarantine list" shows for scoala-alba
+    Then the document in force names the digest as lifted since the quarantine
+
   Scenario: An operator drains an entry through another
     When the command "drain entry-2" succeeds
     Then entry-2 is asked to stop and no other
--- a/acaciaward/administration/features/steps/administration_steps.py
+++ b/acaciaward/administration/features/steps/administration_steps.py
@@ -13,6 +13,7 @@
 from acaciaward.client import caller
 from acaciaward.demonstration import world
 from acaciaward.identity import apikeys
+from acaciaward.membership import interfaces
 
 MODEL = "dossiers-and-replies"
 SERVICE = "counter-desk"
@@ -402,6 +403,32 @@
         json.loads(as_json.stdout)
 
 
+@given("a request of scoala-alba is quarantined")
+def quarantine_request(context):
+    context.digest = "5d" * 32
+    context.world.entries[0]._hints.publish(
+        interfaces.HintKind.QUARANTINED_REQUEST,
+        f"scoala-alba/{context.digest}",
+        {"endpoints": ["model-1", "model-2"]},
+        lifetime_s=60.0,
+    )
+
+
+@when('an operator lifts the digest that "quarantine list" shows for scoala-alba')
+def lift_quarantine(context):
+    context.since = time.time()
+    table = run_line(context, ["quarantine", "list"])
+    row = next(line for line in table.stdout.splitlines() if "scoala-alba" in line)
+    result = run_line(context, ["quarantine", "lift", row.split()[1]])
+    assert result.exit_code == 0, result.output
+
+
+@then("the document in force names the digest as lifted since the quarantine")
+def check_lifted(context):
+    document = context.world.entries[0].configuration.view.document
+    assert document["lifted"][context.digest] >= context.since
+
+
 @then("{name} is asked to stop and no other")
 def check_drained(context, name):
     asked = [one.name for one in context.world.entries if one.stop_requested.is_set()]
--- a/acaciaward/cli/deployments.py
+++ b/acaciaward/cli/deployments.py
@@ -1,5 +1,6 @@
 """The ``deployment``, ``endpoints`` and ``quarantine`` commands."""
 
+import datetime
 import json
 import pathlib
 import typing
@@ -115,10 +116,10 @@
         output.print_json(answer)
         return
     rows = [
-        (one["subject"], one["origin"], one["until"], one["details"])
+        (one["organisation"], one["digest"], one["origin"], _moment(one["until"]))
         for one in answer["quarantined"]
     ]
-    output.print_table(["request", "seen by", "until", "details"], rows)
+    output.print_table(["organisation", "digest", "seen by", "until"], rows)
 
 
 @quarantine.command()
@@ -144,5 +145,10 @@
     return body
 
 
+def _moment(seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return f"{moment:%Y-%m-%d %H:%M:%S}Z"
+
+
 def _path(name: str) -> str:
     return f"{DEPLOYMENTS}/{urllib.parse.quote(name, safe='')}"
