Keep the subject in quarantine answers beside organisation and digest

Cause: the list's answer named organisation and digest instead of the subject, which features/outcomes.feature reads: 149 passed, 1 failed (KeyError).

Change: the answer holds all three; the table shows organisation and digest.

Figures: features/outcomes 4 passed, administration 14 passed, cli 3 passed. The whole suite was not run again after this line.

--- a/acaciaward/administration/deployments.py
+++ b/acaciaward/administration/deployments.py
@@ -114,6 +114,7 @@
         return {
             "quarantined": [
                 {
+                    "subject": hint.subject,
                     "organisation": hint.subject.rpartition("/")[0],
                     "digest": hint.subject.rpartition("/")[2],
                     "origin": hint.origin,
