--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,7 +15,11 @@
 from acaciaward.observability import logs
 from bench import options as bench_options
 
-EXPERIMENTS: dict[str, str] = {}
+EXPERIMENTS: dict[str, str] = {
+    "fairness": "others' first token while one organisation floods",
+    "overload": "goodput and urgent calls at 1, 2 and 4 times capacity",
+    "policy": "cost, urgent calls in time and recomputed tokens against naive",
+}
 
 
 @click.command()
--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,101 @@
+"""
+Goodput, urgent calls in time and refusals at 1, 2 and 4 times capacity.
+
+Engines with a modelled step time stay the same while the rate of requests
+grows. Callers don't try again, and a refused urgent call counts as late.
+"""
+
+import asyncio
+import random
+import typing
+
+from bench import load, options as bench_options, policy, rented, sender
+
+LEVELS = (1, 2, 4)
+LEVEL_S = 12.0
+QUICK_LEVEL_S = 4.0
+PAUSE_S = 2.0
+ENTRY_COUNT = 2
+ENGINE_COUNT = 2
+ORGANISATIONS = {"org-1": 1.0, "org-2": 1.0, "org-3": 1.0}
+DEPLOYMENT = "swaps"
+# Two engines of 400 tokens a second over 28.9 tokens a request.
+CAPACITY_PER_S = 27.0
+
+
+def make_document() -> tuple[dict[str, typing.Any], dict[str, str]]:
+    """Return a configuration with one deployment, and the organisations' keys."""
+    organisations, keys = rented.make_organisations(ORGANISATIONS)
+    deployment = {
+        "kind": "model",
+        "model": "swaps-7b",
+        "version": "1",
+        "organisations": list(ORGANISATIONS),
+        "deadlines_s": policy.DEADLINES_S,
+    }
+    document = {
+        "organisations": organisations,
+        "deployments": {DEPLOYMENT: deployment},
+    }
+    return document, keys
+
+
+async def start_cluster(
+    document: dict[str, typing.Any], keys: dict[str, str]
+) -> rented.RentedCluster:
+    """Return a running cluster with a fixed number of engines."""
+    running = rented.RentedCluster(
+        document, policy.make_offers(), entry_count=ENTRY_COUNT
+    )
+    running.keys.update(keys)
+    await running.start()
+    instances = await running.rent(DEPLOYMENT, "dc-1", "on_demand", ENGINE_COUNT)
+    await asyncio.sleep(0.6)
+    await running.serve_with(instances)
+    return running
+
+
+async def run_level(
+    running: rented.RentedCluster, level: float, *, duration_s: float, seed: int
+) -> dict[str, float]:
+    """Send ``level`` times the capacity for a while and return what came of it."""
+    rate = CAPACITY_PER_S * level
+    profile = load.Profile(
+        policy.SHAPES, tuple(ORGANISATIONS), (DEPLOYMENT,), low=rate, high=rate
+    )
+    schedule = load.make_schedule(
+        random.Random(f"{seed}-{level}"), profile, duration_s=duration_s
+    )
+    sending = sender.EntrySender(running.entry_addresses, running.keys)
+    outcomes = await load.run_schedule(schedule, sending.send)
+    await sending.close()
+    refusals = [o.refused_s for o in outcomes if o.refused_s is not None]
+    return {
+        "goodput": load.goodput(outcomes, duration_s),
+        "urgent_in_time": round(load.share_in_time(outcomes, "urgent"), 4),
+        "short_in_time": round(load.share_in_time(outcomes, "short"), 4),
+        "long_in_time": round(load.share_in_time(outcomes, "long"), 4),
+        "refusal_p99_ms": round(1000 * load.percentile(refusals, 0.99), 1),
+        "refused": len(refusals),
+        "requests": len(outcomes),
+    }
+
+
+async def run(options: bench_options.Options) -> dict[str, typing.Any]:
+    """Run every level on one cluster, with a pause between them."""
+    duration_s = QUICK_LEVEL_S if options.quick else LEVEL_S
+    running = await start_cluster(*make_document())
+    levels = {}
+    try:
+        for level in LEVELS:
+            levels[str(level)] = await run_level(
+                running, level, duration_s=duration_s, seed=options.seed
+            )
+            await asyncio.sleep(PAUSE_S)
+    finally:
+        await running.stop()
+    peak = max(result["goodput"] for result in levels.values())
+    for result in levels.values():
+        result["goodput_share"] = round(result["goodput"] / peak, 4) if peak else 0.0
+        result["goodput"] = round(result["goodput"], 1)
+    return {"seed": options.seed, "levels": levels}
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,276 @@
+"""
+Cost, urgent calls in time and recomputed tokens, against two naive versions.
+
+The users' two deployments live through one compressed day: load rises and falls,
+a whole data centre is reclaimed on a second's notice while it refuses new
+starts, and single instances are reclaimed before and after. The same schedule
+and the same faults meet acaciaward and a naive sender, once on on-demand and
+once on reclaimable instances sized for the peak. Engines are stand-ins with a
+modelled step time behind real HTTP; acaciaward runs as real entry processes.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import time
+import typing
+from collections.abc import Awaitable, Callable
+
+from bench import load, naive, options as bench_options, rented
+
+DAY_S = 14.0
+QUICK_DAY_S = 6.0
+NOTICE_S = 1.0
+REFUSAL_S = 2.5
+FOLLOW_S = 0.1
+ENTRY_COUNT = 3
+# A day of 24 hours passes in DAY_S; costs are given for the 24 hours.
+HOURS_PER_DAY = 24.0
+
+DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
+DEPLOYMENTS = {
+    "swaps": {"cost": 0.8, "recomputed_tokens": 0.2},
+    "prices": {"cost": 0.3, "recomputed_tokens": 0.7},
+}
+ORGANISATIONS = {
+    "library-a": 3.0,
+    "agents-a": 3.0,
+    "school-b": 1.0,
+    "agents-b": 1.0,
+    "club-c": 1.0,
+    "paper-c": 1.0,
+}
+SHAPES = (
+    load.Shape("urgent", 0.5, 32, 8, 1.0),
+    load.Shape("short", 0.35, 96, 24, 4.0),
+    load.Shape("long", 0.15, 320, 110, 12.0),
+)
+PROFILE = load.Profile(
+    SHAPES, tuple(ORGANISATIONS), tuple(DEPLOYMENTS), low=12.0, high=60.0
+)
+DEADLINES_S = {shape.service_class: shape.deadline_s for shape in SHAPES}
+PRICES = {"on_demand": 3.0, "reclaimable": 1.0}
+RECLAIMS_PER_HOUR = {"on_demand": 0.0, "reclaimable": 0.3}
+# The naive operator rents for the peak: 30 requests a second of 29 tokens for each
+# deployment, at 400 tokens a second and engine, with a third of reserve.
+NAIVE_PER_DEPLOYMENT = 3
+REPLACE_RETRY_S = 0.5
+
+Disturb = Callable[[rented.RentedCluster, float], Awaitable[None]]
+
+
+def make_offers() -> list[dict[str, typing.Any]]:
+    """Return the cloud's offers; the first data centre is the cheapest."""
+    return [
+        {
+            "data_centre": data_centre,
+            "machine_class": rented.MACHINE_CLASS,
+            "market": market,
+            "price_per_hour": price * (1 + 0.1 * number),
+            "reclaims_per_hour": RECLAIMS_PER_HOUR[market],
+        }
+        for number, data_centre in enumerate(DATA_CENTRES)
+        for market, price in PRICES.items()
+    ]
+
+
+def make_document() -> tuple[dict[str, typing.Any], dict[str, str]]:
+    """Return the configuration of both users, and the organisations' keys."""
+    organisations, keys = rented.make_organisations(ORGANISATIONS)
+    deployments = {
+        name: {
+            "kind": "model",
+            "model": f"{name}-7b",
+            "version": "1",
+            "organisations": list(ORGANISATIONS),
+            "weights": weights,
+            "deadlines_s": DEADLINES_S,
+            "fleet": {
+                "minimum": 2,
+                "maximum": 6,
+                "safe_minimum": 1,
+                "machine_classes": [rented.MACHINE_CLASS],
+                "streams_per_instance": rented.ENGINE_FAULTS["max_batch"],
+            },
+        }
+        for name, weights in DEPLOYMENTS.items()
+    }
+    return {"organisations": organisations, "deployments": deployments}, keys
+
+
+async def disturb(
+    running: rented.RentedCluster, duration_s: float, chooser: random.Random
+) -> None:
+    """Reclaim one instance, then a data centre that refuses starts, then one."""
+    await asyncio.sleep(0.25 * duration_s)
+    await _reclaim_some(running, chooser, count=1)
+    await asyncio.sleep(0.2 * duration_s)
+    wave = DATA_CENTRES[0]
+    await running.set_faults("cloud", refuse_data_centres=[wave])
+    instances = await running.live_instances()
+    await running.reclaim(
+        [
+            instance["name"]
+            for instance in instances
+            if instance["data_centre"] == wave and instance["market"] == "reclaimable"
+        ],
+        NOTICE_S,
+    )
+    await asyncio.sleep(REFUSAL_S)
+    await running.set_faults("cloud", refuse_data_centres=[])
+    await asyncio.sleep(max(0.0, 0.25 * duration_s - REFUSAL_S))
+    await _reclaim_some(running, chooser, count=1)
+
+
+async def _reclaim_some(
+    running: rented.RentedCluster, chooser: random.Random, *, count: int
+) -> None:
+    instances = [
+        instance["name"]
+        for instance in await running.live_instances()
+        if instance["market"] == "reclaimable"
+    ]
+    chosen = chooser.sample(sorted(instances), min(count, len(instances)))
+    await running.reclaim(chosen, NOTICE_S)
+
+
+async def run_naive(
+    schedule: list[load.Planned], market: str, duration_s: float, seed: int
+) -> dict[str, float]:
+    """Live through the day with the naive sender on one market."""
+    document, _ = make_document()
+    running = rented.RentedCluster(document, make_offers(), entry_count=0)
+    senders = {name: naive.NaiveSender() for name in DEPLOYMENTS}
+    await running.start()
+    try:
+        for deployment in DEPLOYMENTS:
+            for data_centre in DATA_CENTRES[:NAIVE_PER_DEPLOYMENT]:
+                await running.rent(deployment, data_centre, market)
+        await asyncio.sleep(0.6)
+        keeping = asyncio.create_task(_keep_naive(running, senders, market))
+        result = await _live(
+            running,
+            schedule,
+            lambda planned: senders[planned.deployment].send(planned),
+            duration_s,
+            seed,
+        )
+        keeping.cancel()
+        return result
+    finally:
+        for sender in senders.values():
+            await sender.close()
+        await running.stop()
+
+
+async def _keep_naive(
+    running: rented.RentedCluster,
+    senders: dict[str, naive.NaiveSender],
+    market: str,
+) -> None:
+    """Follow the instances, and replace lost ones in the next data centre."""
+    tried: dict[str, float] = {}
+    places = itertools.cycle(DATA_CENTRES)
+    while True:
+        instances = await running.live_instances()
+        for name, sender in senders.items():
+            own = [one for one in instances if one["deployment"] == name]
+            usable = [one for one in own if one["state"] != "starting"]
+            sender.endpoints = [(one["address"], one["port"]) for one in usable]
+            is_due = time.monotonic() > tried.get(name, 0) + REPLACE_RETRY_S
+            if len(own) < NAIVE_PER_DEPLOYMENT and is_due:
+                tried[name] = time.monotonic()
+                with contextlib.suppress(KeyError):
+                    await running.rent(name, next(places), market)
+        await asyncio.sleep(FOLLOW_S)
+
+
+async def run_acaciaward(
+    schedule: list[load.Planned], duration_s: float, seed: int
+) -> dict[str, float]:
+    """Live through the day with entries between callers and engines."""
+    document, keys = make_document()
+    running = rented.RentedCluster(
+        document, make_offers(), entry_count=ENTRY_COUNT, settings=entry_settings()
+    )
+    running.keys.update(keys)
+    await running.start()
+    try:
+        await prepare(running)
+        callers = {name: running.caller(name) for name in keys}
+
+        async def send(planned: load.Planned) -> load.Outcome:
+            started = time.monotonic()
+            answer = await callers[planned.organisation].complete(
+                planned.deployment,
+                planned.prompt,
+                max_tokens=planned.max_tokens,
+                service_class=planned.service_class,
+                deadline_s=planned.deadline_s,
+            )
+            return load.Outcome(planned, time.monotonic() - started, answer.count)
+
+        return await _live(running, schedule, send, duration_s, seed)
+    finally:
+        await running.stop()
+
+
+def entry_settings() -> dict[str, typing.Any]:
+    """Return what the compressed day asks of the entries' settings."""
+    return {}
+
+
+async def prepare(running: rented.RentedCluster) -> None:
+    """Rent a fixed mix: one on-demand instance and three reclaimable ones each."""
+    instances = []
+    for deployment in DEPLOYMENTS:
+        instances += await running.rent(deployment, "dc-2", "on_demand")
+        for data_centre in DATA_CENTRES:
+            instances += await running.rent(deployment, data_centre, "reclaimable")
+    await asyncio.sleep(0.6)
+    await running.serve_with(instances)
+
+
+async def _live(
+    running: rented.RentedCluster,
+    schedule: list[load.Planned],
+    send: load.Send,
+    duration_s: float,
+    seed: int,
+) -> dict[str, float]:
+    disturbing = asyncio.create_task(
+        disturb(running, duration_s, random.Random(seed + 1))
+    )
+    cost_before = await running.cost()
+    began = time.monotonic()
+    outcomes = await load.run_schedule(schedule, send)
+    await disturbing
+    hours = (time.monotonic() - began) / 3600
+    cost = await running.cost() - cost_before
+    meter = await running.meter()
+    return {
+        "cost": round(cost / hours * HOURS_PER_DAY, 1),
+        "urgent_in_time": round(load.share_in_time(outcomes, "urgent"), 4),
+        "short_in_time": round(load.share_in_time(outcomes, "short"), 4),
+        "long_in_time": round(load.share_in_time(outcomes, "long"), 4),
+        "recomputed_tokens": meter["recomputed"],
+        "computed_tokens": meter["computed"],
+        "goodput": round(load.goodput(outcomes, duration_s), 1),
+        "requests": len(outcomes),
+    }
+
+
+async def run(options: bench_options.Options) -> dict[str, typing.Any]:
+    """Run the three versions one after the other on the same day."""
+    duration_s = QUICK_DAY_S if options.quick else DAY_S
+    schedule = load.make_schedule(
+        random.Random(options.seed), PROFILE, duration_s=duration_s
+    )
+    arguments = (duration_s, options.seed)
+    return {
+        "seed": options.seed,
+        "acaciaward": await run_acaciaward(schedule, *arguments),
+        "naive_on_demand": await run_naive(schedule, "on_demand", *arguments),
+        "naive_reclaimable": await run_naive(schedule, "reclaimable", *arguments),
+    }
--- /dev/null
+++ b/bench/rented.py
@@ -0,0 +1,120 @@
+"""
+A cluster whose engines are rented from a cloud that runs them.
+
+    running = RentedCluster(document, offers, entry_count=3)
+    await running.start()
+    await running.rent("swaps", "dc-1", "on_demand", 2)
+"""
+
+import asyncio
+import json
+import typing
+import uuid
+from collections.abc import Mapping, Sequence
+
+from acaciaward.identity import apikeys
+from bench import cluster, processes
+
+MACHINE_CLASS = "standard"
+ENGINE_FAULTS = {"step_s": 0.02, "max_batch": 8, "load_lag_s": 0.3, "orphan_s": 2.0}
+
+
+def make_organisations(
+    shares: Mapping[str, float], limits: Mapping[str, typing.Any] | None = None
+) -> tuple[dict[str, typing.Any], dict[str, str]]:
+    """Return the document's organisations and their keys."""
+    entries = {}
+    keys = {}
+    for name, share in shares.items():
+        keys[name], entry = apikeys.make_organisation_key(name, "bench")
+        entries[name] = {"keys": {"bench": entry}, "share": share}
+        if limits:
+            entries[name]["limits"] = dict(limits)
+    return entries, keys
+
+
+class RentedCluster(cluster.Cluster):
+    """Entries and the platform as processes; engines inside the cloud's."""
+
+    def __init__(
+        self,
+        document: dict[str, typing.Any],
+        offers: Sequence[dict[str, typing.Any]],
+        *,
+        entry_count: int,
+        settings: dict[str, typing.Any] | None = None,
+        engine_faults: dict[str, typing.Any] | None = None,
+        boot_s: float = 0.5,
+    ):
+        super().__init__(
+            entry_count=entry_count,
+            engine_count=0,
+            service_count=0,
+            organisations=(),
+            settings=settings,
+        )
+        self._offers = list(offers)
+        self._boot_s = boot_s
+        self._engine_faults = ENGINE_FAULTS | (engine_faults or {})
+        self.document = {"resume_keys": self.document["resume_keys"]} | document
+
+    async def start(self) -> None:
+        """Start every process and put the document in force."""
+        await self._start_standin("log", "log")
+        await self._start_world()
+        await self.control("cloud", "/control/offers", {"offers": self._offers})
+        await asyncio.gather(*(self.start_entry(name) for name in self.entries))
+        if self.entries:
+            outcome = await self.patch(self.document)
+            if outcome.get("status") != "accepted":
+                raise RuntimeError(f"document not accepted: {outcome}")
+
+    async def _start_world(self) -> None:
+        arguments = ["-m", "bench.world", "--boot-s", str(self._boot_s)]
+        for service in ("cloud", "instances", "weights"):
+            arguments += [f"--{service}", str(self._port(service))]
+        arguments += ["--faults", json.dumps(self._engine_faults)]
+        await self.processes.start("world", arguments, self._port("instances"))
+
+    async def rent(
+        self, deployment: str, data_centre: str, market: str, count: int = 1
+    ) -> list[dict[str, typing.Any]]:
+        """Rent instances and return them; a refusal raises ``KeyError``."""
+        wanted = {
+            "deployment": deployment,
+            "data_centre": data_centre,
+            "machine_class": MACHINE_CLASS,
+            "market": market,
+        }
+        made = []
+        for _ in range(count):
+            token = {"client_token": uuid.uuid4().hex}
+            answer = await self.control("cloud", "/instances", wanted | token)
+            made.append({"name": answer["name"]} | answer)
+        return made
+
+    async def serve_with(self, instances: Sequence[dict[str, typing.Any]]) -> None:
+        """Make instances endpoints of their deployments by a patch."""
+        deployments: dict[str, typing.Any] = {}
+        for instance in instances:
+            entry = deployments.setdefault(instance["deployment"], {"endpoints": {}})
+            entry["endpoints"][instance["name"]] = {
+                "address": processes.ADDRESS,
+                "port": instance["port"],
+                "data_centre": instance["data_centre"],
+                "reclaimable": instance["market"] == "reclaimable",
+            }
+        await self.patch({"deployments": deployments})
+
+    async def live_instances(self) -> list[dict[str, typing.Any]]:
+        """Return the cloud's instances, without the list's lag."""
+        return await self.control("cloud", "/instances", method="GET")
+
+    async def cost(self) -> float:
+        """Return what all instances have cost by now."""
+        bill = await self.control("cloud", "/control/bill", method="GET")
+        return sum(line["cost"] for line in bill)
+
+    async def meter(self) -> dict[str, int]:
+        """Return the tokens computed, and computed again, at all engines."""
+        return await self.control("cloud", "/control/meter", method="GET")
--- /dev/null
+++ b/bench/world.py
@@ -0,0 +1,140 @@
+"""
+The platform of an experiment in one process: a cloud whose instances run engines.
+
+Renting an instance starts a stand-in engine after ``--boot-s``; reclaiming or
+giving it back ends the engine. The instance list and the weight store listen
+beside the cloud. ``GET /control/meter`` returns what all engines computed, and
+how much of it had been computed before.
+
+    python -m bench.world --cloud 9200 --instances 9300 --weights 9400
+"""
+
+import asyncio
+import json
+import signal
+import sys
+import typing
+
+import blacksheep
+import click
+from blacksheep.server.responses import json as json_response
+
+from acaciaward.observability import logs
+from bench import processes
+from standins import base, cloud, engine, store
+
+
+class Meter:
+    """
+    Counts tokens computed for each prompt, apart from those computed again.
+
+    Every prompt of an experiment is unique. The prefill of a second stream for
+    the same prompt and any token at an index that was reached before are work
+    done again.
+    """
+
+    def __init__(self):
+        self.computed = 0
+        self.recomputed = 0
+        self._owners: dict[str, int] = {}
+        self._reached: dict[str, int] = {}
+
+    def note(self, stream: typing.Any, prefilled: int, first: int, last: int) -> None:
+        """Count ``prefilled`` prompt tokens and the answer's ``first`` to ``last``."""
+        prompt = stream.order["prompt"]
+        owner = self._owners.setdefault(prompt, id(stream))
+        reached = self._reached.get(prompt, 0)
+        self.computed += prefilled + last - first
+        if owner != id(stream):
+            self.recomputed += prefilled
+        self.recomputed += max(0, min(last, reached) - first)
+        self._reached[prompt] = max(reached, last)
+
+
+class MeteredEngine(engine.EngineStandIn):
+    """A stand-in engine whose work is metered."""
+
+    def __init__(self, meter: Meter, faults: dict[str, typing.Any]):
+        super().__init__(port=processes.find_free_port())
+        self.faults.update(faults)
+        self._meter = meter
+
+    def _advance(self, batch: list[typing.Any]) -> int:
+        before = [(stream, stream.prefill_left, stream.count) for stream in batch]
+        prefilled = super()._advance(batch)
+        for stream, prefill_left, count in before:
+            computed = prefill_left - stream.prefill_left
+            self._meter.note(stream, computed, count, stream.count)
+        return prefilled
+
+
+class RentingCloud(cloud.CloudStandIn):
+    """A cloud whose rented instances run metered engines in this process."""
+
+    def __init__(self, port: int, *, boot_s: float, faults: dict[str, typing.Any]):
+        super().__init__(port=port)
+        self.meter = Meter()
+        self._boot_s = boot_s
+        self._engine_faults = faults
+        self._engines: dict[str, MeteredEngine] = {}
+        self._boots: set[asyncio.Task] = set()
+        self.add_route("GET", "/control/meter", self._get_meter)
+
+    async def launch(self, instance: dict[str, typing.Any]) -> None:
+        """Boot an engine on a new instance."""
+        made = MeteredEngine(self.meter, self._engine_faults)
+        await made.start()
+        made.faults["refuse"] = True
+        instance |= {"port": made.port, "state": "starting"}
+        self._engines[instance["name"]] = made
+        task = asyncio.create_task(self._boot(instance, made))
+        self._boots.add(task)
+        task.add_done_callback(self._boots.discard)
+
+    async def _boot(self, instance: dict[str, typing.Any], made: MeteredEngine):
+        await asyncio.sleep(self._boot_s)
+        made.faults["refuse"] = False
+        if instance["state"] == "starting":
+            instance["state"] = "live"
+
+    async def terminate(self, instance: dict[str, typing.Any]) -> None:
+        """End the engine of an instance."""
+        made = self._engines.pop(instance["name"], None)
+        if made is not None:
+            await made.crash()
+
+    async def _get_meter(self) -> blacksheep.Response:
+        return json_response(
+            {"computed": self.meter.computed, "recomputed": self.meter.recomputed}
+        )
+
+
+async def _run(standins: typing.Sequence[base.StandIn]) -> None:
+    for standin in standins:
+        await standin.start()
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    await stopped.wait()
+
+
+@click.command()
+@click.option("--cloud", "cloud_port", type=int, required=True)
+@click.option("--instances", "instances_port", type=int, required=True)
+@click.option("--weights", "weights_port", type=int, required=True)
+@click.option("--boot-s", type=float, default=0.5, show_default=True)
+@click.option("--lag-s", type=float, default=0.5, show_default=True)
+@click.option("--faults", default="{}", help="JSON object of the engines' faults.")
+def main(cloud_port, instances_port, weights_port, boot_s, lag_s, faults):
+    """Run the platform until told to stop."""
+    logs.configure("error", {"standin": "world"})
+    renting = RentingCloud(cloud_port, boot_s=boot_s, faults=json.loads(faults))
+    listing = cloud.InstanceListStandIn(("127.0.0.1", cloud_port), port=instances_port)
+    listing.faults |= {"lag_s": lag_s, "poll_s": 0.1}
+    weights = store.WeightStoreStandIn(port=weights_port)
+    # The list last: its port tells that all listen.
+    asyncio.run(_run([renting, weights, listing]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -17,6 +17,7 @@
 from acaciaward import httpclient
 from standins import base
 
+SECONDS_PER_HOUR = 3600.0
 DEFAULT_OFFERS = (
     {
         "data_centre": "dc-1",
@@ -56,6 +57,7 @@
         self.instances: dict[str, dict[str, typing.Any]] = {}
         self._notices: list[dict[str, typing.Any]] = []
         self._by_token: dict[str, str] = {}
+        self._ended: list[dict[str, typing.Any]] = []
         self._counts = {"starts": 0, "refused": 0, "stops": 0, "notices": 0}
         self._noticed = asyncio.Condition()
         self._tasks: set[asyncio.Task] = set()
@@ -68,6 +70,37 @@
         self.add_route("POST", "/control/reclaim", self._control_reclaim)
         self.add_route("POST", "/control/instances", self._control_instances)
         self.add_route("POST", "/control/offers", self._control_offers)
+        self.add_route("GET", "/control/bill", self._control_bill)
+
+    async def launch(self, instance: dict[str, typing.Any]) -> None:
+        """Bring up what runs on a rented instance; by default nothing does."""
+
+    async def terminate(self, instance: dict[str, typing.Any]) -> None:
+        """End what runs on an instance that the cloud takes away."""
+        try:
+            async with self._client.send(
+                "POST", instance["address"], instance["port"], "/control/die"
+            ) as response:
+                await response.read()
+        except httpclient.HttpError:
+            # An instance that is gone already has nothing left to end.
+            pass
+
+    def bill(self) -> list[dict[str, typing.Any]]:
+        """Return what every instance, also an ended one, has cost by now."""
+        now = time.time()
+        return [
+            {
+                "name": instance["name"],
+                "deployment": instance["deployment"],
+                "data_centre": instance["data_centre"],
+                "market": instance["market"],
+                "cost": instance.get("price_per_hour", 0.0)
+                * (instance.get("ended", now) - instance["started"])
+                / SECONDS_PER_HOUR,
+            }
+            for instance in [*self._ended, *self.instances.values()]
+        ]
 
     def stats(self) -> dict[str, typing.Any]:
         """Return the counters of starts, refusals, stops and notices."""
@@ -105,17 +138,16 @@
 
     async def _kill_later(self, name: str, notice_s: float) -> None:
         await asyncio.sleep(notice_s)
+        instance = self._end(name)
+        if instance is not None:
+            await self.terminate(instance)
+
+    def _end(self, name: str) -> dict[str, typing.Any] | None:
         instance = self.instances.pop(name, None)
-        if instance is None:
-            return
-        try:
-            async with self._client.send(
-                "POST", instance["address"], instance["port"], "/control/die"
-            ) as response:
-                await response.read()
-        except httpclient.HttpError:
-            # An instance that is gone already has nothing left to end.
-            pass
+        if instance is not None:
+            instance["ended"] = time.time()
+            self._ended.append(instance)
+        return instance
 
     async def _get_offers(self) -> blacksheep.Response:
         if self.faults["outage"]:
@@ -134,13 +166,21 @@
             return base.refuse(409, "no capacity", retry_after_s=1.0)
         self._counts["starts"] += 1
         name = f"i-{self._counts['starts']:05d}"
-        self.add_instance(name, **given)
+        self.add_instance(name, **given, price_per_hour=self._price(given))
         self._by_token[given["client_token"]] = name
+        await self.launch(self.instances[name])
         if self.faults["lose_answers"] > 0:
             self.faults["lose_answers"] -= 1
             return base.lost_answer()
         return json_response(self.instances[name], status=201)
 
+    def _price(self, given: dict[str, typing.Any]) -> float:
+        place = ("data_centre", "machine_class", "market")
+        for offer in self.offers:
+            if all(offer[name] == given[name] for name in place):
+                return offer["price_per_hour"]
+        return 0.0
+
     def _refuses(self, data_centre: str) -> bool:
         in_refused_place = data_centre in self.faults["refuse_data_centres"]
         return self.faults["refuse_starts"] or in_refused_place
@@ -151,8 +191,10 @@
     async def _stop_instance(self, name: str) -> blacksheep.Response:
         if self.faults["outage"]:
             return base.refuse(503, "cloud is out")
-        if self.instances.pop(name, None):
+        instance = self._end(name)
+        if instance is not None:
             self._counts["stops"] += 1
+            await self.terminate(instance)
         return json_response({"stopped": name})
 
     async def _get_notices(self, request: blacksheep.Request):
@@ -179,6 +221,9 @@
             self.add_instance(**instance)
         return json_response({"known": len(self.instances)})
 
+    async def _control_bill(self) -> blacksheep.Response:
+        return json_response(self.bill())
+
     async def _control_offers(self, request: blacksheep.Request):
         self.offers = (await base.read_json(request))["offers"]
         return json_response({"offers": len(self.offers)})
