--- /dev/null
+++ b/acaciaward/admission/limits.py
@@ -0,0 +1,105 @@
+"""
+Limits of an organisation over the whole system, kept by each entry in part.
+
+Rates are token buckets that fill at the part of the limit that this entry may
+use now, and hold ``BURST_S`` seconds of it. Tokens are taken by estimate when a
+request begins and corrected when it has ended, so a bucket may go below zero.
+"""
+
+import time
+from collections.abc import Callable
+
+from acaciaward import documents, errors
+from acaciaward.admission import use
+
+BURST_S = 1.0
+MINIMUM_BURST = 1.0
+CONCURRENCY_RETRY_S = 0.25
+
+
+class Bucket:
+    """One token bucket whose rate may change with each call."""
+
+    def __init__(self, now: float):
+        self._level: float | None = None
+        self._moment = now
+
+    def shortage_s(self, amount: float, rate: float, now: float) -> float:
+        """Return the seconds until ``amount`` is there, 0 if it is there now."""
+        burst = max(MINIMUM_BURST, rate * BURST_S)
+        level = burst if self._level is None else self._level
+        self._level = min(burst, level + (now - self._moment) * rate)
+        self._moment = now
+        # An amount above the burst passes once the bucket is full.
+        missing = min(amount, burst) - self._level
+        return max(0.0, missing / rate)
+
+    def take(self, amount: float) -> None:
+        """Take an amount; a negative one gives back."""
+        self._level = (self._level or 0.0) - amount
+
+
+class SystemLimits:
+    """Checks and charges the limits of all organisations."""
+
+    def __init__(
+        self, ledger: use.UseLedger, *, clock: Callable[[], float] = time.monotonic
+    ):
+        self._ledger = ledger
+        self._clock = clock
+        self._buckets: dict[tuple[str, use.Quantity], Bucket] = {}
+
+    def check(self, organisation: str, limits: documents.Limits, tokens: float) -> None:
+        """Take one request of ``tokens``, or raise ``LimitExceededError``."""
+        waits = {
+            use.Quantity.CONCURRENCY: self._concurrency_wait(organisation, limits),
+            use.Quantity.REQUESTS: self._rate_wait(
+                organisation, limits, use.Quantity.REQUESTS, 1.0
+            ),
+            use.Quantity.TOKENS: self._rate_wait(
+                organisation, limits, use.Quantity.TOKENS, tokens
+            ),
+        }
+        quantity, wait_s = max(waits.items(), key=lambda pair: pair[1])
+        if wait_s > 0:
+            raise errors.LimitExceededError(
+                f"the organisation's limit {quantity.value} is reached",
+                retry_after_s=wait_s,
+            )
+        self._take(organisation, use.Quantity.REQUESTS, 1.0)
+        self.take_tokens(organisation, tokens)
+
+    def take_tokens(self, organisation: str, tokens: float) -> None:
+        """Charge tokens; a negative number corrects an estimate."""
+        self._take(organisation, use.Quantity.TOKENS, tokens)
+
+    def _take(self, organisation: str, quantity: use.Quantity, amount: float) -> None:
+        bucket = self._buckets.get((organisation, quantity))
+        if bucket is not None:
+            bucket.take(amount)
+
+    def _concurrency_wait(self, organisation: str, limits: documents.Limits) -> float:
+        limit = limits.get("concurrency")
+        if limit is None:
+            return 0.0
+        quantity = use.Quantity.CONCURRENCY
+        allowed = max(1.0, self._ledger.allowed(organisation, quantity, limit))
+        is_reached = self._ledger.own(organisation, quantity) + 1 > allowed
+        return CONCURRENCY_RETRY_S if is_reached else 0.0
+
+    def _rate_wait(
+        self,
+        organisation: str,
+        limits: documents.Limits,
+        quantity: use.Quantity,
+        amount: float,
+    ) -> float:
+        limit = limits.get(quantity.value)
+        if limit is None:
+            return 0.0
+        key = (organisation, quantity)
+        now = self._clock()
+        if key not in self._buckets:
+            self._buckets[key] = Bucket(now)
+        rate = self._ledger.allowed(organisation, quantity, limit)
+        return self._buckets[key].shortage_s(amount, rate, now)
--- /dev/null
+++ b/acaciaward/admission/queueing.py
@@ -0,0 +1,481 @@
+"""
+Admission by limits, fair shares and predicted lateness.
+
+Each deployment has a queue for each organisation. A request starts when
+``decisions.grant`` finds a ground for it; one that can't be done by its deadline
+is refused at once, and one whose last chance passes while it waits is refused
+then.
+"""
+
+import asyncio
+import bisect
+import itertools
+import logging
+import typing
+
+from acaciaward import documents, errors, requests
+from acaciaward.admission import (
+    decisions,
+    interfaces,
+    limits,
+    retrybudget,
+    shares,
+    use,
+)
+from acaciaward.configuration import interfaces as configuration_interfaces
+
+log = logging.getLogger(__name__)
+
+CLASS_RANKS = {
+    requests.ServiceClass.URGENT: 0,
+    requests.ServiceClass.SHORT: 1,
+    requests.ServiceClass.LONG: 2,
+}
+MAX_RANK = 3
+DEFAULT_SHARE = 1.0
+SERVICE_SMOOTHING = 0.1
+MAX_SLOWDOWN = 2.0
+FIRST_SERVICE_S = 0.02
+MINIMUM_QUEUED = 4
+
+
+class Waiting(typing.NamedTuple):
+    """One queued request; the smaller sorts first."""
+
+    rank: int
+    deadline: float
+    number: int
+    service_s: float
+    request: requests.Request
+    turn: asyncio.Future
+
+
+class Running(typing.NamedTuple):
+    """
+    One started request.
+
+    ``estimate`` is what its organisation's counter was charged so far, and
+    ``is_charged`` says that this is what was served, no estimate any more.
+    """
+
+    request: requests.Request
+    grant: decisions.Grant
+    started: float
+    service_s: float
+    estimate: float
+    modelled_s: float = 0.0
+    is_charged: bool = False
+
+
+class DeploymentQueue:
+    """What runs and waits at one deployment from this entry."""
+
+    def __init__(self):
+        self.counters = shares.VirtualCounters()
+        self.waiting: dict[str, list[Waiting]] = {}
+        self.running: dict[int, Running] = {}
+        self.running_own: dict[str, int] = {}
+        self.running_urgent = 0
+        self._averages: dict[tuple[str, int], use.FadingRate] = {}
+
+    def note_work(self, organisation: str, rank: int, work_s: float, now: float):
+        """Count the work of a started request in the averages."""
+        key = (organisation, rank)
+        self._averages.setdefault(key, use.FadingRate()).add(work_s, now)
+
+    def average(
+        self, now: float, *, organisation: str | None = None, below: int = MAX_RANK
+    ) -> float:
+        """Return the slots taken on average by ranks below ``below``."""
+        return sum(
+            rate.at(now)
+            for (name, rank), rate in self._averages.items()
+            if rank < below and organisation in (None, name)
+        )
+
+    def active(self) -> set[str]:
+        """Return the organisations that run or wait."""
+        running = {name for name, count in self.running_own.items() if count}
+        return running | set(self.waiting)
+
+    def add_running(self, number: int, running: Running) -> None:
+        """Note that a request started."""
+        self.running[number] = running
+        self._count(running, 1)
+
+    def remove_running(self, number: int) -> Running:
+        """Note that a request ended."""
+        running = self.running.pop(number)
+        self._count(running, -1)
+        return running
+
+    def _count(self, running: Running, change: int) -> None:
+        if running.grant is decisions.Grant.URGENT:
+            self.running_urgent += change
+            return
+        name = running.request.organisation
+        self.running_own[name] = self.running_own.get(name, 0) + change
+
+    def remove_waiting(self, waiting: Waiting) -> None:
+        """Take a request out of its queue."""
+        name = waiting.request.organisation
+        queue = self.waiting.get(name, [])
+        if waiting in queue:
+            queue.remove(waiting)
+        if not queue:
+            self.waiting.pop(name, None)
+
+    def backlog(
+        self, load: decisions.Load, request: requests.Request, rank: int, now: float
+    ) -> decisions.Backlog:
+        """Return the work before a new request of an organisation."""
+        is_urgent = rank == 0
+        running_s = sum(
+            max(0.0, one.started + one.service_s - now)
+            for one in self.running.values()
+            if (one.grant is decisions.Grant.URGENT) == is_urgent
+            and (is_urgent or one.request.organisation == request.organisation)
+        )
+        queues = (
+            self.waiting.values()
+            if is_urgent
+            else [self.waiting.get(request.organisation, [])]
+        )
+        ahead_s = sum(
+            one.service_s
+            for queue in queues
+            for one in queue
+            if (one.rank, one.deadline) <= (rank, request.deadline)
+        )
+        parallel = load.slots
+        if not is_urgent:
+            first = self.average(now, organisation=request.organisation, below=rank)
+            own_urgent = self.average(now, organisation=request.organisation, below=1)
+            parallel = max(load.guaranteed, load.running_own) - first + own_urgent
+        return decisions.Backlog(running_s, ahead_s, parallel)
+
+
+class QueueingAdmission:
+    """Implements ``interfaces.Admission``."""
+
+    def __init__(
+        self,
+        configuration: configuration_interfaces.Configuration,
+        capacity: interfaces.CapacityReport,
+        ledger: use.UseLedger,
+        *,
+        max_queued: int,
+        retries: retrybudget.RetryBudgets,
+    ):
+        self._configuration = configuration
+        self._capacity = capacity
+        self._ledger = ledger
+        self._limits = limits.SystemLimits(ledger)
+        self._allowance = shares.UrgentAllowance()
+        self._max_queued = max_queued
+        self._retries = retries
+        self._queues: dict[str, DeploymentQueue] = {}
+        self._deployment_of: dict[int, str] = {}
+        self._numbers = itertools.count(1)
+        self._service_s: dict[str, float] = {}
+        self._slowdowns: dict[str, float] = {}
+
+    async def admit(self, request: requests.Request) -> interfaces.Ticket:
+        """Wait for a turn within bounds and return a ticket."""
+        organisation = request.organisation
+        estimate = shares.weigh(request.prompt_tokens, request.max_tokens)
+        self._limits.check(
+            organisation,
+            self._organisation(organisation).get("limits", {}),
+            request.prompt_tokens + request.max_tokens,
+        )
+        queue = self._queues.setdefault(request.deployment, DeploymentQueue())
+        if organisation not in queue.active():
+            queue.counters.activate(organisation, queue.active())
+        capacity = self._capacity.capacity(request.deployment)
+        rank = self._rank(queue, request, capacity, estimate)
+        service_s = self._predict_service_s(request, capacity)
+        number = next(self._numbers)
+        load = self._load(queue, organisation, capacity)
+        ground = self._ground_of_newcomer(queue, load, organisation, rank)
+        if ground is None:
+            self._refuse_if_late(queue, load, request, rank, service_s)
+            self._refuse_if_full(queue, organisation)
+            ground = await self._wait(queue, request, rank, service_s, number)
+        else:
+            left = request.deadline - self._now()
+            self._raise_if_late(
+                decisions.lateness_s(wait=0.0, service=service_s, left=left)
+            )
+        queue.note_work(organisation, rank, service_s, self._now())
+        return self._start(queue, request, ground, number, service_s, estimate)
+
+    def _ground_of_newcomer(
+        self,
+        queue: DeploymentQueue,
+        load: decisions.Load,
+        organisation: str,
+        rank: int,
+    ) -> decisions.Grant | None:
+        ahead = queue.waiting.get(organisation, [])
+        if ahead and ahead[0].rank <= rank:
+            return None
+        return decisions.grant(load, is_urgent=rank == 0)
+
+    def _rank(
+        self,
+        queue: DeploymentQueue,
+        request: requests.Request,
+        capacity: interfaces.Capacity,
+        estimate: float,
+    ) -> int:
+        if request.service_class is not requests.ServiceClass.URGENT:
+            return CLASS_RANKS[request.service_class]
+        share = self._share(queue, request.organisation)
+        if capacity.step_s <= 0:
+            rate = share * capacity.slots / self._service_estimate(request.deployment)
+            estimate = 1.0
+        else:
+            rate = share * capacity.slots / capacity.step_s
+        is_allowed = self._allowance.take(request.organisation, estimate, rate)
+        demoted = CLASS_RANKS[requests.ServiceClass.SHORT]
+        return CLASS_RANKS[request.service_class] if is_allowed else demoted
+
+    def _refuse_if_late(
+        self,
+        queue: DeploymentQueue,
+        load: decisions.Load,
+        request: requests.Request,
+        rank: int,
+        service_s: float,
+    ) -> None:
+        backlog = queue.backlog(load, request, rank, self._now())
+        self._raise_if_late(
+            decisions.lateness_s(
+                wait=decisions.wait_s(backlog),
+                service=service_s,
+                left=request.deadline - self._now(),
+            )
+        )
+
+    def _raise_if_late(self, lateness: float) -> None:
+        if lateness > 0:
+            raise errors.OverloadedError(
+                "the work can't be done before its deadline",
+                retry_after_s=decisions.retry_after_s(lateness),
+            )
+
+    def _refuse_if_full(self, queue: DeploymentQueue, organisation: str) -> None:
+        share = self._share(queue, organisation)
+        bound = max(MINIMUM_QUEUED, share * self._max_queued)
+        waiting = queue.waiting.get(organisation, [])
+        if len(waiting) >= bound:
+            raise errors.OverloadedError(
+                "too many requests of the organisation are waiting",
+                retry_after_s=decisions.retry_after_s(waiting[-1].service_s),
+            )
+
+    async def _wait(
+        self,
+        queue: DeploymentQueue,
+        request: requests.Request,
+        rank: int,
+        service_s: float,
+        number: int,
+    ) -> decisions.Grant:
+        turn = asyncio.get_running_loop().create_future()
+        waiting = Waiting(rank, request.deadline, number, service_s, request, turn)
+        own = queue.waiting.setdefault(request.organisation, [])
+        bisect.insort(own, waiting, key=lambda one: one[:3])
+        last_start = request.deadline - decisions.SERVICE_MARGIN * service_s
+        try:
+            async with asyncio.timeout_at(last_start):
+                return await turn
+        except TimeoutError as error:
+            raise errors.OverloadedError(
+                "no turn came in time to meet the deadline",
+                retry_after_s=decisions.retry_after_s(service_s),
+            ) from error
+        finally:
+            queue.remove_waiting(waiting)
+
+    def _start(
+        self,
+        queue: DeploymentQueue,
+        request: requests.Request,
+        ground: decisions.Grant,
+        number: int,
+        service_s: float,
+        estimate: float,
+    ) -> interfaces.Ticket:
+        organisation = request.organisation
+        modelled_s = service_s / self._slowdowns.get(request.deployment, 1.0)
+        queue.add_running(
+            number,
+            Running(request, ground, self._now(), service_s, estimate, modelled_s),
+        )
+        self._deployment_of[number] = request.deployment
+        queue.counters.charge(organisation, estimate, self._weight(organisation))
+        self._retries.earn(organisation)
+        self._ledger.note_request(organisation)
+        self._ledger.note_running(organisation, 1)
+        self._ledger.note_tokens(
+            organisation, request.prompt_tokens + request.max_tokens
+        )
+        self._ledger.publish()
+        priority = decisions.PRIORITIES[(ground, request.service_class)]
+        return interfaces.Ticket(request.request_id, organisation, priority, number)
+
+    def charge(
+        self, ticket: interfaces.Ticket, *, input_tokens: int, output_tokens: int
+    ) -> None:
+        """Correct the estimate by the tokens that were served."""
+        deployment = self._deployment_of.get(ticket.number)
+        if deployment is None:
+            return
+        queue = self._queues[deployment]
+        running = queue.running[ticket.number]
+        served = shares.weigh(input_tokens, output_tokens)
+        self._correct(queue, running, served, input_tokens + output_tokens)
+        queue.running[ticket.number] = running._replace(
+            estimate=served, is_charged=True
+        )
+
+    def _correct(
+        self, queue: DeploymentQueue, running: Running, served: float, tokens: float
+    ) -> None:
+        request = running.request
+        weight = self._weight(request.organisation)
+        queue.counters.charge(request.organisation, served - running.estimate, weight)
+        correction = tokens - request.prompt_tokens - request.max_tokens
+        self._limits.take_tokens(request.organisation, correction)
+        self._ledger.note_tokens(request.organisation, correction)
+
+    def release(self, ticket: interfaces.Ticket) -> None:
+        """Give the ticket back and start whoever is next."""
+        deployment = self._deployment_of.pop(ticket.number, None)
+        if deployment is None:
+            return
+        queue = self._queues[deployment]
+        running = queue.remove_running(ticket.number)
+        self._ledger.note_running(ticket.organisation, -1)
+        took_s = self._now() - running.started
+        if not running.is_charged:
+            self._charge_broken_off(queue, running, took_s)
+        if running.request.kind is requests.DeploymentKind.SERVICE:
+            self._learn_service_s(deployment, took_s)
+        elif running.is_charged and running.grant is not decisions.Grant.BORROWED:
+            self._learn_slowdown(deployment, took_s / max(0.001, running.modelled_s))
+        self._pump(deployment, queue)
+
+    def _charge_broken_off(
+        self, queue: DeploymentQueue, running: Running, took_s: float
+    ) -> None:
+        # What a stream that was broken off got is taken from the time it ran.
+        request = running.request
+        part = min(1.0, took_s / running.service_s) if running.service_s else 1.0
+        output = part * request.max_tokens
+        served = shares.weigh(request.prompt_tokens, output)
+        self._correct(queue, running, served, request.prompt_tokens + output)
+
+    def may_retry(self, organisation: str) -> bool:
+        """Take one retry from the organisation's budget, or return False."""
+        return self._retries.spend(organisation)
+
+    async def run(self) -> None:
+        """Publish use and look for free capacity until cancelled."""
+        while True:
+            await asyncio.sleep(use.PUBLISH_INTERVAL_S)
+            self._ledger.publish()
+            for deployment, queue in self._queues.items():
+                self._pump(deployment, queue)
+
+    def _pump(self, deployment: str, queue: DeploymentQueue) -> None:
+        if not queue.waiting:
+            return
+        capacity = self._capacity.capacity(deployment)
+        granted: list[Waiting] = []
+        while True:
+            chosen = decisions.choose_next(self._candidates(queue, capacity, granted))
+            if chosen is None:
+                return
+            waiting = queue.waiting[chosen.organisation][0]
+            queue.remove_waiting(waiting)
+            if waiting.turn.done():
+                continue
+            waiting.turn.set_result(chosen.grant)
+            granted.append(waiting)
+
+    def _candidates(
+        self,
+        queue: DeploymentQueue,
+        capacity: interfaces.Capacity,
+        granted: list[Waiting],
+    ) -> list[decisions.Candidate]:
+        candidates = []
+        for organisation, waiting in queue.waiting.items():
+            load = self._load(queue, organisation, capacity)
+            # Those granted in this round have not started yet.
+            own = sum(one.request.organisation == organisation for one in granted)
+            load = load._replace(
+                running=load.running + len(granted),
+                running_own=load.running_own + own,
+                running_urgent=load.running_urgent
+                + sum(one.rank == 0 for one in granted),
+            )
+            ground = decisions.grant(load, is_urgent=waiting[0].rank == 0)
+            counter = queue.counters.value(organisation)
+            candidates.append(decisions.Candidate(organisation, ground, counter))
+        return candidates
+
+    def _load(
+        self,
+        queue: DeploymentQueue,
+        organisation: str,
+        capacity: interfaces.Capacity,
+    ) -> decisions.Load:
+        now = self._now()
+        return decisions.Load(
+            slots=capacity.slots,
+            running=len(queue.running),
+            running_urgent=queue.running_urgent,
+            running_own=queue.running_own.get(organisation, 0),
+            share=self._share(queue, organisation),
+            urgent_average=queue.average(now, below=1),
+            own_average=queue.average(now, organisation=organisation),
+        )
+
+    def _share(self, queue: DeploymentQueue, organisation: str) -> float:
+        active = queue.active() | {organisation} | self._ledger.active_elsewhere()
+        weights = {name: self._weight(name) for name in active}
+        return decisions.share_of(organisation, weights)
+
+    def _weight(self, organisation: str) -> float:
+        return self._organisation(organisation).get("share", DEFAULT_SHARE)
+
+    def _organisation(self, name: str) -> documents.Organisation:
+        document = self._configuration.view.document
+        return document.get("organisations", {}).get(name, {})
+
+    def _predict_service_s(
+        self, request: requests.Request, capacity: interfaces.Capacity
+    ) -> float:
+        if request.kind is requests.DeploymentKind.MODEL:
+            slowdown = self._slowdowns.get(request.deployment, 1.0)
+            return slowdown * decisions.service_s(request, capacity)
+        return self._service_estimate(request.deployment)
+
+    def _service_estimate(self, deployment: str) -> float:
+        return self._service_s.get(deployment, FIRST_SERVICE_S)
+
+    def _learn_service_s(self, deployment: str, took_s: float) -> None:
+        known = self._service_s.get(deployment, took_s)
+        self._service_s[deployment] = known + SERVICE_SMOOTHING * (took_s - known)
+
+    def _learn_slowdown(self, deployment: str, ratio: float) -> None:
+        known = self._slowdowns.get(deployment, 1.0)
+        bounded = min(MAX_SLOWDOWN, max(1.0, ratio))
+        self._slowdowns[deployment] = known + SERVICE_SMOOTHING * (bounded - known)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -13,7 +13,7 @@
 
 from acaciaward import httpclient, httpserver
 from acaciaward.administration import api as administration_api
-from acaciaward.admission import counting
+from acaciaward.admission import queueing, retrybudget, use
 from acaciaward.callers import api as callers_api, discovery
 from acaciaward.claims import local
 from acaciaward.configuration import follower
@@ -29,7 +29,7 @@
 from acaciaward.observability import logs
 from acaciaward.platform import calls, log as platform_log
 from acaciaward.quarantine import permissive
-from acaciaward.routing import leastloaded
+from acaciaward.routing import balanced, loads
 from acaciaward.settings import loader
 
 log = logging.getLogger(__name__)
@@ -128,21 +128,18 @@
 
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
-        admission = self._settings["admission"]
         self._claims = local.LocalClaimBook(self.name)
+        model_engine = engine.HttpModelEngine(
+            self._client, token_timeout_s=settings["token_timeout_s"]
+        )
+        self._build_routing(model_engine)
+        self._build_admission()
         collaborators = attempts.Collaborators(
-            router=leastloaded.LeastLoadedRouter(self._configuration, self._hints),
-            admission=counting.CountingAdmission(
-                max_in_flight=admission["max_in_flight"],
-                max_queued=admission["max_queued"],
-                retry_budget_ratio=admission["retry_budget_ratio"],
-                retry_budget_minimum=admission["retry_budget_minimum"],
-            ),
+            router=self._router,
+            admission=self._admission,
             claims=self._claims,
             quarantine=permissive.PermissiveQuarantine(),
-            engine=engine.HttpModelEngine(
-                self._client, token_timeout_s=settings["token_timeout_s"]
-            ),
+            engine=model_engine,
             service=service.HttpPlainService(self._client),
         )
         limits = attempts.RetryLimits(
@@ -150,6 +147,33 @@
         )
         self._dispatcher = dispatcher.Dispatcher(collaborators, limits)
 
+    def _build_routing(self, model_engine: engine.HttpModelEngine) -> None:
+        settings = self._settings["routing"]
+        self._loads = loads.LoadBoard(
+            model_engine, poll_interval_s=settings["load_poll_s"]
+        )
+        self._router = balanced.BalancedRouter(
+            self._configuration,
+            self._hints,
+            self._loads,
+            entry=self.name,
+            data_centre=self._settings["instance"]["data_centre"],
+            subset_size=settings["subset_size"],
+        )
+
+    def _build_admission(self) -> None:
+        settings = self._settings["admission"]
+        self._admission = queueing.QueueingAdmission(
+            self._configuration,
+            loads.PartOfCapacity(self._router.usable, self._loads, self._membership),
+            use.UseLedger(self._membership, self._hints),
+            max_queued=settings["max_queued"],
+            retries=retrybudget.RetryBudgets(
+                ratio=settings["retry_budget_ratio"],
+                minimum=settings["retry_budget_minimum"],
+            ),
+        )
+
     def _build_server(self) -> None:
         callers = self._settings["callers"]
         application = httpserver.make_application()
@@ -187,6 +211,7 @@
             log.warning("started without a current configuration")
         await self._server.start()
         self._start_task(self._membership.run())
+        self._start_task(self._admission.run())
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
     async def stop(self) -> None:
@@ -217,6 +242,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._loads.stop()
         await self._transport.stop()
         await self._client.close()
 
--- /dev/null
+++ b/acaciaward/routing/balanced.py
@@ -0,0 +1,239 @@
+"""
+Routing by predicted finish over a deterministic subset of the endpoints.
+
+Gathers what is known of each endpoint into snapshots; ``choice`` decides.
+"""
+
+import collections
+import random
+import time
+import typing
+from collections.abc import Set
+
+from acaciaward import documents, errors, requests
+from acaciaward.configuration import interfaces as configuration_interfaces
+from acaciaward.membership import interfaces as membership_interfaces
+from acaciaward.routing import choice, interfaces, loads, prefix, subset
+
+RETRY_AFTER_S = 1.0
+FAILURE_MEMORY_S = 3.0
+SLOWNESS_SMOOTHING = 0.1
+MAX_SLOWNESS = 20.0
+SERVICE_STEP_S = 0.01
+
+
+class _Health:
+    """What this entry has seen of one endpoint."""
+
+    def __init__(self):
+        self.first_seen = time.monotonic()
+        self.slowness = 1.0
+        self.failures = 0
+        self.failed_at = float("-inf")
+
+    def note_failure(self) -> None:
+        self.failures += 1
+        self.failed_at = time.monotonic()
+
+    def note_answer(self, ratio: float) -> None:
+        self.failures = 0
+        bounded = min(MAX_SLOWNESS, max(1.0, ratio))
+        self.slowness += SLOWNESS_SMOOTHING * (bounded - self.slowness)
+
+    @property
+    def recent_failures(self) -> int:
+        is_recent = time.monotonic() - self.failed_at < FAILURE_MEMORY_S
+        return self.failures if is_recent else 0
+
+
+class _Attempt(typing.NamedTuple):
+    started: float
+    expected_s: float
+
+
+class BalancedRouter:
+    """Implements ``interfaces.Router``."""
+
+    def __init__(
+        self,
+        configuration: configuration_interfaces.Configuration,
+        hints: membership_interfaces.Hints,
+        board: loads.LoadBoard,
+        *,
+        entry: str,
+        data_centre: str,
+        subset_size: int,
+        chooser: random.Random | None = None,
+    ):
+        self._configuration = configuration
+        self._hints = hints
+        self._board = board
+        self._entry = entry
+        self._data_centre = data_centre
+        self._subset_size = subset_size
+        self._random = chooser or random.Random()
+        self._health: dict[str, _Health] = collections.defaultdict(_Health)
+        self._attempts: dict[tuple[str, str], _Attempt] = {}
+        self._subsets: dict[str, list[requests.Endpoint]] = {}
+        configuration.subscribe(self._follow_view)
+
+    def _follow_view(self, view: documents.View) -> None:
+        self._subsets = {}
+        followed = [
+            endpoint
+            for deployment in view.document.get("deployments", {})
+            for endpoint in self._subset(deployment)
+            if endpoint.kind is requests.DeploymentKind.MODEL
+        ]
+        self._board.follow(followed)
+        known = {
+            endpoint.name
+            for deployment in view.document.get("deployments", {})
+            for endpoint in self._configuration.endpoints(deployment)
+        }
+        for name in [name for name in self._health if name not in known]:
+            del self._health[name]
+
+    def _subset(self, deployment: str) -> list[requests.Endpoint]:
+        if deployment not in self._subsets:
+            self._subsets[deployment] = subset.choose_subset(
+                self._entry,
+                self._data_centre,
+                self._configuration.endpoints(deployment),
+                size=self._subset_size,
+            )
+        return self._subsets[deployment]
+
+    def usable(self, deployment: str) -> list[requests.Endpoint]:
+        """Return the endpoints of the subset that aren't leaving or dead."""
+        gone = self._gone()
+        return [one for one in self._subset(deployment) if not self._is_gone(one, gone)]
+
+    def choose(
+        self,
+        request: requests.Request,
+        *,
+        excluded: Set[str] = frozenset(),
+        avoided_data_centres: Set[str] = frozenset(),
+        alone: bool = False,
+    ) -> requests.Endpoint:
+        """Return the endpoint for the next attempt."""
+        usable = self._candidates(request.deployment, excluded)
+        if not usable:
+            raise errors.NoEndpointError(
+                f"no live endpoint serves {request.deployment}",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if alone:
+            idle = [one for one in usable if not self._own(one)]
+            usable = idle or usable
+        names = prefix.block_names(request.prompt, request.organisation)
+        snapshots = [
+            self._snapshot(endpoint, names, avoided_data_centres) for endpoint in usable
+        ]
+        chosen = choice.choose(snapshots, self._wish(request), self._random)
+        if names:
+            self._board.blocks(chosen.name).note_sent(names)
+        return chosen
+
+    def _candidates(
+        self, deployment: str, excluded: Set[str]
+    ) -> list[requests.Endpoint]:
+        gone = self._gone() | excluded
+        for pool in (
+            self._subset(deployment),
+            self._configuration.endpoints(deployment),
+        ):
+            usable = [one for one in pool if not self._is_gone(one, gone)]
+            if usable:
+                return usable
+        return []
+
+    def _is_gone(self, endpoint: requests.Endpoint, gone: Set[str]) -> bool:
+        report = self._board.report(endpoint.name)
+        is_leaving = report is not None and report.load.leaving
+        return is_leaving or endpoint.name in gone
+
+    def _gone(self) -> set[str]:
+        kinds = (
+            membership_interfaces.HintKind.ENDPOINT_LEAVING,
+            membership_interfaces.HintKind.ENDPOINT_DEAD,
+        )
+        return {hint.subject for kind in kinds for hint in self._hints.all(kind)}
+
+    def _own(self, endpoint: requests.Endpoint) -> int:
+        return self._board.in_flight.get(endpoint.name, 0)
+
+    def _snapshot(
+        self,
+        endpoint: requests.Endpoint,
+        names: list[str],
+        avoided_data_centres: Set[str],
+    ) -> choice.Snapshot:
+        health = self._health[endpoint.name]
+        cached = self._board.blocks(endpoint.name).cached_tokens(names) if names else 0
+        known = choice.Snapshot(
+            endpoint,
+            own=self._own(endpoint),
+            cached_tokens=cached,
+            slowness=health.slowness,
+            failures=health.recent_failures,
+            seen_s=time.monotonic() - health.first_seen,
+            is_avoided=endpoint.data_centre in avoided_data_centres,
+        )
+        if endpoint.kind is requests.DeploymentKind.SERVICE:
+            return known._replace(slots=loads.SERVICE_SLOTS, step_s=SERVICE_STEP_S)
+        report = self._board.report(endpoint.name)
+        if report is None:
+            return known._replace(
+                slots=loads.DEFAULT_SLOTS, step_s=loads.DEFAULT_STEP_S
+            )
+        load = report.load
+        return known._replace(
+            others=max(0.0, load.running + load.waiting - report.own),
+            report_age_s=time.monotonic() - report.moment,
+            slots=float(max(1, load.running + load.free_slots)),
+            step_s=load.step_s,
+        )
+
+    def _wish(self, request: requests.Request) -> choice.Wish:
+        deployments = self._configuration.view.document.get("deployments", {})
+        entry = deployments.get(request.deployment, {})
+        return choice.Wish(
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            service_class=request.service_class,
+            data_centre=self._data_centre,
+            weights=entry.get("weights", {}),
+            prefill_s=loads.PREFILL_S,
+        )
+
+    def started(self, endpoint: requests.Endpoint, request: requests.Request) -> None:
+        """Count an attempt as in flight."""
+        self._board.in_flight[endpoint.name] = self._own(endpoint) + 1
+        snapshot = self._snapshot(endpoint, [], frozenset())
+        expected_s = choice.service_s(snapshot, self._wish(request))
+        key = (endpoint.name, request.request_id)
+        self._attempts[key] = _Attempt(time.monotonic(), expected_s)
+
+    def finished(
+        self,
+        endpoint: requests.Endpoint,
+        request: requests.Request,
+        end: interfaces.AttemptEnd,
+        *,
+        first_token_s: float | None = None,
+    ) -> None:
+        """Count an attempt as ended and learn from how it ended."""
+        own = self._own(endpoint) - 1
+        if own > 0:
+            self._board.in_flight[endpoint.name] = own
+        else:
+            self._board.in_flight.pop(endpoint.name, None)
+        attempt = self._attempts.pop((endpoint.name, request.request_id), None)
+        health = self._health[endpoint.name]
+        if end in (interfaces.AttemptEnd.FAILED, interfaces.AttemptEnd.REFUSED):
+            health.note_failure()
+        elif end is interfaces.AttemptEnd.ANSWERED and attempt is not None:
+            took_s = time.monotonic() - attempt.started
+            health.note_answer(took_s / max(0.001, attempt.expected_s))
