--- a/acaciaward/admission/decisions.py
+++ b/acaciaward/admission/decisions.py
@@ -16,9 +16,6 @@
 from acaciaward import requests
 from acaciaward.admission import interfaces
 
-# All streams together may exceed the slots by this factor, while those that
-# have borrowed give way.
-OVERCOMMIT = 2.0
 # How far an organisation that has used less than its part may exceed it.
 BURST = 3.0
 # Predictions are taken as this much too short when a request is judged.
@@ -54,6 +51,7 @@
 
     ``running`` counts all requests, ``running_urgent`` those started as urgent
     and ``running_own`` the organisation's others. ``share`` is its part, 0 to 1.
+    ``running_share`` counts all that started on the ground of their share.
     ``urgent_average`` and ``own_average`` are the slots that urgent requests, and
     all requests of the organisation, took on average in the last seconds.
     """
@@ -63,14 +61,19 @@
     running_urgent: int
     running_own: int
     share: float
+    running_share: int = 0
     urgent_average: float = 0.0
     own_average: float = 0.0
 
+    @property
+    def left_by_urgent(self) -> float:
+        """The slots that urgent requests leave on average."""
+        return max(1.0, self.slots - self.urgent_average)
+
     @property
     def guaranteed(self) -> float:
         """The organisation's part of what urgent requests leave."""
-        left = max(1.0, self.slots - self.urgent_average)
-        return max(1.0, self.share * left)
+        return max(1.0, self.share * self.left_by_urgent)
 
 
 class Backlog(typing.NamedTuple):
@@ -105,8 +108,7 @@
     # Who has used less than its part lately may exceed it for a moment.
     has_saved = load.own_average < load.guaranteed
     bound = load.guaranteed * (BURST if has_saved else 1.0)
-    is_bounded = load.running < max(1.0, OVERCOMMIT * load.slots)
-    if load.running_own < bound and is_bounded:
+    if load.running_own < bound and load.running_share < load.left_by_urgent:
         return Grant.SHARE
     if load.running < load.slots:
         return Grant.BORROWED
--- a/acaciaward/admission/queueing.py
+++ b/acaciaward/admission/queueing.py
@@ -76,6 +76,7 @@
         self.running: dict[int, Running] = {}
         self.running_own: dict[str, int] = {}
         self.running_urgent = 0
+        self.running_share = 0
         self._averages: dict[tuple[str, int], use.FadingRate] = {}
 
     def note_work(self, organisation: str, rank: int, work_s: float, now: float):
@@ -113,6 +114,8 @@
         if running.grant is decisions.Grant.URGENT:
             self.running_urgent += change
             return
+        if running.grant is decisions.Grant.SHARE:
+            self.running_share += change
         name = running.request.organisation
         self.running_own[name] = self.running_own.get(name, 0) + change
 
@@ -394,7 +397,7 @@
         if not queue.waiting:
             return
         capacity = self._capacity.capacity(deployment)
-        granted: list[Waiting] = []
+        granted: list[tuple[Waiting, decisions.Grant]] = []
         while True:
             chosen = decisions.choose_next(self._candidates(queue, capacity, granted))
             if chosen is None:
@@ -404,25 +407,19 @@
             if waiting.turn.done():
                 continue
             waiting.turn.set_result(chosen.grant)
-            granted.append(waiting)
+            granted.append((waiting, chosen.grant))
 
     def _candidates(
         self,
         queue: DeploymentQueue,
         capacity: interfaces.Capacity,
-        granted: list[Waiting],
+        granted: list[tuple[Waiting, decisions.Grant]],
     ) -> list[decisions.Candidate]:
         candidates = []
         for organisation, waiting in queue.waiting.items():
             load = self._load(queue, organisation, capacity)
             # Those granted in this round have not started yet.
-            own = sum(one.request.organisation == organisation for one in granted)
-            load = load._replace(
-                running=load.running + len(granted),
-                running_own=load.running_own + own,
-                running_urgent=load.running_urgent
-                + sum(one.rank == 0 for one in granted),
-            )
+            load = _with_granted(load, organisation, granted)
             ground = decisions.grant(load, is_urgent=waiting[0].rank == 0)
             counter = queue.counters.value(organisation)
             candidates.append(decisions.Candidate(organisation, ground, counter))
@@ -441,6 +438,7 @@
             running_urgent=queue.running_urgent,
             running_own=queue.running_own.get(organisation, 0),
             share=self._share(queue, organisation),
+            running_share=queue.running_share,
             urgent_average=queue.average(now, below=1),
             own_average=queue.average(now, organisation=organisation),
         )
@@ -479,3 +477,22 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
+
+
+def _with_granted(
+    load: decisions.Load,
+    organisation: str,
+    granted: list[tuple[Waiting, decisions.Grant]],
+) -> decisions.Load:
+    own = urgent = share = 0
+    for waiting, ground in granted:
+        is_urgent = ground is decisions.Grant.URGENT
+        urgent += is_urgent
+        share += ground is decisions.Grant.SHARE
+        own += not is_urgent and waiting.request.organisation == organisation
+    return load._replace(
+        running=load.running + len(granted),
+        running_own=load.running_own + own,
+        running_urgent=load.running_urgent + urgent,
+        running_share=load.running_share + share,
+    )
