--- a/acaciaward/admission/decisions.py
+++ b/acaciaward/admission/decisions.py
@@ -11,7 +11,7 @@
 
 import enum
 import typing
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from acaciaward import requests
 from acaciaward.admission import interfaces
@@ -33,15 +33,9 @@
     BORROWED = "borrowed"
 
 
-PRIORITIES = {
-    (Grant.URGENT, requests.ServiceClass.URGENT): 0,
-    (Grant.SHARE, requests.ServiceClass.URGENT): 1,
-    (Grant.SHARE, requests.ServiceClass.SHORT): 1,
-    (Grant.SHARE, requests.ServiceClass.LONG): 2,
-    (Grant.BORROWED, requests.ServiceClass.URGENT): 3,
-    (Grant.BORROWED, requests.ServiceClass.SHORT): 3,
-    (Grant.BORROWED, requests.ServiceClass.LONG): 4,
-}
+# Engines run equal priorities in the order of arrival, so what has started on its
+# share goes on; the order of starts is decided here.
+PRIORITIES = {Grant.URGENT: 0, Grant.SHARE: 1, Grant.BORROWED: 2}
 GRANT_ORDER = (Grant.URGENT, Grant.SHARE, Grant.BORROWED)
 
 
@@ -50,7 +44,7 @@
     What runs at a deployment from here, seen from one organisation.
 
     ``running`` counts all requests, ``running_urgent`` those started as urgent
-    and ``running_own`` the organisation's others. ``share`` is its part, 0 to 1.
+    and ``running_own`` the organisation's on its share, which is 0 to 1.
     ``running_share`` counts all that started on the ground of their share.
     ``urgent_average`` and ``own_average`` are the slots that urgent requests, and
     all requests of the organisation, took on average in the last seconds.
@@ -76,19 +70,11 @@
         return max(1.0, self.share * self.left_by_urgent)
 
 
-class Backlog(typing.NamedTuple):
-    """
-    Work before a request, in seconds of one slot each.
-
-    ``running_s`` is what is left of the organisation's running requests and
-    ``ahead_s`` the work of its queued ones that go first; ``parallel`` is the
-    number of slots that work on them, less those that requests still to come
-    will take first.
-    """
+class QueuedWork(typing.NamedTuple):
+    """Work of ``service_s`` seconds that must start within ``latest_start_s``."""
 
-    running_s: float
-    ahead_s: float
-    parallel: float
+    service_s: float
+    latest_start_s: float
 
 
 def share_of(organisation: str, weights: Mapping[str, float]) -> float:
@@ -121,16 +107,30 @@
     return prefill_s + (request.max_tokens + 1) * capacity.step_s
 
 
-def wait_s(backlog: Backlog) -> float:
-    """Return the predicted seconds until a queued request starts."""
-    return (backlog.running_s + backlog.ahead_s) / max(
-        MINIMUM_PARALLEL, backlog.parallel
-    )
-
+def lateness_s(
+    queued: Sequence[QueuedWork], *, running_s: float, parallel: float
+) -> float:
+    """
+    Return by how many seconds the worst of the queued would start too late, or 0.
 
-def lateness_s(*, wait: float, service: float, left: float) -> float:
-    """Return by how many seconds a request would miss its deadline, or 0."""
-    return max(0.0, WAIT_MARGIN * wait + SERVICE_MARGIN * service - left)
+    ``queued`` is in the order of starts, ``running_s`` the seconds of work left
+    of what runs, and ``parallel`` the number of slots that work on all of it. A
+    newcomer is taken only if everything in the queue, itself included, can
+    still start in time (the admission test of earliest-deadline-first
+    scheduling, as a fluid).
+    """
+    slots = max(MINIMUM_PARALLEL, parallel)
+    ahead_s = running_s
+    worst = 0.0
+    for work in queued:
+        worst = max(worst, WAIT_MARGIN * ahead_s / slots - work.latest_start_s)
+        ahead_s += work.service_s
+    return worst
+
+
+def latest_start_s(*, service: float, left: float) -> float:
+    """Return within how many seconds work must start to end by its deadline."""
+    return left - SERVICE_MARGIN * service
 
 
 def retry_after_s(lateness: float) -> float:
--- a/acaciaward/admission/queueing.py
+++ b/acaciaward/admission/queueing.py
@@ -26,12 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-CLASS_RANKS = {
-    requests.ServiceClass.URGENT: 0,
-    requests.ServiceClass.SHORT: 1,
-    requests.ServiceClass.LONG: 2,
-}
-MAX_RANK = 3
 DEFAULT_SHARE = 1.0
 SERVICE_SMOOTHING = 0.1
 MAX_SLOWDOWN = 2.0
@@ -40,10 +34,14 @@
 
 
 class Waiting(typing.NamedTuple):
-    """One queued request; the smaller sorts first."""
+    """
+    One queued request; the smaller sorts first.
+
+    Urgent ones come before all others, then counts which must start first.
+    """
 
-    rank: int
-    deadline: float
+    is_later: bool
+    latest_start: float
     number: int
     service_s: float
     request: requests.Request
@@ -77,26 +75,32 @@
         self.running_own: dict[str, int] = {}
         self.running_urgent = 0
         self.running_share = 0
-        self._averages: dict[tuple[str, int], use.FadingRate] = {}
+        self._averages: dict[tuple[str, bool], use.FadingRate] = {}
 
-    def note_work(self, organisation: str, rank: int, work_s: float, now: float):
+    def note_work(
+        self, organisation: str, *, is_urgent: bool, work_s: float, now: float
+    ) -> None:
         """Count the work of a started request in the averages."""
-        key = (organisation, rank)
-        self._averages.setdefault(key, use.FadingRate()).add(work_s, now)
+        rate = self._averages.setdefault((organisation, is_urgent), use.FadingRate())
+        rate.add(work_s, now)
 
-    def average(
-        self, now: float, *, organisation: str | None = None, below: int = MAX_RANK
-    ) -> float:
-        """Return the slots taken on average by ranks below ``below``."""
+    def urgent_average(self, now: float) -> float:
+        """Return the slots that urgent requests took on average."""
+        return sum(
+            rate.at(now) for (_, urgent), rate in self._averages.items() if urgent
+        )
+
+    def own_average(self, organisation: str, now: float) -> float:
+        """Return the slots that an organisation took on average."""
         return sum(
             rate.at(now)
-            for (name, rank), rate in self._averages.items()
-            if rank < below and organisation in (None, name)
+            for (name, _), rate in self._averages.items()
+            if name == organisation
         )
 
     def active(self) -> set[str]:
         """Return the organisations that run or wait."""
-        running = {name for name, count in self.running_own.items() if count}
+        running = {one.request.organisation for one in self.running.values()}
         return running | set(self.waiting)
 
     def add_running(self, number: int, running: Running) -> None:
@@ -114,8 +118,9 @@
         if running.grant is decisions.Grant.URGENT:
             self.running_urgent += change
             return
-        if running.grant is decisions.Grant.SHARE:
-            self.running_share += change
+        if running.grant is not decisions.Grant.SHARE:
+            return
+        self.running_share += change
         name = running.request.organisation
         self.running_own[name] = self.running_own.get(name, 0) + change
 
@@ -128,34 +133,20 @@
         if not queue:
             self.waiting.pop(name, None)
 
-    def backlog(
-        self, load: decisions.Load, request: requests.Request, rank: int, now: float
-    ) -> decisions.Backlog:
-        """Return the work before a new request of an organisation."""
-        is_urgent = rank == 0
-        running_s = sum(
+    def running_s(self, organisation: str | None, now: float) -> float:
+        """Return the seconds of work left that run, as urgent without a name."""
+        return sum(
             max(0.0, one.started + one.service_s - now)
             for one in self.running.values()
-            if (one.grant is decisions.Grant.URGENT) == is_urgent
-            and (is_urgent or one.request.organisation == request.organisation)
-        )
-        queues = (
-            self.waiting.values()
-            if is_urgent
-            else [self.waiting.get(request.organisation, [])]
+            if _is_in_line(one, organisation)
         )
-        ahead_s = sum(
-            one.service_s
-            for queue in queues
-            for one in queue
-            if (one.rank, one.deadline) <= (rank, request.deadline)
-        )
-        parallel = load.slots
-        if not is_urgent:
-            first = self.average(now, organisation=request.organisation, below=rank)
-            own_urgent = self.average(now, organisation=request.organisation, below=1)
-            parallel = max(load.guaranteed, load.running_own) - first + own_urgent
-        return decisions.Backlog(running_s, ahead_s, parallel)
+
+
+def _is_in_line(running: Running, organisation: str | None) -> bool:
+    if organisation is None:
+        return running.grant is decisions.Grant.URGENT
+    is_share = running.grant is decisions.Grant.SHARE
+    return is_share and running.request.organisation == organisation
 
 
 class QueueingAdmission:
@@ -196,78 +187,80 @@
         if organisation not in queue.active():
             queue.counters.activate(organisation, queue.active())
         capacity = self._capacity.capacity(request.deployment)
-        rank = self._rank(queue, request, capacity, estimate)
+        is_urgent = self._is_urgent(queue, request, capacity, estimate)
         service_s = self._predict_service_s(request, capacity)
         number = next(self._numbers)
+        left_s = decisions.latest_start_s(
+            service=service_s, left=request.deadline - self._now()
+        )
+        waiting = Waiting(
+            not is_urgent,
+            self._now() + left_s,
+            number,
+            service_s,
+            request,
+            asyncio.get_running_loop().create_future(),
+        )
+        _raise_if_late(max(0.0, -left_s))
         load = self._load(queue, organisation, capacity)
-        ground = self._ground_of_newcomer(queue, load, organisation, rank)
+        ground = self._ground_of_newcomer(queue, load, waiting)
         if ground is None:
-            self._refuse_if_late(queue, load, request, rank, service_s)
+            self._refuse_if_late(queue, load, waiting)
             self._refuse_if_full(queue, organisation)
-            ground = await self._wait(queue, request, rank, service_s, number)
-        else:
-            left = request.deadline - self._now()
-            self._raise_if_late(
-                decisions.lateness_s(wait=0.0, service=service_s, left=left)
-            )
-        queue.note_work(organisation, rank, service_s, self._now())
+            ground = await self._wait(queue, waiting)
+        queue.note_work(
+            organisation, is_urgent=is_urgent, work_s=service_s, now=self._now()
+        )
         return self._start(queue, request, ground, number, service_s, estimate)
 
     def _ground_of_newcomer(
-        self,
-        queue: DeploymentQueue,
-        load: decisions.Load,
-        organisation: str,
-        rank: int,
+        self, queue: DeploymentQueue, load: decisions.Load, waiting: Waiting
     ) -> decisions.Grant | None:
-        ahead = queue.waiting.get(organisation, [])
-        if ahead and ahead[0].rank <= rank:
+        ahead = queue.waiting.get(waiting.request.organisation, [])
+        if ahead and ahead[0][:2] <= waiting[:2]:
             return None
-        return decisions.grant(load, is_urgent=rank == 0)
+        return decisions.grant(load, is_urgent=not waiting.is_later)
 
-    def _rank(
+    def _is_urgent(
         self,
         queue: DeploymentQueue,
         request: requests.Request,
         capacity: interfaces.Capacity,
         estimate: float,
-    ) -> int:
+    ) -> bool:
+        """Take an urgent request from the organisation's allowance."""
         if request.service_class is not requests.ServiceClass.URGENT:
-            return CLASS_RANKS[request.service_class]
+            return False
         share = self._share(queue, request.organisation)
-        if capacity.step_s <= 0:
-            rate = share * capacity.slots / self._service_estimate(request.deployment)
-            estimate = 1.0
-        else:
+        if capacity.step_s > 0:
             rate = share * capacity.slots / capacity.step_s
-        is_allowed = self._allowance.take(request.organisation, estimate, rate)
-        demoted = CLASS_RANKS[requests.ServiceClass.SHORT]
-        return CLASS_RANKS[request.service_class] if is_allowed else demoted
+            return self._allowance.take(request.organisation, estimate, rate)
+        rate = share * capacity.slots / self._service_estimate(request.deployment)
+        return self._allowance.take(request.organisation, 1.0, rate)
 
     def _refuse_if_late(
-        self,
-        queue: DeploymentQueue,
-        load: decisions.Load,
-        request: requests.Request,
-        rank: int,
-        service_s: float,
+        self, queue: DeploymentQueue, load: decisions.Load, waiting: Waiting
     ) -> None:
-        backlog = queue.backlog(load, request, rank, self._now())
-        self._raise_if_late(
-            decisions.lateness_s(
-                wait=decisions.wait_s(backlog),
-                service=service_s,
-                left=request.deadline - self._now(),
-            )
+        """Refuse a request that would come too late, or make another one late."""
+        now = self._now()
+        organisation = waiting.request.organisation
+        if waiting.is_later:
+            line = [*queue.waiting.get(organisation, ()), waiting]
+            running_s = queue.running_s(organisation, now)
+            parallel = max(load.guaranteed, load.running_own)
+        else:
+            line = [one for own in queue.waiting.values() for one in own]
+            line = [one for one in [*line, waiting] if not one.is_later]
+            running_s = queue.running_s(None, now)
+            parallel = load.slots
+        line.sort(key=lambda one: one[:3])
+        queued = [
+            decisions.QueuedWork(one.service_s, one.latest_start - now) for one in line
+        ]
+        _raise_if_late(
+            decisions.lateness_s(queued, running_s=running_s, parallel=parallel)
         )
 
-    def _raise_if_late(self, lateness: float) -> None:
-        if lateness > 0:
-            raise errors.OverloadedError(
-                "the work can't be done before its deadline",
-                retry_after_s=decisions.retry_after_s(lateness),
-            )
-
     def _refuse_if_full(self, queue: DeploymentQueue, organisation: str) -> None:
         share = self._share(queue, organisation)
         bound = max(MINIMUM_QUEUED, share * self._max_queued)
@@ -278,26 +271,16 @@
                 retry_after_s=decisions.retry_after_s(waiting[-1].service_s),
             )
 
-    async def _wait(
-        self,
-        queue: DeploymentQueue,
-        request: requests.Request,
-        rank: int,
-        service_s: float,
-        number: int,
-    ) -> decisions.Grant:
-        turn = asyncio.get_running_loop().create_future()
-        waiting = Waiting(rank, request.deadline, number, service_s, request, turn)
-        own = queue.waiting.setdefault(request.organisation, [])
+    async def _wait(self, queue: DeploymentQueue, waiting: Waiting) -> decisions.Grant:
+        own = queue.waiting.setdefault(waiting.request.organisation, [])
         bisect.insort(own, waiting, key=lambda one: one[:3])
-        last_start = request.deadline - decisions.SERVICE_MARGIN * service_s
         try:
-            async with asyncio.timeout_at(last_start):
-                return await turn
+            async with asyncio.timeout_at(waiting.latest_start):
+                return await waiting.turn
         except TimeoutError as error:
             raise errors.OverloadedError(
                 "no turn came in time to meet the deadline",
-                retry_after_s=decisions.retry_after_s(service_s),
+                retry_after_s=decisions.retry_after_s(waiting.service_s),
             ) from error
         finally:
             queue.remove_waiting(waiting)
@@ -326,7 +309,7 @@
             organisation, request.prompt_tokens + request.max_tokens
         )
         self._ledger.publish()
-        priority = decisions.PRIORITIES[(ground, request.service_class)]
+        priority = decisions.PRIORITIES[ground]
         return interfaces.Ticket(request.request_id, organisation, priority, number)
 
     def charge(
@@ -420,7 +403,7 @@
             load = self._load(queue, organisation, capacity)
             # Those granted in this round have not started yet.
             load = _with_granted(load, organisation, granted)
-            ground = decisions.grant(load, is_urgent=waiting[0].rank == 0)
+            ground = decisions.grant(load, is_urgent=not waiting[0].is_later)
             counter = queue.counters.value(organisation)
             candidates.append(decisions.Candidate(organisation, ground, counter))
         return candidates
@@ -439,8 +422,8 @@
             running_own=queue.running_own.get(organisation, 0),
             share=self._share(queue, organisation),
             running_share=queue.running_share,
-            urgent_average=queue.average(now, below=1),
-            own_average=queue.average(now, organisation=organisation),
+            urgent_average=queue.urgent_average(now),
+            own_average=queue.own_average(organisation, now),
         )
 
     def _share(self, queue: DeploymentQueue, organisation: str) -> float:
@@ -479,6 +462,14 @@
         return asyncio.get_running_loop().time()
 
 
+def _raise_if_late(lateness: float) -> None:
+    if lateness > 0:
+        raise errors.OverloadedError(
+            "the work can't be done before its deadline",
+            retry_after_s=decisions.retry_after_s(lateness),
+        )
+
+
 def _with_granted(
     load: decisions.Load,
     organisation: str,
@@ -486,10 +477,10 @@
 ) -> decisions.Load:
     own = urgent = share = 0
     for waiting, ground in granted:
-        is_urgent = ground is decisions.Grant.URGENT
-        urgent += is_urgent
-        share += ground is decisions.Grant.SHARE
-        own += not is_urgent and waiting.request.organisation == organisation
+        is_share = ground is decisions.Grant.SHARE
+        urgent += ground is decisions.Grant.URGENT
+        share += is_share
+        own += is_share and waiting.request.organisation == organisation
     return load._replace(
         running=load.running + len(granted),
         running_own=load.running_own + own,
--- a/acaciaward/routing/choice.py
+++ b/acaciaward/routing/choice.py
@@ -93,9 +93,7 @@
     distance_s = REMOTE_S * (snapshot.endpoint.data_centre != wish.data_centre)
     start_left = max(0.0, 1 - snapshot.seen_s / SLOW_START_S)
     warming = 1 + SLOW_START_FACTOR * start_left
-    return service_s(snapshot, wish) * crowding * warming * snapshot.slowness + (
-        distance_s
-    )
+    return service_s(snapshot, wish) * crowding * warming + distance_s
 
 
 def risk_s(snapshot: Snapshot, wish: Wish) -> float:
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -87,6 +87,19 @@
         "p95_ratio": round(after_s / before_s, 3) if before_s else None,
         "p95_alone_s": round(before_s, 4),
         "p95_beside_s": round(after_s, 4),
+        "p95_by_class_s": {
+            shape.service_class: round(
+                _p95_first_token(
+                    [
+                        o
+                        for o in beside
+                        if o.planned.service_class == shape.service_class
+                    ]
+                ),
+                4,
+            )
+            for shape in policy.SHAPES
+        },
         "others_answered": _answered_share(beside),
         "others_answered_alone": _answered_share(alone),
         "flood_answered": _answered_share(flooded),
