--- a/acaciaward/admission/queueing.py
+++ b/acaciaward/admission/queueing.py
@@ -12,6 +12,7 @@
 import itertools
 import logging
 import typing
+from collections.abc import Container
 
 from acaciaward import documents, errors, requests
 from acaciaward.admission import (
@@ -26,6 +27,13 @@
 
 log = logging.getLogger(__name__)
 
+# An urgent request beyond its organisation's allowance queues as a short one.
+RANKS = {
+    requests.ServiceClass.URGENT: 1,
+    requests.ServiceClass.SHORT: 1,
+    requests.ServiceClass.LONG: 2,
+}
+ALL_RANKS = range(3)
 DEFAULT_SHARE = 1.0
 SERVICE_SMOOTHING = 0.1
 MAX_SLOWDOWN = 2.0
@@ -37,10 +45,11 @@
     """
     One queued request; the smaller sorts first.
 
-    Urgent ones come before all others, then counts which must start first.
+    ``rank`` is 0 for urgent, 1 for short and 2 for long; within a rank it counts
+    which must start first.
     """
 
-    is_later: bool
+    rank: int
     latest_start: float
     number: int
     service_s: float
@@ -75,27 +84,27 @@
         self.running_own: dict[str, int] = {}
         self.running_urgent = 0
         self.running_share = 0
-        self._averages: dict[tuple[str, bool], use.FadingRate] = {}
+        self._averages: dict[tuple[str, int], use.FadingRate] = {}
 
     def note_work(
-        self, organisation: str, *, is_urgent: bool, work_s: float, now: float
+        self, organisation: str, rank: int, *, work_s: float, now: float
     ) -> None:
         """Count the work of a started request in the averages."""
-        rate = self._averages.setdefault((organisation, is_urgent), use.FadingRate())
+        rate = self._averages.setdefault((organisation, rank), use.FadingRate())
         rate.add(work_s, now)
 
-    def urgent_average(self, now: float) -> float:
-        """Return the slots that urgent requests took on average."""
-        return sum(
-            rate.at(now) for (_, urgent), rate in self._averages.items() if urgent
-        )
-
-    def own_average(self, organisation: str, now: float) -> float:
-        """Return the slots that an organisation took on average."""
+    def average(
+        self,
+        organisation: str | None,
+        now: float,
+        *,
+        ranks: Container[int] = ALL_RANKS,
+    ) -> float:
+        """Return the slots taken on average, by all organisations without a name."""
         return sum(
             rate.at(now)
-            for (name, _), rate in self._averages.items()
-            if name == organisation
+            for (name, rank), rate in self._averages.items()
+            if rank in ranks and organisation in (None, name)
         )
 
     def active(self) -> set[str]:
@@ -194,7 +203,7 @@
             service=service_s, left=request.deadline - self._now()
         )
         waiting = Waiting(
-            not is_urgent,
+            0 if is_urgent else RANKS[request.service_class],
             self._now() + left_s,
             number,
             service_s,
@@ -208,9 +217,7 @@
             self._refuse_if_late(queue, load, waiting)
             self._refuse_if_full(queue, organisation)
             ground = await self._wait(queue, waiting)
-        queue.note_work(
-            organisation, is_urgent=is_urgent, work_s=service_s, now=self._now()
-        )
+        queue.note_work(organisation, waiting.rank, work_s=service_s, now=self._now())
         return self._start(queue, request, ground, number, service_s, estimate)
 
     def _ground_of_newcomer(
@@ -219,7 +226,7 @@
         ahead = queue.waiting.get(waiting.request.organisation, [])
         if ahead and ahead[0][:2] <= waiting[:2]:
             return None
-        return decisions.grant(load, is_urgent=not waiting.is_later)
+        return decisions.grant(load, is_urgent=waiting.rank == 0)
 
     def _is_urgent(
         self,
@@ -244,13 +251,15 @@
         """Refuse a request that would come too late, or make another one late."""
         now = self._now()
         organisation = waiting.request.organisation
-        if waiting.is_later:
-            line = [*queue.waiting.get(organisation, ()), waiting]
+        if waiting.rank:
+            own = queue.waiting.get(organisation, ())
+            line = [one for one in [*own, waiting] if 0 < one.rank <= waiting.rank]
             running_s = queue.running_s(organisation, now)
-            parallel = max(load.guaranteed, load.running_own)
+            first = queue.average(organisation, now, ranks=range(1, waiting.rank))
+            parallel = max(load.guaranteed, load.running_own) - first
         else:
             line = [one for own in queue.waiting.values() for one in own]
-            line = [one for one in [*line, waiting] if not one.is_later]
+            line = [one for one in [*line, waiting] if one.rank == 0]
             running_s = queue.running_s(None, now)
             parallel = load.slots
         line.sort(key=lambda one: one[:3])
@@ -403,7 +412,7 @@
             load = self._load(queue, organisation, capacity)
             # Those granted in this round have not started yet.
             load = _with_granted(load, organisation, granted)
-            ground = decisions.grant(load, is_urgent=not waiting[0].is_later)
+            ground = decisions.grant(load, is_urgent=waiting[0].rank == 0)
             counter = queue.counters.value(organisation)
             candidates.append(decisions.Candidate(organisation, ground, counter))
         return candidates
@@ -422,8 +431,8 @@
             running_own=queue.running_own.get(organisation, 0),
             share=self._share(queue, organisation),
             running_share=queue.running_share,
-            urgent_average=queue.urgent_average(now),
-            own_average=queue.own_average(organisation, now),
+            urgent_average=queue.average(None, now, ranks=(0,)),
+            own_average=queue.average(organisation, now),
         )
 
     def _share(self, queue: DeploymentQueue, organisation: str) -> float:
--- a/acaciaward/routing/loads.py
+++ b/acaciaward/routing/loads.py
@@ -26,8 +26,6 @@
 PREFILL_S = 0.00002
 # A report older than this says nothing of free slots any more.
 MAX_REPORT_AGE_S = 3.0
-# Part of the slots reported free that one entry takes beside its equal part.
-IDLE_PART = 0.5
 EVENTS_EVERY = 2
 
 
@@ -128,9 +126,8 @@
             return admission_interfaces.Capacity(max(1.0, slots))
         reports = [self._board.report(endpoint.name) for endpoint in endpoints]
         known = [report for report in reports if report is not None]
-        own = sum(self._board.in_flight.get(one.name, 0) for one in endpoints)
         return part_of_capacity(
-            known, silent=len(reports) - len(known), entries=entries, own=own
+            known, silent=len(reports) - len(known), entries=entries
         )
 
     def _live_entries(self) -> int:
@@ -142,13 +139,13 @@
 
 
 def part_of_capacity(
-    reports: typing.Sequence[Report], *, silent: int, entries: int, own: int
+    reports: typing.Sequence[Report], *, silent: int, entries: int
 ) -> admission_interfaces.Capacity:
     """
-    Return one entry's part: its equal part, or what it has and half of the idle.
+    Return one entry's part: its equal part, and an equal part of the idle slots.
 
-    ``silent`` counts endpoints without a report, ``own`` the requests in flight
-    from this entry.
+    Idle slots are told by old reports, so an entry never counts on all of them.
+    ``silent`` counts endpoints without a report.
     """
     now = time.monotonic()
     slots = [report.load.running + report.load.free_slots for report in reports]
@@ -161,7 +158,7 @@
     )
     steps = [report.load.step_s for report in reports]
     return admission_interfaces.Capacity(
-        slots=max(1.0, total / entries, min(total, own + IDLE_PART * idle)),
+        slots=max(1.0, min(total, (total + idle) / entries)),
         step_s=statistics.median(steps) if steps else DEFAULT_STEP_S,
         prefill_s=PREFILL_S,
     )
