--- a/acaciaward/admission/decisions.py
+++ b/acaciaward/admission/decisions.py
@@ -19,8 +19,8 @@
 # How far an organisation that has used less than its part may exceed it.
 BURST = 3.0
 # Predictions are taken as this much too short when a request is judged.
-WAIT_MARGIN = 1.25
-SERVICE_MARGIN = 1.1
+WAIT_MARGIN = 1.5
+SERVICE_MARGIN = 1.2
 MINIMUM_RETRY_S = 0.1
 MINIMUM_PARALLEL = 0.1
 
@@ -29,14 +29,16 @@
     """On what ground a request may start."""
 
     URGENT = "urgent"
+    OWED = "owed"
     SHARE = "share"
     BORROWED = "borrowed"
 
 
 # Engines run equal priorities in the order of arrival, so what has started on its
 # share goes on; the order of starts is decided here.
-PRIORITIES = {Grant.URGENT: 0, Grant.SHARE: 1, Grant.BORROWED: 2}
-GRANT_ORDER = (Grant.URGENT, Grant.SHARE, Grant.BORROWED)
+PRIORITIES = {Grant.URGENT: 0, Grant.OWED: 1, Grant.SHARE: 2, Grant.BORROWED: 3}
+GRANT_ORDER = (Grant.URGENT, Grant.OWED, Grant.SHARE, Grant.BORROWED)
+ON_SHARE = frozenset({Grant.OWED, Grant.SHARE})
 
 
 class Load(typing.NamedTuple):
@@ -46,8 +48,8 @@
     ``running`` counts all requests, ``running_urgent`` those started as urgent
     and ``running_own`` the organisation's on its share, which is 0 to 1.
     ``running_share`` counts all that started on the ground of their share.
-    ``urgent_average`` and ``own_average`` are the slots that urgent requests, and
-    all requests of the organisation, took on average in the last seconds.
+    The averages are the slots taken in the last seconds by all urgent requests,
+    by the organisation's urgent ones and by its others.
     """
 
     slots: float
@@ -57,6 +59,7 @@
     share: float
     running_share: int = 0
     urgent_average: float = 0.0
+    own_urgent_average: float = 0.0
     own_average: float = 0.0
 
     @property
@@ -66,8 +69,8 @@
 
     @property
     def guaranteed(self) -> float:
-        """The organisation's part of what urgent requests leave."""
-        return max(1.0, self.share * self.left_by_urgent)
+        """The organisation's part, less what its own urgent requests take."""
+        return max(0.0, self.share * self.slots - self.own_urgent_average)
 
 
 class QueuedWork(typing.NamedTuple):
@@ -87,14 +90,19 @@
     """
     Return on what ground a request may start now, or None.
 
-        grant(Load(8, 8, 0, 1, 0.5), is_urgent=False)  # Grant.SHARE
+        grant(Load(8, 8, 0, 1, 0.5), is_urgent=False)  # Grant.OWED
     """
     if is_urgent and load.running_urgent < max(1.0, load.slots):
         return Grant.URGENT
     # Who has used less than its part lately may exceed it for a moment.
-    has_saved = load.own_average < load.guaranteed
-    bound = load.guaranteed * (BURST if has_saved else 1.0)
-    if load.running_own < bound and load.running_share < load.left_by_urgent:
+    is_owed = load.own_average < load.guaranteed
+    if (
+        is_owed
+        and load.running_own < max(1.0, BURST * load.guaranteed)
+        and load.running_share < load.slots
+    ):
+        return Grant.OWED
+    if load.running_own < load.guaranteed and load.running_share < load.left_by_urgent:
         return Grant.SHARE
     if load.running < load.slots:
         return Grant.BORROWED
--- a/acaciaward/admission/queueing.py
+++ b/acaciaward/admission/queueing.py
@@ -34,6 +34,7 @@
     requests.ServiceClass.LONG: 2,
 }
 ALL_RANKS = range(3)
+WORK_AVERAGING_S = 4.0
 DEFAULT_SHARE = 1.0
 SERVICE_SMOOTHING = 0.1
 MAX_SLOWDOWN = 2.0
@@ -90,7 +91,9 @@
         self, organisation: str, rank: int, *, work_s: float, now: float
     ) -> None:
         """Count the work of a started request in the averages."""
-        rate = self._averages.setdefault((organisation, rank), use.FadingRate())
+        rate = self._averages.setdefault(
+            (organisation, rank), use.FadingRate(WORK_AVERAGING_S)
+        )
         rate.add(work_s, now)
 
     def average(
@@ -127,7 +130,7 @@
         if running.grant is decisions.Grant.URGENT:
             self.running_urgent += change
             return
-        if running.grant is not decisions.Grant.SHARE:
+        if running.grant not in decisions.ON_SHARE:
             return
         self.running_share += change
         name = running.request.organisation
@@ -154,7 +157,7 @@
 def _is_in_line(running: Running, organisation: str | None) -> bool:
     if organisation is None:
         return running.grant is decisions.Grant.URGENT
-    is_share = running.grant is decisions.Grant.SHARE
+    is_share = running.grant in decisions.ON_SHARE
     return is_share and running.request.organisation == organisation
 
 
@@ -256,7 +259,7 @@
             line = [one for one in [*own, waiting] if 0 < one.rank <= waiting.rank]
             running_s = queue.running_s(organisation, now)
             first = queue.average(organisation, now, ranks=range(1, waiting.rank))
-            parallel = max(load.guaranteed, load.running_own) - first
+            parallel = load.guaranteed - first
         else:
             line = [one for own in queue.waiting.values() for one in own]
             line = [one for one in [*line, waiting] if one.rank == 0]
@@ -432,7 +435,8 @@
             share=self._share(queue, organisation),
             running_share=queue.running_share,
             urgent_average=queue.average(None, now, ranks=(0,)),
-            own_average=queue.average(organisation, now),
+            own_urgent_average=queue.average(organisation, now, ranks=(0,)),
+            own_average=queue.average(organisation, now, ranks=(1, 2)),
         )
 
     def _share(self, queue: DeploymentQueue, organisation: str) -> float:
@@ -486,7 +490,7 @@
 ) -> decisions.Load:
     own = urgent = share = 0
     for waiting, ground in granted:
-        is_share = ground is decisions.Grant.SHARE
+        is_share = ground in decisions.ON_SHARE
         urgent += ground is decisions.Grant.URGENT
         share += is_share
         own += is_share and waiting.request.organisation == organisation
--- a/acaciaward/admission/shares.py
+++ b/acaciaward/admission/shares.py
@@ -12,7 +12,7 @@
 # A prompt's token costs the engines far less than a generated one.
 INPUT_TOKEN_WEIGHT = 0.05
 URGENT_PART = 0.75
-URGENT_BURST_S = 2.0
+URGENT_BURST_S = 1.0
 
 
 def weigh(input_tokens: float, output_tokens: float) -> float:
--- a/acaciaward/admission/use.py
+++ b/acaciaward/admission/use.py
@@ -39,18 +39,19 @@
 class FadingRate:
     """An average rate a second whose past fades exponentially."""
 
-    def __init__(self):
+    def __init__(self, averaging_s: float = AVERAGING_S):
+        self._averaging_s = averaging_s
         self._value = 0.0
         self._moment = 0.0
 
     def add(self, amount: float, now: float) -> None:
         """Count an amount at the moment ``now``."""
-        self._value = self.at(now) + amount / AVERAGING_S
+        self._value = self.at(now) + amount / self._averaging_s
         self._moment = now
 
     def at(self, now: float) -> float:
         """Return the rate at a moment."""
-        return self._value * math.exp((self._moment - now) / AVERAGING_S)
+        return self._value * math.exp((self._moment - now) / self._averaging_s)
 
 
 def allowed_here(limit: float, *, peers_used: list[float], unheard: int) -> float:
