--- /dev/null
+++ b/acaciaward/admission/features/steps/admission_steps.py
@@ -0,0 +1,251 @@
+"""Steps for admission."""
+
+import asyncio
+import itertools
+import types
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+
+from acaciaward import documents, errors, requests
+from acaciaward.admission import (
+    decisions,
+    interfaces,
+    queueing,
+    retrybudget,
+    shares,
+    use,
+)
+from acaciaward.membership import hints
+
+SETTINGS = hypothesis.settings(
+    database=None, derandomize=True, max_examples=200, deadline=None
+)
+SERVED_TOKENS = 20_000
+AMOUNTS = strategies.floats(0, 1000)
+numbers = itertools.count()
+
+
+class FixedCapacity:
+    def __init__(self, slots, step_s):
+        self.slots = slots
+        self.step_s = step_s
+
+    def capacity(self, deployment):
+        return interfaces.Capacity(self.slots, self.step_s)
+
+
+def make_request(organisation, tokens, deadline_s, service_class="short"):
+    now = asyncio.get_running_loop().time()
+    return requests.Request(
+        request_id=f"req-{next(numbers)}",
+        organisation=organisation,
+        deployment="text",
+        kind=requests.DeploymentKind.MODEL,
+        service_class=requests.ServiceClass(service_class),
+        idempotent=True,
+        key=None,
+        digest="",
+        deadline=now + deadline_s,
+        max_tokens=tokens,
+    )
+
+
+@then("for any use of the peers the allowed part keeps both bounds")
+def check_part(context):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.floats(0.1, 1000),
+        strategies.lists(AMOUNTS, max_size=8),
+        strategies.integers(0, 8),
+    )
+    def check(limit, used, unheard):
+        part = use.allowed_here(limit, peers_used=used, unheard=unheard)
+        entries = 1 + len(used) + unheard
+        assert part >= limit / entries
+        assert part <= limit
+        rest = limit - sum(used) - unheard * limit / entries
+        assert part <= max(limit / entries, rest)
+
+    check()
+
+
+@then("unheard entries together never exceed a limit")
+def check_cut(context):
+    for entries in range(1, 20):
+        part = use.allowed_here(90.0, peers_used=[], unheard=entries - 1)
+        assert entries * part <= 90.0 + 1e-6, (entries, part)
+
+
+@then("the least served organisation is next until shares match the weights")
+def check_shares(context):
+    @hypothesis.settings(parent=SETTINGS, max_examples=40)
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0.5, 8), min_size=2, max_size=6),
+        strategies.lists(strategies.integers(1, 100), min_size=6, max_size=6),
+    )
+    def check(weights, sizes):
+        counters = shares.VirtualCounters()
+        names = [f"org-{n}" for n in range(len(weights))]
+        served = dict.fromkeys(names, 0)
+        while sum(served.values()) < SERVED_TOKENS:
+            chosen = decisions.choose_next(
+                decisions.Candidate(
+                    name, decisions.Grant.BORROWED, counters.value(name)
+                )
+                for name in names
+            )
+            number = names.index(chosen.organisation)
+            served[chosen.organisation] += sizes[number]
+            counters.charge(chosen.organisation, sizes[number], weights[number])
+        for name, weight in zip(names, weights, strict=True):
+            wanted = weight / sum(weights)
+            assert abs(served[name] / sum(served.values()) - wanted) < 0.02
+
+    check()
+
+
+@given("admission for {slots:d} slots with steps of {step_s:f} s")
+def make_admission(context, slots, step_s):
+    membership = types.SimpleNamespace(name="entry-1", peers=list)
+    configuration = types.SimpleNamespace(view=documents.View(0, {}))
+    context.admission = queueing.QueueingAdmission(
+        configuration,
+        FixedCapacity(slots, step_s),
+        use.UseLedger(membership, hints.HintBoard("entry-1")),
+        max_queued=256,
+        retries=retrybudget.RetryBudgets(ratio=0.2, minimum=10.0),
+    )
+
+
+async def admit_at_once(context, request):
+    """Return ticket or refusal; fail when neither comes without a wait."""
+    task = asyncio.ensure_future(context.admission.admit(request))
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert task.done(), "neither admitted nor refused at once"
+    return task.exception() or task.result()
+
+
+@when("a request of {tokens:d} tokens with a deadline of {deadline_s:f} s runs")
+def run_request(context, tokens, deadline_s):
+    async def admit():
+        request = make_request("org-1", tokens, deadline_s)
+        context.first = await admit_at_once(context, request)
+
+    context.runner.run(admit())
+    assert isinstance(context.first, interfaces.Ticket), context.first
+
+
+@then(
+    "a request of {tokens:d} tokens with a deadline of {deadline_s:f} s "
+    "is refused at once"
+)
+def check_refused(context, tokens, deadline_s):
+    async def admit():
+        request = make_request("org-1", tokens, deadline_s)
+        return await admit_at_once(context, request)
+
+    context.refusal = context.runner.run(admit())
+    assert isinstance(context.refusal, errors.OverloadedError), context.refusal
+    assert context.refusal.verdict.value == "not_run"
+    assert context.refusal.retry_after_s > 0
+
+
+@then("it would be in time after the stated seconds")
+def check_retry_after(context):
+    async def come_back():
+        await asyncio.sleep(context.refusal.retry_after_s)
+        context.admission.release(context.first)
+        return await admit_at_once(context, make_request("org-1", 10, 1.5))
+
+    ticket = context.runner.run(come_back())
+    assert isinstance(ticket, interfaces.Ticket), ticket
+
+
+@when('"{organisation}" sends {count:d} urgent requests of {tokens:d} tokens')
+def send_urgent(context, organisation, count, tokens):
+    async def send():
+        context.sent = [
+            asyncio.ensure_future(
+                context.admission.admit(
+                    make_request(organisation, tokens, 10.0, "urgent")
+                )
+            )
+            for _ in range(count)
+        ]
+        await asyncio.sleep(0.05)
+
+    context.runner.run(send())
+
+
+@then('an urgent request of "{organisation}" starts at once with priority {level:d}')
+def check_urgent(context, organisation, level):
+    async def admit():
+        request = make_request(organisation, 5, 2.0, "urgent")
+        return await admit_at_once(context, request)
+
+    ticket = context.runner.run(admit())
+    assert ticket.priority == level, ticket
+
+
+@then('"flooder" has at most {most:d} requests with priority 0')
+def check_flooder(context, most):
+    async def finish():
+        for task in context.sent:
+            task.cancel()
+        return await asyncio.gather(*context.sent, return_exceptions=True)
+
+    ended = context.runner.run(finish())
+    tickets = [one for one in ended if isinstance(one, interfaces.Ticket)]
+    assert sum(ticket.priority == 0 for ticket in tickets) <= most, tickets
+
+
+@when("{count:d} waiting requests are cancelled")
+def cancel_waiting(context, count):
+    async def cancel():
+        tasks = [
+            asyncio.ensure_future(
+                context.admission.admit(make_request("org-1", 10, 100.0))
+            )
+            for _ in range(count)
+        ]
+        await asyncio.sleep(0.01)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    context.runner.run(cancel())
+
+
+@then("the next request starts when the first has ended")
+def check_next(context):
+    async def go_on():
+        request = make_request("org-1", 10, 100.0)
+        waiting = asyncio.ensure_future(context.admission.admit(request))
+        await asyncio.sleep(0.01)
+        assert not waiting.done()
+        context.admission.release(context.first)
+        return await asyncio.wait_for(waiting, 5)
+
+    assert isinstance(context.runner.run(go_on()), interfaces.Ticket)
+
+
+@then("an organisation can't spend more retries than it earned")
+def check_budget(context):
+    @SETTINGS
+    @hypothesis.given(strategies.lists(strategies.booleans(), max_size=200))
+    def check(events):
+        budgets = retrybudget.RetryBudgets(ratio=0.2, minimum=3.0)
+        earned = spent = 0
+        for is_earning in events:
+            if is_earning:
+                budgets.earn("one")
+                earned += 1
+            else:
+                spent += budgets.spend("one")
+        assert spent <= 3.0 + 0.2 * earned + 1e-6
+        assert budgets.spend("other")
+
+    check()
--- a/acaciaward/demonstration/world.py
+++ b/acaciaward/demonstration/world.py
@@ -9,14 +9,13 @@
 import copy
 import hashlib
 import secrets
-import socket
 import typing
 
 from acaciaward import schemas
 from acaciaward.entry import process
 from acaciaward.identity import apikeys
 from acaciaward.settings import loader
-from standins import cloud, engine, log, service, store
+from standins import cloud, engine, log, ports, service, store
 
 ADDRESS = "127.0.0.1"
 EXAMPLES = ("puzzle-agency", "stock-agents")
@@ -26,13 +25,6 @@
 MAKERS = {"model": engine.EngineStandIn, "service": service.ServiceStandIn}
 
 
-def find_free_port() -> int:
-    """Return a TCP port that is free on the loopback address now."""
-    with socket.socket() as probe:
-        probe.bind((ADDRESS, 0))
-        return probe.getsockname()[1]
-
-
 class World:
     """A running system; ``keys`` maps organisations to an API key each."""
 
@@ -42,12 +34,12 @@
         self.operator_key = secrets.token_urlsafe(RESUME_KEY_BYTES)
         self.keys: dict[str, str] = {}
         self.endpoints: dict[str, typing.Any] = {}
-        self.log = log.LogStandIn(ADDRESS, find_free_port())
-        self.cloud = cloud.CloudStandIn(ADDRESS, find_free_port())
+        self.log = log.LogStandIn(ADDRESS, ports.find_free_port())
+        self.cloud = cloud.CloudStandIn(ADDRESS, ports.find_free_port())
         self.instances = cloud.InstanceListStandIn(
-            (ADDRESS, self.cloud.port), ADDRESS, find_free_port()
+            (ADDRESS, self.cloud.port), ADDRESS, ports.find_free_port()
         )
-        self.store = store.WeightStoreStandIn(ADDRESS, find_free_port())
+        self.store = store.WeightStoreStandIn(ADDRESS, ports.find_free_port())
         self._make_keys()
         self._make_endpoints()
         self.entries = self._make_entries(entry_count)
@@ -75,7 +67,7 @@
     def _make_endpoints(self) -> None:
         for deployment in self.document["deployments"].values():
             for name, place in deployment["endpoints"].items():
-                standin = MAKERS[deployment["kind"]](ADDRESS, find_free_port())
+                standin = MAKERS[deployment["kind"]](ADDRESS, ports.find_free_port())
                 place |= {"address": ADDRESS, "port": standin.port}
                 self.endpoints[name] = standin
                 self.cloud.add_instance(
@@ -83,7 +75,7 @@
                 )
 
     def _make_entries(self, count: int) -> list[process.EntryProcess]:
-        peer_ports = [find_free_port() for _ in range(count)]
+        peer_ports = [ports.find_free_port() for _ in range(count)]
         return [
             process.EntryProcess(self._entry_settings(number, peer_ports))
             for number in range(count)
@@ -105,7 +97,10 @@
                     "data_centre": places[number % len(places)],
                     "region": "demonstration",
                 },
-                "callers": {"port": find_free_port(), "discovery_lifetime_s": 1.0},
+                "callers": {
+                    "port": ports.find_free_port(),
+                    "discovery_lifetime_s": 1.0,
+                },
                 "peers": {
                     "port": peer_ports[number],
                     "seeds": [{"address": ADDRESS, "port": p} for p in peer_ports],
@@ -130,10 +125,8 @@
     async def start(self) -> None:
         """Start everything and put the document in force at every entry."""
         standins = [*self._platform().values(), *self.endpoints.values()]
-        for standin in standins:
-            await standin.start()
-        for entry in self.entries:
-            await entry.start()
+        await asyncio.gather(*(standin.start() for standin in standins))
+        await asyncio.gather(*(entry.start() for entry in self.entries))
         await self.entries[0].configuration.submit(
             base=0, author="demo", changes=self.document
         )
@@ -147,5 +140,5 @@
     async def stop(self) -> None:
         """Stop everything."""
         await asyncio.gather(*(entry.stop() for entry in self.entries))
-        for standin in [*self.endpoints.values(), *self._platform().values()]:
-            await standin.stop()
+        standins = [*self.endpoints.values(), *self._platform().values()]
+        await asyncio.gather(*(standin.stop() for standin in standins))
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -8,17 +8,32 @@
 
 import asyncio
 import logging
+import math
 import time
 import typing
 
-from acaciaward import httpclient, httpserver
-from acaciaward.administration import api as administration_api
+import blacksheep
+
+from acaciaward import documents, httpclient, httplimits, httpserver, requests
+from acaciaward.administration import (
+    api as administration_api,
+    messages as administration_messages,
+)
 from acaciaward.admission import queueing, retrybudget, use
-from acaciaward.callers import api as callers_api, discovery
-from acaciaward.claims import local
-from acaciaward.configuration import follower
-from acaciaward.dispatch import attempts, dispatcher
+from acaciaward.callers import api as callers_api, completions, discovery, drain
+from acaciaward.claims import book as claims_book, messages as claims_messages
+from acaciaward.configuration import (
+    follower,
+    messages as configuration_messages,
+    peering,
+    serving,
+)
+from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
+from acaciaward.entry import stopping
+from acaciaward.evacuation import departures, evacuator, watchers
+from acaciaward.fleet import holder, keeper
+from acaciaward.identity import curvekeys
 from acaciaward.membership import (
     gossip,
     hints,
@@ -26,8 +41,8 @@
     messages as membership_messages,
     transport,
 )
-from acaciaward.observability import logs
-from acaciaward.platform import calls, log as platform_log
+from acaciaward.observability import logs, recorder
+from acaciaward.platform import calls, cloud, log as platform_log
 from acaciaward.quarantine import permissive
 from acaciaward.routing import balanced, loads
 from acaciaward.settings import loader
@@ -35,21 +50,31 @@
 log = logging.getLogger(__name__)
 
 START_WAIT_S = 10.0
-DRAIN_POLL_S = 0.05
+NOTICE_MARGIN_S = 0.5
+SHORTEST_STOP_S = 0.5
+MESSAGE_KINDS = (
+    membership_messages.KINDS
+    | administration_messages.KINDS
+    | configuration_messages.KINDS
+    | claims_messages.KINDS
+)
 
 
 class EntryProcess:
-    """All slices of one entry."""
+    """All slices of one entry; ``stop_requested`` is set when it is drained."""
 
     def __init__(self, settings: loader.Settings):
         self._settings = settings
         self._tasks: list[asyncio.Task] = []
+        self.stop_requested = asyncio.Event()
         self._client = httpclient.HttpClient(
             connect_timeout_s=settings["dispatch"]["connect_timeout_s"]
         )
         self._build_membership()
         self._build_configuration()
+        self._build_evacuation()
         self._build_dispatch()
+        self._build_fleet()
         self._build_server()
 
     @property
@@ -72,8 +97,12 @@
         callers = self._settings["callers"]
         peers = self._settings["peers"]
         self._hints = hints.HintBoard(instance["name"])
+        curve = self._curve_keys()
         self._transport = transport.PeerTransport(
-            peers["address"], peers["port"], membership_messages.KINDS
+            peers["address"],
+            peers["port"],
+            MESSAGE_KINDS,
+            curve=curve,
         )
         own = membership_interfaces.Peer(
             name=instance["name"],
@@ -83,25 +112,39 @@
             data_centre=instance["data_centre"],
             region=instance["region"],
             incarnation=int(time.time() * 1000),
-            state=membership_interfaces.PeerState.LIVE,
+            state=membership_interfaces.PeerState.JOINING,
             configuration_version=0,
         )
-        location = transport.PeerAddress(peers["address"], peers["port"])
+        location = transport.PeerAddress(
+            peers["address"], peers["port"], curve.public_key if curve else None
+        )
         seeds = [
-            transport.PeerAddress(seed["address"], seed["port"])
+            transport.PeerAddress(seed["address"], seed["port"], seed.get("public_key"))
             for seed in peers["seeds"]
         ]
         self._membership = gossip.GossipMembership(
             own,
             location,
-            [seed for seed in seeds if seed != location],
+            [seed for seed in seeds if seed[:2] != location[:2]],
             self._transport,
             self._hints,
             probe_interval_s=peers["probe_interval_s"],
             probe_timeout_s=peers["probe_timeout_s"],
             suspicion_s=peers["suspicion_s"],
+            sync_interval_s=peers["sync_interval_s"],
+            neighbours=peers["neighbours"],
+            gossip_bytes_per_s=peers["gossip_bytes_per_s"],
         )
 
+    def _curve_keys(self) -> transport.CurveKeys | None:
+        peers = self._settings["peers"]
+        if peers["secret_key"] is None:
+            return None
+        seeds = {seed.get("public_key") for seed in peers["seeds"]} - {None}
+        allowed = frozenset(peers["allowed_public_keys"]) | seeds
+        public_key = curvekeys.public_key_of(peers["secret_key"])
+        return transport.CurveKeys(public_key, peers["secret_key"], allowed)
+
     def _build_configuration(self) -> None:
         settings = self._settings["configuration"]
         self._configuration = follower.LogConfiguration(
@@ -109,7 +152,16 @@
             stream=settings["stream"],
             poll_wait_s=settings["poll_wait_s"],
             current_bound_s=settings["current_bound_s"],
+            in_force_wait_s=settings["in_force_wait_s"],
+            outcome_wait_s=settings["outcome_wait_s"],
+            retention_s=settings["retention_s"],
+            peers=peering.PeerSide(
+                self._membership,
+                data_centre=self._settings["instance"]["data_centre"],
+                readers_per_data_centre=settings["readers_per_data_centre"],
+            ),
         )
+        serving.PeerAnswers(self._configuration, self._membership)
         self._configuration.subscribe(
             lambda view: self._membership.set_configuration_version(view.version)
         )
@@ -126,26 +178,95 @@
             timeout_s=platform["timeout_s"],
         )
 
+    def _build_evacuation(self) -> None:
+        settings = self._settings["evacuation"]
+        self._departures = departures.Departures(
+            self._hints, spread=self._membership.spread_now
+        )
+        self._engine = engine.HttpModelEngine(
+            self._client,
+            token_timeout_s=self._settings["dispatch"]["token_timeout_s"],
+        )
+        self._build_routing(self._engine)
+        self._evacuator = evacuator.Evacuator(
+            self._departures,
+            self._engine,
+            self._router,
+            self._weights_of,
+            evacuator.Limits(
+                settings["source_bytes_per_s"], settings["target_bytes_per_s"]
+            ),
+        )
+        self._own_end = math.inf
+        self._departures.subscribe(self._take_departure)
+        self._watch_limits = watchers.WatchLimits(
+            settings["poll_s"], settings["assumed_notice_s"]
+        )
+
+    def _weights_of(self, deployment: str) -> documents.Weights:
+        deployments = self._configuration.view.document.get("deployments", {})
+        return deployments.get(deployment, {}).get("weights", {})
+
+    def _start_watchers(self) -> None:
+        known, limits = self._departures, self._watch_limits
+        notices = self._platform_service("cloud")
+        if notices is not None:
+            own_cloud = cloud.HttpCloud(notices)
+            self._start_task(watchers.watch_notices(own_cloud, known, limits))
+        listing = self._platform_service("instances")
+        if listing is not None:
+            own_list = cloud.HttpInstanceList(listing)
+            self._start_task(watchers.watch_instances(own_list, known, limits))
+        busy = self._evacuator.busy_endpoints
+        self._start_task(
+            watchers.watch_engines(
+                self._engine, busy, self._model_endpoints, known, limits
+            )
+        )
+
+    def _model_endpoints(self) -> list[requests.Endpoint]:
+        deployments = self._configuration.view.document.get("deployments", {})
+        return [
+            endpoint
+            for name, entry in deployments.items()
+            if entry["kind"] == requests.DeploymentKind.MODEL.value
+            for endpoint in self._configuration.endpoints(name)
+        ]
+
+    def _build_claims(self) -> None:
+        self._claims = claims_book.LogClaimBook(
+            self.name,
+            platform_log.HttpLog(self._platform_service("log")),
+            self._membership,
+            self._settings["claims"],
+            live_entries=self._count_live_entries,
+        )
+
+    def _count_live_entries(self) -> int:
+        live = membership_interfaces.PeerState.LIVE
+        return sum(1 for peer in self._membership.peers() if peer.state is live)
+
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
-        self._claims = local.LocalClaimBook(self.name)
-        model_engine = engine.HttpModelEngine(
-            self._client, token_timeout_s=settings["token_timeout_s"]
-        )
-        self._build_routing(model_engine)
+        self._build_claims()
         self._build_admission()
         collaborators = attempts.Collaborators(
             router=self._router,
             admission=self._admission,
             claims=self._claims,
             quarantine=permissive.PermissiveQuarantine(),
-            engine=model_engine,
+            engine=self._engine,
             service=service.HttpPlainService(self._client),
+            evacuation=self._evacuator,
         )
         limits = attempts.RetryLimits(
             settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
         )
-        self._dispatcher = dispatcher.Dispatcher(collaborators, limits)
+        self._recorder = recorder.Recorder(self.name)
+        self._configuration.subscribe(lambda view: self._recorder.follow(view.document))
+        self._dispatcher = observed.ObservedDispatcher(
+            dispatcher.Dispatcher(collaborators, limits), self._recorder
+        )
 
     def _build_routing(self, model_engine: engine.HttpModelEngine) -> None:
         settings = self._settings["routing"]
@@ -161,6 +282,29 @@
             subset_size=settings["subset_size"],
         )
 
+    def _build_fleet(self) -> None:
+        settings = self._settings["fleet"]
+        names = ("cloud", "instances", "weights")
+        services = [self._platform_service(name) for name in names]
+        self._fleet = None
+        if None in services:
+            return
+        cloud_service, list_service, weights_service = services
+        self._fleet = keeper.FleetKeeper(
+            self._configuration,
+            holder.SoleHolder(self.name),
+            keeper.Platform(
+                cloud.HttpCloud(cloud_service),
+                cloud.HttpInstanceList(list_service),
+                cloud.HttpWeightStore(weights_service),
+            ),
+            self._engine,
+            lambda deployment: self._loads.streams(self._router.usable(deployment)),
+            name=self.name,
+            interval_s=settings["interval_s"],
+            hold_s=settings["hold_s"],
+        )
+
     def _build_admission(self) -> None:
         settings = self._settings["admission"]
         self._admission = queueing.QueueingAdmission(
@@ -177,72 +321,120 @@
     def _build_server(self) -> None:
         callers = self._settings["callers"]
         application = httpserver.make_application()
+        owners = httplimits.Connections(
+            maximum=callers["max_connections_per_organisation"]
+        )
+        entries = discovery.Discovery(
+            self._membership, lifetime_s=callers["discovery_lifetime_s"]
+        )
+        self._drain = drain.Drain(entries, scheme="https" if callers["tls"] else "http")
+        dispatch = self._settings["dispatch"]
         callers_api.CallersApi(
             application,
             configuration=self._configuration,
             requests_dispatcher=self._dispatcher,
             claims=self._claims,
-            entries=discovery.Discovery(
-                self._membership, lifetime_s=callers["discovery_lifetime_s"]
-            ),
+            entries=entries,
+            stop=self._drain,
             max_body_bytes=callers["max_body_bytes"],
+            owners=owners,
+            stream_limits=completions.StreamLimits(
+                dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
+            ),
         )
-        administration_api.AdministrationApi(
-            application,
-            configuration=self._configuration,
-            membership=self._membership,
-            bootstrap_key_digest=self._settings["administration"][
-                "bootstrap_key_digest"
-            ],
-        )
+        self._build_administration(application)
         self._server = httpserver.HttpServer(
             application,
             callers["address"],
             callers["port"],
             tls=callers["tls"],
             max_connections=callers["max_connections"],
+            limits=httplimits.Limits(
+                callers["max_header_bytes"], callers["header_timeout_s"]
+            ),
+            owners=owners,
+        )
+
+    def _take_departure(self, departure: departures.Departure) -> None:
+        if departure.instance == self.name:
+            self._own_end = departure.deadline
+            self.stop_requested.set()
+
+    def _build_administration(self, application: blacksheep.Application) -> None:
+        collaborators = administration_api.Collaborators(
+            configuration=self._configuration,
+            membership=self._membership,
+            hints=self._hints,
+            claims=self._claims,
+            observed=self._recorder,
+            drain=self.stop_requested.set,
+            fleet=self._fleet,
+        )
+        administration_api.add_api(
+            application,
+            collaborators,
+            bootstrap_key_digest=self._settings["administration"][
+                "bootstrap_key_digest"
+            ],
         )
 
     async def start(self) -> None:
         """Start every slice; return when callers can connect."""
         await self._transport.start()
+        self._start_task(self._membership.run())
         self._start_task(self._configuration.run())
+        self._start_task(self._list_when_current())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
+        self._start_task(self._claims.run())
+        if not await self._claims.wait_until_replayed(START_WAIT_S):
+            log.warning("started without having replayed the claims")
         await self._server.start()
-        self._start_task(self._membership.run())
         self._start_task(self._admission.run())
+        self._start_watchers()
+        if self._fleet is not None and self._settings["fleet"]["enabled"]:
+            self._start_task(self._fleet.run())
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
-    async def stop(self) -> None:
-        """Leave, serve callers with older answers, finish what runs, and end."""
-        limit_s = self._settings["callers"]["stop_limit_s"]
-        log.info("entry leaving", extra=logs.fields(limit_s=limit_s))
+    async def _list_when_current(self) -> None:
+        while not await self._configuration.wait_until_current(START_WAIT_S):
+            pass
+        self._membership.set_ready()
+
+    async def stop(self) -> int:
+        """
+        Leave, finish or hand over what runs, and end within the limit.
+
+        The limit is that of the settings, or what is left of the notice that
+        this entry's own instance got. Returns the number of requests cut.
+        """
+        settings = self._settings["callers"]
+        notice_s = self._own_end - time.monotonic() - NOTICE_MARGIN_S
+        limits = stopping.StopLimits(
+            max(SHORTEST_STOP_S, min(settings["stop_limit_s"], notice_s)),
+            settings["discovery_lifetime_s"],
+            settings["finish_s"],
+        )
+        log.info("entry leaving", extra=logs.fields(limit_s=limits.limit_s))
         self._membership.set_leaving()
         await self._membership.spread_now()
-        deadline = time.monotonic() + limit_s
-        await self._wait_for_older_answers(deadline)
-        while self._dispatcher.in_flight.total() and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-        await self._server.stop()
+        left_s = await stopping.drain_requests(self._drain, limits)
+        cut = await stopping.stop_server(self._server, self._drain, left_s)
         await self._end()
-        log.info("entry stopped")
+        log.info("entry stopped", extra=logs.fields(cut=cut))
+        return cut
 
     async def kill(self) -> None:
         """End at once, as a crash would; for demonstrations and tests."""
         await self._server.kill()
         await self._end()
 
-    async def _wait_for_older_answers(self, deadline: float) -> None:
-        lifetime_s = self._settings["callers"]["discovery_lifetime_s"]
-        left_s = max(0.0, deadline - time.monotonic())
-        await asyncio.sleep(min(lifetime_s, left_s))
-
     async def _end(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._loads.stop()
+        await self._evacuator.stop()
         await self._transport.stop()
         await self._client.close()
 
--- a/acaciaward/errors.py
+++ b/acaciaward/errors.py
@@ -72,6 +72,13 @@
     code = "body_too_large"
 
 
+class BodyTooSlowError(InvalidRequestError):
+    """The body did not arrive in time."""
+
+    status = 408
+    code = "body_too_slow"
+
+
 class AuthenticationError(RequestError):
     """The key is missing, unknown or revoked."""
 
@@ -135,6 +142,14 @@
     code = "platform_unavailable"
 
 
+class PeerSilentError(RequestError):
+    """Another entry, which the request is for, did not answer."""
+
+    status = 504
+    code = "peer_silent"
+    default_verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+
 class QuarantinedError(RequestError):
     """The request is quarantined since endpoints died while running it."""
 
@@ -166,6 +181,14 @@
     default_verdict = verdicts.Verdict.MAY_HAVE_RUN
 
 
+class StreamGoneError(RequestError):
+    """A stream that its caller wants to take up no longer exists."""
+
+    status = 410
+    code = "stream_gone"
+    default_verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+
 class PlatformError(AcaciawardError):
     """A call to the platform failed; see the subclasses for what is certain."""
 
--- a/acaciaward/routing/loads.py
+++ b/acaciaward/routing/loads.py
@@ -54,6 +54,16 @@
         """Return the newest report of an endpoint."""
         return self._reports.get(endpoint)
 
+    def streams(self, endpoints: typing.Iterable[requests.Endpoint]) -> float:
+        """Return how many requests run or wait at endpoints, by their reports."""
+        total = 0.0
+        for endpoint in endpoints:
+            report = self._reports.get(endpoint.name)
+            own = self.in_flight.get(endpoint.name, 0)
+            told = report.load.running + report.load.waiting if report else 0
+            total += max(own, told)
+        return total
+
     def blocks(self, endpoint: str) -> prefix.HeldBlocks:
         """Return the blocks that an endpoint is believed to hold."""
         return self._blocks.setdefault(endpoint, prefix.HeldBlocks())
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,10 +15,16 @@
 from acaciaward.observability import logs
 from bench import options as bench_options
 
-EXPERIMENTS: dict[str, str] = {
+EXPERIMENTS = {
+    "binary": "size, start time and memory of the program as one file",
+    "chaos": "every promise under faults of every kind at once",
+    "configuration": "operators race patches while log and entries fail",
+    "drain": "entries replaced under load",
     "fairness": "others' first token while one organisation floods",
+    "once": "runs of non-idempotent requests under faults",
     "overload": "goodput and urgent calls at 1, 2 and 4 times capacity",
     "policy": "cost, urgent calls in time and recomputed tokens against naive",
+    "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
 }
 
 
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -21,6 +21,7 @@
 from acaciaward.client import caller
 from acaciaward.identity import apikeys
 from bench import processes
+from standins import ports
 
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 ORGANISATIONS = ("org-1", "org-2")
@@ -49,6 +50,7 @@
         self.processes = processes.Processes()
         self.operator_key = secrets.token_urlsafe(32)
         self.keys: dict[str, str] = {}
+        self.exit_codes: list[int] = []
         self.entry_settings: dict[str, dict[str, typing.Any]] = {}
         self._ports: dict[str, int] = {}
         self._control_ports: dict[str, int] = {}
@@ -102,7 +104,7 @@
             *(self._start_standin(name, "engine") for name in self.engines),
             *(self._start_standin(name, "service") for name in self.services),
         )
-        await self._tell_cloud()
+        await self.announce_endpoints([*self.engines, *self.services])
         await asyncio.gather(*(self.start_entry(name) for name in self.entries))
         await self.patch(self._document_in_place())
 
@@ -195,9 +197,13 @@
         body = {"instances": list(names), "notice_s": notice_s}
         await self.control("cloud", "/control/reclaim", body)
 
+    def port(self, name: str) -> int:
+        """Return the port of a process itself, never that of its proxy."""
+        return self._port(name)
+
     def _port(self, name: str) -> int:
         if name not in self._ports:
-            self._ports[name] = processes.find_free_port()
+            self._ports[name] = ports.find_free_port()
         return self._ports[name]
 
     async def _start_standin(
@@ -213,22 +219,23 @@
 
     async def _start_proxy(self, name: str, port: int) -> None:
         proxy = f"proxy-{name}"
-        self._proxy_ports[name] = processes.find_free_port()
-        self._control_ports[proxy] = processes.find_free_port()
+        self._proxy_ports[name] = ports.find_free_port()
+        self._control_ports[proxy] = ports.find_free_port()
         arguments = ["-m", "standins", "proxy"]
         arguments += ["--port", str(self._proxy_ports[name])]
         arguments += ["--target", f"{processes.ADDRESS}:{port}"]
         arguments += ["--control-port", str(self._control_ports[proxy])]
         await self.processes.start(proxy, arguments, self._control_ports[proxy])
 
-    async def _tell_cloud(self) -> None:
+    async def announce_endpoints(self, names: typing.Sequence[str]) -> None:
+        """Make endpoints known to the cloud as its instances."""
         instances = [
             {
                 "name": name,
                 "port": self._port(name),
                 "data_centre": self.data_centre(name),
             }
-            for name in [*self.engines, *self.services]
+            for name in names
         ]
         await self.control("cloud", "/control/instances", {"instances": instances})
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -50,6 +50,14 @@
     SHAPES, tuple(ORGANISATIONS), tuple(DEPLOYMENTS), low=12.0, high=60.0
 )
 DEADLINES_S = {shape.service_class: shape.deadline_s for shape in SHAPES}
+FLEET = {
+    "minimum": 2,
+    "maximum": 6,
+    "safe_minimum": 1,
+    "machine_classes": [rented.MACHINE_CLASS],
+    "streams_per_instance": rented.ENGINE_FAULTS["max_batch"],
+}
+PREPARE_TIMEOUT_S = 15.0
 PRICES = {"on_demand": 3.0, "reclaimable": 1.0}
 RECLAIMS_PER_HOUR = {"on_demand": 0.0, "reclaimable": 0.3}
 # The naive operator rents for the peak: 30 requests a second of 29 tokens for each
@@ -86,13 +94,7 @@
             "organisations": list(ORGANISATIONS),
             "weights": weights,
             "deadlines_s": DEADLINES_S,
-            "fleet": {
-                "minimum": 2,
-                "maximum": 6,
-                "safe_minimum": 1,
-                "machine_classes": [rented.MACHINE_CLASS],
-                "streams_per_instance": rented.ENGINE_FAULTS["max_batch"],
-            },
+            "fleet": FLEET,
         }
         for name, weights in DEPLOYMENTS.items()
     }
@@ -218,18 +220,23 @@
 
 def entry_settings() -> dict[str, typing.Any]:
     """Return what the compressed day asks of the entries' settings."""
-    return {}
+    return {"fleet": {"interval_s": 0.3, "hold_s": 1.5}}
 
 
 async def prepare(running: rented.RentedCluster) -> None:
-    """Rent a fixed mix: one on-demand instance and three reclaimable ones each."""
-    instances = []
-    for deployment in DEPLOYMENTS:
-        instances += await running.rent(deployment, "dc-2", "on_demand")
-        for data_centre in DATA_CENTRES:
-            instances += await running.rent(deployment, data_centre, "reclaimable")
-    await asyncio.sleep(0.6)
-    await running.serve_with(instances)
+    """Let one entry keep the fleet, and wait for its first endpoints."""
+    minimum = len(DEPLOYMENTS) * FLEET["minimum"]
+    async with asyncio.timeout(PREPARE_TIMEOUT_S):
+        while await _endpoint_count(running) < minimum:
+            await asyncio.sleep(FOLLOW_S)
+
+
+async def _endpoint_count(running: rented.RentedCluster) -> int:
+    view = await running.administer(
+        running.entry_addresses[0], "GET", "/v1/admin/config"
+    )
+    deployments = view["document"]["deployments"].values()
+    return sum(len(entry.get("endpoints", {})) for entry in deployments)
 
 
 async def _live(
--- a/bench/rented.py
+++ b/bench/rented.py
@@ -69,6 +69,13 @@
             if outcome.get("status") != "accepted":
                 raise RuntimeError(f"document not accepted: {outcome}")
 
+    def _make_entry_settings(self, name: str) -> dict[str, typing.Any]:
+        settings = super()._make_entry_settings(name)
+        # One entry keeps the fleet, without leases between entries.
+        is_keeper = name == self.entries[0] and "fleet" in self._settings
+        settings["fleet"] = settings.get("fleet", {}) | {"enabled": is_keeper}
+        return settings
+
     async def _start_world(self) -> None:
         arguments = ["-m", "bench.world", "--boot-s", str(self._boot_s)]
         for service in ("cloud", "instances", "weights"):
--- a/bench/world.py
+++ b/bench/world.py
@@ -20,8 +20,7 @@
 from blacksheep.server.responses import json as json_response
 
 from acaciaward.observability import logs
-from bench import processes
-from standins import base, cloud, engine, store
+from standins import base, cloud, engine, ports, store
 
 
 class Meter:
@@ -55,7 +54,7 @@
     """A stand-in engine whose work is metered."""
 
     def __init__(self, meter: Meter, faults: dict[str, typing.Any]):
-        super().__init__(port=processes.find_free_port())
+        super().__init__(port=ports.find_free_port())
         self.faults.update(faults)
         self._meter = meter
 
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -12,6 +12,7 @@
 from standins import tokens
 
 PROMPT = "the long story of a box of puzzles"
+STEP_S = 0.02
 
 
 @given(
@@ -25,6 +26,7 @@
         engine_count=engines,
         service_count=services,
         proxied=names,
+        faults={"engine": {"step_s": STEP_S}},
     )
     context.runner.run(context.cluster.start())
 
@@ -108,8 +110,9 @@
 @then('"{name}" gets a whole answer from every entry')
 def check_every_entry(context, name):
     async def ask(address):
-        one = caller.Caller([address], key=context.cluster.keys[name])
-        one._entries, one._entries_expire = [address], float("inf")
+        key = context.cluster.keys[name]
+        one = caller.Caller([address], key=key)
+        one.pin([address])
         answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=12)
         await one.close()
         return answer
