--- a/acaciaward/admission/queueing.py
+++ b/acaciaward/admission/queueing.py
@@ -11,12 +11,11 @@
 import bisect
 import itertools
 import logging
-import typing
-from collections.abc import Container
 
 from acaciaward import documents, errors, requests
 from acaciaward.admission import (
     decisions,
+    deploymentqueue,
     interfaces,
     limits,
     retrybudget,
@@ -33,8 +32,6 @@
     requests.ServiceClass.SHORT: 1,
     requests.ServiceClass.LONG: 2,
 }
-ALL_RANKS = range(3)
-WORK_AVERAGING_S = 4.0
 DEFAULT_SHARE = 1.0
 SERVICE_SMOOTHING = 0.1
 MAX_SLOWDOWN = 2.0
@@ -42,125 +39,6 @@
 MINIMUM_QUEUED = 4
 
 
-class Waiting(typing.NamedTuple):
-    """
-    One queued request; the smaller sorts first.
-
-    ``rank`` is 0 for urgent, 1 for short and 2 for long; within a rank it counts
-    which must start first.
-    """
-
-    rank: int
-    latest_start: float
-    number: int
-    service_s: float
-    request: requests.Request
-    turn: asyncio.Future
-
-
-class Running(typing.NamedTuple):
-    """
-    One started request.
-
-    ``estimate`` is what its organisation's counter was charged so far, and
-    ``is_charged`` says that this is what was served, no estimate any more.
-    """
-
-    request: requests.Request
-    grant: decisions.Grant
-    started: float
-    service_s: float
-    estimate: float
-    modelled_s: float = 0.0
-    is_charged: bool = False
-
-
-class DeploymentQueue:
-    """What runs and waits at one deployment from this entry."""
-
-    def __init__(self):
-        self.counters = shares.VirtualCounters()
-        self.waiting: dict[str, list[Waiting]] = {}
-        self.running: dict[int, Running] = {}
-        self.running_own: dict[str, int] = {}
-        self.running_urgent = 0
-        self.running_share = 0
-        self._averages: dict[tuple[str, int], use.FadingRate] = {}
-
-    def note_work(
-        self, organisation: str, rank: int, *, work_s: float, now: float
-    ) -> None:
-        """Count the work of a started request in the averages."""
-        rate = self._averages.setdefault(
-            (organisation, rank), use.FadingRate(WORK_AVERAGING_S)
-        )
-        rate.add(work_s, now)
-
-    def average(
-        self,
-        organisation: str | None,
-        now: float,
-        *,
-        ranks: Container[int] = ALL_RANKS,
-    ) -> float:
-        """Return the slots taken on average, by all organisations without a name."""
-        return sum(
-            rate.at(now)
-            for (name, rank), rate in self._averages.items()
-            if rank in ranks and organisation in (None, name)
-        )
-
-    def active(self) -> set[str]:
-        """Return the organisations that run or wait."""
-        running = {one.request.organisation for one in self.running.values()}
-        return running | set(self.waiting)
-
-    def add_running(self, number: int, running: Running) -> None:
-        """Note that a request started."""
-        self.running[number] = running
-        self._count(running, 1)
-
-    def remove_running(self, number: int) -> Running:
-        """Note that a request ended."""
-        running = self.running.pop(number)
-        self._count(running, -1)
-        return running
-
-    def _count(self, running: Running, change: int) -> None:
-        if running.grant is decisions.Grant.URGENT:
-            self.running_urgent += change
-            return
-        if running.grant not in decisions.ON_SHARE:
-            return
-        self.running_share += change
-        name = running.request.organisation
-        self.running_own[name] = self.running_own.get(name, 0) + change
-
-    def remove_waiting(self, waiting: Waiting) -> None:
-        """Take a request out of its queue."""
-        name = waiting.request.organisation
-        queue = self.waiting.get(name, [])
-        if waiting in queue:
-            queue.remove(waiting)
-        if not queue:
-            self.waiting.pop(name, None)
-
-    def running_s(self, organisation: str | None, now: float) -> float:
-        """Return the seconds of work left that run, as urgent without a name."""
-        return sum(
-            max(0.0, one.started + one.service_s - now)
-            for one in self.running.values()
-            if _is_in_line(one, organisation)
-        )
-
-
-def _is_in_line(running: Running, organisation: str | None) -> bool:
-    if organisation is None:
-        return running.grant is decisions.Grant.URGENT
-    is_share = running.grant in decisions.ON_SHARE
-    return is_share and running.request.organisation == organisation
-
-
 class QueueingAdmission:
     """Implements ``interfaces.Admission``."""
 
@@ -180,7 +58,7 @@
         self._allowance = shares.UrgentAllowance()
         self._max_queued = max_queued
         self._retries = retries
-        self._queues: dict[str, DeploymentQueue] = {}
+        self._queues: dict[str, deploymentqueue.DeploymentQueue] = {}
         self._deployment_of: dict[int, str] = {}
         self._numbers = itertools.count(1)
         self._service_s: dict[str, float] = {}
@@ -195,7 +73,9 @@
             self._organisation(organisation).get("limits", {}),
             request.prompt_tokens + request.max_tokens,
         )
-        queue = self._queues.setdefault(request.deployment, DeploymentQueue())
+        queue = self._queues.setdefault(
+            request.deployment, deploymentqueue.DeploymentQueue()
+        )
         if organisation not in queue.active():
             queue.counters.activate(organisation, queue.active())
         capacity = self._capacity.capacity(request.deployment)
@@ -205,7 +85,7 @@
         left_s = decisions.latest_start_s(
             service=service_s, left=request.deadline - self._now()
         )
-        waiting = Waiting(
+        waiting = deploymentqueue.Waiting(
             0 if is_urgent else RANKS[request.service_class],
             self._now() + left_s,
             number,
@@ -224,7 +104,10 @@
         return self._start(queue, request, ground, number, service_s, estimate)
 
     def _ground_of_newcomer(
-        self, queue: DeploymentQueue, load: decisions.Load, waiting: Waiting
+        self,
+        queue: deploymentqueue.DeploymentQueue,
+        load: decisions.Load,
+        waiting: deploymentqueue.Waiting,
     ) -> decisions.Grant | None:
         ahead = queue.waiting.get(waiting.request.organisation, [])
         if ahead and ahead[0][:2] <= waiting[:2]:
@@ -233,7 +116,7 @@
 
     def _is_urgent(
         self,
-        queue: DeploymentQueue,
+        queue: deploymentqueue.DeploymentQueue,
         request: requests.Request,
         capacity: interfaces.Capacity,
         estimate: float,
@@ -242,14 +125,20 @@
         if request.service_class is not requests.ServiceClass.URGENT:
             return False
         share = self._share(queue, request.organisation)
-        if capacity.step_s > 0:
-            rate = share * capacity.slots / capacity.step_s
-            return self._allowance.take(request.organisation, estimate, rate)
-        rate = share * capacity.slots / self._service_estimate(request.deployment)
-        return self._allowance.take(request.organisation, 1.0, rate)
+        token_s = capacity.step_s
+        if token_s <= 0:
+            token_s, estimate = self._service_estimate(request.deployment), 1.0
+        rate = share * capacity.slots / token_s
+        is_allowed = self._allowance.take(request.organisation, estimate, rate)
+        # While urgent requests take a small part of the slots nobody is starved.
+        taken = queue.average(None, self._now(), ranks=(0,))
+        return is_allowed or taken < shares.URGENT_FREE_PART * capacity.slots
 
     def _refuse_if_late(
-        self, queue: DeploymentQueue, load: decisions.Load, waiting: Waiting
+        self,
+        queue: deploymentqueue.DeploymentQueue,
+        load: decisions.Load,
+        waiting: deploymentqueue.Waiting,
     ) -> None:
         """Refuse a request that would come too late, or make another one late."""
         now = self._now()
@@ -273,7 +162,9 @@
             decisions.lateness_s(queued, running_s=running_s, parallel=parallel)
         )
 
-    def _refuse_if_full(self, queue: DeploymentQueue, organisation: str) -> None:
+    def _refuse_if_full(
+        self, queue: deploymentqueue.DeploymentQueue, organisation: str
+    ) -> None:
         share = self._share(queue, organisation)
         bound = max(MINIMUM_QUEUED, share * self._max_queued)
         waiting = queue.waiting.get(organisation, [])
@@ -283,7 +174,9 @@
                 retry_after_s=decisions.retry_after_s(waiting[-1].service_s),
             )
 
-    async def _wait(self, queue: DeploymentQueue, waiting: Waiting) -> decisions.Grant:
+    async def _wait(
+        self, queue: deploymentqueue.DeploymentQueue, waiting: deploymentqueue.Waiting
+    ) -> decisions.Grant:
         own = queue.waiting.setdefault(waiting.request.organisation, [])
         bisect.insort(own, waiting, key=lambda one: one[:3])
         try:
@@ -299,7 +192,7 @@
 
     def _start(
         self,
-        queue: DeploymentQueue,
+        queue: deploymentqueue.DeploymentQueue,
         request: requests.Request,
         ground: decisions.Grant,
         number: int,
@@ -310,7 +203,9 @@
         modelled_s = service_s / self._slowdowns.get(request.deployment, 1.0)
         queue.add_running(
             number,
-            Running(request, ground, self._now(), service_s, estimate, modelled_s),
+            deploymentqueue.Running(
+                request, ground, self._now(), service_s, estimate, modelled_s
+            ),
         )
         self._deployment_of[number] = request.deployment
         queue.counters.charge(organisation, estimate, self._weight(organisation))
@@ -340,7 +235,11 @@
         )
 
     def _correct(
-        self, queue: DeploymentQueue, running: Running, served: float, tokens: float
+        self,
+        queue: deploymentqueue.DeploymentQueue,
+        running: deploymentqueue.Running,
+        served: float,
+        tokens: float,
     ) -> None:
         request = running.request
         weight = self._weight(request.organisation)
@@ -367,7 +266,10 @@
         self._pump(deployment, queue)
 
     def _charge_broken_off(
-        self, queue: DeploymentQueue, running: Running, took_s: float
+        self,
+        queue: deploymentqueue.DeploymentQueue,
+        running: deploymentqueue.Running,
+        took_s: float,
     ) -> None:
         # What a stream that was broken off got is taken from the time it ran.
         request = running.request
@@ -388,11 +290,11 @@
             for deployment, queue in self._queues.items():
                 self._pump(deployment, queue)
 
-    def _pump(self, deployment: str, queue: DeploymentQueue) -> None:
+    def _pump(self, deployment: str, queue: deploymentqueue.DeploymentQueue) -> None:
         if not queue.waiting:
             return
         capacity = self._capacity.capacity(deployment)
-        granted: list[tuple[Waiting, decisions.Grant]] = []
+        granted: list[tuple[deploymentqueue.Waiting, decisions.Grant]] = []
         while True:
             chosen = decisions.choose_next(self._candidates(queue, capacity, granted))
             if chosen is None:
@@ -406,9 +308,9 @@
 
     def _candidates(
         self,
-        queue: DeploymentQueue,
+        queue: deploymentqueue.DeploymentQueue,
         capacity: interfaces.Capacity,
-        granted: list[tuple[Waiting, decisions.Grant]],
+        granted: list[tuple[deploymentqueue.Waiting, decisions.Grant]],
     ) -> list[decisions.Candidate]:
         candidates = []
         for organisation, waiting in queue.waiting.items():
@@ -422,7 +324,7 @@
 
     def _load(
         self,
-        queue: DeploymentQueue,
+        queue: deploymentqueue.DeploymentQueue,
         organisation: str,
         capacity: interfaces.Capacity,
     ) -> decisions.Load:
@@ -439,7 +341,9 @@
             own_average=queue.average(organisation, now, ranks=(1, 2)),
         )
 
-    def _share(self, queue: DeploymentQueue, organisation: str) -> float:
+    def _share(
+        self, queue: deploymentqueue.DeploymentQueue, organisation: str
+    ) -> float:
         active = queue.active() | {organisation} | self._ledger.active_elsewhere()
         weights = {name: self._weight(name) for name in active}
         return decisions.share_of(organisation, weights)
@@ -486,7 +390,7 @@
 def _with_granted(
     load: decisions.Load,
     organisation: str,
-    granted: list[tuple[Waiting, decisions.Grant]],
+    granted: list[tuple[deploymentqueue.Waiting, decisions.Grant]],
 ) -> decisions.Load:
     own = urgent = share = 0
     for waiting, ground in granted:
--- a/acaciaward/admission/shares.py
+++ b/acaciaward/admission/shares.py
@@ -13,6 +13,7 @@
 INPUT_TOKEN_WEIGHT = 0.05
 URGENT_PART = 0.75
 URGENT_BURST_S = 1.0
+URGENT_FREE_PART = 0.15
 
 
 def weigh(input_tokens: float, output_tokens: float) -> float:
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -303,6 +303,7 @@
             name=self.name,
             interval_s=settings["interval_s"],
             hold_s=settings["hold_s"],
+            drain_s=settings["drain_s"],
         )
 
     def _build_admission(self) -> None:
--- a/acaciaward/fleet/keeper.py
+++ b/acaciaward/fleet/keeper.py
@@ -31,7 +31,6 @@
 LIVE = "live"
 # How long a rented instance may be missing from the lagging list.
 LIST_LAG_S = 15.0
-DRAIN_S = 5.0
 MAX_LOADS_AT_ONCE = 4
 URGENT = requests.ServiceClass.URGENT.value
 
@@ -67,6 +66,7 @@
         name: str,
         interval_s: float,
         hold_s: float,
+        drain_s: float,
     ):
         self._configuration = configuration
         self._leases = leases
@@ -75,6 +75,7 @@
         self._streams = streams
         self._author = f"fleet:{name}"
         self._interval_s = interval_s
+        self._drain_s = drain_s
         self._demand = demand.HeldDemand(hold_s=hold_s)
         self._refusals = refusals.Refusals()
         self._pending: dict[str, list[Pending]] = {}
@@ -204,7 +205,7 @@
             _log_step(step)
             await self._start(step.deployment, asked)
         elif step.action is plan.Action.STOP:
-            self._draining[step.instance] = time.monotonic() + DRAIN_S
+            self._draining[step.instance] = time.monotonic() + self._drain_s
             _log_step(step)
 
     async def _start(self, deployment: str, asked: Pending) -> None:
--- a/acaciaward/fleet/plan.py
+++ b/acaciaward/fleet/plan.py
@@ -18,6 +18,9 @@
 LEAVING = "leaving"
 # Streams wanted for each stream that runs now.
 HEADROOM = 1.3
+# An instance is given back only if the rest would do for this much more, and
+# one at a time, so that a dip isn't followed by a new start.
+SHRINK_HEADROOM = 1.6
 DEFAULT_STREAMS_PER_INSTANCE = 8
 # A reclaim is charged as this many hours of the instance's price: the boot of
 # the next one, and as much again for each point of recomputed-token weight.
@@ -84,13 +87,13 @@
     return (offer.data_centre, offer.machine_class, offer.market)
 
 
-def wanted_count(rule: FleetRule, streams: float) -> int:
+def wanted_count(rule: FleetRule, streams: float, *, headroom: float = HEADROOM) -> int:
     """
     Return how many instances the demand asks for, within the rule's bounds.
 
         wanted_count(FleetRule(1, 6, 1, (), 8), 13.0)  # 3
     """
-    needed = math.ceil(HEADROOM * streams / rule.streams_per_instance)
+    needed = math.ceil(headroom * streams / rule.streams_per_instance)
     return max(rule.minimum, rule.safe_minimum, min(rule.maximum, needed))
 
 
@@ -147,8 +150,9 @@
     while len(staying) < wanted:
         if not _add_start(steps, snapshot, staying, why, is_safe=False):
             break
-    if not steps and snapshot.may_shrink:
-        steps += _stops(snapshot, staying, len(staying) - wanted, safe, why)
+    enough = wanted_count(snapshot.rule, snapshot.streams, headroom=SHRINK_HEADROOM)
+    if not steps and snapshot.may_shrink and len(staying) > enough:
+        steps += _stop_dearest(snapshot, staying, safe, why)
     return steps or [Step(Action.KEEP, snapshot.deployment, why)]
 
 
@@ -178,32 +182,22 @@
     )
 
 
-def _stops(
+def _stop_dearest(
     snapshot: Snapshot,
     staying: Sequence[platform_interfaces.CloudInstance],
-    surplus: int,
     safe: int,
     reason: str,
 ) -> list[Step]:
     prices = {place_of(offer): offer.price_per_hour for offer in snapshot.offers}
-    may_stop_safe = max(0, safe - snapshot.rule.safe_minimum)
-    steps: list[Step] = []
-    dearest_first = sorted(
-        staying,
-        key=lambda one: (prices.get(place_of(one), 0.0), one.name),
-        reverse=True,
-    )
-    for instance in dearest_first:
-        if len(steps) >= surplus:
-            break
-        if instance.market == ON_DEMAND:
-            if may_stop_safe == 0:
-                continue
-            may_stop_safe -= 1
-        steps.append(
-            Step(Action.STOP, snapshot.deployment, reason, instance=instance.name)
-        )
-    return steps
+    stoppable = [
+        one
+        for one in staying
+        if one.market != ON_DEMAND or safe > snapshot.rule.safe_minimum
+    ]
+    if not stoppable:
+        return []
+    dearest = max(stoppable, key=lambda one: (prices.get(place_of(one), 0.0), one.name))
+    return [Step(Action.STOP, snapshot.deployment, reason, instance=dearest.name)]
 
 
 def rule_of(entry: Mapping[str, typing.Any]) -> FleetRule | None:
