--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,7 @@
     "drain": "entries replaced under load",
     "fairness": "others' first token while one organisation floods",
     "once": "runs of non-idempotent requests under faults",
+    "overhead": "time and processor that an entry adds",
     "overload": "goodput and urgent calls at 1, 2 and 4 times capacity",
     "policy": "cost, urgent calls in time and recomputed tokens against naive",
     "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
