--- a/acaciaward/administration/features/steps/administration_steps.py
+++ b/acaciaward/administration/features/steps/administration_steps.py
@@ -166,6 +166,7 @@
     ("GET", "/v1/admin/config/patches/none", (404, 404, 403, 403, 401)),
     ("POST", "/v1/admin/config/patches", (400, 403, 403, 403, 401)),
     ("GET", "/v1/admin/burn", (200, 200, 403, 403, 401)),
+    ("GET", "/v1/admin/fleet/plan", (200, 200, 403, 403, 401)),
     ("GET", "/v1/admin/organisations", (200, 200, 403, 403, 401)),
     ("POST", "/v1/admin/organisations", (422, 403, 403, 403, 401)),
     ("GET", OWN, (200, 200, 200, 403, 401)),
@@ -385,6 +386,7 @@
     "config history",
     "config diff 1 2",
     "report burn",
+    "fleet plan",
 )
 
 
--- a/acaciaward/cli/fleet.py
+++ b/acaciaward/cli/fleet.py
@@ -21,6 +21,8 @@
     if as_json:
         click.echo(json.dumps(answer))
         return
+    if not answer["steps"]:
+        click.echo("no deployment has a fleet rule")
     for step in answer["steps"]:
         offer = step["offer"] or {}
         place = "/".join(
