--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -14,7 +14,7 @@
 
 import blacksheep
 
-from acaciaward import documents, httpclient, httplimits, httpserver, requests
+from acaciaward import httpclient, httplimits, httpserver
 from acaciaward.administration import (
     api as administration_api,
     messages as administration_messages,
@@ -30,20 +30,22 @@
 )
 from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
-from acaciaward.entry import stopping
-from acaciaward.evacuation import departures, evacuator, watchers
-from acaciaward.fleet import holder, keeper
+from acaciaward.entry import leaving, stopping
+from acaciaward.evacuation import departures
+from acaciaward.fleet import keeper as fleet_keeper
 from acaciaward.identity import curvekeys
+from acaciaward.leases import keeper
 from acaciaward.membership import (
     gossip,
     hints,
     interfaces as membership_interfaces,
     messages as membership_messages,
+    rendezvous,
     transport,
 )
 from acaciaward.observability import logs, recorder
 from acaciaward.platform import calls, cloud, log as platform_log
-from acaciaward.quarantine import permissive
+from acaciaward.quarantine import book as quarantine_book
 from acaciaward.routing import balanced, loads
 from acaciaward.settings import loader
 
@@ -72,6 +74,7 @@
         )
         self._build_membership()
         self._build_configuration()
+        self._build_leases()
         self._build_evacuation()
         self._build_dispatch()
         self._build_fleet()
@@ -82,11 +85,21 @@
         """The instance's name."""
         return self._settings["instance"]["name"]
 
+    @property
+    def application(self) -> blacksheep.Application:
+        """The HTTP application with the routes of callers and operators."""
+        return self._server.application
+
     @property
     def configuration(self) -> follower.LogConfiguration:
         """The configuration in force here."""
         return self._configuration
 
+    @property
+    def leases(self) -> keeper.LogLeases:
+        """The duties of this entry."""
+        return self._leases
+
     @property
     def membership(self) -> gossip.GossipMembership:
         """The entries that this one knows."""
@@ -166,6 +179,26 @@
             lambda view: self._membership.set_configuration_version(view.version)
         )
 
+    def _build_leases(self) -> None:
+        settings = self._settings["leases"]
+        self._leases = keeper.LogLeases(
+            platform_log.HttpLog(self._platform_service("log")),
+            self.name,
+            stream=settings["stream"],
+            duration_s=settings["duration_s"],
+            order_timeout_s=settings["order_timeout_s"],
+            is_candidate=self._is_candidate,
+        )
+
+    def _is_candidate(self, duty: str) -> bool:
+        live = [
+            peer.name
+            for peer in self._membership.peers()
+            if peer.state is membership_interfaces.PeerState.LIVE
+        ]
+        count = self._settings["leases"]["candidates"]
+        return self.name in rendezvous.choose(duty, live, count)
+
     def _platform_service(self, name: str) -> calls.PlatformService | None:
         platform = self._settings["platform"]
         place = platform[name]
@@ -176,88 +209,62 @@
             place["address"],
             place["port"],
             timeout_s=platform["timeout_s"],
+            name=name,
         )
 
     def _build_evacuation(self) -> None:
-        settings = self._settings["evacuation"]
-        self._departures = departures.Departures(
-            self._hints, spread=self._membership.spread_now
-        )
         self._engine = engine.HttpModelEngine(
             self._client,
             token_timeout_s=self._settings["dispatch"]["token_timeout_s"],
         )
         self._build_routing(self._engine)
-        self._evacuator = evacuator.Evacuator(
-            self._departures,
+        self._leaving = leaving.Leaving(
+            self._settings["evacuation"],
+            self._configuration,
+            self._hints,
             self._engine,
             self._router,
-            self._weights_of,
-            evacuator.Limits(
-                settings["source_bytes_per_s"], settings["target_bytes_per_s"]
-            ),
+            spread=self._membership.spread_now,
         )
         self._own_end = math.inf
-        self._departures.subscribe(self._take_departure)
-        self._watch_limits = watchers.WatchLimits(
-            settings["poll_s"], settings["assumed_notice_s"]
-        )
-
-    def _weights_of(self, deployment: str) -> documents.Weights:
-        deployments = self._configuration.view.document.get("deployments", {})
-        return deployments.get(deployment, {}).get("weights", {})
+        self._leaving.departures.subscribe(self._take_departure)
 
     def _start_watchers(self) -> None:
-        known, limits = self._departures, self._watch_limits
         notices = self._platform_service("cloud")
-        if notices is not None:
-            own_cloud = cloud.HttpCloud(notices)
-            self._start_task(watchers.watch_notices(own_cloud, known, limits))
         listing = self._platform_service("instances")
-        if listing is not None:
-            own_list = cloud.HttpInstanceList(listing)
-            self._start_task(watchers.watch_instances(own_list, known, limits))
-        busy = self._evacuator.busy_endpoints
-        self._start_task(
-            watchers.watch_engines(
-                self._engine, busy, self._model_endpoints, known, limits
-            )
-        )
-
-    def _model_endpoints(self) -> list[requests.Endpoint]:
-        deployments = self._configuration.view.document.get("deployments", {})
-        return [
-            endpoint
-            for name, entry in deployments.items()
-            if entry["kind"] == requests.DeploymentKind.MODEL.value
-            for endpoint in self._configuration.endpoints(name)
-        ]
+        for watcher in self._leaving.watchers(notices, listing):
+            self._start_task(watcher)
 
     def _build_claims(self) -> None:
         self._claims = claims_book.LogClaimBook(
             self.name,
             platform_log.HttpLog(self._platform_service("log")),
             self._membership,
+            self._membership,
             self._settings["claims"],
-            live_entries=self._count_live_entries,
         )
 
-    def _count_live_entries(self) -> int:
-        live = membership_interfaces.PeerState.LIVE
-        return sum(1 for peer in self._membership.peers() if peer.state is live)
+    def _build_quarantine(self) -> None:
+        self._quarantine = quarantine_book.LogQuarantine(
+            platform_log.HttpLog(self._platform_service("log")),
+            self._configuration,
+            self._hints,
+            self._settings["quarantine"],
+        )
 
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
         self._build_claims()
         self._build_admission()
+        self._build_quarantine()
         collaborators = attempts.Collaborators(
             router=self._router,
             admission=self._admission,
             claims=self._claims,
-            quarantine=permissive.PermissiveQuarantine(),
+            quarantine=self._quarantine,
             engine=self._engine,
             service=service.HttpPlainService(self._client),
-            evacuation=self._evacuator,
+            evacuation=self._leaving.evacuator,
         )
         limits = attempts.RetryLimits(
             settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
@@ -290,10 +297,10 @@
         if None in services:
             return
         cloud_service, list_service, weights_service = services
-        self._fleet = keeper.FleetKeeper(
+        self._fleet = fleet_keeper.FleetKeeper(
             self._configuration,
-            holder.SoleHolder(self.name),
-            keeper.Platform(
+            self._leases,
+            fleet_keeper.Platform(
                 cloud.HttpCloud(cloud_service),
                 cloud.HttpInstanceList(list_service),
                 cloud.HttpWeightStore(weights_service),
@@ -339,6 +346,7 @@
             stop=self._drain,
             max_body_bytes=callers["max_body_bytes"],
             owners=owners,
+            observed=self._recorder,
             stream_limits=completions.StreamLimits(
                 dispatch["stream_buffer_tokens"], dispatch["resume_token_lifetime_s"]
             ),
@@ -384,10 +392,13 @@
         await self._transport.start()
         self._start_task(self._membership.run())
         self._start_task(self._configuration.run())
+        self._start_task(self._leases.run())
         self._start_task(self._list_when_current())
         if not await self._configuration.wait_until_current(START_WAIT_S):
             log.warning("started without a current configuration")
         self._start_task(self._claims.run())
+        self._start_task(self._quarantine.run())
+        await self._quarantine.wait_until_replayed(START_WAIT_S)
         if not await self._claims.wait_until_replayed(START_WAIT_S):
             log.warning("started without having replayed the claims")
         await self._server.start()
@@ -419,7 +430,10 @@
         log.info("entry leaving", extra=logs.fields(limit_s=limits.limit_s))
         self._membership.set_leaving()
         await self._membership.spread_now()
-        left_s = await stopping.drain_requests(self._drain, limits)
+        left_s, _ = await asyncio.gather(
+            stopping.drain_requests(self._drain, limits),
+            self._leases.leave(self._settings["leases"]["order_timeout_s"]),
+        )
         cut = await stopping.stop_server(self._server, self._drain, left_s)
         await self._end()
         log.info("entry stopped", extra=logs.fields(cut=cut))
@@ -431,11 +445,9 @@
         await self._end()
 
     async def _end(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await stopping.end_tasks(self._tasks)
+        await self._leaving.evacuator.stop()
         self._loads.stop()
-        await self._evacuator.stop()
         await self._transport.stop()
         await self._client.close()
 
--- a/acaciaward/observability/recorder.py
+++ b/acaciaward/observability/recorder.py
@@ -21,6 +21,7 @@
 FIRST_FAILURE_STATUS = 500
 RESULTS = ("good", "bad")
 SERVICE_CLASSES = ("urgent", "short", "long")
+DEFAULT_CLASS = "short"
 
 DURATION = prometheus_client.Histogram(
     "acaciaward_answer_seconds",
@@ -33,6 +34,9 @@
     "Answers judged by an objective, by whether they were good",
     ["objective", "result"],
 )
+OBJECTIVE_SHARE = prometheus_client.Gauge(
+    "acaciaward_objective_share", "Share of good answers wanted", ["objective"]
+)
 
 
 class Recorder:
@@ -52,10 +56,13 @@
         deployments = document.get("deployments", {})
         for gone in self._objectives.keys() - objectives.keys():
             _forget(JUDGED, ((gone, result) for result in RESULTS))
+            _forget(OBJECTIVE_SHARE, [(gone,)])
         for gone in self._deployments - deployments.keys():
             _forget(DURATION, ((name, gone) for name in SERVICE_CLASSES))
         self._objectives = objectives
         self._deployments = frozenset(deployments)
+        for name, objective in objectives.items():
+            OBJECTIVE_SHARE.labels(name).set(objective["share"])
         deadlines = [one["deadline_s"] for one in objectives.values()]
         self._book.set_bounds([*slots.DEFAULT_BOUNDS_S, *deadlines])
 
@@ -71,6 +78,12 @@
         if is_failure(error):
             self._add(service_class, deployment, 0.0, is_failure=True)
 
+    def refused_early(self, named_class: str, error: errors.RequestError) -> None:
+        """Count a request that was refused before its deployment was known."""
+        is_known = named_class in SERVICE_CLASSES
+        service_class = named_class if is_known else DEFAULT_CLASS
+        self.refused(service_class, burn.NO_DEPLOYMENT, error)
+
     def _add(
         self, service_class: str, deployment: str, seconds: float, *, is_failure: bool
     ) -> None:
@@ -130,8 +143,8 @@
 
 
 def _forget(
-    metric: prometheus_client.Counter | prometheus_client.Histogram,
-    label_values: Iterable[tuple[str, str]],
+    metric: prometheus_client.metrics.MetricWrapperBase,
+    label_values: Iterable[tuple[str, ...]],
 ) -> None:
     for values in label_values:
         # Only the combinations that were counted have a child.
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 from bench import options as bench_options
 
 EXPERIMENTS = {
+    "control": "what an entry spends on control, with slopes",
     "binary": "size, start time and memory of the program as one file",
     "chaos": "every promise under faults of every kind at once",
     "configuration": "operators race patches while log and entries fail",
@@ -26,6 +27,7 @@
     "overload": "goodput and urgent calls at 1, 2 and 4 times capacity",
     "policy": "cost, urgent calls in time and recomputed tokens against naive",
     "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
+    "poison": "a request that crashes each engine which runs it",
 }
 
 
--- a/bench/rented.py
+++ b/bench/rented.py
@@ -71,7 +71,7 @@
 
     def _make_entry_settings(self, name: str) -> dict[str, typing.Any]:
         settings = super()._make_entry_settings(name)
-        # One entry keeps the fleet, without leases between entries.
+        # One entry alone may keep the fleet, so that its log tells all of it.
         is_keeper = name == self.entries[0] and "fleet" in self._settings
         settings["fleet"] = settings.get("fleet", {}) | {"enabled": is_keeper}
         return settings
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -17,17 +17,22 @@
 
 
 @given("{entries:d} entries and {engines:d} engines whose steps take {step_s:f} s")
-def start_system(context, entries, engines, step_s):
+def start_system(context, entries, engines, step_s, **callers):
     context.cluster = cluster.Cluster(
         entry_count=entries,
         engine_count=engines,
         service_count=1,
         faults={"engine": {"step_s": step_s}},
-        settings={"callers": {"discovery_lifetime_s": 0.5, "finish_s": 0.5}},
+        settings={"callers": {"discovery_lifetime_s": 0.5, "finish_s": 0.5} | callers},
     )
     context.runner.run(context.cluster.start())
 
 
+@given("a single entry whose stops take at most {limit_s:d} s")
+def start_single(context, limit_s):
+    start_system(context, 1, 1, 0.03, stop_limit_s=limit_s)
+
+
 def _post(running, address, path, body, organisation="org-1"):
     headers = {"authorization": f"Bearer {running.keys[organisation]}"}
     client = httpclient.HttpClient()
@@ -81,9 +86,10 @@
 
 async def _busy_entry(running):
     """Return the entry that serves the only stream."""
+    headers = {"authorization": f"Bearer {running.operator_key}"}
     for name in running.entries:
         async with httpclient.HttpClient().send(
-            "GET", *running.address(name), "/metrics"
+            "GET", *running.address(name), "/metrics", headers=headers
         ) as response:
             text = (await response.read()).decode()
         if "acaciaward_open_requests 1.0" in text:
@@ -299,17 +305,8 @@
     context.runner.run(_cut_stream(context, "entry-1", 2))
 
 
-@when("the only entry is told to stop with a limit of {limit_s:d} s")
-def stop_only_entry(context, limit_s):
-    running = context.cluster
-
-    async def restart_with_limit():
-        await running.processes.kill("entry-1")
-        running._settings["callers"]["stop_limit_s"] = limit_s
-        await running.start_entry("entry-1")
-        await running.wait_in_force(1)
-
-    context.runner.run(restart_with_limit())
+@when("it is told to stop while a stream runs")
+def stop_only_entry(context):
     context.runner.run(_cut_stream(context, "entry-1", 1))
 
 
@@ -337,6 +334,8 @@
 async def _leave_early(context):
     running = context.cluster
     address = running.entry_addresses[0]
+    while await _total(running, "running"):
+        await asyncio.sleep(0.02)
     work = [
         asyncio.create_task(_whole(running, address, 2000)),
         asyncio.create_task(_streamed(running, address, 2000)),
@@ -344,13 +343,17 @@
     while await _total(running, "running") < 2:
         await asyncio.sleep(0.02)
     await running.set_faults("engine-1", stall=True)
+    before = await _total(running, "cancelled")
     for task in work:
         task.cancel()
     await asyncio.gather(*work, return_exceptions=True)
     started = time.monotonic()
-    while await _total(running, "cancelled") < 2 and time.monotonic() - started < 5:
+    while (
+        await _total(running, "cancelled") < before + 2
+        and time.monotonic() - started < 5
+    ):
         await asyncio.sleep(0.02)
-    context.cancelled = await _total(running, "cancelled")
+    context.cancelled = await _total(running, "cancelled") - before
     context.cancel_s = time.monotonic() - started
 
 
@@ -358,3 +361,81 @@
 def check_cancelled(context):
     assert context.cancelled == 2, context.cancelled
     assert context.cancel_s < 1.0, context.cancel_s
+
+
+@when("an entry hands over while a slow call keeps it from ending")
+def hand_over(context):
+    context.runner.run(_hand_over(context))
+
+
+async def _hand_over(context):
+    running = context.cluster
+    leaving, other = running.address("entry-1"), running.address("entry-2")
+    await running.set_faults("service-1", answer_delay_s=4.0)
+    one = caller.Caller([leaving], key=running.keys["org-1"])
+    one.pin([leaving])
+    call = asyncio.create_task(
+        one.call(cluster.SERVICE, "check", b"{}", deadline_s=20, idempotent=False)
+    )
+    while not (await running.stats("service-1"))["keys"]:
+        await asyncio.sleep(0.02)
+    begun = await _break_off(running, other, 10)
+    running.processes.send_signal("entry-1", signal.SIGTERM)
+    context.sent_on = await _until_sent_on(running, leaving)
+    context.resumed_on = await _location(running, leaving, "/v1/resume", begun)
+    async with _post(running, other, "/v1/resume", begun) as response:
+        context.rest = [
+            event["choices"][0]["text"]
+            async for event in sse.events(response)
+            if event["choices"] and "index" in event["acaciaward"]
+        ]
+    context.begun = begun["texts"]
+    context.reply = await call
+    context.exit_code = await running.processes.wait("entry-1")
+    await one.close()
+
+
+async def _break_off(running, address, seen):
+    """Begin a stream, leave it, and return the body that takes it up."""
+    body = _body(60)
+    texts, resume, proof = [], None, None
+    async with _post(running, address, "/v1/completions", body) as response:
+        async for event in sse.events(response):
+            extra = event["acaciaward"]
+            resume, proof = extra.get("resume", resume), extra.get("proof", proof)
+            texts += [choice["text"] for choice in event["choices"]]
+            if len(texts) == seen:
+                break
+    raw = json.dumps(body)
+    return {"resume": resume, "body": raw, "texts": texts, "proof": proof}
+
+
+async def _location(running, address, path, body):
+    async with _post(running, address, path, body) as response:
+        await response.read()
+        return response.headers.get("location")
+
+
+async def _until_sent_on(running, address):
+    body = _body(2, stream=False)
+    while True:
+        location = await _location(running, address, "/v1/completions", body)
+        if location is not None:
+            return location
+        await asyncio.sleep(0.05)
+
+
+@then("new requests and resumes are sent on to the other entry, which answers them")
+def check_sent_on(context):
+    host, port = context.cluster.address("entry-2")
+    # One that had just begun takes its token along.
+    place = context.sent_on.partition("?")[0]
+    assert place == f"http://{host}:{port}/v1/completions", context.sent_on
+    assert context.resumed_on == f"http://{host}:{port}/v1/resume", context.resumed_on
+    assert context.begun + context.rest == tokens.expected_tokens(PROMPT, 60)
+
+
+@then("the slow call is answered and the entry exits with 0")
+def check_slow_call(context):
+    assert json.loads(context.reply.body)["runs"] == 1
+    assert context.exit_code == 0, context.exit_code
