State a deadline that long streams of a test can be answered in

Cause: features/streams.feature hung on the merged tree: admission now refuses at once what can't be done before its deadline, 2000 tokens of 0.02 s against the 15 s of the class, and the scenario waited for two streams to run. A trace shows the refusals ('the work can't be done before its deadline') each 33 s. Change: the steps ask with a deadline of 120 s; every check is as it was.

--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -14,6 +14,8 @@
 from standins import ports, tokens
 
 PROMPT = "a swap dossier about many boxes of puzzles"
+# 2000 tokens of 0.02 s each can be done within it.
+DEADLINE_S = 120
 
 
 @given("{entries:d} entries and {engines:d} engines whose steps take {step_s:f} s")
@@ -34,7 +36,10 @@
 
 
 def _post(running, address, path, body, organisation="org-1"):
-    headers = {"authorization": f"Bearer {running.keys[organisation]}"}
+    headers = {
+        "authorization": f"Bearer {running.keys[organisation]}",
+        "x-deadline-s": str(DEADLINE_S),
+    }
     client = httpclient.HttpClient()
     payload = json.dumps(body).encode()
     return client.send("POST", *address, path, headers=headers, body=payload)
@@ -220,7 +225,9 @@
 async def _streamed(running, address, count):
     one = caller.Caller([address], key=running.keys["org-1"])
     one.pin([address])
-    answer = await one.complete(cluster.MODEL, PROMPT, max_tokens=count)
+    answer = await one.complete(
+        cluster.MODEL, PROMPT, max_tokens=count, deadline_s=DEADLINE_S
+    )
     await one.close()
     return answer.text, answer.usage
 
