--- a/acaciaward/administration/api.py
+++ b/acaciaward/administration/api.py
@@ -18,12 +18,14 @@
     configuration as configuration_routes,
     deployments,
     entries,
+    fleet as fleet_routes,
     health,
     organisations,
     routes,
 )
 from acaciaward.claims import interfaces as claims_interfaces
 from acaciaward.configuration import follower
+from acaciaward.fleet import keeper
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import recorder
 
@@ -37,6 +39,7 @@
     claims: claims_interfaces.ClaimBook
     observed: recorder.Recorder
     drain: Callable[[], None]
+    fleet: keeper.FleetKeeper | None = None
 
 
 def add_api(
@@ -60,6 +63,7 @@
             collaborators.observed,
             collaborators.drain,
         ),
+        fleet_routes.FleetRoutes(allowed, collaborators.fleet),
     )
     for duty in duties:
         routes.add_routes(application, duty.routes())
--- /dev/null
+++ b/acaciaward/admission/features/admission.feature
@@ -0,0 +1,35 @@
+Feature: Admission by limits, shares and deadlines
+
+  Scenario: A part of a limit is never shut and the parts never open it
+    Then for any use of the peers the allowed part keeps both bounds
+
+  Scenario: All entries that hear nothing together stay within the limit
+    Then unheard entries together never exceed a limit
+
+  Scenario: Shares converge to the weights under any overload
+    Then the least served organisation is next until shares match the weights
+
+  Scenario: Work that can't meet its deadline is refused at once
+    Given admission for 1 slots with steps of 0.1 s
+    When a request of 10 tokens with a deadline of 30.0 s runs
+    Then a request of 10 tokens with a deadline of 1.5 s is refused at once
+    And it would be in time after the stated seconds
+
+  Scenario: A request that nobody can finish in time is refused on an idle system
+    Given admission for 4 slots with steps of 0.1 s
+    Then a request of 100 tokens with a deadline of 2.0 s is refused at once
+
+  Scenario: Urgent calls beyond the allowance give way
+    Given admission for 4 slots with steps of 0.1 s
+    When "flooder" sends 100 urgent requests of 20 tokens
+    Then an urgent request of "other" starts at once with priority 0
+    And "flooder" has at most 4 requests with priority 0
+
+  Scenario: A cancelled wait leaves nothing behind
+    Given admission for 1 slots with steps of 0.1 s
+    When a request of 10 tokens with a deadline of 30.0 s runs
+    And 20 waiting requests are cancelled
+    Then the next request starts when the first has ended
+
+  Scenario: A retry budget is finite and belongs to one organisation
+    Then an organisation can't spend more retries than it earned
--- a/acaciaward/cli/main.py
+++ b/acaciaward/cli/main.py
@@ -24,6 +24,7 @@
     "drain": "entries",
     "endpoints": "deployments",
     "entry": "entry",
+    "fleet": "fleet",
     "key": "keys",
     "organisation": "organisations",
     "quarantine": "deployments",
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -19,7 +19,7 @@
     api as administration_api,
     messages as administration_messages,
 )
-from acaciaward.admission import counting
+from acaciaward.admission import queueing, retrybudget, use
 from acaciaward.callers import api as callers_api, completions, discovery, drain
 from acaciaward.claims import book as claims_book, messages as claims_messages
 from acaciaward.configuration import (
@@ -32,6 +32,7 @@
 from acaciaward.endpoints import engine, service
 from acaciaward.entry import leaving, stopping
 from acaciaward.evacuation import departures
+from acaciaward.fleet import keeper as fleet_keeper
 from acaciaward.identity import curvekeys
 from acaciaward.leases import keeper
 from acaciaward.membership import (
@@ -43,9 +44,9 @@
     transport,
 )
 from acaciaward.observability import logs, recorder
-from acaciaward.platform import calls, log as platform_log
+from acaciaward.platform import calls, cloud, log as platform_log
 from acaciaward.quarantine import book as quarantine_book
-from acaciaward.routing import leastloaded
+from acaciaward.routing import balanced, loads
 from acaciaward.settings import loader
 
 log = logging.getLogger(__name__)
@@ -76,6 +77,7 @@
         self._build_leases()
         self._build_evacuation()
         self._build_dispatch()
+        self._build_fleet()
         self._build_server()
 
     @property
@@ -215,7 +217,7 @@
             self._client,
             token_timeout_s=self._settings["dispatch"]["token_timeout_s"],
         )
-        self._router = leastloaded.LeastLoadedRouter(self._configuration, self._hints)
+        self._build_routing(self._engine)
         self._leaving = leaving.Leaving(
             self._settings["evacuation"],
             self._configuration,
@@ -252,17 +254,12 @@
 
     def _build_dispatch(self) -> None:
         settings = self._settings["dispatch"]
-        admission = self._settings["admission"]
         self._build_claims()
+        self._build_admission()
         self._build_quarantine()
         collaborators = attempts.Collaborators(
             router=self._router,
-            admission=counting.CountingAdmission(
-                max_in_flight=admission["max_in_flight"],
-                max_queued=admission["max_queued"],
-                retry_budget_ratio=admission["retry_budget_ratio"],
-                retry_budget_minimum=admission["retry_budget_minimum"],
-            ),
+            admission=self._admission,
             claims=self._claims,
             quarantine=self._quarantine,
             engine=self._engine,
@@ -278,6 +275,57 @@
             dispatcher.Dispatcher(collaborators, limits), self._recorder
         )
 
+    def _build_routing(self, model_engine: engine.HttpModelEngine) -> None:
+        settings = self._settings["routing"]
+        self._loads = loads.LoadBoard(
+            model_engine, poll_interval_s=settings["load_poll_s"]
+        )
+        self._router = balanced.BalancedRouter(
+            self._configuration,
+            self._hints,
+            self._loads,
+            entry=self.name,
+            data_centre=self._settings["instance"]["data_centre"],
+            subset_size=settings["subset_size"],
+        )
+
+    def _build_fleet(self) -> None:
+        settings = self._settings["fleet"]
+        names = ("cloud", "instances", "weights")
+        services = [self._platform_service(name) for name in names]
+        self._fleet = None
+        if None in services:
+            return
+        cloud_service, list_service, weights_service = services
+        self._fleet = fleet_keeper.FleetKeeper(
+            self._configuration,
+            self._leases,
+            fleet_keeper.Platform(
+                cloud.HttpCloud(cloud_service),
+                cloud.HttpInstanceList(list_service),
+                cloud.HttpWeightStore(weights_service),
+            ),
+            self._engine,
+            lambda deployment: self._loads.streams(self._router.usable(deployment)),
+            name=self.name,
+            interval_s=settings["interval_s"],
+            hold_s=settings["hold_s"],
+            drain_s=settings["drain_s"],
+        )
+
+    def _build_admission(self) -> None:
+        settings = self._settings["admission"]
+        self._admission = queueing.QueueingAdmission(
+            self._configuration,
+            loads.PartOfCapacity(self._router.usable, self._loads, self._membership),
+            use.UseLedger(self._membership, self._hints),
+            max_queued=settings["max_queued"],
+            retries=retrybudget.RetryBudgets(
+                ratio=settings["retry_budget_ratio"],
+                minimum=settings["retry_budget_minimum"],
+            ),
+        )
+
     def _build_server(self) -> None:
         callers = self._settings["callers"]
         application = httpserver.make_application()
@@ -329,6 +377,7 @@
             claims=self._claims,
             observed=self._recorder,
             drain=self.stop_requested.set,
+            fleet=self._fleet,
         )
         administration_api.add_api(
             application,
@@ -353,7 +402,10 @@
         if not await self._claims.wait_until_replayed(START_WAIT_S):
             log.warning("started without having replayed the claims")
         await self._server.start()
+        self._start_task(self._admission.run())
         self._start_watchers()
+        if self._fleet is not None and self._settings["fleet"]["enabled"]:
+            self._start_task(self._fleet.run())
         log.info("entry started", extra=logs.fields(port=self._server.port))
 
     async def _list_when_current(self) -> None:
@@ -395,6 +447,7 @@
     async def _end(self) -> None:
         await stopping.end_tasks(self._tasks)
         await self._leaving.evacuator.stop()
+        self._loads.stop()
         await self._transport.stop()
         await self._client.close()
 
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,10 +18,14 @@
 EXPERIMENTS = {
     "control": "what an entry spends on control, with slopes",
     "binary": "size, start time and memory of the program as one file",
-    "configuration": "operators race patches while log and entries fail",
     "chaos": "every promise under faults of every kind at once",
+    "configuration": "operators race patches while log and entries fail",
     "drain": "entries replaced under load",
+    "fairness": "others' first token while one organisation floods",
     "once": "runs of non-idempotent requests under faults",
+    "overhead": "time and processor that an entry adds",
+    "overload": "goodput and urgent calls at 1, 2 and 4 times capacity",
+    "policy": "cost, urgent calls in time and recomputed tokens against naive",
     "reclaim": "waves of reclaims at both users' sizes, beside the naive version",
     "poison": "a request that crashes each engine which runs it",
 }
