Build an entry's side towards its peers in a module of its own

Ruled out: a builder for each slice, which would only pass the same names around. Change: entry/peerside.py makes transport, hints, gossip and keys. Conclusion: no behaviour changed.

--- /dev/null
+++ b/acaciaward/entry/peerside.py
@@ -0,0 +1,92 @@
+"""
+Builds the side of an entry that other entries see: transport, gossip and hints.
+"""
+
+import time
+import typing
+
+from acaciaward.administration import messages as administration_messages
+from acaciaward.claims import messages as claims_messages
+from acaciaward.configuration import messages as configuration_messages
+from acaciaward.identity import curvekeys
+from acaciaward.membership import (
+    gossip,
+    hints,
+    interfaces as membership_interfaces,
+    messages as membership_messages,
+    transport,
+)
+from acaciaward.settings import loader
+
+MESSAGE_KINDS = (
+    membership_messages.KINDS
+    | administration_messages.KINDS
+    | configuration_messages.KINDS
+    | claims_messages.KINDS
+)
+
+
+class PeerSide(typing.NamedTuple):
+    """What an entry needs to live among others."""
+
+    transport: transport.PeerTransport
+    hints: hints.HintBoard
+    membership: gossip.GossipMembership
+
+
+def build(settings: loader.Settings) -> PeerSide:
+    """Return the peer side of the entry that the settings describe."""
+    peers = settings["peers"]
+    board = hints.HintBoard(settings["instance"]["name"])
+    curve = read_curve_keys(peers)
+    peer_transport = transport.PeerTransport(
+        peers["address"], peers["port"], MESSAGE_KINDS, curve=curve
+    )
+    location = transport.PeerAddress(
+        peers["address"], peers["port"], curve.public_key if curve else None
+    )
+    seeds = [
+        transport.PeerAddress(seed["address"], seed["port"], seed.get("public_key"))
+        for seed in peers["seeds"]
+    ]
+    membership = gossip.GossipMembership(
+        _own_peer(settings),
+        location,
+        [seed for seed in seeds if seed[:2] != location[:2]],
+        peer_transport,
+        board,
+        probe_interval_s=peers["probe_interval_s"],
+        probe_timeout_s=peers["probe_timeout_s"],
+        suspicion_s=peers["suspicion_s"],
+        sync_interval_s=peers["sync_interval_s"],
+        neighbours=peers["neighbours"],
+        gossip_bytes_per_s=peers["gossip_bytes_per_s"],
+    )
+    return PeerSide(peer_transport, board, membership)
+
+
+def read_curve_keys(peers: dict[str, typing.Any]) -> transport.CurveKeys | None:
+    """Return the keys of the settings' peer section, or None without encryption."""
+    if peers["secret_key"] is None:
+        return None
+    seeds = {seed.get("public_key") for seed in peers["seeds"]} - {None}
+    allowed = frozenset(peers["allowed_public_keys"]) | seeds
+    public_key = curvekeys.public_key_of(peers["secret_key"])
+    return transport.CurveKeys(public_key, peers["secret_key"], allowed)
+
+
+def _own_peer(settings: loader.Settings) -> membership_interfaces.Peer:
+    instance = settings["instance"]
+    callers = settings["callers"]
+    # A start later than the last one gives a higher incarnation, without a disk.
+    return membership_interfaces.Peer(
+        name=instance["name"],
+        address=callers["address"],
+        port=callers["port"],
+        peer_port=settings["peers"]["port"],
+        data_centre=instance["data_centre"],
+        region=instance["region"],
+        incarnation=int(time.time() * 1000),
+        state=membership_interfaces.PeerState.JOINING,
+        configuration_version=0,
+    )
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -17,31 +17,25 @@
 from acaciaward import httpclient, httplimits, httpserver
 from acaciaward.administration import (
     api as administration_api,
-    messages as administration_messages,
 )
 from acaciaward.admission import queueing, retrybudget, use
 from acaciaward.callers import api as callers_api, completions, discovery, drain
-from acaciaward.claims import book as claims_book, messages as claims_messages
+from acaciaward.claims import book as claims_book
 from acaciaward.configuration import (
     follower,
-    messages as configuration_messages,
     peering,
     serving,
 )
 from acaciaward.dispatch import attempts, dispatcher, observed
 from acaciaward.endpoints import engine, service
-from acaciaward.entry import leaving, stopping
+from acaciaward.entry import leaving, peerside, stopping
 from acaciaward.evacuation import departures
 from acaciaward.fleet import keeper as fleet_keeper
-from acaciaward.identity import curvekeys
 from acaciaward.leases import keeper
 from acaciaward.membership import (
     gossip,
-    hints,
     interfaces as membership_interfaces,
-    messages as membership_messages,
     rendezvous,
-    transport,
 )
 from acaciaward.observability import logs, recorder
 from acaciaward.platform import calls, cloud, log as platform_log
@@ -54,12 +48,6 @@
 START_WAIT_S = 10.0
 NOTICE_MARGIN_S = 0.5
 SHORTEST_STOP_S = 0.5
-MESSAGE_KINDS = (
-    membership_messages.KINDS
-    | administration_messages.KINDS
-    | configuration_messages.KINDS
-    | claims_messages.KINDS
-)
 
 
 class EntryProcess:
@@ -106,57 +94,10 @@
         return self._membership
 
     def _build_membership(self) -> None:
-        instance = self._settings["instance"]
-        callers = self._settings["callers"]
-        peers = self._settings["peers"]
-        self._hints = hints.HintBoard(instance["name"])
-        curve = self._curve_keys()
-        self._transport = transport.PeerTransport(
-            peers["address"],
-            peers["port"],
-            MESSAGE_KINDS,
-            curve=curve,
-        )
-        own = membership_interfaces.Peer(
-            name=instance["name"],
-            address=callers["address"],
-            port=callers["port"],
-            peer_port=peers["port"],
-            data_centre=instance["data_centre"],
-            region=instance["region"],
-            incarnation=int(time.time() * 1000),
-            state=membership_interfaces.PeerState.JOINING,
-            configuration_version=0,
-        )
-        location = transport.PeerAddress(
-            peers["address"], peers["port"], curve.public_key if curve else None
-        )
-        seeds = [
-            transport.PeerAddress(seed["address"], seed["port"], seed.get("public_key"))
-            for seed in peers["seeds"]
-        ]
-        self._membership = gossip.GossipMembership(
-            own,
-            location,
-            [seed for seed in seeds if seed[:2] != location[:2]],
-            self._transport,
-            self._hints,
-            probe_interval_s=peers["probe_interval_s"],
-            probe_timeout_s=peers["probe_timeout_s"],
-            suspicion_s=peers["suspicion_s"],
-            sync_interval_s=peers["sync_interval_s"],
-            neighbours=peers["neighbours"],
-            gossip_bytes_per_s=peers["gossip_bytes_per_s"],
-        )
-
-    def _curve_keys(self) -> transport.CurveKeys | None:
-        peers = self._settings["peers"]
-        if peers["secret_key"] is None:
-            return None
-        seeds = {seed.get("public_key") for seed in peers["seeds"]} - {None}
-        allowed = frozenset(peers["allowed_public_keys"]) | seeds
-        public_key = curvekeys.public_key_of(peers["secret_key"])
-        return transport.CurveKeys(public_key, peers["secret_key"], allowed)
+        side = peerside.build(self._settings)
+        self._transport = side.transport
+        self._hints = side.hints
+        self._membership = side.membership
 
     def _build_configuration(self) -> None:
         settings = self._settings["configuration"]
