--- a/acaciaward/administration/api.py
+++ b/acaciaward/administration/api.py
@@ -6,11 +6,11 @@
 """
 
 import typing
-from collections.abc import Callable
+from collections import abc
 
 import blacksheep
+import openapidocs.v3
 from blacksheep.server.openapi import v3
-from openapidocs.v3 import Info
 
 import acaciaward
 from acaciaward.administration import (
@@ -38,7 +38,7 @@
     hints: membership_interfaces.Hints
     claims: claims_interfaces.ClaimBook
     observed: recorder.Recorder
-    drain: Callable[[], None]
+    drain: abc.Callable[[], None]
     fleet: keeper.FleetKeeper | None = None
 
 
@@ -74,7 +74,7 @@
 def _add_description(application: blacksheep.Application) -> None:
     """Serve the OpenAPI document, without pages that load scripts from elsewhere."""
     description = v3.OpenAPIHandler(
-        info=Info("acaciaward", acaciaward.__version__),
+        info=openapidocs.v3.Info("acaciaward", acaciaward.__version__),
         json_spec_path="/openapi.json",
         yaml_spec_path="/openapi.yaml",
         anonymous_access=True,
--- a/acaciaward/administration/entries.py
+++ b/acaciaward/administration/entries.py
@@ -2,7 +2,7 @@
 
 import logging
 import typing
-from collections.abc import Callable
+from collections import abc
 
 import blacksheep
 
@@ -32,7 +32,7 @@
         allowed: access.Access,
         membership: EntryNetwork,
         observed: recorder.Recorder,
-        drain: Callable[[], None],
+        drain: abc.Callable[[], None],
     ):
         self._configuration = configuration
         self._access = allowed
--- a/acaciaward/administration/routes.py
+++ b/acaciaward/administration/routes.py
@@ -9,7 +9,7 @@
 import logging
 import typing
 import uuid
-from collections.abc import Callable
+from collections import abc
 
 import blacksheep
 import msgspec
@@ -35,7 +35,7 @@
 
     method: str
     path: str
-    handler: Callable
+    handler: abc.Callable
 
 
 def add_routes(
@@ -57,7 +57,7 @@
     application.router.fallback = answer_unknown
 
 
-def _answered(handler: Callable) -> Callable:
+def _answered(handler: abc.Callable) -> abc.Callable:
     @functools.wraps(handler)
     async def answer(*args: typing.Any, **kwargs: typing.Any):
         request_id = f"adm-{uuid.uuid4().hex}"
--- a/acaciaward/admission/decisions.py
+++ b/acaciaward/admission/decisions.py
@@ -11,7 +11,7 @@
 
 import enum
 import typing
-from collections.abc import Iterable, Mapping, Sequence
+from collections import abc
 
 from acaciaward import requests
 from acaciaward.admission import interfaces
@@ -80,7 +80,7 @@
     latest_start_s: float
 
 
-def share_of(organisation: str, weights: Mapping[str, float]) -> float:
+def share_of(organisation: str, weights: abc.Mapping[str, float]) -> float:
     """Return the part of one organisation among the active ones, 0 to 1."""
     total = sum(weights.values())
     return weights[organisation] / total if total else 1.0
@@ -116,7 +116,7 @@
 
 
 def lateness_s(
-    queued: Sequence[QueuedWork], *, running_s: float, parallel: float
+    queued: abc.Sequence[QueuedWork], *, running_s: float, parallel: float
 ) -> float:
     """
     Return by how many seconds the worst of the queued would start too late, or 0.
@@ -158,7 +158,7 @@
     counter: float
 
 
-def choose_next(candidates: Iterable[Candidate]) -> Candidate | None:
+def choose_next(candidates: abc.Iterable[Candidate]) -> Candidate | None:
     """Return the candidate to start: by ground, then by least tokens served."""
     startable = [one for one in candidates if one.grant is not None]
     if not startable:
--- a/acaciaward/admission/deploymentqueue.py
+++ b/acaciaward/admission/deploymentqueue.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import typing
-from collections.abc import Container
+from collections import abc
 
 from acaciaward import requests
 from acaciaward.admission import decisions, shares, use
@@ -70,7 +70,7 @@
         organisation: str | None,
         now: float,
         *,
-        ranks: Container[int] = ALL_RANKS,
+        ranks: abc.Container[int] = ALL_RANKS,
     ) -> float:
         """Return the slots taken on average, by all organisations without a name."""
         return sum(
--- a/acaciaward/admission/limits.py
+++ b/acaciaward/admission/limits.py
@@ -7,7 +7,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections import abc
 
 from acaciaward import documents, errors
 from acaciaward.admission import use
@@ -43,7 +43,10 @@
     """Checks and charges the limits of all organisations."""
 
     def __init__(
-        self, ledger: use.UseLedger, *, clock: Callable[[], float] = time.monotonic
+        self,
+        ledger: use.UseLedger,
+        *,
+        clock: abc.Callable[[], float] = time.monotonic,
     ):
         self._ledger = ledger
         self._clock = clock
--- a/acaciaward/admission/shares.py
+++ b/acaciaward/admission/shares.py
@@ -7,7 +7,7 @@
 """
 
 import time
-from collections.abc import Callable, Collection
+from collections import abc
 
 # A prompt's token costs the engines far less than a generated one.
 INPUT_TOKEN_WEIGHT = 0.05
@@ -31,7 +31,7 @@
         """Return an organisation's counter."""
         return self._counters.get(organisation, 0.0)
 
-    def activate(self, organisation: str, active: Collection[str]) -> None:
+    def activate(self, organisation: str, active: abc.Collection[str]) -> None:
         """Lift an organisation that was idle to the lowest active counter."""
         others = [self.value(other) for other in active if other != organisation]
         if others:
@@ -51,7 +51,7 @@
     calls of one organisation can never hold the whole of another's part.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+    def __init__(self, *, clock: abc.Callable[[], float] = time.monotonic):
         self._clock = clock
         self._levels: dict[str, tuple[float, float]] = {}
 
--- a/acaciaward/admission/use.py
+++ b/acaciaward/admission/use.py
@@ -13,7 +13,7 @@
 import math
 import time
 import typing
-from collections.abc import Callable, Mapping
+from collections import abc
 
 from acaciaward.membership import interfaces as membership_interfaces
 
@@ -79,7 +79,7 @@
         membership: membership_interfaces.Membership,
         hints: membership_interfaces.Hints,
         *,
-        clock: Callable[[], float] = time.monotonic,
+        clock: abc.Callable[[], float] = time.monotonic,
     ):
         self._membership = membership
         self._hints = hints
@@ -87,7 +87,7 @@
         self._rates: dict[tuple[str, Quantity], FadingRate] = {}
         self._running: dict[str, int] = {}
         self._published_at = float("-inf")
-        self._peer_use: dict[str, dict[str, Mapping[str, typing.Any]]] = {}
+        self._peer_use: dict[str, dict[str, abc.Mapping[str, typing.Any]]] = {}
         self._peers_read_at = float("-inf")
         self._heard: set[str] = set()
         self._unheard = 0
--- a/acaciaward/callers/drain.py
+++ b/acaciaward/callers/drain.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import enum
-from collections.abc import Awaitable, Callable, Iterator
+from collections import abc
 
 import prometheus_client
 
@@ -99,7 +99,7 @@
         )
 
     @contextlib.contextmanager
-    def counted(self) -> Iterator[None]:
+    def counted(self) -> abc.Iterator[None]:
         """Count a request as open while the block runs."""
         self.add()
         try:
@@ -128,7 +128,7 @@
     task: asyncio.Task,
     drain: Drain,
     phase: Phase,
-    is_gone: Callable[[], Awaitable[bool]],
+    is_gone: abc.Callable[[], abc.Awaitable[bool]],
 ) -> bool:
     """
     Wait for a task and return whether it ended by itself.
--- a/acaciaward/callers/feed.py
+++ b/acaciaward/callers/feed.py
@@ -11,7 +11,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections import abc
 
 from acaciaward import errors
 from acaciaward.dispatch import streams
@@ -20,7 +20,7 @@
 
 DISCONNECT_POLL_S = 0.2
 
-Encoder = Callable[[streams.StreamEvent], bytes]
+Encoder = abc.Callable[[streams.StreamEvent], bytes]
 
 
 class Feed:
@@ -33,10 +33,10 @@
 
     def __init__(
         self,
-        events: AsyncIterator[streams.StreamEvent],
+        events: abc.AsyncIterator[streams.StreamEvent],
         encode: Encoder,
         control: streams.StreamControl,
-        is_gone: Callable[[], Awaitable[bool]],
+        is_gone: abc.Callable[[], abc.Awaitable[bool]],
         *,
         max_events: int,
     ):
@@ -72,7 +72,7 @@
             task.cancel()
         await asyncio.gather(self._pump, self._watch, return_exceptions=True)
 
-    async def parts(self) -> AsyncIterator[bytes]:
+    async def parts(self) -> abc.AsyncIterator[bytes]:
         """Yield the encoded events until the stream ends or is handed over."""
         while not (self._has_ended and self._buffer.empty()):
             part = await self._buffer.get()
--- a/acaciaward/callers/handling.py
+++ b/acaciaward/callers/handling.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 import uuid
-from collections.abc import Awaitable, Callable
+from collections import abc
 
 import blacksheep
 
@@ -25,7 +25,7 @@
 BODY_TIMEOUT_S = 30.0
 CLOSE = (b"connection", b"close")
 
-Handler = Callable[[str], Awaitable[blacksheep.Response]]
+Handler = abc.Callable[[str], abc.Awaitable[blacksheep.Response]]
 
 
 class Handling:
--- a/acaciaward/callers/parsing.py
+++ b/acaciaward/callers/parsing.py
@@ -10,7 +10,7 @@
 import math
 import typing
 import uuid
-from collections.abc import Mapping
+from collections import abc
 
 import msgspec
 
@@ -61,7 +61,7 @@
         raise errors.InvalidRequestError(f"malformed body: {error}") from error
 
 
-def read_options(headers: Mapping[str, str]) -> Options:
+def read_options(headers: abc.Mapping[str, str]) -> Options:
     """Return the checked options from lower-case header names to values."""
     service_class = headers.get("x-service-class", "short")
     try:
@@ -94,7 +94,7 @@
     return str(key)
 
 
-def _read_deadline(headers: Mapping[str, str]) -> float | None:
+def _read_deadline(headers: abc.Mapping[str, str]) -> float | None:
     text = headers.get("x-deadline-s")
     if text is None:
         return None
--- a/acaciaward/cli/connection.py
+++ b/acaciaward/cli/connection.py
@@ -17,7 +17,7 @@
 import re
 import ssl
 import typing
-from collections.abc import Sequence
+from collections import abc
 
 import click
 
@@ -125,14 +125,14 @@
 
 
 def call_each(
-    connections: Sequence[Connection], method: str, path: str
+    connections: abc.Sequence[Connection], method: str, path: str
 ) -> list[dict[str, typing.Any] | errors.OperatorError]:
     """Call several entries at once; an entry that fails gives its error."""
     return asyncio.run(_call_each(connections, method, path))
 
 
 async def _call_each(
-    connections: Sequence[Connection], method: str, path: str
+    connections: abc.Sequence[Connection], method: str, path: str
 ) -> list[typing.Any]:
     turns = asyncio.Semaphore(MAX_CALLS_AT_ONCE)
 
--- a/acaciaward/cli/output.py
+++ b/acaciaward/cli/output.py
@@ -2,11 +2,11 @@
 
 import json
 import typing
-from collections.abc import Sequence
+from collections import abc
 
 import click
 
-Row = Sequence[typing.Any]
+Row = abc.Sequence[typing.Any]
 
 
 def json_option(command: typing.Callable) -> typing.Callable:
@@ -19,7 +19,7 @@
     click.echo(json.dumps(value, indent=2, sort_keys=True))
 
 
-def print_table(headings: Sequence[str], rows: Sequence[Row]) -> None:
+def print_table(headings: abc.Sequence[str], rows: abc.Sequence[Row]) -> None:
     """Print rows below headings, each column as wide as its widest cell."""
     cells = [list(headings), *([show(cell) for cell in row] for row in rows)]
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
--- a/acaciaward/client/caller.py
+++ b/acaciaward/client/caller.py
@@ -14,7 +14,7 @@
 import time
 import typing
 import urllib.parse
-from collections.abc import AsyncIterator, Sequence
+from collections import abc
 
 import msgspec
 import uuid6
@@ -71,7 +71,7 @@
 
     def __init__(
         self,
-        seeds: Sequence[Address],
+        seeds: abc.Sequence[Address],
         *,
         key: str,
         data_centre: str | None = None,
@@ -112,7 +112,7 @@
         max_tokens: int = 64,
         service_class: str = "short",
         deadline_s: float | None = None,
-    ) -> AsyncIterator[str]:
+    ) -> abc.AsyncIterator[str]:
         """
         Yield the tokens' texts, each once, until the answer is whole.
 
@@ -167,7 +167,7 @@
     @contextlib.asynccontextmanager
     async def post(
         self, entry: Address, path: str, headers: dict[str, str], body: bytes
-    ) -> AsyncIterator[httpclient.Response]:
+    ) -> abc.AsyncIterator[httpclient.Response]:
         """Post to an entry and follow it when it sends the request on."""
         for _ in range(MAX_REDIRECTS):
             async with self._client.send(
@@ -196,7 +196,7 @@
             except (httpclient.HttpError, CallerError) as error:
                 await run.after_failure(entry, error)
 
-    def pin(self, addresses: Sequence[Address]) -> None:
+    def pin(self, addresses: abc.Sequence[Address]) -> None:
         """Use these entries from now on, without asking which to use."""
         self._entries.pin(addresses)
 
@@ -259,7 +259,7 @@
             state.usage,
         )
 
-    async def tokens(self) -> AsyncIterator[str]:
+    async def tokens(self) -> abc.AsyncIterator[str]:
         """Yield each token once until the answer is whole."""
         run = self._caller.make_tries(self._headers)
         while not self._state.is_whole:
@@ -281,7 +281,7 @@
         has_token = self._state.resume is not None
         return has_token and is_refusal and error.status in LOST_STREAM_STATUSES
 
-    async def _tokens_at(self, entry: Address) -> AsyncIterator[str]:
+    async def _tokens_at(self, entry: Address) -> abc.AsyncIterator[str]:
         path, body = "/v1/completions", self._body
         if self._state.resume is not None:
             path = "/v1/resume"
--- a/acaciaward/client/entries.py
+++ b/acaciaward/client/entries.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Sequence
+from collections import abc
 
 import msgspec
 
@@ -22,7 +22,7 @@
 
     def __init__(
         self,
-        seeds: Sequence[Address],
+        seeds: abc.Sequence[Address],
         client: httpclient.HttpClient,
         data_centre: str | None = None,
     ):
@@ -34,7 +34,7 @@
         self._expire = 0.0
         self._turn = 0
 
-    def pin(self, addresses: Sequence[Address]) -> None:
+    def pin(self, addresses: abc.Sequence[Address]) -> None:
         """Use these entries from now on, without asking which to use."""
         self._known = list(addresses)
         self._is_pinned = True
--- a/acaciaward/client/sse.py
+++ b/acaciaward/client/sse.py
@@ -1,7 +1,7 @@
 """Reads the server-sent events of an answer."""
 
 import typing
-from collections.abc import AsyncIterator
+from collections import abc
 
 import msgspec
 
@@ -11,7 +11,9 @@
 DONE = b"[DONE]"
 
 
-async def events(response: httpclient.Response) -> AsyncIterator[typing.Any]:
+async def events(
+    response: httpclient.Response,
+) -> abc.AsyncIterator[typing.Any]:
     """Yield the JSON body of each event until the explicit end."""
     async for line in response.lines():
         if not line.startswith(DATA_PREFIX):
--- a/acaciaward/client/streaming.py
+++ b/acaciaward/client/streaming.py
@@ -7,7 +7,7 @@
 
 import hashlib
 import typing
-from collections.abc import AsyncIterator
+from collections import abc
 
 from acaciaward import httpclient
 from acaciaward.client import refusals, sse
@@ -57,7 +57,7 @@
             "body": body.decode(),
         }
 
-    async def read(self, response: httpclient.Response) -> AsyncIterator[str]:
+    async def read(self, response: httpclient.Response) -> abc.AsyncIterator[str]:
         """Yield the tokens that are new; raise unless the answer gets whole."""
         self.request_id = response.headers.get("x-request-id", self.request_id)
         async for event in sse.events(response):
--- a/acaciaward/configuration/follower.py
+++ b/acaciaward/configuration/follower.py
@@ -11,7 +11,7 @@
 import random
 import time
 import typing
-from collections.abc import Callable
+from collections import abc
 
 import prometheus_client
 
@@ -74,7 +74,7 @@
         self._replay = replay.Replay()
         self._recent = recent.RecentRecords()
         self._renewal = self._make_renewal()
-        self._listeners: list[Callable[[documents.View], None]] = []
+        self._listeners: list[abc.Callable[[documents.View], None]] = []
         self._has_state = False
         self._is_halted = False
         self._confirmed_at = NEVER
@@ -166,7 +166,7 @@
             self._endpoints[deployment] = found
         return self._endpoints[deployment]
 
-    def subscribe(self, listener: Callable[[documents.View], None]) -> None:
+    def subscribe(self, listener: abc.Callable[[documents.View], None]) -> None:
         """Call a listener with each new view."""
         self._listeners.append(listener)
 
@@ -383,7 +383,9 @@
         """Return whether the view became current in time."""
         return await self.wait_for(lambda: self.is_current, timeout_s)
 
-    async def wait_for(self, condition: Callable[[], bool], timeout_s: float) -> bool:
+    async def wait_for(
+        self, condition: abc.Callable[[], bool], timeout_s: float
+    ) -> bool:
         """Return whether a condition on the replayed state came true in time."""
         try:
             async with asyncio.timeout(timeout_s), self._changed:
--- a/acaciaward/configuration/interfaces.py
+++ b/acaciaward/configuration/interfaces.py
@@ -1,7 +1,7 @@
 """What the other slices need of the configuration."""
 
 import typing
-from collections.abc import Callable
+from collections import abc
 
 from acaciaward import documents, requests
 
@@ -20,5 +20,5 @@
     def endpoints(self, deployment: str) -> list[requests.Endpoint]:
         """Return the endpoints of a deployment, empty if there is none."""
 
-    def subscribe(self, listener: Callable[[documents.View], None]) -> None:
+    def subscribe(self, listener: abc.Callable[[documents.View], None]) -> None:
         """Call a listener with each new view."""
--- a/acaciaward/dispatch/attempts.py
+++ b/acaciaward/dispatch/attempts.py
@@ -9,7 +9,7 @@
 import logging
 import random
 import typing
-from collections.abc import Set
+from collections import abc
 
 from acaciaward import errors, requests, verdicts
 from acaciaward.admission import interfaces as admission_interfaces
@@ -101,7 +101,11 @@
         return reserved or self._route(progress, progress.excluded)
 
     def _route(
-        self, progress: Progress, excluded: Set[str], *, alone: bool = False
+        self,
+        progress: Progress,
+        excluded: abc.Set[str],
+        *,
+        alone: bool = False,
     ) -> requests.Endpoint:
         try:
             return self._with.router.choose(
--- a/acaciaward/dispatch/calls.py
+++ b/acaciaward/dispatch/calls.py
@@ -5,7 +5,7 @@
 import asyncio
 import functools
 import uuid
-from collections.abc import Callable
+from collections import abc
 
 from acaciaward import errors, requests, verdicts
 from acaciaward.claims import interfaces as claims_interfaces
@@ -113,7 +113,7 @@
 
     def _confirmation(
         self, claim: claims_interfaces.Claim | None, progress: attempts.Progress
-    ) -> Callable[[], None] | None:
+    ) -> abc.Callable[[], None] | None:
         if claim is None:
             return None
         return functools.partial(self._confirm, claim, progress)
--- a/acaciaward/dispatch/dispatcher.py
+++ b/acaciaward/dispatch/dispatcher.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import AsyncIterator
+from collections import abc
 
 from acaciaward import requests
 from acaciaward.dispatch import attempts, calls, inflight, streams
@@ -37,7 +37,7 @@
         *,
         taken_up: streams.TakenUp | None = None,
         control: streams.StreamControl | None = None,
-    ) -> AsyncIterator[streams.StreamEvent]:
+    ) -> abc.AsyncIterator[streams.StreamEvent]:
         """Run a model request; see ``StreamDispatcher.stream``."""
         return self._streams.stream(request, taken_up=taken_up, control=control)
 
--- a/acaciaward/dispatch/observed.py
+++ b/acaciaward/dispatch/observed.py
@@ -8,7 +8,7 @@
 import contextlib
 import time
 import typing
-from collections.abc import AsyncIterator
+from collections import abc
 
 from acaciaward import errors, requests
 from acaciaward.dispatch import dispatcher, inflight, streams
@@ -29,7 +29,7 @@
 
     async def stream(
         self, request: requests.Request, **options: typing.Any
-    ) -> AsyncIterator[streams.StreamEvent]:
+    ) -> abc.AsyncIterator[streams.StreamEvent]:
         """Run a model request; a stream that its caller leaves isn't counted."""
         started = time.monotonic()
         events = self._inner.stream(request, **options)
--- a/acaciaward/dispatch/streams.py
+++ b/acaciaward/dispatch/streams.py
@@ -10,7 +10,7 @@
 import contextlib
 import typing
 import uuid
-from collections.abc import AsyncIterator
+from collections import abc
 
 from acaciaward import errors, requests, verdicts
 from acaciaward.admission import interfaces as admission_interfaces
@@ -102,7 +102,7 @@
 
 class _Attempt(typing.NamedTuple):
     endpoint: requests.Endpoint
-    frames: AsyncIterator[endpoints_interfaces.EngineFrame]
+    frames: abc.AsyncIterator[endpoints_interfaces.EngineFrame]
     computes: bool = True
     is_import: bool = False
 
@@ -123,7 +123,7 @@
         *,
         taken_up: TakenUp | None = None,
         control: StreamControl | None = None,
-    ) -> AsyncIterator[StreamEvent]:
+    ) -> abc.AsyncIterator[StreamEvent]:
         """
         Run a model request and yield its events.
 
@@ -158,7 +158,7 @@
 
     async def _take_up(
         self, answer: _Answer, progress: attempts.Progress, taken_up: TakenUp
-    ) -> AsyncIterator[StreamEvent]:
+    ) -> abc.AsyncIterator[StreamEvent]:
         frames = self._with.engine.resume(
             taken_up.endpoint,
             stream=taken_up.stream,
@@ -209,7 +209,7 @@
 
     async def _run(
         self, answer: _Answer, progress: attempts.Progress, attempt: _Attempt
-    ) -> AsyncIterator[StreamEvent]:
+    ) -> abc.AsyncIterator[StreamEvent]:
         try:
             async with contextlib.aclosing(self._read(answer, attempt)) as events:
                 async for event in events:
@@ -236,7 +236,7 @@
 
     async def _read(
         self, answer: _Answer, attempt: _Attempt
-    ) -> AsyncIterator[StreamEvent]:
+    ) -> abc.AsyncIterator[StreamEvent]:
         answer.running = None
         with self._runner.counted(attempt.endpoint, answer.request):
             try:
--- a/acaciaward/endpoints/engine.py
+++ b/acaciaward/endpoints/engine.py
@@ -8,7 +8,7 @@
 import contextlib
 import logging
 import typing
-from collections.abc import AsyncIterator
+from collections import abc
 
 import msgspec
 import prometheus_client
@@ -78,7 +78,7 @@
 
     async def generate(
         self, endpoint: requests.Endpoint, order: interfaces.GenerateOrder
-    ) -> AsyncIterator[interfaces.EngineFrame]:
+    ) -> abc.AsyncIterator[interfaces.EngineFrame]:
         """Run one attempt; see ``interfaces.ModelEngine.generate``."""
         body = {
             "request": order.request.request_id,
@@ -106,7 +106,7 @@
         stream: str,
         request: requests.Request,
         from_index: int,
-    ) -> AsyncIterator[interfaces.EngineFrame]:
+    ) -> abc.AsyncIterator[interfaces.EngineFrame]:
         """Go on reading a stream; see ``interfaces.ModelEngine.resume``."""
         path = (
             f"/streams/{stream}?from={from_index}&request={request.request_id}"
@@ -125,7 +125,7 @@
         body: dict[str, typing.Any] | None,
         request: requests.Request,
         attempt: str | None,
-    ) -> AsyncIterator[interfaces.EngineFrame]:
+    ) -> abc.AsyncIterator[interfaces.EngineFrame]:
         payload = b"" if body is None else msgspec.json.encode(body)
         try:
             async with self._client.send(
--- a/acaciaward/endpoints/interfaces.py
+++ b/acaciaward/endpoints/interfaces.py
@@ -6,7 +6,7 @@
 """
 
 import typing
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections import abc
 
 from acaciaward import requests
 
@@ -32,7 +32,7 @@
 
     attempt: str
     request: requests.Request
-    delivered: Sequence[str]
+    delivered: abc.Sequence[str]
     priority: int
     cache_salt: str
     deadline_s: float
@@ -77,7 +77,7 @@
 
     def generate(
         self, endpoint: requests.Endpoint, order: GenerateOrder
-    ) -> AsyncIterator[EngineFrame]:
+    ) -> abc.AsyncIterator[EngineFrame]:
         """
         Run one attempt.
 
@@ -93,7 +93,7 @@
         stream: str,
         request: requests.Request,
         from_index: int,
-    ) -> AsyncIterator[EngineFrame]:
+    ) -> abc.AsyncIterator[EngineFrame]:
         """Go on reading a stream that another entry began."""
 
     async def cancel(self, endpoint: requests.Endpoint, stream: str) -> None:
@@ -127,7 +127,7 @@
         *,
         attempt: str,
         deadline_s: float,
-        before_write: Callable[[], None] | None = None,
+        before_write: abc.Callable[[], None] | None = None,
     ) -> requests.ServiceAnswer:
         """
         Send the body once and return the whole answer.
--- a/acaciaward/endpoints/service.py
+++ b/acaciaward/endpoints/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections import abc
 
 from acaciaward import errors, httpclient, requests, verdicts
 from acaciaward.endpoints import attempts
@@ -24,7 +24,7 @@
         *,
         attempt: str,
         deadline_s: float,
-        before_write: Callable[[], None] | None = None,
+        before_write: abc.Callable[[], None] | None = None,
     ) -> requests.ServiceAnswer:
         """
         Send the body once and return the whole answer.
@@ -58,7 +58,7 @@
         request: requests.Request,
         attempt: str,
         deadline_s: float,
-        before_write: Callable[[], None],
+        before_write: abc.Callable[[], None],
     ) -> requests.ServiceAnswer:
         headers = {
             "content-type": request.content_type,
--- a/acaciaward/entry/leaving.py
+++ b/acaciaward/entry/leaving.py
@@ -3,7 +3,7 @@
 """
 
 import typing
-from collections.abc import Awaitable, Callable
+from collections import abc
 
 from acaciaward import documents, requests
 from acaciaward.configuration import interfaces as configuration_interfaces
@@ -29,7 +29,7 @@
         engine: endpoints_interfaces.ModelEngine,
         targets: evacuation_interfaces.TargetChooser,
         *,
-        spread: Callable[[], Awaitable[None]],
+        spread: abc.Callable[[], abc.Awaitable[None]],
     ):
         self._configuration = configuration
         self._engine = engine
--- a/acaciaward/evacuation/departures.py
+++ b/acaciaward/evacuation/departures.py
@@ -10,7 +10,7 @@
 import logging
 import time
 import typing
-from collections.abc import Awaitable, Callable
+from collections import abc
 
 import prometheus_client
 
@@ -41,7 +41,7 @@
     is_firm: bool
 
 
-Listener = Callable[[Departure], None]
+Listener = abc.Callable[[Departure], None]
 
 
 class Departures:
@@ -56,7 +56,7 @@
         self,
         hints: membership_interfaces.Hints,
         *,
-        spread: Callable[[], Awaitable[None]] | None = None,
+        spread: abc.Callable[[], abc.Awaitable[None]] | None = None,
     ):
         self._hints = hints
         self._spread = spread
--- a/acaciaward/evacuation/evacuator.py
+++ b/acaciaward/evacuation/evacuator.py
@@ -12,7 +12,7 @@
 import logging
 import time
 import typing
-from collections.abc import Callable
+from collections import abc
 
 import prometheus_client
 
@@ -49,7 +49,7 @@
         known: departures.Departures,
         engine: endpoints_interfaces.ModelEngine,
         targets: interfaces.TargetChooser,
-        weights: Callable[[str], documents.Weights],
+        weights: abc.Callable[[str], documents.Weights],
         limits: Limits,
     ):
         self._known = known
--- a/acaciaward/evacuation/interfaces.py
+++ b/acaciaward/evacuation/interfaces.py
@@ -3,7 +3,7 @@
 import asyncio
 import enum
 import typing
-from collections.abc import Callable, Set
+from collections import abc
 
 from acaciaward import requests
 
@@ -44,7 +44,7 @@
         endpoint: requests.Endpoint,
         stream: str,
         priority: int,
-        count: Callable[[], int],
+        count: abc.Callable[[], int],
     ):
         self.request = request
         self.endpoint = endpoint
@@ -71,7 +71,10 @@
     """Chooses where a stream may go; a ``Router`` fits."""
 
     def choose(
-        self, request: requests.Request, *, excluded: Set[str] = frozenset()
+        self,
+        request: requests.Request,
+        *,
+        excluded: abc.Set[str] = frozenset(),
     ) -> requests.Endpoint:
         """Return an endpoint, or raise ``NoEndpointError``."""
 
--- a/acaciaward/evacuation/watchers.py
+++ b/acaciaward/evacuation/watchers.py
@@ -10,7 +10,7 @@
 import random
 import time
 import typing
-from collections.abc import Callable, Sequence
+from collections import abc
 
 from acaciaward import errors, requests
 from acaciaward.endpoints import interfaces as endpoints_interfaces
@@ -90,8 +90,8 @@
 
 async def watch_engines(
     engine: endpoints_interfaces.ModelEngine,
-    busy: Callable[[], Sequence[requests.Endpoint]],
-    others: Callable[[], Sequence[requests.Endpoint]],
+    busy: abc.Callable[[], abc.Sequence[requests.Endpoint]],
+    others: abc.Callable[[], abc.Sequence[requests.Endpoint]],
     known: departures.Departures,
     limits: WatchLimits,
     chooser: random.Random | None = None,
--- a/acaciaward/fleet/demand.py
+++ b/acaciaward/fleet/demand.py
@@ -7,13 +7,18 @@
 
 import collections
 import time
-from collections.abc import Callable
+from collections import abc
 
 
 class HeldDemand:
     """The highest demand of the last ``hold_s`` seconds, by deployment."""
 
-    def __init__(self, *, hold_s: float, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        *,
+        hold_s: float,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ):
         self._hold_s = hold_s
         self._clock = clock
         self._seen: dict[str, collections.deque] = {}
--- a/acaciaward/fleet/keeper.py
+++ b/acaciaward/fleet/keeper.py
@@ -15,7 +15,7 @@
 import time
 import typing
 import uuid
-from collections.abc import Callable, Sequence
+from collections import abc
 
 from acaciaward import documents, errors, requests
 from acaciaward.configuration import follower
@@ -61,7 +61,7 @@
         leases: leases_interfaces.Leases,
         platform: Platform,
         engine: endpoints_interfaces.ModelEngine,
-        streams: Callable[[str], float],
+        streams: abc.Callable[[str], float],
         *,
         name: str,
         interval_s: float,
@@ -143,8 +143,8 @@
         self,
         name: str,
         entry: documents.DeploymentEntry,
-        offers: Sequence[platform_interfaces.Offer],
-        listing: Sequence[platform_interfaces.CloudInstance],
+        offers: abc.Sequence[platform_interfaces.Offer],
+        listing: abc.Sequence[platform_interfaces.CloudInstance],
     ) -> None:
         self._reconcile(name, listing)
         snapshot = self._snapshot(name, entry, offers, listing)
@@ -158,7 +158,9 @@
         await self._stop_drained()
 
     def _reconcile(
-        self, name: str, listing: Sequence[platform_interfaces.CloudInstance]
+        self,
+        name: str,
+        listing: abc.Sequence[platform_interfaces.CloudInstance],
     ) -> None:
         listed = {one.client_token for one in listing}
         oldest = time.monotonic() - LIST_LAG_S
@@ -172,8 +174,8 @@
         self,
         name: str,
         entry: documents.DeploymentEntry,
-        offers: Sequence[platform_interfaces.Offer],
-        listing: Sequence[platform_interfaces.CloudInstance],
+        offers: abc.Sequence[platform_interfaces.Offer],
+        listing: abc.Sequence[platform_interfaces.CloudInstance],
     ) -> plan.Snapshot:
         listed = [one for one in listing if one.deployment == name]
         names = {one.name for one in listed}
@@ -250,7 +252,7 @@
         self,
         name: str,
         entry: documents.DeploymentEntry,
-        instances: Sequence[platform_interfaces.CloudInstance],
+        instances: abc.Sequence[platform_interfaces.CloudInstance],
     ) -> None:
         known = set(entry.get("endpoints", {}))
         live = {one.name: one for one in instances if one.state == LIVE}
--- a/acaciaward/fleet/plan.py
+++ b/acaciaward/fleet/plan.py
@@ -8,7 +8,7 @@
 import enum
 import math
 import typing
-from collections.abc import Mapping, Sequence, Set as AbstractSet
+from collections import abc
 
 from acaciaward import documents
 from acaciaward.platform import interfaces as platform_interfaces
@@ -74,9 +74,9 @@
     rule: FleetRule
     weights: documents.Weights
     streams: float
-    instances: Sequence[platform_interfaces.CloudInstance]
-    offers: Sequence[platform_interfaces.Offer]
-    refused: AbstractSet[Place] = frozenset()
+    instances: abc.Sequence[platform_interfaces.CloudInstance]
+    offers: abc.Sequence[platform_interfaces.Offer]
+    refused: abc.Set[Place] = frozenset()
     may_shrink: bool = False
 
 
@@ -108,7 +108,7 @@
 
 def choose_offer(
     snapshot: Snapshot,
-    staying: Sequence[platform_interfaces.CloudInstance],
+    staying: abc.Sequence[platform_interfaces.CloudInstance],
     *,
     is_safe: bool,
 ) -> platform_interfaces.Offer | None:
@@ -184,7 +184,7 @@
 
 def _stop_dearest(
     snapshot: Snapshot,
-    staying: Sequence[platform_interfaces.CloudInstance],
+    staying: abc.Sequence[platform_interfaces.CloudInstance],
     safe: int,
     reason: str,
 ) -> list[Step]:
@@ -200,7 +200,7 @@
     return [Step(Action.STOP, snapshot.deployment, reason, instance=dearest.name)]
 
 
-def rule_of(entry: Mapping[str, typing.Any]) -> FleetRule | None:
+def rule_of(entry: abc.Mapping[str, typing.Any]) -> FleetRule | None:
     """Return the rule of a deployment's entry, None if the fleet isn't its matter."""
     fields = entry.get("fleet")
     if not fields:
--- a/acaciaward/fleet/refusals.py
+++ b/acaciaward/fleet/refusals.py
@@ -1,7 +1,7 @@
 """Places whose last start was refused, with an exponential time to try again."""
 
 import time
-from collections.abc import Callable
+from collections import abc
 
 from acaciaward.fleet import plan
 
@@ -12,7 +12,7 @@
 class Refusals:
     """Counts refused starts by place."""
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+    def __init__(self, *, clock: abc.Callable[[], float] = time.monotonic):
         self._clock = clock
         self._counts: dict[plan.Place, int] = {}
         self._until: dict[plan.Place, float] = {}
--- a/acaciaward/httpclient.py
+++ b/acaciaward/httpclient.py
@@ -18,7 +18,7 @@
 import contextlib
 import ssl
 import typing
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections import abc
 
 import h11
 
@@ -120,7 +120,7 @@
         except ValueError:
             return None
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> abc.AsyncIterator[bytes]:
         """Yield the body as it arrives; raise if it ends before its length."""
         while True:
             event = await self._connection.next_event(self._silence_timeout_s)
@@ -132,7 +132,7 @@
             else:
                 raise ConnectionLostError("connection closed inside the response")
 
-    async def lines(self) -> AsyncIterator[bytes]:
+    async def lines(self) -> abc.AsyncIterator[bytes]:
         """Yield the body line by line, without line ends."""
         rest = b""
         async for chunk in self.chunks():
@@ -175,12 +175,12 @@
         port: int,
         path: str,
         *,
-        headers: Mapping[str, str] | None = None,
+        headers: abc.Mapping[str, str] | None = None,
         body: bytes = b"",
         timeout_s: float = DEFAULT_TIMEOUT_S,
         fresh: bool = False,
-        before_write: Callable[[], None] | None = None,
-    ) -> AsyncIterator[Response]:
+        before_write: abc.Callable[[], None] | None = None,
+    ) -> abc.AsyncIterator[Response]:
         """
         Send one request and yield its response.
 
@@ -241,7 +241,7 @@
         method: str,
         target: Target,
         path: str,
-        headers: Mapping[str, str],
+        headers: abc.Mapping[str, str],
         body: bytes,
     ) -> None:
         address, port = target
--- a/acaciaward/httpserver.py
+++ b/acaciaward/httpserver.py
@@ -14,7 +14,7 @@
 import functools
 import ssl
 import typing
-from collections.abc import Callable
+from collections import abc
 
 import blacksheep
 import blacksheep.server.routing
@@ -36,7 +36,10 @@
 
 
 def add_route(
-    application: blacksheep.Application, method: str, path: str, handler: Callable
+    application: blacksheep.Application,
+    method: str,
+    path: str,
+    handler: abc.Callable,
 ) -> None:
     """
     Add a route whose handler may be a bound method.
--- a/acaciaward/identity/resumetokens.py
+++ b/acaciaward/identity/resumetokens.py
@@ -16,7 +16,7 @@
 import hashlib
 import hmac
 import typing
-from collections.abc import Sequence
+from collections import abc
 
 import itsdangerous
 
@@ -44,13 +44,17 @@
     stream: str
 
 
-def sign(keys: Sequence[str], token: ResumeToken) -> str:
+def sign(keys: abc.Sequence[str], token: ResumeToken) -> str:
     """Return the token's signed form; ``keys`` has the newest last."""
     return _serializer(keys).dumps(list(token))
 
 
 def read(
-    keys: Sequence[str], text: str, *, organisation: str, lifetime_s: float
+    keys: abc.Sequence[str],
+    text: str,
+    *,
+    organisation: str,
+    lifetime_s: float,
 ) -> ResumeToken:
     """
     Return a valid token of this organisation.
@@ -69,7 +73,7 @@
 
 
 def prove_delivered(
-    keys: Sequence[str], token: ResumeToken, count: int, digest: str
+    keys: abc.Sequence[str], token: ResumeToken, count: int, digest: str
 ) -> str:
     """
     Return the proof that ``count`` tokens of a stream were delivered.
@@ -80,7 +84,10 @@
 
 
 def check_delivered(
-    keys: Sequence[str], token: ResumeToken, texts: Sequence[str], proof: str
+    keys: abc.Sequence[str],
+    token: ResumeToken,
+    texts: abc.Sequence[str],
+    proof: str,
 ) -> None:
     """Raise ``PermissionDeniedError`` unless the proof fits these texts."""
     digest = hashlib.sha256("".join(texts).encode()).hexdigest()
@@ -102,7 +109,9 @@
     return hmac.digest(key.encode(), PROOF_SALT, "sha256")
 
 
-def _serializer(keys: Sequence[str]) -> itsdangerous.URLSafeTimedSerializer:
+def _serializer(
+    keys: abc.Sequence[str],
+) -> itsdangerous.URLSafeTimedSerializer:
     if not keys:
         raise errors.PermissionDeniedError("streams can't be resumed here")
     return itsdangerous.URLSafeTimedSerializer(
--- a/acaciaward/leases/keeper.py
+++ b/acaciaward/leases/keeper.py
@@ -14,7 +14,7 @@
 import time
 import typing
 import uuid
-from collections.abc import Callable
+from collections import abc
 
 import prometheus_client
 
@@ -68,7 +68,7 @@
         stream: str,
         duration_s: float,
         order_timeout_s: float,
-        is_candidate: Callable[[str], bool] = lambda duty: True,
+        is_candidate: abc.Callable[[str], bool] = lambda duty: True,
         chooser: random.Random | None = None,
     ):
         self._log = platform_log
--- a/acaciaward/membership/hints.py
+++ b/acaciaward/membership/hints.py
@@ -12,7 +12,7 @@
 import time
 import typing
 import zlib
-from collections.abc import Callable
+from collections import abc
 
 from acaciaward.membership import interfaces, messages, spreading
 
@@ -33,7 +33,7 @@
 
 _Key = tuple[interfaces.HintKind, str, str]
 _Held = tuple[interfaces.Hint, float]
-Spreader = Callable[[_Key, messages.HintFields], None]
+Spreader = abc.Callable[[_Key, messages.HintFields], None]
 
 
 class HintBoard:
--- a/acaciaward/membership/interfaces.py
+++ b/acaciaward/membership/interfaces.py
@@ -7,7 +7,7 @@
 
 import enum
 import typing
-from collections.abc import Awaitable, Callable, Mapping
+from collections import abc
 
 
 class PeerState(enum.Enum):
@@ -72,8 +72,11 @@
     lifetime_s: float
 
 
-HintListener = Callable[[Hint], None]
-MessageHandler = Callable[[str, dict[str, typing.Any]], Awaitable[Mapping | None]]
+HintListener = abc.Callable[[Hint], None]
+MessageHandler = abc.Callable[
+    [str, dict[str, typing.Any]],
+    abc.Awaitable[abc.Mapping | None],
+]
 
 
 class Hints(typing.Protocol):
@@ -109,7 +112,7 @@
         self,
         peer: str,
         kind: str,
-        body: Mapping[str, typing.Any],
+        body: abc.Mapping[str, typing.Any],
         *,
         timeout_s: float,
     ) -> dict[str, typing.Any]:
--- a/acaciaward/membership/rendezvous.py
+++ b/acaciaward/membership/rendezvous.py
@@ -8,10 +8,10 @@
 """
 
 import hashlib
-from collections.abc import Iterable
+from collections import abc
 
 
-def choose(key: str, names: Iterable[str], count: int) -> list[str]:
+def choose(key: str, names: abc.Iterable[str], count: int) -> list[str]:
     """Return the ``count`` names that rank lowest for a key."""
     return sorted(names, key=lambda name: _rank(key, name))[:count]
 
--- a/acaciaward/membership/table.py
+++ b/acaciaward/membership/table.py
@@ -9,7 +9,7 @@
 import time
 import typing
 import zlib
-from collections.abc import Callable
+from collections import abc
 
 from acaciaward.membership import interfaces, messages, rendezvous, transport
 from acaciaward.observability import logs
@@ -95,9 +95,9 @@
         self._neighbour_count = neighbour_count
         self._known: dict[str, Known] = {}
         self._neighbours: list[str] | None = None
-        self._on_change: Callable[[Known], None] | None = None
+        self._on_change: abc.Callable[[Known], None] | None = None
 
-    def set_listener(self, on_change: Callable[[Known], None]) -> None:
+    def set_listener(self, on_change: abc.Callable[[Known], None]) -> None:
         """Call a listener with each peer whose state or incarnation changed."""
         self._on_change = on_change
 
--- a/acaciaward/membership/transport.py
+++ b/acaciaward/membership/transport.py
@@ -13,7 +13,7 @@
 import logging
 import time
 import typing
-from collections.abc import Iterable, Mapping
+from collections import abc
 
 import prometheus_client
 import zmq
@@ -112,7 +112,7 @@
         self,
         address: str,
         port: int,
-        kinds: Mapping[str, type],
+        kinds: abc.Mapping[str, type],
         *,
         curve: CurveKeys | None = None,
     ):
@@ -137,7 +137,7 @@
         """Serve requests of a kind; the reply's kind is ``KIND_answer``."""
         self._handlers[kind] = handler
 
-    def allow(self, public_keys: Iterable[str]) -> None:
+    def allow(self, public_keys: abc.Iterable[str]) -> None:
         """Let these keys connect besides those of the settings."""
         self._keys.allowed = self._configured | frozenset(public_keys)
 
@@ -178,7 +178,7 @@
         self,
         peer: PeerAddress,
         kind: str,
-        body: Mapping[str, typing.Any],
+        body: abc.Mapping[str, typing.Any],
         *,
         timeout_s: float,
     ) -> dict[str, typing.Any]:
@@ -199,7 +199,10 @@
             del channel.waiting[number]
 
     def notify(
-        self, peer: PeerAddress, kind: str, body: Mapping[str, typing.Any]
+        self,
+        peer: PeerAddress,
+        kind: str,
+        body: abc.Mapping[str, typing.Any],
     ) -> None:
         """Send a message without reply; one that can't be queued is dropped."""
         try:
--- a/acaciaward/observability/recorder.py
+++ b/acaciaward/observability/recorder.py
@@ -11,7 +11,7 @@
 
 import contextlib
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections import abc
 
 import prometheus_client
 
@@ -42,7 +42,7 @@
 class Recorder:
     """The answers that this entry has given since it started."""
 
-    def __init__(self, name: str, *, clock: Callable[[], float] = time.time):
+    def __init__(self, name: str, *, clock: abc.Callable[[], float] = time.time):
         self._name = name
         self._clock = clock
         self._since = clock()
@@ -130,7 +130,7 @@
 
     def _tallies(
         self, at: float, objective: documents.Objective
-    ) -> Iterator[tuple[int, burn.Tally]]:
+    ) -> abc.Iterator[tuple[int, burn.Tally]]:
         found = self._book.series(at=at, window_s=objective["window_s"])
         for start, counts in found.items():
             yield start, burn.tally(burn.fields_of(counts), objective)
@@ -144,7 +144,7 @@
 
 def _forget(
     metric: prometheus_client.metrics.MetricWrapperBase,
-    label_values: Iterable[tuple[str, ...]],
+    label_values: abc.Iterable[tuple[str, ...]],
 ) -> None:
     for values in label_values:
         # Only the combinations that were counted have a child.
--- a/acaciaward/observability/slots.py
+++ b/acaciaward/observability/slots.py
@@ -16,7 +16,7 @@
 import bisect
 import collections
 import typing
-from collections.abc import Iterable
+from collections import abc
 
 SHORT_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75)
 LONG_BOUNDS_S = (1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 120.0)
@@ -94,7 +94,7 @@
             collections.deque(maxlen=level.kept) for level in levels
         ]
 
-    def set_bounds(self, bounds: Iterable[float]) -> None:
+    def set_bounds(self, bounds: abc.Iterable[float]) -> None:
         """Compare answers with these bounds, in seconds, from now on."""
         self._bounds = tuple(sorted(set(bounds)))
 
--- a/acaciaward/platform/appending.py
+++ b/acaciaward/platform/appending.py
@@ -12,7 +12,7 @@
 import collections
 import logging
 import typing
-from collections.abc import Callable
+from collections import abc
 
 import prometheus_client
 
@@ -49,7 +49,7 @@
         platform_log: platform_interfaces.Log,
         stream: str,
         *,
-        interval_s: Callable[[], float],
+        interval_s: abc.Callable[[], float],
     ):
         self._log = platform_log
         self._stream = stream
--- a/acaciaward/platform/following.py
+++ b/acaciaward/platform/following.py
@@ -10,7 +10,7 @@
 import logging
 import time
 import typing
-from collections.abc import Callable
+from collections import abc
 
 from acaciaward import errors
 from acaciaward.observability import logs
@@ -54,7 +54,7 @@
         replay: Replay,
         *,
         waits_when_idle: bool = False,
-        after_page: Callable[[], None] | None = None,
+        after_page: abc.Callable[[], None] | None = None,
     ):
         self._log = platform_log
         self._stream = stream
--- a/acaciaward/platform/interfaces.py
+++ b/acaciaward/platform/interfaces.py
@@ -7,7 +7,7 @@
 """
 
 import typing
-from collections.abc import Sequence
+from collections import abc
 
 
 class LogRecord(typing.NamedTuple):
@@ -35,7 +35,7 @@
 class Log(typing.Protocol):
     """An append-only log service with offsets."""
 
-    async def append(self, stream: str, records: Sequence[dict]) -> list[int]:
+    async def append(self, stream: str, records: abc.Sequence[dict]) -> list[int]:
         """Append all records as one call and return their offsets."""
 
     async def read(
--- a/acaciaward/platform/log.py
+++ b/acaciaward/platform/log.py
@@ -1,6 +1,6 @@
 """HTTP client of the platform's append-only log service."""
 
-from collections.abc import Sequence
+from collections import abc
 
 from acaciaward import errors
 from acaciaward.platform import calls, interfaces
@@ -14,7 +14,7 @@
     def __init__(self, service: calls.PlatformService):
         self._service = service
 
-    async def append(self, stream: str, records: Sequence[dict]) -> list[int]:
+    async def append(self, stream: str, records: abc.Sequence[dict]) -> list[int]:
         """Append all records as one call and return their offsets."""
         reply = await self._service.call(
             "POST", f"/streams/{stream}/records", {"records": list(records)}
--- a/acaciaward/quarantine/book.py
+++ b/acaciaward/quarantine/book.py
@@ -11,7 +11,7 @@
 import time
 import typing
 import uuid
-from collections.abc import Sequence
+from collections import abc
 
 import prometheus_client
 
@@ -203,7 +203,9 @@
         self._end_turn(nonce, endpoint.name)
 
     async def endpoint_died(
-        self, endpoint: requests.Endpoint, in_flight: Sequence[requests.Request]
+        self,
+        endpoint: requests.Endpoint,
+        in_flight: abc.Sequence[requests.Request],
     ) -> None:
         """Find out whether an endpoint crashed under these requests, and note it."""
         cause = await self._judge.judge(endpoint, self._replay.dead_endpoints())
@@ -219,7 +221,9 @@
         await asyncio.sleep(SETTLE_S)
 
     def _unreported(
-        self, endpoint: requests.Endpoint, in_flight: Sequence[requests.Request]
+        self,
+        endpoint: requests.Endpoint,
+        in_flight: abc.Sequence[requests.Request],
     ) -> list[str]:
         """Return the subjects that weren't reported for this death yet."""
         now = time.monotonic()
@@ -237,7 +241,7 @@
     async def _report(
         self,
         endpoint: requests.Endpoint,
-        in_flight: Sequence[requests.Request],
+        in_flight: abc.Sequence[requests.Request],
         subjects: list[str],
         cause: deaths.DeathCause,
     ) -> None:
--- a/acaciaward/quarantine/interfaces.py
+++ b/acaciaward/quarantine/interfaces.py
@@ -1,7 +1,7 @@
 """What dispatch needs of quarantine."""
 
 import typing
-from collections.abc import Sequence
+from collections import abc
 
 from acaciaward import requests
 
@@ -31,6 +31,8 @@
         """Give a turn back; completing clears the suspect."""
 
     async def endpoint_died(
-        self, endpoint: requests.Endpoint, in_flight: Sequence[requests.Request]
+        self,
+        endpoint: requests.Endpoint,
+        in_flight: abc.Sequence[requests.Request],
     ) -> None:
         """Find out whether an endpoint crashed under these requests, and note it."""
--- a/acaciaward/routing/balanced.py
+++ b/acaciaward/routing/balanced.py
@@ -8,7 +8,7 @@
 import random
 import time
 import typing
-from collections.abc import Set
+from collections import abc
 
 from acaciaward import documents, errors, requests
 from acaciaward.configuration import interfaces as configuration_interfaces
@@ -113,8 +113,8 @@
         self,
         request: requests.Request,
         *,
-        excluded: Set[str] = frozenset(),
-        avoided_data_centres: Set[str] = frozenset(),
+        excluded: abc.Set[str] = frozenset(),
+        avoided_data_centres: abc.Set[str] = frozenset(),
         alone: bool = False,
     ) -> requests.Endpoint:
         """Return the endpoint for the next attempt."""
@@ -137,7 +137,7 @@
         return chosen
 
     def _candidates(
-        self, deployment: str, excluded: Set[str]
+        self, deployment: str, excluded: abc.Set[str]
     ) -> list[requests.Endpoint]:
         gone = self._gone() | excluded
         for pool in (
@@ -149,7 +149,7 @@
                 return usable
         return []
 
-    def _is_gone(self, endpoint: requests.Endpoint, gone: Set[str]) -> bool:
+    def _is_gone(self, endpoint: requests.Endpoint, gone: abc.Set[str]) -> bool:
         report = self._board.report(endpoint.name)
         is_leaving = report is not None and report.load.leaving
         return is_leaving or endpoint.name in gone
@@ -168,7 +168,7 @@
         self,
         endpoint: requests.Endpoint,
         names: list[str],
-        avoided_data_centres: Set[str],
+        avoided_data_centres: abc.Set[str],
     ) -> choice.Snapshot:
         health = self._health[endpoint.name]
         cached = self._board.blocks(endpoint.name).cached_tokens(names) if names else 0
--- a/acaciaward/routing/choice.py
+++ b/acaciaward/routing/choice.py
@@ -9,7 +9,7 @@
 import math
 import random
 import typing
-from collections.abc import Sequence
+from collections import abc
 
 from acaciaward import documents, requests
 
@@ -73,7 +73,7 @@
     return snapshot.own + trust * snapshot.others + (1 - trust) * mean_others
 
 
-def mean_others(snapshots: Sequence[Snapshot]) -> float:
+def mean_others(snapshots: abc.Sequence[Snapshot]) -> float:
     """Return the mean of what the reports say of other entries' requests."""
     reported = [one.others for one in snapshots if one.report_age_s is not None]
     return sum(reported) / len(reported) if reported else 0.0
@@ -112,7 +112,7 @@
     return RISK_FACTOR * leaning * service_s(snapshot, wish)
 
 
-def ejected(snapshots: Sequence[Snapshot]) -> set[str]:
+def ejected(snapshots: abc.Sequence[Snapshot]) -> set[str]:
     """
     Return the names of endpoints to leave out: failing or slow ones.
 
@@ -136,7 +136,7 @@
 
 
 def choose(
-    snapshots: Sequence[Snapshot], wish: Wish, chooser: random.Random
+    snapshots: abc.Sequence[Snapshot], wish: Wish, chooser: random.Random
 ) -> requests.Endpoint:
     """Return the endpoint for a request; there must be at least one snapshot."""
     out = ejected(snapshots)
--- a/acaciaward/routing/interfaces.py
+++ b/acaciaward/routing/interfaces.py
@@ -2,7 +2,7 @@
 
 import enum
 import typing
-from collections.abc import Set
+from collections import abc
 
 from acaciaward import requests
 
@@ -23,8 +23,8 @@
         self,
         request: requests.Request,
         *,
-        excluded: Set[str] = frozenset(),
-        avoided_data_centres: Set[str] = frozenset(),
+        excluded: abc.Set[str] = frozenset(),
+        avoided_data_centres: abc.Set[str] = frozenset(),
         alone: bool = False,
     ) -> requests.Endpoint:
         """
--- a/acaciaward/routing/prefix.py
+++ b/acaciaward/routing/prefix.py
@@ -11,7 +11,7 @@
 import collections
 import hashlib
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections import abc
 
 from acaciaward.endpoints import interfaces as endpoints_interfaces
 
@@ -36,17 +36,19 @@
 class HeldBlocks:
     """The blocks that one engine is believed to hold."""
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+    def __init__(self, *, clock: abc.Callable[[], float] = time.monotonic):
         self._clock = clock
         self._blocks: collections.OrderedDict[str, float] = collections.OrderedDict()
         self.next_offset = 0
 
-    def note_sent(self, names: Iterable[str]) -> None:
+    def note_sent(self, names: abc.Iterable[str]) -> None:
         """Take the blocks of a prompt that was sent there as held."""
         for name in names:
             self._hold(name)
 
-    def note_events(self, events: Sequence[endpoints_interfaces.CacheEvent]) -> None:
+    def note_events(
+        self, events: abc.Sequence[endpoints_interfaces.CacheEvent]
+    ) -> None:
         """Take events in; a gap makes everything known before it uncertain."""
         for event in events:
             if event.offset < self.next_offset:
@@ -59,7 +61,7 @@
             else:
                 self._blocks.pop(event.block, None)
 
-    def cached_tokens(self, names: Sequence[str]) -> int:
+    def cached_tokens(self, names: abc.Sequence[str]) -> int:
         """Return how many tokens at the front of a prompt are held."""
         oldest = self._clock() - BLOCK_LIFETIME_S
         hits = 0
--- a/acaciaward/routing/subset.py
+++ b/acaciaward/routing/subset.py
@@ -9,7 +9,7 @@
 """
 
 import hashlib
-from collections.abc import Sequence
+from collections import abc
 
 from acaciaward import requests
 
@@ -23,7 +23,7 @@
 def choose_subset(
     entry: str,
     data_centre: str,
-    endpoints: Sequence[requests.Endpoint],
+    endpoints: abc.Sequence[requests.Endpoint],
     *,
     size: int,
 ) -> list[requests.Endpoint]:
--- a/acaciaward/wire.py
+++ b/acaciaward/wire.py
@@ -12,7 +12,7 @@
 """
 
 import typing
-from collections.abc import Mapping, Sequence
+from collections import abc
 
 import msgspec
 
@@ -24,20 +24,20 @@
 class MessageTable:
     """Maps the kinds of messages to the types of their bodies."""
 
-    def __init__(self, kinds: Mapping[str, type]):
+    def __init__(self, kinds: abc.Mapping[str, type]):
         self._decoders = {
             kind.encode(): msgspec.msgpack.Decoder(body) for kind, body in kinds.items()
         }
         self._encoder = msgspec.msgpack.Encoder()
 
-    def encode(self, kind: str, body: Mapping[str, typing.Any]) -> list[bytes]:
+    def encode(self, kind: str, body: abc.Mapping[str, typing.Any]) -> list[bytes]:
         """Return the frames of a message; the kind must be in the table."""
         name = kind.encode()
         if name not in self._decoders:
             raise errors.WireError(f"unknown message kind {kind!r}")
         return [name, self._encoder.encode(body)]
 
-    def decode(self, frames: Sequence[bytes]) -> tuple[str, dict[str, typing.Any]]:
+    def decode(self, frames: abc.Sequence[bytes]) -> tuple[str, dict[str, typing.Any]]:
         """Return kind and body, or raise ``WireError`` for anything else."""
         if len(frames) != 2:
             raise errors.WireError(f"expected 2 frames, got {len(frames)}")
--- a/baseline/entry.py
+++ b/baseline/entry.py
@@ -17,7 +17,7 @@
 import time
 import typing
 import uuid
-from collections.abc import AsyncIterator, Mapping
+from collections import abc
 
 import blacksheep
 from blacksheep.server.responses import json as json_response
@@ -38,7 +38,7 @@
 
     def __init__(
         self,
-        endpoints: Mapping[str, Address],
+        endpoints: abc.Mapping[str, Address],
         *,
         address: str = "127.0.0.1",
         port: int,
@@ -143,7 +143,7 @@
 
     async def _tokens(
         self, request: requests.Request
-    ) -> AsyncIterator[requests.TokenFrame]:
+    ) -> abc.AsyncIterator[requests.TokenFrame]:
         count = 0
         for _ in range(MAX_ATTEMPTS):
             try:
@@ -158,7 +158,7 @@
 
     async def _generate(
         self, request: requests.Request
-    ) -> AsyncIterator[dict[str, typing.Any]]:
+    ) -> abc.AsyncIterator[dict[str, typing.Any]]:
         order = {
             "request": request.request_id,
             "organisation": request.organisation,
--- a/bench/load.py
+++ b/bench/load.py
@@ -11,7 +11,7 @@
 import random
 import time
 import typing
-from collections.abc import Awaitable, Callable, Sequence
+from collections import abc
 
 from acaciaward import errors, httpclient
 
@@ -32,9 +32,9 @@
 class Profile(typing.NamedTuple):
     """Who sends what, how often; a rate of ``low`` to ``high`` requests a second."""
 
-    shapes: Sequence[Shape]
-    organisations: Sequence[str]
-    deployments: Sequence[str]
+    shapes: abc.Sequence[Shape]
+    organisations: abc.Sequence[str]
+    deployments: abc.Sequence[str]
     low: float
     high: float
 
@@ -66,7 +66,7 @@
         return self.tokens > 0 and self.took_s <= self.planned.deadline_s
 
 
-Send = Callable[[Planned], Awaitable[Outcome]]
+Send = abc.Callable[[Planned], abc.Awaitable[Outcome]]
 
 
 def rate_at(profile: Profile, moment: float, duration_s: float) -> float:
@@ -118,7 +118,7 @@
     return " ".join([*shared, f"case-{number}", *own])
 
 
-async def run_schedule(schedule: Sequence[Planned], send: Send) -> list[Outcome]:
+async def run_schedule(schedule: abc.Sequence[Planned], send: Send) -> list[Outcome]:
     """Send every request at its time and return all outcomes."""
     begin = time.monotonic()
 
@@ -134,7 +134,7 @@
     return list(await asyncio.gather(*(run_one(planned) for planned in schedule)))
 
 
-def share_in_time(outcomes: Sequence[Outcome], service_class: str) -> float:
+def share_in_time(outcomes: abc.Sequence[Outcome], service_class: str) -> float:
     """Return the share of a class answered in time, 1 if there was none."""
     chosen = [o for o in outcomes if o.planned.service_class == service_class]
     if not chosen:
@@ -142,7 +142,7 @@
     return sum(outcome.in_time for outcome in chosen) / len(chosen)
 
 
-def goodput(outcomes: Sequence[Outcome], duration_s: float) -> float:
+def goodput(outcomes: abc.Sequence[Outcome], duration_s: float) -> float:
     """
     Return the tokens a second of answers that came in time.
 
@@ -157,7 +157,7 @@
     return good / duration_s
 
 
-def percentile(values: Sequence[float], share: float) -> float:
+def percentile(values: abc.Sequence[float], share: float) -> float:
     """Return a percentile by the nearest rank, 0 for no values."""
     if not values:
         return 0.0
--- a/bench/naive.py
+++ b/bench/naive.py
@@ -11,7 +11,7 @@
 import time
 import typing
 import uuid
-from collections.abc import Sequence
+from collections import abc
 
 from acaciaward import httpclient
 from bench import load
@@ -25,7 +25,7 @@
     """Sends planned requests to ``endpoints`` in turn."""
 
     def __init__(self):
-        self.endpoints: Sequence[tuple[str, int]] = ()
+        self.endpoints: abc.Sequence[tuple[str, int]] = ()
         self._client = httpclient.HttpClient(connect_timeout_s=1.0)
         self._turn = itertools.count()
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -15,7 +15,7 @@
 import random
 import time
 import typing
-from collections.abc import Awaitable, Callable
+from collections import abc
 
 from bench import load, naive, options as bench_options, rented
 
@@ -65,7 +65,7 @@
 NAIVE_PER_DEPLOYMENT = 3
 REPLACE_RETRY_S = 0.5
 
-Disturb = Callable[[rented.RentedCluster, float], Awaitable[None]]
+Disturb = abc.Callable[[rented.RentedCluster, float], abc.Awaitable[None]]
 
 
 def make_offers() -> list[dict[str, typing.Any]]:
--- a/bench/rented.py
+++ b/bench/rented.py
@@ -10,7 +10,7 @@
 import json
 import typing
 import uuid
-from collections.abc import Mapping, Sequence
+from collections import abc
 
 from acaciaward.identity import apikeys
 from bench import cluster, processes
@@ -20,7 +20,8 @@
 
 
 def make_organisations(
-    shares: Mapping[str, float], limits: Mapping[str, typing.Any] | None = None
+    shares: abc.Mapping[str, float],
+    limits: abc.Mapping[str, typing.Any] | None = None,
 ) -> tuple[dict[str, typing.Any], dict[str, str]]:
     """Return the document's organisations and their keys."""
     entries = {}
@@ -39,7 +40,7 @@
     def __init__(
         self,
         document: dict[str, typing.Any],
-        offers: Sequence[dict[str, typing.Any]],
+        offers: abc.Sequence[dict[str, typing.Any]],
         *,
         entry_count: int,
         settings: dict[str, typing.Any] | None = None,
@@ -100,7 +101,7 @@
             made.append({"name": answer["name"]} | answer)
         return made
 
-    async def serve_with(self, instances: Sequence[dict[str, typing.Any]]) -> None:
+    async def serve_with(self, instances: abc.Sequence[dict[str, typing.Any]]) -> None:
         """Make instances endpoints of their deployments by a patch."""
         deployments: dict[str, typing.Any] = {}
         for instance in instances:
--- a/bench/sender.py
+++ b/bench/sender.py
@@ -9,7 +9,7 @@
 import json
 import time
 import typing
-from collections.abc import Mapping, Sequence
+from collections import abc
 
 from acaciaward import httpclient
 from acaciaward.client import sse
@@ -21,7 +21,11 @@
 class EntrySender:
     """Streams completions from ``entries`` with each organisation's key."""
 
-    def __init__(self, entries: Sequence[tuple[str, int]], keys: Mapping[str, str]):
+    def __init__(
+        self,
+        entries: abc.Sequence[tuple[str, int]],
+        keys: abc.Mapping[str, str],
+    ):
         self._entries = list(entries)
         self._keys = keys
         self._client = httpclient.HttpClient(connect_timeout_s=5.0)
--- a/standins/base.py
+++ b/standins/base.py
@@ -10,7 +10,7 @@
 import json
 import os
 import typing
-from collections.abc import Callable
+from collections import abc
 
 import blacksheep
 from blacksheep.server.responses import json as json_response
@@ -39,7 +39,7 @@
         self._server: httpserver.HttpServer | None = None
         self._is_own_process = False
 
-    def add_route(self, method: str, path: str, handler: Callable) -> None:
+    def add_route(self, method: str, path: str, handler: abc.Callable) -> None:
         """Serve one more path."""
         httpserver.add_route(self.application, method, path, handler)
 
