--- a/acaciaward/claims/runs.py
+++ b/acaciaward/claims/runs.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import contextlib
 import enum
 import time
 
@@ -97,10 +98,9 @@
 
     async def wait(self, run: Run, wait_s: float) -> None:
         """Wait a while for the end of a run."""
-        try:
-            await asyncio.wait_for(run.ended.wait(), wait_s)
-        except TimeoutError:
-            pass
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await run.ended.wait()
 
     def _forget(self) -> None:
         oldest = time.monotonic() - self._kept_s
--- a/acaciaward/quarantine/deaths.py
+++ b/acaciaward/quarantine/deaths.py
@@ -30,9 +30,8 @@
 async def accepts(endpoint: requests.Endpoint) -> bool:
     """Return whether an endpoint accepts a connection."""
     try:
-        _, writer = await asyncio.wait_for(
-            asyncio.open_connection(endpoint.address, endpoint.port), PROBE_TIMEOUT_S
-        )
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
     except (OSError, TimeoutError):
         return False
     writer.close()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -22,6 +22,7 @@
 
 import asyncio
 import collections
+import contextlib
 import hashlib
 import json
 import time
@@ -164,10 +165,9 @@
             self._note_load()
             if not batch:
                 self._work.clear()
-                try:
-                    await asyncio.wait_for(self._work.wait(), ORPHAN_POLL_S)
-                except TimeoutError:
-                    pass
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(ORPHAN_POLL_S):
+                        await self._work.wait()
                 self._drop_ended()
                 continue
             prefilled = 0 if self.faults["stall"] else self._advance(batch)
@@ -296,10 +296,9 @@
             if stream.end is not None:
                 yield self._line(stream, stream.final_frame())
                 return
-            try:
-                await asyncio.wait_for(grown.wait(), ORPHAN_POLL_S)
-            except TimeoutError:
-                pass
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ORPHAN_POLL_S):
+                    await grown.wait()
             if await request.is_disconnected():
                 return
 
