--- a/acaciaward/entry/features/steps/versions_steps.py
+++ b/acaciaward/entry/features/steps/versions_steps.py
@@ -14,7 +14,7 @@
 from acaciaward import errors, wire
 from acaciaward.client import caller
 from acaciaward.demonstration import world
-from acaciaward.entry import process
+from acaciaward.entry import peerside
 from acaciaward.membership import transport
 
 NEW_FIELD = "of_a_newer_version"
@@ -49,9 +49,9 @@
 
 @then("each kind of message decodes to what it was before the fields were added")
 def check_messages(context):
-    table = wire.MessageTable(process.MESSAGE_KINDS)
-    assert len(process.MESSAGE_KINDS) >= 8
-    for kind, body_type in process.MESSAGE_KINDS.items():
+    table = wire.MessageTable(peerside.MESSAGE_KINDS)
+    assert len(peerside.MESSAGE_KINDS) >= 8
+    for kind, body_type in peerside.MESSAGE_KINDS.items():
         plain = msgspec.msgpack.encode(_sample(body_type, extra=False))
         newer = msgspec.msgpack.encode(_sample(body_type, extra=True))
         assert plain != newer, kind
@@ -61,7 +61,7 @@
 
 @then("a message of an unknown kind is refused without harm")
 def check_unknown_kind(context):
-    table = wire.MessageTable(process.MESSAGE_KINDS)
+    table = wire.MessageTable(peerside.MESSAGE_KINDS)
     try:
         table.decode([b"kind_of_the_future", msgspec.msgpack.encode({})])
     except errors.WireError:
--- a/bench/control.py
+++ b/bench/control.py
@@ -17,7 +17,7 @@
 import typing
 
 from acaciaward import errors, httpclient
-from acaciaward.entry import process
+from acaciaward.entry import peerside
 from acaciaward.membership import hints, interfaces, transport
 from bench import cluster, options as bench_options, processes, regression
 from standins import ports
@@ -71,7 +71,7 @@
         self._random = random.Random(seed)
         self._client = httpclient.HttpClient()
         self._observer = transport.PeerTransport(
-            processes.ADDRESS, ports.find_free_port(), process.MESSAGE_KINDS
+            processes.ADDRESS, ports.find_free_port(), peerside.MESSAGE_KINDS
         )
         self.patch_s: list[float] = []
         self.hint_s: list[float] = []
