Let learnt estimates fade, so that slow calls never keep admission shut

The time of a service call was learnt from calls that a fault had held for seconds; once it exceeded the deadline nothing was admitted, so nothing showed that calls were fast again. Change: estimates halve their distance to the usual value each 0.5 s without a sample, for calls and for engines' slowdown. Seen to fail before: 'A service that was slow for a while is not refused for good' with the older queueing.py (not admitted within 5 s).

--- a/acaciaward/admission/features/admission.feature
+++ b/acaciaward/admission/features/admission.feature
@@ -33,3 +33,8 @@
 
   Scenario: A retry budget is finite and belongs to one organisation
     Then an organisation can't spend more retries than it earned
+
+  Scenario: A service that was slow for a while is not refused for good
+    Given admission for 4 slots with steps of 0.01 s
+    When 40 calls of a service take 2 times their deadline of 0.2 s each
+    Then a call is admitted again within 5 s
--- a/acaciaward/admission/features/steps/admission_steps.py
+++ b/acaciaward/admission/features/steps/admission_steps.py
@@ -250,3 +250,49 @@
         assert budgets.spend("other")
 
     check()
+
+
+def _call(number, deadline_s):
+    now = asyncio.get_running_loop().time()
+    return requests.Request(
+        request_id=f"call-{number}",
+        organisation="one",
+        deployment="desk",
+        kind=requests.DeploymentKind.SERVICE,
+        service_class=requests.ServiceClass.URGENT,
+        idempotent=True,
+        key=None,
+        digest=str(number),
+        deadline=now + deadline_s,
+    )
+
+
+@when(
+    "{count:d} calls of a service take {times:d} times their deadline of "
+    "{limit:g} s each"
+)
+def run_slow_calls(context, count, times, limit):
+    context.limit = limit
+
+    async def run():
+        for begin in range(0, count, 4):
+            calls = [_call(begin + one, 60.0) for one in range(4)]
+            tickets = [await context.admission.admit(call) for call in calls]
+            await asyncio.sleep(times * limit)
+            for ticket in tickets:
+                context.admission.release(ticket)
+
+    context.runner.run(run())
+
+
+@then("a call is admitted again within {bound:g} s")
+def check_admitted_again(context, bound):
+    async def ask():
+        async with asyncio.timeout(bound):
+            while True:
+                try:
+                    return await context.admission.admit(_call("again", context.limit))
+                except errors.OverloadedError:
+                    await asyncio.sleep(0.05)
+
+    assert isinstance(context.runner.run(ask()), interfaces.Ticket)
--- a/acaciaward/admission/queueing.py
+++ b/acaciaward/admission/queueing.py
@@ -16,6 +16,7 @@
 from acaciaward.admission import (
     decisions,
     deploymentqueue,
+    estimates,
     interfaces,
     limits,
     retrybudget,
@@ -33,7 +34,6 @@
     requests.ServiceClass.LONG: 2,
 }
 DEFAULT_SHARE = 1.0
-SERVICE_SMOOTHING = 0.1
 MAX_SLOWDOWN = 2.0
 FIRST_SERVICE_S = 0.02
 MINIMUM_QUEUED = 4
@@ -61,8 +61,8 @@
         self._queues: dict[str, deploymentqueue.DeploymentQueue] = {}
         self._deployment_of: dict[int, str] = {}
         self._numbers = itertools.count(1)
-        self._service_s: dict[str, float] = {}
-        self._slowdowns: dict[str, float] = {}
+        self._service_s: dict[str, estimates.FadingEstimate] = {}
+        self._slowdowns: dict[str, estimates.FadingEstimate] = {}
 
     async def admit(self, request: requests.Request) -> interfaces.Ticket:
         """Wait for a turn within bounds and return a ticket."""
@@ -200,7 +200,7 @@
         estimate: float,
     ) -> interfaces.Ticket:
         organisation = request.organisation
-        modelled_s = service_s / self._slowdowns.get(request.deployment, 1.0)
+        modelled_s = service_s / self._slowdown(request.deployment)
         queue.add_running(
             number,
             deploymentqueue.Running(
@@ -359,21 +359,27 @@
         self, request: requests.Request, capacity: interfaces.Capacity
     ) -> float:
         if request.kind is requests.DeploymentKind.MODEL:
-            slowdown = self._slowdowns.get(request.deployment, 1.0)
+            slowdown = self._slowdown(request.deployment)
             return slowdown * decisions.service_s(request, capacity)
         return self._service_estimate(request.deployment)
 
     def _service_estimate(self, deployment: str) -> float:
-        return self._service_s.get(deployment, FIRST_SERVICE_S)
+        known = self._service_s.get(deployment)
+        return known.value(self._now()) if known else FIRST_SERVICE_S
+
+    def _slowdown(self, deployment: str) -> float:
+        known = self._slowdowns.get(deployment)
+        return known.value(self._now()) if known else 1.0
 
     def _learn_service_s(self, deployment: str, took_s: float) -> None:
-        known = self._service_s.get(deployment, took_s)
-        self._service_s[deployment] = known + SERVICE_SMOOTHING * (took_s - known)
+        known = self._service_s.setdefault(
+            deployment, estimates.FadingEstimate(FIRST_SERVICE_S)
+        )
+        known.learn(took_s, now=self._now())
 
     def _learn_slowdown(self, deployment: str, ratio: float) -> None:
-        known = self._slowdowns.get(deployment, 1.0)
-        bounded = min(MAX_SLOWDOWN, max(1.0, ratio))
-        self._slowdowns[deployment] = known + SERVICE_SMOOTHING * (bounded - known)
+        known = self._slowdowns.setdefault(deployment, estimates.FadingEstimate(1.0))
+        known.learn(min(MAX_SLOWDOWN, max(1.0, ratio)), now=self._now())
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
