Hold the duties: one lease, usage reports, and orders for the fleet

The lease is a conditional append; a window's counts are decided in the topic's order before they are sent; reclaimable endpoints are rented so that the loss of a data centre leaves what the demand needs.

--- /dev/null
+++ b/acaciaward/fleet/ordering.py
@@ -0,0 +1,181 @@
+"""
+Orders endpoints while this entry holds the duties, and says why in a line.
+
+Orders are declarative, so a lost answer is settled by sending the same again.
+"""
+
+import asyncio
+import logging
+import time
+import typing
+from collections import abc
+
+from acaciaward import errors
+from acaciaward.catalogue import endpoints, routes
+from acaciaward.fleet import zoneplan
+from acaciaward.leases import conditional
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
+
+POLL_S = 0.3
+# A data centre that had no reclaimable endpoints is asked again after this time.
+DRY_S = 4.0
+# An order that has had no effect this long after its boot time is sent again.
+LOST_S = 3.0
+# Fewer endpoints are ordered only after less was needed for this long, in seconds.
+HOLD_S = 8.0
+SEND_S = 0.8
+
+
+class Order(typing.NamedTuple):
+    """Sets the number of endpoints of a kind."""
+
+    service: str
+    kind: zoneplan.Kind
+    count: int
+
+
+class _Sent(typing.NamedTuple):
+    count: int
+    at: float
+    ready_before: int
+
+
+class NothingToRentError(errors.PlatformRefusedError):
+    """There are no endpoints of the kind to be had at the moment."""
+
+
+SendOrder = abc.Callable[[Order, int], abc.Awaitable[None]]
+
+
+class Ordering:
+    """Keeps the fleet at the plan of the demand."""
+
+    def __init__(
+        self,
+        lease: conditional.ConditionalLease,
+        directory: endpoints.Directory,
+        services: abc.Callable[[], abc.Sequence[routes.Service]],
+        demand: abc.Callable[[str], tuple[float, float]],
+        send: SendOrder,
+        *,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ):
+        self._lease = lease
+        self._directory = directory
+        self._services = services
+        self._demand = demand
+        self._send = send
+        self._clock = clock
+        self._sent: dict[tuple[str, zoneplan.Kind], _Sent] = {}
+        self._dry: dict[tuple[str, str], float] = {}
+        self._needed: dict[str, tuple[int, float]] = {}
+        self._fence: int | None = None
+
+    async def run(self) -> None:
+        """Order until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_S)
+            for service in self._services():
+                try:
+                    await self.step(service)
+                except errors.PlatformError as error:
+                    log.info(
+                        "order not sent",
+                        extra=logs.fields(service=service.name, reason=error),
+                    )
+
+    async def step(self, service: routes.Service) -> None:
+        """Send what the plan changes for one service."""
+        tenure = self._lease.held(for_s=SEND_S)
+        if tenure is None:
+            return
+        if tenure.fence != self._fence:
+            # What was ordered before is another holder's; the plan is sent whole.
+            self._fence = tenure.fence
+            self._sent.clear()
+        snapshot = self._snapshot(service)
+        for kind, count in zoneplan.make_plan(snapshot).items():
+            if not self._is_due(service.name, kind, count, snapshot):
+                continue
+            tenure = self._lease.held(for_s=SEND_S)
+            if tenure is None:
+                return
+            await self._order(service, kind, count, snapshot, tenure.fence)
+
+    async def _order(
+        self,
+        service: routes.Service,
+        kind: zoneplan.Kind,
+        count: int,
+        snapshot: zoneplan.Snapshot,
+        fence: int,
+    ) -> None:
+        outcome = "taken"
+        ready = snapshot.ready.get(kind, 0)
+        try:
+            await self._send(Order(service.name, kind, count), fence)
+            self._sent[(service.name, kind)] = _Sent(count, self._clock(), ready)
+        except NothingToRentError:
+            outcome = "none to be had"
+            self._dry[(service.name, kind.data_centre)] = self._clock() + DRY_S
+            self._sent[(service.name, kind)] = _Sent(ready, self._clock(), ready)
+        log.info(
+            "endpoints ordered",
+            extra=logs.fields(
+                service=service.name,
+                data_centre=kind.data_centre,
+                reclaimable=kind.is_reclaimable,
+                count=count,
+                ready=ready,
+                needed=snapshot.needed,
+                fence=fence,
+                outcome=outcome,
+            ),
+        )
+
+    def _is_due(
+        self,
+        service: str,
+        kind: zoneplan.Kind,
+        count: int,
+        snapshot: zoneplan.Snapshot,
+    ) -> bool:
+        sent = self._sent.get((service, kind))
+        if sent is None or sent.count != count:
+            return True
+        is_reached = snapshot.ready.get(kind, 0) == count
+        boot_s = snapshot.scaling.boot_s
+        return not is_reached and self._clock() - sent.at > boot_s + LOST_S
+
+    def _snapshot(self, service: routes.Service) -> zoneplan.Snapshot:
+        now = self._clock()
+        ready: dict[zoneplan.Kind, int] = {}
+        for one in self._directory.ready(service.name):
+            kind = zoneplan.Kind(one.data_centre, one.is_reclaimable)
+            ready[kind] = ready.get(kind, 0) + 1
+        coming = {}
+        for (name, kind), sent in self._sent.items():
+            boots = now - sent.at < service.scaling.boot_s + LOST_S
+            if name == service.name and boots:
+                coming[kind] = max(0, sent.count - max(ready.get(kind, 0), 0))
+        dry = {
+            place
+            for (name, place), until in self._dry.items()
+            if name == service.name and until > now
+        }
+        return zoneplan.Snapshot(
+            service.scaling, ready, coming, dry, self._needed_now(service.name)
+        )
+
+    def _needed_now(self, service: str) -> int:
+        tokens_per_s, streams = self._demand(service)
+        needed = zoneplan.engines_needed(tokens_per_s, streams)
+        now = self._clock()
+        held, since = self._needed.get(service, (needed, now))
+        if needed >= held:
+            self._needed[service] = (needed, now)
+        elif now - since > HOLD_S:
+            self._needed[service] = (held - 1, now)
+        return self._needed[service][0] if service in self._needed else needed
--- /dev/null
+++ b/acaciaward/fleet/zoneplan.py
@@ -0,0 +1,115 @@
+"""
+How many endpoints of each kind to rent in each data centre, as plain functions.
+
+Reclaimable endpoints cost a fraction, but all of a data centre's go at once and
+none may be had for a while. So there are enough of them that the loss of any one
+data centre leaves what the demand needs, and safe ones are rented only for what
+is missing to that.
+
+Answers to: a data centre reclaimed with none to be had, two reclaims in a row,
+demand that rises faster than endpoints boot.
+"""
+
+import math
+import typing
+from collections import abc
+
+from acaciaward.catalogue import routes
+
+# Prompt tokens that one engine reads in a second beside the tokens it makes.
+TOKENS_PER_ENGINE_S = 60_000.0
+# Streams at once that one engine carries without long pauses between tokens.
+STREAMS_PER_ENGINE = 24.0
+# Demand that is prepared for, as a multiple of the present one: bursts rise faster
+# than endpoints boot.
+HEADROOM = 1.25
+FEWEST = 2
+
+
+class Kind(typing.NamedTuple):
+    """A data centre, and whether its endpoints may be reclaimed."""
+
+    data_centre: str
+    is_reclaimable: bool
+
+
+class Snapshot(typing.NamedTuple):
+    """
+    One service as the plan sees it.
+
+    ``ready`` counts endpoints that get new work, ``coming`` those ordered and not
+    refused that still boot. ``dry`` are data centres that refused reclaimable ones
+    lately. ``needed`` is how many engines the demand needs.
+    """
+
+    scaling: routes.Scaling
+    ready: abc.Mapping[Kind, int]
+    coming: abc.Mapping[Kind, int]
+    dry: abc.Set[str]
+    needed: int
+
+
+def engines_needed(tokens_per_s: float, streams: float) -> int:
+    """
+    Return how many engines a demand needs, with headroom.
+
+        engines_needed(82_000, 12)  # 2
+    """
+    by_tokens = tokens_per_s / TOKENS_PER_ENGINE_S
+    by_streams = streams / STREAMS_PER_ENGINE
+    return max(FEWEST, math.ceil(HEADROOM * max(by_tokens, by_streams)))
+
+
+def make_plan(snapshot: Snapshot) -> dict[Kind, int]:
+    """Return how many endpoints of each kind to order in each data centre."""
+    places = sorted(snapshot.scaling.prices, key=snapshot.scaling.prices.get)
+    reclaimable = _plan_reclaimable(snapshot, places)
+    safe = _plan_safe(snapshot, places, reclaimable)
+    plan = {Kind(place, True): count for place, count in reclaimable.items()}
+    return plan | {Kind(place, False): count for place, count in safe.items()}
+
+
+def _plan_reclaimable(snapshot: Snapshot, places: abc.Sequence[str]) -> dict[str, int]:
+    if snapshot.scaling.reclaimable_price is None:
+        return {}
+    bounds = snapshot.scaling
+    # The loss of one data centre leaves the rest, which must carry the demand.
+    share = math.ceil(snapshot.needed / max(1, len(places) - 1))
+    wanted = max(bounds.minimum, min(bounds.maximum, share + 1, snapshot.needed))
+    plan = {}
+    for place in places:
+        present = _present(snapshot, Kind(place, True))
+        plan[place] = present if place in snapshot.dry else wanted
+    return plan
+
+
+def _plan_safe(
+    snapshot: Snapshot,
+    places: abc.Sequence[str],
+    reclaimable: abc.Mapping[str, int],
+) -> dict[str, int]:
+    counts = {place: _present(snapshot, Kind(place, True)) for place in places}
+    ready = sum(snapshot.ready.get(Kind(place, True), 0) for place in places)
+    after_loss = sum(counts.values()) - max(counts.values(), default=0)
+    missing = max(0, snapshot.needed - after_loss)
+    plan = {}
+    for place in places:
+        # Each data centre holds its minimum, of whichever kind.
+        floor = max(0, snapshot.scaling.minimum - counts[place])
+        plan[place] = floor
+        missing -= floor
+    for place in places:
+        room = snapshot.scaling.maximum - reclaimable.get(place, 0) - plan[place]
+        more = max(0, min(missing, room))
+        plan[place] += more
+        missing -= more
+    if ready < snapshot.needed:
+        # Nothing is given back before what replaces it serves.
+        for place in places:
+            kept = snapshot.ready.get(Kind(place, False), 0)
+            plan[place] = max(plan[place], kept)
+    return plan
+
+
+def _present(snapshot: Snapshot, kind: Kind) -> int:
+    return snapshot.ready.get(kind, 0) + snapshot.coming.get(kind, 0)
--- a/acaciaward/gateway/calls.py
+++ b/acaciaward/gateway/calls.py
@@ -22,6 +22,11 @@
         """The parts that other requests may have, too."""
         return self.parts[:-1]
 
+    @property
+    def fresh_tokens(self) -> int:
+        """The tokens of the prompt that no other request has."""
+        return max(0, self.prompt_tokens - sum(size for _, size in self.shared))
+
 
 class Call(typing.NamedTuple):
     """
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -19,7 +19,7 @@
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import callers, calls, errors, events, links
 from acaciaward.observability import logs
-from acaciaward.routing import occupancy
+from acaciaward.routing import demand, occupancy
 
 log = logging.getLogger(__name__)
 
@@ -99,7 +99,8 @@
     heard_part: abc.Callable[[], float]
     repeats: repeats.RepeatBudgets
     codec: Codec
-    note_run: abc.Callable[[str | None, str], None]
+    demand: demand.Demand
+    note_run: abc.Callable[[str], None]
     note_end: abc.Callable[["Progress"], None]
 
 
@@ -204,6 +205,9 @@
     ) -> None:
         service = self._choose_service(index, progress.route)
         self._with.repeats.note_first(service.name)
+        prompt = progress.call.prompt
+        if prompt is not None:
+            self._with.demand.note(service.name, prompt.fresh_tokens)
         while True:
             candidate = self._choose_endpoint(service, progress)
             work = self._with.occupancy.start(candidate, progress.call)
@@ -405,10 +409,8 @@
         if not progress.has_run:
             progress.has_run = True
             progress.first_byte_s = time.monotonic() - progress.call.received
-            organisation = progress.organisation
-            self._with.note_run(
-                organisation.name if organisation else None, progress.route.name
-            )
+            if progress.organisation is not None:
+                self._with.note_run(progress.organisation.name)
 
     def _check_repeat(
         self,
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -18,7 +18,7 @@
 from acaciaward.admission import quotas, repeats
 from acaciaward.catalogue import endpoints, following, routes
 from acaciaward.entry import peerside, stopping
-from acaciaward.gateway import callers, calls, forwarding, links
+from acaciaward.gateway import callers, calls, duties, forwarding, links
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import logs
 from acaciaward.platform import (
@@ -28,13 +28,14 @@
     store,
     topics,
 )
-from acaciaward.routing import occupancy
+from acaciaward.routing import demand, occupancy
 from acaciaward.settings import loader
 
 log = logging.getLogger(__name__)
 
 State = membership_interfaces.PeerState
 USE = membership_interfaces.HintKind.ORGANISATION_USE
+DEMAND = membership_interfaces.HintKind.SERVICE_DEMAND
 
 PUBLISH_S = 0.25
 HINT_LIFETIME_S = 5.0
@@ -121,6 +122,16 @@
 
     def _build_forwarding(self) -> None:
         bounds = self._settings["bounds"]
+        self._duties = duties.DutySide(
+            self._settings,
+            self._client,
+            self._store,
+            self._membership,
+            self._hints,
+            self._directory,
+            services=lambda: self._index.scaled_services if self._index else (),
+            streams=lambda name: self._occupancy.running(name)[0],
+        )
         self._pool = links.LinkPool()
         self._directory.subscribe(self._drop_links)
         self._occupancy = occupancy.Occupancy(
@@ -131,6 +142,7 @@
         )
         self._quotas = quotas.Quotas(time.monotonic)
         self._hints.subscribe(USE, self._hear_use)
+        self._demand = demand.Demand(time.monotonic)
         budget = repeats.Budget(
             bounds["repeat_ratio"], bounds["repeat_burst"], bounds["repeat_window_s"]
         )
@@ -146,7 +158,8 @@
                     budget, time.monotonic, lambda: max(1, len(self._seen))
                 ),
                 codec=headers,
-                note_run=self._note_run,
+                demand=self._demand,
+                note_run=self._duties.counter.note,
                 note_end=self._note_end,
             )
         )
@@ -274,12 +287,13 @@
             self._hints.publish(
                 USE, self.name, self._quotas.totals(), lifetime_s=HINT_LIFETIME_S
             )
+            self._hints.publish(
+                DEMAND, self.name, self._demand.rates(), lifetime_s=HINT_LIFETIME_S
+            )
+            self._duties.publish()
             self._directory.expire()
             await asyncio.sleep(PUBLISH_S)
 
-    def _note_run(self, organisation: str | None, route: str) -> None:
-        pass
-
     def _note_end(self, progress: forwarding.Progress) -> None:
         REQUESTS.labels(progress.route.name, progress.outcome).inc()
         if progress.first_byte_s is not None:
@@ -348,6 +362,7 @@
             self._endpoints_follower.run(),
             self._publish(),
             self._list_when_ready(),
+            *self._duties.work(),
         ):
             self._start_task(work)
         for name, server in self._others:
--- a/acaciaward/platform/topics.py
+++ b/acaciaward/platform/topics.py
@@ -1,4 +1,6 @@
-"""Topics with keys as sources that the product can follow."""
+"""Topics of the store as the product uses them."""
+
+from collections import abc
 
 from acaciaward import errors
 from acaciaward.catalogue import following
@@ -29,3 +31,23 @@
                 continue
             changes.append(following.Change(key, value or None))
         return following.Page(changes, page.next_offset, page.end)
+
+
+class LogTopic:
+    """Implements the topics of ``leases.conditional`` and ``usage.reporting``."""
+
+    def __init__(self, client: store.Store, topic: str):
+        self._client = client
+        self._topic = topic
+
+    async def read(self, start: int) -> store.Page:
+        """Return records from an offset on."""
+        return await self._client.read(self._topic, start)
+
+    async def append(self, record: bytes, *, at: int) -> int:
+        """Append if the topic ends at ``at``, and return the end after it."""
+        return await self._client.append(self._topic, [record], at=at)
+
+    async def append_any(self, records: abc.Sequence[bytes]) -> int:
+        """Append records wherever the topic ends."""
+        return await self._client.append(self._topic, records)
