--- /dev/null
+++ b/acaciaward/admission/features/shared.feature
@@ -0,0 +1,35 @@
+Feature: Quotas and repeat budgets hold over all entries without asking anyone
+
+  Scenario: A hot organisation gets its quota and little more
+    Given 9 entries that share a quota of 1000 a second and 1000 at once
+    And they hear one another every 0.5 s
+    When 8 times the quota is asked for over 20 s
+    Then no window of 8 s holds more than the rule and 1200
+    And at least 0.8 of the quota was used
+
+  Scenario: An organisation within its quota is never refused
+    Given 9 entries that share a quota of 1000 a second and 1000 at once
+    And they hear one another every 0.5 s
+    When 0.7 times the quota is asked for over 20 s
+    Then nothing was refused after the first second
+
+  Scenario: Entries cut off from each other don't spend a quota twice
+    Given 9 entries that share a quota of 1000 a second and 1000 at once
+    And they hear one another every 0.5 s
+    When they are cut into 6 and 3 and 8 times the quota is asked for over 20 s
+    Then no window of 8 s holds more than the rule and 1200
+
+  Scenario: A quota that is cut down binds at once
+    Given 9 entries that share a quota of 1000 a second and 1000 at once
+    And they hear one another every 0.5 s
+    When the quota is cut to 100 and 8 times the quota is asked for over 20 s
+    Then no window of 8 s holds more than the rule and 1200
+
+  Scenario: A request larger than the bucket passes when the bucket is full
+    Given 1 entries that share a quota of 1000 a second and 1000 at once
+    Then a request of 5000 passes after 2 s and the next has to wait
+
+  Scenario: Repeats in a storm of failures stay within the budget
+    Given 9 entries with a repeat ratio of 0.2 and 58 in 10 s
+    When every request of 60 s is repeated as often as allowed
+    Then no window of 10 s holds more repeats than the rule allows
--- a/acaciaward/admission/quotas.py
+++ b/acaciaward/admission/quotas.py
@@ -2,23 +2,41 @@
 Organisations' quotas, shared by all entries without asking anyone.
 
 Each entry keeps the whole bucket of each organisation and takes from it what it
-admits itself, what the others say they admitted, and what they will have admitted
-since they said so. An entry that hears only some of the others uses only its part
-of the rate, so that two halves of a cut system never spend a quota twice.
+admits itself and what the others say they admitted. What they admitted since is
+reckoned from what this entry did meanwhile and from its usual share of the whole.
+An entry that hears only some of the others uses only its part of the rate, so that
+two halves of a cut system never spend a quota twice.
 
 Answers to: a hot organisation, a quota cut down, entries cut off from each other.
 """
 
+import collections
 import typing
 from collections import abc
 
+from acaciaward import rates
+
 # Part of the burst that an entry may spend before it has heard of the others.
-FIRST_PART = 0.25
-# What others say is drawn on for this long, in seconds.
-EXTRAPOLATED_S = 1.0
-SMOOTHING = 0.4
-# The bucket can be overdrawn by what others admitted meanwhile, in seconds of rate.
-DEEPEST_S = 3.0
+FIRST_PART = 0.1
+# What the others admitted is known this much later, in seconds, as gossip goes.
+LAG_S = 0.5
+# Shares of entries in an organisation's use are smoothed over this time.
+SMOOTHED_S = 6.0
+# Experience worth this part of the quota's rate is lent to an even share.
+PRIOR_PART = 0.1
+# The others are taken for at most that many times as busy as an even share.
+MOST_UNEVEN = 1.5
+# What others admit doesn't rise to more than that many times their rate unheard.
+FASTEST = 2.0
+# Until they are heard, the others are taken to use up to this part of the rate.
+SUPPOSED_PART = 0.6
+# The bucket is overdrawn by what others admitted, at most by seconds of its rate.
+DEEPEST_S = 8.0
+
+# Entries together overshoot by at most that many seconds of rate (shared.feature).
+LAG_RATE_S = 2.1
+# Part of the spare tolerance that is used.
+SPARE_PART = 0.8
 
 
 class Rule(typing.NamedTuple):
@@ -28,12 +46,26 @@
     burst: float
 
 
-class _Told(typing.NamedTuple):
-    """What another entry said: its total, when it was heard, and its pace."""
+class Tolerance(typing.NamedTuple):
+    """How far a window of ``window_s`` may go beyond a quota: a part, and units."""
+
+    window_s: float
+    part: float
+    units: float
+
 
-    total: float
-    at: float
-    pace: float = 0.0
+def rule_of(rate: float, burst: float, tolerance: Tolerance) -> Rule:
+    """
+    Return the rule to admit by, for a quota with a tolerance.
+
+    What the tolerance leaves beyond the entries' own lag is given to callers, as a
+    larger burst.
+
+        rule_of(1000, 1000, Tolerance(8.0, 0.1, 0)).burst  # 1000
+    """
+    allowed = tolerance.part * (rate * tolerance.window_s + burst) + tolerance.units
+    spare = max(0.0, allowed - LAG_RATE_S * rate)
+    return Rule(rate, burst + SPARE_PART * spare)
 
 
 class Bucket:
@@ -42,9 +74,13 @@
     def __init__(self, rule: Rule, now: float):
         self.rule = rule
         self.own_total = 0.0
+        self.others_expected = 0
         self._level = rule.burst * FIRST_PART
         self._since = now
-        self._told: dict[str, _Told] = {}
+        self._totals: dict[str, float] = {}
+        self._recent: collections.deque[tuple[float, float]] = collections.deque()
+        self._own_rate = rates.Rate(SMOOTHED_S)
+        self._others_rate = rates.Rate(SMOOTHED_S)
 
     def set_rule(self, rule: Rule) -> None:
         """Use new figures; a lower burst takes what is saved beyond it."""
@@ -54,32 +90,53 @@
     def level(self, now: float, part: float) -> float:
         """Return what may be admitted now; ``part`` is the part of entries heard."""
         self._refill(now, part)
-        ahead = sum(
-            told.pace * min(EXTRAPOLATED_S, now - told.at)
-            for told in self._told.values()
+        while self._recent and self._recent[0][0] < now - LAG_S:
+            self._recent.popleft()
+        own = sum(amount for _, amount in self._recent)
+        # A few calls in a row here don't mean as many at all others.
+        most = (
+            FASTEST
+            * LAG_S
+            * max(self._others_rate.value(now), SUPPOSED_PART * self.rule.rate)
+        )
+        return self._level - min(most, own * self._others_per_own(now))
+
+    @property
+    def _prior(self) -> float:
+        return PRIOR_PART * self.rule.rate
+
+    def _others_per_own(self, now: float) -> float:
+        """
+        Return what all others admit while this entry admits one unit.
+
+        Before there is experience, the others are taken for as busy as this one.
+        """
+        others = max(len(self._totals), self.others_expected)
+        if not others:
+            return 0.0
+        ratio = (self._others_rate.value(now) + self._prior) / (
+            self._own_rate.value(now) + self._prior / others
         )
-        return self._level - ahead
+        return min(ratio, MOST_UNEVEN * others)
 
-    def take(self, amount: float) -> None:
+    def take(self, amount: float, now: float) -> None:
         """Count what is admitted here; a negative amount gives back."""
         self.own_total += amount
         self._level -= amount
+        self._recent.append((now, amount))
+        self._own_rate.note(amount, now)
 
     def hear(self, entry: str, total: float, now: float) -> None:
         """Take in the total that another entry has admitted since its start."""
-        told = self._told.get(entry)
-        if told is None:
-            # What it admitted before this entry knew it, is not this entry's to count.
-            self._told[entry] = _Told(total, now)
-            return
-        if total == told.total:
-            return
+        # What it admitted before this entry knew it, is not this entry's to count.
+        known = self._totals.get(entry, total)
+        self._totals[entry] = total
         # A lower total is that of a new start.
-        amount = total - told.total if total > told.total else total
-        lasted_s = max(0.05, now - told.at)
-        pace = told.pace + SMOOTHING * (amount / lasted_s - told.pace)
-        self._told[entry] = _Told(total, now, pace)
-        self._level = max(self._level - amount, -DEEPEST_S * self.rule.rate)
+        amount = total - known if total >= known else total
+        if amount > 0:
+            self._others_rate.note(amount, now)
+            deepest = -DEEPEST_S * self.rule.rate
+            self._level = max(self._level - amount, deepest)
 
     def _refill(self, now: float, part: float) -> None:
         gained = self.rule.rate * part * max(0.0, now - self._since)
@@ -90,8 +147,9 @@
 class Quotas:
     """The buckets of all organisations."""
 
-    def __init__(self, clock: abc.Callable[[], float]):
+    def __init__(self, clock: abc.Callable[[], float], entries: abc.Callable[[], int]):
         self._clock = clock
+        self._entries = entries
         self._buckets: dict[str, Bucket] = {}
 
     def set_rules(self, rules: abc.Mapping[str, Rule]) -> None:
@@ -116,11 +174,13 @@
         bucket = self._buckets.get(organisation)
         if bucket is None:
             return None
-        level = bucket.level(self._clock(), part)
+        now = self._clock()
+        bucket.others_expected = self._entries() - 1
+        level = bucket.level(now, part)
         # What is larger than the bucket passes when the bucket is full.
         wanted = min(amount, bucket.rule.burst * part)
         if level >= wanted:
-            bucket.take(amount)
+            bucket.take(amount, now)
             return None
         return (wanted - level) / max(1.0, bucket.rule.rate * part)
 
@@ -128,7 +188,7 @@
         """Return what was taken for a call that didn't run."""
         bucket = self._buckets.get(organisation)
         if bucket is not None:
-            bucket.take(-amount)
+            bucket.take(-amount, self._clock())
 
     def totals(self) -> dict[str, float]:
         """Return what was admitted here, for the others."""
--- /dev/null
+++ b/acaciaward/catalogue/features/catalogue.feature
@@ -0,0 +1,46 @@
+Feature: Which endpoints exist, and which route a request takes
+
+  Scenario: The longest prefix of the request's host wins
+    Given routes "/a/" and "/a/b/" of shop.example and "/" of other.example
+    Then "/a/b/c" of shop.example takes "/a/b/"
+    And "/a/x" of SHOP.example takes "/a/"
+    And "/x" of shop.example takes no route
+
+  Scenario: A removed endpoint gets no new work at once
+    Given endpoints e-1 and e-2
+    When the entry of e-1 is removed
+    Then e-2 may get work
+
+  Scenario: An endpoint that lapsed during an outage is kept for two seconds
+    Given endpoints e-1 and e-2
+    When the store fails
+    And the entry of e-1 is removed
+    Then e-1, e-2 may get work
+    When 2.1 s pass
+    Then e-2 may get work
+
+  Scenario: An endpoint that is back after an outage stays
+    Given endpoints e-1 and e-2
+    When the store fails
+    And the entry of e-1 is removed
+    And 1 s pass
+    And e-1 writes its entry again
+    And 2 s pass
+    Then e-1, e-2 may get work
+
+  Scenario: A leaving endpoint gets no new work
+    Given endpoints e-1 and e-2
+    When e-1 says that it leaves
+    Then e-2 may get work
+
+  Scenario: A new start under an old name is another incarnation
+    Given endpoints e-1 and e-2
+    When another server answers at the address of e-1
+    Then e-2 may get work
+    When e-1 starts again
+    Then e-1, e-2 may get work
+
+  Scenario: An entry that can't be read names no endpoint, and the others hold
+    Given endpoints e-1 and e-2
+    When the entry of e-1 can't be read
+    Then e-2 may get work
--- /dev/null
+++ b/acaciaward/catalogue/features/steps/catalogue_steps.py
@@ -0,0 +1,99 @@
+"""Steps for the catalogue."""
+
+from behave import given, then, when
+
+from acaciaward.catalogue import endpoints, routes
+
+READY = endpoints.EndpointState.READY
+LEAVING = endpoints.EndpointState.LEAVING
+
+
+def make_route(host, prefix):
+    return routes.Route(
+        prefix,
+        host,
+        prefix,
+        routes.RequestKind.IDEMPOTENT,
+        1.0,
+        1.0,
+        0,
+        (("s", 1.0),),
+        1,
+    )
+
+
+def make_endpoint(name, *, state=READY, born=1):
+    return endpoints.Endpoint(name, born, "s", "127.0.0.1", 1, "dc", 4, state)
+
+
+@given('routes "/a/" and "/a/b/" of shop.example and "/" of other.example')
+def make_routes(context):
+    found = [("shop.example", "/a/"), ("shop.example", "/a/b/"), ("other.example", "/")]
+    context.index = routes.Index(
+        routes.Catalogue(1, tuple(make_route(*one) for one in found))
+    )
+
+
+@then('"{path}" of {host} takes "{prefix}"')
+def check_route(context, path, host, prefix):
+    assert context.index.find_route(host, path).prefix == prefix
+
+
+@then('"{path}" of {host} takes no route')
+def check_no_route(context, path, host):
+    assert context.index.find_route(host, path) is None
+
+
+@given("endpoints e-1 and e-2")
+def make_directory(context):
+    context.now = 100.0
+    context.directory = endpoints.Directory(lambda: context.now)
+    for name in ("e-1", "e-2"):
+        context.directory.put(make_endpoint(name))
+
+
+@when("the entry of {name} is removed")
+def remove(context, name):
+    context.directory.remove(name, "test")
+
+
+@when("the store fails")
+def fail(context):
+    context.directory.note_outage()
+
+
+@when("{seconds:g} s pass")
+def pass_time(context, seconds):
+    context.now += seconds
+    context.directory.expire()
+
+
+@when("{name} writes its entry again")
+def write_again(context, name):
+    context.directory.put(make_endpoint(name))
+
+
+@when("{name} says that it leaves")
+def leave(context, name):
+    context.directory.put(make_endpoint(name, state=LEAVING))
+
+
+@when("another server answers at the address of {name}")
+def mismatch(context, name):
+    context.directory.note_mismatch(context.directory.get(name))
+
+
+@when("{name} starts again")
+def start_again(context, name):
+    context.directory.put(make_endpoint(name, born=2))
+
+
+@when("the entry of {name} can't be read")
+def unreadable(context, name):
+    context.directory.drop_unreadable(name, "test")
+
+
+@then("{names} may get work")
+def check_ready(context, names):
+    found = sorted(one.name for one in context.directory.ready("s"))
+    assert found == names.split(", "), found
--- /dev/null
+++ b/acaciaward/fleet/features/zoneplan.feature
@@ -0,0 +1,27 @@
+Feature: The fleet survives the loss of a data centre at the lowest price
+
+  Scenario: A calm demand is served by reclaimable endpoints alone
+    Given 2 reclaimable endpoints in each data centre and a need of 2
+    Then no safe endpoint is ordered
+
+  Scenario: A data centre reclaimed with none to be had leaves the demand served
+    Given 2 reclaimable endpoints in each data centre and a need of 2
+    When the endpoints of one are reclaimed and none are to be had
+    Then no safe endpoint is ordered
+
+  Scenario: Two reclaims in a row call for safe endpoints before the third
+    Given 2 reclaimable endpoints in each data centre and a need of 2
+    When the endpoints of two are reclaimed and none are to be had
+    Then 2 safe endpoints are ordered, in the cheapest data centres first
+
+  Scenario: Safe endpoints go only when what replaces them serves
+    Given 2 safe endpoints in each data centre and a need of 2
+    Then all safe endpoints are kept
+    When 2 reclaimable ones serve in each
+    Then no safe endpoint is ordered
+
+  Scenario: Every plan keeps the bounds of each data centre
+    Then for any snapshot the plan keeps minimum and maximum
+
+  Scenario: A plan that is carried out stays as it is
+    Then for any demand the plan settles
--- a/acaciaward/fleet/zoneplan.py
+++ b/acaciaward/fleet/zoneplan.py
@@ -79,7 +79,8 @@
     plan = {}
     for place in places:
         present = _present(snapshot, Kind(place, True))
-        plan[place] = present if place in snapshot.dry else wanted
+        asked = present if place in snapshot.dry else wanted
+        plan[place] = min(bounds.maximum, asked)
     return plan
 
 
@@ -88,26 +89,30 @@
     places: abc.Sequence[str],
     reclaimable: abc.Mapping[str, int],
 ) -> dict[str, int]:
-    counts = {place: _present(snapshot, Kind(place, True)) for place in places}
+    bounds = snapshot.scaling
+    counts = {
+        place: min(bounds.maximum, _present(snapshot, Kind(place, True)))
+        for place in places
+    }
     ready = sum(snapshot.ready.get(Kind(place, True), 0) for place in places)
     after_loss = sum(counts.values()) - max(counts.values(), default=0)
     missing = max(0, snapshot.needed - after_loss)
+    room = {place: bounds.maximum - reclaimable.get(place, 0) for place in places}
     plan = {}
     for place in places:
         # Each data centre holds its minimum, of whichever kind.
-        floor = max(0, snapshot.scaling.minimum - counts[place])
-        plan[place] = floor
-        missing -= floor
+        present = min(counts[place], reclaimable.get(place, 0))
+        plan[place] = min(room[place], max(0, bounds.minimum - present))
+        missing -= plan[place]
     for place in places:
-        room = snapshot.scaling.maximum - reclaimable.get(place, 0) - plan[place]
-        more = max(0, min(missing, room))
+        more = max(0, min(missing, room[place] - plan[place]))
         plan[place] += more
         missing -= more
     if ready < snapshot.needed:
         # Nothing is given back before what replaces it serves.
         for place in places:
             kept = snapshot.ready.get(Kind(place, False), 0)
-            plan[place] = max(plan[place], kept)
+            plan[place] = max(plan[place], min(room[place], kept))
     return plan
 
 
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -195,7 +195,7 @@
                 {"org": organisation},
             )
         )
-        self.quotas = quotas.Quotas(time.monotonic)
+        self.quotas = quotas.Quotas(time.monotonic, lambda: 1)
         if quota is not None:
             self.quotas.set_rules({"org": quotas.Rule(quota.rate, quota.burst)})
         self.pool = links.LinkPool()
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -140,7 +140,10 @@
             entry=self.name,
             data_centre=self._settings["instance"]["data_centre"],
         )
-        self._quotas = quotas.Quotas(time.monotonic)
+        self._quotas = quotas.Quotas(time.monotonic, self._entries)
+        self._tolerance = quotas.Tolerance(
+            bounds["quota_window_s"], bounds["quota_overshoot"], bounds["quota_slack"]
+        )
         self._hints.subscribe(USE, self._hear_use)
         self._demand = demand.Demand(time.monotonic)
         budget = repeats.Budget(
@@ -154,9 +157,7 @@
                 pool=self._pool,
                 quotas=self._quotas,
                 heard_part=self._heard_part,
-                repeats=repeats.RepeatBudgets(
-                    budget, time.monotonic, lambda: max(1, len(self._seen))
-                ),
+                repeats=repeats.RepeatBudgets(budget, time.monotonic, self._entries),
                 codec=headers,
                 demand=self._demand,
                 note_run=self._duties.counter.note,
@@ -212,7 +213,9 @@
         self._index = routes.Index(catalogue)
         self._quotas.set_rules(
             {
-                one.name: quotas.Rule(one.quota.rate, one.quota.burst)
+                one.name: quotas.rule_of(
+                    one.quota.rate, one.quota.burst, self._tolerance
+                )
                 for one in catalogue.organisations.values()
                 if one.quota is not None
             }
@@ -266,8 +269,12 @@
         if hint.origin != self.name:
             self._quotas.hear(hint.origin, hint.value)
 
+    def _entries(self) -> int:
+        """Return how many entries there are, as far as this one knows."""
+        return max(1, len(self._seen))
+
     def _heard_part(self) -> float:
-        return min(1.0, self._heard / max(1, len(self._seen)))
+        return min(1.0, self._heard / self._entries())
 
     async def _publish(self) -> None:
         self._heard = 1
--- /dev/null
+++ b/acaciaward/leases/features/steps/conditional_steps.py
@@ -0,0 +1,177 @@
+"""Steps for the conditional lease; clock and topic are fakes."""
+
+import asyncio
+import itertools
+import random
+import types
+
+from behave import given, then, when
+
+from acaciaward import errors
+from acaciaward.leases import conditional
+from acaciaward.platform import store
+
+DURATION_S = 3.0
+STEP_S = 0.25
+
+
+class Topic:
+    """A topic in memory that may lose answers, before or after the append."""
+
+    def __init__(self, chooser):
+        self.records = []
+        self.chooser = chooser
+        self.loses = 0.0
+
+    async def read(self, start):
+        await self._fail()
+        return types.SimpleNamespace(
+            records=self.records[start:], start=start, end=len(self.records)
+        )
+
+    async def append(self, record, *, at):
+        await self._fail()
+        if at != len(self.records):
+            raise store.AppendRefusedError("ends elsewhere", len(self.records))
+        self.records.append(record)
+        await self._fail()
+        return len(self.records)
+
+    async def _fail(self):
+        await asyncio.sleep(0)
+        if self.chooser.random() < self.loses:
+            raise errors.PlatformUnknownError("lost")
+
+
+class Candidates:
+    """Several entries under one clock; notes who held when, under which fence."""
+
+    def __init__(self, count, seed=1):
+        self.now = 100.0
+        self.chooser = random.Random(seed)
+        self.topic = Topic(self.chooser)
+        self.numbers = itertools.count()
+        self.leases = {}
+        self.asleep = set()
+        self.held = []
+        for _ in range(count):
+            self.add()
+
+    def add(self):
+        name = f"e-{next(self.numbers)}"
+        self.leases[name] = conditional.ConditionalLease(
+            self.topic,
+            name,
+            duration_s=DURATION_S,
+            is_candidate=lambda: True,
+            clock=lambda: self.now,
+        )
+
+    def holders(self):
+        return [name for name, one in self.leases.items() if one.held()]
+
+    async def step(self):
+        await asyncio.gather(
+            *(
+                self._try(one)
+                for name, one in self.leases.items()
+                if name not in self.asleep
+            )
+        )
+        for name in self.holders():
+            self.held.append((self.now, name, self.leases[name].held().fence))
+        self.now += STEP_S
+
+    @staticmethod
+    async def _try(lease):
+        try:
+            await lease.step()
+        except errors.PlatformError:
+            pass
+
+    async def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            await self.step()
+
+    def check_apart(self):
+        fences = [fence for _, _, fence in self.held]
+        assert fences == sorted(fences), fences
+        by_fence = {}
+        for _, name, fence in self.held:
+            assert by_fence.setdefault(fence, name) == name
+        moments = {}
+        for at, name, _ in self.held:
+            assert moments.setdefault(at, name) == name, at
+
+
+@given("{count:d} candidates on one topic")
+def make_candidates(context, count):
+    context.candidates = Candidates(count)
+
+
+@when("they all try at once")
+def try_once(context):
+    context.runner.run(context.candidates.step())
+
+
+@when("they try for {seconds:d} s")
+def try_for(context, seconds):
+    context.runner.run(context.candidates.run(seconds))
+
+
+@when("answers of the store are lost and they try for {seconds:d} s")
+def try_lossy(context, seconds):
+    context.candidates.topic.loses = 0.3
+    context.runner.run(context.candidates.run(seconds))
+
+
+@when("the lease's holder dies")
+def die(context):
+    (name,) = context.candidates.holders()
+    del context.candidates.leases[name]
+
+
+@when("the lease's holder sleeps while the others try for {seconds:d} s")
+def sleep(context, seconds):
+    context.candidates.asleep = set(context.candidates.holders())
+    context.runner.run(context.candidates.run(seconds))
+
+
+@then("exactly {count:d} holds the lease")
+def check_count(context, count):
+    assert len(context.candidates.holders()) == count, context.candidates.holders()
+
+
+@then("only one fence was ever used")
+def check_fence(context):
+    assert len({fence for _, _, fence in context.candidates.held}) == 1
+
+
+@then("fences only rise, and no two leases overlap")
+def check_apart(context):
+    context.candidates.check_apart()
+
+
+@then("for any schedule fences only rise, and no two leases overlap")
+def check_any(context):
+    async def play(seed):
+        candidates = Candidates(3, seed)
+        chooser = candidates.chooser
+        for _ in range(12):
+            candidates.topic.loses = chooser.choice([0.0, 0.0, 0.2, 0.6])
+            action = chooser.choice(["die", "sleep", "wake", "none"])
+            names = list(candidates.leases)
+            if action == "die":
+                del candidates.leases[chooser.choice(names)]
+                candidates.add()
+            elif action == "sleep":
+                candidates.asleep.add(chooser.choice(names))
+            else:
+                candidates.asleep.clear()
+            await candidates.run(chooser.uniform(0.5, 5.0))
+        candidates.check_apart()
+        return bool(candidates.held)
+
+    held = [context.runner.run(play(seed)) for seed in range(200)]
+    assert sum(held) > 190
--- a/acaciaward/membership/features/environment.py
+++ b/acaciaward/membership/features/environment.py
@@ -1,10 +1,21 @@
 """Gives each scenario an event loop and ends its entries."""
 
 import asyncio
+import contextlib
+
+from acaciaward.membership.features import virtualtime
+
+# Scenarios of this feature have no sockets, so their time can be virtual.
+VIRTUAL_FEATURE = "membership.feature"
 
 
 def before_scenario(context, scenario):
-    context.runner = asyncio.Runner()
+    context.stack = contextlib.ExitStack()
+    if scenario.filename.endswith(VIRTUAL_FEATURE):
+        runner = virtualtime.virtual_runner()
+    else:
+        runner = asyncio.Runner()
+    context.runner = context.stack.enter_context(runner)
     context.world = None
     context.transports = []
 
@@ -14,4 +25,4 @@
         context.runner.run(context.world.stop())
     for one in context.transports:
         context.runner.run(one.stop())
-    context.runner.close()
+    context.stack.close()
--- a/acaciaward/platform/documents.py
+++ b/acaciaward/platform/documents.py
@@ -35,6 +35,7 @@
 
 
 Fields = abc.Mapping[str, typing.Any]
+_Meaning = typing.TypeVar("_Meaning")
 
 
 def _decode(data: bytes) -> Fields:
@@ -54,6 +55,13 @@
     return value
 
 
+def _word(fields: Fields, name: str, words: abc.Mapping[str, _Meaning]) -> _Meaning:
+    word = fields.get(name)
+    if not isinstance(word, str) or word not in words:
+        raise UnreadableError(f"{name}: {word!r}")
+    return words[word]
+
+
 def _number(fields: Fields, name: str, default: float | None = None) -> float:
     value = fields.get(name, default)
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
@@ -106,9 +114,7 @@
 
 
 def _decode_route(row: Fields) -> routes.Route:
-    kind = KINDS.get(row.get("RouteType"))
-    if kind is None:
-        raise UnreadableError(f"RouteType: {row.get('RouteType')!r}")
+    kind = _word(row, "RouteType", KINDS)
     # A route names one service, or several with weights.
     backends = _rows(row, "Backends")
     if backends:
@@ -190,9 +196,7 @@
 def decode_endpoint(name: str, data: bytes) -> endpoints.Endpoint:
     """Decode what one endpoint says of itself."""
     fields = _decode(data)
-    state = STATES.get(fields.get("State"))
-    if state is None:
-        raise UnreadableError(f"State: {fields.get('State')!r}")
+    state = _word(fields, "State", STATES)
     born = fields.get("born", 0)
     if not isinstance(born, int) or isinstance(born, bool):
         raise UnreadableError(f"born: expected a whole number, got {born!r}")
--- /dev/null
+++ b/acaciaward/platform/features/platform.feature
@@ -0,0 +1,24 @@
+Feature: The platform's words are read once, and what can't be read changes nothing
+
+  Scenario: A configuration is decoded whole
+    Then the example configuration gives its routes, services and organisations
+
+  Scenario: Spoilt configurations and entries are refused with a reason
+    Then no spoilt document is ever taken, nor raises anything else
+
+  Scenario: An entry of another writer names no endpoint
+    Then entries without a state, of an unknown state or with a foreign address fail
+
+  Scenario: Records survive their encoding, and a cut one is left out
+    Then any records come back, and a cut body gives a prefix of them
+
+  Scenario: The settings file becomes checked settings
+    Then the example settings file passes the check
+    And a settings file without a store is refused with one line
+    And a settings file with a bad bound is refused with one line
+
+  Scenario: What a caller sends never passes for the system's own words
+    Then no header that the system sets reaches an endpoint from a caller
+
+  Scenario: Refusals are recognised only by the endpoint's own word
+    Then only the endpoint's word makes an answer a refusal
--- /dev/null
+++ b/acaciaward/platform/features/steps/platform_steps.py
@@ -0,0 +1,295 @@
+"""Steps for the adapter."""
+
+import copy
+import json
+
+import hypothesis
+from behave import then
+from hypothesis import strategies
+
+from acaciaward import errors
+from acaciaward.catalogue import endpoints, routes
+from acaciaward.gateway import calls
+from acaciaward.platform import documents, headers, nodefile, store
+from acaciaward.settings import loader
+
+SETTINGS = hypothesis.settings(
+    database=None, derandomize=True, max_examples=300, deadline=None
+)
+CONFIGURATION = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Host": "shop.example",
+            "PathPrefix": "/a/",
+            "RouteType": "streaming",
+            "TimeoutMs": 3000,
+            "TargetLatencyMs": 1200,
+            "Priority": 1,
+            "Service": "llm",
+            "MaxAttempts": 2,
+            "Sticky": True,
+            "Resumable": True,
+            "GapTargetMs": 600,
+        },
+        {
+            "Name": "r-2",
+            "Host": "shop.example",
+            "PathPrefix": "/b/",
+            "RouteType": "idempotent",
+            "Backends": [
+                {"Service": "llm", "Weight": 90},
+                {"Service": "app", "Weight": 10},
+            ],
+        },
+    ],
+    "Services": [
+        {
+            "Name": "llm",
+            "MaxConnections": 370,
+            "Engine": {"Slots": 64, "KvCapacity": 1000},
+            "Scaling": {
+                "Min": 1,
+                "Max": 4,
+                "BootTimeS": 4.0,
+                "SpotPrice": 0.18,
+                "ZonePrices": {"north": 0.85, "south": 1.2},
+            },
+        },
+        {"Name": "app"},
+    ],
+    "Limits": {"MaxHeaderBytes": 100, "IdleTimeoutMs": 15000},
+    "Tenants": [
+        {
+            "Name": "org",
+            "ApiKeys": ["k1", "k2"],
+            "Unit": "tokens",
+            "UncachedTokens": 200,
+            "RatePerS": 1000,
+            "Burst": 2000,
+        }
+    ],
+}
+ENTRY = {
+    "Service": "llm",
+    "Address": "10.0.0.1:80",
+    "Zone": "north",
+    "Slots": 64,
+    "State": "draining",
+    "ColdRemainingMs": 500,
+    "Spot": True,
+    "leaves_ms": 2500,
+    "born": 12,
+    "Sequence": 4,
+}
+NODE_FILE = """
+NodeName=edge-1
+Zone=north
+Region=r
+Ip=10.1.0.16
+Listen.Frontend=10.1.0.16:8360
+Listen.Readiness=10.1.0.16:8365
+Listen.Control=10.1.0.16:8367
+Listen.Directory=10.1.0.16:8364
+InternalPortRange=7500,7515
+Seeds=10.1.0.16:8367,10.2.0.33:8367
+Bounds.LeaseMs=3000
+Bounds.WindowS=5
+Platform.Address=10.200.1.7:8361
+Cloud.Address=10.200.0.114:8361
+Cloud.Duties=usage_report,autoscale
+Newer.Field=x
+"""
+JUNK = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+def encode(document):
+    return json.dumps(document).encode()
+
+
+@then("the example configuration gives its routes, services and organisations")
+def check_configuration(context):
+    found = documents.decode_catalogue(encode(CONFIGURATION))
+    first, second = found.routes
+    assert found.version == 7
+    assert first.kind is routes.RequestKind.STREAM and first.may_repeat
+    assert (first.timeout_s, first.target_s, first.max_gap_s) == (3.0, 1.2, 0.6)
+    assert second.shares == (("llm", 90), ("app", 10))
+    scaling = found.services["llm"].scaling
+    assert scaling.reclaimable_price == 0.18 and scaling.prices["south"] == 1.2
+    assert found.services["app"].scaling is None
+    quota = found.organisations["org"].quota
+    assert quota == routes.Quota(1000, 2000, True, 200)
+    assert found.limits.header_bytes == 100 and found.limits.idle_s == 15.0
+
+
+def paths(document, prefix=()):
+    items = document.items() if isinstance(document, dict) else enumerate(document)
+    for key, value in items:
+        yield (*prefix, key)
+        if isinstance(value, dict | list):
+            yield from paths(value, (*prefix, key))
+
+
+def spoil(document, path, value):
+    spoilt = copy.deepcopy(document)
+    place = spoilt
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    return spoilt
+
+
+@then("no spoilt document is ever taken, nor raises anything else")
+def check_spoilt(context):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.sampled_from([CONFIGURATION, ENTRY]), strategies.data(), JUNK
+    )
+    def check(document, data, junk):
+        path = data.draw(strategies.sampled_from(list(paths(document))))
+        spoilt = encode(spoil(document, path, junk))
+        decode = (
+            documents.decode_catalogue
+            if document is CONFIGURATION
+            else lambda text: documents.decode_endpoint("e", text)
+        )
+        try:
+            decode(spoilt)
+        except documents.UnreadableError as error:
+            assert str(error)
+
+    check()
+    for data in (b"", b"\xff\xfe", b"[]", b"null", b"{" * 5000):
+        for decode in (
+            documents.decode_catalogue,
+            lambda text: documents.decode_endpoint("e", text),
+        ):
+            try:
+                decode(data)
+            except documents.UnreadableError:
+                continue
+            raise AssertionError(data)
+
+
+@then("entries without a state, of an unknown state or with a foreign address fail")
+def check_foreign(context):
+    found = documents.decode_endpoint("e", encode(ENTRY))
+    assert found.state is endpoints.EndpointState.LEAVING
+    assert (found.born, found.leaves_s, found.is_reclaimable) == (12, 2.5, True)
+    for name, value in (
+        ("State", None),
+        ("State", "resting"),
+        ("Address", "nowhere"),
+        ("Address", "10.0.0.1:99999"),
+        ("Service", 5),
+        ("born", "x"),
+        ("Slots", -1),
+    ):
+        try:
+            documents.decode_endpoint("e", encode(ENTRY | {name: value}))
+        except documents.UnreadableError:
+            continue
+        raise AssertionError((name, value))
+
+
+@then("any records come back, and a cut body gives a prefix of them")
+def check_records(context):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(strategies.binary(max_size=20), max_size=5),
+        strategies.integers(0, 30),
+    )
+    def check(records, cut):
+        data = store.encode_records(records)
+        assert store.decode_records(data) == records
+        found = store.decode_records(data[: max(0, len(data) - cut)])
+        assert found == records[: len(found)]
+
+    check()
+    assert store.split_keyed(store.join_keyed("name", b"value")) == ("name", b"value")
+    try:
+        store.split_keyed(b"\x09ab")
+    except errors.PlatformUnknownError:
+        return
+    raise AssertionError("a record without a whole key was taken")
+
+
+def check_settings(text):
+    return loader.check(nodefile.decode(text), package="acaciaward.gateway")
+
+
+@then("the example settings file passes the check")
+def check_example(context):
+    settings = check_settings(NODE_FILE)
+    assert settings["callers"] == {"address": "10.1.0.16", "port": 8360}
+    assert settings["bounds"]["lease_s"] == 3.0
+    assert settings["metrics"]["port"] == 7501
+    assert len(settings["peers"]["seeds"]) == 2
+
+
+@then("a settings file without a store is refused with one line")
+def check_without_store(context):
+    check_refused(NODE_FILE.replace("Platform.Address", "Old.Address"), "store")
+
+
+@then("a settings file with a bad bound is refused with one line")
+def check_bad_bound(context):
+    text = NODE_FILE.replace("Bounds.LeaseMs=3000", "Bounds.LeaseMs=soon")
+    try:
+        check_settings(text)
+    except documents.UnreadableError as error:
+        assert "LeaseMs" in str(error) and "\n" not in str(error)
+        return
+    raise AssertionError("taken")
+
+
+def check_refused(text, word):
+    try:
+        check_settings(text)
+    except errors.SettingsError as error:
+        assert word in str(error) and "\n" not in str(error), error
+        return
+    raise AssertionError("taken")
+
+
+@then("no header that the system sets reaches an endpoint from a caller")
+def check_forged(context):
+    forged = [(name.title(), b"forged") for name in sorted(headers.SYSTEM_HEADERS)]
+    forged += [
+        (b"Attempt-Id", b"a1"),
+        (b"Connection", b"close, X-Own"),
+        (b"X-Own", b"1"),
+    ]
+    call = calls.Call(b"GET", b"/", "h", forged, b"", 0.0, "a1")
+    found = headers.encode_forwarded(call, calls.Forwarding("e-1", "org", 3, 1.5))
+    assert not [one for one in found if one[1] == b"forged"], found
+    named = {name.lower(): value for name, value in found}
+    assert named[b"deadline-ms"] == b"1500"
+    assert named[b"expect-instance"] == b"e-1"
+    assert named[b"tenant"] == b"org"
+    assert named[b"attempt-id"] == b"a1"
+    assert b"x-own" not in named
+
+
+@then("only the endpoint's word makes an answer a refusal")
+def check_refusals(context):
+    own = [(b"Not-Executed", b"1")]
+    signed = [(b"Server-Signature", b"s")]
+    assert headers.decode_reply(503, own).is_refusal
+    assert not headers.decode_reply(503, []).is_refusal
+    assert not headers.decode_reply(500, signed).is_refusal
+    assert headers.decode_reply(421, []).is_misdirected
+    assert not headers.decode_reply(421, signed).is_misdirected
--- a/acaciaward/platform/nodefile.py
+++ b/acaciaward/platform/nodefile.py
@@ -33,6 +33,8 @@
     "BudgetWindowS": ("repeat_window_s", 1.0),
     "RetryBurst": ("repeat_burst", 1.0),
     "QuotaWindowS": ("quota_window_s", 1.0),
+    "QuotaOvershoot": ("quota_overshoot", 1.0),
+    "QuotaSlack": ("quota_slack", 1.0),
     "LeaseMs": ("lease_s", 0.001),
     "ThawMs": ("thaw_s", 0.001),
     "WindowS": ("usage_window_s", 1.0),
--- /dev/null
+++ b/acaciaward/routing/features/placement.feature
@@ -0,0 +1,19 @@
+Feature: A call goes where its first byte comes soonest
+
+  Scenario: A shared part draws calls to the endpoint that holds it
+    Given 6 idle endpoints
+    When 300 prompts with 20 shared parts are placed
+    Then each part is mostly at one endpoint
+
+  Scenario: A hot part spills over when its endpoint has a backlog
+    Given 6 idle endpoints
+    When 100 prompts with one shared part are placed and stay
+    Then at least 4 endpoints have work and none has more than twice the mean
+
+  Scenario: A grey endpoint gets little
+    Given 6 idle endpoints of which e-1 fails 0.4 of its calls
+    When 300 plain calls are placed
+    Then e-1 gets less than 10 of them
+
+  Scenario: An endpoint that can't be reached is left alone, then tried again
+    Then pauses double from 0.3 s to 4 s and end with a success
--- /dev/null
+++ b/acaciaward/routing/features/steps/placement_steps.py
@@ -0,0 +1,108 @@
+"""Steps for placement; loads are simulated."""
+
+import collections
+import random
+
+from behave import given, then, when
+
+from acaciaward.catalogue import endpoints
+from acaciaward.gateway import calls
+from acaciaward.routing import health, placement
+
+
+def make_endpoint(number):
+    return endpoints.Endpoint(
+        f"e-{number}",
+        1,
+        "s",
+        "127.0.0.1",
+        1,
+        "dc",
+        64,
+        endpoints.EndpointState.READY,
+    )
+
+
+@given("{count:d} idle endpoints")
+def make_endpoints(context, count):
+    context.candidates = {
+        f"e-{number}": placement.Candidate(make_endpoint(number))
+        for number in range(count)
+    }
+    context.chooser = random.Random(3)
+    context.placed = collections.defaultdict(collections.Counter)
+
+
+@given("{count:d} idle endpoints of which {name} fails {share:g} of its calls")
+def make_grey(context, count, name, share):
+    make_endpoints(context, count)
+    context.candidates[name] = context.candidates[name]._replace(failed_share=share)
+
+
+def place(context, part, *, stays):
+    prompt = calls.Prompt(12_000, 100, (("all", 500), (part, 5000), ("own", 6500)))
+    names = list(context.candidates)
+    first = placement.preferred(prompt, names)[:1]
+    seen = [
+        one._replace(held_tokens=5500 if one.endpoint.name in first else 0)
+        for one in context.candidates.values()
+    ]
+    name = placement.choose(seen, prompt, context.chooser).endpoint.name
+    context.placed[part][name] += 1
+    if stays:
+        one = context.candidates[name]
+        context.candidates[name] = one._replace(
+            running=one.running + 1, backlog_tokens=one.backlog_tokens + 6500
+        )
+
+
+@when("{count:d} prompts with {parts:d} shared parts are placed")
+def place_many(context, count, parts):
+    for number in range(count):
+        place(context, f"part-{number % parts}", stays=False)
+
+
+@when("{count:d} prompts with one shared part are placed and stay")
+def place_hot(context, count):
+    for _ in range(count):
+        place(context, "hot", stays=True)
+
+
+@when("{count:d} plain calls are placed")
+def place_plain(context, count):
+    seen = list(context.candidates.values())
+    for _ in range(count):
+        name = placement.choose(seen, None, context.chooser).endpoint.name
+        context.placed["plain"][name] += 1
+
+
+@then("each part is mostly at one endpoint")
+def check_drawn(context):
+    for part, counts in context.placed.items():
+        assert max(counts.values()) >= 0.9 * sum(counts.values()), (part, counts)
+
+
+@then("at least {count:d} endpoints have work and none has more than twice the mean")
+def check_spread(context, count):
+    counts = context.placed["hot"]
+    assert len(counts) >= count, counts
+    assert max(counts.values()) <= 2 * sum(counts.values()) / 6, counts
+
+
+@then("{name} gets less than {count:d} of them")
+def check_grey(context, name, count):
+    assert context.placed["plain"][name] < count, context.placed
+
+
+@then("pauses double from 0.3 s to 4 s and end with a success")
+def check_pauses(context):
+    record = health.Health()
+    pauses = []
+    for _ in range(6):
+        record = record.note_failure(10.0, is_unreachable=True)
+        pauses.append(round(record.paused_until - 10.0, 3))
+    assert pauses == [0.3, 0.6, 1.2, 2.4, 4.0, 4.0], pauses
+    assert record.is_paused(13.9) and not record.is_paused(14.1)
+    assert not record.note_success().is_paused(10.0)
+    once = health.Health().note_failure(10.0, is_unreachable=False)
+    assert not once.is_paused(10.0)
--- /dev/null
+++ b/acaciaward/usage/features/steps/usage_steps.py
@@ -0,0 +1,157 @@
+"""Steps for usage reports; time and topic are fakes."""
+
+import types
+
+from behave import given, then, when
+
+from acaciaward.usage import reporting, windows
+
+WINDOW_S = 5.0
+
+
+class Topic:
+    """A topic in memory."""
+
+    def __init__(self):
+        self.records = []
+
+    async def read(self, start):
+        return types.SimpleNamespace(
+            records=self.records[start:], start=start, end=len(self.records)
+        )
+
+    async def append_any(self, records):
+        self.records += records
+        return len(self.records)
+
+
+class Lease:
+    """Held by whom the test says."""
+
+    def __init__(self, fence):
+        self.tenure = types.SimpleNamespace(fence=fence)
+
+    def held(self, *, for_s=0.0):
+        return self.tenure
+
+
+class Holder:
+    """One reporter with its surroundings."""
+
+    def __init__(self, context, name, fence):
+        self.context = context
+        self.lease = Lease(fence)
+        self.sent = []
+        self.fails = False
+        self.counter = windows.Counter(WINDOW_S, lambda: context.now)
+        self.reporter = reporting.Reporter(
+            context.topic,
+            self.lease,
+            self.counter,
+            windows.Ledger(),
+            start=name,
+            late_s=10.0,
+            live_starts=lambda: context.live,
+            send=self.send,
+        )
+
+    async def send(self, window, counts, fence):
+        if self.fails and window == 200:
+            raise InterruptedError
+        self.sent.append((window, counts, fence))
+
+
+@given("a true clock that began at 1000")
+def make_clock(context):
+    context.wall, context.steady = 1000.0, 50.0
+    context.clock = windows.TrueClock(lambda: context.wall, lambda: context.steady)
+
+
+@when("the clock of the day jumps by {seconds:g} s")
+def jump(context, seconds):
+    context.wall += seconds
+    context.steady += 10
+
+
+@then("the true time is still right")
+def check_right(context):
+    assert context.clock.now() == 1010.0
+
+
+@given("a true clock that began 30 s ahead of two peers")
+def make_ahead(context):
+    context.steady = 0.0
+    context.clock = windows.TrueClock(lambda: 1030.0, lambda: context.steady)
+    for name in ("a", "b", "a", "b"):
+        context.clock.hear(name, 1000.0)
+
+
+@then("the true time is that of the peers")
+def check_peers(context):
+    assert context.clock.now() == 1000.0, context.clock.now()
+
+
+@given("entries that told 10 and 20 before the second died")
+def make_ledger(context):
+    context.ledger = windows.Ledger()
+    context.ledger.hear("one", 7, {"org": 10}, is_whole=True)
+    for count in (5, 20, 12):
+        context.ledger.hear("two", 7, {"org": count}, is_whole=False)
+
+
+@then("the window's total is {count:d}")
+def check_total(context, count):
+    assert context.ledger.total(7) == {"org": count}
+
+
+@given("two reporters on one topic")
+def make_reporters(context):
+    context.now = 1002.0
+    context.topic = Topic()
+    context.live = ["one", "two"]
+    context.holders = [Holder(context, "one", 3), Holder(context, "two", 9)]
+
+
+@when("the first decides and dies before it sends")
+def decide(context):
+    first, second = context.holders
+    first.counter.note("org")
+    second.counter.note("org")
+    context.now = 1006.0
+    second.lease.tenure = None
+    first.fails = True
+    context.runner.run(second.reporter.step())
+    try:
+        context.runner.run(first.reporter.step())
+    except InterruptedError:
+        pass
+
+
+@when("the second takes over with other counts")
+def take_over(context):
+    second = context.holders[1]
+    second.lease.tenure = types.SimpleNamespace(fence=9)
+    second.reporter._ledger.hear("three", 200, {"org": 50}, is_whole=True)
+    context.runner.run(second.reporter.step())
+
+
+@then("what the second sends is what the first decided")
+def check_same(context):
+    assert (200, {"org": 2}, 9) in context.holders[1].sent, context.holders[1].sent
+
+
+@when("one of them has not stored its counts")
+def miss(context):
+    context.holders[0].counter.note("org")
+
+
+@then("nothing is reported for 5 s, and then what is known")
+def check_waits(context):
+    first = context.holders[0]
+    for moment in (1006.0, 1008.0, 1010.9):
+        context.now = moment
+        context.runner.run(first.reporter.step())
+        assert 200 not in [window for window, _, _ in first.sent], first.sent
+    context.now = 1011.5
+    context.runner.run(first.reporter.step())
+    assert (200, {"org": 1}, 3) in first.sent, first.sent
