Count as coming only endpoints that were ordered and not refused

The lease took 8.7 s after all entries were killed: an entry that became candidate late began its wait anew. Streams at an endpoint that had gone dark waited 3 s for its connection to be reset. Ruled out: the store (up until 18 s), the demand (3 to 5 engines needed).

--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -14,7 +14,7 @@
 
 import blacksheep
 
-from acaciaward import httpclient, httplimits, httpserver
+from acaciaward import httpclient, httplimits, httpserver, tasks
 from acaciaward.administration import (
     api as administration_api,
 )
@@ -386,7 +386,7 @@
         await self._end()
 
     async def _end(self) -> None:
-        await stopping.end_tasks(self._tasks)
+        await tasks.end_tasks(self._tasks)
         await self._leaving.evacuator.stop()
         self._loads.stop()
         await self._transport.stop()
--- a/acaciaward/entry/stopping.py
+++ b/acaciaward/entry/stopping.py
@@ -16,7 +16,6 @@
 OLDER_ANSWERS_SHARE = 0.5
 HAND_OVER_SHARE = 0.3
 GIVE_UP_S = 0.5
-CANCEL_AGAIN_S = 0.5
 
 
 class StopLimits(typing.NamedTuple):
@@ -63,16 +62,3 @@
         await server.kill()
     await asyncio.gather(stopping, return_exceptions=True)
     return cut
-
-
-async def end_tasks(tasks: typing.Collection[asyncio.Task]) -> None:
-    """
-    Cancel tasks until they have ended.
-
-    A library may lose a cancel, so one that doesn't end is cancelled again.
-    """
-    pending = set(tasks)
-    while pending:
-        for task in pending:
-            task.cancel()
-        _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
--- a/acaciaward/fleet/features/steps/zoneplan_steps.py
+++ b/acaciaward/fleet/features/steps/zoneplan_steps.py
@@ -1,11 +1,14 @@
 """Steps for the plan of the fleet over data centres."""
 
+import asyncio
+import types
+
 import hypothesis
 from behave import given, then, when
 from hypothesis import strategies
 
-from acaciaward.catalogue import routes
-from acaciaward.fleet import zoneplan
+from acaciaward.catalogue import endpoints, routes
+from acaciaward.fleet import ordering, zoneplan
 
 SETTINGS = hypothesis.settings(
     database=None, derandomize=True, max_examples=300, deadline=None
@@ -127,3 +130,89 @@
             is_settled = plan == {kind: ready.get(kind, 0) for kind in plan}
             ready = dict(plan)
         assert is_settled, (needed, plan)
+
+
+class Holder:
+    """Surroundings of the ordering: a held lease, and a platform that may be dry."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.dry = False
+        self.orders = []
+        self.directory = endpoints.Directory(lambda: self.now)
+        service = routes.Service("llm", 100, scaling=SCALING)
+        self.ordering = ordering.Ordering(
+            types.SimpleNamespace(held=lambda for_s: types.SimpleNamespace(fence=1)),
+            self.directory,
+            lambda: [service],
+            lambda name: (80_000.0, 5.0),
+            self.send,
+            clock=lambda: self.now,
+        )
+        self.service = service
+
+    async def send(self, order, fence):
+        if self.dry and order.kind.is_reclaimable and order.count:
+            raise ordering.NothingToRentError("none")
+        self.orders.append((self.now, order))
+
+    def serve(self, place, count, *, state=endpoints.EndpointState.READY):
+        for number in range(count):
+            name = f"{place}-{number}"
+            self.directory.put(
+                endpoints.Endpoint(
+                    name, 1, "llm", "127.0.0.1", 1, place, 64, state, 0.0, True
+                )
+            )
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            asyncio.run(self.ordering.step(self.service))
+            self.now += 0.3
+
+    def safe_ordered(self):
+        found = {}
+        for _, order in self.orders:
+            if not order.kind.is_reclaimable:
+                found[order.kind.data_centre] = order.count
+        return sum(found.values())
+
+
+@given("a fleet of 2 reclaimable endpoints in each data centre under one holder")
+def make_holder(context):
+    context.holder = Holder()
+    context.holder.run(1.0)
+    for place in PRICES:
+        context.holder.serve(place, 2)
+    context.holder.run(3.0)
+
+
+@when("two data centres are reclaimed {seconds:g} s apart and none are to be had")
+def reclaim_two(context, seconds):
+    holder = context.holder
+    holder.dry = True
+    leaving = endpoints.EndpointState.LEAVING
+    holder.serve("north", 2, state=leaving)
+    holder.run(seconds)
+    holder.serve("south", 2, state=leaving)
+    context.reclaimed_at = holder.now
+    holder.run(1.0)
+
+
+@then("safe endpoints are ordered within {seconds:g} s of the second")
+def check_soon(context, seconds):
+    holder = context.holder
+    assert holder.safe_ordered() >= 2, holder.orders
+    late = context.reclaimed_at + seconds
+    soon = [order for at, order in holder.orders if context.reclaimed_at <= at <= late]
+    assert any(not one.kind.is_reclaimable and one.count for one in soon), soon
+
+
+@then("no order was taken back within the first second")
+def check_steady(context):
+    counts = {}
+    for at, order in context.holder.orders:
+        if at >= context.reclaimed_at and not order.kind.is_reclaimable:
+            counts.setdefault(order.kind, []).append(order.count)
+    assert all(found == sorted(found) for found in counts.values()), counts
--- a/acaciaward/fleet/features/zoneplan.feature
+++ b/acaciaward/fleet/features/zoneplan.feature
@@ -25,3 +25,9 @@
 
   Scenario: A plan that is carried out stays as it is
     Then for any demand the plan settles
+
+  Scenario: A refused order doesn't count as endpoints that come
+    Given a fleet of 2 reclaimable endpoints in each data centre under one holder
+    When two data centres are reclaimed 4 s apart and none are to be had
+    Then safe endpoints are ordered within 0.7 s of the second
+    And no order was taken back within the first second
--- a/acaciaward/fleet/ordering.py
+++ b/acaciaward/fleet/ordering.py
@@ -37,9 +37,18 @@
 
 
 class _Sent(typing.NamedTuple):
+    """An order that was sent: its count, when, what was ready, if it was taken."""
+
     count: int
     at: float
     ready_before: int
+    is_taken: bool = True
+
+    def coming(self, ready: int, now: float, boot_s: float) -> int:
+        """Return how many endpoints it still brings."""
+        if not self.is_taken or now - self.at > boot_s + LOST_S:
+            return 0
+        return max(0, self.count - max(ready, self.ready_before))
 
 
 class NothingToRentError(errors.PlatformRefusedError):
@@ -95,14 +104,18 @@
             # What was ordered before is another holder's; the plan is sent whole.
             self._fence = tenure.fence
             self._sent.clear()
-        snapshot = self._snapshot(service)
-        for kind, count in zoneplan.make_plan(snapshot).items():
-            if not self._is_due(service.name, kind, count, snapshot):
-                continue
-            tenure = self._lease.held(for_s=SEND_S)
-            if tenure is None:
-                return
-            await self._order(service, kind, count, snapshot, tenure.fence)
+        # What safe endpoints are for depends on which reclaimable ones were to be had.
+        for is_reclaimable in (True, False):
+            snapshot = self._snapshot(service)
+            for kind, count in zoneplan.make_plan(snapshot).items():
+                if kind.is_reclaimable is not is_reclaimable:
+                    continue
+                if not self._is_due(service.name, kind, count, snapshot):
+                    continue
+                tenure = self._lease.held(for_s=SEND_S)
+                if tenure is None:
+                    return
+                await self._order(service, kind, count, snapshot, tenure.fence)
 
     async def _order(
         self,
@@ -120,7 +133,9 @@
         except NothingToRentError:
             outcome = "none to be had"
             self._dry[(service.name, kind.data_centre)] = self._clock() + DRY_S
-            self._sent[(service.name, kind)] = _Sent(ready, self._clock(), ready)
+            self._sent[(service.name, kind)] = _Sent(
+                ready, self._clock(), ready, is_taken=False
+            )
         log.info(
             "endpoints ordered",
             extra=logs.fields(
@@ -155,11 +170,11 @@
         for one in self._directory.ready(service.name):
             kind = zoneplan.Kind(one.data_centre, one.is_reclaimable)
             ready[kind] = ready.get(kind, 0) + 1
-        coming = {}
-        for (name, kind), sent in self._sent.items():
-            boots = now - sent.at < service.scaling.boot_s + LOST_S
-            if name == service.name and boots:
-                coming[kind] = max(0, sent.count - max(ready.get(kind, 0), 0))
+        coming = {
+            kind: sent.coming(ready.get(kind, 0), now, service.scaling.boot_s)
+            for (name, kind), sent in self._sent.items()
+            if name == service.name
+        }
         dry = {
             place
             for (name, place), until in self._dry.items()
--- a/acaciaward/gateway/duties.py
+++ b/acaciaward/gateway/duties.py
@@ -29,6 +29,9 @@
 USAGE_TOPIC = "acaciaward.usage"
 # Entries that try to hold the lease; the others don't read it.
 CANDIDATES = 3
+# Two tenures in a row, the least between two of one entry, outlast the bound in
+# which duties may not come back to their last holder.
+LEASE_PART = 0.7
 # Counts are told for this long after they last changed, in seconds.
 COUNTS_LIFETIME_S = 12.0
 TOLD_WINDOWS = 2
@@ -70,7 +73,7 @@
         lease = conditional.ConditionalLease(
             topics.LogTopic(platform_store, LEASE_TOPIC),
             self._start,
-            duration_s=bounds["lease_s"],
+            duration_s=LEASE_PART * bounds["lease_s"],
             is_candidate=self._is_candidate,
         )
         self._work.append(lease.run)
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -130,6 +130,8 @@
             await writer.drain()
         elif then == "reset":
             reset(writer)
+        elif then == "hang":
+            await reader.read(1)
         else:
             writer.close()
 
--- a/acaciaward/gateway/features/streams.feature
+++ b/acaciaward/gateway/features/streams.feature
@@ -55,3 +55,9 @@
     And the endpoints stream 13 to 15 and end
     When a caller asks to go on after 12
     Then the events are 13 to 15 and the answer is complete
+
+  Scenario: A stream whose endpoint falls silent goes on elsewhere
+    Given a front for resumable streams
+    And the endpoints stream 1 to 3 and hang, then 4 to 6 and end
+    When a caller asks
+    Then the events are 1 to 6 and the answer is complete
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -46,6 +46,11 @@
 # How long before the caller's own end an answer is given up, in seconds.
 END_MARGIN_S = 0.02
 
+# How often a call that waits looks whether its endpoint is silent, in seconds.
+SILENCE_POLL_S = 0.25
+
+_Awaited = typing.TypeVar("_Awaited")
+
 NOT_RUN = verdicts.Verdict.NOT_RUN
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 
@@ -300,7 +305,8 @@
             )
             was_sent_before = progress.may_run
             progress.may_run = True
-            reply = await self._exchange(progress, link, headers)
+            reply = await self._exchange(progress, work, link, headers)
+            self._with.occupancy.note_heard(work.endpoint)
             head = reply.head
             if head.is_refusal:
                 progress.may_run = was_sent_before
@@ -321,7 +327,11 @@
         return head.status >= SERVER_ERROR
 
     async def _exchange(
-        self, progress: Progress, link: links.Link, headers: calls.Headers
+        self,
+        progress: Progress,
+        work: occupancy.Work,
+        link: links.Link,
+        headers: calls.Headers,
     ) -> links.Reply:
         call, route = progress.call, progress.route
         decode = self._with.codec.decode_reply
@@ -329,7 +339,8 @@
             progress.sends < route.max_attempts
         )
         if not can_repeat:
-            return await link.exchange(call, headers, decode)
+            exchange = link.exchange(call, headers, decode)
+            return await self._unless_silent(progress, work, exchange)
         hung_s = min(HUNG_TARGETS * route.target_s, progress.left_s / 2)
         try:
             async with asyncio.timeout(hung_s) as limit:
@@ -376,7 +387,7 @@
         responder: callers.Responder,
     ) -> None:
         splitter = events.EventSplitter()
-        while (part := await reply.read_part()) is not None:
+        while (part := await self._read_part(progress, work, reply)) is not None:
             pieces = splitter.feed(part)
             fresh = [piece.data for piece in pieces if self._take(progress, piece)]
             if fresh:
@@ -390,6 +401,33 @@
             await responder.start(reply.head.status, reply.head.headers)
         await responder.finish()
 
+    async def _read_part(
+        self, progress: Progress, work: occupancy.Work, reply: links.Reply
+    ) -> bytes | None:
+        part = await self._unless_silent(progress, work, reply.read_part())
+        self._with.occupancy.note_heard(work.endpoint)
+        return part
+
+    async def _unless_silent(
+        self,
+        progress: Progress,
+        work: occupancy.Work,
+        awaited: abc.Coroutine[typing.Any, typing.Any, _Awaited],
+    ) -> _Awaited:
+        """Wait for an endpoint; leave one that is silent if the stream can resume."""
+        if not progress.route.is_resumable:
+            return await awaited
+        waiting = asyncio.ensure_future(awaited)
+        try:
+            while True:
+                await asyncio.wait({waiting}, timeout=SILENCE_POLL_S)
+                if waiting.done():
+                    return waiting.result()
+                if self._with.occupancy.is_silent(work.endpoint):
+                    raise errors.SilentError("endpoint is silent on all its calls")
+        finally:
+            waiting.cancel()
+
     @staticmethod
     def _take(progress: Progress, event: events.Event) -> bool:
         """Return whether an event is the next one; raise if one is missing."""
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -14,10 +14,10 @@
 import msgspec
 import prometheus_client
 
-from acaciaward import httpclient
+from acaciaward import httpclient, tasks
 from acaciaward.admission import quotas, repeats
 from acaciaward.catalogue import endpoints, following, routes
-from acaciaward.entry import peerside, stopping
+from acaciaward.entry import peerside
 from acaciaward.gateway import callers, calls, duties, forwarding, links
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import logs
@@ -129,7 +129,7 @@
             self._membership,
             self._hints,
             self._directory,
-            services=lambda: self._index.scaled_services if self._index else (),
+            services=self._scaled_services,
             streams=lambda name: self._occupancy.running(name)[0],
         )
         self._pool = links.LinkPool()
@@ -165,6 +165,12 @@
             )
         )
 
+    def _scaled_services(self) -> list[routes.Service]:
+        # Before the endpoints are listed, none of them would seem to exist.
+        if self._index is None or not self._endpoints_follower.is_listed.is_set():
+            return []
+        return self._index.scaled_services
+
     def _build_servers(self) -> None:
         self._callers = callers.CallerServer(
             self._forwarder.handle, headers.decode_call, self._limits
@@ -405,7 +411,7 @@
 
     async def _end(self) -> None:
         self._callers.abort()
-        await stopping.end_tasks(self._tasks)
+        await tasks.end_tasks(self._tasks)
         self._pool.close()
         await self._transport.stop()
         await self._client.close()
--- a/acaciaward/leases/conditional.py
+++ b/acaciaward/leases/conditional.py
@@ -123,8 +123,8 @@
             if self._clock() >= renew_at:
                 await self._append(tenure.fence)
             return
-        if not self._is_candidate():
-            self._end = None
+        # Whoever knows how the topic ended can tell soon that a lease has lapsed.
+        if self._end is not None and not self._is_candidate():
             return
         began = self._clock()
         await self._read()
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -22,6 +22,9 @@
 SMOOTHING = 0.1
 # Prompts below that say little about the pace of reading, in tokens.
 TELLING_TOKENS = 3000
+# An endpoint with work that sends nothing at all for so long is taken for dead, in
+# seconds: batches of an engine end many times a second.
+SILENT_S = 0.8
 KIND = membership_interfaces.HintKind.ENDPOINT_LOAD
 
 Incarnation = tuple[str, int]
@@ -86,6 +89,7 @@
         self._parts: dict[Incarnation, collections.OrderedDict[str, float]] = {}
         self._prefill_per_s = placement.USUAL_PREFILL_PER_S
         self._service_s: dict[str, float] = {}
+        self._unheard_since: dict[Incarnation, float] = {}
         self._published: dict[str, list[int]] | None = None
         directory.subscribe(self._forget)
 
@@ -112,7 +116,11 @@
             for one in self._directory.ready(service.name)
             if one.incarnation not in excluded
         ]
-        sound = [one for one in ready if not self._record(one).is_paused(now)]
+        sound = [
+            one
+            for one in ready
+            if not self._record(one).is_paused(now) and not self.is_silent(one)
+        ]
         # When all are paused, the one whose pause ends first is the next probe.
         if not sound and ready:
             sound = [min(ready, key=lambda one: self._record(one).paused_until)]
@@ -127,10 +135,22 @@
     def start(self, candidate: placement.Candidate, call: calls.Call) -> Work:
         """Count a call at an endpoint from now on."""
         work = Work(self, candidate, call)
-        self._running[work.endpoint.incarnation] += 1
-        self._backlog[work.endpoint.incarnation] += work.tokens
+        incarnation = work.endpoint.incarnation
+        self._running[incarnation] += 1
+        self._unheard_since.setdefault(incarnation, time.monotonic())
+        self._backlog[incarnation] += work.tokens
         return work
 
+    def note_heard(self, endpoint: endpoints.Endpoint) -> None:
+        """Take note of bytes from an endpoint, whichever call they are for."""
+        if self._running[endpoint.incarnation]:
+            self._unheard_since[endpoint.incarnation] = time.monotonic()
+
+    def is_silent(self, endpoint: endpoints.Endpoint) -> bool:
+        """Whether an endpoint has work and has sent nothing for long."""
+        since = self._unheard_since.get(endpoint.incarnation)
+        return since is not None and time.monotonic() - since > SILENT_S
+
     def running(self, service: str) -> tuple[float, float]:
         """Return requests and unread tokens at a service, from all entries."""
         others = self._others()
@@ -169,6 +189,8 @@
         """Take a call off and its outcome into the endpoint's record."""
         incarnation = work.endpoint.incarnation
         self._lower(self._running, incarnation, 1)
+        if incarnation not in self._running:
+            self._unheard_since.pop(incarnation, None)
         record = self._record(work.endpoint)
         if failed:
             record = record.note_failure(
