Give no safe endpoint back before what replaces it serves

Ruled out: the entries (all ready), the quotas. Change: the safe part of the plan comes first, and reclaimable ones get the room that is left.

--- a/acaciaward/fleet/features/steps/zoneplan_steps.py
+++ b/acaciaward/fleet/features/steps/zoneplan_steps.py
@@ -125,7 +125,7 @@
 def check_settles(context):
     for needed in range(1, 10):
         ready = {zoneplan.Kind(place, False): 2 for place in PRICES}
-        for _ in range(6):
+        for _ in range(12):
             plan = zoneplan.make_plan(make_snapshot(ready, needed=needed))
             is_settled = plan == {kind: ready.get(kind, 0) for kind in plan}
             ready = dict(plan)
@@ -135,17 +135,17 @@
 class Holder:
     """Surroundings of the ordering: a held lease, and a platform that may be dry."""
 
-    def __init__(self):
+    def __init__(self, scaling=SCALING):
         self.now = 100.0
         self.dry = False
         self.orders = []
         self.directory = endpoints.Directory(lambda: self.now)
-        service = routes.Service("llm", 100, scaling=SCALING)
+        service = routes.Service("llm", 100, scaling=scaling)
         self.ordering = ordering.Ordering(
             types.SimpleNamespace(held=lambda for_s: types.SimpleNamespace(fence=1)),
             self.directory,
             lambda: [service],
-            lambda name: (80_000.0, 5.0),
+            lambda name: (100_000.0, 5.0),
             self.send,
             clock=lambda: self.now,
         )
@@ -165,6 +165,14 @@
                 )
             )
 
+    def serve_safe(self, place):
+        ready = endpoints.EndpointState.READY
+        self.directory.put(
+            endpoints.Endpoint(
+                f"{place}-safe", 1, "llm", "127.0.0.1", 1, place, 64, ready
+            )
+        )
+
     def run(self, seconds):
         end = self.now + seconds
         while self.now < end:
@@ -185,13 +193,14 @@
     context.holder.run(1.0)
     for place in PRICES:
         context.holder.serve(place, 2)
-    context.holder.run(3.0)
+    # The demand calls for a third, which is refused.
+    context.holder.dry = True
+    context.holder.run(5.0)
 
 
 @when("two data centres are reclaimed {seconds:g} s apart and none are to be had")
 def reclaim_two(context, seconds):
     holder = context.holder
-    holder.dry = True
     leaving = endpoints.EndpointState.LEAVING
     holder.serve("north", 2, state=leaving)
     holder.run(seconds)
@@ -209,6 +218,28 @@
     assert any(not one.kind.is_reclaimable and one.count for one in soon), soon
 
 
+@given("a fleet with 1 safe endpoint in each data centre and bounds of 1 to 3")
+def make_safe_holder(context):
+    context.holder = Holder(routes.Scaling(1, 3, 4.0, 0.18, PRICES))
+    for place in PRICES:
+        context.holder.serve_safe(place)
+
+
+@when("the demand calls for 3 reclaimable endpoints in each")
+def want_three(context):
+    context.holder.run(1.5)
+
+
+@then("the safe ones stay until those serve")
+def check_safe_stay(context):
+    holder = context.holder
+    assert holder.safe_ordered() == 3, holder.orders
+    for place in PRICES:
+        holder.serve(place, 2)
+    holder.run(1.5)
+    assert holder.safe_ordered() == 0, holder.orders
+
+
 @then("no order was taken back within the first second")
 def check_steady(context):
     counts = {}
--- a/acaciaward/fleet/features/zoneplan.feature
+++ b/acaciaward/fleet/features/zoneplan.feature
@@ -31,3 +31,8 @@
     When two data centres are reclaimed 4 s apart and none are to be had
     Then safe endpoints are ordered within 0.7 s of the second
     And no order was taken back within the first second
+
+  Scenario: Safe endpoints stay while what replaces them boots
+    Given a fleet with 1 safe endpoint in each data centre and bounds of 1 to 3
+    When the demand calls for 3 reclaimable endpoints in each
+    Then the safe ones stay until those serve
--- a/acaciaward/fleet/zoneplan.py
+++ b/acaciaward/fleet/zoneplan.py
@@ -63,56 +63,60 @@
 def make_plan(snapshot: Snapshot) -> dict[Kind, int]:
     """Return how many endpoints of each kind to order in each data centre."""
     places = sorted(snapshot.scaling.prices, key=snapshot.scaling.prices.get)
-    reclaimable = _plan_reclaimable(snapshot, places)
-    safe = _plan_safe(snapshot, places, reclaimable)
+    safe = _plan_safe(snapshot, places)
+    reclaimable = _plan_reclaimable(snapshot, places, safe)
     plan = {Kind(place, True): count for place, count in reclaimable.items()}
     return plan | {Kind(place, False): count for place, count in safe.items()}
 
 
-def _plan_reclaimable(snapshot: Snapshot, places: abc.Sequence[str]) -> dict[str, int]:
-    if snapshot.scaling.reclaimable_price is None:
-        return {}
+def _plan_safe(snapshot: Snapshot, places: abc.Sequence[str]) -> dict[str, int]:
     bounds = snapshot.scaling
-    # The loss of one data centre leaves the rest, which must carry the demand.
-    share = math.ceil(snapshot.needed / max(1, len(places) - 1))
-    wanted = max(bounds.minimum, min(bounds.maximum, share + 1, snapshot.needed))
+    ready = {place: snapshot.ready.get(Kind(place, True), 0) for place in places}
+    expected = {
+        place: ready[place] + snapshot.coming.get(Kind(place, True), 0)
+        for place in places
+    }
+    # What boots spares a new order, but only what serves lets a safe one go.
+    most_needed = _missing(snapshot.needed, ready)
+    least_needed = _missing(snapshot.needed, expected)
     plan = {}
     for place in places:
-        present = _present(snapshot, Kind(place, True))
-        asked = present if place in snapshot.dry else wanted
-        plan[place] = min(bounds.maximum, asked)
+        kept = _present(snapshot, Kind(place, False))
+        if sum(ready.values()) >= snapshot.needed:
+            kept = min(kept, max(0, most_needed))
+        # Each data centre holds its minimum, of whichever kind.
+        floor = max(0, bounds.minimum - expected[place])
+        plan[place] = min(max(kept, floor), bounds.maximum)
+        most_needed -= plan[place]
+        least_needed -= plan[place]
+    for place in places:
+        room = bounds.maximum - ready[place] - plan[place]
+        more = max(0, min(least_needed, room))
+        plan[place] += more
+        least_needed -= more
     return plan
 
 
-def _plan_safe(
-    snapshot: Snapshot,
-    places: abc.Sequence[str],
-    reclaimable: abc.Mapping[str, int],
+def _missing(needed: int, counts: abc.Mapping[str, int]) -> int:
+    """Return what the demand lacks after the loss of the fullest data centre."""
+    after_loss = sum(counts.values()) - max(counts.values(), default=0)
+    return max(0, needed - after_loss)
+
+
+def _plan_reclaimable(
+    snapshot: Snapshot, places: abc.Sequence[str], safe: abc.Mapping[str, int]
 ) -> dict[str, int]:
     bounds = snapshot.scaling
-    counts = {
-        place: min(bounds.maximum, _present(snapshot, Kind(place, True)))
-        for place in places
-    }
-    ready = sum(snapshot.ready.get(Kind(place, True), 0) for place in places)
-    after_loss = sum(counts.values()) - max(counts.values(), default=0)
-    missing = max(0, snapshot.needed - after_loss)
-    room = {place: bounds.maximum - reclaimable.get(place, 0) for place in places}
+    if bounds.reclaimable_price is None:
+        return {}
+    # The loss of one data centre leaves the rest, which must carry the demand.
+    share = math.ceil(snapshot.needed / max(1, len(places) - 1))
+    wanted = max(bounds.minimum, min(share + 1, snapshot.needed))
     plan = {}
     for place in places:
-        # Each data centre holds its minimum, of whichever kind.
-        present = min(counts[place], reclaimable.get(place, 0))
-        plan[place] = min(room[place], max(0, bounds.minimum - present))
-        missing -= plan[place]
-    for place in places:
-        more = max(0, min(missing, room[place] - plan[place]))
-        plan[place] += more
-        missing -= more
-    if ready < snapshot.needed:
-        # Nothing is given back before what replaces it serves.
-        for place in places:
-            kept = snapshot.ready.get(Kind(place, False), 0)
-            plan[place] = max(plan[place], min(room[place], kept))
+        present = _present(snapshot, Kind(place, True))
+        asked = present if place in snapshot.dry else wanted
+        plan[place] = max(0, min(bounds.maximum - safe[place], asked))
     return plan
 
 
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,10 +1,16 @@
 #!/bin/sh
-# Installs the locked libraries into target/deps and compiles the program's modules.
+# Installs the locked libraries and the program into target/deps, compiled: the tree
+# is read-only where the program runs, so each start would compile it anew.
 set -eu
+compile="python3 -m compileall -q --invalidation-mode unchecked-hash"
 if [ ! target/deps/.complete -nt requirements.lock ]; then
-  python3 -m pip install --quiet --disable-pip-version-check --upgrade \
+  python3 -m pip install --quiet --disable-pip-version-check --no-compile --upgrade \
     --target target/deps -r requirements.lock
+  $compile target/deps || true
   touch target/deps/.complete
 fi
-PYTHONPATH=target/deps python3 -X pycache_prefix=target/pycache \
-  -m compileall -q acaciaward target/deps || true
+rm -rf target/deps/acaciaward
+cp -r acaciaward target/deps/acaciaward
+find target/deps/acaciaward -name features -prune -exec rm -rf {} +
+find target/deps/acaciaward -name __pycache__ -prune -exec rm -rf {} +
+$compile target/deps/acaciaward
