Use lapsed endpoints only as a last resort; save nothing in a new bucket

Change: lapsed endpoints get work only if there are no others; buckets begin empty, and for 2 s an entry supposes nine others.

--- a/acaciaward/admission/features/steps/shared_steps.py
+++ b/acaciaward/admission/features/steps/shared_steps.py
@@ -17,18 +17,25 @@
     def __init__(self, count, rate, burst):
         self.now = 0.0
         self.rule = quotas.Rule(rate, burst)
-        self.quotas = [
-            quotas.Quotas(lambda: self.now, lambda: count) for _ in range(count)
-        ]
+        self.apart_until = 0.0
+        self.quotas = []
+        self.start(count)
         self.groups = [set(range(count))]
         self.hear_s = 0.5
         self.taken = []
         self.refused = []
         self.chooser = random.Random(4)
+
+    def start(self, count):
+        self.quotas = [
+            quotas.Quotas(lambda: self.now, lambda: count) for _ in range(count)
+        ]
         for each in self.quotas:
             each.set_rules({"org": self.rule})
 
     def part(self, number):
+        if self.now < self.apart_until:
+            return 1 / len(self.quotas)
         (group,) = [one for one in self.groups if number in one]
         return len(group) / len(self.quotas)
 
@@ -48,6 +55,8 @@
                 self.exchange()
 
     def exchange(self):
+        if self.now < self.apart_until:
+            return
         totals = [each.totals() for each in self.quotas]
         for group in self.groups:
             for one in group:
@@ -72,6 +81,13 @@
     context.entries.run(factor, seconds)
 
 
+@when("all entries start anew without knowing each other for {seconds:g} s")
+def start_anew(context, seconds):
+    entries = context.entries
+    entries.apart_until = entries.now + seconds
+    entries.start(len(entries.quotas))
+
+
 @when("they are cut into 6 and 3 and {factor:g} times the quota is asked for over 20 s")
 def run_cut(context, factor):
     context.entries.run(factor, 5.0)
--- a/acaciaward/admission/quotas.py
+++ b/acaciaward/admission/quotas.py
@@ -16,8 +16,6 @@
 
 from acaciaward import rates
 
-# Part of the burst that an entry may spend before it has heard of the others.
-FIRST_PART = 0.1
 # What the others admitted is known this much later, in seconds, as gossip goes.
 LAG_S = 0.5
 # Shares of entries in an organisation's use are smoothed over this time.
@@ -75,7 +73,8 @@
         self.rule = rule
         self.own_total = 0.0
         self.others_expected = 0
-        self._level = rule.burst * FIRST_PART
+        # What was spent before this entry started isn't known, so nothing is saved.
+        self._level = 0.0
         self._since = now
         self._totals: dict[str, float] = {}
         self._recent: collections.deque[tuple[float, float]] = collections.deque()
--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -2,8 +2,9 @@
 The endpoints that exist, as their own entries in the platform's store say.
 
 An endpoint that lapsed while the store was away may still live, so removals that
-are seen around an outage are held back for a moment. An endpoint that starts
-again under its old name is another incarnation, of which nothing is known.
+are seen around an outage are held back for a moment: such an endpoint gets work only
+if there is no other. An endpoint that starts again under its old name is another
+incarnation, of which nothing is known.
 """
 
 import enum
@@ -161,6 +162,15 @@
             if one.service == service
             and one.state is EndpointState.READY
             and one.incarnation not in self._mismatched
+            and one.name not in self._removals
+        ]
+
+    def lapsed(self, service: str) -> list[Endpoint]:
+        """Return those whose removal is held back: the last resort."""
+        return [
+            one
+            for one in self.of_service(service)
+            if one.name in self._removals and one.incarnation not in self._mismatched
         ]
 
     def _drop(self, name: str, reason: str) -> None:
--- a/acaciaward/catalogue/features/catalogue.feature
+++ b/acaciaward/catalogue/features/catalogue.feature
@@ -11,15 +11,17 @@
     When the entry of e-1 is removed
     Then e-2 may get work
 
-  Scenario: An endpoint that lapsed during an outage is kept for two seconds
+  Scenario: An endpoint that lapsed during an outage is the last resort for two seconds
     Given endpoints e-1 and e-2
     When the store fails
     And the entry of e-1 is removed
-    Then e-1, e-2 may get work
+    Then e-2 may get work
+    And e-1 may get work if there is no other
     When 2.1 s pass
     Then e-2 may get work
+    And none may get work if there is no other
 
-  Scenario: An endpoint that is back after an outage stays
+  Scenario: An endpoint that is back after an outage gets work again
     Given endpoints e-1 and e-2
     When the store fails
     And the entry of e-1 is removed
--- a/acaciaward/catalogue/features/steps/catalogue_steps.py
+++ b/acaciaward/catalogue/features/steps/catalogue_steps.py
@@ -93,6 +93,12 @@
     context.directory.drop_unreadable(name, "test")
 
 
+@then("{names} may get work if there is no other")
+def check_lapsed(context, names):
+    found = [one.name for one in context.directory.lapsed("s")]
+    assert (found or ["none"]) == names.split(", "), found
+
+
 @then("{names} may get work")
 def check_ready(context, names):
     found = sorted(one.name for one in context.directory.ready("s"))
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -41,6 +41,9 @@
 HINT_LIFETIME_S = 5.0
 # Peers that were known in this time count as entries that may serve, in seconds.
 KNOWN_PEERS_S = 30.0
+# Until gossip has settled after a start, others are supposed to be there, too.
+SETTLED_S = 2.0
+SUPPOSED_ENTRIES = 10
 # Callers may hold a discovery answer three times as long as it says.
 HELD_FACTOR = 3.0
 # The end of the time to stop that is kept for ending the process, in seconds.
@@ -74,6 +77,8 @@
         self._index: routes.Index | None = None
         self._is_leaving = False
         self._seen: dict[str, float] = {}
+        self._heard = 1
+        self._started = time.monotonic()
         self._client = httpclient.HttpClient(
             connect_timeout_s=settings["store"]["timeout_s"]
         )
@@ -277,13 +282,13 @@
 
     def _entries(self) -> int:
         """Return how many entries there are, as far as this one knows."""
-        return max(1, len(self._seen))
+        is_new = time.monotonic() - self._started < SETTLED_S
+        return max(SUPPOSED_ENTRIES if is_new else 1, len(self._seen))
 
     def _heard_part(self) -> float:
         return min(1.0, self._heard / self._entries())
 
     async def _publish(self) -> None:
-        self._heard = 1
         while True:
             now = time.monotonic()
             live = [
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -113,7 +113,10 @@
         now = time.monotonic()
         ready = [
             one
-            for one in self._directory.ready(service.name)
+            for one in (
+                self._directory.ready(service.name)
+                or self._directory.lapsed(service.name)
+            )
             if one.incarnation not in excluded
         ]
         sound = [
