Explain a request from logs, and sum failures

Each decision on a request now has its line with the inputs (version, load, tokens held, age). acaciaward explain REQUEST FILE... and acaciaward report failures FILE... read them back. A new bucket holds 0.1 s of rate.

--- a/acaciaward/admission/quotas.py
+++ b/acaciaward/admission/quotas.py
@@ -16,6 +16,8 @@
 
 from acaciaward import rates
 
+# A bucket begins with that many seconds of rate: an even share among ten entries.
+FIRST_S = 0.1
 # What the others admitted is known this much later, in seconds, as gossip goes.
 LAG_S = 0.5
 # Shares of entries in an organisation's use are smoothed over this time.
@@ -73,8 +75,8 @@
         self.rule = rule
         self.own_total = 0.0
         self.others_expected = 0
-        # What was spent before this entry started isn't known, so nothing is saved.
-        self._level = 0.0
+        # What was spent before this entry started isn't known, so little is saved.
+        self._level = FIRST_S * rule.rate
         self._since = now
         self._totals: dict[str, float] = {}
         self._recent: collections.deque[tuple[float, float]] = collections.deque()
--- a/acaciaward/cli/main.py
+++ b/acaciaward/cli/main.py
@@ -24,6 +24,7 @@
     "drain": "entries",
     "endpoints": "deployments",
     "entry": "entry",
+    "explain": "explain",
     "fleet": "fleet",
     "gateway": "gateway",
     "key": "keys",
--- a/acaciaward/cli/reports.py
+++ b/acaciaward/cli/reports.py
@@ -1,5 +1,6 @@
 """The ``report`` commands: what all entries together have counted."""
 
+import json
 import pathlib
 import typing
 import urllib.parse
@@ -8,7 +9,7 @@
 
 from acaciaward import documents, errors
 from acaciaward.cli import connection, output
-from acaciaward.observability import burn
+from acaciaward.observability import burn, timeline
 
 EXIT_INCOMPLETE = 5
 NEVER = "-"
@@ -165,3 +166,33 @@
         drawing.savefig(path)
     except (OSError, ValueError) as error:
         raise errors.OperatorError(f"{path}: {error}") from error
+
+
+@report.command("failures")
+@click.argument("files", nargs=-1, type=click.File(errors="replace"))
+@output.json_option
+def report_failures(files: tuple, as_json: bool):
+    """
+    Sum requests and failures in entries' logs by cause, endpoint and second.
+
+    Without files, the logs are read from standard input. A row a second shows
+    answered requests as =, refused ones as r and failed ones as F.
+
+    Example: acaciaward report failures entry-1.log entry-2.log
+    """
+    summary = timeline.Summary()
+    for source in files or (click.get_text_stream("stdin", errors="replace"),):
+        for line in source:
+            summary.take(line)
+    fields = summary.to_fields()
+    if as_json:
+        click.echo(json.dumps(fields))
+        return
+    totals = (fields[name] for name in ("requests", "refused", "failed"))
+    click.echo("{} requests, {} refused, {} failed".format(*totals))
+    for title in ("causes", "endpoints"):
+        click.echo(f"{title}:")
+        for name, count in fields[title].items():
+            click.echo(f"{count:7} {name}")
+    for row in timeline.plot(summary):
+        click.echo(row)
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -200,6 +200,7 @@
         self.quotas = quotas.Quotas(time.monotonic, lambda: 1)
         if quota is not None:
             self.quotas.set_rules({"org": quotas.Rule(quota.rate, quota.burst)})
+            self.quotas.give_back("org", quota.burst)
         self.pool = links.LinkPool()
         forwarder = forwarding.Forwarder(
             forwarding.Collaborators(
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -37,7 +37,7 @@
 
 @given("a front for {kind} requests with a quota of 1 a minute")
 def start_front_quota(context, kind):
-    quota = routes.Quota(1 / 60, 10)
+    quota = routes.Quota(1 / 60, 1)
     start(context, KINDS[kind], quota=quota)
 
 
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -124,6 +124,7 @@
         self.delivered: int | None = call.last_event_id
         self.charged = 0.0
         self.outcome = "cut"
+        self.version = -1
         self.first_byte_s: float | None = None
 
     @property
@@ -154,15 +155,26 @@
         progress: Progress | None = None
         try:
             index, progress = self._admit(call)
+            self._charge(progress)
             async with asyncio.timeout_at(progress.deadline):
                 await self._forward(index, progress, responder)
             progress.outcome = f"answered {responder.status}"
+            self._note_answered(progress, responder)
         except TimeoutError:
             await self._give_up(progress, responder)
         except RefusedError as refusal:
             await self._refuse(call, progress, responder, refusal)
         except asyncio.CancelledError:
-            log.info("caller left", extra=logs.fields(request=call.attempt_id))
+            age_ms = int(1000 * (time.monotonic() - call.received))
+            log.info(
+                "caller left",
+                extra=logs.fields(
+                    request=call.attempt_id,
+                    age_ms=age_ms,
+                    sends=progress.sends if progress else 0,
+                    last_event=progress.delivered if progress else None,
+                ),
+            )
             raise
         finally:
             if progress is not None:
@@ -180,16 +192,16 @@
             patience_s = USUAL_PATIENCE_S
         limit_s = min(patience_s - END_MARGIN_S, route.timeout_s)
         progress = Progress(call, route, call.received + limit_s)
+        progress.version = index.catalogue.version
         if index.catalogue.has_organisations and not route.is_anonymous:
             progress.organisation = index.organisation_of(call.key or "")
             if progress.organisation is None:
                 raise RefusedError(UNAUTHORISED, "unknown key")
-            self._charge(progress)
         return index, progress
 
     def _charge(self, progress: Progress) -> None:
         organisation = progress.organisation
-        quota = organisation.quota
+        quota = organisation.quota if organisation else None
         if quota is None:
             return
         amount = 1.0
@@ -202,7 +214,8 @@
             organisation.name, amount, self._with.heard_part()
         )
         if wait_s is not None:
-            raise RefusedError(TOO_MANY, "quota spent", retry_after_s=wait_s)
+            reason = f"quota of {organisation.name} spent, {amount:.0f} asked"
+            raise RefusedError(TOO_MANY, reason, retry_after_s=wait_s)
         progress.charged = amount
 
     async def _forward(
@@ -299,8 +312,15 @@
                     request=progress.call.attempt_id,
                     endpoint=work.endpoint.name,
                     route=progress.route.name,
+                    version=progress.version,
                     left_ms=int(left_s * 1000),
                     send=progress.sends,
+                    running=work.candidate.running,
+                    backlog_tokens=work.candidate.backlog_tokens,
+                    held_tokens=work.candidate.held_tokens,
+                    failed_share=round(work.candidate.failed_share, 2),
+                    fresh_link=not link.exchanges,
+                    after_event=progress.delivered,
                 ),
             )
             was_sent_before = progress.may_run
@@ -502,8 +522,11 @@
             extra=logs.fields(
                 request=call.attempt_id,
                 status=refusal.status,
+                route=progress.route.name if progress else None,
+                version=progress.version if progress else None,
                 reason=refusal.reason,
                 verdict=refusal.verdict.value,
+                begun=responder.has_begun,
                 sends=progress.sends if progress else 0,
                 retry_after_s=refusal.retry_after_s,
                 age_ms=int(1000 * (time.monotonic() - call.received)),
@@ -519,6 +542,24 @@
         )
         await responder.send(refusal.status, headers, b"")
 
+    @staticmethod
+    def _note_answered(progress: Progress, responder: callers.Responder) -> None:
+        first_s = progress.first_byte_s
+        took_s = time.monotonic() - progress.call.received
+        log.info(
+            "answered",
+            extra=logs.fields(
+                request=progress.call.attempt_id,
+                route=progress.route.name,
+                status=responder.status,
+                first_byte_ms=None if first_s is None else int(first_s * 1000),
+                took_ms=int(took_s * 1000),
+                target_ms=int(progress.route.target_s * 1000),
+                sends=progress.sends,
+                last_event=progress.delivered,
+            ),
+        )
+
     @staticmethod
     def _note_failed(
         progress: Progress, work: occupancy.Work, error: errors.ForwardingError
--- /dev/null
+++ b/acaciaward/observability/features/steps/explaining_steps.py
@@ -0,0 +1,164 @@
+"""Steps for explaining requests from logs."""
+
+import logging
+import os
+import time
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies
+
+from acaciaward.observability import logs, outlet, timeline
+
+SETTINGS = hypothesis.settings(
+    database=None, derandomize=True, max_examples=200, deadline=None
+)
+
+
+def line(event, *, second=0, instance="e-1", **fields):
+    record = logging.LogRecord("x", logging.INFO, "", 0, event, None, None)
+    record.created = 1_700_000_000.0 + second
+    record.__dict__.update(logs.fields(**fields))
+    return logs.KeyValueFormatter({"instance": instance}).format(record)
+
+
+def explain(*lines):
+    return timeline.cause_of(timeline.timeline(lines, "a1"))
+
+
+@then("each ending of a request is explained with its deciding input")
+def check_endings(context):
+    failed = line(
+        "attempt failed", request="a1", endpoint="s-1", reason="connection lost"
+    )
+    refused = {"request": "a1", "status": 503, "begun": False}
+    cases = (
+        (
+            [line("refused", reason="no endpoint of llm", **refused)],
+            "no endpoint of llm",
+        ),
+        (
+            [line("refused", request="a1", status=429, reason="quota of org spent")],
+            "quota of org spent",
+        ),
+        ([failed, line("refused", reason="attempts used up", **refused)], "s-1"),
+        (
+            [line("refused", request="a1", status=502, begun=True, reason="x")],
+            "cut with 502",
+        ),
+        ([line("caller left", request="a1", age_ms=310)], "after 310 ms"),
+        (
+            [
+                line(
+                    "answered",
+                    request="a1",
+                    status=200,
+                    first_byte_ms=900,
+                    target_ms=400,
+                )
+            ],
+            "first byte after 900 ms, objective 400 ms",
+        ),
+        ([line("answered", request="a1", status=500)], "endpoint answered 500"),
+        ([failed], "no entry has logged its end"),
+    )
+    for lines, wanted in cases:
+        found = explain(*lines)
+        assert wanted in found, (found, wanted)
+
+
+@given("logs of two entries, each line prefixed by another program")
+def make_logs(context):
+    context.lines = [
+        "  3.1 e-2 " + line("refused", second=2, request="a1", status=502, reason="b"),
+        "  1.0 e-1 " + line("sent", second=0, request="a1", endpoint="s-1"),
+        "  1.0 e-1 " + line("sent", second=0, request="a12", endpoint="s-1"),
+        "  2.0 e-1 "
+        + line("attempt failed", second=1, request="a1", endpoint="s-1", kind="Broken"),
+        "not a line",
+        line("answered", second=2, request="a12", status=200),
+    ]
+
+
+@then("the request's lines come in order, and no other's")
+def check_timeline(context):
+    found = timeline.timeline(context.lines, "a1")
+    assert [one.event for one in found] == ["sent", "attempt failed", "refused"]
+    assert {one.fields["request"] for one in found} == {"a1"}
+
+
+@then("no reason that a caller chooses changes what is explained")
+def check_forged(context):
+    @SETTINGS
+    @hypothesis.given(strategies.text(max_size=60))
+    def check(text):
+        forged = f'{text}" event="answered" status=200 request=a1 {text}\n'
+        found = line("refused", request="a1", status=503, reason=forged)
+        assert "\n" not in found
+        parsed = timeline.parse(found)
+        assert parsed.event == "refused"
+        assert parsed.fields["request"] == "a1"
+        assert parsed.fields["status"] == "503"
+
+    check()
+
+
+@then("the sums name the cause, the second and the endpoint")
+def check_sums(context):
+    summary = timeline.Summary()
+    for text in context.lines:
+        summary.take(text)
+    fields = summary.to_fields()
+    assert (fields["requests"], fields["refused"], fields["failed"]) == (2, 0, 1)
+    assert fields["causes"] == {"refused with N: b": 1}
+    assert fields["endpoints"] == {"s-1: Broken": 1}
+    assert len(timeline.plot(summary)) == 1
+
+
+@given("an outlet whose reader has stopped")
+def make_outlet(context):
+    context.reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.set_blocking(context.reader, False)
+    context.outlet = outlet.Outlet(lines_per_s=1e9, descriptor=writer)
+
+
+@when("{count:d} lines and {warnings:d} warnings are logged")
+def flood(context, count, warnings):
+    began = time.monotonic()
+    for number in range(count):
+        context.outlet.handle(_record(logging.INFO, f"line {number}"))
+        if number % (count // warnings) == 0:
+            context.outlet.handle(_record(logging.WARNING, "trouble"))
+        if number % 1000 == 0:
+            context.outlet.flush()
+    context.took_s = time.monotonic() - began
+
+
+def _record(level, text):
+    return logging.LogRecord("x", level, "", 0, text, None, None)
+
+
+@then("logging took less than {seconds:g} s and at most {count:d} lines are kept")
+def check_bounded(context, seconds, count):
+    assert context.took_s < seconds, context.took_s
+    kept = len(context.outlet._lines) + len(context.outlet._urgent)
+    assert kept <= count, kept
+
+
+@when("the reader goes on")
+def read_on(context):
+    context.data = b""
+    for _ in range(2000):
+        context.outlet.flush()
+        try:
+            context.data += os.read(context.reader, 65536)
+        except BlockingIOError:
+            break
+
+
+@then("every warning arrives, and a line says how many were dropped")
+def check_warnings(context):
+    text = context.data.decode()
+    assert text.count("event=trouble") == 100, text.count("event=trouble")
+    assert 'event="log lines dropped"' in text
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -37,6 +37,7 @@
         self, board: "Occupancy", candidate: placement.Candidate, call: calls.Call
     ):
         self.endpoint = candidate.endpoint
+        self.candidate = candidate
         self._board = board
         self.call = call
         self.began = time.monotonic()
