--- a/acaciaward/admission/features/steps/shared_steps.py
+++ b/acaciaward/admission/features/steps/shared_steps.py
@@ -18,6 +18,7 @@
         self.now = 0.0
         self.rule = quotas.Rule(rate, burst)
         self.apart_until = 0.0
+        self.generation = 0
         self.quotas = []
         self.start(count)
         self.groups = [set(range(count))]
@@ -27,6 +28,7 @@
         self.chooser = random.Random(4)
 
     def start(self, count):
+        self.generation += 1
         self.quotas = [
             quotas.Quotas(lambda: self.now, lambda: count) for _ in range(count)
         ]
@@ -60,8 +62,9 @@
         totals = [each.totals() for each in self.quotas]
         for group in self.groups:
             for one in group:
-                for other in group - {one}:
-                    self.quotas[one].hear(f"e-{other}", totals[other])
+                others = sum(totals[each].get("org", 0) for each in group - {one})
+                source = f"{self.generation} of {sorted(group)}"
+                self.quotas[one].hear(source, {"org": others})
 
 
 @given(
--- a/acaciaward/admission/quotas.py
+++ b/acaciaward/admission/quotas.py
@@ -112,7 +112,7 @@
 
         Before there is experience, the others are taken for as busy as this one.
         """
-        others = max(len(self._totals), self.others_expected)
+        others = max(self.others_expected, min(1, len(self._totals)))
         if not others:
             return 0.0
         ratio = (self._others_rate.value(now) + self._prior) / (
@@ -127,14 +127,13 @@
         self._recent.append((now, amount))
         self._own_rate.note(amount, now)
 
-    def hear(self, entry: str, total: float, now: float) -> None:
-        """Take in the total that another entry has admitted since its start."""
-        # What it admitted before this entry knew it, is not this entry's to count.
-        known = self._totals.get(entry, total)
-        self._totals[entry] = total
-        # A lower total is that of a new start.
-        amount = total - known if total >= known else total
-        if amount > 0:
+    def hear(self, source: str, total: float, now: float) -> None:
+        """Take in the total of what others have admitted, by one source's count."""
+        # What came before this source was known is not this entry's to count.
+        known = self._totals.get(source, total)
+        self._totals[source] = total
+        amount = total - known
+        if amount:
             self._others_rate.note(amount, now)
             deepest = -DEEPEST_S * self.rule.rate
             self._level = max(self._level - amount, deepest)
@@ -195,10 +194,15 @@
         """Return what was admitted here, for the others."""
         return {name: bucket.own_total for name, bucket in self._buckets.items()}
 
-    def hear(self, entry: str, totals: abc.Mapping[str, typing.Any]) -> None:
-        """Take in another entry's totals; what isn't a number is left out."""
+    def hear(self, source: str, totals: abc.Mapping[str, float]) -> None:
+        """
+        Take in what others have admitted.
+
+        A source's totals only fall by what was given back; a source that starts
+        anew is another one.
+        """
         now = self._clock()
         for name, total in totals.items():
             bucket = self._buckets.get(name)
-            if bucket is not None and isinstance(total, int | float):
-                bucket.hear(entry, float(total), now)
+            if bucket is not None:
+                bucket.hear(source, total, now)
--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -121,8 +121,8 @@
             return
         self._drop(name, reason)
 
-    def drop_unreadable(self, name: str, reason: str) -> None:
-        """Use an endpoint no more whose entry can't be read."""
+    def remove_now(self, name: str, reason: str) -> None:
+        """Take an endpoint out at once, as its entry can't be read, say."""
         self._drop(name, reason)
 
     def replace_all(self, endpoints: abc.Iterable[Endpoint]) -> None:
@@ -150,6 +150,10 @@
         """Return an endpoint by its name."""
         return self._endpoints.get(name)
 
+    def all(self) -> list[Endpoint]:
+        """Return every endpoint."""
+        return list(self._endpoints.values())
+
     def of_service(self, service: str) -> list[Endpoint]:
         """Return all endpoints of a service, those that leave included."""
         return [one for one in self._endpoints.values() if one.service == service]
--- a/acaciaward/catalogue/features/steps/catalogue_steps.py
+++ b/acaciaward/catalogue/features/steps/catalogue_steps.py
@@ -90,7 +90,7 @@
 
 @when("the entry of {name} can't be read")
 def unreadable(context, name):
-    context.directory.drop_unreadable(name, "test")
+    context.directory.remove_now(name, "test")
 
 
 @then("{names} may get work if there is no other")
--- a/acaciaward/catalogue/following.py
+++ b/acaciaward/catalogue/following.py
@@ -20,6 +20,8 @@
 # that entries don't come back together.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
+# How often a follower that is fed looks whether it still is, in seconds.
+FED_POLL_S = 0.1
 
 
 class Change(typing.NamedTuple):
@@ -59,7 +61,8 @@
     Feeds one topic to its user until cancelled.
 
     ``wait_s`` lets the store hold a call until there is news, ``pause_s`` is a
-    pause between calls for topics that never rest.
+    pause between calls for topics that never rest. While ``is_fed`` says that the
+    news come another way, nothing is read; a listing comes first afterwards.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         on_outage: abc.Callable[[], None] = lambda: None,
         wait_s: float = 0.0,
         pause_s: float = 0.0,
+        is_fed: abc.Callable[[], bool] = lambda: False,
     ):
         self._source = source
         self._name = name
@@ -80,13 +84,19 @@
         self._on_outage = on_outage
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._is_fed = is_fed
         self._next: int | None = None
         self._failures = 0
         self.is_listed = asyncio.Event()
+        self.is_failing = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            if self.is_listed.is_set() and self._is_fed():
+                self._next = None
+                await asyncio.sleep(FED_POLL_S)
+                continue
             try:
                 await self._read_once()
             except errors.RecordsExpiredError as error:
@@ -122,9 +132,11 @@
         if not self._failures:
             log.warning("store lost", extra=logs.fields(topic=self._name, reason=error))
         self._failures = min(self._failures + 1, 8)
+        self.is_failing = True
         self._on_outage()
 
     def _note_success(self) -> None:
         if self._failures:
             log.info("store regained", extra=logs.fields(topic=self._name))
         self._failures = 0
+        self.is_failing = False
--- a/acaciaward/entry/peerside.py
+++ b/acaciaward/entry/peerside.py
@@ -16,6 +16,7 @@
     messages as membership_messages,
     transport,
 )
+from acaciaward.relays import messages as relays_messages
 from acaciaward.settings import loader
 
 MESSAGE_KINDS = (
@@ -23,6 +24,7 @@
     | administration_messages.KINDS
     | configuration_messages.KINDS
     | claims_messages.KINDS
+    | relays_messages.KINDS
 )
 
 
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -17,16 +17,6 @@
 HOST = "shop.example"
 
 
-class NoHints:
-    """Gossip of an entry that is alone."""
-
-    def all(self, kind):
-        return []
-
-    def publish(self, *args, **kwargs):
-        pass
-
-
 class ScriptedEndpoint:
     """Answers each request by the next script; remembers what it ran."""
 
@@ -207,8 +197,6 @@
                 index=lambda: self.index,
                 occupancy=occupancy.Occupancy(
                     self.directory,
-                    NoHints(),
-                    entry="e",
                     data_centre="dc",
                     chooser=random.Random(1),
                 ),
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -18,7 +18,7 @@
 from acaciaward.admission import quotas, repeats
 from acaciaward.catalogue import endpoints, following, routes
 from acaciaward.entry import peerside
-from acaciaward.gateway import callers, calls, duties, forwarding, links
+from acaciaward.gateway import callers, calls, duties, forwarding, links, sharing
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import logs
 from acaciaward.platform import (
@@ -28,17 +28,16 @@
     store,
     topics,
 )
+from acaciaward.relays import relaying
 from acaciaward.routing import demand, occupancy
 from acaciaward.settings import loader
+from acaciaward.usage import reporting
 
 log = logging.getLogger(__name__)
 
 State = membership_interfaces.PeerState
-USE = membership_interfaces.HintKind.ORGANISATION_USE
-DEMAND = membership_interfaces.HintKind.SERVICE_DEMAND
-
-PUBLISH_S = 0.25
-HINT_LIFETIME_S = 5.0
+# How often lapsed endpoints and the known entries are looked through, in seconds.
+TIDY_S = 0.25
 # Peers that were known in this time count as entries that may serve, in seconds.
 KNOWN_PEERS_S = 30.0
 # Until gossip has settled after a start, others are supposed to be there, too.
@@ -77,7 +76,7 @@
         self._index: routes.Index | None = None
         self._is_leaving = False
         self._seen: dict[str, float] = {}
-        self._heard = 1
+        self._is_behind = False
         self._started = time.monotonic()
         self._client = httpclient.HttpClient(
             connect_timeout_s=settings["store"]["timeout_s"]
@@ -94,7 +93,6 @@
     def _build_knowledge(self) -> None:
         side = peerside.build(self._settings)
         self._transport = side.transport
-        self._hints = side.hints
         self._membership = side.membership
         place = self._settings["store"]
         self._store = store.Store(
@@ -115,6 +113,7 @@
                 {change.key: change.value}
             ),
             wait_s=place["wait_s"],
+            is_fed=lambda: self._relaying.is_fed and not self._is_behind,
         )
         self._endpoints_follower = following.Follower(
             topics.KeyedTopic(self._store, store.ENDPOINTS_TOPIC),
@@ -122,6 +121,7 @@
             on_listing=self._take_endpoints,
             on_change=self._take_endpoint,
             on_outage=self._directory.note_outage,
+            is_fed=lambda: self._relaying.is_fed,
             pause_s=place["endpoints_pause_s"],
         )
 
@@ -132,24 +132,21 @@
             self._client,
             self._store,
             self._membership,
-            self._hints,
             self._directory,
             services=self._scaled_services,
-            streams=lambda name: self._occupancy.running(name)[0],
+            demand=lambda name: self._sharing.demand_of(name),
+            others=self._counts_to_store,
         )
         self._pool = links.LinkPool()
         self._directory.subscribe(self._drop_links)
         self._occupancy = occupancy.Occupancy(
             self._directory,
-            self._hints,
-            entry=self.name,
             data_centre=self._settings["instance"]["data_centre"],
         )
         self._quotas = quotas.Quotas(time.monotonic, self._entries)
         self._tolerance = quotas.Tolerance(
             bounds["quota_window_s"], bounds["quota_overshoot"], bounds["quota_slack"]
         )
-        self._hints.subscribe(USE, self._hear_use)
         self._demand = demand.Demand(time.monotonic)
         budget = repeats.Budget(
             bounds["repeat_ratio"], bounds["repeat_burst"], bounds["repeat_window_s"]
@@ -169,6 +166,28 @@
                 note_end=self._note_end,
             )
         )
+        self._build_sharing()
+
+    def _build_sharing(self) -> None:
+        self._sharing = sharing.Sharing(
+            sharing.Slices(
+                self._quotas,
+                self._occupancy,
+                self._demand,
+                self._duties.counter,
+                self._duties.clock,
+            ),
+            self._hear_version,
+        )
+        self._relaying = relaying.Relaying(
+            self._membership,
+            self._directory,
+            self._sharing,
+            start=self._duties.start,
+            data_centre=self._settings["instance"]["data_centre"],
+            is_reading=lambda: not self._endpoints_follower.is_failing,
+            version=lambda: self._index.catalogue.version if self._index else -1,
+        )
 
     def _scaled_services(self) -> list[routes.Service]:
         # Before the endpoints are listed, none of them would seem to exist.
@@ -231,6 +250,7 @@
                 if one.quota is not None
             }
         )
+        self._is_behind = False
         self._membership.set_configuration_version(catalogue.version)
         log.info(
             "configuration in force",
@@ -249,6 +269,7 @@
             if endpoint is not None:
                 found.append(endpoint)
         self._directory.replace_all(found)
+        self._relaying.note_listed()
 
     def _take_endpoint(self, change: following.Change) -> None:
         if change.value is None:
@@ -265,7 +286,7 @@
             log.warning(
                 "endpoint unreadable", extra=logs.fields(endpoint=name, reason=error)
             )
-            self._directory.drop_unreadable(name, "unreadable entry")
+            self._directory.remove_now(name, "unreadable entry")
             return None
 
     def _drop_links(
@@ -276,19 +297,15 @@
         if after is None or after.incarnation != before.incarnation:
             self._pool.drop(before.incarnation)
 
-    def _hear_use(self, hint: membership_interfaces.Hint) -> None:
-        if hint.origin != self.name:
-            self._quotas.hear(hint.origin, hint.value)
-
     def _entries(self) -> int:
         """Return how many entries there are, as far as this one knows."""
         is_new = time.monotonic() - self._started < SETTLED_S
         return max(SUPPOSED_ENTRIES if is_new else 1, len(self._seen))
 
     def _heard_part(self) -> float:
-        return min(1.0, self._heard / self._entries())
+        return min(1.0, self._relaying.heard / self._entries())
 
-    async def _publish(self) -> None:
+    async def _tidy(self) -> None:
         while True:
             now = time.monotonic()
             live = [
@@ -300,17 +317,18 @@
             for name, at in list(self._seen.items()):
                 if at < now - KNOWN_PEERS_S:
                     del self._seen[name]
-            self._heard = len(live)
-            self._occupancy.publish()
-            self._hints.publish(
-                USE, self.name, self._quotas.totals(), lifetime_s=HINT_LIFETIME_S
-            )
-            self._hints.publish(
-                DEMAND, self.name, self._demand.rates(), lifetime_s=HINT_LIFETIME_S
-            )
-            self._duties.publish()
             self._directory.expire()
-            await asyncio.sleep(PUBLISH_S)
+            await asyncio.sleep(TIDY_S)
+
+    def _hear_version(self, version: int) -> None:
+        known = self._index.catalogue.version if self._index else -1
+        self._is_behind = version > known
+
+    def _counts_to_store(self) -> reporting.Told | None:
+        if self._relaying.is_fed:
+            return None
+        reports = self._relaying.reports().values()
+        return {report["start"]: report["windows"] for report in reports}
 
     def _note_end(self, progress: forwarding.Progress) -> None:
         REQUESTS.labels(progress.route.name, progress.outcome).inc()
@@ -378,7 +396,8 @@
             self._membership.run(),
             self._configuration_follower.run(),
             self._endpoints_follower.run(),
-            self._publish(),
+            self._tidy(),
+            self._relaying.run(),
             self._list_when_ready(),
             *self._duties.work(),
         ):
--- /dev/null
+++ b/acaciaward/gateway/sharing.py
@@ -0,0 +1,58 @@
+"""What an entry tells the others and takes in from them, slice by slice."""
+
+import typing
+from collections import abc
+
+from acaciaward.admission import quotas
+from acaciaward.relays import hub, relaying
+from acaciaward.routing import demand, occupancy
+from acaciaward.usage import windows
+
+# Windows of usage that are told: the running one and the one before.
+TOLD_WINDOWS = 2
+
+
+class Slices(typing.NamedTuple):
+    """The slices that share what they know."""
+
+    quotas: quotas.Quotas
+    occupancy: occupancy.Occupancy
+    demand: demand.Demand
+    counter: windows.Counter
+    clock: windows.TrueClock
+
+
+class Sharing:
+    """Implements ``relaying.Listener``."""
+
+    def __init__(self, slices: Slices, hear_version: abc.Callable[[int], None]):
+        self._slices = slices
+        self._demand: abc.Mapping[str, float] = {}
+        self.hear_version = hear_version
+
+    def tell(self) -> relaying.Told:
+        """Return what this entry has to tell."""
+        slices = self._slices
+        return relaying.Told(
+            now=slices.clock.now(),
+            use=slices.quotas.totals(),
+            load=slices.occupancy.load(),
+            demand=slices.demand.rates(),
+            windows=slices.counter.newest(TOLD_WINDOWS),
+        )
+
+    def hear(self, source: str, sums: hub.Sums) -> None:
+        """Take in the sums over all other entries."""
+        self._slices.quotas.hear(source, sums.use)
+        self._slices.occupancy.hear(sums.load)
+        self._demand = sums.demand
+
+    def hear_time(self, now: float) -> None:
+        """Take in the majority's Unix time."""
+        self._slices.clock.hear(now)
+
+    def demand_of(self, service: str) -> tuple[float, float]:
+        """Return tokens a second and requests at once of a service, from all."""
+        own = self._slices.demand.rates().get(service, 0.0)
+        tokens_per_s = self._demand.get(service, own)
+        return tokens_per_s, self._slices.occupancy.running(service)[0]
--- a/acaciaward/membership/gossip.py
+++ b/acaciaward/membership/gossip.py
@@ -110,6 +110,14 @@
         """Serve requests of a kind from peers."""
         self._transport.handle(kind, handler)
 
+    def notify(
+        self, peer: str, kind: str, body: typing.Mapping[str, typing.Any]
+    ) -> None:
+        """Send a peer a message without reply, if it is known."""
+        known = self._table.get(peer)
+        if known is not None:
+            self._transport.notify(known.location, kind, body)
+
     async def request(
         self,
         peer: str,
--- a/acaciaward/membership/hints.py
+++ b/acaciaward/membership/hints.py
@@ -29,8 +29,6 @@
     interfaces.HintKind.SUSPECT_REQUEST: spreading.Priority.NORMAL,
     interfaces.HintKind.ENDPOINT_LOAD: spreading.Priority.BULK,
     interfaces.HintKind.ORGANISATION_USE: spreading.Priority.BULK,
-    interfaces.HintKind.SERVICE_DEMAND: spreading.Priority.BULK,
-    interfaces.HintKind.USAGE_COUNTS: spreading.Priority.BULK,
 }
 
 _Key = tuple[interfaces.HintKind, str, str]
--- a/acaciaward/membership/interfaces.py
+++ b/acaciaward/membership/interfaces.py
@@ -53,8 +53,6 @@
     SUSPECT_REQUEST = "suspect_request"
     QUARANTINED_REQUEST = "quarantined_request"
     ORGANISATION_USE = "organisation_use"
-    SERVICE_DEMAND = "service_demand"
-    USAGE_COUNTS = "usage_counts"
 
 
 class Hint(typing.NamedTuple):
--- /dev/null
+++ b/acaciaward/relays/hub.py
@@ -0,0 +1,146 @@
+"""
+The sums that a reader keeps over the entries of its data centre and the others.
+
+Quota use is summed by increments, so that an entry that dies or starts anew never
+lowers a sum; loads and demand count only while they are fresh.
+"""
+
+import statistics
+import typing
+from collections import abc
+
+from acaciaward.relays import messages
+
+# What was told longer ago than this is left out, in seconds.
+FRESH_S = 1.5
+# With fewer clocks than this there is no majority.
+LEAST_VOTES = 3
+
+
+class _Told(typing.NamedTuple):
+    at: float
+    body: typing.Any
+
+
+class Sums(typing.NamedTuple):
+    """Sums over all entries but one; ``heard`` counts the entries behind them."""
+
+    heard: int
+    use: dict[str, float]
+    load: dict[str, tuple[float, float]]
+    demand: dict[str, float]
+
+
+class _Use:
+    """Increments of use, in all and by source."""
+
+    def __init__(self):
+        self.total: dict[str, float] = {}
+        self._by_source: dict[str, dict[str, float]] = {}
+        self._last: dict[str, dict[str, float]] = {}
+
+    def take(self, source: str, totals: abc.Mapping[str, float]) -> None:
+        """Take in a source's totals; its first ones are where it begins."""
+        last = self._last.get(source)
+        own = self._by_source.setdefault(source, {})
+        for name, total in totals.items():
+            known = total if last is None else last.get(name, 0.0)
+            # A lower total is that of a new start, or of what was given back.
+            amount = total - known
+            own[name] = own.get(name, 0.0) + amount
+            self.total[name] = self.total.get(name, 0.0) + amount
+        self._last[source] = dict(totals)
+
+    def without(self, source: str) -> dict[str, float]:
+        """Return the increments of all other sources."""
+        own = self._by_source.get(source, {})
+        return {name: total - own.get(name, 0.0) for name, total in self.total.items()}
+
+
+class Hub:
+    """Keeps reports and summaries, and answers with sums."""
+
+    def __init__(self, clock: abc.Callable[[], float]):
+        self._clock = clock
+        self._reports: dict[str, _Told] = {}
+        self._summaries: dict[str, _Told] = {}
+        self._own_use = _Use()
+        self._all_use = _Use()
+
+    def take_report(self, report: messages.Report) -> None:
+        """Take in what an entry of this data centre tells."""
+        source = report["start"]
+        self._reports[report["sender"]] = _Told(self._clock(), report)
+        self._own_use.take(source, report["use"])
+        self._all_use.take(source, report["use"])
+
+    def take_summary(self, summary: messages.Summary) -> None:
+        """Take in what another data centre's reader tells."""
+        self._summaries[summary["data_centre"]] = _Told(self._clock(), summary)
+        self._all_use.take(summary["sender"], summary["use"])
+
+    def reports(self) -> dict[str, messages.Report]:
+        """Return the last report of each entry, also of those that are gone."""
+        return {name: told.body for name, told in self._reports.items()}
+
+    def forget(self, names: abc.Container[str]) -> None:
+        """Drop the reports of entries that are gone for good."""
+        for name in [one for one in self._reports if one in names]:
+            del self._reports[name]
+
+    def summary(self) -> Sums:
+        """Return the sums over this data centre."""
+        reports = self._fresh(self._reports)
+        return Sums(
+            len(reports),
+            dict(self._own_use.total),
+            _add_loads(one["load"] for one in reports),
+            _add(one["demand"] for one in reports),
+        )
+
+    def sums_for(self, entry: str) -> Sums:
+        """Return the sums that an entry needs: use and load of all the others."""
+        reports = self._fresh(self._reports)
+        summaries = self._fresh(self._summaries)
+        known = self._reports.get(entry)
+        start = known.body["start"] if known else ""
+        others = [one for one in reports if one["sender"] != entry]
+        return Sums(
+            len(reports) + sum(one["heard"] for one in summaries),
+            self._all_use.without(start),
+            _add_loads(one["load"] for one in [*others, *summaries]),
+            _add(one["demand"] for one in [*reports, *summaries]),
+        )
+
+    def true_now(self, own: float) -> float:
+        """Return the median of the entries' times of day, ``own`` without a vote."""
+        now = self._clock()
+        times = [
+            told.body["now"] + now - told.at
+            for told in self._reports.values()
+            if now - told.at <= FRESH_S
+        ]
+        return statistics.median(times) if len(times) >= LEAST_VOTES else own
+
+    def _fresh(self, told: abc.Mapping[str, _Told]) -> list[typing.Any]:
+        oldest = self._clock() - FRESH_S
+        return [one.body for one in told.values() if one.at >= oldest]
+
+
+def _add(parts: abc.Iterable[abc.Mapping[str, float]]) -> dict[str, float]:
+    total: dict[str, float] = {}
+    for part in parts:
+        for name, amount in part.items():
+            total[name] = total.get(name, 0.0) + amount
+    return total
+
+
+def _add_loads(
+    parts: abc.Iterable[abc.Mapping[str, tuple[float, float]]],
+) -> dict[str, tuple[float, float]]:
+    total: dict[str, tuple[float, float]] = {}
+    for part in parts:
+        for name, (requests, tokens) in part.items():
+            known = total.get(name, (0.0, 0.0))
+            total[name] = (known[0] + requests, known[1] + tokens)
+    return total
--- /dev/null
+++ b/acaciaward/relays/messages.py
@@ -0,0 +1,75 @@
+"""Messages between an entry and the reader of its data centre, and among readers."""
+
+import typing
+
+
+class EndpointFields(typing.TypedDict):
+    """One endpoint; see ``catalogue.endpoints.Endpoint`` for the meanings."""
+
+    name: str
+    born: int
+    service: str
+    address: str
+    port: int
+    data_centre: str
+    slots: int
+    state: str
+    cold_s: float
+    is_reclaimable: bool
+    leaves_s: float | None
+
+
+class Report(typing.TypedDict):
+    """
+    What an entry tells its reader.
+
+    ``use`` holds units of each organisation's quota since the entry's start,
+    ``load`` requests and unread tokens at each endpoint, ``demand`` tokens a
+    second for each service, ``windows`` its usage counts, ``now`` its Unix time.
+    """
+
+    sender: str
+    start: str
+    now: float
+    use: dict[str, float]
+    load: dict[str, tuple[float, float]]
+    demand: dict[str, float]
+    windows: dict[int, dict[str, int]]
+
+
+class Summary(typing.TypedDict):
+    """What the reader of one data centre tells the others: sums over its entries."""
+
+    sender: str
+    data_centre: str
+    heard: int
+    use: dict[str, float]
+    load: dict[str, tuple[float, float]]
+    demand: dict[str, float]
+
+
+class Relay(typing.TypedDict):
+    """
+    What a reader tells one entry.
+
+    ``start`` is that of the reader, whose sums begin with it. ``use`` and ``load``
+    are those of all other entries, ``heard`` counts the
+    entries behind it. ``version`` is the configuration in force at the reader;
+    ``endpoints`` and ``removed`` are changes since its last relay, and ``digest``
+    is that of all endpoints it knows.
+    """
+
+    sender: str
+    start: str
+    heard: int
+    now: float
+    use: dict[str, float]
+    load: dict[str, tuple[float, float]]
+    demand: dict[str, float]
+    version: int
+    endpoints: list[EndpointFields]
+    removed: list[str]
+    digest: int
+
+
+KINDS: dict[str, type] = {"report": Report, "summary": Summary, "relay": Relay}
--- a/acaciaward/routing/demand.py
+++ b/acaciaward/routing/demand.py
@@ -5,7 +5,6 @@
 doesn't look sufficient.
 """
 
-import typing
 from collections import abc
 
 from acaciaward import rates
@@ -30,9 +29,3 @@
         """Return tokens a second for each service."""
         now = self._clock()
         return {name: round(rate.value(now), 1) for name, rate in self._rates.items()}
-
-
-def total(told: abc.Iterable[abc.Mapping[str, typing.Any]], service: str) -> float:
-    """Return the sum of what entries say of a service."""
-    rates = (rates.get(service, 0.0) for rates in told)
-    return sum(rate for rate in rates if isinstance(rate, int | float))
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -1,21 +1,20 @@
 """
-What runs at each endpoint: counted here, and told among entries by gossip.
+What runs at each endpoint: counted here, and told among entries by relays.
 
-Hints of other entries are some hundred milliseconds old; they only steer.
+What others tell is some hundred milliseconds old; it only steers.
 """
 
 import collections
 import random
 import time
-import typing
 from collections import abc
 
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls
-from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.routing import health, placement
 
-LIFETIME_S = 3.0
+# What others told longer ago than this is left out, in seconds.
+TOLD_LIFETIME_S = 3.0
 # Parts of prompts remembered for each endpoint, and for how long, in seconds.
 MAX_PARTS = 4000
 PART_LIFETIME_S = 60.0
@@ -25,7 +24,6 @@
 # An endpoint with work that sends nothing at all for so long is taken for dead, in
 # seconds: batches of an engine end many times a second.
 SILENT_S = 0.8
-KIND = membership_interfaces.HintKind.ENDPOINT_LOAD
 
 Incarnation = tuple[str, int]
 
@@ -73,15 +71,11 @@
     def __init__(
         self,
         directory: endpoints.Directory,
-        hints: membership_interfaces.Hints,
         *,
-        entry: str,
         data_centre: str,
         chooser: random.Random | None = None,
     ):
         self._directory = directory
-        self._hints = hints
-        self._entry = entry
         self._data_centre = data_centre
         self._random = chooser or random.Random()
         self._running: collections.Counter[Incarnation] = collections.Counter()
@@ -91,7 +85,8 @@
         self._prefill_per_s = placement.USUAL_PREFILL_PER_S
         self._service_s: dict[str, float] = {}
         self._unheard_since: dict[Incarnation, float] = {}
-        self._published: dict[str, list[int]] | None = None
+        self._told: abc.Mapping[str, tuple[float, float]] = {}
+        self._told_at = 0.0
         directory.subscribe(self._forget)
 
     def _forget(
@@ -207,16 +202,18 @@
             self._service_s[service] = known + SMOOTHING * (took_s - known)
         self._health[incarnation] = record
 
-    def publish(self) -> None:
-        """Tell the other entries what runs here, if that has changed."""
-        value = {
-            name: [count, self._backlog[(name, born)]]
+    def load(self) -> dict[str, tuple[float, float]]:
+        """Return the requests and unread tokens that this entry has at endpoints."""
+        return {
+            name: (count, self._backlog[(name, born)])
             for (name, born), count in self._running.items()
             if count
         }
-        if value or self._published:
-            self._hints.publish(KIND, self._entry, value, lifetime_s=LIFETIME_S)
-        self._published = value
+
+    def hear(self, load: abc.Mapping[str, tuple[float, float]]) -> None:
+        """Take in what all other entries have at endpoints."""
+        self._told = load
+        self._told_at = time.monotonic()
 
     @staticmethod
     def _lower(counter: collections.Counter, key: Incarnation, amount: int) -> None:
@@ -227,18 +224,9 @@
     def _record(self, endpoint: endpoints.Endpoint) -> health.Health:
         return self._health.get(endpoint.incarnation, health.Health())
 
-    def _others(self) -> dict[str, tuple[float, float]]:
-        """Sum what other entries said of each endpoint."""
-        found: dict[str, tuple[float, float]] = {}
-        for hint in self._hints.all(KIND):
-            if hint.origin == self._entry:
-                continue
-            for name, told in hint.value.items():
-                if not _is_load(told):
-                    continue
-                requests, tokens = found.get(name, (0.0, 0.0))
-                found[name] = (requests + told[0], tokens + told[1])
-        return found
+    def _others(self) -> abc.Mapping[str, tuple[float, float]]:
+        is_fresh = time.monotonic() - self._told_at < TOLD_LIFETIME_S
+        return self._told if is_fresh else {}
 
     def _candidate(
         self,
@@ -281,11 +269,3 @@
                 break
             total += size
         return total
-
-
-def _is_load(told: typing.Any) -> bool:
-    return (
-        isinstance(told, list)
-        and len(told) == 2
-        and all(isinstance(one, int | float) and one >= 0 for one in told)
-    )
--- a/acaciaward/usage/features/steps/usage_steps.py
+++ b/acaciaward/usage/features/steps/usage_steps.py
@@ -49,9 +49,10 @@
             self.lease,
             self.counter,
             windows.Ledger(),
-            start=name,
+            start=f"{name}/1",
             late_s=10.0,
-            live_starts=lambda: context.live,
+            live_names=lambda: context.live,
+            others=lambda: {},
             send=self.send,
         )
 
@@ -82,8 +83,7 @@
 def make_ahead(context):
     context.steady = 0.0
     context.clock = windows.TrueClock(lambda: 1030.0, lambda: context.steady)
-    for name in ("a", "b", "a", "b"):
-        context.clock.hear(name, 1000.0)
+    context.clock.hear(1000.0)
 
 
 @then("the true time is that of the peers")
@@ -94,9 +94,9 @@
 @given("entries that told 10 and 20 before the second died")
 def make_ledger(context):
     context.ledger = windows.Ledger()
-    context.ledger.hear("one", 7, {"org": 10}, is_whole=True)
+    context.ledger.hear("one/1", 7, {"org": 10})
     for count in (5, 20, 12):
-        context.ledger.hear("two", 7, {"org": count}, is_whole=False)
+        context.ledger.hear("two/1", 7, {"org": count})
 
 
 @then("the window's total is {count:d}")
@@ -117,7 +117,7 @@
     first, second = context.holders
     first.counter.note("org")
     second.counter.note("org")
-    context.now = 1006.0
+    context.now = 1006.5
     second.lease.tenure = None
     first.fails = True
     context.runner.run(second.reporter.step())
@@ -131,7 +131,7 @@
 def take_over(context):
     second = context.holders[1]
     second.lease.tenure = types.SimpleNamespace(fence=9)
-    second.reporter._ledger.hear("three", 200, {"org": 50}, is_whole=True)
+    second.reporter._ledger.hear("three/1", 200, {"org": 50})
     context.runner.run(second.reporter.step())
 
 
@@ -148,7 +148,7 @@
 @then("nothing is reported for 5 s, and then what is known")
 def check_waits(context):
     first = context.holders[0]
-    for moment in (1006.0, 1008.0, 1010.9):
+    for moment in (1006.5, 1008.0, 1010.9):
         context.now = moment
         context.runner.run(first.reporter.step())
         assert 200 not in [window for window, _, _ in first.sent], first.sent
--- a/acaciaward/usage/features/usage.feature
+++ b/acaciaward/usage/features/usage.feature
@@ -9,7 +9,7 @@
     Given a true clock that began 30 s ahead of two peers
     Then the true time is that of the peers
 
-  Scenario: Counts of an entry that died are known from gossip
+  Scenario: Counts of an entry that died are known from its last report
     Given entries that told 10 and 20 before the second died
     Then the window's total is 30
 
--- a/acaciaward/usage/reporting.py
+++ b/acaciaward/usage/reporting.py
@@ -21,8 +21,10 @@
 log = logging.getLogger(__name__)
 
 POLL_S = 0.25
-# Entries' own records are waited for this long after a window's end, in seconds.
-GATHER_S = 1.0
+# Readers store a window this long after its end, in seconds: two reports later.
+STORE_S = 0.6
+# Their records are waited for this long after a window's end, in seconds.
+GATHER_S = 1.2
 # Part of the time until a report is late, after which it goes without the rest.
 LAST_PART = 0.6
 # Time of its lease that a holder needs to send, in seconds.
@@ -48,11 +50,16 @@
         """Append records wherever the topic ends."""
 
 
+# What other entries counted, by start and window; None if someone else stores.
+Told = abc.Mapping[str, abc.Mapping[int, windows.Counts]]
 SendReport = abc.Callable[[int, windows.Counts, int], abc.Awaitable[None]]
 
 
 class Reporter:
-    """Stores this entry's counts, and reports for all while it holds the duties."""
+    """
+    Stores the counts of this entry and of those that it reads for, and reports for
+    all while it holds the duties.
+    """
 
     def __init__(
         self,
@@ -63,7 +70,8 @@
         *,
         start: str,
         late_s: float,
-        live_starts: abc.Callable[[], abc.Collection[str]],
+        live_names: abc.Callable[[], abc.Collection[str]],
+        others: abc.Callable[[], Told | None],
         send: SendReport,
     ):
         self._topic = topic
@@ -72,7 +80,8 @@
         self._ledger = ledger
         self._start = start
         self._late_s = late_s
-        self._live_starts = live_starts
+        self._live_names = live_names
+        self._others = others
         self._send = send
         self._first = counter.window()
         self._stored = self._first - 1
@@ -92,7 +101,8 @@
     async def step(self) -> None:
         """Do what is due now."""
         current = self._counter.window()
-        if self._stored < current - 1:
+        is_due = self._counter.ended_for_s(current - 1) >= STORE_S
+        if is_due and self._stored < current - 1:
             await self._store(current - 1)
         if self._lease.held(for_s=SEND_S) is None:
             return
@@ -109,10 +119,18 @@
         self._reported = {window for window in self._reported if window >= oldest}
 
     async def _store(self, last: int) -> None:
-        records = [
-            Record(window, self._start, self._counter.of(window))
-            for window in range(max(self._stored + 1, last - 2), last + 1)
-        ]
+        others = self._others()
+        if others is None:
+            self._stored = last
+            return
+        records = []
+        for window in range(max(self._stored + 1, last - 1), last + 1):
+            records.append(Record(window, self._start, self._counter.of(window)))
+            records += [
+                Record(window, start, counts[window])
+                for start, counts in others.items()
+                if window in counts and start != self._start
+            ]
         await self._topic.append_any([msgspec.json.encode(one) for one in records])
         self._stored = last
 
@@ -137,7 +155,7 @@
             )
 
     def _is_ripe(self, window: int) -> bool:
-        if self._ledger.is_whole(window, self._live_starts()):
+        if self._ledger.is_whole(window, self._live_names()):
             return True
         return self._counter.ended_for_s(window) >= LAST_PART * self._late_s
 
@@ -171,6 +189,6 @@
             log.warning("usage record skipped", extra=logs.fields(reason=error))
             return
         if record.start:
-            self._ledger.hear(record.start, record.window, record.counts, is_whole=True)
+            self._ledger.hear(record.start, record.window, record.counts)
         else:
             self._decided.setdefault(record.window, record.counts)
--- a/acaciaward/usage/windows.py
+++ b/acaciaward/usage/windows.py
@@ -1,16 +1,20 @@
 """
 How many requests of each organisation began to run, by windows of the true time.
 
-Each entry counts its own, tells the others by gossip while a window runs, and
-appends its counts to the store when it ends. So what an entry counted before it
-died is known but for the last moments.
+Each entry counts its own and tells its reader while a window runs; readers append
+the counts of their data centre to the store when it ends. So what an entry counted
+before it died is known but for the last moments.
 """
 
 import collections
+import logging
 import time
-import typing
 from collections import abc
 
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
+
 # Windows that are remembered: more than any report may be late.
 KEPT_WINDOWS = 8
 # The clock of the day is taken for stepped when it is off by more, in seconds.
@@ -24,7 +28,7 @@
     The time of day, held steady over steps of the machine's clock.
 
     It begins with the clock of the day and goes on with one that doesn't stop
-    while the machine sleeps. ``offsets`` of peers correct a start inside a step.
+    while the machine sleeps. The other entries correct a start inside a step.
     """
 
     def __init__(
@@ -36,20 +40,17 @@
     ):
         self._steady = steady
         self._base = wall() - steady()
-        self._offsets: dict[str, float] = {}
 
     def now(self) -> float:
         """Return Unix seconds."""
         return self._base + self._steady()
 
-    def hear(self, entry: str, told: float) -> None:
-        """Take in another entry's time; most of them outvote this one's."""
-        self._offsets[entry] = told - self.now()
-        votes = sorted([0.0, *self._offsets.values()])
-        median = votes[len(votes) // 2]
-        if len(votes) > 2 and abs(median) > STEP_S:
-            self._base += median
-            self._offsets.clear()
+    def hear(self, majority: float) -> None:
+        """Take in the time of most entries, which outvotes a start in a step."""
+        off_s = majority - self.now()
+        if abs(off_s) > STEP_S:
+            log.warning("clock corrected", extra=logs.fields(by_s=round(off_s, 3)))
+            self._base += off_s
 
 
 class Counter:
@@ -75,6 +76,11 @@
         for old in [one for one in self._counts if one < window - KEPT_WINDOWS]:
             del self._counts[old]
 
+    def newest(self, count: int) -> dict[int, Counts]:
+        """Return the counts of the last windows, the running one included."""
+        current = self.window()
+        return {one: self.of(one) for one in range(current - count + 1, current + 1)}
+
     def of(self, window: int) -> Counts:
         """Return the counts of a window."""
         return dict(self._counts.get(window, {}))
@@ -82,28 +88,20 @@
 
 class Ledger:
     """
-    The counts of all entries, as gossip and the store tell them.
+    The counts of all entries, as the store tells them.
 
-    A start of an entry is told apart from its last one by ``start``. Counts of a
-    window only grow, so the larger of two reports is the newer one.
+    A start of an entry, ``NAME/START``, is told apart from its last one. Counts of
+    a window only grow, so the larger of two reports is the newer one.
     """
 
     def __init__(self):
         self._counts: dict[int, dict[str, Counts]] = {}
-        self._whole: dict[int, set[str]] = {}
-
-    def hear(
-        self, start: str, window: int, counts: typing.Any, *, is_whole: bool
-    ) -> None:
-        """Take in what an entry says of a window; ``is_whole`` at its end."""
-        if not isinstance(counts, dict):
-            return
+
+    def hear(self, start: str, window: int, counts: Counts) -> None:
+        """Take in what a start of an entry counted in a window."""
         told = self._counts.setdefault(window, {}).setdefault(start, {})
         for name, count in counts.items():
-            if isinstance(count, int) and not isinstance(count, bool):
-                told[name] = max(count, told.get(name, 0))
-        if is_whole:
-            self._whole.setdefault(window, set()).add(start)
+            told[name] = max(count, told.get(name, 0))
 
     def total(self, window: int) -> Counts:
         """Return the sum over all entries."""
@@ -112,12 +110,12 @@
             total.update(counts)
         return dict(total)
 
-    def is_whole(self, window: int, starts: abc.Iterable[str]) -> bool:
-        """Whether every one of these starts has said its last of a window."""
-        return set(starts) <= self._whole.get(window, set())
+    def is_whole(self, window: int, names: abc.Iterable[str]) -> bool:
+        """Whether there are counts of each of these entries."""
+        starts = self._counts.get(window, {})
+        return set(names) <= {start.rpartition("/")[0] for start in starts}
 
     def forget_before(self, window: int) -> None:
         """Drop the windows before one."""
-        for kept in (self._counts, self._whole):
-            for old in [one for one in kept if one < window]:
-                del kept[old]
+        for old in [one for one in self._counts if one < window]:
+            del self._counts[old]
