--- a/acaciaward/fleet/ordering.py
+++ b/acaciaward/fleet/ordering.py
@@ -26,6 +26,8 @@
 # Fewer endpoints are ordered only after less was needed for this long, in seconds.
 HOLD_S = 8.0
 SEND_S = 0.8
+# Slots of an endpoint whose service doesn't tell them.
+USUAL_SLOTS = 16
 
 
 class Order(typing.NamedTuple):
@@ -181,16 +183,21 @@
             if name == service.name and until > now
         }
         return zoneplan.Snapshot(
-            service.scaling, ready, coming, dry, self._needed_now(service.name)
+            service.scaling, ready, coming, dry, self._needed_now(service)
         )
 
-    def _needed_now(self, service: str) -> int:
-        tokens_per_s, streams = self._demand(service)
-        needed = zoneplan.engines_needed(tokens_per_s, streams)
+    def _needed_now(self, service: routes.Service) -> int:
+        tokens_per_s, streams = self._demand(service.name)
+        slots = service.engine.slots if service.engine else USUAL_SLOTS
+        needed = zoneplan.engines_needed(tokens_per_s, streams, slots)
         now = self._clock()
-        held, since = self._needed.get(service, (needed, now))
+        held, since = self._needed.get(service.name, (needed, now))
         if needed >= held:
-            self._needed[service] = (needed, now)
+            self._needed[service.name] = (needed, now)
         elif now - since > HOLD_S:
-            self._needed[service] = (held - 1, now)
-        return self._needed[service][0] if service in self._needed else needed
+            # A large fleet shrinks by larger steps than a small one.
+            step = max(1, (held - needed) // 4)
+            self._needed[service.name] = (held - step, now)
+        else:
+            self._needed[service.name] = (held, since)
+        return self._needed[service.name][0]
--- a/acaciaward/fleet/zoneplan.py
+++ b/acaciaward/fleet/zoneplan.py
@@ -18,8 +18,9 @@
 
 # Prompt tokens that one engine reads in a second beside the tokens it makes.
 TOKENS_PER_ENGINE_S = 60_000.0
-# Streams at once that one engine carries without long pauses between tokens.
-STREAMS_PER_ENGINE = 24.0
+# Part of an engine's slots that streams should take: the rest is for bursts, and
+# each stream lengthens the pauses of all others.
+USED_SLOTS = 0.4
 # Demand that is prepared for, as a multiple of the present one: bursts rise faster
 # than endpoints boot.
 HEADROOM = 1.25
@@ -49,14 +50,14 @@
     needed: int
 
 
-def engines_needed(tokens_per_s: float, streams: float) -> int:
+def engines_needed(tokens_per_s: float, streams: float, slots: int) -> int:
     """
-    Return how many engines a demand needs, with headroom.
+    Return how many engines with so many slots a demand needs, with headroom.
 
-        engines_needed(82_000, 12)  # 2
+        engines_needed(82_000, 12, 64)  # 2
     """
     by_tokens = tokens_per_s / TOKENS_PER_ENGINE_S
-    by_streams = streams / STREAMS_PER_ENGINE
+    by_streams = streams / max(1.0, USED_SLOTS * slots)
     return max(FEWEST, math.ceil(HEADROOM * max(by_tokens, by_streams)))
 
 
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -208,7 +208,7 @@
                     repeats.Budget(0.2, 20, 10), time.monotonic, lambda: 1
                 ),
                 codec=headers,
-                demand=demand.Demand(time.monotonic),
+                demand=demand.Demand(time.monotonic, lambda name: 0.1),
                 note_run=self.ran.append,
                 note_end=self.ended.append,
             ),
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -19,7 +19,7 @@
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import callers, calls, errors, events, links
 from acaciaward.observability import logs
-from acaciaward.routing import demand, occupancy
+from acaciaward.routing import demand, occupancy, placement
 
 log = logging.getLogger(__name__)
 
@@ -273,10 +273,20 @@
             raise RefusedError(UNAVAILABLE, f"unknown service {name}")
         return service
 
-    def _choose_endpoint(self, service: routes.Service, progress: Progress):
+    def _choose_endpoint(
+        self, service: routes.Service, progress: Progress
+    ) -> placement.Candidate:
         candidate = self._with.occupancy.choose(
             service, progress.call, excluded=progress.tried
         )
+        if candidate is not None and not progress.may_run:
+            # What has not run may come back when there is room.
+            if placement.is_hopeless(candidate, progress.call.prompt, progress.left_s):
+                raise RefusedError(
+                    UNAVAILABLE,
+                    f"all endpoints of {service.name} are full",
+                    retry_after_s=self._come_back_s(progress),
+                )
         if candidate is not None:
             return candidate
         if progress.may_run:
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -147,7 +147,7 @@
         self._tolerance = quotas.Tolerance(
             bounds["quota_window_s"], bounds["quota_overshoot"], bounds["quota_slack"]
         )
-        self._demand = demand.Demand(time.monotonic)
+        self._demand = demand.Demand(time.monotonic, self._occupancy.service_s)
         budget = repeats.Budget(
             bounds["repeat_ratio"], bounds["repeat_burst"], bounds["repeat_window_s"]
         )
--- a/acaciaward/gateway/sharing.py
+++ b/acaciaward/gateway/sharing.py
@@ -27,7 +27,7 @@
 
     def __init__(self, slices: Slices, hear_version: abc.Callable[[int], None]):
         self._slices = slices
-        self._demand: abc.Mapping[str, float] = {}
+        self._demand: abc.Mapping[str, tuple[float, float]] = {}
         self.hear_version = hear_version
 
     def tell(self) -> relaying.Told:
@@ -37,7 +37,7 @@
             now=slices.clock.now(),
             use=slices.quotas.totals(),
             load=slices.occupancy.load(),
-            demand=slices.demand.rates(),
+            demand=slices.demand.wanted(),
             windows=slices.counter.newest(TOLD_WINDOWS),
         )
 
@@ -53,6 +53,6 @@
 
     def demand_of(self, service: str) -> tuple[float, float]:
         """Return tokens a second and requests at once of a service, from all."""
-        own = self._slices.demand.rates().get(service, 0.0)
-        tokens_per_s = self._demand.get(service, own)
-        return tokens_per_s, self._slices.occupancy.running(service)[0]
+        asked = self._demand.get(service) or self._slices.demand.wanted().get(service)
+        tokens_per_s, wanted = asked or (0.0, 0.0)
+        return tokens_per_s, max(wanted, self._slices.occupancy.running(service)[0])
--- /dev/null
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -0,0 +1,126 @@
+"""Steps for relays; hubs are fed without a network."""
+
+import msgspec
+from behave import given, then, when
+
+from acaciaward.relays import hub
+
+TICK_S = 0.25
+
+
+class World:
+    """Entries of several data centres, the first of each its reader."""
+
+    def __init__(self, data_centres, entries):
+        self.now = 100.0
+        self.hubs = {}
+        self.entries = {}
+        self.heard = {}
+        self.sums = {}
+        self.off_s = {}
+        for place in range(data_centres):
+            self.hubs[place] = hub.Hub(lambda: self.now)
+            for number in range(entries):
+                self.entries[f"e-{place}-{number}"] = [place, 1, 0.0]
+
+    def report(self, name):
+        place, start, used = self.entries[name]
+        return {
+            "sender": name,
+            "start": f"{name}/{start}",
+            "now": self.now + self.off_s.get(name, 0.0),
+            "use": {"org": used},
+            "load": {"s": (1.0, 10.0)},
+            "demand": {"llm": (5.0, 1.0)},
+            "windows": {},
+        }
+
+    def tick(self, rate):
+        for name, entry in self.entries.items():
+            entry[2] += rate * TICK_S
+            self.hubs[entry[0]].take_report(self.report(name))
+        for place, one in self.hubs.items():
+            summary = {"sender": f"r-{place}", "data_centre": str(place)}
+            summary |= one.summary()._asdict()
+            for other, another in self.hubs.items():
+                if other != place:
+                    another.take_summary(summary)
+        for name, (place, start, _) in self.entries.items():
+            sums = self.hubs[place].sums_for(name)
+            self.sums[name] = sums
+            self.heard.setdefault((name, start), []).append(
+                (self.now, sums.use.get("org", 0.0))
+            )
+        self.now += TICK_S
+
+    def run(self, rate, seconds):
+        for _ in range(round(seconds / TICK_S)):
+            self.tick(rate)
+
+
+@given("{data_centres:d} data centres with {entries:d} entries each")
+def make_world(context, data_centres, entries):
+    context.world = World(data_centres, entries)
+
+
+@when("each entry uses {rate:d} units a second for {seconds:d} s")
+def use(context, rate, seconds):
+    context.world.run(rate, seconds)
+
+
+@when("an entry starts anew")
+def start_anew(context):
+    entry = context.world.entries["e-1-2"]
+    entry[1:] = [2, 0.0]
+
+
+@when("an entry dies")
+def die(context):
+    del context.world.entries["e-1-2"]
+
+
+@when("the clock of one entry is {seconds:d} s off")
+def set_off(context, seconds):
+    context.world.off_s["e-0-1"] = seconds
+
+
+@then("each entry has heard of {rate:d} units a second from {count:d} entries")
+def check_heard(context, rate, count):
+    world = context.world
+    for name, (_, start, _) in world.entries.items():
+        heard = world.heard[(name, start)]
+        (first_at, first), (last_at, last) = heard[4], heard[-1]
+        found = (last - first) / (last_at - first_at)
+        assert abs(found - rate) < 0.05 * rate, (name, found)
+        assert world.sums[name].heard == count
+
+
+@then("no entry ever heard of use that fell")
+def check_rises(context):
+    for key, heard in context.world.heard.items():
+        amounts = [amount for _, amount in heard]
+        assert amounts == sorted(amounts), key
+
+
+@then("each entry knows the loads of {count:d} others")
+def check_loads(context, count):
+    for name in context.world.entries:
+        assert context.world.sums[name].load == {"s": (count, 10.0 * count)}, name
+
+
+@then("every reader's time is right to {seconds:g} s")
+def check_time(context, seconds):
+    world = context.world
+    for one in world.hubs.values():
+        assert abs(one.true_now(0.0) - world.now) <= seconds
+
+
+@then("a relay for {many:d} entries is at most {factor:g} times one for {few:d}")
+def check_size(context, many, factor, few):
+    sizes = {}
+    for count in (few, many):
+        world = World(3, count // 3)
+        world.run(10, 1)
+        sums = world.sums["e-0-1"]
+        sizes[count] = len(msgspec.msgpack.encode(sums._asdict()))
+    assert sizes[many] <= factor * sizes[few], sizes
--- a/acaciaward/relays/hub.py
+++ b/acaciaward/relays/hub.py
@@ -28,7 +28,7 @@
     heard: int
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
-    demand: dict[str, float]
+    demand: dict[str, tuple[float, float]]
 
 
 class _Use:
@@ -94,8 +94,8 @@
         return Sums(
             len(reports),
             dict(self._own_use.total),
-            _add_loads(one["load"] for one in reports),
-            _add(one["demand"] for one in reports),
+            _add_pairs(one["load"] for one in reports),
+            _add_pairs(one["demand"] for one in reports),
         )
 
     def sums_for(self, entry: str) -> Sums:
@@ -108,8 +108,8 @@
         return Sums(
             len(reports) + sum(one["heard"] for one in summaries),
             self._all_use.without(start),
-            _add_loads(one["load"] for one in [*others, *summaries]),
-            _add(one["demand"] for one in [*reports, *summaries]),
+            _add_pairs(one["load"] for one in [*others, *summaries]),
+            _add_pairs(one["demand"] for one in [*reports, *summaries]),
         )
 
     def true_now(self, own: float) -> float:
@@ -127,20 +127,12 @@
         return [one.body for one in told.values() if one.at >= oldest]
 
 
-def _add(parts: abc.Iterable[abc.Mapping[str, float]]) -> dict[str, float]:
-    total: dict[str, float] = {}
-    for part in parts:
-        for name, amount in part.items():
-            total[name] = total.get(name, 0.0) + amount
-    return total
-
-
-def _add_loads(
+def _add_pairs(
     parts: abc.Iterable[abc.Mapping[str, tuple[float, float]]],
 ) -> dict[str, tuple[float, float]]:
     total: dict[str, tuple[float, float]] = {}
     for part in parts:
-        for name, (requests, tokens) in part.items():
+        for name, (first, second) in part.items():
             known = total.get(name, (0.0, 0.0))
-            total[name] = (known[0] + requests, known[1] + tokens)
+            total[name] = (known[0] + first, known[1] + second)
     return total
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -25,7 +25,8 @@
 
     ``use`` holds units of each organisation's quota since the entry's start,
     ``load`` requests and unread tokens at each endpoint, ``demand`` tokens a
-    second for each service, ``windows`` its usage counts, ``now`` its Unix time.
+    second and requests at once that callers ask of each service, ``windows`` its
+    usage counts, ``now`` its Unix time.
     """
 
     sender: str
@@ -33,7 +34,7 @@
     now: float
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
-    demand: dict[str, float]
+    demand: dict[str, tuple[float, float]]
     windows: dict[int, dict[str, int]]
 
 
@@ -45,7 +46,7 @@
     heard: int
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
-    demand: dict[str, float]
+    demand: dict[str, tuple[float, float]]
 
 
 class Relay(typing.TypedDict):
@@ -65,7 +66,7 @@
     now: float
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
-    demand: dict[str, float]
+    demand: dict[str, tuple[float, float]]
     version: int
     endpoints: list[EndpointFields]
     removed: list[str]
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -39,7 +39,7 @@
     now: float
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
-    demand: dict[str, float]
+    demand: dict[str, tuple[float, float]]
     windows: dict[int, dict[str, int]]
 
 
--- a/acaciaward/routing/demand.py
+++ b/acaciaward/routing/demand.py
@@ -1,5 +1,5 @@
 """
-What callers ask of each service, as smoothed rates that all entries add up.
+What callers ask of each service, which all entries add up.
 
 Demand counts what was asked, served or not, so that a fleet that is too small
 doesn't look sufficient.
@@ -13,19 +13,40 @@
 SMOOTHED_S = 3.0
 
 
+class _Asked:
+    def __init__(self):
+        self.tokens = rates.Rate(SMOOTHED_S)
+        self.requests = rates.Rate(SMOOTHED_S)
+
+
 class Demand:
     """The rates at this entry, by service."""
 
-    def __init__(self, clock: abc.Callable[[], float]):
+    def __init__(
+        self, clock: abc.Callable[[], float], service_s: abc.Callable[[str], float]
+    ):
         self._clock = clock
-        self._rates: dict[str, rates.Rate] = {}
+        self._service_s = service_s
+        self._asked: dict[str, _Asked] = {}
 
     def note(self, service: str, tokens: float) -> None:
-        """Count the tokens that one request asks a service to read."""
-        rate = self._rates.setdefault(service, rates.Rate(SMOOTHED_S))
-        rate.note(tokens, self._clock())
+        """Count a request, and the tokens that it asks a service to read."""
+        now = self._clock()
+        asked = self._asked.setdefault(service, _Asked())
+        asked.tokens.note(tokens, now)
+        asked.requests.note(1.0, now)
+
+    def wanted(self) -> dict[str, tuple[float, float]]:
+        """
+        Return tokens a second and requests at once for each service.
 
-    def rates(self) -> dict[str, float]:
-        """Return tokens a second for each service."""
+        Requests at once are their rate times how long one takes (Little's law).
+        """
         now = self._clock()
-        return {name: round(rate.value(now), 1) for name, rate in self._rates.items()}
+        return {
+            name: (
+                round(asked.tokens.value(now), 1),
+                round(asked.requests.value(now) * self._service_s(name), 3),
+            )
+            for name, asked in self._asked.items()
+        }
--- a/acaciaward/routing/features/placement.feature
+++ b/acaciaward/routing/features/placement.feature
@@ -17,3 +17,8 @@
 
   Scenario: An endpoint that can't be reached is left alone, then tried again
     Then pauses double from 0.3 s to 4 s and end with a success
+
+  Scenario: A burst beyond all room is refused at once, not queued until it is late
+    Given 2 idle endpoints
+    When 400 prompts arrive at once with a patience of 3 s
+    Then some are refused and none that is placed is expected to wait over 1.5 s
--- a/acaciaward/routing/features/steps/placement_steps.py
+++ b/acaciaward/routing/features/steps/placement_steps.py
@@ -106,3 +106,26 @@
     assert not record.note_success().is_paused(10.0)
     once = health.Health().note_failure(10.0, is_unreachable=False)
     assert not once.is_paused(10.0)
+
+
+@when("{count:d} prompts arrive at once with a patience of {patience_s:g} s")
+def arrive(context, count, patience_s):
+    prompt = calls.Prompt(1800, 25, (("own", 1800),))
+    context.waits, context.refused = [], 0
+    for _ in range(count):
+        seen = list(context.candidates.values())
+        chosen = placement.choose(seen, prompt, context.chooser)
+        if placement.is_hopeless(chosen, prompt, patience_s):
+            context.refused += 1
+            continue
+        context.waits.append(placement.wait_s(chosen, prompt))
+        name = chosen.endpoint.name
+        context.candidates[name] = chosen._replace(
+            running=chosen.running + 1, backlog_tokens=chosen.backlog_tokens + 1800
+        )
+
+
+@then("some are refused and none that is placed is expected to wait over {most:g} s")
+def check_refused(context, most):
+    assert context.refused > 0 and context.waits
+    assert max(context.waits) <= most, max(context.waits)
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -202,6 +202,10 @@
             self._service_s[service] = known + SMOOTHING * (took_s - known)
         self._health[incarnation] = record
 
+    def service_s(self, service: str) -> float:
+        """Return how long a request at a service takes, as learnt here."""
+        return self._service_s.get(service, 0.0)
+
     def load(self) -> dict[str, tuple[float, float]]:
         """Return the requests and unread tokens that this entry has at endpoints."""
         return {
--- a/acaciaward/routing/placement.py
+++ b/acaciaward/routing/placement.py
@@ -6,7 +6,8 @@
 calls that share a part are drawn to the same endpoints while these have room;
 two random ones are looked at besides, since loads are known late.
 
-Answers to: a hot part of prompts, uneven and stale loads, a slow or grey endpoint.
+Answers to: a hot part of prompts, uneven and stale loads, a slow or grey endpoint,
+a burst beyond what all endpoints can serve.
 """
 
 import random
@@ -26,8 +27,10 @@
 USUAL_PREFILL_PER_S = 60_000.0
 # What one more running request adds to the pause between tokens, in seconds.
 STEP_PER_RUNNING_S = 0.002
-# Waiting time reckoned for each request beyond the slots, in seconds.
-QUEUED_S = 0.15
+# How long a request takes at an endpoint until that was learnt, in seconds.
+USUAL_SERVICE_S = 1.0
+# A call is not sent where it would wait for more than this part of its patience.
+MOST_WAITED_PART = 0.5
 # A failure costs about this much: the time until the caller is back, in seconds.
 FAILURE_COST_S = 1.0
 # A call to another data centre takes that much longer, in seconds.
@@ -55,15 +58,17 @@
 def wait_s(candidate: Candidate, prompt: calls.Prompt | None) -> float:
     """Return the expected time until the first byte, in seconds."""
     slots = max(1, candidate.endpoint.slots)
+    service_s = candidate.service_s or USUAL_SERVICE_S
     if prompt is None:
         rounds = candidate.running / slots
-        waited = (candidate.service_s or QUEUED_S) * rounds
+        waited = service_s * rounds
     else:
         fresh = max(0, prompt.prompt_tokens - candidate.held_tokens)
         tokens = candidate.backlog_tokens + fresh
         waited = tokens / candidate.prefill_per_s
         waited += STEP_PER_RUNNING_S * candidate.running
-        waited += QUEUED_S * max(0.0, candidate.running + 1 - slots)
+        queued = max(0.0, candidate.running + 1 - slots)
+        waited += service_s / slots * queued
     distance_s = 0.0 if candidate.is_near else DISTANCE_S
     return waited + distance_s + candidate.endpoint.cold_s * 0.1
 
@@ -100,3 +105,14 @@
     looked_at = [one for one in candidates if one.endpoint.name in drawn]
     chooser.shuffle(looked_at)
     return min(looked_at, key=lambda one: cost_s(one, prompt))
+
+
+def is_hopeless(
+    candidate: Candidate, prompt: calls.Prompt | None, patience_s: float
+) -> bool:
+    """
+    Return whether a call would wait too long even at the best candidate.
+
+    It would take the place of one that still has time.
+    """
+    return wait_s(candidate, prompt) > MOST_WAITED_PART * patience_s
