--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -279,15 +279,8 @@
         candidate = self._with.occupancy.choose(
             service, progress.call, excluded=progress.tried
         )
-        if candidate is not None and not progress.may_run:
-            # What has not run may come back when there is room.
-            if placement.is_hopeless(candidate, progress.call.prompt, progress.left_s):
-                raise RefusedError(
-                    UNAVAILABLE,
-                    f"all endpoints of {service.name} are full",
-                    retry_after_s=self._come_back_s(progress),
-                )
         if candidate is not None:
+            self._check_room(service, progress, candidate)
             return candidate
         if progress.may_run:
             raise RefusedError(BAD_GATEWAY, "no other endpoint", verdict=MAY_HAVE_RUN)
@@ -297,6 +290,22 @@
             retry_after_s=self._come_back_s(progress),
         )
 
+    def _check_room(
+        self,
+        service: routes.Service,
+        progress: Progress,
+        candidate: placement.Candidate,
+    ) -> None:
+        """Refuse what would wait too long, if it has not run yet."""
+        prompt, left_s = progress.call.prompt, progress.left_s
+        if progress.may_run or not placement.is_hopeless(candidate, prompt, left_s):
+            return
+        raise RefusedError(
+            UNAVAILABLE,
+            f"all endpoints of {service.name} are full",
+            retry_after_s=self._come_back_s(progress),
+        )
+
     async def _attempt(
         self, progress: Progress, work: occupancy.Work, responder: callers.Responder
     ) -> bool:
