--- a/acaciaward/fleet/features/steps/zoneplan_steps.py
+++ b/acaciaward/fleet/features/steps/zoneplan_steps.py
@@ -15,10 +15,12 @@
 )
 PRICES = {"north": 0.85, "south": 1.2, "west": 1.0}
 SCALING = routes.Scaling(1, 4, 4.0, 0.18, PRICES)
+LARGE = routes.Scaling(1, 60, 4.0, 0.18, PRICES)
 
 
 def make_snapshot(ready, *, needed, dry=(), coming=None):
-    return zoneplan.Snapshot(SCALING, ready, coming or {}, frozenset(dry), needed)
+    scaling = LARGE if sum(ready.values()) > 12 else SCALING
+    return zoneplan.Snapshot(scaling, ready, coming or {}, frozenset(dry), needed)
 
 
 def reclaimable(counts):
@@ -137,6 +139,7 @@
 
     def __init__(self, scaling=SCALING):
         self.now = 100.0
+        self.demand = (100_000.0, 5.0)
         self.dry = False
         self.orders = []
         self.directory = endpoints.Directory(lambda: self.now)
@@ -145,7 +148,7 @@
             types.SimpleNamespace(held=lambda for_s: types.SimpleNamespace(fence=1)),
             self.directory,
             lambda: [service],
-            lambda name: (100_000.0, 5.0),
+            lambda name: self.demand,
             self.send,
             clock=lambda: self.now,
         )
@@ -247,3 +250,29 @@
         if at >= context.reclaimed_at and not order.kind.is_reclaimable:
             counts.setdefault(order.kind, []).append(order.count)
     assert all(found == sorted(found) for found in counts.values()), counts
+
+
+@given("a fleet of {count:d} safe endpoints that nobody has asked yet")
+def make_given(context, count):
+    context.holder = Holder(LARGE)
+    context.holder.demand = (0.0, 0.0)
+    ready = endpoints.EndpointState.READY
+    for number in range(count):
+        place = sorted(PRICES)[number % len(PRICES)]
+        context.holder.directory.put(
+            endpoints.Endpoint(
+                f"given-{number}", 1, "llm", "127.0.0.1", 1, place, 12, ready
+            )
+        )
+
+
+@then("at least {count:d} endpoints are kept or ordered until demand is known")
+def check_given(context, count):
+    holder = context.holder
+    for seconds in (1.0, 4.0, 12.0):
+        holder.run(seconds)
+        newest = {order.kind: order.count for _, order in holder.orders}
+        assert sum(newest.values()) >= count, newest
+        for kind, wanted in newest.items():
+            if kind.is_reclaimable:
+                holder.serve(kind.data_centre, wanted)
--- a/acaciaward/fleet/features/zoneplan.feature
+++ b/acaciaward/fleet/features/zoneplan.feature
@@ -14,6 +14,15 @@
     When the endpoints of two are reclaimed and none are to be had
     Then 2 safe endpoints are ordered, in the cheapest data centres first
 
+  Scenario: After one reclaim of many the next loss is guarded in part
+    Given 20 reclaimable endpoints in each data centre and a need of 38
+    When the endpoints of one are reclaimed and none are to be had
+    Then 3 safe endpoints are ordered, in the cheapest data centres first
+
+  Scenario: Before anybody asks, what was given is kept in good part
+    Given a fleet of 45 safe endpoints that nobody has asked yet
+    Then at least 27 endpoints are kept or ordered until demand is known
+
   Scenario: Safe endpoints go only when what replaces them serves
     Given 2 safe endpoints in each data centre and a need of 2
     Then all safe endpoints are kept
--- a/acaciaward/fleet/ordering.py
+++ b/acaciaward/fleet/ordering.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import math
 import time
 import typing
 from collections import abc
@@ -82,6 +83,7 @@
         self._sent: dict[tuple[str, zoneplan.Kind], _Sent] = {}
         self._dry: dict[tuple[str, str], float] = {}
         self._needed: dict[str, tuple[int, float]] = {}
+        self._given: dict[str, int] = {}
         self._fence: int | None = None
 
     async def run(self) -> None:
@@ -183,13 +185,21 @@
             if name == service.name and until > now
         }
         return zoneplan.Snapshot(
-            service.scaling, ready, coming, dry, self._needed_now(service)
+            service.scaling,
+            ready,
+            coming,
+            dry,
+            self._needed_now(service, sum(ready.values())),
         )
 
-    def _needed_now(self, service: routes.Service) -> int:
+    def _needed_now(self, service: routes.Service, ready: int) -> int:
         tokens_per_s, streams = self._demand(service.name)
         slots = service.engine.slots if service.engine else USUAL_SLOTS
         needed = zoneplan.engines_needed(tokens_per_s, streams, slots)
+        if not tokens_per_s and not streams:
+            # Nobody has asked yet: what was given says what is to come.
+            given = self._given.setdefault(service.name, ready)
+            needed = max(needed, math.ceil(zoneplan.GIVEN_PART * given))
         now = self._clock()
         held, since = self._needed.get(service.name, (needed, now))
         if needed >= held:
--- a/acaciaward/fleet/zoneplan.py
+++ b/acaciaward/fleet/zoneplan.py
@@ -3,8 +3,8 @@
 
 Reclaimable endpoints cost a fraction, but all of a data centre's go at once and
 none may be had for a while. So there are enough of them that the loss of any one
-data centre leaves what the demand needs, and safe ones are rented only for what
-is missing to that.
+data centre leaves what the demand needs. Safe ones are rented for what is missing
+now, and for what one more loss would take below a part of the need.
 
 Answers to: a data centre reclaimed with none to be had, two reclaims in a row,
 demand that rises faster than endpoints boot.
@@ -20,7 +20,11 @@
 TOKENS_PER_ENGINE_S = 60_000.0
 # Part of an engine's slots that streams should take: the rest is for bursts, and
 # each stream lengthens the pauses of all others.
-USED_SLOTS = 0.4
+USED_SLOTS = 0.6
+# Part of the need that must be left after one more loss: its headroom is spared.
+GUARDED_PART = 0.6
+# Before there is any demand, the need is taken from what was given at the start.
+GIVEN_PART = 0.6
 # Demand that is prepared for, as a multiple of the present one: bursts rise faster
 # than endpoints boot.
 HEADROOM = 1.25
@@ -99,9 +103,11 @@
 
 
 def _missing(needed: int, counts: abc.Mapping[str, int]) -> int:
-    """Return what the demand lacks after the loss of the fullest data centre."""
-    after_loss = sum(counts.values()) - max(counts.values(), default=0)
-    return max(0, needed - after_loss)
+    """Return what the demand lacks now, or after the loss of one data centre."""
+    total = sum(counts.values())
+    after_loss = total - max(counts.values(), default=0)
+    guarded = math.ceil(GUARDED_PART * needed)
+    return max(0, needed - total, guarded - after_loss)
 
 
 def _plan_reclaimable(
