--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -93,6 +93,8 @@
 ) -> None:
     """Say why a call ends with an answer of the system's own, or is cut."""
     come_back_s = refusal.retry_after_s
+    event_at = progress.event_at if progress else None
+    now = time.monotonic()
     log.info(
         "refused",
         extra=logs.fields(
@@ -105,6 +107,8 @@
             begun=has_begun,
             sends=progress.sends if progress else 0,
             retry_after_s=None if come_back_s is None else round(come_back_s, 3),
-            age_ms=int(1000 * (time.monotonic() - call.received)),
+            age_ms=int(1000 * (now - call.received)),
+            last_event=progress.delivered if progress else None,
+            since_event_ms=None if event_at is None else int(1000 * (now - event_at)),
         ),
     )
--- a/acaciaward/gateway/life.py
+++ b/acaciaward/gateway/life.py
@@ -42,6 +42,7 @@
         self.outcome = "cut"
         self.version = -1
         self.first_byte_s: float | None = None
+        self.event_at: float | None = None
 
     @property
     def left_s(self) -> float:
@@ -65,4 +66,5 @@
         if self.delivered is not None and event.number > self.delivered + 1:
             raise errors.BrokenOffError(f"event {event.number} after {self.delivered}")
         self.delivered = event.number
+        self.event_at = time.monotonic()
         return True
