--- a/acaciaward/cli/features/steps/reference_steps.py
+++ b/acaciaward/cli/features/steps/reference_steps.py
@@ -22,6 +22,7 @@
     for path, text in (
         (api_reference.API, api_reference.describe_routes()),
         (api_reference.COMMANDS, api_reference.describe_commands()),
+        (api_reference.METRICS, api_reference.describe_metrics()),
         (api_reference.NOTES, api_reference.describe_notes()),
     ):
         assert path.read_text() == text, f"run script/api_reference.py: {path.name}"
--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -7,7 +7,7 @@
 import logging
 import time
 
-from acaciaward.gateway import calls, errors, life
+from acaciaward.gateway import calls, errors, life, metrics
 from acaciaward.observability import logs
 from acaciaward.routing import occupancy
 
@@ -17,6 +17,9 @@
 def note_sent(progress: life.Progress, work: occupancy.Work, *, is_fresh: bool) -> None:
     """Say where a call goes, and what was known of that endpoint."""
     candidate = work.candidate
+    metrics.ATTEMPTS.labels("sent").inc()
+    if progress.sends > 1 and progress.first_byte_s is not None:
+        metrics.RESUMES.inc()
     log.info(
         "sent",
         extra=logs.fields(
@@ -41,6 +44,7 @@
     progress: life.Progress, work: occupancy.Work, error: errors.ForwardingError
 ) -> None:
     """Say how an attempt at one endpoint failed."""
+    metrics.ATTEMPTS.labels(type(error).__name__).inc()
     log.info(
         "attempt failed",
         extra=logs.fields(
@@ -92,6 +96,7 @@
     has_begun: bool,
 ) -> None:
     """Say why a call ends with an answer of the system's own, or is cut."""
+    metrics.REFUSALS.labels(refusal.status, has_begun).inc()
     come_back_s = refusal.retry_after_s
     event_at = progress.event_at if progress else None
     now = time.monotonic()
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -24,6 +24,7 @@
     events,
     life,
     links,
+    metrics,
     silence,
 )
 from acaciaward.routing import demand, occupancy, placement
@@ -413,7 +414,9 @@
         ended = sum(self._has_ended(one) for one in progress.tried)
         if progress.sends >= progress.route.max_attempts + ended:
             self._raise_broken(progress, responder, "attempts used up")
-        if not self._with.repeats.spend(service.name):
+        is_allowed = self._with.repeats.spend(service.name)
+        metrics.REPEATS.labels(is_allowed).inc()
+        if not is_allowed:
             self._raise_broken(progress, responder, "retry budget spent")
 
     def _has_ended(self, incarnation: tuple[str, int]) -> bool:
--- a/acaciaward/gateway/links.py
+++ b/acaciaward/gateway/links.py
@@ -16,7 +16,7 @@
 import h11
 
 from acaciaward.catalogue import endpoints
-from acaciaward.gateway import calls, errors
+from acaciaward.gateway import calls, errors, metrics
 from acaciaward.observability import logs
 
 log = logging.getLogger(__name__)
@@ -235,7 +235,6 @@
     def __init__(self, *, connect_timeout_s: float = CONNECT_TIMEOUT_S):
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[tuple[str, int], collections.deque[Link]] = {}
-        self.opened = 0
 
     async def take(self, endpoint: endpoints.Endpoint) -> Link:
         """Return an idle link, or a new one; ``NotSentError`` if there is none."""
@@ -251,7 +250,7 @@
 
     async def _connect(self, endpoint: endpoints.Endpoint) -> Link:
         loop = asyncio.get_running_loop()
-        self.opened += 1
+        metrics.LINKS.inc()
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, protocol = await loop.create_connection(
--- /dev/null
+++ b/acaciaward/gateway/metrics.py
@@ -0,0 +1,48 @@
+"""Counters and histograms of the gateway, all in one place for its reference page."""
+
+import prometheus_client
+
+REQUESTS = prometheus_client.Counter(
+    "acaciaward_gateway_requests_total",
+    "Requests by kind and outcome",
+    ["kind", "outcome"],
+)
+REFUSALS = prometheus_client.Counter(
+    "acaciaward_gateway_refusals_total",
+    "Answers of the system's own by status, and cut answers",
+    ["status", "cut"],
+)
+ATTEMPTS = prometheus_client.Counter(
+    "acaciaward_gateway_attempts_total",
+    "Calls written to endpoints, and how those that failed did",
+    ["result"],
+)
+REPEATS = prometheus_client.Counter(
+    "acaciaward_gateway_repeats_total",
+    "Further attempts of a call, by whether the budget allowed them",
+    ["allowed"],
+)
+RESUMES = prometheus_client.Counter(
+    "acaciaward_gateway_resumes_total",
+    "Streams that went on at another endpoint within one answer",
+)
+FIRST_BYTE = prometheus_client.Histogram(
+    "acaciaward_gateway_first_byte_seconds",
+    "Time from a whole request to the first byte of its answer, in seconds",
+    ["kind"],
+    buckets=(0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
+)
+LINKS = prometheus_client.Counter(
+    "acaciaward_gateway_links_opened_total", "New connections to endpoints"
+)
+VERSION = prometheus_client.Gauge(
+    "acaciaward_gateway_configuration_version", "The configuration in force"
+)
+HEARD = prometheus_client.Gauge(
+    "acaciaward_gateway_entries_heard", "Entries behind the newest sums"
+)
+LOOP_LAG = prometheus_client.Histogram(
+    "acaciaward_gateway_loop_lag_seconds",
+    "How much later than asked the event loop woke a task, in seconds",
+    buckets=(0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0),
+)
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -11,8 +11,6 @@
 import time
 import typing
 
-import prometheus_client
-
 from acaciaward import httpclient, tasks
 from acaciaward.admission import quotas, repeats
 from acaciaward.catalogue import endpoints, knowledge, routes
@@ -23,6 +21,7 @@
     forwarding,
     life,
     links,
+    metrics,
     questions,
     sharing,
 )
@@ -56,18 +55,6 @@
 STOP_MARGIN_S = 0.8
 STOP_POLL_S = 0.05
 
-REQUESTS = prometheus_client.Counter(
-    "acaciaward_gateway_requests_total",
-    "Requests by route and outcome",
-    ["route", "outcome"],
-)
-FIRST_BYTE = prometheus_client.Histogram(
-    "acaciaward_gateway_first_byte_seconds",
-    "Time from a whole request to the first byte of its answer",
-    ["route"],
-    buckets=(0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
-)
-
 
 class Gateway:
     """All slices of one entry."""
@@ -211,6 +198,7 @@
             }
         )
         self._membership.set_configuration_version(catalogue.version)
+        metrics.VERSION.set(catalogue.version)
 
     def _drop_links(
         self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
@@ -241,7 +229,10 @@
                 if at < now - KNOWN_PEERS_S:
                     del self._seen[name]
             self._directory.expire()
+            metrics.HEARD.set(self._relaying.heard)
+            due = time.monotonic() + TIDY_S
             await asyncio.sleep(TIDY_S)
+            metrics.LOOP_LAG.observe(max(0.0, time.monotonic() - due))
 
     def _counts_to_store(self) -> reporting.Told | None:
         if self._relaying.is_fed:
@@ -250,9 +241,10 @@
         return {report["start"]: report["windows"] for report in reports}
 
     def _note_end(self, progress: life.Progress) -> None:
-        REQUESTS.labels(progress.route.name, progress.outcome).inc()
+        kind = progress.route.kind.value
+        metrics.REQUESTS.labels(kind, progress.outcome).inc()
         if progress.first_byte_s is not None:
-            FIRST_BYTE.labels(progress.route.name).observe(progress.first_byte_s)
+            metrics.FIRST_BYTE.labels(kind).observe(progress.first_byte_s)
 
     @property
     def is_ready(self) -> bool:
--- a/script/api_reference.py
+++ b/script/api_reference.py
@@ -1,15 +1,17 @@
 """
-Writes docs/reference/api.md, docs/reference/commands.md and the notes' index.
+Writes docs/reference/api.md, commands.md and metrics.md, and the notes' index.
 
 The routes are those of an entry that is built but not started; descriptions are
 the doc comments of their handlers.
 """
 
+import importlib
 import inspect
 import pathlib
 import re
 
 import click
+import prometheus_client
 
 from acaciaward.cli import main as cli_main
 from acaciaward.entry import process
@@ -18,6 +20,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 API = ROOT / "docs/reference/api.md"
 COMMANDS = ROOT / "docs/reference/commands.md"
+METRICS = ROOT / "docs/reference/metrics.md"
 NOTES = ROOT / "docs/design/README.md"
 API_HEAD = """# HTTP API
 
@@ -26,6 +29,16 @@
 form at `/openapi.json`. Errors have the form `{"error": {"code", "message", "verdict",
 "retry_after", "request_id"}}`. This page is written by script/api_reference.py.
 
+"""
+# Modules that define metrics when they are imported.
+MEASURED = ("acaciaward.gateway.process", "acaciaward.observability.outlet")
+METRICS_HEAD = """# Metrics
+
+Metrics of `acaciaward entry` and `acaciaward gateway`, in Prometheus' text form. This
+page is written by script/api_reference.py.
+
+| metric | type | meaning |
+| --- | --- | --- |
 """
 COMMANDS_HEAD = """# Commands
 
@@ -80,6 +93,19 @@
     return lines
 
 
+def describe_metrics() -> str:
+    """Return the page of all metrics of the program, by their names."""
+    for name in MEASURED:
+        importlib.import_module(name)
+    names = {}
+    for metric in prometheus_client.REGISTRY.collect():
+        if metric.name.startswith("acaciaward_"):
+            kind = metric.type
+            shown = metric.name + ("_total" if kind == "counter" else "")
+            names[shown] = f"| `{shown}` | {kind} | {metric.documentation} |\n"
+    return METRICS_HEAD + "".join(names[name] for name in sorted(names))
+
+
 def describe_notes() -> str:
     """Return the index of the design notes, by their titles."""
     lines = []
@@ -95,6 +121,7 @@
     NOTES.write_text(describe_notes())
     API.write_text(describe_routes())
     COMMANDS.write_text(describe_commands())
+    METRICS.write_text(describe_metrics())
 
 
 if __name__ == "__main__":
