--- a/acaciaward/cli/gateway.py
+++ b/acaciaward/cli/gateway.py
@@ -9,6 +9,7 @@
 import click
 
 from acaciaward import errors
+from acaciaward.cli import output
 from acaciaward.gateway import process
 from acaciaward.observability import logs, outlet
 from acaciaward.platform import nodefile
@@ -26,10 +27,14 @@
     type=click.Path(),
     help="The platform's settings file; by default where the platform puts it.",
 )
-def gateway(path: str | None):
+@click.option("--check", is_flag=True, help="Print the settings and don't run.")
+def gateway(path: str | None, check: bool):
     """Run one entry on the platform. SIGTERM stops it, SIGHUP reads the settings."""
     place = pathlib.Path(path) if path else nodefile.path()
     settings = load(place)
+    if check:
+        output.print_json(settings)
+        return
     instance = settings["instance"]
     lines = outlet.configure(
         settings["logging"]["level"],
--- a/acaciaward/platform/features/platform.feature
+++ b/acaciaward/platform/features/platform.feature
@@ -22,3 +22,9 @@
 
   Scenario: Refusals are recognised only by the endpoint's own word
     Then only the endpoint's word makes an answer a refusal
+
+  Scenario: A mistake in the settings file ends the start with one line
+    Then the gateway's check of a file without an address exits with 2 and one line
+
+  Scenario: The page of the gateway's settings is current
+    Then script/settings_reference.py would write the same pages
--- a/acaciaward/platform/features/steps/platform_steps.py
+++ b/acaciaward/platform/features/steps/platform_steps.py
@@ -2,6 +2,9 @@
 
 import copy
 import json
+import subprocess
+import sys
+import tempfile
 
 import hypothesis
 from behave import then
@@ -12,6 +15,7 @@
 from acaciaward.gateway import calls
 from acaciaward.platform import documents, headers, nodefile, store
 from acaciaward.settings import loader
+from script import settings_reference
 
 SETTINGS = hypothesis.settings(
     database=None, derandomize=True, max_examples=300, deadline=None
@@ -293,3 +297,28 @@
     assert not headers.decode_reply(500, signed).is_refusal
     assert headers.decode_reply(421, []).is_misdirected
     assert not headers.decode_reply(421, signed).is_misdirected
+
+
+@then("the gateway's check of a file without an address exits with 2 and one line")
+def check_start(context):
+    with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
+        file.write(NODE_FILE.replace("Listen.Frontend", "Other"))
+        file.flush()
+        command = [sys.executable, "-m", "acaciaward", "gateway", "--check"]
+        command += ["--settings", file.name]
+        done = subprocess.run(command, capture_output=True, text=True)
+    assert done.returncode == 2, done
+    assert done.stderr.count("\n") == 1 and "callers" in done.stderr, done.stderr
+
+
+@then("script/settings_reference.py would write the same pages")
+def check_pages(context):
+    for path, package, head in (
+        (settings_reference.REFERENCE, "acaciaward.settings", settings_reference.HEAD),
+        (
+            settings_reference.GATEWAY_REFERENCE,
+            "acaciaward.gateway",
+            settings_reference.GATEWAY_HEAD,
+        ),
+    ):
+        assert path.read_text() == settings_reference.describe(package, head), path
--- a/script/settings_reference.py
+++ b/script/settings_reference.py
@@ -1,4 +1,4 @@
-"""Writes docs/reference/settings.md from the settings schema and the defaults."""
+"""Writes docs/reference/settings.md and gateway-settings.md from their schemas."""
 
 import json
 import pathlib
@@ -7,6 +7,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 REFERENCE = ROOT / "docs/reference/settings.md"
+GATEWAY_REFERENCE = ROOT / "docs/reference/gateway-settings.md"
 HEAD = """# Settings
 
 One JSON file for each entry. Keys without a default are required. Every key is
@@ -17,6 +18,16 @@
 
 """
 
+GATEWAY_HEAD = """# Settings of the gateway
+
+What `acaciaward gateway` reads out of the platform's settings file, under the project's
+own names; `acaciaward gateway --check` shows them for a file. Keys without a default
+must come from the platform. Units stand in the names: `_s` is seconds.
+
+This page is written by `python -m script.settings_reference`.
+
+"""
+
 
 def rows(schema: dict, defaults: dict, prefix: str = "") -> list[str]:
     """Return one line for each key, groups before their members."""
@@ -34,11 +45,17 @@
     return lines
 
 
+def describe(package: str, head: str) -> str:
+    """Return the page of the settings whose schema a package ships."""
+    schema = schemas.read_shipped(package, "schema.json")
+    defaults = schemas.read_shipped(package, "defaults.json")
+    return head + "\n".join(rows(schema, defaults)) + "\n"
+
+
 def main() -> None:
-    """Write the page."""
-    schema = schemas.read_shipped("acaciaward.settings", "schema.json")
-    defaults = schemas.read_shipped("acaciaward.settings", "defaults.json")
-    REFERENCE.write_text(HEAD + "\n".join(rows(schema, defaults)) + "\n")
+    """Write the pages."""
+    REFERENCE.write_text(describe("acaciaward.settings", HEAD))
+    GATEWAY_REFERENCE.write_text(describe("acaciaward.gateway", GATEWAY_HEAD))
 
 
 if __name__ == "__main__":
