--- a/acaciaward/demonstration/features/demo.feature
+++ b/acaciaward/demonstration/features/demo.feature
@@ -12,3 +12,7 @@
   Scenario: The command prints one JSON object last and exits with 0
     When the command runs the demonstration with 20 requests and JSON output
     Then its last line is the summary and its exit code 0
+
+  Scenario: The installed program carries what its demonstration needs
+    When the program is installed into an empty folder
+    Then the demonstration answers 5 requests from there, away from the checkout
