--- a/acaciaward/routing/features/placement.feature
+++ b/acaciaward/routing/features/placement.feature
@@ -10,6 +10,11 @@
     When 100 prompts with one shared part are placed and stay
     Then at least 4 endpoints have work and none has more than twice the mean
 
+  Scenario: A small part that many share draws no crowd before loads are known
+    Given 40 idle endpoints
+    When 200 prompts share a part of 300 tokens while no load is told
+    Then no endpoint gets more than 20 of them
+
   Scenario: A grey endpoint gets little
     Given 6 idle endpoints of which e-1 fails 0.4 of its calls
     When 300 plain calls are placed
--- a/acaciaward/routing/features/steps/placement_steps.py
+++ b/acaciaward/routing/features/steps/placement_steps.py
@@ -68,6 +68,25 @@
         place(context, "hot", stays=True)
 
 
+@when("{count:d} prompts share a part of {tokens:d} tokens while no load is told")
+def place_small(context, count, tokens):
+    prompt = calls.Prompt(2000, 25, (("small", tokens), ("own", 2000 - tokens)))
+    names = list(context.candidates)
+    first = placement.preferred(prompt, names)[:1]
+    seen = [
+        one._replace(held_tokens=tokens if one.endpoint.name in first else 0)
+        for one in context.candidates.values()
+    ]
+    for _ in range(count):
+        chosen = placement.choose(seen, prompt, context.chooser)
+        context.placed["small"][chosen.endpoint.name] += 1
+
+
+@then("no endpoint gets more than {count:d} of them")
+def check_no_crowd(context, count):
+    assert max(context.placed["small"].values()) <= count, context.placed["small"]
+
+
 @when("{count:d} plain calls are placed")
 def place_plain(context, count):
     seen = list(context.candidates.values())
--- a/acaciaward/routing/placement.py
+++ b/acaciaward/routing/placement.py
@@ -21,6 +21,9 @@
 # Endpoints that one shared part is drawn to: the second takes what the first
 # has no room for.
 PREFERRED = 2
+# A shared part below this size draws nobody: reading it again costs less than the
+# crowd at one endpoint that entries don't know of yet, in tokens.
+DRAWING_TOKENS = 1500
 # Random endpoints compared besides, as in the power of two choices (Mitzenmacher).
 SAMPLED = 2
 # Tokens that an engine reads in a second until that was seen.
@@ -81,10 +84,11 @@
 
 
 def affinity_key(prompt: calls.Prompt | None) -> str | None:
-    """Return the longest shared part's identifier, which calls are drawn by."""
+    """Return the longest shared part's identifier, if it is worth drawing calls by."""
     if prompt is None or not prompt.shared:
         return None
-    return max(prompt.shared, key=lambda part: part[1])[0]
+    name, size = max(prompt.shared, key=lambda part: part[1])
+    return name if size >= DRAWING_TOKENS else None
 
 
 def preferred(prompt: calls.Prompt | None, names: abc.Iterable[str]) -> list[str]:
