--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -134,6 +134,19 @@
         for endpoint in found.values():
             self.put(endpoint)
 
+    @property
+    def held_back(self) -> list[str]:
+        """The names of the endpoints whose removal is held back."""
+        return list(self._removals)
+
+    def hold_back(self, names: abc.Collection[str]) -> None:
+        """Hold back the same removals as another entry that reads the store."""
+        due = self._clock() + LAPSE_HOLD_S
+        held = {name: due for name in names if name in self._endpoints}
+        self._removals = {
+            name: self._removals.get(name, at) for name, at in held.items()
+        }
+
     def expire(self) -> None:
         """Carry out the removals that were held back long enough."""
         now = self._clock()
--- a/acaciaward/catalogue/following.py
+++ b/acaciaward/catalogue/following.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import logging
+import math
 import random
+import time
 import typing
 from collections import abc
 
@@ -88,7 +90,7 @@
         self._next: int | None = None
         self._failures = 0
         self.is_listed = asyncio.Event()
-        self.is_failing = False
+        self.read_at = -math.inf
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -119,6 +121,7 @@
             self._on_listing(listing.values)
             self._next = listing.next_offset
             self.is_listed.set()
+        began = time.monotonic()
         page = await self._source.changes(self._next, wait_s=self._wait_s)
         if page.end < self._next:
             log.warning("topic was cut", extra=logs.fields(topic=self._name))
@@ -127,16 +130,15 @@
         for change in page.changes:
             self._on_change(change)
         self._next = page.next_offset
+        self.read_at = began
 
     def _note_failure(self, error: errors.PlatformError) -> None:
         if not self._failures:
             log.warning("store lost", extra=logs.fields(topic=self._name, reason=error))
         self._failures = min(self._failures + 1, 8)
-        self.is_failing = True
         self._on_outage()
 
     def _note_success(self) -> None:
         if self._failures:
             log.info("store regained", extra=logs.fields(topic=self._name))
         self._failures = 0
-        self.is_failing = False
--- a/acaciaward/catalogue/knowledge.py
+++ b/acaciaward/catalogue/knowledge.py
@@ -82,9 +82,9 @@
         return self.index is not None and self._endpoints.is_listed.is_set()
 
     @property
-    def is_reading(self) -> bool:
-        """Whether the last reading of the endpoints succeeded."""
-        return not self._endpoints.is_failing
+    def endpoints_read_at(self) -> float:
+        """The monotonic moment at which the endpoints were last asked for and read."""
+        return self._endpoints.read_at
 
     @property
     def scaled_services(self) -> list[routes.Service]:
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -163,7 +163,7 @@
             self._sharing,
             start=self._duties.start,
             data_centre=self._settings["instance"]["data_centre"],
-            is_reading=lambda: self._knowledge.is_reading,
+            read_at=lambda: self._knowledge.endpoints_read_at,
             version=lambda: self._knowledge.catalogue.version,
         )
         self._knowledge.note_listed = self._relaying.note_listed
--- a/acaciaward/relays/features/relays.feature
+++ b/acaciaward/relays/features/relays.feature
@@ -28,3 +28,20 @@
 
   Scenario: Costs stay flat for an entry as entries grow
     Then a relay for 60 entries is at most 1.2 times one for 9
+
+  Scenario: What a reader knows of endpoints, its entries know a moment later
+    Given a reader and an entry of its data centre that know endpoint s-1
+    When s-1 lapses at the reader around an outage
+    Then s-1 is the last resort of both
+    When s-1 leaves
+    Then s-1 gets no new work from either
+
+  Scenario: An entry that missed changes reads the store itself
+    Given a reader and an entry of its data centre that know endpoint s-1
+    When the entry misses a relay that says that s-1 has gone
+    Then after 3 more relays the entry is not fed
+
+  Scenario: A reader that can't read the store feeds nobody
+    Given a reader and an entry of its data centre that know endpoint s-1
+    When the reader has read nothing for 1.4 s
+    Then the entry reads the store itself
--- a/acaciaward/relays/features/steps/relays_steps.py
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -1,9 +1,15 @@
 """Steps for relays; hubs are fed without a network."""
 
+import asyncio
+import time
+import types
+
 import msgspec
 from behave import given, then, when
 
-from acaciaward.relays import hub
+from acaciaward.catalogue import endpoints
+from acaciaward.membership import interfaces
+from acaciaward.relays import hub, relaying
 
 TICK_S = 0.25
 
@@ -124,3 +130,139 @@
         sums = world.sums["e-0-1"]
         sizes[count] = len(msgspec.msgpack.encode(sums._asdict()))
     assert sizes[many] <= factor * sizes[few], sizes
+
+
+class Membership:
+    """Two entries of one data centre that hear each other at once."""
+
+    def __init__(self, name, everyone):
+        self.name = name
+        self.handlers = {}
+        self.everyone = everyone
+        self.is_deaf = False
+        everyone[name] = self
+
+    def handle(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def notify(self, peer, kind, body):
+        other = self.everyone[peer]
+        if not other.is_deaf:
+            copy = msgspec.msgpack.decode(msgspec.msgpack.encode(body))
+            asyncio.run(other.handlers[kind](self.name, copy))
+
+    def peers(self):
+        live = interfaces.PeerState.LIVE
+        return [
+            types.SimpleNamespace(name=name, data_centre="dc", state=live)
+            for name in self.everyone
+        ]
+
+
+class Side:
+    """One entry with its directory."""
+
+    def __init__(self, name, everyone, clock):
+        self.age_s = 0.0
+        self.directory = endpoints.Directory(clock)
+        told = relaying.Told(1000.0, {}, {}, {}, {})
+        listener = types.SimpleNamespace(
+            tell=lambda: told,
+            hear=lambda source, sums: None,
+            hear_time=lambda now: None,
+            hear_version=lambda version: None,
+        )
+        self.membership = Membership(name, everyone)
+        self.relaying = relaying.Relaying(
+            self.membership,
+            self.directory,
+            listener,
+            start=f"{name}/1",
+            data_centre="dc",
+            read_at=lambda: time.monotonic() - self.age_s,
+            version=lambda: 1,
+        )
+
+
+def make_endpoint(state=endpoints.EndpointState.READY):
+    return endpoints.Endpoint("s-1", 1, "s", "127.0.0.1", 1, "dc", 4, state)
+
+
+@given("a reader and an entry of its data centre that know endpoint s-1")
+def make_sides(context):
+    context.now = 50.0
+    everyone = {}
+    sides = [Side(name, everyone, lambda: context.now) for name in ("a", "b")]
+    for side in sides:
+        side.directory.put(make_endpoint())
+    tick(sides)
+    sides.sort(key=lambda side: side.relaying.is_fed)
+    context.reader, context.entry = sides
+    assert context.entry.relaying.is_fed
+
+
+def tick(sides):
+    for side in sides:
+        side.relaying.tick()
+
+
+def tick_both(context):
+    tick([context.reader, context.entry])
+
+
+@when("s-1 lapses at the reader around an outage")
+def lapse(context):
+    context.reader.directory.note_outage()
+    context.reader.directory.remove("s-1", "test")
+    tick_both(context)
+
+
+@then("s-1 is the last resort of both")
+def check_lapsed(context):
+    for side in (context.reader, context.entry):
+        assert not side.directory.ready("s")
+        assert [one.name for one in side.directory.lapsed("s")] == ["s-1"]
+
+
+@when("s-1 leaves")
+def leave(context):
+    leaving = endpoints.EndpointState.LEAVING
+    context.reader.directory.put(make_endpoint(leaving))
+    tick_both(context)
+
+
+@then("s-1 gets no new work from either")
+def check_left(context):
+    for side in (context.reader, context.entry):
+        assert not side.directory.ready("s") and not side.directory.lapsed("s")
+
+
+@when("the entry misses a relay that says that s-1 has gone")
+def miss(context):
+    context.entry.membership.is_deaf = True
+    context.reader.directory.remove_now("s-1", "test")
+    tick_both(context)
+    context.entry.membership.is_deaf = False
+
+
+@then("after {count:d} more relays the entry is not fed")
+def check_not_fed(context, count):
+    for _ in range(count):
+        tick_both(context)
+    assert context.entry.relaying.is_behind
+    context.entry.relaying.note_listed()
+    assert not context.entry.relaying.is_behind
+
+
+@when("the reader has read nothing for {seconds:g} s")
+def go_stale(context, seconds):
+    for age_s in (0.6, seconds):
+        context.reader.age_s = age_s
+        tick_both(context)
+
+
+@then("the entry reads the store itself")
+def check_self(context):
+    # The last relay was 0.6 s old when it was sent.
+    time.sleep(0.75)
+    assert not context.entry.relaying.is_fed
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -53,15 +53,18 @@
     """
     What a reader tells one entry.
 
-    ``start`` is that of the reader, whose sums begin with it. ``use`` and ``load``
+    ``start`` is that of the reader, whose sums begin with it; ``age_s`` is how long
+    ago it read the endpoints. ``use`` and ``load``
     are those of all other entries, ``heard`` counts the
     entries behind it. ``version`` is the configuration in force at the reader;
-    ``endpoints`` and ``removed`` are changes since its last relay, and ``digest``
-    is that of all endpoints it knows.
+    ``endpoints`` and ``removed`` are changes since its last relay, ``lapsed`` names
+    the endpoints whose removal it holds back, and ``digest`` is that of all
+    endpoints it knows.
     """
 
     sender: str
     start: str
+    age_s: float
     heard: int
     now: float
     use: dict[str, float]
@@ -70,6 +73,7 @@
     version: int
     endpoints: list[EndpointFields]
     removed: list[str]
+    lapsed: list[str]
     digest: int
 
 
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -27,8 +27,9 @@
 State = membership_interfaces.PeerState
 
 TICK_S = 0.25
-# Without a relay for this long, an entry reads the store itself, in seconds.
-STALE_S = 1.2
+# An entry whose endpoints were read longer ago reads the store itself, in seconds:
+# a leaving endpoint must be known to all in less than two.
+STALE_S = 1.3
 # Relays in a row whose digest differs before the store is read itself.
 MOST_MISMATCHES = 3
 
@@ -70,7 +71,7 @@
         *,
         start: str,
         data_centre: str,
-        is_reading: abc.Callable[[], bool],
+        read_at: abc.Callable[[], float],
         version: abc.Callable[[], int],
     ):
         self._membership = membership
@@ -78,7 +79,7 @@
         self._listener = listener
         self._start = start
         self._data_centre = data_centre
-        self._is_reading = is_reading
+        self._read_at = read_at
         self._version = version
         self._hub = hub.Hub(time.monotonic)
         self._changed: dict[str, endpoints.Endpoint | None] = {}
@@ -96,11 +97,16 @@
         """How many entries are behind the newest sums, this one included."""
         return max(1, self._heard) if self._is_fresh() else 1
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether relays show that this entry has missed changes."""
+        return self._mismatches >= MOST_MISMATCHES
+
     @property
     def is_fed(self) -> bool:
         """Whether another entry reads the store for this one."""
         is_reader = self._reader in ("", self._membership.name)
-        return not is_reader and self._is_fresh()
+        return not is_reader and self._is_fresh() and not self.is_behind
 
     def reports(self) -> dict[str, messages.Report]:
         """Return the last reports of this data centre's entries, for its reader."""
@@ -114,15 +120,19 @@
     async def run(self) -> None:
         """Tell and relay until cancelled."""
         while True:
-            self._choose_reader()
-            report = self._report()
-            if self._reader == self._membership.name:
-                self._hub.take_report(report)
-                self._send_relays()
-            else:
-                self._membership.notify(self._reader, "report", report)
+            self.tick()
             await asyncio.sleep(TICK_S)
 
+    def tick(self) -> None:
+        """Tell the reader, or relay as the reader."""
+        self._choose_reader()
+        report = self._report()
+        if self._reader == self._membership.name:
+            self._hub.take_report(report)
+            self._send_relays()
+        else:
+            self._membership.notify(self._reader, "report", report)
+
     def _choose_reader(self) -> None:
         names = {
             peer.name for peer in self._live() if peer.data_centre == self._data_centre
@@ -159,7 +169,7 @@
             relay = self._relay(name, changes)
             if name == self._membership.name:
                 self._hear(relay)
-            elif self._is_reading():
+            elif relay["age_s"] < STALE_S:
                 self._membership.notify(name, "relay", relay)
 
     def _take_changes(self) -> tuple[list[messages.EndpointFields], list[str]]:
@@ -176,10 +186,12 @@
         return {
             "sender": self._membership.name,
             "start": self._start,
+            "age_s": time.monotonic() - self._read_at(),
             "now": self._hub.true_now(own_now),
             "version": self._version(),
             "endpoints": changes[0],
             "removed": changes[1],
+            "lapsed": self._directory.held_back,
             "digest": digest(self._directory.all()),
             **sums._asdict(),
         }
@@ -197,13 +209,13 @@
             self._directory.put(_from_fields(fields))
         for name in relay["removed"]:
             self._directory.remove_now(name, "its reader says so")
+        self._directory.hold_back(relay["lapsed"])
         is_same = relay["digest"] == digest(self._directory.all())
         self._mismatches = 0 if is_same else self._mismatches + 1
         self._hear(relay)
 
     def _hear(self, relay: messages.Relay) -> None:
-        if self._mismatches < MOST_MISMATCHES:
-            self._relayed_at = time.monotonic()
+        self._relayed_at = time.monotonic() - relay["age_s"]
         self._heard = relay["heard"]
         sums = hub.Sums(relay["heard"], relay["use"], relay["load"], relay["demand"])
         self._listener.hear(relay["start"], sums)
