--- a/acaciaward/relays/features/relays.feature
+++ b/acaciaward/relays/features/relays.feature
@@ -45,3 +45,4 @@
     Given a reader and an entry of its data centre that know endpoint s-1
     When the reader has read nothing for 1.4 s
     Then the entry reads the store itself
+    But it still hears 2 entries
--- a/acaciaward/relays/features/steps/relays_steps.py
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -266,3 +266,10 @@
     # The last relay was 0.6 s old when it was sent.
     time.sleep(0.75)
     assert not context.entry.relaying.is_fed
+
+
+@then("it still hears {count:d} entries")
+def check_still_heard(context, count):
+    tick_both(context)
+    assert not context.entry.relaying.is_fed
+    assert context.entry.relaying.heard == count, context.entry.relaying.heard
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import time
 import typing
 import zlib
@@ -30,6 +31,8 @@
 # An entry whose endpoints were read longer ago reads the store itself, in seconds:
 # a leaving endpoint must be known to all in less than two.
 STALE_S = 1.3
+# Without a relay for this long, an entry counts on no one but itself, in seconds.
+SILENT_S = 1.2
 # Relays in a row whose digest differs before the store is read itself.
 MOST_MISMATCHES = 3
 
@@ -83,7 +86,8 @@
         self._version = version
         self._hub = hub.Hub(time.monotonic)
         self._changed: dict[str, endpoints.Endpoint | None] = {}
-        self._relayed_at = -STALE_S
+        self._relayed_at = -math.inf
+        self._told_read_at = -math.inf
         self._mismatches = 0
         self._heard = 1
         self._reader = ""
@@ -95,7 +99,8 @@
     @property
     def heard(self) -> int:
         """How many entries are behind the newest sums, this one included."""
-        return max(1, self._heard) if self._is_fresh() else 1
+        is_fresh = time.monotonic() - self._relayed_at < SILENT_S
+        return max(1, self._heard) if is_fresh else 1
 
     @property
     def is_behind(self) -> bool:
@@ -106,7 +111,8 @@
     def is_fed(self) -> bool:
         """Whether another entry reads the store for this one."""
         is_reader = self._reader in ("", self._membership.name)
-        return not is_reader and self._is_fresh() and not self.is_behind
+        is_fresh = time.monotonic() - self._told_read_at < STALE_S
+        return not is_reader and is_fresh and not self.is_behind
 
     def reports(self) -> dict[str, messages.Report]:
         """Return the last reports of this data centre's entries, for its reader."""
@@ -114,9 +120,6 @@
             return {}
         return self._hub.reports()
 
-    def _is_fresh(self) -> bool:
-        return time.monotonic() - self._relayed_at < STALE_S
-
     async def run(self) -> None:
         """Tell and relay until cancelled."""
         while True:
@@ -169,7 +172,7 @@
             relay = self._relay(name, changes)
             if name == self._membership.name:
                 self._hear(relay)
-            elif relay["age_s"] < STALE_S:
+            else:
                 self._membership.notify(name, "relay", relay)
 
     def _take_changes(self) -> tuple[list[messages.EndpointFields], list[str]]:
@@ -205,6 +208,11 @@
     async def _take_relay(self, sender: str, relay: messages.Relay) -> None:
         if relay["sender"] != self._reader:
             return
+        if relay["age_s"] < STALE_S:
+            self._take_endpoints(relay)
+        self._hear(relay)
+
+    def _take_endpoints(self, relay: messages.Relay) -> None:
         for fields in relay["endpoints"]:
             self._directory.put(_from_fields(fields))
         for name in relay["removed"]:
@@ -212,10 +220,10 @@
         self._directory.hold_back(relay["lapsed"])
         is_same = relay["digest"] == digest(self._directory.all())
         self._mismatches = 0 if is_same else self._mismatches + 1
-        self._hear(relay)
 
     def _hear(self, relay: messages.Relay) -> None:
-        self._relayed_at = time.monotonic() - relay["age_s"]
+        self._relayed_at = time.monotonic()
+        self._told_read_at = self._relayed_at - relay["age_s"]
         self._heard = relay["heard"]
         sums = hub.Sums(relay["heard"], relay["use"], relay["load"], relay["demand"])
         self._listener.hear(relay["start"], sums)
