--- a/acaciaward/fleet/features/steps/zoneplan_steps.py
+++ b/acaciaward/fleet/features/steps/zoneplan_steps.py
@@ -256,6 +256,10 @@
 def make_given(context, count):
     context.holder = Holder(LARGE)
     context.holder.demand = (0.0, 0.0)
+    give(context, count)
+
+
+def give(context, count):
     ready = endpoints.EndpointState.READY
     for number in range(count):
         place = sorted(PRICES)[number % len(PRICES)]
@@ -266,10 +270,49 @@
         )
 
 
+@given("a holder that knows no endpoint yet")
+def make_empty(context):
+    context.holder = Holder(LARGE)
+    context.holder.demand = (0.0, 0.0)
+
+
+@when("{seconds:d} s passes")
+def pass_time(context, seconds):
+    context.holder.run(seconds)
+
+
+@then("nothing was ordered")
+def check_nothing(context):
+    assert not context.holder.orders, context.holder.orders
+
+
+@when("{count:d} safe endpoints come up in each data centre, and {seconds:d} s pass")
+def come_up(context, count, seconds):
+    give(context, count)
+    context.holder.run(0.5)
+    give(context, 3 * count)
+    context.holder.run(seconds)
+
+
+@then("for any snapshot reclaimable endpoints that serve are kept up to the need")
+def check_kept_reclaimable(context):
+    @SETTINGS
+    @hypothesis.given(COUNTS, COUNTS, strategies.integers(1, 9))
+    def check(ready, coming, needed):
+        snapshot = make_snapshot(ready, needed=needed, coming=coming, dry=PRICES)
+        plan = zoneplan.make_plan(snapshot)
+        for kind, count in ready.items():
+            if kind.is_reclaimable:
+                assert plan[kind] >= count, (kind, plan)
+
+    check()
+
+
 @then("at least {count:d} endpoints are kept or ordered until demand is known")
 def check_given(context, count):
     holder = context.holder
-    for seconds in (1.0, 4.0, 12.0):
+    # Nothing is ordered in the first 2.5 s, so all is kept.
+    for seconds in (4.0, 4.0, 12.0):
         holder.run(seconds)
         newest = {order.kind: order.count for _, order in holder.orders}
         assert sum(newest.values()) >= count, newest
--- a/acaciaward/fleet/features/zoneplan.feature
+++ b/acaciaward/fleet/features/zoneplan.feature
@@ -45,3 +45,13 @@
     Given a fleet with 1 safe endpoint in each data centre and bounds of 1 to 3
     When the demand calls for 3 reclaimable endpoints in each
     Then the safe ones stay until those serve
+
+  Scenario: Nothing is ordered before what was given has come up
+    Given a holder that knows no endpoint yet
+    When 1 s passes
+    Then nothing was ordered
+    When 15 safe endpoints come up in each data centre, and 12 s pass
+    Then at least 27 endpoints are kept or ordered until demand is known
+
+  Scenario: Safe endpoints never drive out reclaimable ones that serve
+    Then for any snapshot reclaimable endpoints that serve are kept up to the need
--- a/acaciaward/fleet/ordering.py
+++ b/acaciaward/fleet/ordering.py
@@ -27,6 +27,9 @@
 # Fewer endpoints are ordered only after less was needed for this long, in seconds.
 HOLD_S = 8.0
 SEND_S = 0.8
+# Endpoints that were there from the start have all said so this long after the first
+# one, in seconds: they write about once a second.
+SETTLED_S = 2.5
 # Slots of an endpoint whose service doesn't tell them.
 USUAL_SLOTS = 16
 
@@ -84,6 +87,7 @@
         self._dry: dict[tuple[str, str], float] = {}
         self._needed: dict[str, tuple[int, float]] = {}
         self._given: dict[str, int] = {}
+        self._first_seen: dict[str, float] = {}
         self._fence: int | None = None
 
     async def run(self) -> None:
@@ -108,6 +112,8 @@
             # What was ordered before is another holder's; the plan is sent whole.
             self._fence = tenure.fence
             self._sent.clear()
+        if not self._is_settled(service):
+            return
         # What safe endpoints are for depends on which reclaimable ones were to be had.
         for is_reclaimable in (True, False):
             snapshot = self._snapshot(service)
@@ -121,6 +127,15 @@
                     return
                 await self._order(service, kind, count, snapshot, tenure.fence)
 
+    def _is_settled(self, service: routes.Service) -> bool:
+        """Whether demand is known, or the endpoints that were given have come up."""
+        if any(self._demand(service.name)):
+            return True
+        if not self._directory.ready(service.name):
+            return False
+        seen_at = self._first_seen.setdefault(service.name, self._clock())
+        return self._clock() - seen_at >= SETTLED_S
+
     async def _order(
         self,
         service: routes.Service,
--- a/acaciaward/fleet/zoneplan.py
+++ b/acaciaward/fleet/zoneplan.py
@@ -95,7 +95,7 @@
         most_needed -= plan[place]
         least_needed -= plan[place]
     for place in places:
-        room = bounds.maximum - ready[place] - plan[place]
+        room = bounds.maximum - expected[place] - plan[place]
         more = max(0, min(least_needed, room))
         plan[place] += more
         least_needed -= more
@@ -123,7 +123,9 @@
     for place in places:
         present = _present(snapshot, Kind(place, True))
         asked = present if place in snapshot.dry else wanted
-        plan[place] = max(0, min(bounds.maximum - safe[place], asked))
+        # Safe ones that were ordered too many never drive out what serves.
+        kept = min(snapshot.ready.get(Kind(place, True), 0), asked)
+        plan[place] = max(kept, min(bounds.maximum - safe[place], asked))
     return plan
 
 
