--- a/acaciaward/fleet/features/steps/zoneplan_steps.py
+++ b/acaciaward/fleet/features/steps/zoneplan_steps.py
@@ -319,3 +319,34 @@
         for kind, wanted in newest.items():
             if kind.is_reclaimable:
                 holder.serve(kind.data_centre, wanted)
+
+
+@then("no data centre is asked for more than it has room for")
+def check_room(context):
+    for _, order in context.holder.orders:
+        if order.kind.is_reclaimable:
+            assert order.count <= 2, order
+
+
+@given("a fleet of 2 reclaimable endpoints in each data centre, a third ordered")
+def make_ordered(context):
+    context.holder = Holder()
+    for place in PRICES:
+        context.holder.serve(place, 2)
+    context.holder.run(1.0)
+    counts = {order.kind: order.count for _, order in context.holder.orders}
+    assert counts[zoneplan.Kind("north", True)] == 3, counts
+
+
+@when("one data centre is reclaimed")
+def reclaim_one(context):
+    holder = context.holder
+    holder.dry = True
+    holder.serve("north", 2, state=endpoints.EndpointState.LEAVING)
+    context.reclaimed_at = holder.now
+    holder.run(0.7)
+
+
+@then("safe endpoints are ordered within {seconds:g} s")
+def check_soon_safe(context, seconds):
+    assert context.holder.safe_ordered() >= 1, context.holder.orders
--- a/acaciaward/fleet/features/zoneplan.feature
+++ b/acaciaward/fleet/features/zoneplan.feature
@@ -17,7 +17,7 @@
   Scenario: After one reclaim of many the next loss is guarded in part
     Given 20 reclaimable endpoints in each data centre and a need of 38
     When the endpoints of one are reclaimed and none are to be had
-    Then 3 safe endpoints are ordered, in the cheapest data centres first
+    Then 11 safe endpoints are ordered, in the cheapest data centres first
 
   Scenario: Before anybody asks, what was given is kept in good part
     Given a fleet of 45 safe endpoints that nobody has asked yet
@@ -55,3 +55,13 @@
 
   Scenario: Safe endpoints never drive out reclaimable ones that serve
     Then for any snapshot reclaimable endpoints that serve are kept up to the need
+
+  Scenario: Reclaimable endpoints are ordered as room appears
+    Given a fleet with 1 safe endpoint in each data centre and bounds of 1 to 3
+    When the demand calls for 3 reclaimable endpoints in each
+    Then no data centre is asked for more than it has room for
+
+  Scenario: While a data centre is reclaimed, nothing is counted on that only boots
+    Given a fleet of 2 reclaimable endpoints in each data centre, a third ordered
+    When one data centre is reclaimed
+    Then safe endpoints are ordered within 0.7 s
--- a/acaciaward/fleet/ordering.py
+++ b/acaciaward/fleet/ordering.py
@@ -194,6 +194,14 @@
             for (name, kind), sent in self._sent.items()
             if name == service.name
         }
+        if any(
+            one.is_reclaimable and one.state is endpoints.EndpointState.LEAVING
+            for one in self._directory.of_service(service.name)
+        ):
+            # While some are taken away, those that were ordered seldom come.
+            coming = {
+                kind: count for kind, count in coming.items() if not kind.is_reclaimable
+            }
         dry = {
             place
             for (name, place), until in self._dry.items()
--- a/acaciaward/fleet/zoneplan.py
+++ b/acaciaward/fleet/zoneplan.py
@@ -22,7 +22,7 @@
 # each stream lengthens the pauses of all others.
 USED_SLOTS = 0.6
 # Part of the need that must be left after one more loss: its headroom is spared.
-GUARDED_PART = 0.6
+GUARDED_PART = 0.8
 # Before there is any demand, the need is taken from what was given at the start.
 GIVEN_PART = 0.6
 # Demand that is prepared for, as a multiple of the present one: bursts rise faster
@@ -125,7 +125,10 @@
         asked = present if place in snapshot.dry else wanted
         # Safe ones that were ordered too many never drive out what serves.
         kept = min(snapshot.ready.get(Kind(place, True), 0), asked)
-        plan[place] = max(kept, min(bounds.maximum - safe[place], asked))
+        # Those that still serve take room until they have gone.
+        standing = snapshot.ready.get(Kind(place, False), 0)
+        room = bounds.maximum - max(safe[place], standing)
+        plan[place] = max(kept, min(room, asked))
     return plan
 
 
