Refuse nothing for want of experience after a start

A call was refused when it would have waited for half of its patience, by a service time of 1 s until one was learnt. Test: placement.feature, fails on the code before.

--- a/acaciaward/routing/features/placement.feature
+++ b/acaciaward/routing/features/placement.feature
@@ -27,3 +27,8 @@
     Given 2 idle endpoints
     When 400 prompts arrive at once with a patience of 3 s
     Then some are refused and none that is placed is expected to wait over 1.5 s
+
+  Scenario: An entry without experience refuses no plain call at a usual load
+    Given 3 idle endpoints
+    When 30 plain calls with a patience of 1 s come to an entry that has just started
+    Then none is refused
--- a/acaciaward/routing/features/steps/placement_steps.py
+++ b/acaciaward/routing/features/steps/placement_steps.py
@@ -148,3 +148,23 @@
 def check_refused(context, most):
     assert context.refused > 0 and context.waits
     assert max(context.waits) <= most, max(context.waits)
+
+
+@when(
+    "{count:d} plain calls with a patience of {patience_s:g} s come to an entry"
+    " that has just started"
+)
+def place_new(context, count, patience_s):
+    busy = [
+        one._replace(running=10.0, endpoint=one.endpoint._replace(slots=6))
+        for one in context.candidates.values()
+    ]
+    context.refused = 0
+    for _ in range(count):
+        chosen = placement.choose(busy, None, context.chooser)
+        context.refused += placement.is_hopeless(chosen, None, patience_s)
+
+
+@then("none is refused")
+def check_none_refused(context):
+    assert context.refused == 0
--- a/acaciaward/routing/placement.py
+++ b/acaciaward/routing/placement.py
@@ -30,8 +30,9 @@
 USUAL_PREFILL_PER_S = 60_000.0
 # What one more running request adds to the pause between tokens, in seconds.
 STEP_PER_RUNNING_S = 0.002
-# How long a request takes at an endpoint until that was learnt, in seconds.
-USUAL_SERVICE_S = 1.0
+# How long a request takes at an endpoint until that was learnt, in seconds: short, so
+# that an entry that has just started refuses nothing for want of experience.
+USUAL_SERVICE_S = 0.1
 # A call is not sent where it would wait for more than this part of its patience.
 MOST_WAITED_PART = 0.5
 # A failure costs about this much: the time until the caller is back, in seconds.
