Keep decisions out of the platform's folder

The protocols of a provider, and reading and appending to its log, move to acaciaward/provider; what is left in acaciaward/platform translates.

--- a/acaciaward/claims/book.py
+++ b/acaciaward/claims/book.py
@@ -30,7 +30,7 @@
 )
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import logs
-from acaciaward.platform import appending, following, interfaces as platform_interfaces
+from acaciaward.provider import appending, following, interfaces as provider_interfaces
 
 log = logging.getLogger(__name__)
 
@@ -52,7 +52,7 @@
     def __init__(
         self,
         name: str,
-        platform_log: platform_interfaces.Log,
+        platform_log: provider_interfaces.Log,
         membership: membership_interfaces.Membership,
         network: membership_interfaces.PeerNetwork,
         settings: dict[str, typing.Any],
--- a/acaciaward/claims/features/steps/replay_steps.py
+++ b/acaciaward/claims/features/steps/replay_steps.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from acaciaward.claims import replay
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 WINDOW_S = 20.0
 SKEW_S = 2.0
@@ -67,12 +67,12 @@
     for kind, key, nonce, pause_s in drawn:
         time += pause_s
         data = MAKERS[kind](key, nonce)
-        log.append(platform_interfaces.LogRecord(len(log), time, data))
+        log.append(provider_interfaces.LogRecord(len(log), time, data))
     return log
 
 
 def page_of(log, first, end, time):
-    return platform_interfaces.LogPage(log[first:end], first, len(log), time)
+    return provider_interfaces.LogPage(log[first:end], first, len(log), time)
 
 
 def naive_owner(log, key):
@@ -208,7 +208,7 @@
         """Let any of the records on their way land, so order is arbitrary."""
         if self.sent:
             data = self.sent.pop(pick % len(self.sent))
-            record = platform_interfaces.LogRecord(len(self.log), self.time, data)
+            record = provider_interfaces.LogRecord(len(self.log), self.time, data)
             self.log.append(record)
 
     def expire(self):
@@ -297,8 +297,8 @@
     context.keys = [make_key(BEGIN + n / 1000, n) for n in range(count)]
     for number, key in enumerate(context.keys):
         time = BEGIN + number / 1000
-        record = platform_interfaces.LogRecord(number, time, claim(key, f"n{number}"))
-        page = platform_interfaces.LogPage([record], 0, number + 1, time)
+        record = provider_interfaces.LogRecord(number, time, claim(key, f"n{number}"))
+        page = provider_interfaces.LogPage([record], 0, number + 1, time)
         context.replay.apply_page(page)
 
 
--- a/acaciaward/claims/replay.py
+++ b/acaciaward/claims/replay.py
@@ -17,7 +17,7 @@
 import typing
 import uuid
 
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 MAX_REMEMBERED = 200_000
 MILLISECONDS_PER_S = 1000.0
@@ -114,7 +114,7 @@
         self._next_offset = first_offset
         self._is_after_gap = True
 
-    def apply_page(self, page: platform_interfaces.LogPage) -> None:
+    def apply_page(self, page: provider_interfaces.LogPage) -> None:
         """Replay consecutive records and take over the log's time."""
         if self._is_after_gap:
             first = page.records[0].time if page.records else page.time
@@ -125,7 +125,7 @@
         self._now = max(self._now, page.time)
         self._forget()
 
-    def apply(self, record: platform_interfaces.LogRecord) -> None:
+    def apply(self, record: provider_interfaces.LogRecord) -> None:
         """Replay the next record; anything that isn't one of ours is skipped."""
         data = record.data
         kind = data.get("kind") if isinstance(data, dict) else None
@@ -135,7 +135,7 @@
         self._next_offset = record.offset + 1
         self._now = max(self._now, record.time)
 
-    def _apply_claim(self, record: platform_interfaces.LogRecord) -> None:
+    def _apply_claim(self, record: provider_interfaces.LogRecord) -> None:
         data = record.data
         subject = (data["organisation"], data["key"])
         claim = LoggedClaim(
@@ -148,7 +148,7 @@
             return
         self._states[subject] = state._replace(claims=(*state.claims, claim))
 
-    def _apply_release(self, record: platform_interfaces.LogRecord) -> None:
+    def _apply_release(self, record: provider_interfaces.LogRecord) -> None:
         data = record.data
         subject = (data["organisation"], data["key"])
         state = self._remember(subject, record.time)
--- a/acaciaward/claims/writers.py
+++ b/acaciaward/claims/writers.py
@@ -14,7 +14,7 @@
 from acaciaward import errors
 from acaciaward.claims import messages
 from acaciaward.membership import interfaces as membership_interfaces
-from acaciaward.platform import appending
+from acaciaward.provider import appending
 
 FORWARD = "claims_append"
 FORWARD_TIMEOUT_S = 0.5
--- a/acaciaward/configuration/features/fakes.py
+++ b/acaciaward/configuration/features/fakes.py
@@ -5,7 +5,7 @@
 
 from acaciaward import errors
 from acaciaward.membership import interfaces as membership_interfaces
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 
 class FakeLog:
@@ -28,7 +28,7 @@
         return self.first_offset + len(self.records)
 
     def put(self, data):
-        record = platform_interfaces.LogRecord(self.next_offset, time.time(), data)
+        record = provider_interfaces.LogRecord(self.next_offset, time.time(), data)
         self.records.append(record)
         self._grown.set()
         self._grown = asyncio.Event()
@@ -76,7 +76,7 @@
         if from_offset < self.first_offset:
             raise errors.RecordsExpiredError("old", first_offset=self.first_offset)
         begin = from_offset - self.first_offset
-        return platform_interfaces.LogPage(
+        return provider_interfaces.LogPage(
             self.records[begin : begin + limit],
             self.first_offset,
             self.next_offset,
--- a/acaciaward/configuration/features/steps/replay_steps.py
+++ b/acaciaward/configuration/features/steps/replay_steps.py
@@ -11,7 +11,7 @@
 from acaciaward import errors
 from acaciaward.configuration import document, joining, replay, snapshots
 from acaciaward.configuration.features import fakes
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 SETTINGS = hypothesis.settings(
     derandomize=True,
@@ -236,7 +236,7 @@
 
 
 def _record(offset, data):
-    return platform_interfaces.LogRecord(offset, 1000.0 + offset, data)
+    return provider_interfaces.LogRecord(offset, 1000.0 + offset, data)
 
 
 @then("records of any JSON leave replay and snapshots of them in agreement")
@@ -345,7 +345,7 @@
     clock = snapshots.RenewalClock(renew_after_s=100, renew_after_records=1000)
     slept = None
     for number in range(5):
-        record = platform_interfaces.LogRecord(
+        record = provider_interfaces.LogRecord(
             number, 50.0 * number, make_patch(f"p{number}", number, {})
         )
         whole.apply(record)
@@ -353,11 +353,11 @@
         if number == 0:
             slept = snapshots.make(whole)
     assert clock.is_due(5, 200.0)
-    late = platform_interfaces.LogRecord(5, 200.0, slept)
+    late = provider_interfaces.LogRecord(5, 200.0, slept)
     clock.note(late)
     # The slept one leaves the record at offset 1, of second 50, uncovered.
     assert clock.is_due(6, 200.0)
-    fresh = platform_interfaces.LogRecord(6, 201.0, snapshots.make(whole))
+    fresh = provider_interfaces.LogRecord(6, 201.0, snapshots.make(whole))
     clock.note(fresh)
     assert not clock.is_due(7, 202.0)
     json.dumps(fresh.data)
--- a/acaciaward/configuration/follower.py
+++ b/acaciaward/configuration/follower.py
@@ -28,7 +28,7 @@
     submission,
 )
 from acaciaward.observability import logs
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 log = logging.getLogger(__name__)
 
@@ -53,7 +53,7 @@
 
     def __init__(
         self,
-        platform_log: platform_interfaces.Log,
+        platform_log: provider_interfaces.Log,
         *,
         stream: str,
         poll_wait_s: float,
@@ -283,7 +283,7 @@
                 self._has_state = False
             raise errors.PeerUnreachableError("the peer doesn't hold these records")
         found = [
-            platform_interfaces.LogRecord(
+            provider_interfaces.LogRecord(
                 fields["offset"], fields["time"], fields["data"]
             )
             for fields in answer["records"]
@@ -296,7 +296,7 @@
         await self._notify()
 
     async def _take_records(
-        self, found: typing.Sequence[platform_interfaces.LogRecord]
+        self, found: typing.Sequence[provider_interfaces.LogRecord]
     ) -> None:
         version = self.view.version
         try:
@@ -309,7 +309,7 @@
             if self.view.version != version:
                 self._announce()
 
-    def _take_record(self, record: platform_interfaces.LogRecord) -> None:
+    def _take_record(self, record: provider_interfaces.LogRecord) -> None:
         if record.offset < self._replay.next_offset:
             return
         if record.offset > self._replay.next_offset:
--- a/acaciaward/configuration/joining.py
+++ b/acaciaward/configuration/joining.py
@@ -11,7 +11,7 @@
 
 from acaciaward import errors
 from acaciaward.configuration import messages, peering, replay, snapshots
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 PEERS_WAIT_S = 1.0
 PEERS_POLL_S = 0.05
@@ -33,7 +33,7 @@
 
 
 async def join(
-    platform_log: platform_interfaces.Log,
+    platform_log: provider_interfaces.Log,
     stream: str,
     peers: peering.PeerSide | None,
     *,
@@ -82,7 +82,7 @@
 
 
 async def _join_by_log(
-    platform_log: platform_interfaces.Log,
+    platform_log: provider_interfaces.Log,
     stream: str,
     oldest: replay.Replay,
     renewal: snapshots.RenewalClock,
@@ -108,7 +108,7 @@
 
 
 def _begin(
-    found: list[platform_interfaces.LogRecord], first_offset: int
+    found: list[provider_interfaces.LogRecord], first_offset: int
 ) -> replay.Replay:
     if first_offset == 0:
         return replay.Replay()
--- a/acaciaward/configuration/recent.py
+++ b/acaciaward/configuration/recent.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from acaciaward.configuration import records
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 MAX_BYTES = 8 * 1024 * 1024
 MAX_ANSWER_BYTES = 512 * 1024
@@ -17,7 +17,7 @@
     """Consecutive records, bounded by their size."""
 
     def __init__(self):
-        self._records: collections.deque[platform_interfaces.LogRecord] = (
+        self._records: collections.deque[provider_interfaces.LogRecord] = (
             collections.deque()
         )
         self._sizes: collections.deque[int] = collections.deque()
@@ -31,7 +31,7 @@
         self._bytes = 0
         self._next_offset = next_offset
 
-    def add(self, record: platform_interfaces.LogRecord) -> None:
+    def add(self, record: provider_interfaces.LogRecord) -> None:
         """Keep the next record and drop the oldest beyond the bound."""
         if record.offset < self._next_offset:
             return
@@ -48,7 +48,7 @@
             self._records.popleft()
             self._bytes -= self._sizes.popleft()
 
-    def since(self, offset: int) -> list[platform_interfaces.LogRecord] | None:
+    def since(self, offset: int) -> list[provider_interfaces.LogRecord] | None:
         """Return records from an offset on as one answer, None if not held."""
         first = self._next_offset - len(self._records)
         if not first <= offset <= self._next_offset:
--- a/acaciaward/configuration/replay.py
+++ b/acaciaward/configuration/replay.py
@@ -26,7 +26,7 @@
     messages,
     records,
 )
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 HistoryEntry = patch_history.HistoryEntry
 
@@ -165,7 +165,7 @@
         status = PatchStatus(known.status)
         return PatchOutcome(status, known.version, known.reason, patch_id)
 
-    def apply(self, record: platform_interfaces.LogRecord) -> None:
+    def apply(self, record: provider_interfaces.LogRecord) -> None:
         """
         Replay the next record; one that has been replayed is left alone.
 
@@ -192,7 +192,7 @@
         if is_comparable and snapshot["version"] != self._view.version:
             self._disagreeing += 1
 
-    def _apply_patch(self, record: platform_interfaces.LogRecord) -> None:
+    def _apply_patch(self, record: provider_interfaces.LogRecord) -> None:
         patch = record.data
         if patch["id"] in self._known:
             self._doubled += 1
--- a/acaciaward/configuration/snapshots.py
+++ b/acaciaward/configuration/snapshots.py
@@ -21,7 +21,7 @@
 
 from acaciaward import errors
 from acaciaward.configuration import document, messages, records, replay
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 MAX_STATE_BYTES = 16 * 1024 * 1024
 TRACKED_RECORDS = 4096
@@ -91,7 +91,7 @@
 
 
 def is_candidate(
-    record: platform_interfaces.LogRecord, first_offset: int | None = None
+    record: provider_interfaces.LogRecord, first_offset: int | None = None
 ) -> bool:
     """Return whether a record is a snapshot that leaves no gap to what is held."""
     data = record.data
@@ -103,7 +103,7 @@
     return is_past and (first_offset is None or data["offset"] + 1 >= first_offset)
 
 
-def load(record: platform_interfaces.LogRecord) -> replay.Replay:
+def load(record: provider_interfaces.LogRecord) -> replay.Replay:
     """Return the replay that a snapshot record begins, or raise."""
     data = record.data
     state = unpack(
@@ -115,7 +115,7 @@
 
 
 def newest_usable(
-    found: typing.Iterable[platform_interfaces.LogRecord], first_offset: int
+    found: typing.Iterable[provider_interfaces.LogRecord], first_offset: int
 ) -> replay.Replay | None:
     """Return the replay of the usable snapshot that covers most, or None."""
     candidates = [record for record in found if is_candidate(record, first_offset)]
@@ -163,7 +163,7 @@
             self._born = now - age_s - (time.monotonic() - since)
         return 0.0 if self._born is None else now - self._born
 
-    def note(self, record: platform_interfaces.LogRecord) -> None:
+    def note(self, record: provider_interfaces.LogRecord) -> None:
         """Take a replayed record into account."""
         if self._born is None and self._taken_over is None:
             self._born = record.time
@@ -173,7 +173,7 @@
             self._born = self._age_start(record)
             self._taken_over = None
 
-    def _age_start(self, record: platform_interfaces.LogRecord) -> float:
+    def _age_start(self, record: provider_interfaces.LogRecord) -> float:
         if self._times[0][0] > self._covered + 1:
             return self._times[0][1] - self._renew_after_s
         uncovered = (moment for offset, moment in self._times if offset > self._covered)
--- a/acaciaward/configuration/submission.py
+++ b/acaciaward/configuration/submission.py
@@ -21,7 +21,7 @@
     replay,
 )
 from acaciaward.observability import logs
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 log = logging.getLogger(__name__)
 
@@ -62,7 +62,7 @@
     def __init__(
         self,
         followed: Followed,
-        platform_log: platform_interfaces.Log,
+        platform_log: provider_interfaces.Log,
         stream: str,
         peers: peering.PeerSide | None,
         *,
--- a/acaciaward/evacuation/watchers.py
+++ b/acaciaward/evacuation/watchers.py
@@ -16,7 +16,7 @@
 from acaciaward.endpoints import interfaces as endpoints_interfaces
 from acaciaward.evacuation import departures
 from acaciaward.observability import logs
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 log = logging.getLogger(__name__)
 
@@ -49,7 +49,7 @@
 
 
 async def watch_notices(
-    cloud: platform_interfaces.Cloud,
+    cloud: provider_interfaces.Cloud,
     known: departures.Departures,
     limits: WatchLimits,
 ) -> None:
@@ -70,7 +70,7 @@
 
 
 async def watch_instances(
-    listing: platform_interfaces.InstanceList,
+    listing: provider_interfaces.InstanceList,
     known: departures.Departures,
     limits: WatchLimits,
 ) -> None:
--- a/acaciaward/fleet/features/steps/fleet_steps.py
+++ b/acaciaward/fleet/features/steps/fleet_steps.py
@@ -10,7 +10,8 @@
 from acaciaward import documents, httpclient
 from acaciaward.configuration import replay
 from acaciaward.fleet import demand, holder, keeper, plan
-from acaciaward.platform import calls, cloud, interfaces
+from acaciaward.platform import calls, cloud
+from acaciaward.provider import interfaces
 from standins import cloud as cloud_standin, ports
 
 SETTINGS = hypothesis.settings(
--- a/acaciaward/fleet/keeper.py
+++ b/acaciaward/fleet/keeper.py
@@ -23,7 +23,7 @@
 from acaciaward.fleet import demand, plan, refusals
 from acaciaward.leases import interfaces as leases_interfaces
 from acaciaward.observability import logs
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 log = logging.getLogger(__name__)
 
@@ -41,15 +41,15 @@
     token: str
     place: plan.Place
     asked: float
-    instance: platform_interfaces.CloudInstance | None
+    instance: provider_interfaces.CloudInstance | None
 
 
 class Platform(typing.NamedTuple):
     """The services of the platform that the fleet needs."""
 
-    cloud: platform_interfaces.Cloud
-    instances: platform_interfaces.InstanceList
-    weights: platform_interfaces.WeightStore
+    cloud: provider_interfaces.Cloud
+    instances: provider_interfaces.InstanceList
+    weights: provider_interfaces.WeightStore
 
 
 class FleetKeeper:
@@ -120,7 +120,7 @@
     async def _read_platform(
         self,
     ) -> tuple[
-        list[platform_interfaces.Offer], list[platform_interfaces.CloudInstance]
+        list[provider_interfaces.Offer], list[provider_interfaces.CloudInstance]
     ]:
         return await asyncio.gather(
             self._platform.cloud.offers(), self._platform.instances.instances()
@@ -143,8 +143,8 @@
         self,
         name: str,
         entry: documents.DeploymentEntry,
-        offers: abc.Sequence[platform_interfaces.Offer],
-        listing: abc.Sequence[platform_interfaces.CloudInstance],
+        offers: abc.Sequence[provider_interfaces.Offer],
+        listing: abc.Sequence[provider_interfaces.CloudInstance],
     ) -> None:
         self._reconcile(name, listing)
         snapshot = self._snapshot(name, entry, offers, listing)
@@ -160,7 +160,7 @@
     def _reconcile(
         self,
         name: str,
-        listing: abc.Sequence[platform_interfaces.CloudInstance],
+        listing: abc.Sequence[provider_interfaces.CloudInstance],
     ) -> None:
         listed = {one.client_token for one in listing}
         oldest = time.monotonic() - LIST_LAG_S
@@ -174,8 +174,8 @@
         self,
         name: str,
         entry: documents.DeploymentEntry,
-        offers: abc.Sequence[platform_interfaces.Offer],
-        listing: abc.Sequence[platform_interfaces.CloudInstance],
+        offers: abc.Sequence[provider_interfaces.Offer],
+        listing: abc.Sequence[provider_interfaces.CloudInstance],
     ) -> plan.Snapshot:
         listed = [one for one in listing if one.deployment == name]
         names = {one.name for one in listed}
@@ -252,7 +252,7 @@
         self,
         name: str,
         entry: documents.DeploymentEntry,
-        instances: abc.Sequence[platform_interfaces.CloudInstance],
+        instances: abc.Sequence[provider_interfaces.CloudInstance],
     ) -> None:
         known = set(entry.get("endpoints", {}))
         live = {one.name: one for one in instances if one.state == LIVE}
@@ -291,7 +291,7 @@
         self,
         name: str,
         entry: documents.DeploymentEntry,
-        instance: platform_interfaces.CloudInstance,
+        instance: provider_interfaces.CloudInstance,
     ) -> bool:
         """Order the weights within the store's budget; True once it has them."""
         if entry["kind"] == requests.DeploymentKind.SERVICE.value:
@@ -313,7 +313,7 @@
         self,
         name: str,
         entry: documents.DeploymentEntry,
-        instance: platform_interfaces.CloudInstance,
+        instance: provider_interfaces.CloudInstance,
     ) -> bool:
         lease = self._leases.held(DUTY_PREFIX + name)
         if lease is None:
@@ -350,14 +350,14 @@
 
 def _asked_instance(
     deployment: str, asked: Pending
-) -> platform_interfaces.CloudInstance:
-    return platform_interfaces.CloudInstance(
+) -> provider_interfaces.CloudInstance:
+    return provider_interfaces.CloudInstance(
         asked.token, "", 0, *asked.place, deployment, asked.token, "asked"
     )
 
 
 def _endpoint_entry(
-    instance: platform_interfaces.CloudInstance,
+    instance: provider_interfaces.CloudInstance,
 ) -> documents.EndpointEntry:
     return {
         "address": instance.address,
--- a/acaciaward/fleet/plan.py
+++ b/acaciaward/fleet/plan.py
@@ -11,7 +11,7 @@
 from collections import abc
 
 from acaciaward import documents
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 ON_DEMAND = "on_demand"
 RECLAIMABLE = "reclaimable"
@@ -47,7 +47,7 @@
     action: Action
     deployment: str
     reason: str
-    offer: platform_interfaces.Offer | None = None
+    offer: provider_interfaces.Offer | None = None
     instance: str | None = None
 
 
@@ -74,14 +74,14 @@
     rule: FleetRule
     weights: documents.Weights
     streams: float
-    instances: abc.Sequence[platform_interfaces.CloudInstance]
-    offers: abc.Sequence[platform_interfaces.Offer]
+    instances: abc.Sequence[provider_interfaces.CloudInstance]
+    offers: abc.Sequence[provider_interfaces.Offer]
     refused: abc.Set[Place] = frozenset()
     may_shrink: bool = False
 
 
 def place_of(
-    offer: platform_interfaces.Offer | platform_interfaces.CloudInstance,
+    offer: provider_interfaces.Offer | provider_interfaces.CloudInstance,
 ) -> Place:
     """Return data centre, machine class and market."""
     return (offer.data_centre, offer.machine_class, offer.market)
@@ -98,7 +98,7 @@
 
 
 def expected_price(
-    offer: platform_interfaces.Offer, weights: documents.Weights
+    offer: provider_interfaces.Offer, weights: documents.Weights
 ) -> float:
     """Return the price an hour with the expected loss from reclaims."""
     recompute = weights.get("recomputed_tokens", 0.5)
@@ -108,10 +108,10 @@
 
 def choose_offer(
     snapshot: Snapshot,
-    staying: abc.Sequence[platform_interfaces.CloudInstance],
+    staying: abc.Sequence[provider_interfaces.CloudInstance],
     *,
     is_safe: bool,
-) -> platform_interfaces.Offer | None:
+) -> provider_interfaces.Offer | None:
     """Return the cheapest fitting offer, spread over data centres, or None."""
     counts: dict[str, int] = {}
     for instance in staying:
@@ -159,7 +159,7 @@
 def _add_start(
     steps: list[Step],
     snapshot: Snapshot,
-    staying: list[platform_interfaces.CloudInstance],
+    staying: list[provider_interfaces.CloudInstance],
     reason: str,
     *,
     is_safe: bool,
@@ -175,16 +175,16 @@
 
 
 def _planned_instance(
-    deployment: str, offer: platform_interfaces.Offer
-) -> platform_interfaces.CloudInstance:
-    return platform_interfaces.CloudInstance(
+    deployment: str, offer: provider_interfaces.Offer
+) -> provider_interfaces.CloudInstance:
+    return provider_interfaces.CloudInstance(
         "", "", 0, *place_of(offer), deployment, client_token="", state="planned"
     )
 
 
 def _stop_dearest(
     snapshot: Snapshot,
-    staying: abc.Sequence[platform_interfaces.CloudInstance],
+    staying: abc.Sequence[provider_interfaces.CloudInstance],
     safe: int,
     reason: str,
 ) -> list[Step]:
--- a/acaciaward/leases/features/steps/leases_steps.py
+++ b/acaciaward/leases/features/steps/leases_steps.py
@@ -10,7 +10,7 @@
 
 from acaciaward.configuration.features import fakes
 from acaciaward.leases import keeper, messages, replay
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 SETTINGS = hypothesis.settings(
     derandomize=True,
@@ -399,7 +399,7 @@
             nonce, fence = judge.grants[max(0, len(judge.grants) - 1 - back)]
             data = make(kind, nonce, fence, duration_s)
         verdict = judge.judge(offset, moment, data)
-        record = platform_interfaces.LogRecord(offset, moment, data)
+        record = provider_interfaces.LogRecord(offset, moment, data)
         active = judge.lease if moment < judge.until else None
         played.append((record, verdict, active))
     return played
@@ -443,7 +443,7 @@
         now = time.time()
         for number in range(500):
             data = make("renew", "old", 3, duration_s=30.0)
-            record = platform_interfaces.LogRecord(
+            record = provider_interfaces.LogRecord(
                 number + 10, now - 1000 + 2 * number, data
             )
             log.records.append(record)
--- a/acaciaward/leases/keeper.py
+++ b/acaciaward/leases/keeper.py
@@ -21,7 +21,7 @@
 from acaciaward import errors
 from acaciaward.leases import interfaces, messages, replay
 from acaciaward.observability import logs
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 log = logging.getLogger(__name__)
 
@@ -62,7 +62,7 @@
 
     def __init__(
         self,
-        platform_log: platform_interfaces.Log,
+        platform_log: provider_interfaces.Log,
         holder: str,
         *,
         stream: str,
@@ -172,7 +172,7 @@
         began = page.records[0].time if begins_at_first else since
         return replay.LeaseReplay(low, began)
 
-    def _take_record(self, record: platform_interfaces.LogRecord) -> None:
+    def _take_record(self, record: provider_interfaces.LogRecord) -> None:
         took_effect = self._replay.apply(record)
         data = record.data
         if messages.kind_of(data) is None:
--- a/acaciaward/leases/replay.py
+++ b/acaciaward/leases/replay.py
@@ -14,7 +14,7 @@
 import typing
 
 from acaciaward.leases import messages
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 SETTLE_S = 3 * messages.MAX_DURATION_S
 
@@ -77,7 +77,7 @@
         # and lapses or is renewed within the third.
         return self._began is None or now >= self._began + SETTLE_S
 
-    def apply(self, record: platform_interfaces.LogRecord) -> bool:
+    def apply(self, record: provider_interfaces.LogRecord) -> bool:
         """Replay the next record and return whether it took effect."""
         if record.offset < self._next_offset:
             return False
--- a/acaciaward/platform/cloud.py
+++ b/acaciaward/platform/cloud.py
@@ -2,7 +2,8 @@
 
 import typing
 
-from acaciaward.platform import calls, interfaces
+from acaciaward.platform import calls
+from acaciaward.provider import interfaces
 
 
 def _cloud_instance(fields: dict[str, typing.Any]) -> interfaces.CloudInstance:
--- a/acaciaward/platform/log.py
+++ b/acaciaward/platform/log.py
@@ -3,7 +3,8 @@
 from collections import abc
 
 from acaciaward import errors
-from acaciaward.platform import calls, interfaces
+from acaciaward.platform import calls
+from acaciaward.provider import interfaces
 
 EXPIRED_STATUS = 410
 
--- a/acaciaward/platform/appending.py
+++ b/acaciaward/provider/appending.py
@@ -18,7 +18,7 @@
 
 from acaciaward import errors
 from acaciaward.observability import logs
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 log = logging.getLogger(__name__)
 
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        platform_log: platform_interfaces.Log,
+        platform_log: provider_interfaces.Log,
         stream: str,
         *,
         interval_s: abc.Callable[[], float],
--- a/acaciaward/platform/following.py
+++ b/acaciaward/provider/following.py
@@ -14,7 +14,7 @@
 
 from acaciaward import errors
 from acaciaward.observability import logs
-from acaciaward.platform import interfaces
+from acaciaward.provider import interfaces
 
 log = logging.getLogger(__name__)
 
--- a/acaciaward/platform/interfaces.py
+++ b/acaciaward/provider/interfaces.py
@@ -1,7 +1,7 @@
 """
 What the entry needs of the platform, as ``Protocol`` types.
 
-The HTTP clients beside this module implement them; tests may pass fakes. Every
+The HTTP clients in ``acaciaward.platform`` implement them; tests may pass fakes. Every
 call either returns, or raises ``PlatformRefusedError`` (certainly no effect) or
 ``PlatformUnknownError`` (the answer was lost, the effect is open).
 """
--- a/acaciaward/quarantine/book.py
+++ b/acaciaward/quarantine/book.py
@@ -19,7 +19,7 @@
 from acaciaward.configuration import interfaces as configuration_interfaces
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import logs
-from acaciaward.platform import appending, following, interfaces as platform_interfaces
+from acaciaward.provider import appending, following, interfaces as provider_interfaces
 from acaciaward.quarantine import deaths, replay
 
 log = logging.getLogger(__name__)
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        platform_log: platform_interfaces.Log,
+        platform_log: provider_interfaces.Log,
         configuration: configuration_interfaces.Configuration,
         hints: membership_interfaces.Hints,
         settings: dict[str, typing.Any],
--- a/acaciaward/quarantine/features/steps/quarantine_steps.py
+++ b/acaciaward/quarantine/features/steps/quarantine_steps.py
@@ -8,7 +8,7 @@
 
 from acaciaward import documents, requests
 from acaciaward.membership import hints, interfaces as membership_interfaces
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 from acaciaward.quarantine import deaths, replay
 from standins import ports
 
@@ -26,9 +26,9 @@
 
     def put(self, **data):
         data = {"nonce": f"n{self.count}"} | data
-        record = platform_interfaces.LogRecord(self.count, self.time, data)
+        record = provider_interfaces.LogRecord(self.count, self.time, data)
         self.count += 1
-        page = platform_interfaces.LogPage([record], 0, self.count, self.time)
+        page = provider_interfaces.LogPage([record], 0, self.count, self.time)
         self.replay.apply_page(page)
 
     def put_death(self, endpoint, names, *, alone=(), counts=True):
--- a/acaciaward/quarantine/replay.py
+++ b/acaciaward/quarantine/replay.py
@@ -9,7 +9,7 @@
 
 import typing
 
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 MERGE_S = 2.0
 TURN_LIMIT_S = 30.0
@@ -70,14 +70,14 @@
         """Go on at an offset; what is known stays, since it only errs on safety."""
         self._next_offset = first_offset
 
-    def apply_page(self, page: platform_interfaces.LogPage) -> None:
+    def apply_page(self, page: provider_interfaces.LogPage) -> None:
         """Replay consecutive records and forget what is over."""
         for record in page.records:
             self.apply(record)
         self._now = max(self._now, page.time)
         self._forget()
 
-    def apply(self, record: platform_interfaces.LogRecord) -> None:
+    def apply(self, record: provider_interfaces.LogRecord) -> None:
         """Replay the next record; anything that isn't one of ours is skipped."""
         data = record.data
         kind = data.get("kind") if isinstance(data, dict) else None
@@ -87,7 +87,7 @@
         self._next_offset = record.offset + 1
         self._now = max(self._now, record.time)
 
-    def _apply_death(self, record: platform_interfaces.LogRecord) -> None:
+    def _apply_death(self, record: provider_interfaces.LogRecord) -> None:
         data = record.data
         endpoint = data["endpoint"]
         alone = set(data["alone"]) if data["counts"] else set()
@@ -117,15 +117,15 @@
             subject, time, time + self.duration_s, endpoints
         )
 
-    def _apply_turn(self, record: platform_interfaces.LogRecord) -> None:
+    def _apply_turn(self, record: provider_interfaces.LogRecord) -> None:
         data = record.data
         turn = Turn(data["nonce"], data["endpoint"], data["subject"], record.time)
         self._turns.setdefault(turn.nonce, turn)
 
-    def _apply_turn_end(self, record: platform_interfaces.LogRecord) -> None:
+    def _apply_turn_end(self, record: provider_interfaces.LogRecord) -> None:
         self._turns.pop(record.data["nonce"], None)
 
-    def _apply_clear(self, record: platform_interfaces.LogRecord) -> None:
+    def _apply_clear(self, record: provider_interfaces.LogRecord) -> None:
         subject = record.data["subject"]
         for death in self._deaths:
             death.subjects.pop(subject, None)
--- a/baseline/configuration.py
+++ b/baseline/configuration.py
@@ -11,7 +11,7 @@
 import typing
 
 from acaciaward import errors
-from acaciaward.platform import interfaces as platform_interfaces
+from acaciaward.provider import interfaces as provider_interfaces
 
 POLL_S = 0.5
 RETRY_S = 0.2
@@ -28,7 +28,7 @@
 class NaiveConfiguration:
     """The last writer wins."""
 
-    def __init__(self, log: platform_interfaces.Log, stream: str):
+    def __init__(self, log: provider_interfaces.Log, stream: str):
         self._log = log
         self._stream = stream
         self._offset = 0
