--- a/acaciaward/observability/features/steps/explaining_steps.py
+++ b/acaciaward/observability/features/steps/explaining_steps.py
@@ -47,6 +47,20 @@
             "cut with 502",
         ),
         ([line("caller left", request="a1", age_ms=310)], "after 310 ms"),
+        (
+            [
+                line("sent", request="a1", endpoint="s-7"),
+                line(
+                    "refused",
+                    request="a1",
+                    status=504,
+                    begun=True,
+                    reason="deadline",
+                    since_event_ms=2100,
+                ),
+            ],
+            "waiting for s-7, silent for 2100 ms",
+        ),
         (
             [
                 line(
--- a/acaciaward/observability/timeline.py
+++ b/acaciaward/observability/timeline.py
@@ -72,12 +72,26 @@
     if not endings:
         return "no entry has logged its end"
     last = endings[-1]
+    return _explain(last) + _waited_for(found, last) + _failed_before(found)
+
+
+def _waited_for(found: abc.Sequence[Line], last: Line) -> str:
+    """Return which endpoint a request was waiting for when it ended."""
+    sent = [line for line in found if line.event == "sent"]
+    if last.event == "answered" or last.fields.get("reason") != "deadline" or not sent:
+        return ""
+    silent_ms = last.fields.get("since_event_ms", "None")
+    since = "" if silent_ms == "None" else f", silent for {silent_ms} ms"
+    return f" while waiting for {sent[-1].fields.get('endpoint')}{since}"
+
+
+def _failed_before(found: abc.Sequence[Line]) -> str:
+    """Return how the last attempt that failed did."""
     failed = [line for line in found if line.event == "attempt failed"]
-    before = ""
-    if failed:
-        fields = failed[-1].fields
-        before = f", after {fields.get('endpoint')}: {fields.get('reason')}"
-    return _explain(last) + before
+    if not failed:
+        return ""
+    fields = failed[-1].fields
+    return f", after {fields.get('endpoint')}: {fields.get('reason')}"
 
 
 def _explain(line: Line) -> str:
