--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -8,7 +8,7 @@
 
 from acaciaward.admission import quotas, repeats
 from acaciaward.catalogue import endpoints, routes
-from acaciaward.gateway import callers, forwarding, links
+from acaciaward.gateway import callers, forwarding, interfaces, links
 from acaciaward.platform import headers
 from acaciaward.routing import demand, occupancy
 
@@ -193,7 +193,7 @@
             self.quotas.give_back("org", quota.burst)
         self.pool = links.LinkPool()
         forwarder = forwarding.Forwarder(
-            forwarding.Collaborators(
+            interfaces.Collaborators(
                 index=lambda: self.index,
                 occupancy=occupancy.Occupancy(
                     self.directory,
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -14,20 +14,20 @@
 from collections import abc
 
 from acaciaward import verdicts
-from acaciaward.admission import quotas, repeats
-from acaciaward.catalogue import endpoints, routes
+from acaciaward.catalogue import routes
 from acaciaward.gateway import (
     callers,
     calls,
     decisions,
     errors,
     events,
+    interfaces,
     life,
     links,
     metrics,
     silence,
 )
-from acaciaward.routing import demand, occupancy, placement
+from acaciaward.routing import occupancy, placement
 
 BAD_REQUEST = 400
 UNAUTHORISED = 401
@@ -58,47 +58,14 @@
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 
 
-class Codec(typing.Protocol):
-    """The dialect's headers."""
-
-    def encode_forwarded(
-        self, call: calls.Call, forwarding: calls.Forwarding
-    ) -> calls.Headers:
-        """Return the headers of a call as an endpoint is to get them."""
-
-    def decode_reply(self, status: int, headers: calls.Headers) -> calls.ReplyHead:
-        """Return what an endpoint's head says."""
-
-    def encode_own(
-        self,
-        attempt_id: str | None,
-        verdict: verdicts.Verdict,
-        retry_after_s: float | None,
-    ) -> calls.Headers:
-        """Return the headers of an answer of the system's own."""
-
-
-class Collaborators(typing.NamedTuple):
-    """What forwarding needs of the other slices."""
-
-    index: abc.Callable[[], routes.Index | None]
-    occupancy: occupancy.Occupancy
-    directory: endpoints.Directory
-    pool: links.LinkPool
-    quotas: quotas.Quotas
-    heard_part: abc.Callable[[], float]
-    repeats: repeats.RepeatBudgets
-    codec: Codec
-    demand: demand.Demand
-    note_run: abc.Callable[[str], None]
-    note_end: abc.Callable[[life.Progress], None]
-
-
 class Forwarder:
     """Handles the calls of all callers."""
 
     def __init__(
-        self, collaborators: Collaborators, *, chooser: random.Random | None = None
+        self,
+        collaborators: interfaces.Collaborators,
+        *,
+        chooser: random.Random | None = None,
     ):
         self._with = collaborators
         self._random = chooser or random.Random()
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -19,6 +19,7 @@
     callers,
     duties,
     forwarding,
+    interfaces,
     life,
     links,
     metrics,
@@ -130,7 +131,7 @@
             bounds["repeat_ratio"], bounds["repeat_burst"], bounds["repeat_window_s"]
         )
         self._forwarder = forwarding.Forwarder(
-            forwarding.Collaborators(
+            interfaces.Collaborators(
                 index=lambda: self._knowledge.index,
                 occupancy=self._occupancy,
                 directory=self._directory,
