Refuse requests under which endpoint after endpoint breaks off

Cause: the rule on retries of a request that crashes the servers which run it was met by nobody on the platform's path; the product's own quarantine lets a suspect run alone, which here crashes one more server, and keeps records in the log, each of which is priced. Change: quarantine/suspects.py knows requests by a digest of target, organisation and body; relays tell which endpoints broke off under which. Three make a request suspected, one answer at any entry clears it. Refused with 503. An endpoint's refusal no longer closes the connection: the link was given back and then closed by the handler of the refusal's own error. Ruled out: counting each broken connection (resets of one endpoint's connections would add up), probes of suspects. Tests: poison.feature's first two and 'A connection on which an endpoint refused is used again' failed before; suspects.feature and answers.feature are new with the code.

--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -57,6 +57,27 @@
     )
 
 
+def note_crash(progress: life.Progress, work: occupancy.Work, crashes: int) -> None:
+    """Say that an endpoint broke off under a call that others may not survive."""
+    log.info(
+        "request may crash endpoints",
+        extra=logs.fields(
+            request=progress.call.attempt_id,
+            digest=progress.digest,
+            endpoint=work.endpoint.name,
+            crashes=crashes,
+        ),
+    )
+
+
+def note_cleared(progress: life.Progress) -> None:
+    """Say that a call was served under which endpoints had broken off before."""
+    log.info(
+        "request cleared",
+        extra=logs.fields(request=progress.call.attempt_id, digest=progress.digest),
+    )
+
+
 def note_answered(progress: life.Progress, status: int | None) -> None:
     """Say that a call was answered, and how late."""
     first_s = progress.first_byte_s
--- a/acaciaward/gateway/features/forwarding.feature
+++ b/acaciaward/gateway/features/forwarding.feature
@@ -103,3 +103,9 @@
     Given a front for idempotent requests with a quota of 1 a minute
     When a caller asks 2 times
     Then the second answer is 429 with a time to come back
+
+  Scenario: A connection on which an endpoint refused is used again
+    Given a front for non_idempotent requests with 1 endpoints
+    And the endpoints refuse, then answer
+    When a caller asks 2 times
+    Then 2 requests arrived on 1 connection
--- /dev/null
+++ b/acaciaward/gateway/features/poison.feature
@@ -0,0 +1,35 @@
+Feature: A request that crashes endpoints isn't sent to all of them
+
+  Scenario: After three endpoints have broken off, the request is refused
+    Given a front for non_idempotent requests with 8 endpoints
+    And the endpoints always die
+    When a caller asks 12 times
+    Then 3 endpoints got it, and the last answer is 503 with a time to come back
+
+  Scenario: Repeats of one request count like those of its caller
+    Given a front for idempotent requests with 8 endpoints
+    And the endpoints always die
+    When a caller asks 12 times
+    Then 3 endpoints got it, and the last answer is 503 with a time to come back
+
+  Scenario: Other requests of the same caller go on
+    Given a front for non_idempotent requests with 8 endpoints
+    And the endpoints always die
+    When a caller asks 12 times
+    And the endpoints answer again
+    And a caller sends another body
+    Then the answer is 200 with the body "done"
+
+  Scenario: A request that was served before isn't suspected
+    Given a front for non_idempotent requests with 8 endpoints
+    And the endpoints answer again
+    And a caller asks once
+    When the endpoints always die
+    And a caller asks 12 times
+    Then more than 3 endpoints got it
+
+  Scenario: An endpoint that was about to leave has not been crashed
+    Given a front for non_idempotent requests with 8 endpoints
+    And the endpoints say that they leave, and die
+    When a caller asks 8 times
+    Then more than 3 endpoints got it
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -10,8 +10,11 @@
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import callers, forwarding, interfaces, links
 from acaciaward.platform import headers
+from acaciaward.quarantine import suspects
 from acaciaward.routing import demand, occupancy
 
+# How long an endpoint that answers early doesn't read on, in seconds.
+EARLY_S = 0.3
 SIGNATURE = b"Server-Signature: s1\r\n"
 KEY = "key-1"
 HOST = "shop.example"
@@ -22,6 +25,8 @@
 
     def __init__(self):
         self.scripts = []
+        self.usual = answer()
+        self.is_early = False
         self.requests = []
         self.closed = 0
         self.server = None
@@ -47,9 +52,15 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = header(head, "content-length")
+                if self.is_early:
+                    self.requests.append((head, b""))
+                    writer.write(whole(head, b"early", b"413 Too Large"))
+                    await asyncio.sleep(EARLY_S)
+                    await reader.readexactly(int(length))
+                    continue
                 body = await reader.readexactly(int(length or 0))
                 self.requests.append((head, body))
-                script = self.scripts.pop(0) if self.scripts else answer()
+                script = self.scripts.pop(0) if self.scripts else self.usual
                 await script(head, reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             # The streams of asyncio report a cancelled server task as an error.
@@ -77,15 +88,15 @@
     return b"Attempt-Id: " + header(head, "attempt-id").encode() + b"\r\n"
 
 
-def answer(body=b"done", status=b"200 OK", extra=b"", signed=True):
+def answer(body=b"done", status=b"200 OK", extra=b"", signed=True, lines=b""):
     async def script(head, reader, writer):
-        writer.write(whole(head, body, status, signed) + extra)
+        writer.write(whole(head, body, status, signed, lines) + extra)
         await writer.drain()
 
     return script
 
 
-def whole(head, body=b"done", status=b"200 OK", signed=True):
+def whole(head, body=b"done", status=b"200 OK", signed=True, lines=b""):
     signature = SIGNATURE if signed else b""
     size = b"Content-Length: %d\r\n" % len(body)
     return (
@@ -94,6 +105,7 @@
         + b"\r\n"
         + echo(head)
         + signature
+        + lines
         + size
         + (b"\r\n" + body)
     )
@@ -161,7 +173,17 @@
 class Front:
     """A gateway's front with a fixed catalogue and scripted endpoints."""
 
-    def __init__(self, kind, *, attempts=2, resumable=False, quota=None, timeout_s=2):
+    def __init__(
+        self,
+        kind,
+        *,
+        attempts=2,
+        resumable=False,
+        quota=None,
+        timeout_s=2,
+        count=2,
+    ):
+        self._count = count
         self.directory = endpoints.Directory(time.monotonic)
         self.endpoints = {}
         self.ended = []
@@ -209,6 +231,7 @@
                 ),
                 codec=headers,
                 demand=demand.Demand(time.monotonic, lambda name: 0.1),
+                suspects=suspects.Suspects(time.monotonic),
                 note_run=self.ran.append,
                 note_end=self.ended.append,
             ),
@@ -219,8 +242,8 @@
         )
         self.port = 0
 
-    async def start(self, count=2):
-        for number in range(count):
+    async def start(self):
+        for number in range(self._count):
             scripted = ScriptedEndpoint()
             await scripted.start()
             name = f"s-{number}"
@@ -252,6 +275,11 @@
         for scripted in self.endpoints.values():
             scripted.scripts = shared
 
+    def always(self, script):
+        """Use this one whenever no other is left."""
+        for scripted in self.endpoints.values():
+            scripted.usual = script
+
     @property
     def requests(self):
         return [one for each in self.endpoints.values() for one in each.requests]
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from acaciaward.catalogue import routes
+from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway.features import scripted
 
 KINDS = {
@@ -41,6 +41,38 @@
     start(context, KINDS[kind], quota=quota)
 
 
+@given("a front for {kind} requests with {count:d} endpoints")
+def start_wide_front(context, kind, count):
+    start(context, KINDS[kind], count=count, attempts=3)
+
+
+@given("the endpoints always die")
+@when("the endpoints always die")
+def always_die(context):
+    context.front.always(scripted.die())
+
+
+@given("the endpoints answer again")
+@when("the endpoints answer again")
+def always_answer(context):
+    context.front.always(scripted.answer())
+
+
+@given("the endpoints say that they leave, and die")
+def always_leave(context):
+    for name, one in context.front.endpoints.items():
+        one.usual = leave_and_die(context.front, name)
+
+
+def leave_and_die(front, name):
+    async def script(head, reader, writer):
+        known = front.directory.get(name)
+        front.directory.put(known._replace(state=endpoints.EndpointState.LEAVING))
+        scripted.reset(writer)
+
+    return script
+
+
 @given("a front for resumable streams")
 def start_resumable(context):
     start(context, routes.RequestKind.STREAM, resumable=True)
@@ -118,6 +150,7 @@
     return scripts
 
 
+@given("a caller asks once")
 @when("a caller asks")
 def ask(context):
     began = time.monotonic()
@@ -132,6 +165,11 @@
     ]
 
 
+@when("a caller sends another body")
+def ask_another(context):
+    context.data, _ = context.runner.run(scripted.ask(context.front, body=b"other"))
+
+
 @when("a caller asks to go on after {number:d}")
 def ask_resume(context, number):
     lines = [f"Last-Event-Id: {number}"]
@@ -237,6 +275,14 @@
     assert len(context.front.requests) == count
 
 
+@then("{count:d} requests arrived on {opened:d} connection")
+@then("{count:d} requests arrived on {opened:d} connections")
+def check_connections(context, count, opened):
+    assert len(context.front.requests) == count, context.front.requests
+    found = sum(one.connections for one in context.front.endpoints.values())
+    assert found == opened, found
+
+
 @then("the answer is {status:d} with a time to come back")
 def check_refusal(context, status):
     check_come_back(context.data, status)
@@ -261,6 +307,21 @@
     assert context.took_s < seconds, context.took_s
 
 
+@then("{count:d} endpoints got it, and the last answer is 503 with a time to come back")
+def check_spared(context, count):
+    assert count_reached(context) == count, count_reached(context)
+    check_come_back(context.answers[-1], 503)
+
+
+@then("more than {count:d} endpoints got it")
+def check_more(context, count):
+    assert count_reached(context) > count, count_reached(context)
+
+
+def count_reached(context):
+    return sum(bool(one.requests) for one in context.front.endpoints.values())
+
+
 @then("each answer is whole and its own")
 def check_whole(context):
     for data in context.answers:
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -1,32 +1,28 @@
 """
 One call's life: admitted, sent where, repeated or resumed, answered or refused.
 
-What may not run twice is sent again only when it certainly has not run. A stream
-that resumes goes on at another endpoint within the same answer, after the last
-whole event that was passed on. A refusal with status 429 or 503 always means that
-the call has not run and won't.
+What may not run twice is sent again only when it certainly has not run. A refusal
+with status 429 or 503 always means that the call has not run and won't.
 """
 
 import asyncio
 import random
 import time
 import typing
-from collections import abc
 
 from acaciaward import verdicts
-from acaciaward.catalogue import routes
+from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import (
+    attempts,
     callers,
     calls,
     decisions,
     errors,
-    events,
     interfaces,
     life,
-    links,
     metrics,
-    silence,
 )
+from acaciaward.quarantine import suspects
 from acaciaward.routing import occupancy, placement
 
 BAD_REQUEST = 400
@@ -36,24 +32,15 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
-SERVER_ERROR = 500
 
-# Answers that aren't streams are passed on whole up to this size, in bytes.
-MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 # A call without a stated patience waits this long, in seconds.
 USUAL_PATIENCE_S = 30.0
-# An idempotent call is taken for hung after this many latency objectives.
-HUNG_TARGETS = 1.5
 # Callers come back after this part of their patience at most.
 COME_BACK_PART = 0.25
 SHORTEST_COME_BACK_S = 0.05
-# Not sent to an endpoint with less time than this left, in seconds.
-LEAST_TIME_S = 0.005
 # How long before the caller's own end an answer is given up, in seconds.
 END_MARGIN_S = 0.02
 
-_Awaited = typing.TypeVar("_Awaited")
-
 NOT_RUN = verdicts.Verdict.NOT_RUN
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 
@@ -69,6 +56,7 @@
     ):
         self._with = collaborators
         self._random = chooser or random.Random()
+        self._attempts = attempts.Attempts(collaborators)
 
     async def handle(self, call: calls.Call, responder: callers.Responder) -> None:
         """Answer one call."""
@@ -140,13 +128,16 @@
         if prompt is not None:
             self._with.demand.note(service.name, prompt.fresh_tokens)
         while True:
+            self._check_suspect(progress, responder)
             candidate = self._choose_endpoint(service, progress)
             work = self._with.occupancy.start(candidate, progress.call)
             progress.tried.add(work.endpoint.incarnation)
             failed = True
             is_unreachable = False
             try:
-                failed = await self._attempt(progress, work, responder)
+                failed = await self._attempts.make(progress, work, responder)
+                if self._with.suspects.note_served(progress.digest):
+                    decisions.note_cleared(progress)
                 return
             except errors.NotSentError as error:
                 is_unreachable = True
@@ -159,6 +150,7 @@
             except errors.BrokenOffError as error:
                 decisions.note_failed(progress, work, error)
                 progress.may_run = True
+                self._note_crash(progress, work, error)
                 if not progress.route.may_repeat:
                     self._raise_broken(progress, responder, str(error))
             except (asyncio.CancelledError, callers.CallerGoneError):
@@ -221,153 +213,34 @@
             retry_after_s=self._come_back_s(progress),
         )
 
-    async def _attempt(
-        self,
-        progress: life.Progress,
-        work: occupancy.Work,
-        responder: callers.Responder,
-    ) -> bool:
-        """Send the call to one endpoint; return whether its answer is a failure."""
-        pool = self._with.pool
-        link = await pool.take(work.endpoint)
-        try:
-            left_s = progress.left_s
-            if left_s < LEAST_TIME_S:
-                raise TimeoutError
-            forwarding = calls.Forwarding(
-                work.endpoint.name,
-                progress.organisation.name if progress.organisation else None,
-                progress.rank,
-                left_s,
-                progress.delivered,
-            )
-            headers = self._with.codec.encode_forwarded(progress.call, forwarding)
-            progress.sends += 1
-            decisions.note_sent(progress, work, is_fresh=not link.exchanges)
-            was_sent_before = progress.may_run
-            progress.may_run = True
-            reply = await self._exchange(progress, work, link, headers)
-            self._with.occupancy.note_heard(work.endpoint)
-            head = reply.head
-            if head.is_refusal:
-                progress.may_run = was_sent_before
-                await reply.read(MAX_BUFFERED_BYTES)
-                pool.give_back(link, head)
-                raise errors.NotRunError(
-                    f"refused with {head.status}",
-                    is_misdirected=head.is_misdirected,
-                    retry_after_s=head.retry_after_s,
-                )
-            if not head.is_signed:
-                raise errors.BrokenOffError(f"unsigned answer {head.status}")
-            await self._pass_on(progress, work, reply, responder)
-        except BaseException:
-            link.close()
-            raise
-        pool.give_back(link, head)
-        return head.status >= SERVER_ERROR
-
-    async def _exchange(
-        self,
-        progress: life.Progress,
-        work: occupancy.Work,
-        link: links.Link,
-        headers: calls.Headers,
-    ) -> links.Reply:
-        call, route = progress.call, progress.route
-        decode = self._with.codec.decode_reply
-        can_repeat = route.kind is routes.RequestKind.IDEMPOTENT and (
-            progress.sends < route.max_attempts
-        )
-        if not can_repeat:
-            exchange = link.exchange(call, headers, decode)
-            return await self._unless_silent(progress, work, exchange)
-        hung_s = min(HUNG_TARGETS * route.target_s, progress.left_s / 2)
-        try:
-            async with asyncio.timeout(hung_s) as limit:
-                return await link.exchange(call, headers, decode)
-        except TimeoutError as error:
-            if not limit.expired():
-                raise
-            raise errors.SilentError(f"silent for {hung_s:.3f} s") from error
-
-    async def _pass_on(
+    def _note_crash(
         self,
         progress: life.Progress,
         work: occupancy.Work,
-        reply: links.Reply,
-        responder: callers.Responder,
+        error: errors.BrokenOffError,
     ) -> None:
-        is_stream = progress.route.kind is routes.RequestKind.STREAM
-        if is_stream and reply.head.status < 300:
-            await self._pass_stream(progress, work, reply, responder)
-            return
-        body = await reply.read(MAX_BUFFERED_BYTES)
-        self._note_first_byte(progress, work)
-        if responder.has_begun:
-            # A resumed stream that is answered with an error can't go on.
-            raise errors.BrokenOffError(f"resume answered {reply.head.status}")
-        if self._deserves_repeat(progress, reply.head):
-            raise errors.BrokenOffError(f"endpoint failed with {reply.head.status}")
-        await responder.send(reply.head.status, reply.head.headers, body)
-
-    def _deserves_repeat(self, progress: life.Progress, head: calls.ReplyHead) -> bool:
-        route = progress.route
-        return (
-            head.status >= SERVER_ERROR
-            and route.kind is routes.RequestKind.IDEMPOTENT
-            and progress.sends < route.max_attempts
-            and progress.left_s > route.target_s / 4
+        """Suspect a call under which an endpoint broke off, unless it was leaving."""
+        known = self._with.directory.get(work.endpoint.name)
+        is_leaving = (
+            known is not None and known.state is endpoints.EndpointState.LEAVING
         )
+        if is_leaving or isinstance(error, errors.SilentError):
+            return
+        name, born = work.endpoint.incarnation
+        crashes = self._with.suspects.note_crash(progress.digest, f"{name}/{born}")
+        decisions.note_crash(progress, work, crashes)
 
-    async def _pass_stream(
-        self,
-        progress: life.Progress,
-        work: occupancy.Work,
-        reply: links.Reply,
-        responder: callers.Responder,
+    def _check_suspect(
+        self, progress: life.Progress, responder: callers.Responder
     ) -> None:
-        splitter = events.EventSplitter()
-        while (part := await self._read_part(progress, work, reply)) is not None:
-            pieces = splitter.feed(part)
-            fresh = [piece.data for piece in pieces if progress.take(piece)]
-            if fresh:
-                self._note_first_byte(progress, work)
-                if not responder.has_begun:
-                    await responder.start(reply.head.status, reply.head.headers)
-                await responder.write(b"".join(fresh))
-        if splitter.rest.strip():
-            raise errors.BrokenOffError("stream ended inside an event")
-        if not responder.has_begun:
-            await responder.start(reply.head.status, reply.head.headers)
-        await responder.finish()
-
-    async def _read_part(
-        self, progress: life.Progress, work: occupancy.Work, reply: links.Reply
-    ) -> bytes | None:
-        part = await self._unless_silent(progress, work, reply.read_part())
-        self._with.occupancy.note_heard(work.endpoint)
-        return part
-
-    async def _unless_silent(
-        self,
-        progress: life.Progress,
-        work: occupancy.Work,
-        awaited: abc.Coroutine[typing.Any, typing.Any, _Awaited],
-    ) -> _Awaited:
-        """Wait for an endpoint; leave one that is silent if the stream can resume."""
-        if not progress.route.is_resumable:
-            return await awaited
-        board = self._with.occupancy
-        return await silence.unless(awaited, lambda: board.is_silent(work.endpoint))
-
-    def _note_first_byte(self, progress: life.Progress, work: occupancy.Work) -> None:
-        work.note_first_byte()
-        if not progress.has_run:
-            progress.has_run = True
-            progress.first_byte_s = time.monotonic() - progress.call.received
-            if progress.organisation is not None:
-                self._with.note_run(progress.organisation.name)
+        """Raise if the call would probably crash one more endpoint."""
+        if self._with.suspects.is_suspect(progress.digest):
+            self._raise_broken(
+                progress,
+                responder,
+                "endpoints broke off under it",
+                come_back_s=suspects.LIFETIME_S,
+            )
 
     def _check_repeat(
         self,
@@ -391,12 +264,17 @@
         return known is None or known.incarnation != incarnation
 
     def _raise_broken(
-        self, progress: life.Progress, responder: callers.Responder, reason: str
+        self,
+        progress: life.Progress,
+        responder: callers.Responder,
+        reason: str,
+        *,
+        come_back_s: float | None = None,
     ) -> typing.NoReturn:
         if not progress.may_run and not responder.has_begun:
-            raise life.RefusedError(
-                UNAVAILABLE, reason, retry_after_s=self._come_back_s(progress)
-            )
+            if come_back_s is None:
+                come_back_s = self._come_back_s(progress)
+            raise life.RefusedError(UNAVAILABLE, reason, retry_after_s=come_back_s)
         raise life.RefusedError(BAD_GATEWAY, reason, verdict=MAY_HAVE_RUN)
 
     def _come_back_s(self, progress: life.Progress) -> float:
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -7,6 +7,7 @@
 from acaciaward.admission import quotas, repeats
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls, life, links
+from acaciaward.quarantine import suspects
 from acaciaward.routing import demand, occupancy
 
 
@@ -42,5 +43,6 @@
     repeats: repeats.RepeatBudgets
     codec: Codec
     demand: demand.Demand
+    suspects: suspects.Suspects
     note_run: abc.Callable[[str], None]
     note_end: abc.Callable[[life.Progress], None]
--- a/acaciaward/gateway/life.py
+++ b/acaciaward/gateway/life.py
@@ -1,10 +1,12 @@
 """What became of one call so far, and how it may end without an answer."""
 
+import functools
 import time
 
 from acaciaward import verdicts
 from acaciaward.catalogue import routes
 from acaciaward.gateway import calls, errors, events
+from acaciaward.quarantine import suspects
 
 
 class RefusedError(Exception):
@@ -49,6 +51,12 @@
         """Seconds until the call must be answered."""
         return self.deadline - time.monotonic()
 
+    @functools.cached_property
+    def digest(self) -> str:
+        """What names the request whenever its caller sends it."""
+        organisation = self.organisation.name if self.organisation else ""
+        return suspects.digest(self.call.target, organisation.encode(), self.call.body)
+
     @property
     def rank(self) -> int:
         """The organisation's rank if it has one, else the route's."""
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -35,6 +35,7 @@
     store,
     topics,
 )
+from acaciaward.quarantine import suspects
 from acaciaward.relays import relaying
 from acaciaward.routing import demand, occupancy
 from acaciaward.settings import loader
@@ -126,6 +127,7 @@
         self._tolerance = quotas.Tolerance(
             bounds["quota_window_s"], bounds["quota_overshoot"], bounds["quota_slack"]
         )
+        self._suspects = suspects.Suspects(time.monotonic)
         self._demand = demand.Demand(time.monotonic, self._occupancy.service_s)
         budget = repeats.Budget(
             bounds["repeat_ratio"], bounds["repeat_burst"], bounds["repeat_window_s"]
@@ -141,6 +143,7 @@
                 repeats=repeats.RepeatBudgets(budget, time.monotonic, self._entries),
                 codec=headers,
                 demand=self._demand,
+                suspects=self._suspects,
                 note_run=self._duties.counter.note,
                 note_end=self._note_end,
             )
@@ -153,6 +156,7 @@
                 self._quotas,
                 self._occupancy,
                 self._demand,
+                self._suspects,
                 self._duties.counter,
                 self._duties.clock,
             ),
--- a/acaciaward/gateway/sharing.py
+++ b/acaciaward/gateway/sharing.py
@@ -4,6 +4,7 @@
 from collections import abc
 
 from acaciaward.admission import quotas
+from acaciaward.quarantine import suspects
 from acaciaward.relays import hub, relaying
 from acaciaward.routing import demand, occupancy
 from acaciaward.usage import windows
@@ -18,6 +19,7 @@
     quotas: quotas.Quotas
     occupancy: occupancy.Occupancy
     demand: demand.Demand
+    suspects: suspects.Suspects
     counter: windows.Counter
     clock: windows.TrueClock
 
@@ -38,6 +40,7 @@
             use=slices.quotas.totals(),
             load=slices.occupancy.load(),
             demand=slices.demand.wanted(),
+            crashes=slices.suspects.tell(),
             windows=slices.counter.newest(TOLD_WINDOWS),
         )
 
@@ -45,6 +48,7 @@
         """Take in the sums over all other entries."""
         self._slices.quotas.hear(source, sums.use)
         self._slices.occupancy.hear(sums.load)
+        self._slices.suspects.hear(sums.crashes)
         self._demand = sums.demand
 
     def hear_time(self, now: float) -> None:
--- a/acaciaward/relays/features/relays.feature
+++ b/acaciaward/relays/features/relays.feature
@@ -20,6 +20,11 @@
     And each entry uses 10 units a second for 5 s
     Then each entry knows the loads of 7 others
 
+  Scenario: Crashes that entries of several data centres saw reach all
+    Given 3 data centres with 3 entries each
+    When each entry uses 10 units a second for 1 s
+    Then each entry knows of 3 endpoints that one request crashed
+
   Scenario: A clock that is off is outvoted
     Given 3 data centres with 3 entries each
     When the clock of one entry is 40 s off
--- a/acaciaward/relays/features/steps/relays_steps.py
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -38,6 +38,7 @@
             "use": {"org": used},
             "load": {"s": (1.0, 10.0)},
             "demand": {"llm": (5.0, 1.0)},
+            "crashes": {"crashes": {"r": [f"s-{place}"]}, "cleared": []},
             "windows": {},
         }
 
@@ -114,6 +115,12 @@
         assert context.world.sums[name].load == {"s": (count, 10.0 * count)}, name
 
 
+@then("each entry knows of {count:d} endpoints that one request crashed")
+def check_crashes(context, count):
+    for name, sums in context.world.sums.items():
+        assert len(sums.crashes["crashes"]["r"]) == count, name
+
+
 @then("every reader's time is right to {seconds:g} s")
 def check_time(context, seconds):
     world = context.world
@@ -165,7 +172,7 @@
     def __init__(self, name, everyone, clock):
         self.age_s = 0.0
         self.directory = endpoints.Directory(clock)
-        told = relaying.Told(1000.0, {}, {}, {}, {})
+        told = relaying.Told(1000.0, {}, {}, {}, {"crashes": {}, "cleared": []}, {})
         listener = types.SimpleNamespace(
             tell=lambda: told,
             hear=lambda source, sums: None,
--- a/acaciaward/relays/hub.py
+++ b/acaciaward/relays/hub.py
@@ -9,6 +9,7 @@
 import typing
 from collections import abc
 
+from acaciaward.quarantine import suspects
 from acaciaward.relays import messages
 
 # What was told longer ago than this is left out, in seconds.
@@ -23,12 +24,17 @@
 
 
 class Sums(typing.NamedTuple):
-    """Sums over all entries but one; ``heard`` counts the entries behind them."""
+    """
+    Sums over all entries but one; ``heard`` counts the entries behind them.
+
+    ``crashes`` are those that any entry tells of.
+    """
 
     heard: int
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, float]]
+    crashes: suspects.Told
 
 
 class _Use:
@@ -96,6 +102,7 @@
             dict(self._own_use.total),
             _add_pairs(one["load"] for one in reports),
             _add_pairs(one["demand"] for one in reports),
+            suspects.merge(one["crashes"] for one in reports),
         )
 
     def sums_for(self, entry: str) -> Sums:
@@ -110,6 +117,7 @@
             self._all_use.without(start),
             _add_pairs(one["load"] for one in [*others, *summaries]),
             _add_pairs(one["demand"] for one in [*reports, *summaries]),
+            suspects.merge(one["crashes"] for one in [*reports, *summaries]),
         )
 
     def true_now(self, own: float) -> float:
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from acaciaward.quarantine import suspects
+
 
 class EndpointFields(typing.TypedDict):
     """One endpoint; see ``catalogue.endpoints.Endpoint`` for the meanings."""
@@ -25,8 +27,9 @@
 
     ``use`` holds units of each organisation's quota since the entry's start,
     ``load`` requests and unread tokens at each endpoint, ``demand`` tokens a
-    second and requests at once that callers ask of each service, ``windows`` its
-    usage counts, ``now`` its Unix time.
+    second and requests at once that callers ask of each service, ``crashes`` the
+    requests under which endpoints broke off, ``windows`` its usage counts, ``now``
+    its Unix time.
     """
 
     sender: str
@@ -35,6 +38,7 @@
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, float]]
+    crashes: suspects.Told
     windows: dict[int, dict[str, int]]
 
 
@@ -47,6 +51,7 @@
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, float]]
+    crashes: suspects.Told
 
 
 class Relay(typing.TypedDict):
@@ -54,12 +59,11 @@
     What a reader tells one entry.
 
     ``start`` is that of the reader, whose sums begin with it; ``age_s`` is how long
-    ago it read the endpoints. ``use`` and ``load``
-    are those of all other entries, ``heard`` counts the
-    entries behind it. ``version`` is the configuration in force at the reader;
-    ``endpoints`` and ``removed`` are changes since its last relay, ``lapsed`` names
-    the endpoints whose removal it holds back, and ``digest`` is that of all
-    endpoints it knows.
+    ago it read the endpoints. ``use`` and ``load`` are those of all other entries,
+    ``heard`` counts the entries behind it. ``version`` is the configuration in force
+    at the reader; ``endpoints`` and ``removed`` are changes since its last relay,
+    ``lapsed`` names the endpoints whose removal it holds back, and ``digest`` is that
+    of all endpoints it knows.
     """
 
     sender: str
@@ -70,6 +74,7 @@
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, float]]
+    crashes: suspects.Told
     version: int
     endpoints: list[EndpointFields]
     removed: list[str]
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -21,6 +21,7 @@
     rendezvous,
 )
 from acaciaward.observability import logs
+from acaciaward.quarantine import suspects
 from acaciaward.relays import hub, messages
 
 log = logging.getLogger(__name__)
@@ -44,6 +45,7 @@
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, float]]
+    crashes: suspects.Told
     windows: dict[int, dict[str, int]]
 
 
@@ -225,7 +227,7 @@
         self._relayed_at = time.monotonic()
         self._told_read_at = self._relayed_at - relay["age_s"]
         self._heard = relay["heard"]
-        sums = hub.Sums(relay["heard"], relay["use"], relay["load"], relay["demand"])
+        sums = hub.Sums(*(relay[field] for field in hub.Sums._fields))
         self._listener.hear(relay["start"], sums)
         self._listener.hear_time(relay["now"])
         self._listener.hear_version(relay["version"])
