--- a/acaciaward/cli/gateway.py
+++ b/acaciaward/cli/gateway.py
@@ -10,15 +10,13 @@
 
 from acaciaward import errors
 from acaciaward.cli import output
-from acaciaward.gateway import process
+from acaciaward.gateway import process, settings as gateway_settings
 from acaciaward.observability import logs, outlet
 from acaciaward.platform import nodefile
 from acaciaward.settings import loader
 
 log = logging.getLogger(__name__)
 
-PACKAGE = "acaciaward.gateway"
-
 
 @click.command()
 @click.option(
@@ -50,7 +48,12 @@
 
 def load(place: pathlib.Path) -> loader.Settings:
     """Return the effective settings of the platform's file."""
-    return loader.check(nodefile.read(place), name=str(place), package=PACKAGE)
+    return loader.check(
+        nodefile.read(place),
+        name=str(place),
+        package=gateway_settings.PACKAGE,
+        first_mistake=gateway_settings.first_mistake,
+    )
 
 
 async def _run(
--- a/acaciaward/configuration/document.py
+++ b/acaciaward/configuration/document.py
@@ -12,7 +12,7 @@
 import json_merge_patch
 import msgspec
 
-from acaciaward import documents, requests, schemas
+from acaciaward import documents, requests, schemas, shipped
 
 _PACKAGE = "acaciaward.configuration"
 # The schema judges each entry of these maps by itself.
@@ -31,7 +31,7 @@
     return json_merge_patch.merge(copy.deepcopy(document), copy.deepcopy(changes))
 
 
-def first_mistake(document: documents.Document) -> schemas.Mistake | None:
+def first_mistake(document: documents.Document) -> shipped.Mistake | None:
     """Return what makes a document invalid, or None."""
     mistake = _schema().first_mistake(document)
     return mistake or _unknown_organisation(document)
@@ -39,7 +39,7 @@
 
 def first_mistake_of_change(
     valid: documents.Document, patched: documents.Document
-) -> schemas.Mistake | None:
+) -> shipped.Mistake | None:
     """
     Return what makes a document invalid that was patched from a valid one.
 
@@ -89,12 +89,12 @@
     return msgspec.json.encode(one) == msgspec.json.encode(other)
 
 
-def _unknown_organisation(document: documents.Document) -> schemas.Mistake | None:
+def _unknown_organisation(document: documents.Document) -> shipped.Mistake | None:
     organisations = document.get("organisations", {})
     for name, deployment in document.get("deployments", {}).items():
         for organisation in deployment.get("organisations", []):
             if organisation not in organisations:
-                return schemas.Mistake(
+                return shipped.Mistake(
                     f"deployments.{name}.organisations",
                     f"{organisation!r} is not an organisation",
                 )
--- a/acaciaward/demonstration/world.py
+++ b/acaciaward/demonstration/world.py
@@ -11,7 +11,7 @@
 import secrets
 import typing
 
-from acaciaward import schemas
+from acaciaward import shipped
 from acaciaward.entry import process
 from acaciaward.identity import apikeys
 from acaciaward.settings import loader
@@ -29,7 +29,7 @@
     """A running system; ``keys`` maps organisations to an API key each."""
 
     def __init__(self, example: str, *, entry_count: int = ENTRY_COUNT):
-        patch = schemas.read_shipped(f"examples.{example}", "first-patch.json")
+        patch = shipped.read("examples", f"{example}/first-patch.json")
         self.document: dict[str, typing.Any] = copy.deepcopy(patch["changes"])
         self.operator_key = secrets.token_urlsafe(RESUME_KEY_BYTES)
         self.keys: dict[str, str] = {}
--- /dev/null
+++ b/acaciaward/gateway/settings.py
@@ -0,0 +1,247 @@
+"""
+The keys of the gateway's settings, with their bounds; ``defaults.json`` ships defaults.
+
+Declared as types rather than as a JSON schema: each start of an entry checks its
+settings, and importing a schema library takes longer than the entry's own modules.
+"""
+
+import socket
+import typing
+
+import msgspec
+
+from acaciaward import shipped
+
+PACKAGE = "acaciaward.gateway"
+
+Meta = msgspec.Meta
+Name = typing.Annotated[
+    str, Meta(min_length=1, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+]
+Port = typing.Annotated[
+    int, Meta(ge=0, le=65535, description="TCP port; 0 takes a free one.")
+]
+Address = typing.Annotated[str, Meta(description="IP number.")]
+Seconds = typing.Annotated[float, Meta(ge=0)]
+Interval = typing.Annotated[float, Meta(ge=0.1)]
+Probe = typing.Annotated[float, Meta(ge=0.01, le=60)]
+
+
+def _described(kind: typing.Any, text: str) -> typing.Any:
+    return typing.Annotated[kind, Meta(description=text)]
+
+
+class _Group(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A group of keys."""
+
+
+class Instance(_Group):
+    """Who this entry is."""
+
+    name: _described(Name, "Name of this instance, unique among the entries.")
+    data_centre: _described(Name, "Data centre that the instance stands in.")
+    region: _described(Name, "Region of the data centre.")
+
+
+class Place(_Group):
+    """An address and its port."""
+
+    address: Address
+    port: Port
+
+
+class Discovery(Place):
+    """Where callers ask which entries to use."""
+
+    lifetime_s: typing.Annotated[
+        float,
+        Meta(ge=0.1, le=60, description="How long an answer holds, in seconds."),
+    ]
+
+
+class Peers(Place):
+    """Where other entries connect, and how they are watched."""
+
+    seeds: _described(list[Place], "Entries to join through.")
+    secret_key: _described(
+        str | None, "CURVE secret key in Z85, or null without encryption."
+    )
+    public_key: _described(str | None, "CURVE public key in Z85.")
+    allowed_public_keys: _described(
+        list[str], "CURVE keys of entries that may connect."
+    )
+    probe_interval_s: _described(
+        Probe, "Pause between probes of neighbours, in seconds."
+    )
+    probe_timeout_s: _described(Probe, "How long a probe may take, in seconds.")
+    suspicion_s: _described(Probe, "How long a suspect entry may refute, in seconds.")
+    sync_interval_s: typing.Annotated[
+        float,
+        Meta(
+            ge=0.1,
+            le=600,
+            description="Mean pause between comparisons with a peer, in seconds.",
+        ),
+    ]
+    neighbours: typing.Annotated[
+        int,
+        Meta(ge=1, le=1000, description="Peers probed of this entry's own accord."),
+    ]
+    gossip_bytes_per_s: typing.Annotated[
+        float, Meta(ge=1000, description="Bytes a second for urgent changes.")
+    ]
+
+
+class Store(Place):
+    """The platform's store."""
+
+    timeout_s: typing.Annotated[
+        float,
+        Meta(
+            ge=0.05,
+            le=60,
+            description="How long a call may take besides its wait, in seconds.",
+        ),
+    ]
+    wait_s: typing.Annotated[
+        float,
+        Meta(
+            ge=0.1,
+            le=30,
+            description="How long the store may hold a call for news, in seconds.",
+        ),
+    ]
+    endpoints_pause_s: typing.Annotated[
+        float,
+        Meta(
+            ge=0.05,
+            le=10,
+            description="Pause between readings of the endpoints, in seconds.",
+        ),
+    ]
+
+
+class Duties(_Group):
+    """Duties of one entry at a time."""
+
+    names: _described(list[str], "Duties that the platform wants done.")
+
+
+class Bounds(_Group):
+    """What the platform promises and asks for."""
+
+    contact_s: _described(
+        Seconds,
+        "Undisturbed time after which an instance counts as in touch, in seconds.",
+    )
+    drain_s: _described(
+        Seconds, "Time that a leaving endpoint still serves, in seconds."
+    )
+    stop_limit_s: _described(
+        Interval, "Time between the stop signal and the kill, in seconds."
+    )
+    configuration_s: _described(
+        Seconds, "Time in which a version must be in force, in seconds."
+    )
+    repeat_ratio: typing.Annotated[
+        float,
+        Meta(ge=0, le=1, description="Repeats to a service for each request."),
+    ]
+    repeat_window_s: _described(
+        Interval, "Window in which repeats are counted, in seconds."
+    )
+    repeat_burst: _described(Seconds, "Repeats to a service in a window besides.")
+    quota_window_s: _described(
+        Interval, "Window in which quotas are judged, in seconds."
+    )
+    quota_overshoot: _described(Seconds, "Part by which a window may exceed a quota.")
+    quota_slack: _described(
+        Seconds, "Units by which a window may exceed a quota besides."
+    )
+    lease_s: _described(
+        Interval, "Time in which duties may not change hands twice, in seconds."
+    )
+    thaw_s: _described(
+        Seconds, "Time after a freeze in which late calls are forgiven, in seconds."
+    )
+    usage_window_s: _described(Interval, "Length of a usage window, in seconds.")
+    usage_late_s: _described(
+        Interval, "Time after a window's end at which its report is late, in seconds."
+    )
+    discovery_longest_s: _described(
+        Interval, "Longest lifetime of discovery answers, in seconds."
+    )
+
+
+class Metrics(_Group):
+    """Where metrics are served; left out, they aren't."""
+
+    address: Address | msgspec.UnsetType = msgspec.UNSET
+    port: Port | msgspec.UnsetType = msgspec.UNSET
+
+
+class Logging(_Group):
+    """Log lines."""
+
+    level: _described(
+        typing.Literal["debug", "info", "warning", "error"],
+        "Lowest level that is written.",
+    )
+    lines_per_s: typing.Annotated[
+        int,
+        Meta(
+            ge=1,
+            description="Lines a second below warnings; more are dropped and counted.",
+        ),
+    ]
+
+
+class Settings(_Group):
+    """All keys."""
+
+    instance: Instance
+    callers: _described(Place, "Where callers send requests.")
+    readiness: _described(Place, "Where the platform asks whether the entry is ready.")
+    discovery: Discovery
+    peers: Peers
+    store: Store
+    cloud: _described(Place | None, "The platform's interface for duties, or null.")
+    duties: Duties
+    bounds: Bounds
+    metrics: Metrics
+    logging: Logging
+
+
+def first_mistake(settings: dict[str, typing.Any]) -> shipped.Mistake | None:
+    """Return the first mistake in settings whose defaults are filled in, or None."""
+    try:
+        msgspec.convert(settings, Settings)
+    except msgspec.ValidationError as error:
+        reason, _, path = str(error).partition(" - at `$")
+        return shipped.Mistake(path.strip(".`"), reason)
+    return _first_bad_address(settings, "")
+
+
+def _first_bad_address(group: typing.Any, path: str) -> shipped.Mistake | None:
+    if isinstance(group, list):
+        group = dict(enumerate(group))
+    if not isinstance(group, dict):
+        return None
+    for key, value in group.items():
+        place = f"{path}.{key}" if path else str(key)
+        if key == "address" and not _is_ip_number(value):
+            return shipped.Mistake(place, f"{value!r} is not an IP number")
+        mistake = _first_bad_address(value, place)
+        if mistake is not None:
+            return mistake
+    return None
+
+
+def _is_ip_number(text: str) -> bool:
+    for family in (socket.AF_INET, socket.AF_INET6):
+        try:
+            socket.inet_pton(family, text)
+        except OSError:
+            continue
+        return True
+    return False
--- a/acaciaward/platform/features/platform.feature
+++ b/acaciaward/platform/features/platform.feature
@@ -17,6 +17,28 @@
     And a settings file without a store is refused with one line
     And a settings file with a bad bound is refused with one line
 
+  Scenario Outline: A mistake in the settings is named by its key
+    Given settings whose <key> is <value>
+    Then they are refused with a line that names <key>
+
+    Examples:
+      | key                    | value          |
+      | callers.address        | "no number"    |
+      | callers.address        | "10.1.0.999"   |
+      | callers.port           | 65536          |
+      | callers.port           | "8360"         |
+      | peers.seeds.0.address  | "localhost"    |
+      | peers.neighbours       | 0              |
+      | cloud.port             | -1             |
+      | bounds.lease_s         | 0              |
+      | bounds.repeat_ratio    | 1.5            |
+      | bounds.quota_slack     | null           |
+      | logging.level          | "loud"         |
+      | store.unknown          | 1              |
+
+  Scenario: A start imports no more than it needs
+    Then importing the gateway's command imports neither jsonschema nor blacksheep
+
   Scenario: What a caller sends never passes for the system's own words
     Then no header that the system sets reaches an endpoint from a caller
 
--- a/acaciaward/platform/features/steps/platform_steps.py
+++ b/acaciaward/platform/features/steps/platform_steps.py
@@ -7,12 +7,12 @@
 import tempfile
 
 import hypothesis
-from behave import then
+from behave import given, then
 from hypothesis import strategies
 
 from acaciaward import errors
 from acaciaward.catalogue import endpoints, knowledge, routes
-from acaciaward.gateway import calls
+from acaciaward.gateway import calls, settings as gateway_settings
 from acaciaward.platform import documents, headers, nodefile, store
 from acaciaward.settings import loader
 from script import settings_reference
@@ -232,7 +232,11 @@
 
 
 def check_settings(text):
-    return loader.check(nodefile.decode(text), package="acaciaward.gateway")
+    return loader.check(
+        nodefile.decode(text),
+        package=gateway_settings.PACKAGE,
+        first_mistake=gateway_settings.first_mistake,
+    )
 
 
 @then("the example settings file passes the check")
@@ -260,6 +264,40 @@
     raise AssertionError("taken")
 
 
+@given("settings whose {key} is {value}")
+def spoil_settings(context, key, value):
+    context.spoilt = check_settings(NODE_FILE)
+    *groups, last = key.split(".")
+    group = context.spoilt
+    for name in groups:
+        group = group[int(name) if isinstance(group, list) else name]
+    group[last] = json.loads(value)
+
+
+@then("they are refused with a line that names {key}")
+def check_named(context, key):
+    mistake = gateway_settings.first_mistake(context.spoilt)
+    if key.endswith("unknown"):
+        # A key that isn't known is named in the reason, its group in the path.
+        assert mistake.path == "store" and "unknown" in mistake.reason, mistake
+        return
+    path = mistake.path.replace("[", ".").replace("]", "")
+    assert path == key, mistake
+    assert mistake.reason and "\n" not in mistake.reason
+
+
+@then("importing the gateway's command imports neither jsonschema nor blacksheep")
+def check_imports(context):
+    program = (
+        "import sys, acaciaward.cli.gateway;"
+        "print([name for name in ('jsonschema', 'blacksheep') if name in sys.modules])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert found.stdout.strip() == "[]", found.stdout
+
+
 def check_refused(text, word):
     try:
         check_settings(text)
--- a/acaciaward/schemas.py
+++ b/acaciaward/schemas.py
@@ -4,13 +4,13 @@
 The format ``ip`` stands for an IP number, version 4 or 6.
 """
 
-import importlib.resources
 import ipaddress
-import json
 import typing
 
 import jsonschema
 
+from acaciaward import shipped
+
 _formats = jsonschema.FormatChecker(formats=())
 
 
@@ -21,19 +21,6 @@
     return True
 
 
-class Mistake(typing.NamedTuple):
-    """Where a document breaks its schema, as a dotted path, and why."""
-
-    path: str
-    reason: str
-
-
-def read_shipped(package: str, name: str) -> dict[str, typing.Any]:
-    """Return a JSON file that is part of a package."""
-    folder = importlib.resources.files(package)
-    return json.loads(folder.joinpath(name).read_text())
-
-
 class Schema:
     """
     A shipped JSON schema.
@@ -43,19 +30,19 @@
     """
 
     def __init__(self, package: str, name: str):
-        schema = read_shipped(package, name)
+        schema = shipped.read(package, name)
         self._validator = jsonschema.Draft202012Validator(
             schema, format_checker=_formats
         )
 
-    def first_mistake(self, document: typing.Any) -> Mistake | None:
+    def first_mistake(self, document: typing.Any) -> shipped.Mistake | None:
         """Return the most telling mistake of a document, or None."""
         errors = self._validator.iter_errors(document)
         error = jsonschema.exceptions.best_match(errors)
         if error is None:
             return None
         path = ".".join(str(part) for part in error.absolute_path)
-        return Mistake(path, _reason(error))
+        return shipped.Mistake(path, _reason(error))
 
 
 def _reason(error: jsonschema.ValidationError) -> str:
--- a/acaciaward/settings/features/steps/settings_steps.py
+++ b/acaciaward/settings/features/steps/settings_steps.py
@@ -7,7 +7,7 @@
 import click.testing
 from behave import given, then, when
 
-from acaciaward import errors, schemas
+from acaciaward import errors, shipped
 from acaciaward.cli import settings as settings_command
 from acaciaward.settings import loader
 
@@ -62,7 +62,7 @@
 
 @then("every key of the schema is described in the reference")
 def check_described(context):
-    schema = schemas.read_shipped("acaciaward.settings", "schema.json")
+    schema = shipped.read("acaciaward.settings", "schema.json")
     reference = (ROOT / "docs/reference/settings.md").read_text()
     paths = list(_paths(schema))
     assert len(paths) > 50
--- a/acaciaward/settings/loader.py
+++ b/acaciaward/settings/loader.py
@@ -12,17 +12,25 @@
 import json
 import pathlib
 import typing
+from collections import abc
 
-from acaciaward import errors, schemas
+from acaciaward import errors, shipped
 
 PACKAGE = "acaciaward.settings"
 
 Settings = dict[str, typing.Any]
 
 
+FirstMistake = abc.Callable[[Settings], shipped.Mistake | None]
+
+
 @functools.cache
-def _schema(package: str) -> schemas.Schema:
-    return schemas.Schema(package, "schema.json")
+def _first_by_schema(package: str) -> FirstMistake:
+    # Not at the top: entries on the platform check their settings without schemas,
+    # and importing the library would lengthen each of their starts.
+    from acaciaward import schemas
+
+    return schemas.Schema(package, "schema.json").first_mistake
 
 
 def load(path: str | pathlib.Path) -> Settings:
@@ -41,19 +49,24 @@
 
 
 def check(
-    given: typing.Any, *, name: str = "settings", package: str = PACKAGE
+    given: typing.Any,
+    *,
+    name: str = "settings",
+    package: str = PACKAGE,
+    first_mistake: FirstMistake | None = None,
 ) -> Settings:
     """
     Return the effective settings for a parsed file, or raise ``SettingsError``.
 
-    ``package`` ships the schema and the defaults to check against.
+    ``package`` ships the defaults, and the schema to check against unless
+    ``first_mistake`` is given to check by.
 
     check({"instance": {...}, "callers": {"port": 8100}, ...})
     """
     if not isinstance(given, dict):
         raise errors.SettingsError(f"{name}: expected a JSON object")
     effective = merge_defaults(given, package=package)
-    mistake = _schema(package).first_mistake(effective)
+    mistake = (first_mistake or _first_by_schema(package))(effective)
     if mistake is None:
         return effective
     place = f"{name}: {mistake.path}" if mistake.path else name
@@ -62,7 +75,7 @@
 
 def merge_defaults(given: Settings, *, package: str = PACKAGE) -> Settings:
     """Return the settings with every missing key taken from the defaults."""
-    return _overlay(schemas.read_shipped(package, "defaults.json"), given)
+    return _overlay(shipped.read(package, "defaults.json"), given)
 
 
 def _overlay(base: typing.Any, given: typing.Any) -> typing.Any:
--- a/script/settings_reference.py
+++ b/script/settings_reference.py
@@ -3,7 +3,10 @@
 import json
 import pathlib
 
-from acaciaward import schemas
+import msgspec
+
+from acaciaward import shipped
+from acaciaward.gateway import settings as gateway_settings
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 REFERENCE = ROOT / "docs/reference/settings.md"
@@ -45,10 +48,30 @@
     return lines
 
 
+def _inline(schema: dict) -> dict:
+    """Return a schema of types with its references to groups replaced by them."""
+    groups = schema["$defs"]
+
+    def replace(part: dict) -> dict:
+        if "$ref" in part:
+            group = groups[part["$ref"].rpartition("/")[2]]
+            part = {**group, **part}
+        properties = part.get("properties")
+        if properties is None:
+            return part
+        inlined = {name: replace(one) for name, one in properties.items()}
+        return {**part, "properties": inlined}
+
+    return replace(schema)
+
+
 def describe(package: str, head: str) -> str:
     """Return the page of the settings whose schema a package ships."""
-    schema = schemas.read_shipped(package, "schema.json")
-    defaults = schemas.read_shipped(package, "defaults.json")
+    if package == gateway_settings.PACKAGE:
+        schema = _inline(msgspec.json.schema(gateway_settings.Settings))
+    else:
+        schema = shipped.read(package, "schema.json")
+    defaults = shipped.read(package, "defaults.json")
     return head + "\n".join(rows(schema, defaults)) + "\n"
 
 
