Begin quotas with what others know or what was saved

Change: the holder of the duties saves the levels each second in a keyed topic; an entry that starts begins with at most 2.5 s of rate of that, and uses an equal share until it hears the others. One that starts among others takes over the level of its reader. What fresh sources tell of their use counts from nothing, not from their first report. Ruled out: saving at each change (a call each); reckoning the refill of the outage by clocks, which may be stepped.

--- a/acaciaward/admission/features/shared.feature
+++ b/acaciaward/admission/features/shared.feature
@@ -42,3 +42,40 @@
     And all entries start anew without knowing each other for 1 s
     And 8 times the quota is asked for over 10 s
     Then no window of 8 s holds more than the rule and 1200
+
+  Scenario: After a restart of all entries, an organisation within its quota is served
+    Given 9 entries that share a quota of 1000 a second and 9000 at once
+    And they hear one another every 0.5 s
+    And requests of 250 units
+    When 0.55 times the quota is asked for over 20 s
+    And all entries start anew with what was saved, apart for 0.5 s
+    And 1.1 times the quota is asked for over 2 s
+    Then at most 0.05 of what was asked since then is refused
+
+  Scenario: A quota isn't spent twice by entries that restart with what was saved
+    Given 9 entries that share a quota of 1000 a second and 9000 at once
+    And they hear one another every 0.5 s
+    When 0.1 times the quota is asked for over 20 s
+    And 8 times the quota is asked for over 1 s
+    And all entries start anew with what was saved, apart for 0.5 s
+    And 8 times the quota is asked for over 10 s
+    Then no window of 8 s holds more than the rule and 1200
+
+  Scenario: Entries that restart again and again don't spend a quota twice
+    Given 9 entries that share a quota of 1000 a second and 9000 at once
+    And they hear one another every 0.5 s
+    When 8 times the quota is asked for over 10 s
+    And all entries start anew with what was saved, apart for 0.5 s
+    And 8 times the quota is asked for over 3 s
+    And all entries start anew with what was saved, apart for 0.5 s
+    And 8 times the quota is asked for over 10 s
+    Then no window of 8 s holds more than the rule and 1200
+
+  Scenario: An entry that starts among others serves organisations within their quota
+    Given 9 entries that share a quota of 1000 a second and 9000 at once
+    And they hear one another every 0.5 s
+    And requests of 250 units
+    When 0.55 times the quota is asked for over 20 s
+    And one entry starts anew and hears the levels of another
+    And 0.55 times the quota is asked for over 2 s
+    Then at most 0.0 of what was asked since then is refused
--- /dev/null
+++ b/acaciaward/admission/features/steps/saving_steps.py
@@ -0,0 +1,162 @@
+"""Steps for saved quotas; the store is a dictionary that may be away."""
+
+import asyncio
+
+import msgspec
+from behave import given, then, when
+
+from acaciaward import errors
+from acaciaward.admission import quotas, saving
+from acaciaward.catalogue import following
+
+RULE = quotas.Rule(1000.0, 9000.0)
+
+
+class Topic:
+    """Implements ``saving.Topic``."""
+
+    def __init__(self):
+        self.values = {}
+        self.is_away = False
+
+    def check(self):
+        if self.is_away:
+            raise errors.PlatformUnknownError("away")
+
+    async def listing(self):
+        self.check()
+        return following.Listing(dict(self.values), 0)
+
+    async def set(self, key, value):
+        self.check()
+        self.values[key] = value
+
+
+class Entry:
+    """One entry's quotas and their saver under the context's clock."""
+
+    def __init__(self, context, *, has_rules=True):
+        self.quotas = quotas.Quotas(lambda: context.now, lambda: 9)
+        self.is_chosen = True
+        self.saver = saving.Saver(
+            context.topic,
+            self.quotas,
+            is_chosen=lambda: self.is_chosen,
+            now=lambda: 1_000_000 + context.now,
+            entries=lambda: 9,
+        )
+        if has_rules:
+            self.set_rules()
+
+    def set_rules(self):
+        self.quotas.set_rules({"org": RULE})
+
+    def run(self, seconds):
+        """Let the saver run for a while of real time."""
+
+        async def limited():
+            try:
+                async with asyncio.timeout(seconds):
+                    await self.saver.run()
+            except TimeoutError:
+                pass
+
+        asyncio.run(limited())
+
+
+@given('an entry whose level of "org" is {level:d} of 9000')
+def make_entry(context, level):
+    context.now = 100.0
+    context.topic = Topic()
+    context.entry = Entry(context)
+    context.now += 20.0
+    assert context.entry.quotas.admit("org", 9000.0 - level, 1.0) is None
+
+
+@given("an entry that has just started")
+def make_young(context):
+    context.now = 100.0
+    context.topic = Topic()
+    context.entry = Entry(context)
+
+
+@when("it saves and {seconds:d} s later another one starts")
+def save_and_start(context, seconds):
+    asyncio.run(context.entry.saver.save())
+    context.now += seconds
+    start(context)
+
+
+@when(
+    "it saves and {seconds:d} s later another one starts before it has a configuration"
+)
+def save_and_start_bare(context, seconds):
+    asyncio.run(context.entry.saver.save())
+    context.now += seconds
+    context.other = Entry(context, has_rules=False)
+    asyncio.run(context.other.saver.restore())
+    context.other.set_rules()
+
+
+def start(context):
+    context.other = Entry(context)
+    asyncio.run(context.other.saver.restore())
+
+
+@when("the record is {record} and another one starts")
+def spoil_and_start(context, record):
+    now = 1_000_000 + context.now
+    values = {
+        "missing": None,
+        "no JSON": b"\xff{",
+        "of another type": b'{"levels": 5}',
+        "saved 11 s ago": encode(now - 11, {"org": 5000.0}),
+        "saved 5 s in the future": encode(now + 5, {"org": 5000.0}),
+        "of another organisation": encode(now, {"another": 5000.0}, entries=0),
+    }
+    if values[record] is not None:
+        context.topic.values[saving.KEY] = values[record]
+    start(context)
+
+
+def encode(at, levels, entries=9):
+    return msgspec.json.encode(saving.Record(at, entries, levels))
+
+
+@when("the store is away and another one starts")
+def start_away(context):
+    context.topic.is_away = True
+    context.other = Entry(context)
+    context.other.run(0.05)
+
+
+@when("it doesn't hold the duties for {seconds:d} s")
+def idle(context, seconds):
+    context.entry.is_chosen = False
+    context.entry.run(seconds + 0.3)
+
+
+@when("it holds the duties for {seconds:d} s")
+def run_young(context, seconds):
+    context.entry.run(seconds + 0.3)
+
+
+@then('that one begins with {level:d} units of "org" and supposes {entries:d} entries')
+def check_level(context, level, entries):
+    # Alone it would use a share only; this is what all have together.
+    assert context.other.quotas.admit("org", float(level), 1.0) is None
+    assert context.other.quotas.admit("org", 1.0, 1.0) is not None
+    assert context.other.saver.entries_before == entries
+
+
+@then("it goes on to save when the store is back")
+def check_goes_on(context):
+    context.topic.is_away = False
+    context.now += 10
+    context.other.run(1.3)
+    assert saving.KEY in context.topic.values
+
+
+@then("nothing was saved")
+def check_nothing(context):
+    assert not context.topic.values, context.topic.values
--- a/acaciaward/admission/features/steps/shared_steps.py
+++ b/acaciaward/admission/features/steps/shared_steps.py
@@ -26,13 +26,18 @@
         self.taken = []
         self.refused = []
         self.chooser = random.Random(4)
+        self.amount = 20.0
+        self.saved = {}
+        self.started = 0.0
 
-    def start(self, count):
+    def start(self, count, saved=None):
         self.generation += 1
+        self.started = self.now
         self.quotas = [
             quotas.Quotas(lambda: self.now, lambda: count) for _ in range(count)
         ]
         for each in self.quotas:
+            each.restore(saved or {})
             each.set_rules({"org": self.rule})
 
     def part(self, number):
@@ -43,15 +48,22 @@
 
     def run(self, factor, seconds):
         heard = 0.0
+        saved = self.now
         end = self.now + seconds
-        amount = 20.0
+        amount = self.amount
+        owed = 0.0
         while self.now < end:
-            for _ in range(round(factor * 1000 * STEP_S / amount)):
+            owed += factor * 1000 * STEP_S / amount
+            for _ in range(int(owed)):
+                owed -= 1
                 number = self.chooser.randrange(len(self.quotas))
                 wait_s = self.quotas[number].admit("org", amount, self.part(number))
                 kept = self.taken if wait_s is None else self.refused
                 kept.append((self.now, amount))
             self.now += STEP_S
+            if self.now - saved >= quotas.SAVE_S:
+                saved = self.now
+                self.saved = self.quotas[0].levels()
             if self.now - heard >= self.hear_s:
                 heard = self.now
                 self.exchange()
@@ -64,7 +76,8 @@
             for one in group:
                 others = sum(totals[each].get("org", 0) for each in group - {one})
                 source = f"{self.generation} of {sorted(group)}"
-                self.quotas[one].hear(source, {"org": others})
+                is_fresh = self.now - self.started < quotas.YOUNG_S
+                self.quotas[one].hear(source, {"org": others}, is_fresh=is_fresh)
 
 
 @given(
@@ -91,6 +104,39 @@
     entries.start(len(entries.quotas))
 
 
+@when("all entries start anew with what was saved, apart for {seconds:g} s")
+def restart(context, seconds):
+    entries = context.entries
+    entries.apart_until = entries.now + seconds
+    entries.restarted = entries.now
+    entries.start(len(entries.quotas), entries.saved)
+
+
+@when("one entry starts anew and hears the levels of another")
+def restart_one(context):
+    entries = context.entries
+    entries.restarted = entries.now
+    fresh = quotas.Quotas(lambda: entries.now, lambda: len(entries.quotas))
+    fresh.set_rules({"org": entries.rule})
+    fresh.adopt(entries.quotas[1].levels())
+    entries.quotas[0] = fresh
+
+
+@given("requests of {amount:d} units")
+def set_amount(context, amount):
+    context.entries.amount = float(amount)
+
+
+@then("at most {part:g} of what was asked since then is refused")
+def check_refused_part(context, part):
+    entries = context.entries
+    refused, taken = (
+        sum(amount for at, amount in kept if at >= entries.restarted)
+        for kept in (entries.refused, entries.taken)
+    )
+    assert refused <= part * (refused + taken), (refused, taken)
+
+
 @when("they are cut into 6 and 3 and {factor:g} times the quota is asked for over 20 s")
 def run_cut(context, factor):
     context.entries.run(factor, 5.0)
--- a/acaciaward/admission/quotas.py
+++ b/acaciaward/admission/quotas.py
@@ -7,7 +7,12 @@
 An entry that hears only some of the others uses only its part of the rate, so that
 two halves of a cut system never spend a quota twice.
 
-Answers to: a hot organisation, a quota cut down, entries cut off from each other.
+An entry that starts takes over the level of one that runs, or the level that was
+saved last if all have started anew; of the latter it uses an even share until it hears
+the others.
+
+Answers to: a hot organisation, a quota cut down, entries cut off from each other, all
+entries killed at once.
 """
 
 import collections
@@ -16,8 +21,15 @@
 
 from acaciaward import rates
 
-# A bucket begins with that many seconds of rate: an even share among ten entries.
-FIRST_S = 0.1
+# A bucket begins with that many seconds of rate if nothing was saved.
+FIRST_S = 1.0
+# Of what was saved, this many seconds of rate are used at most: what was admitted
+# between the last record and the end isn't known.
+RESTORED_S = 2.5
+# Levels are saved this often, in seconds.
+SAVE_S = 1.0
+# So long after its start an entry may not know all others yet, in seconds.
+YOUNG_S = 2.0
 # What the others admitted is known this much later, in seconds, as gossip goes.
 LAG_S = 0.5
 # Shares of entries in an organisation's use are smoothed over this time.
@@ -75,9 +87,11 @@
         self.rule = rule
         self.own_total = 0.0
         self.others_expected = 0
-        # What was spent before this entry started isn't known, so little is saved.
-        self._level = FIRST_S * rule.rate
+        # What was spent before this entry started isn't known, so little is there.
+        self._level = self._first_level = FIRST_S * rule.rate
         self._since = now
+        self._part = 1.0
+        self._young_until = now + YOUNG_S
         self._totals: dict[str, float] = {}
         self._recent: collections.deque[tuple[float, float]] = collections.deque()
         self._own_rate = rates.Rate(SMOOTHED_S)
@@ -88,6 +102,26 @@
         self.rule = rule
         self._level = min(self._level, rule.burst)
 
+    def is_young(self, now: float) -> bool:
+        """Whether others that started as well may not be heard yet."""
+        return now < self._young_until
+
+    def restore(self, saved: float) -> None:
+        """Begin with a level that was saved before all entries ended."""
+        level = min(saved, RESTORED_S * self.rule.rate, self.rule.burst)
+        self._level += max(0.0, level - self._first_level)
+
+    def adopt(self, level: float, now: float) -> None:
+        """Begin with the level of an entry that has run for long."""
+        if self.is_young(now):
+            self._young_until = now
+            self._level = level
+
+    def known_level(self, now: float) -> float:
+        """Return the level without what others may have admitted unheard."""
+        self._refill(now, self._part)
+        return self._level
+
     def level(self, now: float, part: float) -> float:
         """Return what may be admitted now; ``part`` is the part of entries heard."""
         self._refill(now, part)
@@ -100,7 +134,12 @@
             * LAG_S
             * max(self._others_rate.value(now), SUPPOSED_PART * self.rule.rate)
         )
-        return self._level - min(most, own * self._others_per_own(now))
+        reckoned = min(most, own * self._others_per_own(now))
+        if self.is_young(now):
+            # Those that aren't heard have a share of what there was.
+            theirs = (1 - part) * (self._level + self.own_total)
+            return self._level - theirs - part * reckoned
+        return self._level - reckoned
 
     @property
     def _prior(self) -> float:
@@ -127,10 +166,14 @@
         self._recent.append((now, amount))
         self._own_rate.note(amount, now)
 
-    def hear(self, source: str, total: float, now: float) -> None:
-        """Take in the total of what others have admitted, by one source's count."""
-        # What came before this source was known is not this entry's to count.
-        known = self._totals.get(source, total)
+    def hear(self, source: str, total: float, now: float, *, is_fresh: bool) -> None:
+        """
+        Take in the total of what others have admitted, by one source's count.
+
+        All that a fresh source tells was admitted after this entry's start or about
+        then; what an older one first tells is not this entry's to count.
+        """
+        known = self._totals.get(source, 0.0 if is_fresh else total)
         self._totals[source] = total
         amount = total - known
         if amount:
@@ -139,6 +182,16 @@
             self._level = max(self._level - amount, deepest)
 
     def _refill(self, now: float, part: float) -> None:
+        self._part = part
+        if self._since < self._young_until:
+            young_until = min(now, self._young_until)
+            gained = self.rule.rate * max(0.0, young_until - self._since)
+            self._since = max(self._since, young_until)
+            self._level = min(self.rule.burst, self._level + gained)
+            if self.is_young(now):
+                return
+            # The shares of those that are still unheard are theirs.
+            self._level -= (1 - part) * (self._level + self.own_total)
         gained = self.rule.rate * part * max(0.0, now - self._since)
         self._since = now
         self._level = min(self.rule.burst * part, self._level + gained)
@@ -151,13 +204,15 @@
         self._clock = clock
         self._entries = entries
         self._buckets: dict[str, Bucket] = {}
+        self._saved: dict[str, float] = {}
 
     def set_rules(self, rules: abc.Mapping[str, Rule]) -> None:
         """Use the quotas of a configuration."""
         for name, rule in rules.items():
             bucket = self._buckets.get(name)
             if bucket is None:
-                self._buckets[name] = Bucket(rule, self._clock())
+                self._buckets[name] = bucket = Bucket(rule, self._clock())
+                bucket.restore(self._saved.pop(name, 0.0))
             elif bucket.rule != rule:
                 bucket.set_rule(rule)
         for name in list(self._buckets):
@@ -194,15 +249,42 @@
         """Return what was admitted here, for the others."""
         return {name: bucket.own_total for name, bucket in self._buckets.items()}
 
-    def hear(self, source: str, totals: abc.Mapping[str, float]) -> None:
+    def restore(self, levels: abc.Mapping[str, float]) -> None:
+        """Begin with levels that were saved before all entries ended."""
+        for name, level in levels.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                self._saved[name] = level
+            else:
+                bucket.restore(level)
+
+    def adopt(self, levels: abc.Mapping[str, float]) -> None:
+        """Begin with the levels of an entry that has run for long."""
+        now = self._clock()
+        for name, level in levels.items():
+            if name in self._buckets:
+                self._buckets[name].adopt(level, now)
+
+    def levels(self) -> dict[str, float]:
+        """Return the levels that an entry which starts may begin with."""
+        now = self._clock()
+        return {
+            name: bucket.known_level(now)
+            for name, bucket in self._buckets.items()
+            if not bucket.is_young(now)
+        }
+
+    def hear(
+        self, source: str, totals: abc.Mapping[str, float], *, is_fresh: bool = False
+    ) -> None:
         """
         Take in what others have admitted.
 
         A source's totals only fall by what was given back; a source that starts
-        anew is another one.
+        anew is another one, and is ``is_fresh`` for a while.
         """
         now = self._clock()
         for name, total in totals.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
-                bucket.hear(source, total, now)
+                bucket.hear(source, total, now, is_fresh=is_fresh)
--- a/acaciaward/gateway/duties.py
+++ b/acaciaward/gateway/duties.py
@@ -55,11 +55,12 @@
         self.clock = windows.TrueClock()
         self.counter = windows.Counter(bounds["usage_window_s"], self.clock.now)
         self._work: list[abc.Callable[[], typing.Coroutine]] = []
+        self._lease: conditional.ConditionalLease | None = None
         place = settings["cloud"]
         names = settings["duties"]["names"]
         if place is None:
             return
-        lease = conditional.ConditionalLease(
+        lease = self._lease = conditional.ConditionalLease(
             topics.LogTopic(platform_store, LEASE_TOPIC),
             self.start,
             duration_s=LEASE_PART * bounds["lease_s"],
@@ -93,6 +94,11 @@
             orders = ordering.Ordering(lease, directory, services, demand, cloud.order)
             self._work.append(orders.run)
 
+    @property
+    def is_held(self) -> bool:
+        """Whether this entry holds the duties."""
+        return self._lease is not None and self._lease.held() is not None
+
     def work(self) -> list[typing.Coroutine]:
         """Return the tasks to run."""
         return [start() for start in self._work]
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -12,7 +12,7 @@
 import typing
 
 from acaciaward import httpclient, tasks
-from acaciaward.admission import quotas, repeats
+from acaciaward.admission import quotas, repeats, saving
 from acaciaward.catalogue import endpoints, knowledge, routes
 from acaciaward.entry import peerside
 from acaciaward.gateway import (
@@ -44,6 +44,7 @@
 log = logging.getLogger(__name__)
 
 State = membership_interfaces.PeerState
+QUOTAS_TOPIC = "keyed.acaciaward.quotas"
 # How often lapsed endpoints and the known entries are looked through, in seconds.
 TIDY_S = 0.25
 # Peers that were known in this time count as entries that may serve, in seconds.
@@ -124,6 +125,13 @@
             data_centre=self._settings["instance"]["data_centre"],
         )
         self._quotas = quotas.Quotas(time.monotonic, self._entries)
+        self._saver = saving.Saver(
+            topics.KeyedTopic(self._store, QUOTAS_TOPIC),
+            self._quotas,
+            is_chosen=lambda: self._duties.is_held,
+            now=self._duties.clock.now,
+            entries=self._entries,
+        )
         self._tolerance = quotas.Tolerance(
             bounds["quota_window_s"], bounds["quota_overshoot"], bounds["quota_slack"]
         )
@@ -216,7 +224,8 @@
     def _entries(self) -> int:
         """Return how many entries there are, as far as this one knows."""
         is_new = time.monotonic() - self._started < SETTLED_S
-        return max(SUPPOSED_ENTRIES if is_new else 1, len(self._seen))
+        supposed = max(SUPPOSED_ENTRIES, self._saver.entries_before)
+        return max(supposed if is_new else 1, len(self._seen))
 
     def _heard_part(self) -> float:
         return min(1.0, self._relaying.heard / self._entries())
@@ -265,6 +274,7 @@
             *self._knowledge.work(),
             self._tidy(),
             self._relaying.run(),
+            self._saver.run(),
             self._list_when_ready(),
             *self._duties.work(),
         ):
--- a/acaciaward/gateway/sharing.py
+++ b/acaciaward/gateway/sharing.py
@@ -5,7 +5,7 @@
 
 from acaciaward.admission import quotas
 from acaciaward.quarantine import suspects
-from acaciaward.relays import hub, relaying
+from acaciaward.relays import relaying
 from acaciaward.routing import demand, occupancy
 from acaciaward.usage import windows
 
@@ -42,11 +42,14 @@
             demand=slices.demand.wanted(),
             crashes=slices.suspects.tell(),
             windows=slices.counter.newest(TOLD_WINDOWS),
+            levels=slices.quotas.levels(),
         )
 
-    def hear(self, source: str, sums: hub.Sums) -> None:
+    def hear(self, heard: relaying.Heard) -> None:
         """Take in the sums over all other entries."""
-        self._slices.quotas.hear(source, sums.use)
+        sums = heard.sums
+        self._slices.quotas.hear(heard.source, sums.use, is_fresh=heard.is_fresh)
+        self._slices.quotas.adopt(heard.levels)
         self._slices.occupancy.hear(sums.load)
         self._slices.suspects.hear(sums.crashes)
         self._demand = sums.demand
--- a/acaciaward/platform/topics.py
+++ b/acaciaward/platform/topics.py
@@ -8,7 +8,7 @@
 
 
 class KeyedTopic:
-    """Implements ``following.Source`` over one topic of the store."""
+    """Implements ``following.Source`` and ``saving.Topic`` over one topic."""
 
     def __init__(self, client: store.Store, topic: str):
         self._client = client
@@ -32,6 +32,10 @@
             changes.append(following.Change(key, value or None))
         return following.Page(changes, page.next_offset, page.end)
 
+    async def set(self, key: str, value: bytes) -> None:
+        """Give a key a new value."""
+        await self._client.append(self._topic, [store.join_keyed(key, value)])
+
 
 class LogTopic:
     """Implements the topics of ``leases.conditional`` and ``usage.reporting``."""
--- a/acaciaward/relays/features/steps/relays_steps.py
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -34,6 +34,7 @@
         return {
             "sender": name,
             "start": f"{name}/{start}",
+            "uptime_s": 100.0,
             "now": self.now + self.off_s.get(name, 0.0),
             "use": {"org": used},
             "load": {"s": (1.0, 10.0)},
@@ -47,7 +48,11 @@
             entry[2] += rate * TICK_S
             self.hubs[entry[0]].take_report(self.report(name))
         for place, one in self.hubs.items():
-            summary = {"sender": f"r-{place}", "data_centre": str(place)}
+            summary = {
+                "sender": f"r-{place}",
+                "uptime_s": 100.0,
+                "data_centre": str(place),
+            }
             summary |= one.summary()._asdict()
             for other, another in self.hubs.items():
                 if other != place:
@@ -172,10 +177,10 @@
     def __init__(self, name, everyone, clock):
         self.age_s = 0.0
         self.directory = endpoints.Directory(clock)
-        told = relaying.Told(1000.0, {}, {}, {}, {"crashes": {}, "cleared": []}, {})
+        told = relaying.Told(1000.0, {}, {}, {}, {"crashes": {}, "cleared": []}, {}, {})
         listener = types.SimpleNamespace(
             tell=lambda: told,
-            hear=lambda source, sums: None,
+            hear=lambda heard: None,
             hear_time=lambda now: None,
             hear_version=lambda version: None,
         )
--- a/acaciaward/relays/hub.py
+++ b/acaciaward/relays/hub.py
@@ -14,6 +14,9 @@
 
 # What was told longer ago than this is left out, in seconds.
 FRESH_S = 1.5
+# Whatever a source that started no longer ago than this tells of its use is news, in
+# seconds: others that started together with it have had time to be heard.
+FRESH_START_S = 3.0
 # With fewer clocks than this there is no majority.
 LEAST_VOTES = 3
 
@@ -45,12 +48,18 @@
         self._by_source: dict[str, dict[str, float]] = {}
         self._last: dict[str, dict[str, float]] = {}
 
-    def take(self, source: str, totals: abc.Mapping[str, float]) -> None:
-        """Take in a source's totals; its first ones are where it begins."""
+    def take(
+        self, source: str, totals: abc.Mapping[str, float], uptime_s: float
+    ) -> None:
+        """Take in a source's totals; an old one's first ones are where it begins."""
+        is_fresh = uptime_s < FRESH_START_S
         last = self._last.get(source)
         own = self._by_source.setdefault(source, {})
         for name, total in totals.items():
-            known = total if last is None else last.get(name, 0.0)
+            if last is None:
+                known = 0.0 if is_fresh else total
+            else:
+                known = last.get(name, 0.0)
             # A lower total is that of a new start, or of what was given back.
             amount = total - known
             own[name] = own.get(name, 0.0) + amount
@@ -77,13 +86,13 @@
         """Take in what an entry of this data centre tells."""
         source = report["start"]
         self._reports[report["sender"]] = _Told(self._clock(), report)
-        self._own_use.take(source, report["use"])
-        self._all_use.take(source, report["use"])
+        self._own_use.take(source, report["use"], report["uptime_s"])
+        self._all_use.take(source, report["use"], report["uptime_s"])
 
     def take_summary(self, summary: messages.Summary) -> None:
         """Take in what another data centre's reader tells."""
         self._summaries[summary["data_centre"]] = _Told(self._clock(), summary)
-        self._all_use.take(summary["sender"], summary["use"])
+        self._all_use.take(summary["sender"], summary["use"], summary["uptime_s"])
 
     def reports(self) -> dict[str, messages.Report]:
         """Return the last report of each entry, also of those that are gone."""
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -25,7 +25,8 @@
     """
     What an entry tells its reader.
 
-    ``use`` holds units of each organisation's quota since the entry's start,
+    ``start`` names the entry's start and ``uptime_s`` says how long ago that was.
+    ``use`` holds units of each organisation's quota since then,
     ``load`` requests and unread tokens at each endpoint, ``demand`` tokens a
     second and requests at once that callers ask of each service, ``crashes`` the
     requests under which endpoints broke off, ``windows`` its usage counts, ``now``
@@ -34,6 +35,7 @@
 
     sender: str
     start: str
+    uptime_s: float
     now: float
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
@@ -46,6 +48,7 @@
     """What the reader of one data centre tells the others: sums over its entries."""
 
     sender: str
+    uptime_s: float
     data_centre: str
     heard: int
     use: dict[str, float]
@@ -63,11 +66,13 @@
     ``heard`` counts the entries behind it. ``version`` is the configuration in force
     at the reader; ``endpoints`` and ``removed`` are changes since its last relay,
     ``lapsed`` names the endpoints whose removal it holds back, and ``digest`` is that
-    of all endpoints it knows.
+    of all endpoints it knows. ``levels`` are those of its quotas, for entries that
+    have just started.
     """
 
     sender: str
     start: str
+    uptime_s: float
     age_s: float
     heard: int
     now: float
@@ -80,6 +85,7 @@
     removed: list[str]
     lapsed: list[str]
     digest: int
+    levels: dict[str, float]
 
 
 KINDS: dict[str, type] = {"report": Report, "summary": Summary, "relay": Relay}
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -47,6 +47,20 @@
     demand: dict[str, tuple[float, float]]
     crashes: suspects.Told
     windows: dict[int, dict[str, int]]
+    levels: dict[str, float]
+
+
+class Heard(typing.NamedTuple):
+    """
+    What a reader told: the sums over all other entries, and its quotas' levels.
+
+    ``source`` is the reader's start, which ``is_fresh`` if that was a moment ago.
+    """
+
+    source: str
+    is_fresh: bool
+    sums: hub.Sums
+    levels: dict[str, float]
 
 
 class Listener(typing.Protocol):
@@ -55,8 +69,8 @@
     def tell(self) -> Told:
         """Return what this entry has to tell."""
 
-    def hear(self, source: str, sums: hub.Sums) -> None:
-        """Take in the sums over all other entries, as one source tells them."""
+    def hear(self, heard: Heard) -> None:
+        """Take in what a reader told."""
 
     def hear_time(self, now: float) -> None:
         """Take in the majority's Unix time."""
@@ -83,6 +97,7 @@
         self._directory = directory
         self._listener = listener
         self._start = start
+        self._began = time.monotonic()
         self._data_centre = data_centre
         self._read_at = read_at
         self._version = version
@@ -131,10 +146,11 @@
     def tick(self) -> None:
         """Tell the reader, or relay as the reader."""
         self._choose_reader()
-        report = self._report()
+        told = self._listener.tell()
+        report = self._report(told)
         if self._reader == self._membership.name:
             self._hub.take_report(report)
-            self._send_relays()
+            self._send_relays(told)
         else:
             self._membership.notify(self._reader, "report", report)
 
@@ -151,14 +167,25 @@
         states = (State.LIVE, State.JOINING, State.LEAVING)
         return [peer for peer in self._membership.peers() if peer.state in states]
 
-    def _report(self) -> messages.Report:
-        told = self._listener.tell()
-        return {"sender": self._membership.name, "start": self._start, **told._asdict()}
+    def _report(self, told: Told) -> messages.Report:
+        fields = told._asdict()
+        del fields["levels"]
+        return {
+            "sender": self._membership.name,
+            "start": self._start,
+            "uptime_s": self._uptime_s,
+            **fields,
+        }
 
-    def _send_relays(self) -> None:
+    @property
+    def _uptime_s(self) -> float:
+        return time.monotonic() - self._began
+
+    def _send_relays(self, told: Told) -> None:
         summary = self._hub.summary()
         own: messages.Summary = {
             "sender": self._start,
+            "uptime_s": self._uptime_s,
             "data_centre": self._data_centre,
             **summary._asdict(),
         }
@@ -171,7 +198,7 @@
                 self._membership.notify(reader, "summary", own)
         changes = self._take_changes()
         for name in by_data_centre.get(self._data_centre, []):
-            relay = self._relay(name, changes)
+            relay = self._relay(name, changes, told)
             if name == self._membership.name:
                 self._hear(relay)
             else:
@@ -184,20 +211,24 @@
         return present, removed
 
     def _relay(
-        self, name: str, changes: tuple[list[messages.EndpointFields], list[str]]
+        self,
+        name: str,
+        changes: tuple[list[messages.EndpointFields], list[str]],
+        told: Told,
     ) -> messages.Relay:
         sums = self._hub.sums_for(name)
-        own_now = self._listener.tell().now
         return {
             "sender": self._membership.name,
             "start": self._start,
+            "uptime_s": self._uptime_s,
             "age_s": time.monotonic() - self._read_at(),
-            "now": self._hub.true_now(own_now),
+            "now": self._hub.true_now(told.now),
             "version": self._version(),
             "endpoints": changes[0],
             "removed": changes[1],
             "lapsed": self._directory.held_back,
             "digest": digest(self._directory.all()),
+            "levels": told.levels,
             **sums._asdict(),
         }
 
@@ -228,7 +259,8 @@
         self._told_read_at = self._relayed_at - relay["age_s"]
         self._heard = relay["heard"]
         sums = hub.Sums(*(relay[field] for field in hub.Sums._fields))
-        self._listener.hear(relay["start"], sums)
+        is_fresh = relay["uptime_s"] < hub.FRESH_START_S
+        self._listener.hear(Heard(relay["start"], is_fresh, sums, relay["levels"]))
         self._listener.hear_time(relay["now"])
         self._listener.hear_version(relay["version"])
 
