Order what replaces the given servers while these still come up

Ruled out: letting safe ones go earlier as well (those that have not written yet would be cancelled unseen). Change: until the given ones have come up, reclaimable ones are ordered for the fewest engines; safe ones are neither ordered nor let go. The scenario 'Nothing is ordered before what was given has come up' asserted more than its reason: replaced by 'No safe endpoint is let go ...' and one for what is ordered.

--- a/acaciaward/fleet/features/zoneplan.feature
+++ b/acaciaward/fleet/features/zoneplan.feature
@@ -46,13 +46,18 @@
     When the demand calls for 3 reclaimable endpoints in each
     Then the safe ones stay until those serve
 
-  Scenario: Nothing is ordered before what was given has come up
+  Scenario: No safe endpoint is let go before what was given has come up
     Given a holder that knows no endpoint yet
     When 1 s passes
-    Then nothing was ordered
+    Then no safe endpoint was ordered or let go
     When 15 safe endpoints come up in each data centre, and 12 s pass
     Then at least 27 endpoints are kept or ordered until demand is known
 
+  Scenario: What replaces the given endpoints boots while these come up
+    Given a holder that knows no endpoint yet
+    When 1 s passes
+    Then 2 reclaimable endpoints are ordered in each data centre
+
   Scenario: Safe endpoints never drive out reclaimable ones that serve
     Then for any snapshot reclaimable endpoints that serve are kept up to the need
 
--- a/acaciaward/fleet/ordering.py
+++ b/acaciaward/fleet/ordering.py
@@ -112,11 +112,12 @@
             # What was ordered before is another holder's; the plan is sent whole.
             self._fence = tenure.fence
             self._sent.clear()
-        if not self._is_settled(service):
-            return
+        is_settled = self._is_settled(service)
         # What safe endpoints are for depends on which reclaimable ones were to be had.
         for is_reclaimable in (True, False):
-            snapshot = self._snapshot(service)
+            if not is_reclaimable and not is_settled:
+                continue
+            snapshot = self._snapshot(service, is_settled=is_settled)
             for kind, count in zoneplan.make_plan(snapshot).items():
                 if kind.is_reclaimable is not is_reclaimable:
                     continue
@@ -128,7 +129,11 @@
                 await self._order(service, kind, count, snapshot, tenure.fence)
 
     def _is_settled(self, service: routes.Service) -> bool:
-        """Whether demand is known, or the endpoints that were given have come up."""
+        """
+        Whether demand is known, or the endpoints that were given have come up.
+
+        Until then what replaces them is ordered already, but none is let go.
+        """
         if any(self._demand(service.name)):
             return True
         if not self._directory.ready(service.name):
@@ -183,7 +188,9 @@
         boot_s = snapshot.scaling.boot_s
         return not is_reached and self._clock() - sent.at > boot_s + LOST_S
 
-    def _snapshot(self, service: routes.Service) -> zoneplan.Snapshot:
+    def _snapshot(
+        self, service: routes.Service, *, is_settled: bool
+    ) -> zoneplan.Snapshot:
         now = self._clock()
         ready: dict[zoneplan.Kind, int] = {}
         for one in self._directory.ready(service.name):
@@ -212,14 +219,14 @@
             ready,
             coming,
             dry,
-            self._needed_now(service, sum(ready.values())),
+            self._needed_now(service, sum(ready.values()) if is_settled else 0),
         )
 
     def _needed_now(self, service: routes.Service, ready: int) -> int:
         tokens_per_s, streams = self._demand(service.name)
         slots = service.engine.slots if service.engine else USUAL_SLOTS
         needed = zoneplan.engines_needed(tokens_per_s, streams, slots)
-        if not tokens_per_s and not streams:
+        if ready and not tokens_per_s and not streams:
             # Nobody has asked yet: what was given says what is to come.
             given = self._given.setdefault(service.name, ready)
             needed = max(needed, math.ceil(zoneplan.GIVEN_PART * given))
