Leave an endpoint that has gone dark while the objective can be met

And the next call could go there at once. Change: silence is 0.4 s and 1.5 times what the endpoint has to read takes, by what this entry and the others have there; an endpoint left that way is paused at once. Looked at every 0.1 s, and twice, since an entry that was held up has yet to read what came. Ruled out: probes (priced); one fixed shorter time (a prompt of 54,000 tokens is read for 0.6 s without a word). Tests: the two scenarios on dark endpoints failed before (1.0 s; the endpoint tried again); placement.feature's on silence are new with the function.

--- a/acaciaward/gateway/features/streams.feature
+++ b/acaciaward/gateway/features/streams.feature
@@ -61,3 +61,24 @@
     And the endpoints stream 1 to 3 and hang, then 4 to 6 and end
     When a caller asks
     Then the events are 1 to 6 and the answer is complete
+
+  Scenario: An endpoint that has gone dark is left while the objective can be met
+    Given a front for resumable streams
+    And the endpoints stream nothing and hang, then 1 to 6 and end
+    When a caller asks
+    Then the events are 1 to 6 and the answer is complete
+    And it was over within 0.75 s
+
+  Scenario: An endpoint that has gone dark isn't tried again at once
+    Given a front for streams that may take 3 endpoints
+    And the endpoints stream nothing and hang, then nothing and hang, then 1 to 6 and end
+    When a caller asks
+    Then the events are 1 to 6 and the answer is complete
+    And 3 endpoints were tried
+
+  Scenario: An entry that was held up itself takes no endpoint for dead
+    Given a front for resumable streams
+    And the endpoints answer 1 to 6 while the entry is held up for 1 s
+    When a caller asks
+    Then the events are 1 to 6 and the answer is complete
+    And 1 request arrived
--- a/acaciaward/gateway/silence.py
+++ b/acaciaward/gateway/silence.py
@@ -7,7 +7,9 @@
 from acaciaward.gateway import errors
 
 # How often a call that waits looks whether its endpoint is silent, in seconds.
-POLL_S = 0.25
+POLL_S = 0.1
+# What has come is read in this time, in seconds.
+SETTLE_S = 0.03
 
 _Awaited = typing.TypeVar("_Awaited")
 
@@ -23,7 +25,11 @@
             await asyncio.wait({waiting}, timeout=POLL_S)
             if waiting.done():
                 return waiting.result()
-            if is_silent():
+            if not is_silent():
+                continue
+            # An entry that was held up has yet to read what came meanwhile.
+            await asyncio.wait({waiting}, timeout=SETTLE_S)
+            if not waiting.done() and is_silent():
                 raise errors.SilentError("endpoint is silent on all its calls")
     finally:
         waiting.cancel()
--- a/acaciaward/routing/features/placement.feature
+++ b/acaciaward/routing/features/placement.feature
@@ -32,3 +32,23 @@
     Given 3 idle endpoints
     When 30 plain calls with a patience of 1 s come to an entry that has just started
     Then none is refused
+
+  Scenario Outline: How long an endpoint may be silent depends on what it has to read
+    Given an endpoint with <tokens> tokens to read that was sent work
+    Then it is taken for dead after <most> s, but not after <least> s
+
+    Examples:
+      | tokens | least | most |
+      | 0      | 0.35  | 0.45 |
+      | 6000   | 0.45  | 0.65 |
+      | 54000  | 1.2   | 2.0  |
+
+  Scenario: A word of the endpoint on any call is a sign of life
+    Given an endpoint with 6000 tokens to read that was sent work
+    When it sends something every 0.3 s for 3 s
+    Then it was never taken for dead
+
+  Scenario: What other entries have at an endpoint counts, too
+    Given an endpoint with 1000 tokens to read that was sent work
+    When others tell of 54000 tokens to read there
+    Then it is taken for dead after 2.0 s, but not after 1.2 s
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -22,8 +22,12 @@
 # Prompts below that say little about the pace of reading, in tokens.
 TELLING_TOKENS = 3000
 # An endpoint with work that sends nothing at all for so long is taken for dead, in
-# seconds: batches of an engine end many times a second.
-SILENT_S = 0.8
+# seconds: batches of an engine end many times a second, and a first token of a short
+# prompt comes within a quarter of that.
+SILENT_S = 0.4
+# Prompts that wait to be read may delay everything by that many times the time that
+# reading them takes.
+READING_FACTOR = 1.5
 
 Incarnation = tuple[str, int]
 
@@ -38,7 +42,7 @@
         self.candidate = candidate
         self._board = board
         self.call = call
-        self.began = time.monotonic()
+        self.began = board.now()
         held = candidate.held_tokens
         self.tokens = max(0, call.prompt.prompt_tokens - held) if call.prompt else 0
         self._ahead = candidate.backlog_tokens
@@ -53,7 +57,7 @@
         """Take note that the prompt is read."""
         if self._is_reading:
             self._is_reading = False
-            took_s = time.monotonic() - self.began
+            took_s = self._board.now() - self.began
             self._board.note_read(self, self._ahead + self.tokens, took_s)
 
     def end(self, *, failed: bool, is_unreachable: bool = False) -> None:
@@ -61,7 +65,7 @@
         if self._is_reading:
             self._is_reading = False
             self._board.note_unread(self)
-        took_s = time.monotonic() - self.began
+        took_s = self._board.now() - self.began
         self._board.note_end(self, took_s, failed, is_unreachable)
 
 
@@ -74,7 +78,9 @@
         *,
         data_centre: str,
         chooser: random.Random | None = None,
+        clock: abc.Callable[[], float] = time.monotonic,
     ):
+        self._clock = clock
         self._directory = directory
         self._data_centre = data_centre
         self._random = chooser or random.Random()
@@ -98,6 +104,10 @@
             self._health.pop(before.incarnation, None)
             self._parts.pop(before.incarnation, None)
 
+    def now(self) -> float:
+        """Return the moment on the board's clock."""
+        return self._clock()
+
     def choose(
         self,
         service: routes.Service,
@@ -106,7 +116,7 @@
         excluded: abc.Container[Incarnation] = (),
     ) -> placement.Candidate | None:
         """Return where to send a call, or None if no endpoint may get it."""
-        now = time.monotonic()
+        now = self._clock()
         ready = [
             one
             for one in (
@@ -136,19 +146,24 @@
         work = Work(self, candidate, call)
         incarnation = work.endpoint.incarnation
         self._running[incarnation] += 1
-        self._unheard_since.setdefault(incarnation, time.monotonic())
+        self._unheard_since.setdefault(incarnation, self._clock())
         self._backlog[incarnation] += work.tokens
         return work
 
     def note_heard(self, endpoint: endpoints.Endpoint) -> None:
         """Take note of bytes from an endpoint, whichever call they are for."""
         if self._running[endpoint.incarnation]:
-            self._unheard_since[endpoint.incarnation] = time.monotonic()
+            self._unheard_since[endpoint.incarnation] = self._clock()
 
     def is_silent(self, endpoint: endpoints.Endpoint) -> bool:
         """Whether an endpoint has work and has sent nothing for long."""
         since = self._unheard_since.get(endpoint.incarnation)
-        return since is not None and time.monotonic() - since > SILENT_S
+        if since is None:
+            return False
+        told = self._others().get(endpoint.name, (0.0, 0.0))
+        unread = self._backlog[endpoint.incarnation] + told[1]
+        limit_s = SILENT_S + READING_FACTOR * unread / self._prefill_per_s
+        return self._clock() - since > limit_s
 
     def running(self, service: str) -> tuple[float, float]:
         """Return requests and unread tokens at a service, from all entries."""
@@ -173,7 +188,7 @@
             work.endpoint.incarnation, collections.OrderedDict()
         )
         for name, _ in prompt.parts:
-            parts[name] = time.monotonic()
+            parts[name] = self._clock()
             parts.move_to_end(name)
         while len(parts) > MAX_PARTS:
             parts.popitem(last=False)
@@ -192,9 +207,7 @@
             self._unheard_since.pop(incarnation, None)
         record = self._record(work.endpoint)
         if failed:
-            record = record.note_failure(
-                time.monotonic(), is_unreachable=is_unreachable
-            )
+            record = record.note_failure(self._clock(), is_unreachable=is_unreachable)
         else:
             record = record.note_success()
             service = work.endpoint.service
@@ -217,7 +230,7 @@
     def hear(self, load: abc.Mapping[str, tuple[float, float]]) -> None:
         """Take in what all other entries have at endpoints."""
         self._told = load
-        self._told_at = time.monotonic()
+        self._told_at = self._clock()
 
     @staticmethod
     def _lower(counter: collections.Counter, key: Incarnation, amount: int) -> None:
@@ -229,7 +242,7 @@
         return self._health.get(endpoint.incarnation, health.Health())
 
     def _others(self) -> abc.Mapping[str, tuple[float, float]]:
-        is_fresh = time.monotonic() - self._told_at < TOLD_LIFETIME_S
+        is_fresh = self._clock() - self._told_at < TOLD_LIFETIME_S
         return self._told if is_fresh else {}
 
     def _candidate(
