Learn that a service drops idle connections; time more of what happens

Cause: on the grown sites servers drop idle connections unannounced, and what is sent next on one is reset: a call that may run only once was then lost (502), again and again. Change: a kept connection that was lost without a byte after 0.5 s of idleness or more lowers the time that connections of its service are trusted for calls that may run only once; each one that holds raises it. Histograms: between events, at an endpoint, whole requests, calls to the platform by kind and outcome; gauges of ages, open requests, suspects; tokens read again. Ruled out: new connections for all such calls (priced); learning by endpoint (45 of them, each costs a call). Tests: 'Connections that endpoints drop unannounced are learnt' and 'However calls end, their metrics have the lines ...' failed before; explaining.feature finds the line of each decision that ends a request.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -50,7 +50,7 @@
     ) -> bool:
         """Send the call to one endpoint; return whether its answer is a failure."""
         pool = self._with.pool
-        link = await pool.take(work.endpoint)
+        link = await pool.take(work.endpoint, may_repeat=progress.route.may_repeat)
         try:
             left_s = progress.left_s
             if left_s < LEAST_TIME_S:
@@ -77,6 +77,10 @@
                 await self._pass_on(progress, work, reply, responder)
             else:
                 raise errors.BrokenOffError(f"unsigned answer {head.status}")
+        except errors.StaleLinkError:
+            pool.note_stale(link)
+            link.close()
+            raise
         except BaseException:
             link.close()
             raise
--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -18,8 +18,10 @@
     """Say where a call goes, and what was known of that endpoint."""
     candidate = work.candidate
     metrics.ATTEMPTS.labels("sent").inc()
-    if progress.sends > 1 and progress.first_byte_s is not None:
-        metrics.RESUMES.inc()
+    if progress.sends > 1:
+        metrics.REREAD.inc(work.tokens)
+        if progress.first_byte_s is not None:
+            metrics.RESUMES.inc()
     log.info(
         "sent",
         extra=logs.fields(
@@ -44,13 +46,15 @@
     progress: life.Progress, work: occupancy.Work, error: errors.ForwardingError
 ) -> None:
     """Say how an attempt at one endpoint failed."""
-    metrics.ATTEMPTS.labels(type(error).__name__).inc()
+    result = type(error).__name__
+    metrics.ATTEMPTS.labels(result).inc()
+    metrics.ATTEMPT.labels(result).observe(time.monotonic() - work.began)
     log.info(
         "attempt failed",
         extra=logs.fields(
             request=progress.call.attempt_id,
             endpoint=work.endpoint.name,
-            kind=type(error).__name__,
+            kind=result,
             reason=error,
             delivered=progress.delivered,
         ),
--- a/acaciaward/gateway/errors.py
+++ b/acaciaward/gateway/errors.py
@@ -30,5 +30,9 @@
     """The connection or the answer broke after bytes were written: it may have run."""
 
 
+class StaleLinkError(BrokenOffError):
+    """A connection that had been idle was gone when it was used again."""
+
+
 class SilentError(BrokenOffError):
     """The endpoint answered nothing for too long."""
--- a/acaciaward/gateway/features/environment.py
+++ b/acaciaward/gateway/features/environment.py
@@ -2,10 +2,14 @@
 
 import asyncio
 
+from acaciaward.gateway.features.steps import explaining_steps
+
 
 def before_scenario(context, scenario):
     context.runner = asyncio.Runner()
     context.front = None
+    context.data = b""
+    explaining_steps.listen(context)
 
 
 def after_scenario(context, scenario):
--- /dev/null
+++ b/acaciaward/gateway/features/explaining.feature
@@ -0,0 +1,33 @@
+Feature: Each request that ends without success leaves a line that says why
+
+  Scenario Outline: A decision that ends a request is logged with what decided it
+    Given <front>
+    And <trouble>
+    When <asked>
+    Then the request ends with <status>, and a line "<event>" says <field> <value>
+
+    Examples: refused before a send
+      | front                                                  | trouble                       | asked                              | status | event       | field  | value                           |
+      | a front for idempotent requests                        | there is no configuration yet | a caller asks                      | 503    | refused     | reason | no configuration yet            |
+      | a front for idempotent requests                        | the caller's key is unknown   | a caller asks                      | 401    | refused     | reason | unknown key                     |
+      | a front for idempotent requests                        | the route was removed         | a caller asks                      | 404    | refused     | reason | no route                        |
+      | a front for idempotent requests                        | all endpoints have gone       | a caller asks                      | 503    | refused     | reason | no endpoint of service          |
+      | a front for idempotent requests with a quota of 1 a minute | the endpoints answer again | a caller asks 2 times              | 429    | refused     | reason | quota of org spent, 1 asked     |
+      | a front for non_idempotent requests                    | the endpoints are full        | a caller asks                      | 503    | refused     | reason | all endpoints of service are full |
+      | a front for non_idempotent requests with 8 endpoints   | the endpoints always die      | a caller asks 12 times             | 503    | refused     | reason | endpoints broke off under it    |
+
+    Examples: given up after a send
+      | front                                                  | trouble                       | asked                              | status | event       | field  | value                           |
+      | a front for non_idempotent requests                    | the endpoints refuse, then refuse | a caller asks                  | 503    | refused     | reason | attempts used up                |
+      | a front for non_idempotent requests                    | the endpoints answer unsigned | a caller asks                      | 502    | refused     | reason | unsigned answer 200             |
+      | a front for non_idempotent requests                    | the endpoints always die      | a caller asks                      | 502    | refused     | verdict | may_have_run                   |
+      | a front for idempotent requests                        | the budget of repeats is spent and the endpoints die | a caller asks | 502   | refused     | reason | retry budget spent              |
+      | a front for non_idempotent requests                    | the endpoints hang            | a caller asks                      | 504    | refused     | reason | deadline                        |
+      | a front for resumable streams                          | the endpoints stream 1 to 3 and reset, then 5 to 6 and end | a caller asks | cut | refused | begun  | True                            |
+      | a front for other streams                              | the endpoints stream 1 to 3 and reset, then 4 to 6 and end | a caller asks | cut | refused | last_event | 3                          |
+      | a front for non_idempotent requests                    | the endpoints hang            | a caller leaves after 0.1 s        | nothing | caller left | sends  | 1                              |
+
+  Scenario: A request that can't be read is logged with its reason
+    Given a front for idempotent requests
+    When a caller sends bytes that are no request
+    Then a line "request unreadable" says status 400
--- a/acaciaward/gateway/features/forwarding.feature
+++ b/acaciaward/gateway/features/forwarding.feature
@@ -109,3 +109,15 @@
     And the endpoints refuse, then answer
     When a caller asks 2 times
     Then 2 requests arrived on 1 connection
+
+  Scenario: Connections that endpoints drop unannounced are learnt
+    Given a front for non_idempotent requests with 1 endpoints
+    And the endpoints drop connections that were idle for 0.7 s
+    When a caller asks 4 times, 0.8 s apart
+    Then the answers are 200 502 200 200
+
+  Scenario: What may be repeated goes on using connections that may be dropped
+    Given a front for idempotent requests with 2 endpoints
+    And the endpoints drop connections that were idle for 0.7 s
+    When a caller asks 4 times, 0.8 s apart
+    Then the answers are 200 200 200 200
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -27,6 +27,7 @@
         self.scripts = []
         self.usual = answer()
         self.is_early = False
+        self.drops_after_s = None
         self.requests = []
         self.closed = 0
         self.server = None
@@ -50,7 +51,12 @@
         self._tasks.add(task)
         try:
             while True:
+                idle_since = time.monotonic()
                 head = await reader.readuntil(b"\r\n\r\n")
+                idle_s = time.monotonic() - idle_since
+                if self.drops_after_s is not None and idle_s > self.drops_after_s:
+                    reset(writer)
+                    return
                 length = header(head, "content-length")
                 if self.is_early:
                     self.requests.append((head, b""))
@@ -214,21 +220,23 @@
             self.quotas.set_rules({"org": quotas.Rule(quota.rate, quota.burst)})
             self.quotas.give_back("org", quota.burst)
         self.pool = links.LinkPool()
+        self.repeats = repeats.RepeatBudgets(
+            repeats.Budget(0.2, 20, 10), time.monotonic, lambda: 1
+        )
+        self.occupancy = occupancy.Occupancy(
+            self.directory,
+            data_centre="dc",
+            chooser=random.Random(1),
+        )
         forwarder = forwarding.Forwarder(
             interfaces.Collaborators(
                 index=lambda: self.index,
-                occupancy=occupancy.Occupancy(
-                    self.directory,
-                    data_centre="dc",
-                    chooser=random.Random(1),
-                ),
+                occupancy=self.occupancy,
                 directory=self.directory,
                 pool=self.pool,
                 quotas=self.quotas,
                 heard_part=lambda: 1.0,
-                repeats=repeats.RepeatBudgets(
-                    repeats.Budget(0.2, 20, 10), time.monotonic, lambda: 1
-                ),
+                repeats=self.repeats,
                 codec=headers,
                 demand=demand.Demand(time.monotonic, lambda name: 0.1),
                 suspects=suspects.Suspects(time.monotonic),
--- /dev/null
+++ b/acaciaward/gateway/features/steps/explaining_steps.py
@@ -0,0 +1,111 @@
+"""Steps for the log lines of requests that end without success."""
+
+import asyncio
+import logging
+
+from behave import given, then, when
+
+from acaciaward.catalogue import routes
+from acaciaward.gateway.features import scripted
+
+LOGGERS = ("acaciaward.gateway.decisions", "acaciaward.gateway.callers")
+
+
+class Lines(logging.Handler):
+    """Keeps records."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+    def fields(self, event):
+        return [
+            getattr(record, "acaciaward_fields", {})
+            for record in self.records
+            if record.getMessage() == event
+        ]
+
+
+def listen(context):
+    context.lines = Lines()
+    for name in LOGGERS:
+        logger = logging.getLogger(name)
+        logger.setLevel(logging.INFO)
+        logger.addHandler(context.lines)
+        context.add_cleanup(logger.removeHandler, context.lines)
+
+
+@given("there is no configuration yet")
+def lose_configuration(context):
+    context.front.index = None
+
+
+@given("the caller's key is unknown")
+def lose_key(context):
+    catalogue = context.front.index.catalogue
+    known = catalogue.organisations["org"]
+    organisations = {"org": known._replace(keys=frozenset({"another"}))}
+    context.front.index = routes.Index(catalogue._replace(organisations=organisations))
+
+
+@given("the route was removed")
+def lose_route(context):
+    catalogue = context.front.index.catalogue
+    context.front.index = routes.Index(catalogue._replace(routes=()))
+
+
+@given("all endpoints have gone")
+def lose_endpoints(context):
+    for name in list(context.front.endpoints):
+        context.front.directory.remove_now(name, "gone")
+
+
+@given("the endpoints are full")
+def fill_endpoints(context):
+    context.front.occupancy.hear(dict.fromkeys(context.front.endpoints, (500.0, 0.0)))
+
+
+@given("the budget of repeats is spent and the endpoints die")
+def spend_budget(context):
+    context.front.always(scripted.die())
+    while context.front.repeats.spend("service"):
+        pass
+
+
+@when("a caller sends bytes that are no request")
+def send_garbage(context):
+    listen(context)
+
+    async def run():
+        reader, writer = await asyncio.open_connection("127.0.0.1", context.front.port)
+        writer.write(b"\x00\x01garbage\r\n\r\n")
+        await reader.read()
+        writer.close()
+
+    context.runner.run(run())
+
+
+@then('the request ends with {outcome}, and a line "{event}" says {field} {value}')
+def check_line(context, outcome, event, field, value):
+    data = context.answers[-1] if hasattr(context, "answers") else context.data
+    if outcome == "cut":
+        assert not scripted.is_complete(data), data
+    elif outcome == "nothing":
+        context.runner.run(asyncio.sleep(0.3))
+    else:
+        assert scripted.status_of(data) == int(outcome), data
+    check_field(context, event, field, value)
+    fields = context.lines.fields(event)[-1]
+    assert fields["request"] == "a1", fields
+    if outcome not in ("cut", "nothing"):
+        assert fields["status"] == int(outcome), fields
+
+
+@then('a line "{event}" says {field} {value}')
+def check_field(context, event, field, value):
+    found = context.lines.fields(event)
+    assert found, [record.getMessage() for record in context.lines.records]
+    assert str(found[-1][field]) == value, found[-1]
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -78,6 +78,12 @@
     start(context, routes.RequestKind.STREAM, resumable=True)
 
 
+@given("a front for streams that may take {count:d} endpoints")
+def start_wide_streams(context, count):
+    kind = routes.RequestKind.STREAM
+    start(context, kind, resumable=True, attempts=count, count=count)
+
+
 @given("a front for other streams")
 def start_streams(context):
     start(context, routes.RequestKind.STREAM, attempts=2)
@@ -129,6 +135,29 @@
         ]
 
 
+@given("the endpoints answer 1 to 6 while the entry is held up for {seconds:g} s")
+def answer_held_up(context, seconds):
+    async def script(head, reader, writer):
+        await asyncio.sleep(0.05)
+        # Caller, entry and endpoint share the process, so this stops all of them;
+        # the events lie in the entry's socket when it goes on.
+        writer.write(b"HTTP/1.1 200 OK\r\n" + scripted.echo(head) + scripted.SIGNATURE)
+        writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
+        for number in range(1, 7):
+            scripted.write_chunk(writer, scripted.event(number))
+        writer.write(b"0\r\n\r\n")
+        time.sleep(seconds)  # noqa: ASYNC251
+        await writer.drain()
+
+    context.front.always(script)
+
+
+@given("the endpoints drop connections that were idle for {seconds:g} s")
+def drop_idle(context, seconds):
+    for one in context.front.endpoints.values():
+        one.drops_after_s = seconds
+
+
 @given("the endpoints {script}")
 def set_scripts(context, script):
     if script.startswith("stream "):
@@ -170,6 +199,20 @@
     context.data, _ = context.runner.run(scripted.ask(context.front, body=b"other"))
 
 
+@when("a caller asks {count:d} times, {pause:g} s apart")
+def ask_apart(context, count, pause):
+    context.answers = []
+    for _ in range(count):
+        context.answers.append(context.runner.run(scripted.ask(context.front))[0])
+        context.runner.run(asyncio.sleep(pause))
+
+
+@then("the answers are {statuses}")
+def check_statuses(context, statuses):
+    found = " ".join(str(scripted.status_of(data)) for data in context.answers)
+    assert found == statuses, found
+
+
 @when("a caller asks to go on after {number:d}")
 def ask_resume(context, number):
     lines = [f"Last-Event-Id: {number}"]
@@ -369,6 +412,16 @@
     assert scripted.is_complete(context.data)
 
 
+@then("it was over within {seconds:g} s")
+def check_duration(context, seconds):
+    assert context.took_s < seconds, context.took_s
+
+
+@then("{count:d} endpoints were tried")
+def check_tried(context, count):
+    assert count_reached(context) == count, count_reached(context)
+
+
 @then("the answer is cut and looks incomplete")
 def check_cut(context):
     assert not scripted.is_complete(context.data), context.data
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -136,6 +136,9 @@
             is_unreachable = False
             try:
                 failed = await self._attempts.make(progress, work, responder)
+                metrics.ATTEMPT.labels("answered").observe(
+                    time.monotonic() - work.began
+                )
                 if self._with.suspects.note_served(progress.digest):
                     decisions.note_cleared(progress)
                 return
@@ -148,6 +151,7 @@
                     self._with.directory.note_mismatch(work.endpoint)
                 decisions.note_failed(progress, work, error)
             except errors.BrokenOffError as error:
+                is_unreachable = isinstance(error, errors.SilentError)
                 decisions.note_failed(progress, work, error)
                 progress.may_run = True
                 self._note_crash(progress, work, error)
--- a/acaciaward/gateway/life.py
+++ b/acaciaward/gateway/life.py
@@ -5,7 +5,7 @@
 
 from acaciaward import verdicts
 from acaciaward.catalogue import routes
-from acaciaward.gateway import calls, errors, events
+from acaciaward.gateway import calls, errors, events, metrics
 from acaciaward.quarantine import suspects
 
 
@@ -74,5 +74,8 @@
         if self.delivered is not None and event.number > self.delivered + 1:
             raise errors.BrokenOffError(f"event {event.number} after {self.delivered}")
         self.delivered = event.number
-        self.event_at = time.monotonic()
+        now = time.monotonic()
+        if self.event_at is not None:
+            metrics.EVENT_GAP.observe(now - self.event_at)
+        self.event_at = now
         return True
--- a/acaciaward/gateway/links.py
+++ b/acaciaward/gateway/links.py
@@ -28,6 +28,13 @@
 MAX_IDLE = 16
 # How long a link stays idle without a word of the endpoint, in seconds.
 IDLE_S = 4.0
+# After a link of a service was found dropped, links that were idle for this part of
+# its time aren't trusted with calls that may run only once; each link that holds
+# raises the limit by a little.
+TRUSTED_PART = 0.5
+TRUST_GROWTH = 1.05
+# A link that was idle for less hasn't been dropped as idle: its endpoint has ended.
+LEAST_IDLE_S = 0.5
 # A link isn't used this close to the end of its stated time, in seconds.
 KEEP_ALIVE_MARGIN_S = 0.6
 # Unread bytes of an answer at which reading pauses.
@@ -45,6 +52,7 @@
         self.transport: asyncio.Transport | None = None
         self.is_idle = False
         self.is_soiled = False
+        self.has_received = False
         self.has_ended = False
         self._error: Exception | None = None
         self._buffer = bytearray()
@@ -61,6 +69,7 @@
             self.is_soiled = True
             self.transport.abort()
             return
+        self.has_received = True
         self._buffer += data
         if len(self._buffer) > HIGH_WATER_BYTES:
             self.transport.pause_reading()
@@ -105,6 +114,8 @@
         self.endpoint = endpoint
         self.exchanges = 0
         self.idle_until = 0.0
+        self.idle_since = 0.0
+        self.idle_s = 0.0
         self._protocol = protocol
         self._parser = h11.Connection(h11.CLIENT)
 
@@ -118,6 +129,11 @@
     def set_idle(self, is_idle: bool) -> None:
         """Say whether bytes that come now belong to a call."""
         self._protocol.is_idle = is_idle
+        self._protocol.has_received = False
+        if is_idle:
+            self.idle_since = time.monotonic()
+        else:
+            self.idle_s = time.monotonic() - self.idle_since
 
     def close(self) -> None:
         """Close at once; the endpoint drops what it works on."""
@@ -135,11 +151,11 @@
         data += self._parser.send(h11.EndOfMessage())
         self._protocol.transport.write(data)
         while True:
-            event = await self._next_event()
+            event = await self._next_head()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
-                raise errors.BrokenOffError("connection closed before an answer")
+                raise self._lost("connection closed before an answer")
             reply_head = decode_reply(
                 event.status_code, list(event.headers.raw_items())
             )
@@ -155,6 +171,18 @@
             )
             await self._skip_answer(head)
 
+    async def _next_head(self) -> typing.Any:
+        try:
+            return await self._next_event()
+        except errors.BrokenOffError as error:
+            raise self._lost(str(error)) from error
+
+    def _lost(self, reason: str) -> errors.BrokenOffError:
+        """Return the error of a connection that ended before an answer."""
+        if self.exchanges > 1 and not self._protocol.has_received:
+            return errors.StaleLinkError(f"{reason}, idle for {self.idle_s:.2f} s")
+        return errors.BrokenOffError(reason)
+
     async def _skip_answer(self, head: h11.Request) -> None:
         """Read a foreign answer to its end, and go on as if just written."""
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
@@ -235,12 +263,23 @@
     def __init__(self, *, connect_timeout_s: float = CONNECT_TIMEOUT_S):
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[tuple[str, int], collections.deque[Link]] = {}
+        # By service: how long a link may have been idle to be trusted, in seconds.
+        self._trusted_s: dict[str, float] = {}
 
-    async def take(self, endpoint: endpoints.Endpoint) -> Link:
-        """Return an idle link, or a new one; ``NotSentError`` if there is none."""
+    async def take(
+        self, endpoint: endpoints.Endpoint, *, may_repeat: bool = True
+    ) -> Link:
+        """
+        Return an idle link, or a new one; ``NotSentError`` if there is none.
+
+        A call that may run only once gets no link that may have been dropped.
+        """
         idle = self._idle.get(endpoint.incarnation)
         now = time.monotonic()
+        trusted_s = self._trusted_s.get(endpoint.service, IDLE_S)
         while idle:
+            if not may_repeat and now - idle[-1].idle_since > trusted_s:
+                break
             link = idle.pop()
             if link.is_usable and now < link.idle_until:
                 link.set_idle(False)
@@ -261,8 +300,27 @@
             raise errors.NotSentError(f"no connection: {reason}") from error
         return Link(endpoint, protocol)
 
+    def note_stale(self, link: Link) -> None:
+        """Learn that the endpoint had dropped a link that was idle."""
+        if link.idle_s < LEAST_IDLE_S:
+            return
+        service = link.endpoint.service
+        limit_s = max(LEAST_IDLE_S, TRUSTED_PART * link.idle_s)
+        self._trusted_s[service] = min(self._trusted_s.get(service, IDLE_S), limit_s)
+        log.info(
+            "idle connection was dropped",
+            extra=logs.fields(
+                endpoint=link.endpoint.name,
+                idle_s=round(link.idle_s, 2),
+                trusted_s=round(self._trusted_s[service], 2),
+            ),
+        )
+
     def give_back(self, link: Link, head: calls.ReplyHead) -> None:
         """Keep a link whose answer is whole, or close it."""
+        trusted_s = self._trusted_s.get(link.endpoint.service)
+        if trusted_s is not None and link.exchanges > 1:
+            self._trusted_s[link.endpoint.service] = TRUST_GROWTH * trusted_s
         if head.ends_connection or not link.is_clean():
             link.close()
             return
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -67,7 +67,7 @@
         self._tasks: list[asyncio.Task] = []
         self._is_leaving = False
         self._seen: dict[str, float] = {}
-        self._started = time.monotonic()
+        self._started = self._in_force_since = time.monotonic()
         self._client = httpclient.HttpClient(
             connect_timeout_s=settings["store"]["timeout_s"]
         )
@@ -212,6 +212,7 @@
         )
         self._membership.set_configuration_version(catalogue.version)
         metrics.VERSION.set(catalogue.version)
+        self._in_force_since = time.monotonic()
 
     def _drop_links(
         self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
@@ -230,6 +231,10 @@
     def _heard_part(self) -> float:
         return min(1.0, self._relaying.heard / self._entries())
 
+    @property
+    def _endpoints_read_at(self) -> float:
+        return max(self._relaying.told_read_at, self._knowledge.endpoints_read_at)
+
     async def _tidy(self) -> None:
         while True:
             now = time.monotonic()
@@ -244,6 +249,10 @@
                     del self._seen[name]
             self._directory.expire()
             metrics.HEARD.set(self._relaying.heard)
+            metrics.OPEN.set(self._callers.busy)
+            metrics.SUSPECTS.set(len(self._suspects))
+            metrics.ENDPOINTS_AGE.set(now - self._endpoints_read_at)
+            metrics.CONFIGURATION_AGE.set(now - self._in_force_since)
             due = time.monotonic() + TIDY_S
             await asyncio.sleep(TIDY_S)
             metrics.LOOP_LAG.observe(max(0.0, time.monotonic() - due))
@@ -257,6 +266,8 @@
     def _note_end(self, progress: life.Progress) -> None:
         kind = progress.route.kind.value
         metrics.REQUESTS.labels(kind, progress.outcome).inc()
+        took_s = time.monotonic() - progress.call.received
+        metrics.DURATION.labels(kind).observe(took_s)
         if progress.first_byte_s is not None:
             metrics.FIRST_BYTE.labels(kind).observe(progress.first_byte_s)
 
--- a/acaciaward/platform/calls.py
+++ b/acaciaward/platform/calls.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import time
 import typing
 from collections import abc
 
@@ -20,9 +21,18 @@
 # Request line and headers of a call and of its answer, about.
 HEAD_BYTES = 200
 
+# How calls end: done, certainly not done, or nobody knows.
+TAKEN, REFUSED, LOST = OUTCOMES = ("taken", "refused", "lost")
+
 PLATFORM_CALLS = prometheus_client.Counter(
     "acaciaward_platform_calls_total", "Calls to services of the platform", ["service"]
 )
+PLATFORM_SECONDS = prometheus_client.Histogram(
+    "acaciaward_platform_call_seconds",
+    "How long calls to services of the platform took, in seconds, by kind and outcome",
+    ["service", "call", "outcome"],
+    buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0),
+)
 PLATFORM_BYTES = prometheus_client.Counter(
     "acaciaward_platform_bytes_total",
     "Bytes exchanged with services of the platform, heads reckoned",
@@ -58,6 +68,7 @@
         self._address = address
         self._port = port
         self._timeout_s = timeout_s
+        self._timers_by_kind: dict[str, dict[str, prometheus_client.Histogram]] = {}
 
     async def call(
         self,
@@ -93,6 +104,8 @@
         """Do what ``call`` does, with bodies as bytes."""
         PLATFORM_CALLS.labels(self._name).inc()
         self._count_bytes(path, payload)
+        began = time.monotonic()
+        outcome = LOST
         try:
             async with self._client.send(
                 method,
@@ -105,14 +118,30 @@
             ) as response:
                 answer = await response.read()
                 self._count_bytes("", answer)
+                is_taken = response.status < 300 or response.status in accepted
+                outcome = TAKEN if is_taken else REFUSED
         except httpclient.ConnectFailedError as error:
+            outcome = REFUSED
             raise errors.PlatformRefusedError(str(error)) from error
         except httpclient.HttpError as error:
             raise errors.PlatformUnknownError(f"{method} {path}: {error}") from error
-        if response.status < 300 or response.status in accepted:
+        finally:
+            took_s = time.monotonic() - began
+            self._timers(_kind(path))[outcome].observe(took_s)
+        if is_taken:
             return PlatformReply(response.status, answer)
         self._raise_for_status(response, answer)
 
+    def _timers(self, kind: str) -> dict[str, prometheus_client.Histogram]:
+        """Return the histograms of a kind of call, all made at its first call."""
+        timers = self._timers_by_kind.get(kind)
+        if timers is None:
+            timers = self._timers_by_kind[kind] = {
+                outcome: PLATFORM_SECONDS.labels(self._name, kind, outcome)
+                for outcome in OUTCOMES
+            }
+        return timers
+
     def _count_bytes(self, path: str, body: bytes) -> None:
         size = HEAD_BYTES + len(path) + len(body)
         PLATFORM_BYTES.labels(self._name).inc(size)
@@ -129,6 +158,12 @@
         raise errors.PlatformUnknownError(message)
 
 
+def _kind(path: str) -> str:
+    """Return what a call is for, without the names of single things."""
+    words = path.partition("?")[0].removeprefix("/api").split("/")
+    return words[1] if len(words) > 1 else ""
+
+
 def _decode(answer: bytes) -> typing.Any:
     # The log holds records of other authors. What the strict decoder refuses
     # (infinite numbers, half surrogates) must not hide the records around it.
--- a/acaciaward/platform/features/platform.feature
+++ b/acaciaward/platform/features/platform.feature
@@ -50,3 +50,8 @@
 
   Scenario: The page of the gateway's settings is current
     Then script/settings_reference.py would write the same pages
+
+  Scenario: However calls end, their metrics have the lines that the first call brought
+    Given a service of the platform that was called once
+    When calls of that kind are answered, refused, lost and not connected
+    Then the metrics have as many lines as after the first call
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -119,6 +119,11 @@
         is_fresh = time.monotonic() - self._relayed_at < SILENT_S
         return max(1, self._heard) if is_fresh else 1
 
+    @property
+    def told_read_at(self) -> float:
+        """The monotonic moment at which the reader last read the endpoints."""
+        return self._told_read_at
+
     @property
     def is_behind(self) -> bool:
         """Whether relays show that this entry has missed changes."""
