Explain requests whose entry ended, and those that reached none

Change: explain notes where an instance's lines stop and where it has started again, and names the entry that ended with the request; for a request that stands in no log it lists which entries were gone when. Tests: two scenarios in explaining.feature, written with the change.

--- a/acaciaward/observability/features/explaining.feature
+++ b/acaciaward/observability/features/explaining.feature
@@ -7,6 +7,14 @@
     Given logs of two entries, each line prefixed by another program
     Then the request's lines come in order, and no other's
 
+  Scenario: A request that its entry took along is explained by the entry's end
+    Given logs of an entry that ended without a stop while it had a request
+    Then the cause names the entry, and when it was back
+
+  Scenario: A request that reached no entry is told with the entries that were gone
+    Given logs of an entry that ended without a stop while it had a request
+    Then asking for a request that nobody logged names the entry that was gone
+
   Scenario: A caller's text can't forge a line or a field
     Then no reason that a caller chooses changes what is explained
 
--- a/acaciaward/observability/features/steps/explaining_steps.py
+++ b/acaciaward/observability/features/steps/explaining_steps.py
@@ -2,12 +2,15 @@
 
 import logging
 import os
+import tempfile
 import time
 
 import hypothesis
 from behave import given, then, when
+from click import testing
 from hypothesis import strategies
 
+from acaciaward.cli import explain as explain_cli
 from acaciaward.observability import logs, outlet, timeline
 
 SETTINGS = hypothesis.settings(
@@ -101,6 +104,38 @@
     assert {one.fields["request"] for one in found} == {"a1"}
 
 
+@given("logs of an entry that ended without a stop while it had a request")
+def log_outage(context):
+    context.lines = [
+        line("reader chosen", second=0, reader="e-1", of=1),
+        line("entry started", second=1),
+        line("sent", second=5, request="a1", endpoint="s-1"),
+        line("answered", second=6, request="b1", status=200),
+        line("reader chosen", second=9, reader="e-1", of=1),
+        line("entry started", second=10),
+        line("answered", second=11, request="c1", status=200),
+    ]
+
+
+@then("the cause names the entry, and when it was back")
+def check_outage(context):
+    outages = timeline.Outages()
+    found = timeline.timeline(outages.watch(context.lines), "a1")
+    cause = timeline.cause_of(found, outages)
+    assert "e-1 ended without a stop" in cause, cause
+    assert "22:13:26" in cause and "22:13:30" in cause, cause
+
+
+@then("asking for a request that nobody logged names the entry that was gone")
+def check_not_found(context):
+    with tempfile.NamedTemporaryFile("w", suffix=".log") as file:
+        file.write("\n".join(context.lines))
+        file.flush()
+        asked = testing.CliRunner().invoke(explain_cli.explain, ["zz", file.name])
+    error = str(asked.exception)
+    assert "e-1 2023-11-14T22:13:26" in error and "22:13:30" in error, error
+
+
 @then("no reason that a caller chooses changes what is explained")
 def check_forged(context):
     @SETTINGS
--- a/acaciaward/observability/timeline.py
+++ b/acaciaward/observability/timeline.py
@@ -14,6 +14,10 @@
 
 _PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')
 _START = re.compile(r"\btime=\d{4}-")
+_TIME = re.compile(r"\btime=(\d{4}-\S+)")
+_INSTANCE = re.compile(r"\binstance=(\S+)")
+# What a process logs before its start is over.
+_FIRST_EVENT = 'event="reader chosen"'
 # What ends a request, and where it says why.
 ENDINGS = ("answered", "refused", "caller left")
 OK_BELOW = 400
@@ -58,6 +62,54 @@
         return value
 
 
+class Outage(typing.NamedTuple):
+    """A span in which an instance was gone, by its own lines around it."""
+
+    instance: str
+    begin: str
+    end: str
+    was_orderly: bool
+
+
+class Outages:
+    """Finds the spans in which instances were gone, line by line."""
+
+    def __init__(self):
+        self.found: list[Outage] = []
+        self._last: dict[str, str] = {}
+        self._stopped: set[str] = set()
+
+    def take(self, text: str) -> None:
+        """Look at one line of any entry's log."""
+        instance, start = _INSTANCE.search(text), _TIME.search(text)
+        if instance is None or start is None:
+            return
+        name = instance[1]
+        if _FIRST_EVENT in text:
+            # What a process logs before it has started says nothing of the one before.
+            return
+        if 'event="entry started"' in text and name in self._last:
+            outage = Outage(name, self._last[name], start[1], name in self._stopped)
+            self.found.append(outage)
+            self._stopped.discard(name)
+        elif 'event="entry stopped"' in text:
+            self._stopped.add(name)
+        self._last[name] = start[1]
+
+    def watch(self, lines: abc.Iterable[str]) -> abc.Iterator[str]:
+        """Look at lines as they pass."""
+        for text in lines:
+            self.take(text)
+            yield text
+
+    def after(self, instance: str | None, moment: str) -> Outage | None:
+        """Return the first outage of an instance that begins at a moment or later."""
+        for outage in self.found:
+            if outage.instance == instance and outage.end > moment:
+                return outage
+        return None
+
+
 def timeline(lines: abc.Iterable[str], request: str) -> list[Line]:
     """Return a request's lines in the order of their times."""
     mark = f"request={request}"
@@ -66,15 +118,27 @@
     return sorted(found, key=lambda line: line.time)
 
 
-def cause_of(found: abc.Sequence[Line]) -> str:
+def cause_of(found: abc.Sequence[Line], outages: Outages | None = None) -> str:
     """Return in words why a request ended as it did."""
     endings = [line for line in found if line.event in ENDINGS]
     if not endings:
-        return "no entry has logged its end"
+        return _explain_missing(found[-1], outages or Outages())
     last = endings[-1]
     return _explain(last) + _waited_for(found, last) + _failed_before(found)
 
 
+def _explain_missing(last: Line, outages: Outages) -> str:
+    instance = last.fields.get("instance")
+    outage = outages.after(instance, last.time)
+    if outage is None:
+        return f"no entry has logged its end; the last line is of {instance}"
+    how = "stopped" if outage.was_orderly else "ended without a stop"
+    return (
+        f"{instance} {how} while it had the request, after {outage.begin}, "
+        f"and was back at {outage.end}"
+    )
+
+
 def _waited_for(found: abc.Sequence[Line], last: Line) -> str:
     """Return which endpoint a request was waiting for when it ended."""
     sent = [line for line in found if line.event == "sent"]
