Soak real entries under overlapping faults

Ruled out: one process for all (nothing could be killed or paused); clocks that step (not from outside a process).

--- /dev/null
+++ b/soak/plants.py
@@ -0,0 +1,186 @@
+"""
+Builds that break a promise, for showing that the soak would see it.
+
+    python -m soak --plant twice --seed 1 --minutes 0.7
+
+A plant replaces one function of an entry before it starts; nothing of the product
+knows of it.
+"""
+
+import asyncio
+import os
+import sys
+import time
+from collections import abc
+
+from acaciaward.admission import quotas, repeats
+from acaciaward.catalogue import endpoints, knowledge, routes
+from acaciaward.cli import main as cli_main
+from acaciaward.gateway import callers, forwarding, life, links, process
+from acaciaward.platform import duties, headers
+
+STARTED = time.monotonic()
+# When a plant that waits begins to bite, in seconds after its process's start.
+BITES_AFTER_S = 12.0
+
+
+def _is_late() -> bool:
+    return time.monotonic() - STARTED > BITES_AFTER_S
+
+
+def twice() -> None:
+    """Send again what may have run."""
+    routes.Route.may_repeat = property(lambda route: True)
+
+
+def refused() -> None:
+    """Say of a call that may have run that it has not."""
+
+    def raise_broken(self, progress, responder, reason, **more):
+        raise life.RefusedError(503, reason, retry_after_s=0.1)
+
+    forwarding.Forwarder._raise_broken = raise_broken
+
+
+def mixed() -> None:
+    """Take bytes that come after an answer for the next one."""
+    links.Link.is_clean = lambda link: True
+    original = links._LinkProtocol.data_received
+
+    def data_received(protocol, data):
+        protocol.is_idle = False
+        original(protocol, data)
+
+    links._LinkProtocol.data_received = data_received
+    links.Link.start_next = lambda link: setattr(
+        link, "_parser", links.h11.Connection(links.h11.CLIENT)
+    )
+    decode = headers.decode_reply
+
+    def decode_reply(status, found):
+        return decode(status, found)._replace(attempt_id=None)
+
+    headers.decode_reply = decode_reply
+
+
+def unasked() -> None:
+    """Pass the caller's key on."""
+    headers.SYSTEM_HEADERS = headers.SYSTEM_HEADERS - {headers.AUTHORIZATION}
+
+
+def order() -> None:
+    """Pass on events whatever their number."""
+    life.Progress.take = lambda progress, event: True
+
+
+def drain() -> None:
+    """Go on sending to endpoints that leave."""
+    endpoints.Directory.ready = lambda directory, service: directory.of_service(service)
+
+
+def config() -> None:
+    """Keep the configuration that came first."""
+    original = knowledge.Knowledge._take_configurations
+
+    def take(self, values):
+        if self.catalogue.version < 0:
+            original(self, values)
+
+    knowledge.Knowledge._take_configurations = take
+
+
+def budget() -> None:
+    """Repeat without a budget."""
+    repeats.RepeatBudgets.spend = lambda budgets, service: True
+    routes.Route.max_attempts = property(lambda route: 30)
+
+
+def quota() -> None:
+    """Admit everything."""
+    quotas.Quotas.admit = lambda shared, organisation, amount, part: None
+
+
+def one() -> None:
+    """Report a window again with other counts."""
+    original = duties.Duties.report_usage
+
+    async def report(self, window, counts, fence):
+        await original(self, window, counts, fence)
+        await original(self, window, {**counts, "another": 1}, fence)
+
+    duties.Duties.report_usage = report
+
+
+def gone() -> None:
+    """Work on for callers that have left."""
+
+    async def watch(connection):
+        await asyncio.get_running_loop().create_future()
+
+    callers.CallerConnection._watch = watch
+
+
+def lost() -> None:
+    """Cut what runs when told to stop."""
+
+    async def stop(gateway):
+        await gateway._end()
+        return 1
+
+    process.Gateway.stop = stop
+
+
+def recover() -> None:
+    """Refuse everything after a while."""
+    original = forwarding.Forwarder.handle
+
+    async def handle(self, call, responder):
+        if _is_late():
+            await responder.send(503, [], b"")
+        else:
+            await original(self, call, responder)
+
+    forwarding.Forwarder.handle = handle
+
+
+def end() -> None:
+    """End the process after a while."""
+    original = process.Gateway._tidy
+
+    async def tidy(gateway):
+        asyncio.get_running_loop().call_later(BITES_AFTER_S, os._exit, 3)
+        await original(gateway)
+
+    process.Gateway._tidy = tidy
+
+
+PLANTS: dict[str, abc.Callable[[], None]] = {
+    plant.__name__: plant
+    for plant in (
+        twice,
+        refused,
+        mixed,
+        unasked,
+        order,
+        drain,
+        config,
+        budget,
+        quota,
+        one,
+        gone,
+        lost,
+        recover,
+        end,
+    )
+}
+
+
+def main() -> None:
+    """Plant what the first argument names, and run the command line on the rest."""
+    name = sys.argv.pop(1)
+    PLANTS[name]()
+    cli_main.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/edgewire.py
@@ -0,0 +1,145 @@
+"""
+HTTP/1.1 as the platform's stand-ins speak it: whole requests in, control of each byte
+out, so that they can break off, double or withhold their answers.
+"""
+
+import asyncio
+import socket
+import struct
+import typing
+import urllib.parse
+from collections import abc
+
+MAX_HEAD_BYTES = 65536
+# How often a request's connection is looked at while it is worked on, in seconds.
+WATCH_S = 0.02
+
+
+class Request(typing.NamedTuple):
+    """One request, read to its end; names of headers are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> dict[str, str]:
+        """The first value of each query parameter."""
+        return dict(urllib.parse.parse_qsl(self.target.partition("?")[2]))
+
+
+def parse_head(head: bytes) -> tuple[list[str], dict[str, str]]:
+    """Return the words of the first line, and the headers."""
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, mark, value = line.partition(":")
+        if mark:
+            headers[name.strip().lower()] = value.strip()
+    return lines[0].split(" ", 2), headers
+
+
+async def read_request(reader: asyncio.StreamReader) -> Request | None:
+    """Return the next request of a connection, None at its end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        words, headers = parse_head(head)
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError):
+        return None
+    return Request(words[0], words[1], headers, body)
+
+
+def encode(
+    status: int, body: bytes = b"", headers: abc.Mapping[str, str] | None = None
+) -> bytes:
+    """Return a response with a length."""
+    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection by a reset."""
+    raw = writer.get_extra_info("socket")
+    if raw is not None and not writer.transport.is_closing():
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class Listener:
+    """Serves connections one request at a time; ``stop`` resets them all."""
+
+    def __init__(
+        self,
+        handle: abc.Callable[[Request, asyncio.StreamWriter], abc.Awaitable[bool]],
+        address: str = "127.0.0.1",
+    ):
+        self._handle = handle
+        self._address = address
+        self._writers: dict[asyncio.Task, asyncio.StreamWriter] = {}
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self, port: int = 0) -> None:
+        """Listen; with port 0 on any free port."""
+        self._server = await asyncio.start_server(
+            self._serve, self._address, port, limit=MAX_HEAD_BYTES
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._writers[task] = writer
+        try:
+            while (request := await read_request(reader)) is not None:
+                if not await self._handle_watched(request, reader, writer):
+                    break
+        except (OSError, asyncio.CancelledError):
+            # asyncio's streams report a cancelled connection task as an error.
+            pass
+        finally:
+            self._writers.pop(task, None)
+            writer.close()
+
+    async def _handle_watched(
+        self,
+        request: Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Handle a request, and drop it when its connection closes."""
+        work = asyncio.ensure_future(self._handle(request, writer))
+        try:
+            while not work.done():
+                await asyncio.wait({work}, timeout=WATCH_S)
+                if reader.at_eof() or writer.transport.is_closing():
+                    return False
+            return work.result()
+        finally:
+            work.cancel()
+            await asyncio.gather(work, return_exceptions=True)
+
+    def reset_all(self) -> None:
+        """Reset every connection."""
+        for writer in list(self._writers.values()):
+            reset(writer)
+
+    async def stop(self) -> None:
+        """Stop listening and reset every connection."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        tasks = list(self._writers)
+        self.reset_all()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
