Pause only endpoints that are silent on all calls; trust links while nothing tells otherwise

Cause, found by reading the diff: a single call that hung paused its endpoint at once, since 'silent' named both that and an endpoint that has gone dark; and links that were idle for over 4 s were not used by calls that may run only once, though no link of the service had been lost. Change: at once paused is only who is silent on all its calls; links are trusted for as long as endpoints say until one was found dropped. Tests: 'A call that hung doesn't keep others ...' and 'Without a sign of drops ...' failed before. 72 scenarios of the gateway pass.

--- a/acaciaward/gateway/features/forwarding.feature
+++ b/acaciaward/gateway/features/forwarding.feature
@@ -121,3 +121,15 @@
     And the endpoints drop connections that were idle for 0.7 s
     When a caller asks 4 times, 0.8 s apart
     Then the answers are 200 200 200 200
+
+  Scenario: Without a sign of drops, connections are used for as long as endpoints say
+    Given a front for non_idempotent requests with 1 endpoints
+    And the endpoints keep connections for 10 s
+    When a caller asks 2 times, 4.2 s apart
+    Then 2 requests arrived on 1 connection
+
+  Scenario: A call that hung doesn't keep others from an endpoint that answers them
+    Given a front for idempotent requests
+    And the endpoints hang, then answer
+    When a caller asks
+    Then no endpoint is paused
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -152,6 +152,20 @@
     context.front.always(script)
 
 
+@given("the endpoints keep connections for {seconds:d} s")
+def keep_connections(context, seconds):
+    line = b"Keep-Alive: timeout=%d\r\n" % seconds
+    context.front.always(scripted.answer(lines=line))
+
+
+@then("no endpoint is paused")
+def check_unpaused(context):
+    front = context.front
+    now = front.occupancy.now()
+    for one in front.directory.all():
+        assert not front.occupancy._record(one).is_paused(now), one.name
+
+
 @given("the endpoints drop connections that were idle for {seconds:g} s")
 def drop_idle(context, seconds):
     for one in context.front.endpoints.values():
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -151,7 +151,9 @@
                     self._with.directory.note_mismatch(work.endpoint)
                 decisions.note_failed(progress, work, error)
             except errors.BrokenOffError as error:
-                is_unreachable = isinstance(error, errors.SilentError)
+                is_unreachable = isinstance(
+                    error, errors.SilentError
+                ) and self._with.occupancy.is_silent(work.endpoint)
                 decisions.note_failed(progress, work, error)
                 progress.may_run = True
                 self._note_crash(progress, work, error)
--- a/acaciaward/gateway/links.py
+++ b/acaciaward/gateway/links.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import logging
+import math
 import socket
 import time
 import typing
@@ -276,7 +277,7 @@
         """
         idle = self._idle.get(endpoint.incarnation)
         now = time.monotonic()
-        trusted_s = self._trusted_s.get(endpoint.service, IDLE_S)
+        trusted_s = self._trusted_s.get(endpoint.service, math.inf)
         while idle:
             if not may_repeat and now - idle[-1].idle_since > trusted_s:
                 break
@@ -306,7 +307,7 @@
             return
         service = link.endpoint.service
         limit_s = max(LEAST_IDLE_S, TRUSTED_PART * link.idle_s)
-        self._trusted_s[service] = min(self._trusted_s.get(service, IDLE_S), limit_s)
+        self._trusted_s[service] = min(self._trusted_s.get(service, math.inf), limit_s)
         log.info(
             "idle connection was dropped",
             extra=logs.fields(
