Keep soaks on one machine apart; write down what broke

Servers of all soaks had the same names, and the system may give one soak's server the port that another's has left, so that entries that still know the address are taken in. Supposed, not shown: what broke had not been kept. Change: names carry the soak's process id; violations are kept with the logs.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -58,9 +58,11 @@
 ) -> dict:
     attempts = system.book.attempts.values()
     violations = system.book.violations
+    shown = [f"{one.promise} at {one.at - began:.2f}: {one.seen}" for one in violations]
     if violations:
-        KEPT.mkdir(parents=True, exist_ok=True)
-        shutil.copytree(system.folder, KEPT / str(seed), dirs_exist_ok=True)
+        kept = KEPT / str(seed)
+        shutil.copytree(system.folder, kept, dirs_exist_ok=True)
+        (kept / "violations.txt").write_text("\n".join(shown) + "\n")
     system.clean()
     return {
         "seed": seed,
@@ -68,9 +70,7 @@
         "faults": len(played.done),
         "requests": len(attempts),
         "served": sum(one.is_complete and one.status == 200 for one in attempts),
-        "violations": [
-            f"{one.promise} at {one.at - began:.2f}: {one.seen}" for one in violations
-        ],
+        "violations": shown,
     }
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -222,7 +222,9 @@
         server = edgeserver.EdgeServer(
             self.store,
             self.book,
-            name=name or f"s-{self._number}",
+            # Two soaks on one machine must not take each other's servers for their own:
+            # the system may give one the port that the other has left.
+            name=name or f"s-{os.getpid()}-{self._number}",
             service=service,
             data_centre=data_centre,
             chooser=self._chooser(),
