Show a broken build for each promise of the soak

Cause: five of the fourteen plants went unseen. 'drain' and 'config' need calm stretches; 'gone' ended with the next event, since writing to a caller that has left fails too; 'budget' never came near a ratio of 0.2; 'mixed' was stopped by the check of ids.

--- a/soak/judge.py
+++ b/soak/judge.py
@@ -15,6 +15,8 @@
 
 # What is measured at a server lies behind proxies and this process's own delays.
 MEASURED_S = 0.25
+# A whole stream of the resumable kind takes about this long, in seconds.
+WHOLE_STREAM_S = 1.2
 
 
 class Bounds(typing.NamedTuple):
@@ -24,8 +26,8 @@
     drain_s: float = 2.0
     configuration_s: float = 2.0
     revert_s: float = 0.25
-    repeat_ratio: float = 0.2
-    repeat_burst: float = 20.0
+    repeat_ratio: float = 0.02
+    repeat_burst: float = 5.0
     repeat_window_s: float = 10.0
     quota_rate: float = 20.0
     quota_burst: float = 20.0
@@ -39,6 +41,7 @@
     recovered_part: float = 0.25
     gone_s: float = 0.5
     gone_requests: int = 5
+    gone_part: float = 0.25
 
 
 class Disturbances:
@@ -241,6 +244,27 @@
             ]
         if len(late) > self._bounds.gone_requests:
             self._book.violate("GONE", f"{len(late)} requests of callers that left")
+        self._judge_work_for_nobody()
+
+    def _judge_work_for_nobody(self) -> None:
+        """Servers may not work on for callers that have left, but for a part."""
+        worked_on = stopped = 0
+        for attempt in self._book.attempts.values():
+            left_at, ended_at = attempt.left_at, attempt.run_ended_at
+            if left_at is None or ended_at is None or attempt.kind != "resumable":
+                continue
+            began_at = attempt.runs[-1].at
+            limit = left_at + self._bounds.gone_s + MEASURED_S
+            would_last = began_at + WHOLE_STREAM_S > limit
+            in_touch = self._in_touch(attempt.entry, left_at, limit)
+            if began_at < left_at and would_last and in_touch:
+                worked_on += ended_at > limit
+                stopped += ended_at <= limit
+        if worked_on > max(
+            self._bounds.gone_requests, self._bounds.gone_part * (worked_on + stopped)
+        ):
+            seen = f"{worked_on} of {worked_on + stopped} worked on for nobody"
+            self._book.violate("GONE", seen)
 
     def judge_stop(self, entry: str, began: float, ended: float) -> None:
         """Judge an orderly stop of an entry around which nothing was disturbed."""
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -51,6 +51,7 @@
     is_complete: bool = False
     arrivals: list[Sight] = dataclasses.field(default_factory=list)
     runs: list[Sight] = dataclasses.field(default_factory=list)
+    run_ended_at: float | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -102,6 +103,12 @@
             self.violate("TWICE", f"{attempt.kind} {attempt.attempt_id}")
         self._check_refusal(attempt)
 
+    def ended(self, server: edgeserver.EdgeServer, request: edgewire.Request) -> None:
+        """Take down when the last run of a request was over."""
+        attempt = self.attempts.get(request.headers.get("attempt-id", ""))
+        if attempt is not None:
+            attempt.run_ended_at = time.monotonic()
+
     def _check_refusal(self, attempt: Attempt) -> None:
         is_refused = attempt.status in REFUSALS
         if is_refused and attempt.runs and not attempt.may_repeat:
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -124,7 +124,12 @@
     async def watch(connection):
         await asyncio.get_running_loop().create_future()
 
+    async def write(connection, data):
+        if not connection._writer.transport.is_closing():
+            connection._writer.write(data)
+
     callers.CallerConnection._watch = watch
+    callers.CallerConnection.write = write
 
 
 def lost() -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import atexit
 import os
 import pathlib
 import random
@@ -25,7 +26,7 @@
 KINDS = (
     callers.Kind("idempotent", "/p/", "calm", 1.5, 0.25),
     callers.Kind("non_idempotent", "/u/", "calm", 1.5, 0.25),
-    callers.Kind("resumable", "/s/", "calm", 5.0, 0.2, 30),
+    callers.Kind("resumable", "/s/", "calm", 5.0, 0.2, 80),
     callers.Kind("stream", "/o/", "calm", 3.0, 0.1, 8),
     callers.Kind("version", "/v/", "calm", 1.0, 0.1),
     callers.Kind("idempotent", "/p/", "hot", 1.0, 0.1),
@@ -91,6 +92,8 @@
         self.stops: list[tuple[str, float, float]] = []
         self._number = 0
         self._version = 1
+        # However the soak ends, no entry outlives it.
+        atexit.register(self.kill_entries)
 
     @property
     def folder(self) -> pathlib.Path:
@@ -299,11 +302,9 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.kill_entries()
         for entry in self.entries:
-            entry.is_wanted = False
             if entry.process is not None:
-                entry.signal(signal.SIGCONT)
-                entry.signal(signal.SIGKILL)
                 await asyncio.to_thread(entry.process.wait)
             for proxy in (entry.store_proxy, entry.caller_proxy):
                 if proxy is not None:
@@ -312,6 +313,13 @@
             await self.end_server(server)
         await self.store.stop()
 
+    def kill_entries(self) -> None:
+        """Kill every entry that still runs."""
+        for entry in self.entries:
+            entry.is_wanted = False
+            entry.signal(signal.SIGCONT)
+            entry.signal(signal.SIGKILL)
+
     def clean(self) -> None:
         """Remove logs and settings."""
         self._scratch.cleanup()
--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -5,7 +5,7 @@
 stream of events, any other by one body. ``behaviour`` spoils answers: ``silent`` gives
 none, ``refuse`` rejects without running, ``lose`` runs and loses the answer, ``cut``
 breaks it off, ``extra`` answers twice, ``fail`` answers 500. ``watch`` hears of what
-arrives and what runs.
+arrives, what runs and when that is over.
 """
 
 import asyncio
@@ -35,6 +35,9 @@
     def ran(self, server: "EdgeServer", request: edgewire.Request) -> None:
         """Take note of a request that begins to run."""
 
+    def ended(self, server: "EdgeServer", request: edgewire.Request) -> None:
+        """Take note that a run is over, however it ended."""
+
 
 def event(attempt_id: str, number: int) -> bytes:
     """Return one event of the stream of a request."""
@@ -147,13 +150,16 @@
         if behaviour == "silent":
             await asyncio.get_running_loop().create_future()
         self._watch.ran(self, request)
-        if behaviour == "fail":
-            await asyncio.sleep(WORK_S)
-            writer.write(edgewire.encode(500, b"failed", head))
-            return True
-        if "token-usage" in request.headers:
-            return await self._stream(request, writer, head, behaviour)
-        return await self._answer(request, writer, head, behaviour)
+        try:
+            if behaviour == "fail":
+                await asyncio.sleep(WORK_S)
+                writer.write(edgewire.encode(500, b"failed", head))
+                return True
+            if "token-usage" in request.headers:
+                return await self._stream(request, writer, head, behaviour)
+            return await self._answer(request, writer, head, behaviour)
+        finally:
+            self._watch.ended(self, request)
 
     async def _answer(
         self,
