Judge an orderly stop with the entry counted as disturbed from its signal on

Cause, found by reading the diff: a stop disturbed a name that nobody asked for, so that promises to entries in touch were judged during it, and a pause within a stop would have counted as an ignored SIGTERM. Change: the stop is a disturbance of its entry; what began at its own moment is left out when the stop itself is judged.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -85,11 +85,13 @@
         return self._random.uniform(*LASTING_S)
 
     @contextlib.contextmanager
-    def _disturbing(self, *names: str) -> abc.Iterator[None]:
+    def _disturbing(self, *names: str) -> abc.Iterator[float]:
+        """Take down that things are disturbed; give the moment at which it began."""
+        began = time.monotonic()
         for name in names:
-            self._world.disturbances.begin(name, time.monotonic())
+            self._world.disturbances.begin(name, began)
         try:
-            yield
+            yield began
         finally:
             for name in names:
                 self._world.disturbances.end(name, time.monotonic())
@@ -135,23 +137,27 @@
         entry = self._entry()
         if entry is None:
             return
-        began = time.monotonic()
-        with self._disturbing(f"{entry.name} stops"):
+        with self._disturbing(entry.name) as began:
             entry.is_wanted = False
             entry.signal(signal.SIGTERM)
-            limit_s = self._world.bounds.stop_limit_s
-            try:
-                await asyncio.to_thread(entry.process.wait, limit_s)
-            except subprocess.TimeoutExpired:
-                self._world.book.violate("END", f"{entry.name} ignored SIGTERM")
-                entry.signal(signal.SIGKILL)
-                await asyncio.to_thread(entry.process.wait)
-        self._world.stops.append((entry.name, began, time.monotonic()))
-        with self._disturbing(entry.name):
+            await self._wait_for_end(entry, began)
+            self._world.stops.append((entry.name, began, time.monotonic()))
             await asyncio.sleep(world.RESTART_S)
             self._world.start_entry(entry)
             await asyncio.sleep(1.0)
 
+    async def _wait_for_end(self, entry: world.Entry, began: float) -> None:
+        try:
+            limit_s = self._world.bounds.stop_limit_s
+            await asyncio.to_thread(entry.process.wait, limit_s)
+        except subprocess.TimeoutExpired:
+            # A process that was paused meanwhile can't be in time.
+            calm = self._world.disturbances.is_calm
+            if calm(entry.name, began, time.monotonic(), but=began):
+                self._world.book.violate("END", f"{entry.name} ignored SIGTERM")
+            entry.signal(signal.SIGKILL)
+            await asyncio.to_thread(entry.process.wait)
+
     async def _pause(self) -> None:
         entry = self._entry()
         if entry is None:
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -61,9 +61,13 @@
                 span[1] = at
                 return
 
-    def is_calm(self, name: str, begin: float, end: float) -> bool:
-        """Whether nothing disturbed a thing within a span."""
-        return not any(one < end and begin < two for one, two in self._spans[name])
+    def is_calm(
+        self, name: str, begin: float, end: float, *, but: float | None = None
+    ) -> bool:
+        """Whether nothing disturbed a thing, but for what began at a moment."""
+        return not any(
+            one < end and begin < two for one, two in self._spans[name] if one != but
+        )
 
 
 class Change(typing.NamedTuple):
@@ -268,10 +272,10 @@
 
     def judge_stop(self, entry: str, began: float, ended: float) -> None:
         """Judge an orderly stop of an entry around which nothing was disturbed."""
-        names = [entry, "store"]
         begin = began - self._bounds.contact_s
         calm = self._disturbances.is_calm
-        if not all(calm(name, begin, ended) for name in names):
+        is_calm = calm(entry, begin, ended, but=began) and calm("store", begin, ended)
+        if not is_calm:
             return
         for attempt in self._book.attempts.values():
             is_its = attempt.entry == entry and attempt.left_at is None
