Have all metric lines of a platform call from its beginning

Lines of a kind of call were made when its first call ended, and the first wait for the cloud's notices ends after 10 s. Change: the histograms of a kind are made when its first call begins. Test: platform.feature, 'A call that waits at the service ...' failed before (140 lines against 98).

--- a/acaciaward/platform/calls.py
+++ b/acaciaward/platform/calls.py
@@ -103,6 +103,7 @@
     ) -> PlatformReply:
         """Do what ``call`` does, with bodies as bytes."""
         PLATFORM_CALLS.labels(self._name).inc()
+        timers = self._timers(_kind(path))
         self._count_bytes(path, payload)
         began = time.monotonic()
         outcome = LOST
@@ -126,14 +127,18 @@
         except httpclient.HttpError as error:
             raise errors.PlatformUnknownError(f"{method} {path}: {error}") from error
         finally:
-            took_s = time.monotonic() - began
-            self._timers(_kind(path))[outcome].observe(took_s)
+            timers[outcome].observe(time.monotonic() - began)
         if is_taken:
             return PlatformReply(response.status, answer)
         self._raise_for_status(response, answer)
 
     def _timers(self, kind: str) -> dict[str, prometheus_client.Histogram]:
-        """Return the histograms of a kind of call, all made at its first call."""
+        """
+        Return the histograms of a kind of call, by outcome.
+
+        All are made when the first call of the kind begins, so that neither its
+        outcome nor how long it waits decides which lines ``/metrics`` has.
+        """
         timers = self._timers_by_kind.get(kind)
         if timers is None:
             timers = self._timers_by_kind[kind] = {
--- a/acaciaward/platform/features/platform.feature
+++ b/acaciaward/platform/features/platform.feature
@@ -64,3 +64,8 @@
     Given a service of the platform that was called once
     When calls of that kind are answered, refused, lost and not connected
     Then the metrics have as many lines as after the first call
+
+  Scenario: A call that waits at the service has the metric lines of its kind already
+    Given a service of the platform that keeps its first call waiting
+    When that call is answered
+    Then the metrics have as many lines as while it waited
--- a/acaciaward/platform/features/steps/platform_steps.py
+++ b/acaciaward/platform/features/steps/platform_steps.py
@@ -314,6 +314,7 @@
 
     def __init__(self):
         self.next = 200
+        self.released = None
 
     @contextlib.asynccontextmanager
     async def send(self, *args, **options):
@@ -323,6 +324,8 @@
         async def read():
             return b"{}"
 
+        if self.released is not None:
+            await self.released.wait()
         yield types.SimpleNamespace(status=self.next, read=read, retry_after_s=None)
 
 
@@ -355,6 +358,30 @@
         call_once(context)
 
 
+@given("a service of the platform that keeps its first call waiting")
+def make_waiting(context):
+    context.client = Answers()
+    context.service = platform_calls.PlatformService(
+        context.client, "127.0.0.1", 1, timeout_s=1.0, name="waiting"
+    )
+
+
+@when("that call is answered")
+def answer_waiting(context):
+    async def wait():
+        context.client.released = asyncio.Event()
+        call = asyncio.ensure_future(
+            context.service.exchange("GET", "/api/notices?wait_s=10", b"")
+        )
+        await asyncio.sleep(0)
+        context.line_count = prometheus_client.generate_latest().count(b"\n")
+        context.client.released.set()
+        await call
+
+    asyncio.run(wait())
+
+
+@then("the metrics have as many lines as while it waited")
 @then("the metrics have as many lines as after the first call")
 def check_lines(context):
     found = prometheus_client.generate_latest().count(b"\n")
