Give long prompts endpoints of their own; watch for silence with one timer an attempt

While an engine reads prompts, each of its steps takes longer, so that a prompt of 20,000 tokens pauses every stream beside it. Change: prompts whose reading takes more than half of the longest pause go to endpoints of their own, as many as their part of the reading calls for, and the others stay away from those; either goes over where it saves half a second.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -6,9 +6,8 @@
 """
 
 import asyncio
+import contextlib
 import time
-import typing
-from collections import abc
 
 from acaciaward.catalogue import routes
 from acaciaward.gateway import (
@@ -33,8 +32,6 @@
 # Not sent to an endpoint with less time than this left, in seconds.
 LEAST_TIME_S = 0.005
 
-_Awaited = typing.TypeVar("_Awaited")
-
 
 class Attempts:
     """Makes the attempts of all calls."""
@@ -67,16 +64,17 @@
             decisions.note_sent(progress, work, is_fresh=not link.exchanges)
             was_sent_before = progress.may_run
             progress.may_run = True
-            reply = await self._exchange(progress, work, link, headers)
-            self._with.occupancy.note_heard(work.endpoint)
-            head = reply.head
-            if head.is_refusal:
-                progress.may_run = was_sent_before
-                await reply.read(MAX_BUFFERED_BYTES)
-            elif head.is_signed:
-                await self._pass_on(progress, work, reply, responder)
-            else:
-                raise errors.BrokenOffError(f"unsigned answer {head.status}")
+            with self._guard(progress, work, link):
+                reply = await self._exchange(progress, link, headers)
+                self._with.occupancy.note_heard(work.endpoint)
+                head = reply.head
+                if head.is_refusal:
+                    progress.may_run = was_sent_before
+                    await reply.read(MAX_BUFFERED_BYTES)
+                elif head.is_signed:
+                    await self._pass_on(progress, work, reply, responder)
+                else:
+                    raise errors.BrokenOffError(f"unsigned answer {head.status}")
         except errors.StaleLinkError:
             pool.note_stale(link)
             link.close()
@@ -96,7 +94,6 @@
     async def _exchange(
         self,
         progress: life.Progress,
-        work: occupancy.Work,
         link: links.Link,
         headers: calls.Headers,
     ) -> links.Reply:
@@ -106,8 +103,7 @@
             progress.sends < route.max_attempts
         )
         if not can_repeat:
-            exchange = link.exchange(call, headers, decode)
-            return await self._unless_silent(progress, work, exchange)
+            return await link.exchange(call, headers, decode)
         hung_s = min(HUNG_TARGETS * route.target_s, progress.left_s / 2)
         try:
             async with asyncio.timeout(hung_s) as limit:
@@ -154,7 +150,8 @@
         responder: callers.Responder,
     ) -> None:
         splitter = events.EventSplitter()
-        while (part := await self._read_part(progress, work, reply)) is not None:
+        while (part := await reply.read_part()) is not None:
+            self._with.occupancy.note_heard(work.endpoint)
             pieces = splitter.feed(part)
             fresh = [piece.data for piece in pieces if progress.take(piece)]
             if fresh:
@@ -168,24 +165,14 @@
             await responder.start(reply.head.status, reply.head.headers)
         await responder.finish()
 
-    async def _read_part(
-        self, progress: life.Progress, work: occupancy.Work, reply: links.Reply
-    ) -> bytes | None:
-        part = await self._unless_silent(progress, work, reply.read_part())
-        self._with.occupancy.note_heard(work.endpoint)
-        return part
-
-    async def _unless_silent(
-        self,
-        progress: life.Progress,
-        work: occupancy.Work,
-        awaited: abc.Coroutine[typing.Any, typing.Any, _Awaited],
-    ) -> _Awaited:
-        """Wait for an endpoint; leave one that is silent if the stream can resume."""
+    def _guard(
+        self, progress: life.Progress, work: occupancy.Work, link: links.Link
+    ) -> contextlib.AbstractContextManager:
+        """Leave an endpoint that is silent if the answer can go on elsewhere."""
         if not progress.route.is_resumable:
-            return await awaited
+            return contextlib.nullcontext()
         board = self._with.occupancy
-        return await silence.unless(awaited, lambda: board.is_silent(work.endpoint))
+        return silence.Guard(link, lambda: board.is_silent(work.endpoint))
 
     def _note_first_byte(self, progress: life.Progress, work: occupancy.Work) -> None:
         work.note_first_byte()
--- a/acaciaward/gateway/callers.py
+++ b/acaciaward/gateway/callers.py
@@ -63,7 +63,7 @@
 
     async def write(self, data: bytes) -> None:
         """Pass on a part of an answer that was started."""
-        await self._connection.write(self._connection.encode(h11.Data(data=data)))
+        await self._connection.write(self._connection.encode_part(data))
 
     async def finish(self) -> None:
         """End an answer that was started, as complete."""
@@ -235,6 +235,13 @@
         """Return the bytes of a response's event."""
         return self._parser.send(event) or b""
 
+    def encode_part(self, data: bytes) -> bytes:
+        """Return the bytes of a part of an answer whose length isn't known."""
+        if self._parser.their_http_version != b"1.1":
+            return self.encode(h11.Data(data=data))
+        # A chunk changes nothing in the parser, and there is one for each event.
+        return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+
     async def write(self, data: bytes) -> None:
         """Write and wait while the caller is slow to read."""
         if self._writer.transport.is_closing():
--- a/acaciaward/gateway/features/explaining.feature
+++ b/acaciaward/gateway/features/explaining.feature
@@ -31,3 +31,10 @@
     Given a front for idempotent requests
     When a caller sends bytes that are no request
     Then a line "request unreadable" says status 400
+
+  Scenario: An endpoint that has gone dark is logged as silent, not as crashed
+    Given a front for resumable streams
+    And the endpoints hang, then answer a stream
+    When a caller asks
+    Then a line "attempt failed" says kind SilentError
+    And there is no line "request may crash endpoints"
--- a/acaciaward/gateway/features/steps/explaining_steps.py
+++ b/acaciaward/gateway/features/steps/explaining_steps.py
@@ -109,3 +109,8 @@
     found = context.lines.fields(event)
     assert found, [record.getMessage() for record in context.lines.records]
     assert str(found[-1][field]) == value, found[-1]
+
+
+@then('there is no line "{event}"')
+def check_no_line(context, event):
+    assert not context.lines.fields(event), context.lines.fields(event)
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -96,6 +96,7 @@
     "answer unsigned": lambda: [scripted.answer(signed=False)],
     "hang, then answer": lambda: [scripted.hang(), scripted.answer()],
     "hang": lambda: [scripted.hang()],
+    "hang, then answer a stream": lambda: [scripted.hang(), scripted.stream(1, 6)],
     "answer another request first": lambda: [answer_other_first],
     "answer without a length": lambda: [answer_unframed],
     "reset an answer without a length": lambda: [reset_unframed],
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -127,6 +127,9 @@
         prompt = progress.call.prompt
         if prompt is not None:
             self._with.demand.note(service.name, prompt.fresh_tokens)
+            self._with.occupancy.note_asked(
+                service.name, prompt, progress.route.max_gap_s
+            )
         while True:
             self._check_suspect(progress, responder)
             candidate = self._choose_endpoint(service, progress)
@@ -188,7 +191,10 @@
         self, service: routes.Service, progress: life.Progress
     ) -> placement.Candidate:
         candidate = self._with.occupancy.choose(
-            service, progress.call, excluded=progress.tried
+            service,
+            progress.call,
+            excluded=progress.tried,
+            max_gap_s=progress.route.max_gap_s,
         )
         if candidate is not None:
             self._check_room(service, progress, candidate)
--- a/acaciaward/gateway/life.py
+++ b/acaciaward/gateway/life.py
@@ -45,6 +45,7 @@
         self.version = -1
         self.first_byte_s: float | None = None
         self.event_at: float | None = None
+        self.longest_gap_s = 0.0
 
     @property
     def left_s(self) -> float:
@@ -76,6 +77,8 @@
         self.delivered = event.number
         now = time.monotonic()
         if self.event_at is not None:
-            metrics.EVENT_GAP.observe(now - self.event_at)
+            gap_s = now - self.event_at
+            metrics.EVENT_GAP.observe(gap_s)
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
         self.event_at = now
         return True
--- a/acaciaward/gateway/links.py
+++ b/acaciaward/gateway/links.py
@@ -89,6 +89,13 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def interrupt(self, error: Exception) -> bool:
+        """Raise an error in whoever waits for bytes; return whether anyone did."""
+        if self._waiter is None or self._waiter.done():
+            return False
+        self._waiter.set_exception(error)
+        return True
+
     async def receive(self) -> bytes:
         """Return bytes, or none at the orderly end; raise ``OSError`` at a reset."""
         while not self._buffer:
@@ -140,6 +147,10 @@
         """Close at once; the endpoint drops what it works on."""
         self._protocol.transport.abort()
 
+    def interrupt(self, error: errors.BrokenOffError) -> bool:
+        """Raise an error in the call that waits for bytes; return whether one did."""
+        return self._protocol.interrupt(error)
+
     async def exchange(
         self, call: calls.Call, headers: calls.Headers, decode_reply: DecodeReply
     ) -> "Reply":
@@ -175,6 +186,8 @@
     async def _next_head(self) -> typing.Any:
         try:
             return await self._next_event()
+        except errors.SilentError:
+            raise
         except errors.BrokenOffError as error:
             raise self._lost(str(error)) from error
 
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -9,6 +9,7 @@
 import time
 from collections import abc
 
+from acaciaward import rates
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls
 from acaciaward.routing import health, placement
@@ -21,6 +22,9 @@
 SMOOTHING = 0.1
 # Prompts below that say little about the pace of reading, in tokens.
 TELLING_TOKENS = 3000
+# Time constant of the part of all reading that is for long prompts, in seconds: long
+# enough for some hundred prompts at each entry.
+LONG_SHARE_S = 20.0
 # An endpoint with work that sends nothing at all for so long is taken for dead, in
 # seconds: batches of an engine end many times a second, and a first token of a short
 # prompt comes within a quarter of that.
@@ -91,6 +95,8 @@
         self._prefill_per_s = placement.USUAL_PREFILL_PER_S
         self._service_s: dict[str, float] = {}
         self._unheard_since: dict[Incarnation, float] = {}
+        self._asked_tokens: dict[str, rates.Rate] = {}
+        self._long_tokens: dict[str, rates.Rate] = {}
         self._told: abc.Mapping[str, tuple[float, float]] = {}
         self._told_at = 0.0
         directory.subscribe(self._forget)
@@ -114,8 +120,13 @@
         call: calls.Call,
         *,
         excluded: abc.Container[Incarnation] = (),
+        max_gap_s: float | None = None,
     ) -> placement.Candidate | None:
-        """Return where to send a call, or None if no endpoint may get it."""
+        """
+        Return where to send a call, or None if no endpoint may get it.
+
+        ``max_gap_s`` is the longest pause between the events of its answer.
+        """
         now = self._clock()
         ready = [
             one
@@ -134,12 +145,45 @@
         if not sound and ready:
             sound = [min(ready, key=lambda one: self._record(one).paused_until)]
         others = self._others()
-        drawn = placement.preferred(call.prompt, [one.name for one in sound])
+        names = [one.name for one in sound]
+        own = self._own_side(service.name, call.prompt, max_gap_s, names)
+        drawn = placement.preferred(call.prompt, own)
         candidates = [
             self._candidate(service, one, call, others, one.name in drawn[:1], now)
             for one in sound
         ]
-        return placement.choose(candidates, call.prompt, self._random)
+        return placement.choose(candidates, call.prompt, self._random, own=set(own))
+
+    def note_asked(
+        self, service: str, prompt: calls.Prompt, max_gap_s: float | None
+    ) -> None:
+        """Count a prompt in the part of all reading that is for long ones."""
+        now = self._clock()
+        tokens = prompt.fresh_tokens
+        is_long = placement.is_long(prompt, self._prefill_per_s, max_gap_s)
+        for counted, amount in (
+            (self._asked_tokens, tokens),
+            (self._long_tokens, tokens if is_long else 0),
+        ):
+            rate = counted.setdefault(service, rates.Rate(LONG_SHARE_S))
+            rate.note(amount, now)
+
+    def _own_side(
+        self,
+        service: str,
+        prompt: calls.Prompt | None,
+        max_gap_s: float | None,
+        names: list[str],
+    ) -> list[str]:
+        """Return the endpoints that are for prompts like this one."""
+        if prompt is None or service not in self._asked_tokens:
+            return names
+        now = self._clock()
+        asked = self._asked_tokens[service].value(now)
+        share = self._long_tokens[service].value(now) / asked if asked > 0 else 0.0
+        kept = placement.reserve(names, share)
+        is_long = placement.is_long(prompt, self._prefill_per_s, max_gap_s)
+        return [name for name in names if (name in kept) is is_long] or names
 
     def start(self, candidate: placement.Candidate, call: calls.Call) -> Work:
         """Count a call at an endpoint from now on."""
--- a/acaciaward/routing/placement.py
+++ b/acaciaward/routing/placement.py
@@ -6,10 +6,15 @@
 calls that share a part are drawn to the same endpoints while these have room;
 two random ones are looked at besides, since loads are known late.
 
+While an engine reads a prompt, the events of all its streams come later. So prompts
+that take long to read have endpoints of their own, as many as their part of the
+reading calls for: there they delay each other and not everybody.
+
 Answers to: a hot part of prompts, uneven and stale loads, a slow or grey endpoint,
-a burst beyond what all endpoints can serve.
+a burst beyond what all endpoints can serve, a few very long prompts among many.
 """
 
+import math
 import random
 import typing
 from collections import abc
@@ -37,6 +42,17 @@
 MOST_WAITED_PART = 0.5
 # A failure costs about this much: the time until the caller is back, in seconds.
 FAILURE_COST_S = 1.0
+# A prompt counts as long if reading it takes this part of the longest pause that the
+# streams beside it may have.
+LONG_PART = 0.5
+# Endpoints for long prompts, as a multiple of these prompts' part of the reading: they
+# come one by one and should find an idle endpoint.
+LONG_ROOM = 1.5
+# Fewer endpoints than this aren't divided.
+FEWEST_DIVIDED = 4
+# A long prompt among short ones, or a short one behind long ones, costs this much, in
+# seconds: about what the pause that it brings is beyond the longest allowed one.
+MISPLACED_S = 0.5
 # A call to another data centre takes that much longer, in seconds.
 DISTANCE_S = 0.003
 
@@ -98,20 +114,67 @@
     return [] if key is None else rendezvous.choose(key, names, PREFERRED)
 
 
+def is_long(
+    prompt: calls.Prompt | None, prefill_per_s: float, max_gap_s: float | None
+) -> bool:
+    """
+    Return whether reading a prompt holds up the streams beside it for too long.
+
+    ``max_gap_s`` is the longest pause between their events, if there is one.
+    """
+    if prompt is None or not max_gap_s:
+        return False
+    return prompt.fresh_tokens / prefill_per_s > LONG_PART * max_gap_s
+
+
+def reserve(names: abc.Collection[str], long_share: float) -> frozenset[str]:
+    """
+    Return the endpoints that are kept for long prompts.
+
+    ``long_share`` is the part of all reading that is for long prompts. When it
+    changes, or an endpoint comes or goes, few others change sides.
+
+        len(reserve([f"e-{number}" for number in range(30)], 0.2))  # 9
+    """
+    if len(names) < FEWEST_DIVIDED or long_share <= 0:
+        return frozenset()
+    # Rounded first, so that 9.000000000000002 endpoints aren't 10.
+    count = math.ceil(round(LONG_ROOM * long_share * len(names), 6))
+    count = min(count, len(names) // 2)
+    return frozenset(rendezvous.choose("long prompts", names, count))
+
+
 def choose(
     candidates: abc.Sequence[Candidate],
     prompt: calls.Prompt | None,
     chooser: random.Random,
+    *,
+    own: abc.Container[str] | None = None,
 ) -> Candidate | None:
-    """Return the cheapest of the preferred and of a few random candidates."""
+    """
+    Return the cheapest of the preferred and of a few random candidates.
+
+    ``own`` names the endpoints that are for calls like this one, if not all are;
+    another one is chosen only where the wait is so much shorter.
+    """
     if not candidates:
         return None
     names = [one.endpoint.name for one in candidates]
-    drawn = set(preferred(prompt, names))
-    drawn |= set(chooser.sample(names, min(SAMPLED, len(names))))
+    inside = names if own is None else [name for name in names if name in own]
+    inside = inside or names
+    drawn = set(preferred(prompt, inside))
+    drawn |= set(chooser.sample(inside, min(SAMPLED, len(inside))))
+    if len(inside) < len(names):
+        drawn.add(chooser.choice(names))
     looked_at = [one for one in candidates if one.endpoint.name in drawn]
     chooser.shuffle(looked_at)
-    return min(looked_at, key=lambda one: cost_s(one, prompt))
+    fitting = frozenset(inside)
+
+    def total_s(one: Candidate) -> float:
+        misplaced_s = 0.0 if one.endpoint.name in fitting else MISPLACED_S
+        return cost_s(one, prompt) + misplaced_s
+
+    return min(looked_at, key=total_s)
 
 
 def is_hopeless(
