Divide the endpoints alike at all entries: the long prompts' part is summed by relays

Change: each entry tells the tokens in long prompts with its demand; relays add them up, and all entries divide by the sum. Test: 'Entries that see different prompts divide the endpoints alike'.

--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -126,10 +126,8 @@
         self._with.repeats.note_first(service.name)
         prompt = progress.call.prompt
         if prompt is not None:
-            self._with.demand.note(service.name, prompt.fresh_tokens)
-            self._with.occupancy.note_asked(
-                service.name, prompt, progress.route.max_gap_s
-            )
+            is_long = self._with.occupancy.is_long(prompt, progress.route.max_gap_s)
+            self._with.demand.note(service.name, prompt.fresh_tokens, is_long=is_long)
         while True:
             self._check_suspect(progress, responder)
             candidate = self._choose_endpoint(service, progress)
--- a/acaciaward/gateway/sharing.py
+++ b/acaciaward/gateway/sharing.py
@@ -29,7 +29,7 @@
 
     def __init__(self, slices: Slices, hear_version: abc.Callable[[int], None]):
         self._slices = slices
-        self._demand: abc.Mapping[str, tuple[float, float]] = {}
+        self._demand: abc.Mapping[str, demand.Wanted] = {}
         self.hear_version = hear_version
 
     def tell(self) -> relaying.Told:
@@ -52,7 +52,12 @@
         self._slices.quotas.adopt(heard.levels)
         self._slices.occupancy.hear(sums.load)
         self._slices.suspects.hear(sums.crashes)
-        self._demand = sums.demand
+        self._demand = {
+            service: demand.Wanted(*asked) for service, asked in sums.demand.items()
+        }
+        self._slices.occupancy.hear_long_shares(
+            {service: asked.long_share for service, asked in self._demand.items()}
+        )
 
     def hear_time(self, now: float) -> None:
         """Take in the majority's Unix time."""
@@ -61,5 +66,6 @@
     def demand_of(self, service: str) -> tuple[float, float]:
         """Return tokens a second and requests at once of a service, from all."""
         asked = self._demand.get(service) or self._slices.demand.wanted().get(service)
-        tokens_per_s, wanted = asked or (0.0, 0.0)
-        return tokens_per_s, max(wanted, self._slices.occupancy.running(service)[0])
+        asked = asked or demand.Wanted()
+        running = self._slices.occupancy.running(service)[0]
+        return asked.tokens_per_s, max(asked.at_once, running)
--- a/acaciaward/relays/hub.py
+++ b/acaciaward/relays/hub.py
@@ -5,6 +5,7 @@
 lowers a sum; loads and demand count only while they are fresh.
 """
 
+import operator
 import statistics
 import typing
 from collections import abc
@@ -36,7 +37,7 @@
     heard: int
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
-    demand: dict[str, tuple[float, float]]
+    demand: dict[str, tuple[float, ...]]
     crashes: suspects.Told
 
 
@@ -109,8 +110,8 @@
         return Sums(
             len(reports),
             dict(self._own_use.total),
-            _add_pairs(one["load"] for one in reports),
-            _add_pairs(one["demand"] for one in reports),
+            _add_figures(one["load"] for one in reports),
+            _add_figures(one["demand"] for one in reports),
             suspects.merge(one["crashes"] for one in reports),
         )
 
@@ -124,8 +125,8 @@
         return Sums(
             len(reports) + sum(one["heard"] for one in summaries),
             self._all_use.without(start),
-            _add_pairs(one["load"] for one in [*others, *summaries]),
-            _add_pairs(one["demand"] for one in [*reports, *summaries]),
+            _add_figures(one["load"] for one in [*others, *summaries]),
+            _add_figures(one["demand"] for one in [*reports, *summaries]),
             suspects.merge(one["crashes"] for one in [*reports, *summaries]),
         )
 
@@ -144,12 +145,17 @@
         return [one.body for one in told.values() if one.at >= oldest]
 
 
-def _add_pairs(
-    parts: abc.Iterable[abc.Mapping[str, tuple[float, float]]],
-) -> dict[str, tuple[float, float]]:
-    total: dict[str, tuple[float, float]] = {}
+def _add_figures(
+    parts: abc.Iterable[abc.Mapping[str, tuple[float, ...]]],
+) -> dict[str, tuple[float, ...]]:
+    """Add up tuples of the same length, name by name."""
+    total: dict[str, tuple[float, ...]] = {}
     for part in parts:
-        for name, (first, second) in part.items():
-            known = total.get(name, (0.0, 0.0))
-            total[name] = (known[0] + first, known[1] + second)
+        for name, figures in part.items():
+            known = total.get(name)
+            total[name] = (
+                tuple(figures)
+                if known is None
+                else tuple(map(operator.add, known, figures))
+            )
     return total
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -26,14 +26,14 @@
     What is told of one entry, or as sums over several.
 
     ``use`` holds units of each organisation's quota, ``load`` requests and unread
-    tokens at each endpoint, ``demand`` tokens a second and requests at once that
-    callers ask of each service, ``crashes`` the requests under which endpoints broke
+    tokens at each endpoint, ``demand`` what callers ask of each service (see
+    ``routing.demand.Wanted``), ``crashes`` the requests under which endpoints broke
     off.
     """
 
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
-    demand: dict[str, tuple[float, float]]
+    demand: dict[str, tuple[float, ...]]
     crashes: suspects.Told
 
 
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -44,7 +44,7 @@
     now: float
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
-    demand: dict[str, tuple[float, float]]
+    demand: dict[str, tuple[float, ...]]
     crashes: suspects.Told
     windows: dict[int, dict[str, int]]
     levels: dict[str, float]
--- a/acaciaward/routing/features/long_prompts.feature
+++ b/acaciaward/routing/features/long_prompts.feature
@@ -6,6 +6,11 @@
     Then not half as many streams are paused beyond 0.5 s as without endpoints for long prompts
     And long prompts are read within the objective of 1 s, on the mean
 
+  Scenario: Entries that see different prompts divide the endpoints alike
+    Given 60 entries of which each sees 10 prompts, one in eight of them long
+    When each hears the sums over all
+    Then all keep the same endpoints for long prompts, and a fifth to a half of them
+
   Scenario: Endpoints change sides one by one
     Given 30 engines, and 40 prompts a second of which one in eight is long
     Then with a share of 0.2 for long prompts, 9 endpoints are theirs
--- a/acaciaward/routing/features/steps/long_prompts_steps.py
+++ b/acaciaward/routing/features/steps/long_prompts_steps.py
@@ -7,7 +7,8 @@
 
 from acaciaward.catalogue import endpoints
 from acaciaward.gateway import calls
-from acaciaward.routing import placement
+from acaciaward.relays import hub
+from acaciaward.routing import demand, placement
 
 PACE = 60_000.0
 MAX_GAP_S = 0.5
@@ -171,3 +172,42 @@
     prompt = calls.Prompt(tokens, 100, (("own", tokens),))
     found = [placement.is_long(prompt, PACE, gap) for gap in (short, long, None)]
     assert found == [True, False, False], found
+
+
+@given(
+    "{entries:d} entries of which each sees {count:d} prompts, one in eight of them"
+    " long"
+)
+def see_prompts(context, entries, count):
+    chooser = random.Random(5)
+    context.names = [f"e-{number}" for number in range(30)]
+    context.told = []
+    for _ in range(entries):
+        asked = demand.Demand(lambda: 1.0, lambda name: 0.1)
+        for _ in range(count):
+            is_long = chooser.random() < 1 / 8
+            tokens = chooser.randint(*(LONG_TOKENS if is_long else SHORT_TOKENS))
+            asked.note("s", tokens, is_long=is_long)
+        context.told.append(asked.wanted())
+
+
+@when("each hears the sums over all")
+def hear_sums(context):
+    reader = hub.Hub(lambda: 1.0)
+    for number, wanted in enumerate(context.told):
+        report = {"sender": f"n-{number}", "start": f"n-{number}", "uptime_s": 9.0}
+        report |= {"use": {}, "load": {}, "windows": {}, "now": 0.0}
+        report["crashes"] = {"crashes": {}, "cleared": []}
+        reader.take_report({**report, "demand": wanted})
+    context.kept = [
+        placement.reserve(context.names, demand.Wanted(*sums["s"]).long_share)
+        for sums in (
+            reader.sums_for(f"n-{number}").demand for number in range(len(context.told))
+        )
+    ]
+
+
+@then("all keep the same endpoints for long prompts, and a fifth to a half of them")
+def check_same(context):
+    assert len(set(context.kept)) == 1, {len(one) for one in context.kept}
+    assert 6 <= len(context.kept[0]) <= 15, context.kept[0]
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -9,7 +9,6 @@
 import time
 from collections import abc
 
-from acaciaward import rates
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls
 from acaciaward.routing import health, placement
@@ -22,9 +21,6 @@
 SMOOTHING = 0.1
 # Prompts below that say little about the pace of reading, in tokens.
 TELLING_TOKENS = 3000
-# Time constant of the part of all reading that is for long prompts, in seconds: long
-# enough for some hundred prompts at each entry.
-LONG_SHARE_S = 20.0
 # An endpoint with work that sends nothing at all for so long is taken for dead, in
 # seconds: batches of an engine end many times a second, and a first token of a short
 # prompt comes within a quarter of that.
@@ -95,8 +91,7 @@
         self._prefill_per_s = placement.USUAL_PREFILL_PER_S
         self._service_s: dict[str, float] = {}
         self._unheard_since: dict[Incarnation, float] = {}
-        self._asked_tokens: dict[str, rates.Rate] = {}
-        self._long_tokens: dict[str, rates.Rate] = {}
+        self._long_shares: abc.Mapping[str, float] = {}
         self._told: abc.Mapping[str, tuple[float, float]] = {}
         self._told_at = 0.0
         directory.subscribe(self._forget)
@@ -154,19 +149,13 @@
         ]
         return placement.choose(candidates, call.prompt, self._random, own=set(own))
 
-    def note_asked(
-        self, service: str, prompt: calls.Prompt, max_gap_s: float | None
-    ) -> None:
-        """Count a prompt in the part of all reading that is for long ones."""
-        now = self._clock()
-        tokens = prompt.fresh_tokens
-        is_long = placement.is_long(prompt, self._prefill_per_s, max_gap_s)
-        for counted, amount in (
-            (self._asked_tokens, tokens),
-            (self._long_tokens, tokens if is_long else 0),
-        ):
-            rate = counted.setdefault(service, rates.Rate(LONG_SHARE_S))
-            rate.note(amount, now)
+    def is_long(self, prompt: calls.Prompt | None, max_gap_s: float | None) -> bool:
+        """Return whether a prompt holds up the streams beside it for too long."""
+        return placement.is_long(prompt, self._prefill_per_s, max_gap_s)
+
+    def hear_long_shares(self, shares: abc.Mapping[str, float]) -> None:
+        """Take in which part of a service's reading is for long prompts, over all."""
+        self._long_shares = shares
 
     def _own_side(
         self,
@@ -176,13 +165,10 @@
         names: list[str],
     ) -> list[str]:
         """Return the endpoints that are for prompts like this one."""
-        if prompt is None or service not in self._asked_tokens:
+        if prompt is None:
             return names
-        now = self._clock()
-        asked = self._asked_tokens[service].value(now)
-        share = self._long_tokens[service].value(now) / asked if asked > 0 else 0.0
-        kept = placement.reserve(names, share)
-        is_long = placement.is_long(prompt, self._prefill_per_s, max_gap_s)
+        kept = placement.reserve(names, self._long_shares.get(service, 0.0))
+        is_long = self.is_long(prompt, max_gap_s)
         return [name for name in names if (name in kept) is is_long] or names
 
     def start(self, candidate: placement.Candidate, call: calls.Call) -> Work:
