Count what is read for a call as a delay of others, too

Cause: a prompt left the endpoint that holds its shared part as soon as another would give its first byte earlier, though reading the part once more delays everything there, and what is known of loads is some tenths of a second old. Change: the time of reading counts twice in the cost of an endpoint. Ruled out: more endpoints that a part is drawn to (the second seldom holds it). Test: placement.feature, 'A prompt is read again elsewhere only where ...' failed before.

--- a/acaciaward/routing/features/placement.feature
+++ b/acaciaward/routing/features/placement.feature
@@ -10,6 +10,17 @@
     When 100 prompts with one shared part are placed and stay
     Then at least 4 endpoints have work and none has more than twice the mean
 
+  Scenario Outline: A prompt is read again elsewhere only where that helps on the whole
+    Given 6 idle endpoints
+    When the endpoint that holds 5000 tokens of a prompt has <backlog> others to read
+    Then the prompt <goes>
+
+    Examples:
+      | backlog | goes           |
+      | 0       | stays          |
+      | 8000    | stays          |
+      | 12000   | goes elsewhere |
+
   Scenario: A small part that many share draws no crowd before loads are known
     Given 40 idle endpoints
     When 200 prompts share a part of 300 tokens while no load is told
--- a/acaciaward/routing/features/steps/placement_steps.py
+++ b/acaciaward/routing/features/steps/placement_steps.py
@@ -168,3 +168,26 @@
 @then("none is refused")
 def check_none_refused(context):
     assert context.refused == 0
+
+
+@when(
+    "the endpoint that holds {held:d} tokens of a prompt has {backlog:d} others to read"
+)
+def load_holder(context, held, backlog):
+    context.prompt = calls.Prompt(12_000, 100, (("part", held), ("own", 12_000 - held)))
+    (holder,) = placement.preferred(context.prompt, list(context.candidates))[:1]
+    context.holder = holder
+    context.candidates[holder] = context.candidates[holder]._replace(
+        held_tokens=held, backlog_tokens=backlog
+    )
+
+
+@then("the prompt {goes}")
+def check_goes(context, goes):
+    seen = list(context.candidates.values())
+    found = {
+        placement.choose(seen, context.prompt, context.chooser).endpoint.name
+        for _ in range(20)
+    }
+    stays = found == {context.holder}
+    assert stays if goes == "stays" else context.holder not in found, found
--- a/acaciaward/routing/placement.py
+++ b/acaciaward/routing/placement.py
@@ -40,6 +40,9 @@
 USUAL_SERVICE_S = 0.1
 # A call is not sent where it would wait for more than this part of its patience.
 MOST_WAITED_PART = 0.5
+# What is read for a call also delays everything else at its endpoint: it counts once
+# more with this weight.
+OTHERS_WEIGHT = 1.0
 # A failure costs about this much: the time until the caller is back, in seconds.
 FAILURE_COST_S = 1.0
 # A prompt counts as long if reading it takes this part of the longest pause that the
@@ -96,8 +99,13 @@
 
 
 def cost_s(candidate: Candidate, prompt: calls.Prompt | None) -> float:
-    """Return the expected wait with the expected loss by failures."""
-    return wait_s(candidate, prompt) + FAILURE_COST_S * candidate.failed_share
+    """Return the expected wait, what others wait for it, and the loss by failures."""
+    others_s = 0.0
+    if prompt is not None:
+        fresh = max(0, prompt.prompt_tokens - candidate.held_tokens)
+        others_s = OTHERS_WEIGHT * fresh / candidate.prefill_per_s
+    lost_s = FAILURE_COST_S * candidate.failed_share
+    return wait_s(candidate, prompt) + others_s + lost_s
 
 
 def affinity_key(prompt: calls.Prompt | None) -> str | None:
