Explain late streams by their pauses

Change: the line of an answer says the longest allowed pause; explain compares. Test: explaining.feature, 'Each way to end a request ...', failed before.

--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -86,6 +86,7 @@
 def note_answered(progress: life.Progress, status: int | None) -> None:
     """Say that a call was answered, and how late."""
     first_s = progress.first_byte_s
+    max_gap_s = progress.route.max_gap_s
     took_s = time.monotonic() - progress.call.received
     log.info(
         "answered",
@@ -97,6 +98,7 @@
             took_ms=int(took_s * 1000),
             target_ms=int(progress.route.target_s * 1000),
             longest_gap_ms=int(progress.longest_gap_s * 1000),
+            max_gap_ms=None if max_gap_s is None else int(max_gap_s * 1000),
             sends=progress.sends,
             last_event=progress.delivered,
         ),
--- a/acaciaward/observability/features/steps/explaining_steps.py
+++ b/acaciaward/observability/features/steps/explaining_steps.py
@@ -77,6 +77,20 @@
             "first byte after 900 ms, objective 400 ms",
         ),
         ([line("answered", request="a1", status=500)], "endpoint answered 500"),
+        (
+            [
+                line(
+                    "answered",
+                    request="a1",
+                    status=200,
+                    first_byte_ms=300,
+                    target_ms=1045,
+                    longest_gap_ms=642,
+                    max_gap_ms=500,
+                )
+            ],
+            "answered late: a pause of 642 ms between events, 500 ms are allowed",
+        ),
         ([failed], "no entry has logged its end"),
     )
     for lines, wanted in cases:
--- a/acaciaward/observability/timeline.py
+++ b/acaciaward/observability/timeline.py
@@ -171,6 +171,13 @@
     first, target = _whole(fields.get("first_byte_ms")), _whole(fields.get("target_ms"))
     if first > target:
         return f"answered late: first byte after {first} ms, objective {target} ms"
+    gap, allowed = (
+        _whole(fields.get("longest_gap_ms")),
+        _whole(fields.get("max_gap_ms")),
+    )
+    if gap > allowed >= 0:
+        pause = f"a pause of {gap} ms between events"
+        return f"answered late: {pause}, {allowed} ms are allowed"
     return f"answered {status} in time"
 
 
