--- a/acaciaward/fleet/zoneplan.py
+++ b/acaciaward/fleet/zoneplan.py
@@ -17,7 +17,7 @@
 from acaciaward.catalogue import routes
 
 # Prompt tokens that no other request has, for which one engine is reckoned in a second.
-# It reads some 75,000 beside the tokens it makes, an eighth to a sixth of them shared
+# It reads some 75,000 beside the tokens it makes, a ninth to a sixth of them shared
 # parts again (traces of the grown sites); when it reads for more than seven tenths of
 # the time, pauses and waits grow fast.
 TOKENS_PER_ENGINE_S = 45_000.0
