Add tests in which a confirmed configuration stays away, failing

The runner strips the names of scenarios: behave ends those of an unnamed table with a space, so that no entry of KNOWN-RED.txt could name them.

--- /dev/null
+++ b/acaciaward/catalogue/features/delivery.py
@@ -0,0 +1,203 @@
+"""
+Runs gateways against the stand-in of the store, and records when versions come into
+force at each of them.
+
+Each gateway has a proxy to the store, so that its connections can be disturbed alone.
+"""
+
+import asyncio
+import collections
+import random
+import time
+
+from acaciaward.gateway import process, settings as gateway_settings
+from acaciaward.platform import nodefile
+from acaciaward.settings import loader
+from standins import edgestore, faultproxy, ports
+
+CONFIGURATION_TOPIC = "keyed.op"
+ENDPOINTS_TOPIC = "keyed.servers"
+# Bounds as the entries are given them, in seconds.
+CONTACT_S = 3.0
+CONFIGURATION_S = 2.0
+PARTITION_S = 5.0
+START_TIMEOUT_S = 10.0
+POLL_S = 0.01
+LISTENERS = ("Frontend", "Readiness", "Control", "Directory")
+
+
+class Entry:
+    """One gateway with its proxy to the store."""
+
+    def __init__(self, name: str, data_centre: str):
+        self.name = name
+        self.data_centre = data_centre
+        self.ports = {listener: ports.find_free_port() for listener in LISTENERS}
+        self.proxy: faultproxy.FaultProxy | None = None
+        self.gateway: process.Gateway | None = None
+        # Monotonic time at which each version came into force.
+        self.in_force_at: dict[int, float] = {}
+        self.versions: list[int] = []
+
+    @property
+    def view(self):
+        """The gateway's copy of the store."""
+        return self.gateway._store_view
+
+    @property
+    def endpoint_names(self) -> set[str]:
+        """The names of the endpoints that the gateway would send work to."""
+        return {endpoint.name for endpoint in self.gateway._directory.ready("app")}
+
+    def record(self, catalogue) -> None:
+        """Record that a version came into force."""
+        self.in_force_at.setdefault(catalogue.version, time.monotonic())
+        self.versions.append(catalogue.version)
+
+
+class World:
+    """Several data centres of entries with one store."""
+
+    def __init__(self, data_centres: int, entries_each: int, seed: int = 1):
+        self.random = random.Random(seed)
+        self.store = edgestore.EdgeStore(random.Random(seed))
+        self.entries = [
+            Entry(f"e-{number}-{data_centre}", f"dc-{data_centre}")
+            for data_centre in range(data_centres)
+            for number in range(entries_each)
+        ]
+        self.version = 0
+        # Monotonic time at which the store acknowledged each version first.
+        self.acknowledged_at: dict[int, float] = {}
+
+    async def start(self) -> None:
+        """Start everything, and wait until every entry relies on its reader."""
+        await self.store.start()
+        self.change()
+        self.store.put(ENDPOINTS_TOPIC, "s-0", self.endpoint_record(0))
+        for entry in self.entries:
+            entry.proxy = faultproxy.FaultProxy(("127.0.0.1", self.store.port))
+            await entry.proxy.start()
+            entry.gateway = process.Gateway(self._settings(entry))
+            entry.view.subscribe(entry.record)
+            await entry.gateway.start()
+        await self.wait_until(
+            lambda: all(entry.gateway.is_ready for entry in self.entries),
+            START_TIMEOUT_S,
+        )
+        await self.wait_until(
+            lambda: len(self.readers()) == len({e.data_centre for e in self.entries}),
+            START_TIMEOUT_S,
+        )
+
+    def _settings(self, entry: Entry) -> loader.Settings:
+        seeds = ",".join(
+            f"127.0.0.1:{seed.ports['Control']}" for seed in self.entries[:3]
+        )
+        fields = {
+            "NodeName": entry.name,
+            "Zone": entry.data_centre,
+            "Region": "region",
+            "Ip": "127.0.0.1",
+            "Seeds": seeds,
+            "Platform.Address": f"127.0.0.1:{entry.proxy.port}",
+            "Bounds.ContactMs": CONTACT_S * 1000,
+            "Bounds.ConfigApplyMs": CONFIGURATION_S * 1000,
+        }
+        for name, port in entry.ports.items():
+            fields[f"Listen.{name}"] = f"127.0.0.1:{port}"
+        text = "".join(f"{name}={value}\n" for name, value in fields.items())
+        return loader.check(
+            nodefile.decode(text),
+            name=entry.name,
+            package=gateway_settings.PACKAGE,
+            find_first_problem=gateway_settings.find_first_problem,
+        )
+
+    async def stop(self) -> None:
+        """Stop every gateway without draining, then proxies and store."""
+        for entry in self.entries:
+            if entry.gateway is not None:
+                await entry.gateway._end()
+                for server in entry.gateway._auxiliary_servers.values():
+                    server.stop_accepting()
+                    server.abort()
+                entry.gateway._callers.stop_accepting()
+            if entry.proxy is not None:
+                await entry.proxy.stop()
+        await self.store.stop()
+
+    def readers(self) -> list[Entry]:
+        """Return the entries that read the store for themselves or others."""
+        return [e for e in self.entries if not e.gateway._relaying.is_relayed]
+
+    def change(self) -> int:
+        """Write the next configuration as the operator, and return its version."""
+        self.version += self.random.randint(1, 4)
+        route = {"Name": "r", "Host": "x.example", "PathPrefix": "/a/"}
+        route |= {"RouteType": "idempotent", "Service": "app"}
+        body = {"Version": self.version, "Routes": [route]}
+        body["Services"] = [{"Name": "app", "MaxConnections": 100}]
+        acknowledged_at = self.store.put(CONFIGURATION_TOPIC, "config", body)
+        self.acknowledged_at.setdefault(self.version, acknowledged_at)
+        return self.version
+
+    def endpoint_record(self, number: int) -> dict:
+        """Return the record that an endpoint publishes about itself."""
+        address = f"127.0.0.1:{1000 + number}"
+        record = {"Service": "app", "Address": address, "Zone": "dc-0", "Slots": 4}
+        return record | {"State": "ready", "born": 1}
+
+    def endpoint_names(self) -> set[str]:
+        """Return the names of the endpoints that the store lists."""
+        return set(self.store.newest_values(ENDPOINTS_TOPIC))
+
+    async def wait_until(self, condition, timeout_s: float) -> bool:
+        """Wait for a condition; return whether it held in time."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            if condition():
+                return True
+            await asyncio.sleep(POLL_S)
+        return condition()
+
+    async def late_entries(self, version: int, due: float) -> list[str]:
+        """Wait until ``due``; return the entries that don't have the version then."""
+        await self.wait_until(
+            lambda: all(e.view.catalogue.version >= version for e in self.entries),
+            due - time.monotonic(),
+        )
+        return [e.name for e in self.entries if e.view.catalogue.version < version]
+
+    def reverted_entries(self) -> dict[str, list[int]]:
+        """Return the entries whose versions fell, with their versions."""
+        return {
+            entry.name: entry.versions
+            for entry in self.entries
+            if entry.versions != sorted(entry.versions)
+        }
+
+    def hold(self, entries: list[Entry]) -> None:
+        """Cut entries off from the store; nothing arrives, nothing is reset."""
+        for entry in entries:
+            entry.proxy.faults["mode"] = "hold"
+
+    def turn_away(self, entries: list[Entry]) -> None:
+        """Reset the connections of entries to the store, also new ones."""
+        for entry in entries:
+            entry.proxy.faults["mode"] = "refuse"
+            entry.proxy.cut_connections()
+
+    def reconnect(self) -> None:
+        """End ``hold`` and ``turn_away``; bytes that were held up are lost."""
+        for entry in self.entries:
+            if entry.proxy.faults["mode"] != "pass":
+                entry.proxy.faults["mode"] = "pass"
+                entry.proxy.cut_connections()
+
+    def entries_by_data_centre(self) -> dict[str, list[Entry]]:
+        """Return the entries of each data centre."""
+        found = collections.defaultdict(list)
+        for entry in self.entries:
+            found[entry.data_centre].append(entry)
+        return dict(found)
--- a/script/run_features.py
+++ b/script/run_features.py
@@ -69,7 +69,8 @@
         for element in file_report.get("elements", []):
             if element.get("type") == "background":
                 continue
-            name = f"{feature}: {element['name']}"
+            # behave ends the name of an unnamed table's example with a space.
+            name = f"{feature}: {element['name'].strip()}"
             (passed if element.get("status") == PASSED else failed).append(name)
     return passed, failed
 
--- a/standins/edgestore.py
+++ b/standins/edgestore.py
@@ -5,8 +5,9 @@
 ordering capacity. Topics are logs; in those whose name begins with ``keyed.`` each
 key has a newest value. ``mode`` injects a fault: ``silent`` never answers, ``busy``
 refuses with 503, ``reset`` resets the connection, ``lost`` carries out the call but
-withholds some of the answers to writes, ``slow`` delays. ``reports`` and ``orders``
-record the calls of the duties' holders.
+withholds some of the answers to writes, ``slow`` delays. ``restore`` brings the store
+back from an older copy, with the next era. ``reports`` and ``orders`` record the calls
+of the duties' holders.
 """
 
 import asyncio
@@ -25,6 +26,9 @@
 MEAN_DELAY_S = 0.2
 POLL_S = 0.01
 MODES = ("pass", "silent", "busy", "reset", "lost", "slow")
+# Topics that only the operator and the servers write; they write again what a restore
+# has lost.
+WRITTEN_AGAIN = ("keyed.op", "keyed.servers")
 
 
 class DutyCall(typing.NamedTuple):
@@ -40,6 +44,14 @@
     body: dict[str, typing.Any]
 
 
+class KeyedValue(typing.NamedTuple):
+    """The newest value of a key of a topic; an empty one removes the key."""
+
+    topic: str
+    key: str
+    value: bytes
+
+
 class Topic:
     """One topic: records, the first retained offset, newest values by key."""
 
@@ -47,6 +59,8 @@
         self.records: list[bytes] = []
         self.first_offset = 0
         self.newest_values: dict[str, tuple[int, bytes]] = {}
+        # Every record from offset 0 on, with the monotonic time of its append.
+        self._history: list[tuple[float, bytes]] = []
 
     @property
     def end_offset(self) -> int:
@@ -68,6 +82,19 @@
             else:
                 self.newest_values.pop(key, None)
         self.records.append(record)
+        self._history.append((time.monotonic(), record))
+
+    def restore(self, before: float, *, is_keyed: bool) -> None:
+        """Lose the records that were appended at ``before`` or later."""
+        history = self._history
+        kept = [(at, record) for at, record in history if at < before]
+        first_offset = min(self.first_offset, len(kept))
+        self.__init__()
+        for _, record in kept:
+            self.append(record, is_keyed=is_keyed)
+        self._history = kept
+        self.records = self.records[first_offset:]
+        self.first_offset = first_offset
 
     def compact(self) -> None:
         """Drop all records; the newest value of each key stays."""
@@ -82,6 +109,7 @@
         self._topics: dict[str, Topic] = collections.defaultdict(Topic)
         self._listener = edgewire.Listener(self._handle)
         self.mode = "pass"
+        self.era = 1
         self.reports: list[DutyCall] = []
         self.orders: list[DutyCall] = []
         self.calls = 0
@@ -117,12 +145,46 @@
         """Remove a key; return the monotonic time of the acknowledgement."""
         return self.put(topic, key, b"")
 
+    def newest_values(self, topic: str) -> dict[str, bytes]:
+        """Return the newest value of each key of a topic."""
+        values = self._topics[topic].newest_values
+        return {key: value for key, (_, value) in values.items()}
+
     def compact(self) -> None:
         """Drop the records of all keyed topics, keeping the newest values."""
         for name, topic in self._topics.items():
             if name.startswith(KEYED_PREFIX):
                 topic.compact()
 
+    def restore(self, age_s: float) -> list[KeyedValue]:
+        """
+        Go back to a copy that is ``age_s`` seconds old, and begin the next era.
+
+        Returns what the operator and the servers have to write again: the newest values
+        that the copy lacks. Every connection is reset.
+        """
+        before = time.monotonic() - age_s
+        lost = []
+        for name, topic in self._topics.items():
+            newest_values = self.newest_values(name)
+            topic.restore(before, is_keyed=name.startswith(KEYED_PREFIX))
+            if name in WRITTEN_AGAIN:
+                kept_values = self.newest_values(name)
+                lost += [
+                    KeyedValue(name, key, newest_values.get(key, b""))
+                    for key in kept_values | newest_values
+                    if kept_values.get(key) != newest_values.get(key)
+                ]
+        self.era += 1
+        self._listener.reset_all()
+        return lost
+
+    def write_again(self, lost: list[KeyedValue]) -> float:
+        """Append values that a restore has lost; return the acknowledgement time."""
+        for topic, key, value in lost:
+            self.put(topic, key, value)
+        return time.monotonic()
+
     async def _handle(
         self, request: edgewire.Request, writer: asyncio.StreamWriter
     ) -> bool:
@@ -134,12 +196,12 @@
             edgewire.reset(writer)
             return False
         if mode == "busy":
-            writer.write(edgewire.encode(503))
+            writer.write(self._encode(503))
             return True
         if mode == "slow":
             await asyncio.sleep(self._random.uniform(0, 2 * MEAN_DELAY_S))
         handler = self._handlers.get(request.path)
-        response = edgewire.encode(404) if handler is None else await handler(request)
+        response = self._encode(404) if handler is None else await handler(request)
         is_write = request.method == "POST"
         if mode == "lost" and is_write and self._random.random() < LOST_ANSWER_SHARE:
             await asyncio.get_running_loop().create_future()
@@ -153,29 +215,29 @@
         expected_offset = request.query.get("At")
         # Operators and servers write these topics, through ``put``; entries may not.
         if name in ("keyed.op", "keyed.servers"):
-            return edgewire.encode(403)
+            return self._encode(403)
         if expected_offset is not None and int(expected_offset) != topic.end_offset:
-            return _json(412, {"EndOffset": topic.end_offset})
+            return self._json(412, {"EndOffset": topic.end_offset})
         first_offset, position = topic.end_offset, 0
         while position < len(request.body):
             (size,) = struct.unpack_from(">I", request.body, position)
             record = request.body[position + 4 : position + 4 + size]
             topic.append(record, is_keyed=name.startswith(KEYED_PREFIX))
             position += 4 + size
-        return _json(200, {"Offset": first_offset, "EndOffset": topic.end_offset})
+        return self._json(200, {"Offset": first_offset, "EndOffset": topic.end_offset})
 
     async def _read(self, request: edgewire.Request) -> bytes:
         topic = self._topics[request.query["Topic"]]
         from_offset = int(request.query["From"])
         wait_until = time.monotonic() + int(request.query.get("WaitMs", 0)) / 1000
-        while from_offset >= topic.end_offset and time.monotonic() < wait_until:
+        while from_offset == topic.end_offset and time.monotonic() < wait_until:
             await asyncio.sleep(POLL_S)
-        if from_offset < topic.first_offset:
-            return _json(410, {"FirstOffset": topic.first_offset})
+        if not topic.first_offset <= from_offset <= topic.end_offset:
+            return self._json(410, {"FirstOffset": topic.first_offset})
         records = topic.records[from_offset - topic.first_offset :]
         head = struct.pack(">QQ", topic.end_offset, topic.first_offset)
         parts = [struct.pack(">I", len(record)) + record for record in records]
-        return edgewire.encode(200, head + b"".join(parts))
+        return self._encode(200, head + b"".join(parts))
 
     async def _newest(self, request: edgewire.Request) -> bytes:
         topic = self._topics[request.query["Topic"]]
@@ -184,15 +246,22 @@
             for key, (offset, value) in topic.newest_values.items()
         ]
         body = {"Items": items, "HasMore": False, "EndOffset": topic.end_offset}
-        return _json(200, body)
+        return self._json(200, body)
 
     async def _report(self, request: edgewire.Request) -> bytes:
         self.reports.append(_duty_call(request))
-        return edgewire.encode(200)
+        return self._encode(200)
 
     async def _order(self, request: edgewire.Request) -> bytes:
         self.orders.append(_duty_call(request))
-        return edgewire.encode(200)
+        return self._encode(200)
+
+    def _json(self, status: int, body: typing.Any) -> bytes:
+        return self._encode(status, json.dumps(body).encode())
+
+    def _encode(self, status: int, body: bytes = b"") -> bytes:
+        headers = {"Content-Type": "application/json", "Store-Era": str(self.era)}
+        return edgewire.encode(status, body, headers)
 
 
 def _duty_call(request: edgewire.Request) -> DutyCall:
@@ -202,8 +271,3 @@
         int(request.headers["fencing-token"]),
         json.loads(request.body),
     )
-
-
-def _json(status: int, body: typing.Any) -> bytes:
-    headers = {"Content-Type": "application/json"}
-    return edgewire.encode(status, json.dumps(body).encode(), headers)
--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -6,6 +6,7 @@
 each new connection) and cut (close each connection once ``cut_after_bytes`` have been
 forwarded). ``direction`` names the direction that a hold or cut applies to: request,
 answer or both. ``delay_s`` delays each chunk of data in both directions.
+``silence_connections`` lets open connections carry nothing more, while new ones work.
 """
 
 import asyncio
@@ -34,6 +35,7 @@
         }
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Start listening; with port 0, pick a free port and set ``port`` to it."""
@@ -51,6 +53,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_connections(self) -> None:
+        """Forward nothing more on the open connections, without closing them."""
+        self._silenced_writers |= self._writers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -70,6 +76,7 @@
                 group.create_task(self._pump(target_reader, writer, "answer", pair))
         finally:
             self._writers -= pair
+            self._silenced_writers -= pair
 
     async def _pump(
         self,
@@ -82,7 +89,10 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
                 await asyncio.sleep(self.faults["delay_s"])
-                while self._is_mode_active("hold", direction):
+                while (
+                    self._is_mode_active("hold", direction)
+                    or writer in self._silenced_writers
+                ):
                     await asyncio.sleep(HOLD_POLL_S)
                 if self._is_mode_active("cut", direction):
                     allowed_bytes = max(
