Log the store's era, and how a configuration came into force

Needed to tell the hypotheses on late configurations apart: a reader that skips a version shows a risen era and no later change; an entry that can't read logs that its reader has a newer configuration. The soak's plant 'config' follows the changed signature. No decision changes.

--- a/acaciaward/catalogue/storeview.py
+++ b/acaciaward/catalogue/storeview.py
@@ -62,9 +62,9 @@
         self._configuration_follower = topicfollower.Follower(
             configuration_source,
             name="configuration",
-            on_listing=self._apply_configurations,
+            on_listing=lambda values: self._apply_configurations(values, "listing"),
             on_change=lambda change: self._apply_configurations(
-                {change.key: change.value}
+                {change.key: change.value}, "change"
             ),
             wait_s=wait_s,
             is_relayed=lambda: is_relayed() and not self._is_outdated,
@@ -110,9 +110,17 @@
 
     def receive_version(self, version: int) -> None:
         """Receive the version in force at the reader; a newer one is read at once."""
-        self._is_outdated = version > self.catalogue.version
+        is_newer = version > self.catalogue.version
+        if is_newer and not self._is_outdated:
+            log.info(
+                "reader has a newer configuration",
+                extra=logs.fields(version=version, before=self.catalogue.version),
+            )
+        self._is_outdated = is_newer
 
-    def _apply_configurations(self, values: abc.Mapping[str, bytes | None]) -> None:
+    def _apply_configurations(
+        self, values: abc.Mapping[str, bytes | None], source: str
+    ) -> None:
         data = values.get(self._decoder.CONFIGURATION_KEY)
         if not data:
             return
@@ -133,6 +141,7 @@
             extra=logs.fields(
                 version=catalogue.version,
                 before=current_version,
+                source=source,
                 routes=len(catalogue.routes),
                 organisations=len(catalogue.organisations),
             ),
--- a/acaciaward/platform/calls.py
+++ b/acaciaward/platform/calls.py
@@ -45,10 +45,15 @@
 
 
 class PlatformReply(typing.NamedTuple):
-    """Status and body of a service's answer; ``call`` decodes the body from JSON."""
+    """
+    Status, body and headers of a service's answer.
+
+    ``call`` decodes the body from JSON. The names of headers are in lower case.
+    """
 
     status: int
     body: typing.Any
+    headers: abc.Mapping[str, str] = {}
 
 
 class PlatformService:
@@ -129,7 +134,7 @@
         finally:
             timers[outcome].observe(time.monotonic() - began)
         if is_success:
-            return PlatformReply(response.status, answer)
+            return PlatformReply(response.status, answer, response.headers)
         self._raise_for_status(response, answer)
 
     def _timers(self, kind: str) -> dict[str, prometheus_client.Histogram]:
--- a/acaciaward/platform/features/steps/calls_steps.py
+++ b/acaciaward/platform/features/steps/calls_steps.py
@@ -29,7 +29,7 @@
         if self.released is not None:
             await self.released.wait()
         yield types.SimpleNamespace(
-            status=self.next_outcome, read=read, retry_after_s=None
+            status=self.next_outcome, read=read, retry_after_s=None, headers={}
         )
 
 
--- a/acaciaward/platform/store.py
+++ b/acaciaward/platform/store.py
@@ -7,21 +7,31 @@
 
 import base64
 import binascii
+import logging
 import struct
 import typing
 import urllib.parse
 from collections import abc
 
 import msgspec
+import prometheus_client
 
 from acaciaward import errors
+from acaciaward.observability import logs
 from acaciaward.platform import calls
 
+log = logging.getLogger(__name__)
+
 CONFIGURATION_TOPIC = "keyed.op"
 ENDPOINTS_TOPIC = "keyed.servers"
 CONFLICT_STATUS = 409
 PRECONDITION_STATUS = 412
 EXPIRED_STATUS = 410
+# Header of every answer: a number that rises when the store is restored from a copy.
+ERA_HEADER = "store-era"
+STORE_ERA = prometheus_client.Gauge(
+    "acaciaward_store_era", "How often the platform's store was restored, as it says"
+)
 _RECORD_LENGTH = struct.Struct(">I")
 # End offset of the topic and first retained offset.
 _PAGE_HEAD = struct.Struct(">QQ")
@@ -94,6 +104,7 @@
 
     def __init__(self, service: calls.PlatformService):
         self._service = service
+        self._era = 0
 
     async def newest(self, topic: str) -> NewestValues:
         """Read the newest value of each key of a topic."""
@@ -188,6 +199,7 @@
         reply = await self._service.exchange(
             method, path, data, wait_s=wait_s, accepted=frozenset(accepted)
         )
+        self._record_era(reply.headers.get(ERA_HEADER))
         if name == "log-read":
             return reply
         try:
@@ -195,6 +207,23 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise errors.PlatformUnknownError(f"{name}: {error}") from error
 
+    def _record_era(self, text: str | None) -> None:
+        if text is None and not self._era:
+            return
+        if text is None or not text.isdecimal():
+            log.warning(
+                "store's era is missing or invalid", extra=logs.fields(era=text)
+            )
+            return
+        era = int(text)
+        if era == self._era:
+            return
+        event = "store's era" if era > self._era else "store's era is older than known"
+        log.info(event, extra=logs.fields(era=era, before=self._era))
+        if era > self._era:
+            self._era = era
+            STORE_ERA.set(era)
+
 
 def _require_object(body: typing.Any) -> dict[str, typing.Any]:
     if not isinstance(body, dict):
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -89,9 +89,9 @@
     """Keep the first configuration and ignore later ones."""
     original = storeview.StoreView._apply_configurations
 
-    def apply_configurations(self, values):
+    def apply_configurations(self, values, source):
         if self.catalogue.version < 0:
-            original(self, values)
+            original(self, values, source)
 
     storeview.StoreView._apply_configurations = apply_configurations
 
