List the store's topics again after it was restored

Cause: a follower reads on from an offset. When the store comes back from an older copy, offsets go back and are given out again. If the topic has grown past the follower's offset by the time it reads on, no answer shows it, and the records below the offset are skipped: a configuration until the next one, an endpoint until it changes again. Class: a position in a log that is kept without naming the history that it belongs to.

Change: every listing and page names the store's era; a page of a later era than the offset's is discarded and the topic is listed. The era of a listing is that of its first page, like its end. Removals found so are deferred as around an outage, since the copy may lack records that are written again.

--- a/acaciaward/catalogue/topicfollower.py
+++ b/acaciaward/catalogue/topicfollower.py
@@ -1,8 +1,9 @@
 """
 Follows a keyed topic of the store, in which only the newest value of a key counts.
 
-Reads a complete listing first, then each change in order; if changes have expired in
-the store before they were read, it starts over with a listing.
+Reads a complete listing first, then each change in order. It starts over with a listing
+if changes have expired in the store before they were read, or if the store was restored
+from an older copy: offsets of an earlier era may belong to other records.
 """
 
 import asyncio
@@ -34,18 +35,28 @@
 
 
 class Listing(typing.NamedTuple):
-    """All keys with their values, and the offset of the next change."""
+    """
+    All keys with their values, and the offset of the next change.
+
+    ``era`` is the store's era at that offset, 0 if unknown.
+    """
 
     values: abc.Mapping[str, bytes]
     next_offset: int
+    era: int = 0
 
 
 class Page(typing.NamedTuple):
-    """Changes in order, and the next offset; ``end_offset`` is the end of the topic."""
+    """
+    Changes in order, and the next offset.
+
+    ``end_offset`` is the end of the topic, ``era`` the store's era, 0 if unknown.
+    """
 
     changes: abc.Sequence[Change]
     next_offset: int
     end_offset: int
+    era: int = 0
 
 
 class Source(typing.Protocol):
@@ -89,6 +100,8 @@
         self._pause_s = pause_s
         self._is_relayed = is_relayed
         self._next_offset: int | None = None
+        # The store's era in which the next offset was obtained.
+        self._era = 0
         self._failures = 0
         self.listed = asyncio.Event()
         self.read_at = -math.inf
@@ -121,15 +134,24 @@
             listing = await self._source.read_all()
             self._on_listing(listing.values)
             self._next_offset = listing.next_offset
+            self._era = listing.era
             self.listed.set()
         requested_at = time.monotonic()
         page = await self._source.read_changes(self._next_offset, wait_s=self._wait_s)
-        if page.end_offset < self._next_offset:
+        if page.era > self._era or page.end_offset < self._next_offset:
             log.warning(
-                "topic ends before the next offset; listing it again",
-                extra=logs.fields(topic=self._name),
+                "store was restored from an older copy; listing the topic again",
+                extra=logs.fields(
+                    topic=self._name,
+                    next=self._next_offset,
+                    end=page.end_offset,
+                    era=page.era,
+                    before=self._era,
+                ),
             )
             self._next_offset = None
+            # The copy may lack keys that will be written again.
+            self._on_outage()
             return
         for change in page.changes:
             self._on_change(change)
--- a/acaciaward/platform/store.py
+++ b/acaciaward/platform/store.py
@@ -29,6 +29,7 @@
 EXPIRED_STATUS = 410
 # Header of every answer: a number that rises when the store is restored from a copy.
 ERA_HEADER = "store-era"
+MAX_ERA_DIGITS = 18
 STORE_ERA = prometheus_client.Gauge(
     "acaciaward_store_era", "How often the platform's store was restored, as it says"
 )
@@ -38,12 +39,18 @@
 
 
 class Page(typing.NamedTuple):
-    """Records from ``start`` on; the next append will get offset ``end_offset``."""
+    """
+    Records from ``start`` on; the next append will get offset ``end_offset``.
+
+    ``era`` is that of the answer, 0 if it states none: when the store was restored from
+    an older copy, offsets begin again at the copy's end.
+    """
 
     records: list[bytes]
     start: int
     end_offset: int
     first_retained: int
+    era: int = 0
 
     @property
     def next_offset(self) -> int:
@@ -52,10 +59,11 @@
 
 
 class NewestValues(typing.NamedTuple):
-    """The newest value of each key, and the offset to follow the topic from."""
+    """The newest value of each key, the offset to follow the topic from and its era."""
 
     values: dict[str, bytes]
     end_offset: int
+    era: int = 0
 
 
 class AppendRefusedError(errors.PlatformRefusedError):
@@ -110,6 +118,7 @@
         """Read the newest value of each key of a topic."""
         values: dict[str, bytes] = {}
         end = None
+        era = 0
         after = None
         while True:
             query = {"Topic": topic, "part": 0}
@@ -121,11 +130,13 @@
             for item in items:
                 after = item["Key"]
                 values[after] = _decode_base64(item.get("Value"))
-            # The topic may change between pages: following it from the end that the
-            # first page reports misses no change.
-            end = int(body.get("EndOffset", 0)) if end is None else end
+            # The topic may change between pages: following it from the end and the era
+            # of the first page misses no change.
+            if end is None:
+                end = int(body.get("EndOffset", 0))
+                era = _read_era(reply)
             if not body.get("HasMore") or not items:
-                return NewestValues(values, end)
+                return NewestValues(values, end, era)
 
     async def read(
         self, topic: str, start: int, *, wait_s: float = 0.0, max_kb: int = 1024
@@ -151,9 +162,8 @@
         if len(reply.body) < _PAGE_HEAD.size:
             raise errors.PlatformUnknownError("answer truncated within its head")
         end, first_retained = _PAGE_HEAD.unpack_from(reply.body)
-        return Page(
-            decode_records(reply.body[_PAGE_HEAD.size :]), start, end, first_retained
-        )
+        records = decode_records(reply.body[_PAGE_HEAD.size :])
+        return Page(records, start, end, first_retained, _read_era(reply))
 
     async def append(
         self,
@@ -199,7 +209,7 @@
         reply = await self._service.exchange(
             method, path, data, wait_s=wait_s, accepted=frozenset(accepted)
         )
-        self._record_era(reply.headers.get(ERA_HEADER))
+        self._record_era(reply)
         if name == "log-read":
             return reply
         try:
@@ -207,17 +217,17 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise errors.PlatformUnknownError(f"{name}: {error}") from error
 
-    def _record_era(self, text: str | None) -> None:
-        if text is None and not self._era:
+    def _record_era(self, reply: calls.PlatformReply) -> None:
+        era = _read_era(reply)
+        if era == self._era:
             return
-        if text is None or not text.isdecimal():
+        if not era:
             log.warning(
-                "store's era is missing or invalid", extra=logs.fields(era=text)
+                "store's era is missing or invalid",
+                extra=logs.fields(era=reply.headers.get(ERA_HEADER)),
             )
             return
-        era = int(text)
-        if era == self._era:
-            return
+        # Answers to calls that overlap may arrive in another order.
         event = "store's era" if era > self._era else "store's era is older than known"
         log.info(event, extra=logs.fields(era=era, before=self._era))
         if era > self._era:
@@ -225,6 +235,13 @@
             STORE_ERA.set(era)
 
 
+def _read_era(reply: calls.PlatformReply) -> int:
+    """Return the era that an answer states, 0 if it is missing or not a number."""
+    text = reply.headers.get(ERA_HEADER, "")
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_number else 0
+
+
 def _require_object(body: typing.Any) -> dict[str, typing.Any]:
     if not isinstance(body, dict):
         raise errors.PlatformUnknownError("answer is not an object")
--- a/acaciaward/platform/topics.py
+++ b/acaciaward/platform/topics.py
@@ -18,7 +18,7 @@
         """Return the newest value of each key."""
         newest = await self._client.newest(self._topic)
         values = {key: value for key, value in newest.values.items() if value}
-        return topicfollower.Listing(values, newest.end_offset)
+        return topicfollower.Listing(values, newest.end_offset, newest.era)
 
     async def read_changes(self, start: int, *, wait_s: float) -> topicfollower.Page:
         """Return changes from an offset on; skip records without a complete key."""
@@ -30,7 +30,7 @@
             except errors.PlatformUnknownError:
                 continue
             changes.append(topicfollower.Change(key, value or None))
-        return topicfollower.Page(changes, page.next_offset, page.end_offset)
+        return topicfollower.Page(changes, page.next_offset, page.end_offset, page.era)
 
     async def set(self, key: str, value: bytes) -> None:
         """Append a record that sets a key; an empty value deletes it."""
