Go on following the store after an answer that can't be decoded

The entry went on to relay fresh endpoints, so its data centre relied on it. Class: a long-lived task that one input ends.

Ruled out: an object without FirstOffset and an empty list as a listing, which were handled before, too.

Change: bodies are decoded by type, and what doesn't fit is a PlatformUnknownError. A 410 is an expired offset whatever its body says; without a first offset, 0 is assumed, as the lease's reader asks there next. The follower logs any other exception with its traceback, lists the topic again and backs off.

Elsewhere: the lease, the saved quotas and usage reports use the same client and catch PlatformError, so the typed decoding covers them.

--- a/acaciaward/catalogue/topicfollower.py
+++ b/acaciaward/catalogue/topicfollower.py
@@ -117,14 +117,23 @@
                 await self._read_once()
             except errors.RecordsExpiredError as error:
                 log.info(
-                    "records expired before they were read; listing the topic again",
+                    "next offset doesn't exist any more; listing the topic again",
                     extra=logs.fields(topic=self._name, first=error.first_offset),
                 )
                 self._next_offset = None
             except errors.PlatformError as error:
                 self._record_failure(error)
-                max_backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
-                await asyncio.sleep(random.uniform(max_backoff_s / 2, max_backoff_s))
+                await self._back_off()
+            except Exception as error:
+                # Whatever one answer holds, the topic has to be followed further.
+                log.error(
+                    "applying an answer of the store failed; listing the topic again",
+                    extra=logs.fields(topic=self._name),
+                    exc_info=error,
+                )
+                self._next_offset = None
+                self._record_failure(error)
+                await self._back_off()
             else:
                 self._record_success()
                 await asyncio.sleep(self._pause_s)
@@ -158,7 +167,11 @@
         self._next_offset = page.next_offset
         self.read_at = requested_at
 
-    def _record_failure(self, error: errors.PlatformError) -> None:
+    async def _back_off(self) -> None:
+        max_backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
+        await asyncio.sleep(random.uniform(max_backoff_s / 2, max_backoff_s))
+
+    def _record_failure(self, error: Exception) -> None:
         if not self._failures:
             log.warning(
                 "store unavailable", extra=logs.fields(topic=self._name, reason=error)
--- a/acaciaward/platform/store.py
+++ b/acaciaward/platform/store.py
@@ -5,8 +5,6 @@
 type whose fields say what it holds.
 """
 
-import base64
-import binascii
 import logging
 import struct
 import typing
@@ -38,6 +36,28 @@
 _PAGE_HEAD = struct.Struct(">QQ")
 
 
+_Body = typing.TypeVar("_Body")
+
+
+class _NewestItem(msgspec.Struct, rename="pascal"):
+    key: str
+    value: bytes | None = None
+
+
+class _NewestBody(msgspec.Struct, rename="pascal"):
+    end_offset: int
+    items: list[_NewestItem] | None = None
+    has_more: bool = False
+
+
+class _AppendBody(msgspec.Struct, rename="pascal"):
+    end_offset: int
+
+
+class _ExpiredBody(msgspec.Struct, rename="pascal"):
+    first_offset: int
+
+
 class Page(typing.NamedTuple):
     """
     Records from ``start`` on; the next append will get offset ``end_offset``.
@@ -125,17 +145,16 @@
             if after is not None:
                 query["After"] = after
             reply = await self._call("GET", "log-newest", query)
-            body = _require_object(reply.body)
-            items = body.get("Items") or []
-            for item in items:
-                after = item["Key"]
-                values[after] = _decode_base64(item.get("Value"))
+            body = _decode(reply, _NewestBody)
+            for item in body.items or ():
+                after = item.key
+                values[after] = item.value or b""
             # The topic may change between pages: following it from the end and the era
             # of the first page misses no change.
             if end is None:
-                end = int(body.get("EndOffset", 0))
+                end = body.end_offset
                 era = _read_era(reply)
-            if not body.get("HasMore") or not items:
+            if not body.has_more or not body.items:
                 return NewestValues(values, end, era)
 
     async def read(
@@ -144,7 +163,8 @@
         """
         Read records from an offset on, waiting up to ``wait_s`` for the first.
 
-        Raises ``RecordsExpiredError`` when the offset is no longer retained.
+        Raises ``RecordsExpiredError`` when the offset is no longer retained, or beyond
+        the end since the store was restored from an older copy.
         """
         query = {"Topic": topic, "part": 0, "From": start, "MaxKb": max_kb}
         if wait_s:
@@ -153,11 +173,9 @@
             "GET", "log-read", query, wait_s=wait_s, accepted={EXPIRED_STATUS}
         )
         if reply.status == EXPIRED_STATUS:
-            body = _require_object(msgspec.json.decode(reply.body))
-            first_offset = int(body.get("FirstOffset", start))
             raise errors.RecordsExpiredError(
-                f"{topic}: offset {start} is no longer retained",
-                first_offset=first_offset,
+                f"{topic}: there is no offset {start}",
+                first_offset=_read_first_offset(reply),
             )
         if len(reply.body) < _PAGE_HEAD.size:
             raise errors.PlatformUnknownError("answer truncated within its head")
@@ -189,8 +207,7 @@
             data=encode_records(records),
             accepted={PRECONDITION_STATUS},
         )
-        body = _require_object(reply.body)
-        end = int(body.get("EndOffset", -1))
+        end = _decode(reply, _AppendBody).end_offset
         if reply.status == PRECONDITION_STATUS:
             raise AppendRefusedError(f"{topic} ends at {end}", end)
         return end
@@ -210,12 +227,7 @@
             method, path, data, wait_s=wait_s, accepted=frozenset(accepted)
         )
         self._record_era(reply)
-        if name == "log-read":
-            return reply
-        try:
-            return reply._replace(body=msgspec.json.decode(reply.body))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise errors.PlatformUnknownError(f"{name}: {error}") from error
+        return reply
 
     def _record_era(self, reply: calls.PlatformReply) -> None:
         era = _read_era(reply)
@@ -242,14 +254,19 @@
     return int(text) if is_number else 0
 
 
-def _require_object(body: typing.Any) -> dict[str, typing.Any]:
-    if not isinstance(body, dict):
-        raise errors.PlatformUnknownError("answer is not an object")
-    return body
+def _decode(reply: calls.PlatformReply, body_type: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(reply.body, type=body_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise errors.PlatformUnknownError(f"invalid answer: {error}") from error
 
 
-def _decode_base64(value: typing.Any) -> bytes:
+def _read_first_offset(reply: calls.PlatformReply) -> int:
+    """Return the first offset that a refused read states, 0 without a valid one."""
     try:
-        return base64.b64decode(value or "")
-    except (binascii.Error, TypeError, ValueError) as error:
-        raise errors.PlatformUnknownError(f"value is not base64: {error}") from error
+        return max(0, _decode(reply, _ExpiredBody).first_offset)
+    except errors.PlatformUnknownError as error:
+        log.warning(
+            "no first offset for a refused read", extra=logs.fields(reason=error)
+        )
+        return 0
