Rely on a reader's configuration only while it was read lately

Cause: an entry relies on its reader while the reader's endpoints were read within 1.3 s. The reader follows the configuration by another call, a long poll of 2 s with 0.6 s on top, on another connection. While that call hangs, endpoints stay fresh and everybody counts as current. Class: freshness of one thing vouched for by another.

Evidence: 'A long poll whose answer is lost doesn't make a data centre late' failed before: with the polls' answers lost, all six entries had the old version at the bound (2 s); the poll alone may take 2.6 s. Ruled out: relays that are lost (no entry late, 0.44 s at most).

Change: relays say how long ago the reader read the configuration, and an entry whose reader's is older than 1.3 s reads it itself. A relay of an older build lacks the new field; its endpoints' age counts as before.

--- a/acaciaward/catalogue/storeview.py
+++ b/acaciaward/catalogue/storeview.py
@@ -38,8 +38,9 @@
     """
     Follows the topics of configurations and of endpoints.
 
-    ``is_relayed`` returns whether relays bring updates from a reader, the entry that
-    reads the store for its data centre; while they do, this entry doesn't read it.
+    ``is_relayed`` and ``is_configuration_relayed`` return whether relays bring updates
+    of endpoints and of configurations from a reader, the entry that reads the store for
+    its data centre; while they do, this entry doesn't read them.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         wait_s: float,
         pause_s: float,
         is_relayed: abc.Callable[[], bool],
+        is_configuration_relayed: abc.Callable[[], bool],
     ):
         self.index: routes.Index | None = None
         self.on_endpoints_read: abc.Callable[[], None] = lambda: None
@@ -67,7 +69,7 @@
                 {change.key: change.value}, "change"
             ),
             wait_s=wait_s,
-            is_relayed=lambda: is_relayed() and not self._is_outdated,
+            is_relayed=lambda: is_configuration_relayed() and not self._is_outdated,
         )
         self._endpoint_follower = topicfollower.Follower(
             endpoint_source,
@@ -94,6 +96,11 @@
         """The monotonic time at which the last successful read of endpoints began."""
         return self._endpoint_follower.read_at
 
+    @property
+    def configuration_read_at(self) -> float:
+        """The monotonic time at which the last read of the configuration began."""
+        return self._configuration_follower.read_at
+
     @property
     def scaled_services(self) -> list[routes.Service]:
         """The services with rented endpoints; empty until the endpoints are listed."""
--- a/acaciaward/catalogue/topicfollower.py
+++ b/acaciaward/catalogue/topicfollower.py
@@ -140,13 +140,17 @@
 
     async def _read_once(self) -> None:
         if self._next_offset is None:
+            listing_requested_at = time.monotonic()
             listing = await self._source.read_all()
             self._on_listing(listing.values)
             self._next_offset = listing.next_offset
             self._era = listing.era
+            self.read_at = listing_requested_at
             self.listed.set()
         requested_at = time.monotonic()
-        page = await self._source.read_changes(self._next_offset, wait_s=self._wait_s)
+        # After a failure the first answer is needed at once, also if nothing changed.
+        wait_s = 0.0 if self._failures else self._wait_s
+        page = await self._source.read_changes(self._next_offset, wait_s=wait_s)
         if page.era > self._era or page.end_offset < self._next_offset:
             log.warning(
                 "store was restored from an older copy; listing the topic again",
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -103,6 +103,7 @@
             wait_s=store_settings["wait_s"],
             pause_s=store_settings["endpoints_pause_s"],
             is_relayed=lambda: self._relaying.is_relayed,
+            is_configuration_relayed=lambda: self._relaying.is_configuration_relayed,
         )
         self._store_view.subscribe(self._use_catalogue)
 
@@ -179,6 +180,7 @@
             process_run=self._duties.process_run,
             data_centre=self._settings["instance"]["data_centre"],
             store_read_at=lambda: self._store_view.endpoints_read_at,
+            configuration_read_at=lambda: self._store_view.configuration_read_at,
             configuration_version=lambda: self._store_view.catalogue.version,
         )
         self._store_view.on_endpoints_read = self._relaying.record_store_read
--- a/acaciaward/relays/features/steps/relays_steps.py
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -242,6 +242,7 @@
             process_run=f"{name}/1",
             data_centre="dc",
             store_read_at=lambda: time.monotonic() - self.age_s,
+            configuration_read_at=lambda: time.monotonic() - self.age_s,
             configuration_version=lambda: 1,
         )
 
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -72,10 +72,11 @@
     What a reader sends to one entry of its data centre.
 
     ``start`` identifies the reader's current run, at whose start its sums begin;
-    ``age_s`` is the time since it read the endpoints. ``use`` and ``load`` are those of
-    all other entries, and ``heard`` counts the entries that the sums are based on.
-    ``version`` is that of the configuration in force at the reader. ``endpoints`` and
-    ``removed`` are the changes since its last relay, ``lapsed`` names the endpoints
+    ``age_s`` is the time since it read the endpoints, ``configuration_age_s`` since it
+    read the configuration, missing in relays of older builds. ``use`` and ``load`` are
+    those of all other entries, and ``heard`` counts the entries that the sums are based
+    on. ``version`` is that of the configuration in force at the reader. ``endpoints``
+    and ``removed`` are the changes since its last relay, ``lapsed`` names the endpoints
     whose removal it defers, and ``digest`` is the digest of all endpoints it knows.
     ``levels`` are the levels of its quotas, for entries that have just started.
     """
@@ -84,6 +85,7 @@
     start: str
     uptime_s: float
     age_s: float
+    configuration_age_s: typing.NotRequired[float]
     heard: int
     now: float
     version: int
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -31,8 +31,8 @@
 # Interval at which entries report and readers relay. A relay to each of 20 entries is
 # up to 8 KB, and a reader's network link may carry only 5 Mbit/s.
 TICK_INTERVAL_S = 0.25
-# An entry reads the store itself if the reader read the endpoints longer ago than this:
-# all entries must know of a leaving endpoint in less than two seconds.
+# An entry reads the store itself if the reader read it longer ago than this: all
+# entries must know of a leaving endpoint or a configuration in less than two seconds.
 MAX_STORE_AGE_S = 1.3
 # Without a relay for this long, an entry counts itself only.
 RELAY_TIMEOUT_S = 1.2
@@ -94,6 +94,7 @@
         process_run: str,
         data_centre: str,
         store_read_at: abc.Callable[[], float],
+        configuration_read_at: abc.Callable[[], float],
         configuration_version: abc.Callable[[], int],
     ):
         self._membership = membership
@@ -103,11 +104,13 @@
         self._started_at = time.monotonic()
         self._data_centre = data_centre
         self._get_store_read_at = store_read_at
+        self._get_configuration_read_at = configuration_read_at
         self._configuration_version = configuration_version
         self._aggregator = aggregation.Aggregator(time.monotonic)
         self._changed: dict[str, endpoints.Endpoint | None] = {}
         self._last_relay_at = -math.inf
         self._store_read_at = -math.inf
+        self._configuration_read_at = -math.inf
         self._mismatches = 0
         self._entry_count = 1
         self._reader = ""
@@ -134,11 +137,18 @@
 
     @property
     def is_relayed(self) -> bool:
-        """Whether another entry currently reads the store for this one."""
+        """Whether another entry currently reads the endpoints for this one."""
         is_reader = self._reader in ("", self._membership.name)
         is_fresh = time.monotonic() - self._store_read_at < MAX_STORE_AGE_S
         return not is_reader and is_fresh and not self.is_behind
 
+    @property
+    def is_configuration_relayed(self) -> bool:
+        """Whether another entry currently reads the configuration for this one."""
+        # The reader may read the endpoints while its call for the configuration hangs.
+        age_s = time.monotonic() - self._configuration_read_at
+        return self.is_relayed and age_s < MAX_STORE_AGE_S
+
     def reports(self) -> dict[str, messages.Report]:
         """Return the last report of each entry; empty unless this is the reader."""
         if self._reader != self._membership.name:
@@ -236,6 +246,9 @@
             "start": self._process_run,
             "uptime_s": self._uptime_s,
             "age_s": time.monotonic() - self._get_store_read_at(),
+            "configuration_age_s": (
+                time.monotonic() - self._get_configuration_read_at()
+            ),
             "now": self._aggregator.median_time(own_state.now),
             "version": self._configuration_version(),
             "endpoints": changes[0],
@@ -271,6 +284,8 @@
     def _apply_relay(self, relay: messages.Relay) -> None:
         self._last_relay_at = time.monotonic()
         self._store_read_at = self._last_relay_at - relay["age_s"]
+        configuration_age_s = relay.get("configuration_age_s", relay["age_s"])
+        self._configuration_read_at = self._last_relay_at - configuration_age_s
         self._entry_count = relay["heard"]
         sums = aggregation.Sums(*(relay[field] for field in aggregation.Sums._fields))
         is_recent_start = relay["uptime_s"] < aggregation.RECENT_START_S
