Get the configuration from other entries where the store can't be read

Cause: relays and gossip name the version that is in force elsewhere, but only the store gave the configuration itself. An entry that the store turned away knew that it was behind and could do nothing. Class: one source for what several processes already have.

The version still only rises.

--- a/acaciaward/catalogue/storeview.py
+++ b/acaciaward/catalogue/storeview.py
@@ -56,6 +56,8 @@
         is_configuration_relayed: abc.Callable[[], bool],
     ):
         self.index: routes.Index | None = None
+        # The store's record of the configuration in force.
+        self.configuration_data: bytes | None = None
         self.on_endpoints_read: abc.Callable[[], None] = lambda: None
         self._directory = directory
         self._decoder = decoder
@@ -125,6 +127,10 @@
             )
         self._is_outdated = is_newer
 
+    def receive_configuration(self, data: bytes) -> None:
+        """Receive another entry's record of the configuration in force there."""
+        self._apply_configurations({self._decoder.CONFIGURATION_KEY: data}, "peer")
+
     def _apply_configurations(
         self, values: abc.Mapping[str, bytes | None], source: str
     ) -> None:
@@ -140,6 +146,7 @@
         if catalogue.version <= current_version:
             return
         self.index = routes.Index(catalogue)
+        self.configuration_data = data
         self._is_outdated = False
         for listener in self._listeners:
             listener(catalogue)
--- a/acaciaward/entry/peerservices.py
+++ b/acaciaward/entry/peerservices.py
@@ -6,6 +6,7 @@
 import typing
 
 from acaciaward.administration import messages as administration_messages
+from acaciaward.catalogue import messages as catalogue_messages
 from acaciaward.claims import messages as claims_messages
 from acaciaward.configuration import messages as configuration_messages
 from acaciaward.identity import curvekeys
@@ -25,6 +26,7 @@
     | configuration_messages.MESSAGE_TYPES
     | claims_messages.MESSAGE_TYPES
     | relays_messages.MESSAGE_TYPES
+    | catalogue_messages.MESSAGE_TYPES
 )
 
 
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -13,7 +13,7 @@
 
 from acaciaward import httpclient, tasks
 from acaciaward.admission import quotas, quotastore, repeatbudget
-from acaciaward.catalogue import endpoints, routes, storeview
+from acaciaward.catalogue import endpoints, peerfetching, routes, storeview
 from acaciaward.entry import peerservices
 from acaciaward.gateway import (
     callers,
@@ -106,6 +106,11 @@
             is_configuration_relayed=lambda: self._relaying.is_configuration_relayed,
         )
         self._store_view.subscribe(self._use_catalogue)
+        self._peer_fetcher = peerfetching.PeerFetcher(
+            self._membership,
+            self._store_view,
+            data_centre=self._settings["instance"]["data_centre"],
+        )
 
     def _build_forwarding(self) -> None:
         bounds = self._settings["bounds"]
@@ -292,6 +297,7 @@
         for coroutine in (
             self._membership.run(),
             *self._store_view.coroutines(),
+            self._peer_fetcher.run(),
             self._run_housekeeping(),
             self._relaying.run(),
             self._saver.run(),
