Don't reuse connections to the platform that were idle for long

Cause: an entry that relies on its reader calls the store rarely and keeps its pooled connections. Class: idle connections trusted without a limit.

Change: the HTTP client has max_idle_s; the gateway's client of the platform uses 1 s, above the pause between two reads of the endpoints.

--- a/acaciaward/catalogue/features/delivery.feature
+++ b/acaciaward/catalogue/features/delivery.feature
@@ -48,3 +48,12 @@
       | the reader        |
       | an entry          |
       | all but one entry |
+
+  # Pooled connections that went silent while idle took one time-out each.
+  Scenario: Idle connections that went silent don't delay a configuration
+    Given 2 data centres of 3 entries that follow the store
+    When every entry has read the store itself over several connections
+    And all open connections to the store go silent and the contact time passes
+    And the next configuration is written
+    Then it is in force everywhere within the bound
+    And no read of the store timed out since the contact time
--- a/acaciaward/catalogue/features/steps/delivery_steps.py
+++ b/acaciaward/catalogue/features/steps/delivery_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from acaciaward.catalogue.features import delivery
+from acaciaward.platform import calls as platform_calls
 
 RESTORED_AGE_S = 0.6
 
@@ -92,6 +93,49 @@
     context.runner.run(wait_for_polls())
 
 
+@when("every entry has read the store itself over several connections")
+def read_over_several(context):
+    async def read():
+        views = [entry.view for entry in context.world.entries]
+        sources = [
+            follower._source
+            for view in views
+            for follower in (view._configuration_follower, view._endpoint_follower)
+        ]
+        await asyncio.gather(*(source.read_all() for source in sources * 3))
+
+    context.runner.run(read())
+
+
+@when("all open connections to the store go silent and the contact time passes")
+def silence(context):
+    async def silence_and_wait():
+        for entry in context.world.entries:
+            entry.proxy.silence_connections()
+        await asyncio.sleep(delivery.CONTACT_S)
+        context.lost_before = count_lost_calls()
+
+    context.runner.run(silence_and_wait())
+
+
+def count_lost_calls():
+    """Return how many calls to the store had no answer, over all entries."""
+    samples = platform_calls.PLATFORM_SECONDS.collect()[0].samples
+    return sum(
+        sample.value
+        for sample in samples
+        if sample.name.endswith("_count")
+        and sample.labels["service"] == "store"
+        and sample.labels["outcome"] == platform_calls.LOST
+    )
+
+
+@then("no read of the store timed out since the contact time")
+def check_no_lost_call(context):
+    lost_count = count_lost_calls() - context.lost_before
+    assert not lost_count, lost_count
+
+
 @when("the store turns away {who} of a data centre")
 def turn_away(context, who):
     async def choose():
--- a/acaciaward/endpoints/features/httpclient.feature
+++ b/acaciaward/endpoints/features/httpclient.feature
@@ -32,3 +32,9 @@
     Given a server that answers without end
     When the response is not read for a while
     Then the server could send less than 8000000 bytes
+
+  # A connection that went silent while idle cost the next request a time-out.
+  Scenario: A connection that has been idle for too long isn't used again
+    Given a server that goes silent on connections that were idle
+    When two requests are sent 0.2 s apart by a client that trusts idle ones for 0.1 s
+    Then both are answered
--- a/acaciaward/endpoints/features/steps/httpclient_steps.py
+++ b/acaciaward/endpoints/features/steps/httpclient_steps.py
@@ -174,3 +174,33 @@
 @then("the server could send less than {limit:d} bytes")
 def check_backpressure(context, limit):
     assert 0 < context.server.sent < limit, context.server.sent
+
+
+@given("a server that goes silent on connections that were idle")
+def start_silent_when_reused(context):
+    async def answer(server, writer, request_number):
+        if request_number == 1:
+            writer.write(COMPLETE_ANSWER)
+            await writer.drain()
+        return True
+
+    context.runner.run(start(context, answer))
+
+
+@when(
+    "two requests are sent {pause_s:g} s apart by a client that trusts idle ones"
+    " for {idle_s:g} s"
+)
+def send_apart(context, pause_s, idle_s):
+    async def send_both():
+        context.client = httpclient.HttpClient(max_idle_s=idle_s)
+        await send(context)
+        await asyncio.sleep(pause_s)
+        await send(context)
+
+    context.runner.run(send_both())
+
+
+@then("both are answered")
+def check_both(context):
+    assert context.server.requests == 2, context.server.requests
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -56,6 +56,9 @@
 DISCOVERY_HOLD_FACTOR = 3.0
 # Part of the stop limit that is reserved for ending the process.
 EXIT_MARGIN_S = 0.8
+# Longest time for which a connection to the platform's services may be idle between two
+# calls; longer than the pause between two reads of the endpoints.
+MAX_PLATFORM_IDLE_S = 1.0
 POLL_INTERVAL_S = 0.05
 
 
@@ -69,7 +72,8 @@
         self._last_seen: dict[str, float] = {}
         self._started = self._in_force_since = time.monotonic()
         self._client = httpclient.HttpClient(
-            connect_timeout_s=settings["store"]["timeout_s"]
+            connect_timeout_s=settings["store"]["timeout_s"],
+            max_idle_s=MAX_PLATFORM_IDLE_S,
         )
         self._build_store_view()
         self._build_forwarding()
--- a/acaciaward/httpclient.py
+++ b/acaciaward/httpclient.py
@@ -16,7 +16,9 @@
 import asyncio
 import collections
 import contextlib
+import math
 import ssl
+import time
 import typing
 from collections import abc
 
@@ -56,6 +58,7 @@
         self.reader = reader
         self.writer = writer
         self.parser = h11.Connection(h11.CLIENT)
+        self.idle_since = time.monotonic()
 
     @property
     def is_usable(self) -> bool:
@@ -161,15 +164,22 @@
 
 
 class HttpClient:
-    """Pools idle connections by target; a connection carries one request at a time."""
+    """
+    Pools idle connections by target; a connection carries one request at a time.
+
+    A connection that has been idle for ``max_idle_s`` isn't used again: it may have
+    gone silent meanwhile, which only a request that times out would show.
+    """
 
     def __init__(
         self,
         *,
         connect_timeout_s: float = 1.0,
+        max_idle_s: float = math.inf,
         tls: ssl.SSLContext | None = None,
     ):
         self._connect_timeout_s = connect_timeout_s
+        self._max_idle_s = max_idle_s
         self._tls = tls
         self._idle: dict[Target, collections.deque[_Connection]] = {}
 
@@ -222,9 +232,10 @@
 
     def _acquire_idle(self, target: Target) -> _Connection | None:
         connections = self._idle.get(target)
+        oldest = time.monotonic() - self._max_idle_s
         while connections:
             connection = connections.pop()
-            if connection.is_usable:
+            if connection.is_usable and connection.idle_since >= oldest:
                 return connection
             connection.close()
         return None
@@ -289,4 +300,5 @@
             connection.close()
             return
         parser.start_next_cycle()
+        connection.idle_since = time.monotonic()
         idle.append(connection)
