--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -74,6 +74,8 @@
                 reply = await self._exchange(progress, upstream, headers)
                 self._deps.occupancy.record_data(work.endpoint)
                 head = reply.head
+                if head.limit_per_s is not None:
+                    decisions.record_limit(progress, work, head.limit_per_s)
                 if head.is_refusal:
                     progress.may_have_run = was_sent_before
                     await reply.read(MAX_BUFFERED_BYTES)
--- a/acaciaward/gateway/calls.py
+++ b/acaciaward/gateway/calls.py
@@ -71,6 +71,8 @@
     ``attempt_id`` is the request that it answers, if it names one. ``is_refusal``
     means that the request was not run, ``is_misdirected`` that another endpoint now
     has the address, ``is_signed`` that the answer carries the endpoint's signature.
+    ``limit_per_s`` is how many requests a second the endpoint takes from all entries
+    together, None without a limit.
     """
 
     status: int
@@ -82,3 +84,4 @@
     ends_connection: bool
     keep_alive_s: float | None = None
     retry_after_s: float | None = None
+    limit_per_s: float | None = None
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -53,6 +53,10 @@
     "acaciaward_gateway_reread_tokens_total",
     "Prompt tokens sent to a further endpoint because the one before failed",
 )
+LIMITED_ANSWERS = prometheus_client.Counter(
+    "acaciaward_gateway_limited_answers_total",
+    "Answers of endpoints that named a limit on their requests",
+)
 OPEN_REQUESTS = prometheus_client.Gauge(
     "acaciaward_gateway_open_requests", "Requests that are worked on now"
 )
--- a/acaciaward/platform/headers.py
+++ b/acaciaward/platform/headers.py
@@ -5,11 +5,15 @@
 never forwarded as a caller sent them.
 """
 
+import logging
 import math
 import typing
 
 from acaciaward import verdicts
 from acaciaward.gateway import calls
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
 
 ATTEMPT_ID = b"attempt-id"
 DEADLINE = b"deadline-ms"
@@ -18,6 +22,7 @@
 PROMPT_PREFIX = b"prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
 NOT_EXECUTED = b"not-executed"
+SERVER_LIMIT = b"server-limit"
 SIGNATURE = b"server-signature"
 
 MISDIRECTED_STATUS = 421
@@ -170,9 +175,17 @@
         ends_connection="close" in values.get(b"connection", "").lower(),
         keep_alive_s=_parse_keep_alive(values.get(b"keep-alive", "")),
         retry_after_s=_parse_number(values.get(b"retry-after")),
+        limit_per_s=_parse_limit(values.get(SERVER_LIMIT)),
     )
 
 
+def _parse_limit(text: str | None) -> float | None:
+    limit_per_s = _parse_number(text)
+    if text is not None and limit_per_s is None:
+        log.warning("endpoint's limit is invalid", extra=logs.fields(limit=text))
+    return limit_per_s
+
+
 def _parse_keep_alive(text: str) -> float | None:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
--- /dev/null
+++ b/acaciaward/routing/features/steps/limits_steps.py
@@ -0,0 +1,204 @@
+"""Steps for limits that endpoints name, with entries that run in this process."""
+
+import asyncio
+import random
+import time
+import typing
+
+from behave import given, then, when
+
+from acaciaward.catalogue.features import delivery
+from standins import edgeserver
+
+# Span of time, factor and number of requests by which a limit may be exceeded.
+WINDOW_S = 4.0
+OVERSHOOT = 1.5
+EXTRA_REQUESTS = 5
+OK = 200
+UNAVAILABLE = 503
+
+
+class Answer(typing.NamedTuple):
+    """What a caller got, ``took_s`` after it had sent its request."""
+
+    sent_at: float
+    took_s: float
+    status: int
+    retry_after_s: float | None
+
+
+class Traffic:
+    """Servers of one service, and callers of every entry."""
+
+    def __init__(self, world: delivery.World):
+        self._world = world
+        self._task = None
+        self._calls = set()
+        self.servers = {}
+        self.arrivals = {}
+        self.answers = []
+
+    def arrived(self, server, request):
+        self.arrivals[server.name].append(time.monotonic())
+
+    def ran(self, server, request):
+        pass
+
+    def ended(self, server, request):
+        pass
+
+    async def start(self, names, rate):
+        await self._world.start()
+        for number, name in enumerate(names):
+            server = edgeserver.EdgeServer(
+                self._world.store,
+                self,
+                name=name,
+                service="app",
+                data_centre=f"dc-{number % 2}",
+                rng=random.Random(number),
+            )
+            self.servers[name] = server
+            self.arrivals[name] = []
+            await server.start()
+            server.register(server.port)
+        self._world.store.drop(delivery.ENDPOINTS_TOPIC, "s-0")
+        await self._world.wait_until(
+            lambda: all(
+                entry.endpoint_names == set(names) for entry in self._world.entries
+            ),
+            5.0,
+        )
+        self._task = asyncio.create_task(self._send(rate))
+
+    async def stop(self):
+        for task in [self._task, *self._calls]:
+            task.cancel()
+        await asyncio.gather(self._task, *self._calls, return_exceptions=True)
+        for server in self.servers.values():
+            await server.stop()
+
+    async def _send(self, rate):
+        number = 0
+        while True:
+            entry = self._world.entries[number % len(self._world.entries)]
+            call = asyncio.create_task(self._call(entry, number))
+            self._calls.add(call)
+            call.add_done_callback(self._calls.discard)
+            number += 1
+            await asyncio.sleep(1 / rate)
+
+    async def _call(self, entry, number):
+        sent_at = time.monotonic()
+        port = entry.ports["Frontend"]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        lines = ["GET /a/x HTTP/1.1", "Host: x.example", f"Attempt-Id: r-{number}"]
+        lines += ["Deadline-Ms: 1000", "Connection: close", "", ""]
+        writer.write("\r\n".join(lines).encode())
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        headers = dict(
+            line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line
+        )
+        retry_after = headers.get("retry-after")
+        self.answers.append(
+            Answer(
+                sent_at,
+                time.monotonic() - sent_at,
+                int(head.split()[1]),
+                None if retry_after is None else float(retry_after),
+            )
+        )
+        writer.close()
+
+    def answers_since(self, at):
+        return [answer for answer in self.answers if answer.sent_at >= at]
+
+
+def find_most_in_window(arrivals):
+    """Return the largest number of arrivals in any window of ``WINDOW_S``."""
+    return max(
+        (sum(begin <= at < begin + WINDOW_S for at in arrivals) for begin in arrivals),
+        default=0,
+    )
+
+
+@given(
+    "{data_centres:d} data centres of {count:d} entries with callers that send"
+    " {rate:d} requests a second"
+)
+def start_traffic(context, data_centres, count, rate):
+    context.world = delivery.World(data_centres, count)
+    context.traffic = Traffic(context.world)
+    context.runner.run(context.traffic.start(["app-1", "app-2"], rate))
+    context.runner.run(asyncio.sleep(1.0))
+
+
+@when("{name} names a limit of {limit:g} requests a second")
+def name_limit(context, name, limit):
+    context.traffic.servers[name].limit_per_s = limit
+    context.limited_at = time.monotonic()
+
+
+@when("{name} names no limit")
+def name_no_limit(context, name):
+    context.traffic.servers[name].limit_per_s = None
+
+
+@when("{seconds:g} s pass")
+def wait(context, seconds):
+    context.runner.run(asyncio.sleep(seconds))
+
+
+@then(
+    "{name} gets no more than its limit allows for {seconds:g} s after the contact time"
+)
+def check_limit(context, name, seconds):
+    begin = context.limited_at + delivery.CONTACT_S
+    wait_s = begin + seconds - time.monotonic()
+    context.runner.run(asyncio.sleep(max(0.0, wait_s)))
+    limit = context.traffic.servers[name].limit_per_s
+    allowed = OVERSHOOT * limit * WINDOW_S + EXTRA_REQUESTS
+    arrivals = [at for at in context.traffic.arrivals[name] if at >= begin]
+    most = find_most_in_window(arrivals)
+    assert most <= allowed, (most, allowed)
+
+
+@then("all requests were served meanwhile")
+def check_served(context):
+    answers = context.traffic.answers_since(context.limited_at)
+    failed = [answer for answer in answers if answer.status != OK]
+    assert answers and not failed, (len(answers), failed[:5])
+
+
+@then("at least {rate:g} requests a second were served meanwhile")
+def check_rate(context, rate):
+    begin = context.limited_at + delivery.CONTACT_S
+    answers = context.traffic.answers_since(begin)
+    served = [answer for answer in answers if answer.status == OK]
+    seconds = time.monotonic() - begin
+    assert len(served) >= rate * seconds, (len(served), seconds)
+
+
+@then("the others were refused within {limit_s:g} s, with a time to retry")
+def check_refusals(context, limit_s):
+    answers = context.traffic.answers_since(context.limited_at + delivery.CONTACT_S)
+    others = [answer for answer in answers if answer.status != OK]
+    wrong = [
+        answer
+        for answer in others
+        if answer.status != UNAVAILABLE
+        or answer.took_s > limit_s
+        or not answer.retry_after_s
+    ]
+    assert others and not wrong, (len(others), wrong[:5])
+
+
+@then("{name} gets a third of the requests or more for {seconds:g} s")
+def check_share(context, name, seconds):
+    begin = time.monotonic()
+    context.runner.run(asyncio.sleep(seconds))
+    counts = {
+        server: sum(at >= begin for at in arrivals)
+        for server, arrivals in context.traffic.arrivals.items()
+    }
+    assert counts[name] * 3 >= sum(counts.values()), counts
--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -5,8 +5,9 @@
 body. ``behaviour`` injects a fault: ``silent`` never answers, ``refuse`` rejects
 without running, ``lose`` runs and resets the connection without an answer (a stream
 is truncated), ``cut`` truncates the answer, ``extra`` answers twice, ``fail`` answers
-500. ``share`` is the share of requests that the fault applies to. ``watch`` is
-notified of each request that arrives, begins to run and ends.
+500. ``share`` is the share of requests that the fault applies to. ``limit_per_s`` is
+named in all answers as the requests that the server takes from all entries together.
+``watch`` is notified of each request that arrives, begins to run and ends.
 """
 
 import asyncio
@@ -68,6 +69,7 @@
         self.born = int(time.time() * 1000)
         self.behaviour = "pass"
         self.share = 1.0
+        self.limit_per_s: float | None = None
         self.left_at: float | None = None
         self.public_port = 0
         self._data_centre = data_centre
@@ -145,7 +147,11 @@
     ) -> bool:
         expected_name = request.headers.get("expect-instance", self.name)
         attempt_id = request.headers.get("attempt-id", "")
+        limit = {}
+        if self.limit_per_s is not None:
+            limit = {"Server-Limit": f"{self.limit_per_s:g}"}
         headers = {"Attempt-Id": attempt_id, "Server-Signature": f"s.{self.name}"}
+        headers |= limit
         if expected_name != self.name:
             writer.write(edgewire.encode(421, b"", {"Instance-Id": self.name}))
             return True
@@ -154,7 +160,7 @@
         if self._random.random() >= self.share:
             behaviour = "pass"
         if behaviour == "refuse":
-            refusal_headers = {"Attempt-Id": attempt_id, "Not-Executed": "1"}
+            refusal_headers = {"Attempt-Id": attempt_id, "Not-Executed": "1"} | limit
             writer.write(edgewire.encode(503, b"", refusal_headers))
             return True
         if behaviour == "silent":
