Keep to the limits that endpoints name, over all entries together

Cause: nothing read the limit; answers that carry it were passed on like any other. Class: a signal of a back end that no part of the system owns.

Change: a limit is shared by one entry more than it has requests a second, chosen by rendezvous hashing among those that serve; each has an equal part of the rate and saves up one request at most, so that in 4 s at most five times the limit and one arrive. The others don't choose the endpoint. Reports and relays carry the newest limits with their age, so that an entry needn't be told by the endpoint. The end of a limit counts only from an answer to a request that was sent after it was known.

Not changed: how many endpoints the fleet orders doesn't count limits.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -19,6 +19,7 @@
     errors,
     events,
     interfaces,
+    metrics,
     responsiveness,
     upstreams,
 )
@@ -74,8 +75,7 @@
                 reply = await self._exchange(progress, upstream, headers)
                 self._deps.occupancy.record_data(work.endpoint)
                 head = reply.head
-                if head.limit_per_s is not None:
-                    decisions.record_limit(progress, work, head.limit_per_s)
+                self._record_limit(work, head)
                 if head.is_refusal:
                     progress.may_have_run = was_sent_before
                     await reply.read(MAX_BUFFERED_BYTES)
@@ -99,6 +99,15 @@
             )
         return head.status >= SERVER_ERROR
 
+    def _record_limit(self, work: occupancy.ActiveCall, head: calls.ReplyHead) -> None:
+        if head.is_misdirected or not (head.is_signed or head.is_refusal):
+            return
+        if head.limit_per_s is not None:
+            metrics.LIMITED_ANSWERS.inc()
+        self._deps.occupancy.limits.record(
+            work.endpoint, head.limit_per_s, work.started_at
+        )
+
     async def _exchange(
         self,
         progress: callprogress.Progress,
--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -69,21 +69,6 @@
     )
 
 
-def record_limit(
-    progress: callprogress.Progress, work: occupancy.ActiveCall, limit_per_s: float
-) -> None:
-    """Log that an endpoint's answer named a limit on its requests."""
-    metrics.LIMITED_ANSWERS.inc()
-    log.info(
-        "endpoint names a limit",
-        extra=logs.fields(
-            request=progress.call.attempt_id,
-            endpoint=work.endpoint.name,
-            limit_per_s=limit_per_s,
-        ),
-    )
-
-
 def record_suspected_crash(
     progress: callprogress.Progress, work: occupancy.ActiveCall, crashes: int
 ) -> None:
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -37,7 +37,7 @@
 )
 from acaciaward.quarantine import suspects
 from acaciaward.relays import relaying
-from acaciaward.routing import demand, occupancy
+from acaciaward.routing import demand, endpointlimits, occupancy
 from acaciaward.settings import loader
 from acaciaward.usage import reporting
 
@@ -133,6 +133,7 @@
         self._occupancy = occupancy.Occupancy(
             self._directory,
             data_centre=self._settings["instance"]["data_centre"],
+            limits=endpointlimits.EndpointLimits(self.name, self._serving_entries),
         )
         self._quotas = quotas.Quotas(time.monotonic, self._entry_count)
         self._saver = quotastore.Saver(
@@ -238,6 +239,14 @@
         if after is None or after.incarnation != before.incarnation:
             self._pool.drop(before.incarnation)
 
+    def _serving_entries(self) -> list[str]:
+        """Return the names of the entries that serve callers, as far as known."""
+        return [
+            peer.name
+            for peer in self._membership.peers()
+            if peer.state in (State.LIVE, State.LEAVING)
+        ]
+
     def _entry_count(self) -> int:
         """Return the number of known entries, at first at least the assumed one."""
         is_starting = time.monotonic() - self._started < GOSSIP_SETTLE_S
--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -45,6 +45,7 @@
             crashes=components.suspects.report(),
             windows=components.counter.latest_counts(REPORTED_WINDOWS),
             levels=components.quotas.levels(),
+            limits=components.occupancy.limits.report(),
         )
 
     def receive_state(self, state: relaying.RelayedState) -> None:
@@ -56,6 +57,7 @@
         self._components.quotas.adopt(state.levels)
         self._components.occupancy.receive_load(sums.load)
         self._components.suspects.receive(sums.crashes)
+        self._components.occupancy.limits.receive(sums.limits)
         self._demand = {
             service: demand.ServiceDemand(*service_demand)
             for service, service_demand in sums.demand.items()
--- a/acaciaward/relays/aggregation.py
+++ b/acaciaward/relays/aggregation.py
@@ -12,6 +12,7 @@
 
 from acaciaward.quarantine import suspects
 from acaciaward.relays import messages
+from acaciaward.routing import endpointlimits
 
 # Messages received longer ago than this are ignored.
 MAX_AGE_S = 1.5
@@ -33,7 +34,7 @@
     Sums over several entries.
 
     ``heard`` counts the entries whose messages the sums are based on. ``crashes`` are
-    those that any entry reports.
+    those that any entry reports, ``limits`` the newest ones of endpoints.
     """
 
     heard: int
@@ -41,6 +42,7 @@
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, ...]]
     crashes: suspects.CrashReport
+    limits: endpointlimits.Report = {}
 
 
 class _UseTotals:
@@ -122,6 +124,7 @@
             _add_figures(message["load"] for message in reports),
             _add_figures(message["demand"] for message in reports),
             suspects.merge(message["crashes"] for message in reports),
+            self._merge_limits(self._reports),
         )
 
     def sums_for(self, entry: str) -> Sums:
@@ -145,6 +148,7 @@
         load = _add_figures(message["load"] for message in all_messages)
         demand = _add_figures(message["demand"] for message in all_messages)
         crashes = suspects.merge(message["crashes"] for message in all_messages)
+        limits = self._merge_limits(self._reports, self._summaries)
         own_loads = {message["sender"]: message["load"] for message in reports}
         sums = {}
         for entry in entries:
@@ -156,6 +160,7 @@
                 _subtract_figures(load, own_loads.get(entry, {})),
                 demand,
                 crashes,
+                limits,
             )
         return sums
 
@@ -173,6 +178,21 @@
         ]
         return statistics.median(times) if len(times) >= MIN_CLOCKS else own_time
 
+    def _merge_limits(
+        self, *sources: abc.Mapping[str, _Received]
+    ) -> endpointlimits.Report:
+        """Return the newest limits in recent messages, with their ages as of now."""
+        now = self._clock()
+        return endpointlimits.merge(
+            {
+                key: (per_s, age_s + now - received.received_at)
+                for key, (per_s, age_s) in received.body.get("limits", {}).items()
+            }
+            for messages_by_source in sources
+            for received in messages_by_source.values()
+            if now - received.received_at <= MAX_AGE_S
+        )
+
     def _recent(
         self, messages_by_source: abc.Mapping[str, _Received]
     ) -> list[typing.Any]:
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -34,13 +34,16 @@
     ``use`` holds the units used of each organisation's quota, ``load`` the requests and
     the prompt tokens not yet prefilled at each endpoint, ``demand`` what callers
     request of each service (see ``routing.demand.ServiceDemand``), and ``crashes`` the
-    requests during which endpoints crashed.
+    requests during which endpoints crashed. ``limits`` holds what endpoints take in
+    requests a second from all entries, None for a limit that was lifted, and the age of
+    that in seconds; it is missing in messages of older builds.
     """
 
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, ...]]
     crashes: suspects.CrashReport
+    limits: typing.NotRequired[dict[str, tuple[float | None, float]]]
 
 
 class Report(Figures):
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -23,6 +23,7 @@
 from acaciaward.observability import logs
 from acaciaward.quarantine import suspects
 from acaciaward.relays import aggregation, messages
+from acaciaward.routing import endpointlimits
 
 log = logging.getLogger(__name__)
 
@@ -41,7 +42,11 @@
 
 
 class LocalState(typing.NamedTuple):
-    """The state that this entry reports; the reader also relays its ``levels``."""
+    """
+    The state that this entry reports; the reader also relays its ``levels``.
+
+    ``messages.Figures`` explains the fields.
+    """
 
     now: float
     use: dict[str, float]
@@ -50,6 +55,7 @@
     crashes: suspects.CrashReport
     windows: dict[int, dict[str, int]]
     levels: dict[str, float]
+    limits: endpointlimits.Report = {}
 
 
 class RelayedState(typing.NamedTuple):
@@ -287,7 +293,13 @@
         configuration_age_s = relay.get("configuration_age_s", relay["age_s"])
         self._configuration_read_at = self._last_relay_at - configuration_age_s
         self._entry_count = relay["heard"]
-        sums = aggregation.Sums(*(relay[field] for field in aggregation.Sums._fields))
+        sums = aggregation.Sums(
+            **{
+                field: relay[field]
+                for field in aggregation.Sums._fields
+                if field in relay
+            }
+        )
         is_recent_start = relay["uptime_s"] < aggregation.RECENT_START_S
         self._state_exchange.receive_state(
             RelayedState(relay["start"], is_recent_start, sums, relay["levels"])
--- /dev/null
+++ b/acaciaward/routing/endpointlimits.py
@@ -0,0 +1,199 @@
+"""
+Keeps to the limits that endpoints name on the requests a second from all entries.
+
+A few entries, chosen by rendezvous hashing, may send to an endpoint with a limit, and
+each has an equal share of it. All entries that know the same peers choose the same
+ones, so no message is needed before a request. Relays carry what entries learn from
+answers, so that an entry needn't be told by the endpoint itself.
+
+Of what is known of an endpoint, what was learned last counts. An entry reports only
+what it has learned from answers itself: news that came by relays would otherwise go
+round and look new for ever.
+"""
+
+import logging
+import math
+import time
+import typing
+from collections import abc
+
+from acaciaward.catalogue import endpoints
+from acaciaward.membership import rendezvous
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
+
+# Even an endpoint that takes next to nothing gets a request now and then; its answer
+# tells when the limit is lifted.
+MIN_RATE_PER_S = 0.1
+# For how long the end of a limit is reported.
+LIFTED_LIFETIME_S = 30.0
+# How often the entries that share a limit are chosen again.
+SHARE_INTERVAL_S = 0.25
+
+# Requests a second, None if there is no limit any more, and the age of that in seconds.
+Report = dict[str, tuple[float | None, float]]
+
+
+class _Learned(typing.NamedTuple):
+    """A limit in requests a second, None if there is none, and when it was learned."""
+
+    per_s: float | None
+    at: float
+
+
+class _Bucket:
+    """Token bucket for at most one request at a time."""
+
+    def __init__(self, now: float):
+        self.tokens = 0.0
+        self.rate_per_s = 0.0
+        self.refilled_at = now
+        self.rate_set_at = -math.inf
+
+    def refill(self, now: float) -> None:
+        elapsed_s = now - self.refilled_at
+        self.tokens = min(1.0, self.tokens + elapsed_s * self.rate_per_s)
+        self.refilled_at = now
+
+
+class EndpointLimits:
+    """
+    The limits of all endpoints, and this entry's share of each.
+
+    ``entries`` returns the names of the entries that serve requests.
+    """
+
+    def __init__(
+        self,
+        own_name: str = "",
+        entries: abc.Callable[[], abc.Collection[str]] = lambda: (),
+        *,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ):
+        self._own_name = own_name
+        self._entries = entries
+        self._clock = clock
+        self._observed: dict[str, _Learned] = {}
+        self._relayed: dict[str, _Learned] = {}
+        self._buckets: dict[str, _Bucket] = {}
+
+    def record(
+        self, endpoint: endpoints.Endpoint, per_s: float | None, sent_at: float
+    ) -> None:
+        """
+        Record the limit that an answer named, or None.
+
+        ``sent_at`` is when the request was sent: an answer to a request from before the
+        limit was learned may have been made before it, too, and doesn't end it.
+        """
+        key = _key(endpoint)
+        known = self._newest(key)
+        if per_s is None and (
+            known is None or known.per_s is None or sent_at <= known.at
+        ):
+            return
+        if known is None or known.per_s != per_s:
+            event = "endpoint named a limit" if per_s is not None else "limit lifted"
+            log.info(
+                event, extra=logs.fields(endpoint=endpoint.name, limit_per_s=per_s)
+            )
+        self._observed[key] = _Learned(per_s, self._clock())
+
+    def report(self) -> Report:
+        """Return what this entry has learned from answers."""
+        now = self._clock()
+        for key, learned in list(self._observed.items()):
+            if learned.per_s is None and now - learned.at > LIFTED_LIFETIME_S:
+                del self._observed[key]
+        return {
+            key: (learned.per_s, now - learned.at)
+            for key, learned in self._observed.items()
+        }
+
+    def receive(self, report: abc.Mapping[str, tuple[float | None, float]]) -> None:
+        """Receive what all entries have learned, for each endpoint the newest."""
+        now = self._clock()
+        self._relayed = {
+            key: _Learned(per_s, now - age_s) for key, (per_s, age_s) in report.items()
+        }
+        for key, learned in self._relayed.items():
+            observed = self._observed.get(key)
+            # The same value is probably this entry's own, back by way of the reader.
+            if (
+                observed is not None
+                and observed.per_s != learned.per_s
+                and observed.at < learned.at
+            ):
+                del self._observed[key]
+
+    def may_send(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether this entry may send a request to an endpoint now."""
+        key = _key(endpoint)
+        learned = self._newest(key)
+        if learned is None or learned.per_s is None:
+            return True
+        return self._refilled_bucket(key, learned.per_s).tokens >= 1.0
+
+    def spend(self, endpoint: endpoints.Endpoint) -> None:
+        """Count a request that is about to be sent to an endpoint."""
+        key = _key(endpoint)
+        learned = self._newest(key)
+        if learned is not None and learned.per_s is not None:
+            self._refilled_bucket(key, learned.per_s).tokens -= 1.0
+
+    def forget(
+        self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
+    ) -> None:
+        """Drop what is known of an endpoint that has ended or started anew."""
+        if before is not None and (
+            after is None or after.incarnation != before.incarnation
+        ):
+            for known in (self._observed, self._relayed, self._buckets):
+                known.pop(_key(before), None)
+
+    def _newest(self, key: str) -> _Learned | None:
+        observed = self._observed.get(key)
+        relayed = self._relayed.get(key)
+        if observed is None or relayed is None:
+            return observed or relayed
+        return max(observed, relayed, key=lambda learned: learned.at)
+
+    def _refilled_bucket(self, key: str, per_s: float) -> _Bucket:
+        now = self._clock()
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = _Bucket(now)
+        bucket.refill(now)
+        if now - bucket.rate_set_at >= SHARE_INTERVAL_S:
+            bucket.rate_per_s = self._share_per_s(key, per_s)
+            bucket.rate_set_at = now
+        return bucket
+
+    def _share_per_s(self, key: str, per_s: float) -> float:
+        """
+        Return this entry's part of a limit, 0 if it may not send there at all.
+
+        Each entry that may send adds up to one request to what its rate allows, so
+        there are no more of them than the limit allows in a second.
+        """
+        names = {*self._entries(), self._own_name}
+        sharers = rendezvous.choose(f"limit/{key}", names, 1 + int(per_s))
+        if self._own_name not in sharers:
+            return 0.0
+        return max(per_s, MIN_RATE_PER_S) / len(sharers)
+
+
+def _key(endpoint: endpoints.Endpoint) -> str:
+    name, born = endpoint.incarnation
+    return f"{name}/{born}"
+
+
+def merge(reports: abc.Iterable[abc.Mapping]) -> Report:
+    """Merge reports of several entries; for each endpoint the newest counts."""
+    merged: Report = {}
+    for report in reports:
+        for key, (per_s, age_s) in report.items():
+            if key not in merged or age_s < merged[key][1]:
+                merged[key] = (per_s, age_s)
+    return merged
--- a/acaciaward/routing/features/steps/limits_steps.py
+++ b/acaciaward/routing/features/steps/limits_steps.py
@@ -16,6 +16,8 @@
 EXTRA_REQUESTS = 5
 OK = 200
 UNAVAILABLE = 503
+# Recorded for a connection that ended without an answer.
+NO_ANSWER = 0
 
 
 class Answer(typing.NamedTuple):
@@ -95,7 +97,10 @@
         lines = ["GET /a/x HTTP/1.1", "Host: x.example", f"Attempt-Id: r-{number}"]
         lines += ["Deadline-Ms: 1000", "Connection: close", "", ""]
         writer.write("\r\n".join(lines).encode())
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        except (OSError, asyncio.IncompleteReadError):
+            head = f"HTTP/1.1 {NO_ANSWER}\r\n\r\n"
         headers = dict(
             line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line
         )
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -12,7 +12,7 @@
 
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls
-from acaciaward.routing import health, placement
+from acaciaward.routing import endpointlimits, health, placement
 
 # Other entries' reports older than this are ignored, in seconds.
 REPORT_LIFETIME_S = 3.0
@@ -80,19 +80,26 @@
 
 
 class Occupancy:
-    """Counts the work at endpoints, tracks their health, and chooses by both."""
+    """
+    Counts the work at endpoints, tracks their health, and chooses by both.
+
+    ``limits`` are those that endpoints name. One that has reached its limit isn't
+    chosen.
+    """
 
     def __init__(
         self,
         directory: endpoints.Directory,
         *,
         data_centre: str,
+        limits: endpointlimits.EndpointLimits | None = None,
         rng: random.Random | None = None,
         clock: abc.Callable[[], float] = time.monotonic,
     ):
         self._clock = clock
         self._directory = directory
         self._data_centre = data_centre
+        self.limits = limits or endpointlimits.EndpointLimits(clock=clock)
         self._random = rng or random.Random()
         self._running: collections.Counter[Incarnation] = collections.Counter()
         self._backlog: collections.Counter[Incarnation] = collections.Counter()
@@ -105,6 +112,7 @@
         self._reported_load: abc.Mapping[str, tuple[float, float]] = {}
         self._reported_at = 0.0
         directory.subscribe(self._forget)
+        directory.subscribe(self.limits.forget)
 
     def _forget(
         self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
@@ -139,7 +147,7 @@
                 self._directory.ready(service.name)
                 or self._directory.lapsed(service.name)
             )
-            if endpoint.incarnation not in excluded
+            if endpoint.incarnation not in excluded and self.limits.may_send(endpoint)
         ]
         healthy = [
             endpoint
@@ -171,6 +179,7 @@
             endpoint.incarnation not in tried
             and not self._health_of(endpoint).is_paused(now)
             and not self.is_unresponsive(endpoint)
+            and self.limits.may_send(endpoint)
             for endpoint in self._directory.ready(service)
         )
 
@@ -201,6 +210,7 @@
     def start(self, candidate: placement.Candidate, call: calls.Call) -> ActiveCall:
         """Count a call at an endpoint until it ends."""
         work = ActiveCall(self, candidate, call)
+        self.limits.spend(work.endpoint)
         incarnation = work.endpoint.incarnation
         self._running[incarnation] += 1
         self._no_data_since.setdefault(incarnation, self._clock())
