Add a failing test: a fence is used twice after the store was restored

Found by looking for the cause of the late configurations (a position in the log kept without the history that it belongs to) elsewhere: the fence of a duty's holder is the offset of its first record. When that record is lost with the store's last seconds, the next holder gets the same offset, and the platform would see one fence from two holders.

The fake topic refuses a read beyond its end as the store does. Nothing of the product changes.

--- a/acaciaward/leases/features/conditionallease.feature
+++ b/acaciaward/leases/features/conditionallease.feature
@@ -31,5 +31,16 @@
     When answers of the store are lost and they run for 20 s
     Then fences only rise, and no two leases overlap
 
+  # A fence is the offset of a record, and offsets go back with the store.
+  Scenario: The fence doesn't fall when the store comes back from an older copy
+    Given 3 candidates on one topic
+    When they run for 5 s
+    And the lease holder dies
+    And they run for 8 s
+    And the store loses what was appended in the last 6 s and the lease holder dies
+    And they run for 8 s
+    Then exactly 1 holds the lease
+    And fences only rise, and no two leases overlap
+
   Scenario: No schedule of deaths, suspensions and lost answers makes leases overlap
     Then for any schedule fences only rise, and no two leases overlap
--- a/acaciaward/leases/features/steps/conditionallease_steps.py
+++ b/acaciaward/leases/features/steps/conditionallease_steps.py
@@ -20,11 +20,20 @@
 
     def __init__(self, rng):
         self.records = []
+        self.appended_at = []
+        self.now = lambda: 0.0
         self.rng = rng
         self.loss_rate = 0.0
 
+    def restore(self, before):
+        """Lose what was appended at ``before`` or later."""
+        count = sum(at < before for at in self.appended_at)
+        del self.records[count:], self.appended_at[count:]
+
     async def read(self, start):
         await self._fail()
+        if start > len(self.records):
+            raise errors.RecordsExpiredError("beyond the end", first_offset=0)
         return types.SimpleNamespace(
             records=self.records[start:], start=start, end_offset=len(self.records)
         )
@@ -34,6 +43,7 @@
         if expected_end != len(self.records):
             raise store.AppendRefusedError("ends elsewhere", len(self.records))
         self.records.append(record)
+        self.appended_at.append(self.now())
         await self._fail()
         return len(self.records)
 
@@ -50,6 +60,7 @@
         self.now = 100.0
         self.rng = random.Random(seed)
         self.topic = Topic(self.rng)
+        self.topic.now = lambda: self.now
         self.numbers = itertools.count()
         self.leases = {}
         self.suspended = set()
@@ -132,6 +143,16 @@
     del context.candidates.leases[name]
 
 
+@when(
+    "the store loses what was appended in the last {seconds:d} s"
+    " and the lease holder dies"
+)
+def restore_and_kill(context, seconds):
+    candidates = context.candidates
+    candidates.topic.restore(candidates.now - seconds)
+    kill_holder(context)
+
+
 @when("the lease holder is suspended while the others run for {seconds:d} s")
 def suspend(context, seconds):
     context.candidates.suspended = set(context.candidates.holders())
