--- a/acaciaward/catalogue/features/delivery.feature
+++ b/acaciaward/catalogue/features/delivery.feature
@@ -57,3 +57,9 @@
     And the next configuration is written
     Then it is in force everywhere within the bound
     And no read of the store timed out since the contact time
+
+  # Restores, silence, refusals and compaction left entries behind one after the other.
+  Scenario: No drawn disturbance makes a configuration late, lost or undone
+    Given 2 data centres of 3 entries that follow the store
+    When they are disturbed in 5 rounds, drawn from the seed 3
+    Then no round found a late, lost or older configuration
--- a/acaciaward/catalogue/features/steps/delivery_steps.py
+++ b/acaciaward/catalogue/features/steps/delivery_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from acaciaward.catalogue.features import delivery
+from acaciaward.catalogue.features import delivery, disturbances
 from acaciaward.platform import calls as platform_calls
 
 RESTORED_AGE_S = 0.6
@@ -212,3 +212,18 @@
 @then("no entry ever went back to an older configuration")
 def check_reverts(context):
     assert not context.world.reverted_entries(), context.world.reverted_entries()
+
+
+@when("they are disturbed in {rounds:d} rounds, drawn from the seed {seed:d}")
+def disturb(context, rounds, seed):
+    # -D seed=N and -D rounds=N play other ones by hand.
+    options = context.config.userdata
+    seed = options.getint("seed", seed)
+    disturber = disturbances.Disturber(context.world, seed)
+    rounds = options.getint("rounds", rounds)
+    context.found = context.runner.run(disturber.run(rounds))
+
+
+@then("no round found a late, lost or older configuration")
+def check_found(context):
+    assert not context.found, context.found
