Let entries save up a second of their share of an endpoint's limit

A second's share may be saved up now; over all entries that is about the limit's second as before (5 times the limit and one in 4 s).

A property test plays 1 to 90 entries and limits of 0 to 60 a second with a clock of its own: no 4 s hold more than allowed, and half of the limit or more is used.

--- a/acaciaward/routing/endpointlimits.py
+++ b/acaciaward/routing/endpointlimits.py
@@ -26,6 +26,8 @@
 # Even an endpoint that takes next to nothing gets a request now and then; its answer
 # tells when the limit is lifted.
 MIN_RATE_PER_S = 0.1
+# For how long an entry may save up its share of a limit, beyond one request.
+BURST_S = 1.0
 # For how long the end of a limit is reported.
 LIFTED_LIFETIME_S = 30.0
 # How often the entries that share a limit are chosen again.
@@ -43,7 +45,7 @@
 
 
 class _Bucket:
-    """Token bucket for at most one request at a time."""
+    """Token bucket that holds a second's share, or one request if that is less."""
 
     def __init__(self, now: float):
         self.tokens = 0.0
@@ -53,7 +55,8 @@
 
     def refill(self, now: float) -> None:
         elapsed_s = now - self.refilled_at
-        self.tokens = min(1.0, self.tokens + elapsed_s * self.rate_per_s)
+        capacity = max(1.0, self.rate_per_s * BURST_S)
+        self.tokens = min(capacity, self.tokens + elapsed_s * self.rate_per_s)
         self.refilled_at = now
 
 
@@ -174,8 +177,8 @@
         """
         Return this entry's part of a limit, 0 if it may not send there at all.
 
-        Each entry that may send adds up to one request to what its rate allows, so
-        there are no more of them than the limit allows in a second.
+        Each entry that may send can save up one request at least, so there are hardly
+        more of them than the limit has requests in a second.
         """
         names = {*self._entries(), self._own_name}
         sharers = rendezvous.choose(f"limit/{key}", names, 1 + int(per_s))
--- a/acaciaward/routing/features/limits.feature
+++ b/acaciaward/routing/features/limits.feature
@@ -33,3 +33,7 @@
     And app-1 names no limit
     And 4 s pass
     Then app-1 gets a third of the requests or more for 2 s
+
+  # Shares that each entry may save up added to more than the limit allows.
+  Scenario: For any limit and number of entries the shares keep to it
+    Then any 1 to 90 entries that send as much as they may keep to any limit
--- a/acaciaward/routing/features/steps/limits_steps.py
+++ b/acaciaward/routing/features/steps/limits_steps.py
@@ -5,9 +5,13 @@
 import time
 import typing
 
+import hypothesis
 from behave import given, then, when
+from hypothesis import strategies
 
+from acaciaward.catalogue import endpoints
 from acaciaward.catalogue.features import delivery
+from acaciaward.routing import endpointlimits
 from standins import edgeserver
 
 # Span of time, factor and number of requests by which a limit may be exceeded.
@@ -207,3 +211,43 @@
         for server, arrivals in context.traffic.arrivals.items()
     }
     assert counts[name] * 3 >= sum(counts.values()), counts
+
+
+@then(
+    "any {least:d} to {most:d} entries that send as much as they may keep to any limit"
+)
+def check_shares(context, least, most):
+    ready = endpoints.EndpointState.READY
+    endpoint = endpoints.Endpoint("s-1", 1, "s", "127.0.0.1", 1, "dc", 4, ready)
+
+    @hypothesis.settings(
+        database=None, derandomize=True, max_examples=60, deadline=None
+    )
+    @hypothesis.given(
+        strategies.integers(least, most),
+        strategies.floats(0.0, 60.0),
+        strategies.randoms(use_true_random=False),
+    )
+    def check(count, limit, rng):
+        now = 100.0
+        names = [f"e-{number}" for number in range(count)]
+        entries = [
+            endpointlimits.EndpointLimits(name, lambda: names, clock=lambda: now)
+            for name in names
+        ]
+        for entry in entries:
+            entry.record(endpoint, limit, now)
+        arrivals = []
+        while now < 112.0:
+            for entry in rng.sample(entries, rng.randint(0, count)):
+                while entry.may_send(endpoint):
+                    entry.spend(endpoint)
+                    arrivals.append(now)
+            now += 0.1
+        allowed = OVERSHOOT * limit * WINDOW_S + EXTRA_REQUESTS
+        most_arrivals = find_most_in_window(arrivals)
+        assert most_arrivals <= allowed, (count, limit, most_arrivals, allowed)
+        served = len(arrivals) / 12.0
+        assert served >= 0.5 * limit - 1, (count, limit, served)
+
+    check()
