Defer removals found in the first listing after a restore

A follower that meets 410 after the store's restore lists the topic without having seen the new era in a page, and dropped endpoints at once whose records the copy lacks.

--- a/acaciaward/catalogue/topicfollower.py
+++ b/acaciaward/catalogue/topicfollower.py
@@ -142,6 +142,9 @@
         if self._next_offset is None:
             listing_requested_at = time.monotonic()
             listing = await self._source.read_all()
+            if listing.era > self._era and self.listed.is_set():
+                # The copy may lack keys that will be written again.
+                self._on_outage()
             self._on_listing(listing.values)
             self._next_offset = listing.next_offset
             self._era = listing.era
@@ -163,8 +166,6 @@
                 ),
             )
             self._next_offset = None
-            # The copy may lack keys that will be written again.
-            self._on_outage()
             return
         for change in page.changes:
             self._on_change(change)
