--- a/acaciaward/catalogue/peerfetching.py
+++ b/acaciaward/catalogue/peerfetching.py
@@ -52,7 +52,11 @@
         """Check for newer versions until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            await self.check()
+            try:
+                await self.check()
+            except Exception as error:
+                # Whatever one peer answers, the next check is needed.
+                log.error("getting a configuration failed", exc_info=error)
 
     async def check(self) -> None:
         """Request the configuration if it has been newer elsewhere for long enough."""
