--- a/acaciaward/catalogue/features/steps/delivery_steps.py
+++ b/acaciaward/catalogue/features/steps/delivery_steps.py
@@ -44,7 +44,6 @@
         world.store.put(delivery.ENDPOINTS_TOPIC, "s-0", world.endpoint_record(0))
         world.reconnect()
         context.in_contact_at = time.monotonic() + delivery.CONTACT_S
-        context.due = context.in_contact_at
 
     context.runner.run(write())
 
