--- a/acaciaward/catalogue/features/delivery.py
+++ b/acaciaward/catalogue/features/delivery.py
@@ -86,7 +86,7 @@
             START_TIMEOUT_S,
         )
         await self.wait_until(
-            lambda: len(self.readers()) == len({e.data_centre for e in self.entries}),
+            lambda: len(self.readers()) == len(self.entries_by_data_centre()),
             START_TIMEOUT_S,
         )
 
@@ -129,7 +129,9 @@
 
     def readers(self) -> list[Entry]:
         """Return the entries that read the store for themselves or others."""
-        return [e for e in self.entries if not e.gateway._relaying.is_relayed]
+        return [
+            entry for entry in self.entries if not entry.gateway._relaying.is_relayed
+        ]
 
     def change(self) -> int:
         """Write the next configuration as the operator, and return its version."""
@@ -163,11 +165,16 @@
 
     async def late_entries(self, version: int, due: float) -> list[str]:
         """Wait until ``due``; return the entries that don't have the version then."""
-        await self.wait_until(
-            lambda: all(e.view.catalogue.version >= version for e in self.entries),
-            due - time.monotonic(),
-        )
-        return [e.name for e in self.entries if e.view.catalogue.version < version]
+
+        def find_late() -> list[str]:
+            return [
+                entry.name
+                for entry in self.entries
+                if entry.view.catalogue.version < version
+            ]
+
+        await self.wait_until(lambda: not find_late(), due - time.monotonic())
+        return find_late()
 
     def reverted_entries(self) -> dict[str, list[int]]:
         """Return the entries whose versions fell, with their versions."""
