--- a/acaciaward/gateway/features/answers.feature
+++ b/acaciaward/gateway/features/answers.feature
@@ -60,3 +60,25 @@
     And a caller asks
     Then the answer is 200 with the body "done"
     And 2 requests arrived on 2 connections
+
+  # Bytes without end filled the memory until the caller's deadline.
+  Scenario Outline: An answer without end is left before it fills the memory
+    Given a front for <kind>
+    And the endpoints send <part> without end
+    When a caller asks
+    Then the answer is aborted, 502 or 504
+    And the endpoint could send less than 16000000 bytes
+
+    Examples:
+      | kind                                     | part                |
+      | non_idempotent requests with 1 endpoints | a head              |
+      | non_idempotent requests with 1 endpoints | interim answers     |
+      | non_idempotent requests with 1 endpoints | a body of no length |
+      | non_idempotent requests with 1 endpoints | a body in chunks    |
+      | other streams                            | a head              |
+      | other streams                            | an event            |
+
+  # An event without end was searched from its start again with each part that came.
+  Scenario: Splitting an event without end keeps up with a fast link
+    When 4000000 bytes of an event arrive in parts of 65536 bytes
+    Then they were split in less time than a link of 100 Mbit/s takes to carry them
--- a/acaciaward/gateway/features/steps/answers_steps.py
+++ b/acaciaward/gateway/features/steps/answers_steps.py
@@ -1,7 +1,11 @@
 """Steps for the heads of answers, which scripted endpoints forge or corrupt."""
 
+import asyncio
+import time
+
 from behave import given, then, when
 
+from acaciaward.gateway import events
 from acaciaward.gateway.features import scripted
 
 CONNECTION_LINES = (
@@ -60,6 +64,62 @@
         endpoint.is_early = True
 
 
+@given("the endpoints send {part} without end")
+def answer_endlessly(context, part):
+    head_lines = b"HTTP/1.1 200 OK\r\n" + scripted.SIGNATURE
+    chunk = b"10000\r\n" + bytes(0x10000) + b"\r\n"
+    event_chunk = b"10000\r\ndata: " + b"x" * (0x10000 - 6) + b"\r\n"
+    chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+    begin, repeated = {
+        "a head": (head_lines, b"X-Filler: " + b"x" * 0x8000),
+        "interim answers": (b"", 500 * b"HTTP/1.1 102 Processing\r\n\r\n"),
+        "a body of no length": (head_lines + b"\r\n", bytes(0x10000)),
+        "a body in chunks": (head_lines + chunked, chunk),
+        "an event": (head_lines + chunked, event_chunk),
+    }[part]
+    context.sent_bytes = 0
+
+    async def script(head, reader, writer):
+        writer.write(
+            begin.replace(scripted.SIGNATURE, scripted.echo(head) + scripted.SIGNATURE)
+        )
+        while True:
+            writer.write(repeated)
+            await writer.drain()
+            context.sent_bytes += len(repeated)
+            await asyncio.sleep(0)
+
+    script_all(context, script)
+
+
+@when("{size:d} bytes of an event arrive in parts of {part_size:d} bytes")
+def split_event(context, size, part_size):
+    splitter = events.EventSplitter()
+    started_at = time.process_time()
+    for _ in range(0, size, part_size):
+        splitter.feed(b"x" * part_size)
+    context.size = size
+    context.took_s = time.process_time() - started_at
+
+
+@then("they were split in less time than a link of {rate:d} Mbit/s takes to carry them")
+def check_split(context, rate):
+    limit_s = context.size * 8 / (rate * 1_000_000)
+    assert context.took_s < limit_s, (context.took_s, limit_s)
+
+
+@then("the answer is aborted, 502 or 504")
+def check_aborted(context):
+    is_aborted = not scripted.is_complete(context.data)
+    status = scripted.status_of(context.data)
+    assert is_aborted or status in (502, 504), context.data[:300]
+
+
+@then("the endpoint could send less than {limit:d} bytes")
+def check_sent(context, limit):
+    assert context.sent_bytes < limit, context.sent_bytes
+
+
 @when("a caller sends a body of {size:d} bytes")
 def ask_large(context, size):
     context.data, _ = context.runner.run(scripted.ask(context.front, body=bytes(size)))
