Log where the decision on a window's usage was read, and in which era

The log named window, requests and fence of a report only, so a decision that the store has lost looked the same as one that is no longer retained, or one that another decision preceded.

`usage decided` now says up to where the topic was read, `usage reported` at which offset and in which era of the store the decision was read, and `another usage decision ignored` that two decisions exist. A page of the topic says the store's era. No logic is changed: usage.feature 5 passed, as before.

--- a/acaciaward/leases/conditionallease.py
+++ b/acaciaward/leases/conditionallease.py
@@ -48,11 +48,17 @@
 
 
 class TopicPage(typing.Protocol):
-    """Records from offset ``start`` on; ``end_offset`` follows the last one."""
+    """
+    Records from offset ``start`` on; ``end_offset`` follows the last one.
+
+    ``era`` rises when the store is restored from an older copy: offsets and records of
+    an earlier era may be lost. It is 0 if the store states none.
+    """
 
     records: list[bytes]
     start: int
     end_offset: int
+    era: int
 
 
 class Topic(typing.Protocol):
--- a/acaciaward/usage/features/steps/usage_steps.py
+++ b/acaciaward/usage/features/steps/usage_steps.py
@@ -17,7 +17,10 @@
 
     async def read(self, start):
         return types.SimpleNamespace(
-            records=self.records[start:], start=start, end_offset=len(self.records)
+            records=self.records[start:],
+            start=start,
+            end_offset=len(self.records),
+            era=1,
         )
 
     async def append_unconditionally(self, records):
--- a/acaciaward/usage/reporting.py
+++ b/acaciaward/usage/reporting.py
@@ -45,6 +45,14 @@
     counts: counting.Counts
 
 
+class Decision(typing.NamedTuple):
+    """The counts decided for a window, and the offset and the era they were read at."""
+
+    counts: counting.Counts
+    offset: int
+    era: int
+
+
 class Topic(typing.Protocol):
     """The topic that stores the counts; every call may raise ``PlatformError``."""
 
@@ -96,7 +104,7 @@
         self._first_window = counter.current_window()
         self._last_stored_window = self._first_window - 1
         self._reported_windows: set[int] = set()
-        self._decisions: dict[int, counting.Counts] = {}
+        self._decisions: dict[int, Decision] = {}
         self._next_offset = 0
 
     async def run(self) -> None:
@@ -166,13 +174,17 @@
             tenure = self._lease.held(for_s=MIN_LEASE_TO_SEND_S)
             if tenure is None:
                 return
-            counts = self._decisions[window]
-            await self._send(window, counts, tenure.fence)
+            decision = self._decisions[window]
+            await self._send(window, decision.counts, tenure.fence)
             self._reported_windows.add(window)
             log.info(
                 "usage reported",
                 extra=logs.fields(
-                    window=window, requests=sum(counts.values()), fence=tenure.fence
+                    window=window,
+                    requests=sum(decision.counts.values()),
+                    fence=tenure.fence,
+                    offset=decision.offset,
+                    era=decision.era,
                 ),
             )
 
@@ -186,7 +198,14 @@
 
     async def _decide(self, window: int) -> None:
         decision = Record(window, "", self._ledger.total(window))
+        read_to = self._next_offset
         await self._topic.append_unconditionally([msgspec.json.encode(decision)])
+        log.info(
+            "usage decided",
+            extra=logs.fields(
+                window=window, requests=sum(decision.counts.values()), read_to=read_to
+            ),
+        )
         await self._read()
         if window not in self._decisions:
             raise errors.PlatformUnknownError(
@@ -203,13 +222,13 @@
             if page.end_offset < self._next_offset:
                 self._next_offset = 0
                 continue
-            for data in page.records:
-                self._apply_record(data)
+            for offset, data in enumerate(page.records, page.start):
+                self._apply_record(data, offset, page.era)
             self._next_offset = page.start + len(page.records)
             if self._next_offset >= page.end_offset:
                 return
 
-    def _apply_record(self, data: bytes) -> None:
+    def _apply_record(self, data: bytes, offset: int, era: int) -> None:
         try:
             record = msgspec.json.decode(data, type=Record)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
@@ -218,4 +237,16 @@
         if record.start:
             self._ledger.merge(record.start, record.window, record.counts)
         else:
-            self._decisions.setdefault(record.window, record.counts)
+            decision = Decision(record.counts, offset, era)
+            known = self._decisions.setdefault(record.window, decision)
+            if known.counts != record.counts:
+                log.warning(
+                    "another usage decision ignored",
+                    extra=logs.fields(
+                        window=record.window,
+                        offset=offset,
+                        era=era,
+                        known_offset=known.offset,
+                        known_era=known.era,
+                    ),
+                )
