Decide on a window's usage only where no decision can have been lost

Seen by the users: usage of window N was sent twice, with other counts, by two instances.

Cause: the first decision in the topic's order was taken for final, and a topic without one for a window without a decision. A store that is restored from an older copy, and records that expire, lose decisions that were sent; the next holder made another.

Change: an entry decides only on windows whose decision, if there were one, must be among the records that it has read without a gap in the store's era. It knows that from its own first read, or from positions that others state in their records. Decisions are conditional appends, void in another era than their own. Windows that nobody can answer for are missed, with a log line.

The steps of usage.feature let each entry run once before the window's end, as it does in a process; the checks are unchanged. An append says the store's era, which the lease doesn't use yet.

--- a/acaciaward/leases/conditionallease.py
+++ b/acaciaward/leases/conditionallease.py
@@ -61,14 +61,21 @@
     era: int
 
 
+class Appended(typing.Protocol):
+    """Where a topic ended after an append, and the store's era; see ``TopicPage``."""
+
+    end_offset: int
+    era: int
+
+
 class Topic(typing.Protocol):
     """The topic that stores the lease; every call may raise ``PlatformError``."""
 
     async def read(self, start: int) -> TopicPage:
         """Return records from the offset ``start`` on."""
 
-    async def append(self, record: bytes, *, expected_end: int) -> int:
-        """Append if the topic ends at ``expected_end`` and return its new end."""
+    async def append(self, record: bytes, *, expected_end: int) -> Appended:
+        """Append if the topic ends at ``expected_end``."""
 
 
 class Record(typing.NamedTuple):
@@ -204,7 +211,7 @@
         self._sent_at_by_nonce[record.nonce] = sent_at
         append_offset = self._end_offset
         try:
-            self._end_offset = await self._topic.append(
+            appended = await self._topic.append(
                 msgspec.json.encode(record), expected_end=append_offset
             )
         except errors.PlatformUnknownError:
@@ -215,6 +222,7 @@
             self._sent_at_by_nonce.pop(record.nonce, None)
             await self._read()
             return
+        self._end_offset = appended.end_offset
         self._sent_at_by_nonce.pop(record.nonce, None)
         self._last_record_at = self._clock()
         self._is_topic_empty = False
--- a/acaciaward/leases/features/steps/conditionallease_steps.py
+++ b/acaciaward/leases/features/steps/conditionallease_steps.py
@@ -35,7 +35,10 @@
         if start > len(self.records):
             raise errors.RecordsExpiredError("beyond the end", first_offset=0)
         return types.SimpleNamespace(
-            records=self.records[start:], start=start, end_offset=len(self.records)
+            records=self.records[start:],
+            start=start,
+            end_offset=len(self.records),
+            era=1,
         )
 
     async def append(self, record, *, expected_end):
@@ -45,7 +48,7 @@
         self.records.append(record)
         self.appended_at.append(self.now())
         await self._fail()
-        return len(self.records)
+        return store.Appended(len(self.records), era=1)
 
     async def _fail(self):
         await asyncio.sleep(0)
--- a/acaciaward/platform/store.py
+++ b/acaciaward/platform/store.py
@@ -86,6 +86,13 @@
     era: int = 0
 
 
+class Appended(typing.NamedTuple):
+    """The offset after records that were appended, and the era; see ``Page``."""
+
+    end_offset: int
+    era: int = 0
+
+
 class AppendRefusedError(errors.PlatformRefusedError):
     """An append was refused because the partition ends at ``end_offset``."""
 
@@ -134,6 +141,11 @@
         self._service = service
         self._era = 0
 
+    @property
+    def era(self) -> int:
+        """The latest era that an answer has stated, 0 if none has."""
+        return self._era
+
     async def newest(self, topic: str) -> NewestValues:
         """Read the newest value of each key of a topic."""
         values: dict[str, bytes] = {}
@@ -189,9 +201,9 @@
         records: abc.Sequence[bytes],
         *,
         expected_end: int | None = None,
-    ) -> int:
+    ) -> Appended:
         """
-        Append records and return the offset after them.
+        Append records and return where they end.
 
         With ``expected_end``, append only if the partition ends there; if not,
         ``AppendRefusedError`` says where it ends. After ``PlatformUnknownError``
@@ -210,7 +222,7 @@
         end = _decode(reply, _AppendBody).end_offset
         if reply.status == PRECONDITION_STATUS:
             raise AppendRefusedError(f"{topic} ends at {end}", end)
-        return end
+        return Appended(end, _read_era(reply))
 
     async def _call(
         self,
--- a/acaciaward/platform/topics.py
+++ b/acaciaward/platform/topics.py
@@ -38,22 +38,29 @@
 
 
 class LogTopic:
-    """Implements the topics of ``leases.conditionallease`` and ``usage.reporting``."""
+    """Implements the topics of ``leases.conditionallease`` and ``usage.decisions``."""
 
     def __init__(self, client: store.Store, topic: str):
         self._client = client
         self._topic = topic
 
+    @property
+    def era(self) -> int:
+        """The latest era that an answer of the store has stated, 0 if none has."""
+        return self._client.era
+
     async def read(self, start: int) -> store.Page:
         """Return records from an offset on."""
         return await self._client.read(self._topic, start)
 
-    async def append(self, record: bytes, *, expected_end: int) -> int:
+    async def append(self, record: bytes, *, expected_end: int) -> store.Appended:
         """Append if the topic ends at ``expected_end``, and return the end after it."""
         return await self._client.append(
             self._topic, [record], expected_end=expected_end
         )
 
-    async def append_unconditionally(self, records: abc.Sequence[bytes]) -> int:
+    async def append_unconditionally(
+        self, records: abc.Sequence[bytes]
+    ) -> store.Appended:
         """Append records, whatever the topic's end, and return the end after them."""
         return await self._client.append(self._topic, records)
--- a/acaciaward/usage/features/reporters.py
+++ b/acaciaward/usage/features/reporters.py
@@ -97,7 +97,7 @@
         if expected_end not in (None, self.end_offset):
             raise store.AppendRefusedError("ends elsewhere", self.end_offset)
         self._add(records)
-        appended = types.SimpleNamespace(end_offset=self.end_offset, era=self.era)
+        appended = store.Appended(self.end_offset, self.era)
         self.interfere()
         if self.loses_answers:
             raise errors.PlatformUnknownError("no answer")
--- a/acaciaward/usage/features/steps/usage_steps.py
+++ b/acaciaward/usage/features/steps/usage_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from acaciaward.platform import store
 from acaciaward.usage import counting, reporting
 
 WINDOW_S = 5.0
@@ -12,6 +13,8 @@
 class Topic:
     """A topic in memory."""
 
+    era = 1
+
     def __init__(self):
         self.records = []
 
@@ -20,12 +23,17 @@
             records=self.records[start:],
             start=start,
             end_offset=len(self.records),
-            era=1,
+            era=self.era,
         )
 
+    async def append(self, record, *, expected_end):
+        if expected_end != len(self.records):
+            raise store.AppendRefusedError("ends elsewhere", len(self.records))
+        return await self.append_unconditionally([record])
+
     async def append_unconditionally(self, records):
         self.records += records
-        return len(self.records)
+        return store.Appended(len(self.records), self.era)
 
 
 class Lease:
@@ -115,6 +123,9 @@
     context.topic = Topic()
     context.live = ["one", "two"]
     context.holders = [Holder(context, "one", 3), Holder(context, "two", 9)]
+    # An entry can answer only for windows during which it has run.
+    for holder in context.holders:
+        context.runner.run(holder.reporter.step())
 
 
 @when("the first decides and dies before it sends")
--- a/acaciaward/usage/reporting.py
+++ b/acaciaward/usage/reporting.py
@@ -1,22 +1,18 @@
 """
 Reports each window's usage to the platform once, with counts decided before sending.
 
-The holder of the duties' lease appends the counts that it decided on to the topic of
-the counts. The first decision for a window in the topic's order is final: every later
-holder that reports the window sends exactly these counts.
+The holder of the duties' lease decides on a window's counts in the topic of the counts
+(see ``decisions``). Every later holder that reports the window sends exactly these.
 """
 
 import asyncio
 import logging
-import typing
 from collections import abc
 
-import msgspec
-
 from acaciaward import errors
 from acaciaward.leases import conditionallease
 from acaciaward.observability import logs
-from acaciaward.usage import counting
+from acaciaward.usage import counting, decisions
 
 log = logging.getLogger(__name__)
 
@@ -30,37 +26,6 @@
 REPORT_ANYWAY_FRACTION = 0.6
 # Counts are sent only if the lease lasts for longer than this.
 MIN_LEASE_TO_SEND_S = 0.8
-MAX_PAGES_PER_READ = 50
-
-
-class Record(typing.NamedTuple):
-    """
-    Counts of one window: those of one entry, or the decision for all entries.
-
-    ``start`` identifies one run of an entry's process; it is empty for a decision.
-    """
-
-    window: int
-    start: str
-    counts: counting.Counts
-
-
-class Decision(typing.NamedTuple):
-    """The counts decided for a window, and the offset and the era they were read at."""
-
-    counts: counting.Counts
-    offset: int
-    era: int
-
-
-class Topic(typing.Protocol):
-    """The topic that stores the counts; every call may raise ``PlatformError``."""
-
-    async def read(self, start: int) -> conditionallease.TopicPage:
-        """Return records from the offset ``start`` on."""
-
-    async def append_unconditionally(self, records: abc.Sequence[bytes]) -> int:
-        """Append records wherever the topic ends."""
 
 
 # Counts that other entries reported, by their start and window.
@@ -81,7 +46,7 @@
 
     def __init__(
         self,
-        topic: Topic,
+        topic: decisions.Topic,
         lease: conditionallease.ConditionalLease,
         counter: counting.UsageCounter,
         ledger: counting.Ledger,
@@ -92,7 +57,6 @@
         peer_counts: abc.Callable[[], ReportedCounts | None],
         send: SendReport,
     ):
-        self._topic = topic
         self._lease = lease
         self._counter = counter
         self._ledger = ledger
@@ -104,8 +68,8 @@
         self._first_window = counter.current_window()
         self._last_stored_window = self._first_window - 1
         self._reported_windows: set[int] = set()
-        self._decisions: dict[int, Decision] = {}
-        self._next_offset = 0
+        self._unknown_windows: set[int] = set()
+        self._decisions = decisions.Decisions(topic, ledger, counter.current_window)
 
     async def run(self) -> None:
         """Store and report until cancelled."""
@@ -120,6 +84,7 @@
 
     async def step(self) -> None:
         """Store and report the windows that are due."""
+        await self._begin_to_read()
         current = self._counter.current_window()
         is_due = self._counter.time_since_end_s(current - 1) >= STORE_DELAY_S
         if is_due and self._last_stored_window < current - 1:
@@ -132,7 +97,7 @@
         due_windows = [
             window
             for window in range(max(oldest_window, self._first_window - 2), current)
-            if window not in self._reported_windows
+            if window not in self._reported_windows | self._unknown_windows
             and self._counter.time_since_end_s(window) >= GATHER_DELAY_S
         ]
         if due_windows:
@@ -141,6 +106,16 @@
         self._reported_windows = {
             window for window in self._reported_windows if window >= oldest_window
         }
+        self._unknown_windows = {
+            window for window in self._unknown_windows if window >= oldest_window
+        }
+
+    async def _begin_to_read(self) -> None:
+        """Read the topic in a new era of the store, to answer for the windows ahead."""
+        if not self._decisions.is_outdated:
+            return
+        if self._lease.held() is not None or self._peer_counts() is not None:
+            await self._decisions.read()
 
     async def _store(self, last_window: int) -> None:
         peer_counts = self._peer_counts()
@@ -151,30 +126,30 @@
         for window in range(
             max(self._last_stored_window + 1, last_window - 1), last_window + 1
         ):
-            records.append(
-                Record(window, self._process_run, self._counter.counts_of(window))
-            )
-            records += [
-                Record(window, start, counts[window])
+            counts_by_start = {
+                start: counts[window]
                 for start, counts in peer_counts.items()
-                if window in counts and start != self._process_run
+                if window in counts
+            }
+            counts_by_start[self._process_run] = self._counter.counts_of(window)
+            records += [
+                decisions.Record(window, start, counts)
+                for start, counts in counts_by_start.items()
             ]
-        await self._topic.append_unconditionally(
-            [msgspec.json.encode(record) for record in records]
-        )
+        await self._decisions.store(records)
         self._last_stored_window = last_window
 
     async def _report(self, due_windows: abc.Sequence[int]) -> None:
-        await self._read()
+        await self._decisions.read()
         for window in due_windows:
-            if window not in self._decisions and not self._may_decide(window):
+            if self._decisions.get(window) is None and self._may_decide(window):
+                await self._decisions.decide(window, self._ledger.total(window))
+            decision = self._decisions.get(window)
+            if decision is None:
                 continue
-            if window not in self._decisions:
-                await self._decide(window)
             tenure = self._lease.held(for_s=MIN_LEASE_TO_SEND_S)
             if tenure is None:
                 return
-            decision = self._decisions[window]
             await self._send(window, decision.counts, tenure.fence)
             self._reported_windows.add(window)
             log.info(
@@ -189,64 +164,16 @@
             )
 
     def _may_decide(self, window: int) -> bool:
-        if self._ledger.is_complete(window, self._live_names()):
-            return True
-        return (
+        has_waited = (
             self._counter.time_since_end_s(window)
             >= REPORT_ANYWAY_FRACTION * self._report_deadline_s
         )
-
-    async def _decide(self, window: int) -> None:
-        decision = Record(window, "", self._ledger.total(window))
-        read_to = self._next_offset
-        await self._topic.append_unconditionally([msgspec.json.encode(decision)])
-        log.info(
-            "usage decided",
-            extra=logs.fields(
-                window=window, requests=sum(decision.counts.values()), read_to=read_to
-            ),
-        )
-        await self._read()
-        if window not in self._decisions:
-            raise errors.PlatformUnknownError(
-                "own usage decision can't be read from its topic yet"
+        if self._decisions.may_decide(window):
+            return has_waited or self._ledger.is_complete(window, self._live_names())
+        if has_waited:
+            self._unknown_windows.add(window)
+            log.warning(
+                "usage not reported: another decision may have been lost",
+                extra=logs.fields(window=window),
             )
-
-    async def _read(self) -> None:
-        for _ in range(MAX_PAGES_PER_READ):
-            try:
-                page = await self._topic.read(self._next_offset)
-            except errors.RecordsExpiredError as error:
-                self._next_offset = error.first_offset
-                continue
-            if page.end_offset < self._next_offset:
-                self._next_offset = 0
-                continue
-            for offset, data in enumerate(page.records, page.start):
-                self._apply_record(data, offset, page.era)
-            self._next_offset = page.start + len(page.records)
-            if self._next_offset >= page.end_offset:
-                return
-
-    def _apply_record(self, data: bytes, offset: int, era: int) -> None:
-        try:
-            record = msgspec.json.decode(data, type=Record)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            log.warning("invalid usage record skipped", extra=logs.fields(reason=error))
-            return
-        if record.start:
-            self._ledger.merge(record.start, record.window, record.counts)
-        else:
-            decision = Decision(record.counts, offset, era)
-            known = self._decisions.setdefault(record.window, decision)
-            if known.counts != record.counts:
-                log.warning(
-                    "another usage decision ignored",
-                    extra=logs.fields(
-                        window=record.window,
-                        offset=offset,
-                        era=era,
-                        known_offset=known.offset,
-                        known_era=known.era,
-                    ),
-                )
+        return False
