Begin the fence of the duties' lease with the store's era

The fence was an offset, and offsets are given out again. An empty topic counted as free at once, and a page without the record of a renewal as proof that there was none, though the store may have lost it while the tenure goes on.

Change: the fence is the era and the offset in one number. An entry that learns of a new era reads the topic anew, gives up a lease that it holds, and waits for a full lease. An empty topic is free at once only in the first era. A record that is appended in another era than its author has read gives no tenure.

--- a/acaciaward/leases/conditionallease.py
+++ b/acaciaward/leases/conditionallease.py
@@ -7,12 +7,15 @@
 
 Each record begins or extends a tenure and is appended only if the topic still ends
 where its author last read it, so that only one of several competing entries succeeds.
-The fence (fencing token) of a tenure is the offset of its first record and therefore
-rises with each holder.
+The fence (fencing token) of a tenure is the store's era and the offset of its first
+record in one number, and therefore rises with each holder, also when the store is
+restored from an older copy and gives offsets out again.
 
 The holder counts the lease from before it sent the append, the other entries from
-after they read the record, so leases never overlap. The clock keeps running while
-the machine is suspended.
+after they read the record, so leases never overlap. A restored store may lack records
+of a tenure that goes on, so every entry waits for a lease from when it learns of the
+new era, and the holder then gives its lease up. The clock keeps running while the
+machine is suspended.
 """
 
 import asyncio
@@ -36,6 +39,10 @@
 CLOCK_MARGIN_FRACTION = 0.1
 POLL_INTERVAL_S = 0.5
 RETRY_DELAY_S = 0.3
+# A fence is an era times this number, plus an offset.
+OFFSETS_PER_ERA = 2**32
+# The era of a store that was never restored, or that states none.
+FIRST_ERA = 0
 
 DUTIES_HELD = prometheus_client.Gauge(
     "acaciaward_duty_held", "Whether this entry holds the lease of the duties"
@@ -82,7 +89,7 @@
     """
     Begins or extends a tenure.
 
-    A ``fence`` of -1 begins one, whose fence is this record's own offset.
+    A ``fence`` of -1 begins one, whose fence is that of this record's own offset.
     ``nonce`` identifies the record, so that its author recognises it in the topic.
     """
 
@@ -116,6 +123,7 @@
         self._is_candidate = is_candidate
         self._clock = clock
         self._end_offset: int | None = None
+        self._era: int | None = None
         self._last_record_at = 0.0
         self._tenure: Tenure | None = None
         self._sent_at_by_nonce: dict[str, float] = {}
@@ -164,15 +172,9 @@
             await self._append(-1)
 
     async def _read(self) -> None:
-        if self._end_offset is None:
-            # Unless the topic is empty, its last record may be very recent, so this
-            # entry waits for one full lease from here on.
-            page = await self._read_page(0)
-            self._end_offset = page.start
-            self._last_record_at = self._clock()
-            self._is_topic_empty = page.end_offset == 0
-        else:
-            page = await self._read_page(self._end_offset)
+        page = await self._read_page(self._end_offset or 0)
+        if self._end_offset is None or page.era != self._era:
+            page = await self._begin_era(page)
         while True:
             for index, data in enumerate(page.records):
                 self._apply_record(page.start + index, data)
@@ -180,12 +182,36 @@
             if not page.records or self._end_offset >= page.end_offset:
                 return
             page = await self._read_page(self._end_offset)
+            if page.era != self._era:
+                page = await self._begin_era(page)
+
+    async def _begin_era(self, page: TopicPage) -> TopicPage:
+        """Begin to read the topic in the era of a page; return the first page of it."""
+        if self._era is not None:
+            log.warning(
+                "lease records may be lost",
+                extra=logs.fields(era=page.era, before=self._era),
+            )
+            self._clear_tenure("store restored", "")
+            self._sent_at_by_nonce.clear()
+        if self._end_offset is not None:
+            self._end_offset = None
+            page = await self._read_page(0)
+        self._era = page.era
+        # Unless the topic is empty and was never restored, its last record, or one that
+        # was lost, may be very recent, so wait for a full lease from here on.
+        self._last_record_at = self._clock()
+        self._is_topic_empty = page.end_offset == 0 and page.era == FIRST_ERA
+        return page
 
     async def _read_page(self, start: int) -> TopicPage:
         try:
-            return await self._topic.read(start)
+            page = await self._topic.read(start)
         except errors.RecordsExpiredError as error:
-            return await self._topic.read(error.first_offset)
+            page = await self._topic.read(error.first_offset)
+        if page.era < (self._era or FIRST_ERA):
+            raise errors.PlatformUnknownError("lease records of an earlier era")
+        return page
 
     def _apply_record(self, offset: int, data: bytes) -> None:
         self._last_record_at = self._clock()
@@ -202,9 +228,12 @@
         if record.holder != self._holder or sent_at is None:
             self._clear_tenure("taken by another", record.holder)
             return
-        fence = offset if record.fence < 0 else record.fence
+        fence = self._fence_at(offset) if record.fence < 0 else record.fence
         self._set_tenure(fence, sent_at)
 
+    def _fence_at(self, offset: int) -> int:
+        return (self._era or FIRST_ERA) * OFFSETS_PER_ERA + offset
+
     async def _append(self, fence: int) -> None:
         record = Record(self._holder, uuid.uuid4().hex, fence)
         sent_at = self._clock()
@@ -222,11 +251,14 @@
             self._sent_at_by_nonce.pop(record.nonce, None)
             await self._read()
             return
-        self._end_offset = appended.end_offset
         self._sent_at_by_nonce.pop(record.nonce, None)
+        if appended.era != self._era:
+            await self._read()
+            return
+        self._end_offset = appended.end_offset
         self._last_record_at = self._clock()
         self._is_topic_empty = False
-        self._set_tenure(append_offset if fence < 0 else fence, sent_at)
+        self._set_tenure(self._fence_at(append_offset) if fence < 0 else fence, sent_at)
 
     def _set_tenure(self, fence: int, sent_at: float) -> None:
         expires = sent_at + self._duration_s
--- a/acaciaward/leases/features/conditionallease.feature
+++ b/acaciaward/leases/features/conditionallease.feature
@@ -31,7 +31,7 @@
     When answers of the store are lost and they run for 20 s
     Then fences only rise, and no two leases overlap
 
-  # A fence is the offset of a record, and offsets go back with the store.
+  # Guards against a fence that is used twice, as offsets go back with the store.
   Scenario: The fence doesn't fall when the store comes back from an older copy
     Given 3 candidates on one topic
     When they run for 5 s
@@ -42,5 +42,38 @@
     Then exactly 1 holds the lease
     And fences only rise, and no two leases overlap
 
+  # Guards against a lease that begins while one goes on whose records the store lost.
+  Scenario: An entry that starts on a topic that was lost waits for the lease to lapse
+    Given 3 candidates on one topic
+    When they run for 5 s
+    And the store loses everything, and an entry starts
+    And they run for 8 s
+    Then exactly 1 holds the lease
+    And fences only rise, and no two leases overlap
+
+  # Guards against a holder whose last renewal only the others' store has lost.
+  Scenario: A lost renewal doesn't let another entry take over before the lease lapses
+    Given 3 candidates on one topic
+    When they run for 5 s
+    And the store loses the last renewal while the holder goes on
+    And they run for 8 s
+    Then exactly 1 holds the lease
+    And fences only rise, and no two leases overlap
+
+  # Guards against a duty that nobody holds after the store came back twice.
+  Scenario: After two restores in a row one entry holds the lease
+    Given 3 candidates on one topic
+    When they run for 6 s
+    And the store loses what was appended in the last 3 s
+    And they run for 1 s
+    And the store loses what was appended in the last 4 s
+    And they run for 8 s
+    Then exactly 1 holds the lease
+    And fences only rise, and no two leases overlap
+
+  # Guards against fences and leases that depend on what a restored store has lost.
+  Scenario: No schedule of restores, late appends and deaths makes leases overlap
+    Then for any schedule with restores fences only rise, and no two leases overlap
+
   Scenario: No schedule of deaths, suspensions and lost answers makes leases overlap
     Then for any schedule fences only rise, and no two leases overlap
--- a/acaciaward/leases/features/steps/conditionallease_steps.py
+++ b/acaciaward/leases/features/steps/conditionallease_steps.py
@@ -16,10 +16,18 @@
 
 
 class Topic:
-    """A topic in memory that can lose answers, before or after the append."""
+    """
+    A topic in memory that can lose answers, before or after the append.
+
+    It can be restored from an older copy. With ``delay_rate`` some appends have no
+    answer, and ``do_late`` does them if their condition still holds.
+    """
 
     def __init__(self, rng):
+        self.era = 0
         self.records = []
+        self.late = []
+        self.delay_rate = 0.0
         self.appended_at = []
         self.now = lambda: 0.0
         self.rng = rng
@@ -29,6 +37,14 @@
         """Lose what was appended at ``before`` or later."""
         count = sum(at < before for at in self.appended_at)
         del self.records[count:], self.appended_at[count:]
+        self.era += 1
+
+    def do_late(self):
+        """Do the appends that got no answer."""
+        late, self.late = self.late, []
+        for record, expected_end in late:
+            if expected_end == len(self.records):
+                self._add(record)
 
     async def read(self, start):
         await self._fail()
@@ -38,17 +54,24 @@
             records=self.records[start:],
             start=start,
             end_offset=len(self.records),
-            era=1,
+            era=self.era,
         )
 
     async def append(self, record, *, expected_end):
         await self._fail()
+        if self.rng.random() < self.delay_rate:
+            self.late.append((record, expected_end))
+            raise errors.PlatformUnknownError("no answer yet")
         if expected_end != len(self.records):
             raise store.AppendRefusedError("ends elsewhere", len(self.records))
+        self._add(record)
+        appended = store.Appended(len(self.records), self.era)
+        await self._fail()
+        return appended
+
+    def _add(self, record):
         self.records.append(record)
         self.appended_at.append(self.now())
-        await self._fail()
-        return store.Appended(len(self.records), era=1)
 
     async def _fail(self):
         await asyncio.sleep(0)
@@ -156,6 +179,24 @@
     kill_holder(context)
 
 
+@when("the store loses everything, and an entry starts")
+def lose_all_and_start(context):
+    context.candidates.topic.restore(0.0)
+    context.candidates.add()
+
+
+@when("the store loses what was appended in the last {seconds:d} s")
+def restore_store(context, seconds):
+    candidates = context.candidates
+    candidates.topic.restore(candidates.now - seconds)
+
+
+@when("the store loses the last renewal while the holder goes on")
+def lose_renewal(context):
+    topic = context.candidates.topic
+    topic.restore(topic.appended_at[-1])
+
+
 @when("the lease holder is suspended while the others run for {seconds:d} s")
 def suspend(context, seconds):
     context.candidates.suspended = set(context.candidates.holders())
@@ -177,13 +218,15 @@
     context.candidates.check_no_overlap()
 
 
-@then("for any schedule fences only rise, and no two leases overlap")
-def check_any(context):
+def play_schedules(context, disturb):
+    """Play 200 schedules; ``disturb(topic, rng, now)`` disturbs the store in each."""
+
     async def play(seed):
         candidates = Candidates(3, seed)
         rng = candidates.rng
         for _ in range(12):
             candidates.topic.loss_rate = rng.choice([0.0, 0.0, 0.2, 0.6])
+            disturb(candidates.topic, rng, candidates.now)
             action = rng.choice(["die", "sleep", "wake", "none"])
             names = list(candidates.leases)
             if action == "die":
@@ -199,3 +242,20 @@
 
     held = [context.runner.run(play(seed)) for seed in range(200)]
     assert sum(held) > 190
+
+
+@then("for any schedule fences only rise, and no two leases overlap")
+def check_any(context):
+    play_schedules(context, lambda topic, rng, now: None)
+
+
+@then("for any schedule with restores fences only rise, and no two leases overlap")
+def check_any_with_restores(context):
+    def disturb(topic, rng, now):
+        topic.delay_rate = rng.choice([0.0, 0.0, 0.3])
+        if rng.random() < 0.4:
+            topic.restore(now - rng.uniform(0.0, 8.0))
+        if rng.random() < 0.5:
+            topic.do_late()
+
+    play_schedules(context, disturb)
