Let the stand-in of the store execute appends late and let records expire

The platform's page allows both: a call without an answer "may be executed seconds later if its condition still holds", and records expire after keep_s. The stand-in could do neither.

Change: the mode "late" leaves 30% of the appends unanswered and carries them out 1 to 6 s later if `At` still holds, on the store as it is then, restored or not. `expire` drops the records of topics without keys that are older than an age; reads before them get 410.

--- a/standins/edgestore.py
+++ b/standins/edgestore.py
@@ -5,9 +5,10 @@
 ordering capacity. Topics are logs; in those whose name begins with ``keyed.`` each
 key has a newest value. ``mode`` injects a fault: ``silent`` never answers, ``busy``
 refuses with 503, ``reset`` resets the connection, ``lost`` carries out the call but
-withholds some of the answers to writes, ``slow`` delays. ``restore`` brings the store
-back from an older copy, with the next era. ``reports`` and ``orders`` record the calls
-of the duties' holders.
+withholds some of the answers to writes, ``late`` leaves some appends unanswered and
+carries them out seconds later, ``slow`` delays. ``restore`` brings the store back from
+an older copy, with the next era; ``expire`` drops old records. ``reports`` and
+``orders`` record the calls of the duties' holders.
 """
 
 import asyncio
@@ -21,11 +22,14 @@
 
 from standins import edgewire
 
+APPEND_PATH = "/api/log-append"
 KEYED_PREFIX = "keyed."
 LOST_ANSWER_SHARE = 0.3
+# When an append that got no answer is carried out, if its condition still holds then.
+LATE_RANGE_S = (1.0, 6.0)
 MEAN_DELAY_S = 0.2
 POLL_S = 0.01
-MODES = ("pass", "silent", "busy", "reset", "lost", "slow")
+MODES = ("pass", "silent", "busy", "reset", "lost", "slow", "late")
 # Topics that only the operator and the servers write; they write again what a restore
 # has lost.
 WRITTEN_AGAIN = ("keyed.op", "keyed.servers")
@@ -96,6 +100,13 @@
         self.records = self.records[first_offset:]
         self.first_offset = first_offset
 
+    def expire(self, before: float) -> None:
+        """Drop the records that were appended before ``before``."""
+        old_count = sum(at < before for at, _ in self._history)
+        first_offset = max(self.first_offset, old_count)
+        self.records = self.records[first_offset - self.first_offset :]
+        self.first_offset = first_offset
+
     def compact(self) -> None:
         """Drop all records; the newest value of each key stays."""
         self.first_offset, self.records = self.end_offset, []
@@ -113,8 +124,9 @@
         self.reports: list[DutyCall] = []
         self.orders: list[DutyCall] = []
         self.calls = 0
+        self._late_appends: set[asyncio.Task] = set()
         self._handlers = {
-            "/api/log-append": self._append,
+            APPEND_PATH: self._append,
             "/api/log-read": self._read,
             "/api/log-newest": self._newest,
             "/usage": self._report,
@@ -131,7 +143,10 @@
         await self._listener.start()
 
     async def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening; appends that are still to be carried out are dropped."""
+        for task in self._late_appends:
+            task.cancel()
+        await asyncio.gather(*self._late_appends, return_exceptions=True)
         await self._listener.stop()
 
     def put(self, topic: str, key: str, value: typing.Any) -> float:
@@ -156,6 +171,13 @@
             if name.startswith(KEYED_PREFIX):
                 topic.compact()
 
+    def expire(self, age_s: float) -> None:
+        """Drop the records older than ``age_s`` of all topics without keys."""
+        before = time.monotonic() - age_s
+        for name, topic in self._topics.items():
+            if not name.startswith(KEYED_PREFIX):
+                topic.expire(before)
+
     def restore(self, age_s: float) -> list[KeyedValue]:
         """
         Go back to a copy that is ``age_s`` seconds old, and begin the next era.
@@ -200,15 +222,31 @@
             return True
         if mode == "slow":
             await asyncio.sleep(self._random.uniform(0, 2 * MEAN_DELAY_S))
+        is_append = request.path == APPEND_PATH
+        if mode == "late" and is_append and self._is_left_unanswered():
+            self._append_later(request)
+            await asyncio.get_running_loop().create_future()
         handler = self._handlers.get(request.path)
         response = self._encode(404) if handler is None else await handler(request)
         is_write = request.method == "POST"
-        if mode == "lost" and is_write and self._random.random() < LOST_ANSWER_SHARE:
+        if mode == "lost" and is_write and self._is_left_unanswered():
             await asyncio.get_running_loop().create_future()
         writer.write(response)
         await writer.drain()
         return True
 
+    def _is_left_unanswered(self) -> bool:
+        return self._random.random() < LOST_ANSWER_SHARE
+
+    def _append_later(self, request: edgewire.Request) -> None:
+        async def append():
+            await asyncio.sleep(self._random.uniform(*LATE_RANGE_S))
+            await self._append(request)
+
+        task = asyncio.create_task(append())
+        self._late_appends.add(task)
+        task.add_done_callback(self._late_appends.discard)
+
     async def _append(self, request: edgewire.Request) -> bytes:
         name = request.query["Topic"]
         topic = self._topics[name]
