Bring the store back from an older copy in the soak

Change: the fault `restore` takes the store away for a moment and restores it from a copy 0.3 to 6 s old, alone, twice, with all entries or the holder killed after it, with the holder paused over it, or with entries cut off. `expire` drops old records. The operator and the servers write what was lost unless they wrote the key since. A failed soak keeps a list of its faults and of the duties' calls. The restore needs a longer end, which RECOVER doesn't use.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -37,7 +37,6 @@
         await injector.run(max(5.0, seconds - fault_free_s))
         faults_ended_at = time.monotonic()
         await asyncio.sleep(fault_free_s)
-        now = time.monotonic()
         checker = judge.Checker(
             system.recorder,
             system.store,
@@ -46,9 +45,11 @@
             system.bounds,
             world.VERSION_SERVICE_COUNT,
             system.crashes,
+            [entry.name for entry in system.entries],
         )
+        checker.check_recovery(faults_ended_at, time.monotonic())
+        await asyncio.sleep(_usage_check_s(system))
         checker.check()
-        checker.check_recovery(faults_ended_at, now)
         for stop in system.orderly_stops:
             checker.check_stop(*stop)
     finally:
@@ -56,6 +57,14 @@
     return _summarise(seed, system, injector, began_at)
 
 
+def _usage_check_s(system: world.SystemUnderTest) -> float:
+    """Return how long from now windows after the last restore can be checked."""
+    bounds = system.bounds
+    checked_at = max(system.store.restored_at, default=0.0) + bounds.usage_resumed_s
+    due = checked_at + bounds.usage_late_s + 2 * bounds.usage_window_s
+    return due - time.monotonic()
+
+
 def _summarise(
     seed: int,
     system: world.SystemUnderTest,
@@ -73,6 +82,7 @@
         kept_folder = FAILED_RUNS_FOLDER / str(seed)
         shutil.copytree(system.folder, kept_folder, dirs_exist_ok=True)
         (kept_folder / "violations.txt").write_text("\n".join(lines) + "\n")
+        (kept_folder / "events.txt").write_text(_describe_events(system, began_at))
     system.remove_folder()
     return {
         "seed": seed,
@@ -86,6 +96,14 @@
     }
 
 
+def _describe_events(system: world.SystemUnderTest, began_at: float) -> str:
+    """Return the faults and the calls of the duties' holders, a line each, in order."""
+    events = list(system.events)
+    for call in (*system.store.reports, *system.store.orders):
+        events.append((call.at, f"{call.holder} fence {call.fence}: {call.body}"))
+    return "".join(f"{at - began_at:.2f} {text}\n" for at, text in sorted(events))
+
+
 @click.command()
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--seeds", type=int, default=1, help="Play so many seeds, one by one.")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,23 +6,20 @@
 """
 
 import asyncio
-import contextlib
 import signal
 import subprocess
 import time
 import typing
 from collections import abc
 
-from soak import world
-from standins import edgeserver, edgestore, faultproxy
+from soak import disturber, storefaults, world
+from standins import edgeserver
 
 # Range of the time between the starts of two faults; short enough that they overlap.
 INTERVAL_RANGE_S = (0.1, 1.2)
 # Factors for these intervals, of which each soak draws one: promises that bind only
 # what is undisturbed can be checked only if there is time between faults.
 INTERVAL_FACTORS = (1.0, 1.0, 3.0, 6.0)
-# Range of a fault's duration; some faults outlast every timeout of an entry.
-DURATION_RANGE_S = (0.3, 4.0)
 # Minimum time between two configurations, so that the service that ran a request
 # tells which of them was in force.
 CONFIGURATION_INTERVAL_S = 3.0
@@ -32,20 +29,17 @@
 # How long a part of prompts crashes servers.
 TAINTED_RANGE_S = (6.0, 15.0)
 
-PROXY_MODES = ("hold", "refuse", "cut", "delay")
-PROXY_DELAY_S = 0.1
 
-
-class FaultInjector:
+class FaultInjector(disturber.Disturber):
     """Injects faults for a given time."""
 
     def __init__(self, system: world.SystemUnderTest):
-        self._system = system
-        self._random = system.random
+        super().__init__(system)
+        store_faults = storefaults.StoreFaults(system)
         self._tasks: set[asyncio.Task] = set()
         self._configured_at = time.monotonic()
-        self._interval_factor = self._random.choice(INTERVAL_FACTORS)
         self.injected: list[str] = []
+        self._interval_factor = self._random.choice(INTERVAL_FACTORS)
         self._weighted_faults: list[tuple[float, abc.Callable[[], abc.Coroutine]]] = [
             (3, self._kill_random_entry),
             (2, self._stop_entry),
@@ -55,8 +49,10 @@
             (3, self._disturb_store_connections),
             (2, self._disturb_caller_connections),
             (3, self._disturb_server_connections),
-            (2, self._disturb_store),
-            (1, self._compact_store),
+            (2, store_faults.disturb),
+            (1, store_faults.compact),
+            (0.5, store_faults.expire),
+            (3, store_faults.restore),
             (2, self._change_configuration),
             (1, self._write_invalid_registration),
             (3, self._crash_server),
@@ -72,7 +68,8 @@
         weights = [weight for weight, _ in self._weighted_faults]
         while time.monotonic() < end:
             ((_, fault),) = self._random.choices(self._weighted_faults, weights)
-            self.injected.append(fault.__name__.strip("_"))
+            self.injected.append(fault.__qualname__)
+            self._system.record_event(fault.__qualname__)
             task = asyncio.create_task(fault())
             self._tasks.add(task)
             task.add_done_callback(self._on_task_done)
@@ -87,29 +84,6 @@
         if not task.cancelled() and task.exception() is not None:
             raise task.exception()
 
-    def _duration_s(self) -> float:
-        return self._random.uniform(*DURATION_RANGE_S)
-
-    @contextlib.contextmanager
-    def _disturbing(self, *names: str) -> abc.Iterator[float]:
-        """Record a disturbance for the body's time; yield the moment when it began."""
-        began = time.monotonic()
-        for name in names:
-            self._system.disturbances.begin(name, began)
-        try:
-            yield began
-        finally:
-            for name in names:
-                self._system.disturbances.end(name, time.monotonic())
-
-    def _choose_entry(self) -> world.Entry | None:
-        running = [
-            entry
-            for entry in self._system.entries
-            if entry.is_expected_to_run and entry.process.poll() is None
-        ]
-        return self._random.choice(running) if running else None
-
     def _choose_server(
         self, service: str | None = None
     ) -> edgeserver.EdgeServer | None:
@@ -129,22 +103,6 @@
                 entry, self._random.choice((0.0, self._duration_s()))
             )
 
-    async def _kill_entry(self, entry: world.Entry, downtime_s: float) -> None:
-        with self._disturbing(entry.name):
-            entry.is_expected_to_run = False
-            entry.signal(signal.SIGKILL)
-            await asyncio.to_thread(entry.process.wait)
-            await asyncio.sleep(world.RESTART_DELAY_S + downtime_s)
-            self._system.start_entry(entry)
-            await asyncio.sleep(1.0)
-
-    async def _kill_all_entries(self) -> None:
-        downtime_s = self._random.uniform(0, 2)
-        running = [entry for entry in self._system.entries if entry.is_expected_to_run]
-        await asyncio.gather(
-            *(self._kill_entry(entry, downtime_s) for entry in running)
-        )
-
     async def _stop_entry(self) -> None:
         entry = self._choose_entry()
         if entry is None:
@@ -204,39 +162,6 @@
             proxy = self._system.server_proxies[server.name]
             await self._disturb_proxy(proxy, server.name)
 
-    async def _disturb_proxy(self, proxy: faultproxy.FaultProxy, name: str) -> None:
-        if proxy.faults["mode"] != "pass" or proxy.faults["delay_s"]:
-            return
-        mode = self._random.choice(PROXY_MODES)
-        with self._disturbing(name):
-            if mode == "delay":
-                proxy.faults["delay_s"] = PROXY_DELAY_S
-            else:
-                proxy.faults["direction"] = self._random.choice(
-                    ("both", "request", "answer")
-                )
-                proxy.faults["cut_after_bytes"] = self._random.choice((0, 100, 2000))
-                proxy.faults["mode"] = mode
-            if mode == "cut" and self._random.random() < 0.5:
-                proxy.cut_connections()
-            await asyncio.sleep(self._duration_s())
-            proxy.faults.update(mode="pass", delay_s=0.0)
-            # Drops data that the proxy hasn't forwarded, together with its connections.
-            proxy.cut_connections()
-
-    async def _disturb_store(self) -> None:
-        store = self._system.store
-        if store.mode != "pass":
-            return
-        with self._disturbing("store"):
-            store.mode = self._random.choice(edgestore.MODES[1:])
-            await asyncio.sleep(self._duration_s())
-            store.mode = "pass"
-
-    async def _compact_store(self) -> None:
-        with self._disturbing("store"):
-            self._system.store.compact()
-
     async def _change_configuration(self) -> None:
         if time.monotonic() - self._configured_at >= CONFIGURATION_INTERVAL_S:
             self._configured_at = time.monotonic()
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -1,9 +1,8 @@
 """
 Checks the promises that concern spans of time, over everything that was recorded.
 
-Bounds are those of the settings that the entries are given. Where the specification
-binds only what is undisturbed, ``Disturbances`` says when an entry, a server or the
-store was disturbed.
+Where the specification binds only what is undisturbed, ``Disturbances`` says when an
+entry, a server or the store was disturbed. The duties have a module of their own.
 """
 
 import bisect
@@ -11,7 +10,7 @@
 import typing
 from collections import abc
 
-from soak import ledger
+from soak import conditions, dutyrules, ledger
 from standins import edgestore
 
 # Allowance for the delays of the proxies and of this process, which come on top of an
@@ -21,77 +20,6 @@
 COMPLETE_STREAM_S = 1.2
 
 
-class Bounds(typing.NamedTuple):
-    """The limits that the promises set, in seconds, requests and shares."""
-
-    # Time without a disturbance after which an entry or a server counts as undisturbed.
-    contact_s: float = 3.0
-    drain_s: float = 2.0
-    configuration_s: float = 2.0
-    # Time in which an entry that applied a configuration may still apply older ones.
-    revert_s: float = 0.25
-    repeat_ratio: float = 0.02
-    repeat_burst: float = 5.0
-    repeat_window_s: float = 10.0
-    quota_rate: float = 20.0
-    quota_burst: float = 20.0
-    quota_window_s: float = 8.0
-    quota_overshoot: float = 0.1
-    quota_slack: float = 10.0
-    lease_s: float = 3.0
-    usage_window_s: float = 5.0
-    stop_limit_s: float = 8.0
-    # Time after the end of the faults, and the share of requests served from then on.
-    recover_s: float = 12.0
-    recovered_share: float = 0.25
-    # Time after a caller left in which its requests may still be sent and run, how many
-    # may be sent or run later nevertheless, and which share of them may run later.
-    gone_s: float = 0.5
-    gone_requests: int = 5
-    # Crashes of a part of prompts, and requests with it that may still arrive later
-    # than the contact time after them.
-    part_crashes: int = 5
-    late_part_requests: int = 3
-    gone_share: float = 0.25
-
-
-class Disturbances:
-    """When entries, servers and the store were disturbed, by their names."""
-
-    def __init__(self):
-        self._spans: dict[str, list[list[float]]] = collections.defaultdict(list)
-
-    def begin(self, name: str, at: float) -> None:
-        """Record that a disturbance of ``name`` began."""
-        self._spans[name].append([at, float("inf")])
-
-    def end(self, name: str, at: float) -> None:
-        """Record that the oldest open disturbance of ``name`` ended."""
-        for span in self._spans[name]:
-            if span[1] == float("inf"):
-                span[1] = at
-                return
-
-    def is_undisturbed(
-        self,
-        name: str,
-        begin: float,
-        end: float,
-        *,
-        except_begun_at: float | None = None,
-    ) -> bool:
-        """
-        Whether nothing disturbed ``name`` between ``begin`` and ``end``.
-
-        Disturbances that began at ``except_begun_at`` don't count.
-        """
-        return not any(
-            span_begin < end and begin < span_end
-            for span_begin, span_end in self._spans[name]
-            if span_begin != except_begun_at
-        )
-
-
 class ConfigurationChange(typing.NamedTuple):
     """A configuration that was written: its index, and when it was acknowledged."""
 
@@ -106,11 +34,12 @@
         self,
         recorder: ledger.Recorder,
         store: edgestore.EdgeStore,
-        disturbances: Disturbances,
+        disturbances: conditions.Disturbances,
         configuration_changes: abc.Sequence[ConfigurationChange],
-        bounds: Bounds,
+        bounds: conditions.Bounds,
         version_service_count: int,
         part_crashes: abc.Mapping[str, abc.Sequence[float]],
+        entry_names: abc.Collection[str],
     ):
         self._recorder = recorder
         self._store = store
@@ -119,6 +48,9 @@
         self._bounds = bounds
         self._version_service_count = version_service_count
         self._part_crashes = part_crashes
+        self._duties = dutyrules.DutyChecker(
+            recorder, store, disturbances, bounds, entry_names
+        )
 
     def check(self) -> None:
         """Record what was broken over the whole soak."""
@@ -126,7 +58,7 @@
         self._check_configurations()
         self._check_retry_budget()
         self._check_quota()
-        self._check_duties()
+        self._duties.check()
         self._check_gone_callers()
         self._check_deadly_parts()
 
@@ -260,44 +192,6 @@
                 )
                 return
 
-    def _check_duties(self) -> None:
-        counts: dict[int, typing.Any] = {}
-        for call in self._store.reports:
-            window = call.body["WindowId"]
-            if counts.setdefault(window, call.body["Counts"]) != call.body["Counts"]:
-                self._recorder.record_violation(
-                    "ONE", f"window {window} reported twice", call.at
-                )
-        holders: dict[tuple[str, int], str] = {}
-        for calls in (self._store.reports, self._store.orders):
-            for call in calls:
-                key = (_duty_subject(call), call.fence)
-                if holders.setdefault(key, call.holder) != call.holder:
-                    self._recorder.record_violation(
-                        "ONE", f"fence {key} used by two", call.at
-                    )
-            self._check_fencing(calls)
-
-    def _check_fencing(self, calls: abc.Sequence[edgestore.DutyCall]) -> None:
-        by_subject: dict[str, list[edgestore.DutyCall]] = collections.defaultdict(list)
-        for call in calls:
-            by_subject[_duty_subject(call)].append(call)
-        for subject, subject_calls in by_subject.items():
-            # The first call of each tenure, which is a series of calls by one holder.
-            tenures = [subject_calls[0]]
-            for previous, call in zip(subject_calls, subject_calls[1:], strict=False):
-                if call.fence < previous.fence:
-                    detail = f"{subject}: fence {call.fence} after {previous.fence}"
-                    self._recorder.record_violation("ONE", detail, call.at)
-                if call.holder != tenures[-1].holder:
-                    tenures.append(call)
-            for first, _, third in zip(tenures, tenures[1:], tenures[2:], strict=False):
-                is_early = third.at - first.at < self._bounds.lease_s
-                if first.holder == third.holder and is_early:
-                    self._recorder.record_violation(
-                        "ONE", f"{subject}: back and forth", third.at
-                    )
-
     def _check_deadly_parts(self) -> None:
         """Check that requests with a part that crashed servers stop reaching them."""
         bounds = self._bounds
@@ -403,11 +297,5 @@
             )
 
 
-def _duty_subject(call: edgestore.DutyCall) -> str:
-    if "WindowId" in call.body:
-        return "usage"
-    return f"{call.body['Service']} {call.body['Zone']}"
-
-
 def _count_between(moments: abc.Sequence[float], begin: float, end: float) -> int:
     return bisect.bisect_left(moments, end) - bisect.bisect_left(moments, begin)
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -131,6 +131,27 @@
     duties.Duties.report_usage = report
 
 
+def fence() -> None:
+    """Send the same fencing token in every tenure."""
+    original = duties.Duties._call
+
+    async def call(self, path, body, fence, *more):
+        return await original(self, path, body, 0, *more)
+
+    duties.Duties._call = call
+
+
+def usage() -> None:
+    """Report no usage from ``EFFECT_DELAY_S`` after the start on."""
+    original = duties.Duties.report_usage
+
+    async def report(self, window, counts, fence):
+        if not _is_in_effect():
+            await original(self, window, counts, fence)
+
+    duties.Duties.report_usage = report
+
+
 def gone() -> None:
     """Keep running requests of callers that have left."""
 
@@ -194,6 +215,8 @@
         budget,
         quota,
         one,
+        fence,
+        usage,
         gone,
         lost,
         recover,
--- a/soak/world.py
+++ b/soak/world.py
@@ -18,7 +18,7 @@
 import time
 from collections import abc
 
-from soak import callers, judge, ledger
+from soak import callers, conditions, configurations, judge, ledger
 from standins import edgeserver, edgestore, edgewire, faultproxy, ports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -79,8 +79,8 @@
         self.random = random.Random(seed)
         self.plant = plant
         self.recorder = ledger.Recorder()
-        self.bounds = judge.Bounds()
-        self.disturbances = judge.Disturbances()
+        self.bounds = conditions.Bounds()
+        self.disturbances = conditions.Disturbances()
         self.configuration_changes: list[judge.ConfigurationChange] = []
         self.store = edgestore.EdgeStore(self._new_rng())
         self.entries = [
@@ -98,6 +98,8 @@
         self._temporary_folder = tempfile.TemporaryDirectory(prefix="acaciaward-soak-")
         # Orderly stops: the entry, when it got the signal, when its process had ended.
         self.orderly_stops: list[tuple[str, float, float]] = []
+        # The faults and their parts, and when each began.
+        self.events: list[tuple[float, str]] = []
         self._server_number = 0
         self._configuration_version = 1
         # No entry may outlive the soak, however that ends.
@@ -108,6 +110,10 @@
         """The folder of the entries' logs and settings."""
         return pathlib.Path(self._temporary_folder.name)
 
+    def record_event(self, text: str) -> None:
+        """Record that a fault or a part of it begins."""
+        self.events.append((time.monotonic(), text))
+
     def _new_rng(self) -> random.Random:
         return random.Random(self.random.getrandbits(32))
 
@@ -216,6 +222,7 @@
             "Bounds.QuotaSlack": bounds.quota_slack,
             "Bounds.LeaseMs": bounds.lease_s * 1000,
             "Bounds.WindowS": bounds.usage_window_s,
+            "Bounds.UsageLateS": bounds.usage_late_s,
         }
         for name in ("Frontend", "Readiness", "Control", "Directory"):
             settings[f"Listen.{name}"] = f"127.0.0.1:{entry.ports[name]}"
@@ -297,40 +304,14 @@
         """Write the next configuration; the version route gets another service."""
         index = len(self.configuration_changes)
         self._configuration_version += self.random.randint(1, 5)
-        routes = [
-            _route("p", "idempotent", "app", 3, timeout_ms=1500),
-            _route("u", "non_idempotent", "app", 2, timeout_ms=1500),
-            _route("s", "streaming", "llm", 3, timeout_ms=5000, Resumable=True),
-            _route("o", "streaming", "llm", 1, timeout_ms=3000),
-            _route("v", "idempotent", f"v{index % VERSION_SERVICE_COUNT}", 2),
-        ]
-        services = [{"Name": name, "MaxConnections": 100} for name in SERVER_COUNTS]
-        prices = dict.fromkeys(DATA_CENTRES, 1.0)
-        for service in services:
-            if service["Name"] == "llm":
-                service["Engine"] = {"Slots": edgeserver.SLOTS, "KvCapacity": 10**6}
-                service["Scaling"] = {
-                    "Min": 1,
-                    "Max": 4,
-                    "BootTimeS": 4.0,
-                    "SpotPrice": 0.2,
-                    "ZonePrices": prices,
-                }
-        organisations = [{"Name": "calm", "ApiKeys": [API_KEYS["calm"]]}]
-        organisations.append(
-            {
-                "Name": "hot",
-                "ApiKeys": [API_KEYS["hot"]],
-                "RatePerS": self.bounds.quota_rate,
-                "Burst": self.bounds.quota_burst,
-            }
+        body = configurations.body(
+            self._configuration_version,
+            f"v{index % VERSION_SERVICE_COUNT}",
+            SERVER_COUNTS,
+            DATA_CENTRES,
+            API_KEYS,
+            self.bounds,
         )
-        body = {
-            "Version": self._configuration_version,
-            "Routes": routes,
-            "Services": services,
-            "Tenants": organisations,
-        }
         acknowledged_at = self.store.put("keyed.op", "config", body)
         self.configuration_changes.append(
             judge.ConfigurationChange(index, acknowledged_at)
@@ -371,29 +352,6 @@
         self._temporary_folder.cleanup()
 
 
-def _route(
-    name: str,
-    route_type: str,
-    service: str,
-    max_attempts: int,
-    *,
-    timeout_ms=1000,
-    **more_fields,
-) -> dict:
-    return {
-        "Name": f"r-{name}",
-        "Host": "soak.example",
-        "PathPrefix": f"/{name}/",
-        "RouteType": route_type,
-        "Service": service,
-        "MaxAttempts": max_attempts,
-        "TimeoutMs": timeout_ms,
-        "TargetLatencyMs": 300,
-        "Priority": 1,
-        **more_fields,
-    }
-
-
 async def _is_ready(port: int) -> bool:
     """Whether the readiness check at a port answers 200."""
     try:
--- a/standins/edgestore.py
+++ b/standins/edgestore.py
@@ -124,6 +124,10 @@
         self.reports: list[DutyCall] = []
         self.orders: list[DutyCall] = []
         self.calls = 0
+        self.started_at = 0.0
+        self.restored_at: list[float] = []
+        # What restores lost and nobody has written since, by topic and key.
+        self._lost_values: dict[tuple[str, str], bytes] = {}
         self._late_appends: set[asyncio.Task] = set()
         self._handlers = {
             APPEND_PATH: self._append,
@@ -140,6 +144,7 @@
 
     async def start(self) -> None:
         """Start listening on a free port."""
+        self.started_at = time.monotonic()
         await self._listener.start()
 
     async def stop(self) -> None:
@@ -154,6 +159,7 @@
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         record = bytes([len(key)]) + key.encode() + data
         self._topics[topic].append(record, is_keyed=True)
+        self._lost_values.pop((topic, key), None)
         return time.monotonic()
 
     def drop(self, topic: str, key: str) -> float:
@@ -197,7 +203,9 @@
                     for key in kept_values | newest_values
                     if kept_values.get(key) != newest_values.get(key)
                 ]
+        self._lost_values |= {(name, key): value for name, key, value in lost}
         self.era += 1
+        self.restored_at.append(time.monotonic())
         self._listener.reset_all()
         return lost
 
@@ -207,6 +215,12 @@
             self.put(topic, key, value)
         return time.monotonic()
 
+    def write_all_again(self) -> None:
+        """Append all that restores have lost, unless its key was written since."""
+        self.write_again(
+            [KeyedValue(*name, value) for name, value in self._lost_values.items()]
+        )
+
     async def _handle(
         self, request: edgewire.Request, writer: asyncio.StreamWriter
     ) -> bool:
