--- a/acaciaward/catalogue/features/delivery.py
+++ b/acaciaward/catalogue/features/delivery.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextvars
 import random
 import time
 import typing
@@ -26,6 +27,10 @@
 START_TIMEOUT_S = 10.0
 POLL_S = 0.01
 LISTENERS = ("Frontend", "Readiness", "Control", "Directory")
+# The name of the entry whose gateway runs the current task or callback.
+entry_name: contextvars.ContextVar[str | None] = contextvars.ContextVar(
+    "entry_name", default=None
+)
 
 
 class Entry:
@@ -66,10 +71,17 @@
         entries_each: int,
         seed: int = 1,
         route: abc.Mapping[str, typing.Any] = {},
+        configuration: abc.Mapping[str, typing.Any] = {},
     ):
-        """Start nothing yet; ``route`` overrides fields of the only route."""
+        """
+        Start nothing yet.
+
+        ``route`` overrides fields of the only route, ``configuration`` those of the
+        whole configuration.
+        """
         self.random = random.Random(seed)
         self._route = route
+        self._configuration = configuration
         self.store = edgestore.EdgeStore(random.Random(seed))
         self.entries = [
             Entry(f"e-{number}-{data_centre}", f"dc-{data_centre}")
@@ -90,7 +102,9 @@
             await entry.proxy.start()
             entry.gateway = process.Gateway(self._settings(entry))
             entry.view.subscribe(entry.record)
-            await entry.gateway.start()
+            context = contextvars.copy_context()
+            context.run(entry_name.set, entry.name)
+            await asyncio.create_task(entry.gateway.start(), context=context)
         await self.wait_until(
             lambda: all(entry.gateway.is_ready for entry in self.entries),
             START_TIMEOUT_S,
@@ -150,6 +164,7 @@
         route |= {"RouteType": "idempotent", "Service": "app"} | self._route
         body = {"Version": self.version, "Routes": [route]}
         body["Services"] = [{"Name": "app", "MaxConnections": 100}]
+        body |= self._configuration
         acknowledged_at = self.store.put(CONFIGURATION_TOPIC, "config", body)
         self.acknowledged_at.setdefault(self.version, acknowledged_at)
         return self.version
