Wait for a lease where its records are no longer retained

Two holders at a time: a candidate that reads after renewals have expired unread, or after the platform has dropped its history, got an empty page and took over while the holder's lease went on.

Cause: records that are gone were taken for renewals that never were. A read that begins later than the next offset now counts as a record.

--- a/acaciaward/leases/conditionallease.py
+++ b/acaciaward/leases/conditionallease.py
@@ -211,6 +211,14 @@
             page = await self._topic.read(error.first_offset)
         if page.era < (self._era or FIRST_ERA):
             raise errors.PlatformUnknownError("lease records of an earlier era")
+        if page.start != start:
+            # A record that is no longer retained may be as recent as the last one.
+            log.info(
+                "lease records no longer retained",
+                extra=logs.fields(next_offset=start, first_offset=page.start),
+            )
+            self._last_record_at = self._clock()
+            self._is_topic_empty = False
         return page
 
     def _apply_record(self, offset: int, data: bytes) -> None:
--- a/acaciaward/leases/features/conditionallease.feature
+++ b/acaciaward/leases/features/conditionallease.feature
@@ -60,6 +60,15 @@
     Then exactly 1 holds the lease
     And fences only rise, and no two leases overlap
 
+  # Guards against renewals that expired unread and count as if they had never been.
+  Scenario: Renewals that expired unread don't let another entry take over
+    Given 3 candidates on one topic
+    When they run for 5 s
+    And all records expire while only the holder runs for 8 s
+    And they run for 8 s
+    Then exactly 1 holds the lease
+    And fences only rise, and no two leases overlap
+
   # Guards against a duty that nobody holds after the store came back twice.
   Scenario: After two restores in a row one entry holds the lease
     Given 3 candidates on one topic
@@ -75,5 +84,9 @@
   Scenario: No schedule of restores, late appends and deaths makes leases overlap
     Then for any schedule with restores fences only rise, and no two leases overlap
 
+  # Guards against fences and leases that depend on what is no longer retained.
+  Scenario: No schedule of records that expire, late appends and deaths overlaps leases
+    Then for any schedule with expiry fences only rise, and no two leases overlap
+
   Scenario: No schedule of deaths, suspensions and lost answers makes leases overlap
     Then for any schedule fences only rise, and no two leases overlap
--- a/acaciaward/leases/features/steps/conditionallease_steps.py
+++ b/acaciaward/leases/features/steps/conditionallease_steps.py
@@ -25,6 +25,7 @@
 
     def __init__(self, rng):
         self.era = 0
+        self.first_offset = 0
         self.records = []
         self.late = []
         self.delay_rate = 0.0
@@ -37,8 +38,14 @@
         """Lose what was appended at ``before`` or later."""
         count = sum(at < before for at in self.appended_at)
         del self.records[count:], self.appended_at[count:]
+        self.first_offset = min(self.first_offset, count)
         self.era += 1
 
+    def expire(self, before):
+        """Drop what was appended before ``before``."""
+        count = sum(at < before for at in self.appended_at)
+        self.first_offset = max(self.first_offset, count)
+
     def do_late(self):
         """Do the appends that got no answer."""
         late, self.late = self.late, []
@@ -48,8 +55,8 @@
 
     async def read(self, start):
         await self._fail()
-        if start > len(self.records):
-            raise errors.RecordsExpiredError("beyond the end", first_offset=0)
+        if not self.first_offset <= start <= len(self.records):
+            raise errors.RecordsExpiredError("gone", first_offset=self.first_offset)
         return types.SimpleNamespace(
             records=self.records[start:],
             start=start,
@@ -191,6 +198,15 @@
     candidates.topic.restore(candidates.now - seconds)
 
 
+@when("all records expire while only the holder runs for {seconds:d} s")
+def expire_unread(context, seconds):
+    candidates = context.candidates
+    candidates.suspended = set(candidates.leases) - set(candidates.holders())
+    context.runner.run(candidates.run(seconds))
+    candidates.topic.expire(candidates.now)
+    candidates.suspended = set()
+
+
 @when("the store loses the last renewal while the holder goes on")
 def lose_renewal(context):
     topic = context.candidates.topic
@@ -259,3 +275,15 @@
             topic.do_late()
 
     play_schedules(context, disturb)
+
+
+@then("for any schedule with expiry fences only rise, and no two leases overlap")
+def check_any_with_expiry(context):
+    def disturb(topic, rng, now):
+        topic.delay_rate = rng.choice([0.0, 0.0, 0.3])
+        if rng.random() < 0.5:
+            topic.expire(now - rng.uniform(0.0, 4.0))
+        if rng.random() < 0.5:
+            topic.do_late()
+
+    play_schedules(context, disturb)
