Read the lease's topic on where a refusal names no first offset

Only one other read was tried, so each step was refused twice in the same way.

Change: a refused read is followed up to twice.

--- a/acaciaward/leases/conditionallease.py
+++ b/acaciaward/leases/conditionallease.py
@@ -39,6 +39,8 @@
 CLOCK_MARGIN_FRACTION = 0.1
 POLL_INTERVAL_S = 0.5
 RETRY_DELAY_S = 0.3
+# A refused read may name another first offset than the next one.
+MAX_READS = 3
 # A fence is an era times this number, plus an offset.
 OFFSETS_PER_ERA = 2**32
 # The era of a store that was never restored, or that states none.
@@ -205,10 +207,7 @@
         return page
 
     async def _read_page(self, start: int) -> TopicPage:
-        try:
-            page = await self._topic.read(start)
-        except errors.RecordsExpiredError as error:
-            page = await self._topic.read(error.first_offset)
+        page = await self._read_retained(start)
         if page.era < (self._era or FIRST_ERA):
             raise errors.PlatformUnknownError("lease records of an earlier era")
         if page.start != start:
@@ -221,6 +220,15 @@
             self._is_topic_empty = False
         return page
 
+    async def _read_retained(self, start: int) -> TopicPage:
+        """Read from an offset on, or from the first one that is retained."""
+        for _ in range(MAX_READS):
+            try:
+                return await self._topic.read(start)
+            except errors.RecordsExpiredError as error:
+                start = error.first_offset
+        raise errors.PlatformUnknownError("the first retained lease record isn't known")
+
     def _apply_record(self, offset: int, data: bytes) -> None:
         self._last_record_at = self._clock()
         self._is_topic_empty = False
--- a/acaciaward/leases/features/conditionallease.feature
+++ b/acaciaward/leases/features/conditionallease.feature
@@ -69,6 +69,16 @@
     Then exactly 1 holds the lease
     And fences only rise, and no two leases overlap
 
+  # Guards against a lease that nobody gets again, as the first offset isn't known.
+  Scenario: A refused read that names no first offset doesn't stop the duties
+    Given 3 candidates on one topic
+    When they run for 8 s
+    And reads beyond the end name no first offset and old records have expired
+    And the store loses what was appended in the last 2 s
+    And they run for 8 s
+    Then exactly 1 holds the lease
+    And fences only rise, and no two leases overlap
+
   # Guards against a duty that nobody holds after the store came back twice.
   Scenario: After two restores in a row one entry holds the lease
     Given 3 candidates on one topic
--- a/acaciaward/leases/features/steps/conditionallease_steps.py
+++ b/acaciaward/leases/features/steps/conditionallease_steps.py
@@ -26,6 +26,7 @@
     def __init__(self, rng):
         self.era = 0
         self.first_offset = 0
+        self.names_first_offset = True
         self.records = []
         self.late = []
         self.delay_rate = 0.0
@@ -56,7 +57,9 @@
     async def read(self, start):
         await self._fail()
         if not self.first_offset <= start <= len(self.records):
-            raise errors.RecordsExpiredError("gone", first_offset=self.first_offset)
+            is_named = self.names_first_offset or start < self.first_offset
+            first_offset = self.first_offset if is_named else 0
+            raise errors.RecordsExpiredError("gone", first_offset=first_offset)
         return types.SimpleNamespace(
             records=self.records[start:],
             start=start,
@@ -207,6 +210,13 @@
     candidates.suspended = set()
 
 
+@when("reads beyond the end name no first offset and old records have expired")
+def expire_without_first_offset(context):
+    topic = context.candidates.topic
+    topic.names_first_offset = False
+    topic.expire(context.candidates.now - 2.0)
+
+
 @when("the store loses the last renewal while the holder goes on")
 def lose_renewal(context):
     topic = context.candidates.topic
