Relay a time only if it is that of a majority of clocks

Decisions on windows then came 30 s early or late, where records are no longer retained when the clocks come back.

Change: relays say whether a majority has this time, and nothing is corrected by one that hasn't. Summaries carry the median and the number of their clocks, so that the majority is that of all data centres.

A summary grows by two numbers.

--- a/acaciaward/relays/aggregation.py
+++ b/acaciaward/relays/aggregation.py
@@ -20,7 +20,7 @@
 # use can't have been counted before. The time is long enough to receive messages from
 # all sources that start together.
 RECENT_START_S = 3.0
-# With fewer clocks than this there is no majority, and the own clock counts.
+# With fewer clocks than this there is no majority.
 MIN_CLOCKS = 3
 
 
@@ -29,6 +29,13 @@
     body: typing.Any
 
 
+class Clocks(typing.NamedTuple):
+    """The median Unix time of some clocks, and how many they are."""
+
+    now: float
+    clock_count: int
+
+
 class Sums(typing.NamedTuple):
     """
     Sums over several entries.
@@ -168,19 +175,31 @@
             )
         return sums
 
-    def median_time(self, own_time: float) -> float:
-        """
-        Return the median Unix time of the entries' clocks.
-
-        This is ``own_time`` if there are too few recent reports.
-        """
+    def clocks(self) -> Clocks:
+        """Return the median Unix time of this data centre, and of how many clocks."""
         now = self._clock()
         times = [
             received.body["now"] + now - received.received_at
             for received in self._reports.values()
             if now - received.received_at <= MAX_AGE_S
         ]
-        return statistics.median(times) if len(times) >= MIN_CLOCKS else own_time
+        return Clocks(statistics.median(times) if times else 0.0, len(times))
+
+    def majority_time(self) -> float | None:
+        """
+        Return the median Unix time of the entries' clocks, None without a majority.
+
+        The median of another data centre counts as often as it has clocks.
+        """
+        now = self._clock()
+        own = self.clocks()
+        times = [own.now] * own.clock_count
+        for received in self._summaries.values():
+            age_s = now - received.received_at
+            if age_s <= MAX_AGE_S and "now" in received.body:
+                time_there = received.body["now"] + age_s
+                times += [time_there] * received.body["clock_count"]
+        return statistics.median(times) if len(times) >= MIN_CLOCKS else None
 
     def _merge_limits(
         self, *sources: abc.Mapping[str, _Received]
--- a/acaciaward/relays/features/relays.feature
+++ b/acaciaward/relays/features/relays.feature
@@ -57,3 +57,11 @@
     When the reader has read nothing for 1.4 s
     Then the entry reads the store itself
     But it still receives sums over 2 entries
+
+  # Guards against a reader that corrects its whole data centre to its own wrong clock.
+  Scenario: A reader that has just started with a wrong clock corrects no other entry
+    Given a reader and an entry of its data centre that know endpoint s-1
+    When the reader's clock is 30 s ahead as it starts
+    Then the entry's clock isn't corrected
+    When it hears of 3 clocks of another data centre
+    Then both clocks are corrected to the entry's time
--- a/acaciaward/relays/features/steps/relays_steps.py
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -54,6 +54,7 @@
                 "data_centre": str(data_centre),
             }
             summary |= reader_aggregator.summary()._asdict()
+            summary |= reader_aggregator.clocks()._asdict()
             for other_data_centre, other_aggregator in self.aggregators.items():
                 if other_data_centre != data_centre:
                     other_aggregator.receive_summary(summary)
@@ -178,7 +179,7 @@
 def check_time(context, seconds):
     simulation = context.simulation
     for reader_aggregator in simulation.aggregators.values():
-        assert abs(reader_aggregator.median_time(0.0) - simulation.now) <= seconds
+        assert abs(reader_aggregator.majority_time() - simulation.now) <= seconds
 
 
 @then("a relay for {many:d} entries is at most {factor:g} times one for {few:d}")
@@ -224,14 +225,16 @@
 
     def __init__(self, name, members, clock):
         self.age_s = 0.0
+        self.unix_time = 1000.0
+        # Times that the entry was told to be those of the majority.
+        self.received_times = []
         self.directory = endpoints.Directory(clock)
-        own_state = relaying.LocalState(
-            1000.0, {}, {}, {}, {"crashes": {}, "cleared": []}, {}, {}
-        )
         state_exchange = types.SimpleNamespace(
-            collect_state=lambda: own_state,
+            collect_state=lambda: relaying.LocalState(
+                self.unix_time, {}, {}, {}, {"crashes": {}, "cleared": []}, {}, {}
+            ),
             receive_state=lambda state: None,
-            receive_time=lambda now: None,
+            receive_time=self.received_times.append,
             receive_version=lambda version: None,
         )
         self.membership = DirectMembership(name, members)
@@ -251,6 +254,36 @@
     return endpoints.Endpoint("s-1", 1, "s", "127.0.0.1", 1, "dc", 4, state)
 
 
+@when("the reader's clock is {seconds:g} s ahead as it starts")
+def start_ahead(context, seconds):
+    context.reader.unix_time += seconds
+    context.entry.received_times.clear()
+    for _ in range(5):
+        tick_both(context)
+
+
+@when("it hears of {count:d} clocks of another data centre")
+def hear_clocks(context, count):
+    summary = {"sender": "r-2/1", "uptime_s": 100.0, "data_centre": "dc-2"}
+    summary |= aggregation.Aggregator(time.monotonic).summary()._asdict()
+    summary |= {"now": context.entry.unix_time, "clock_count": count}
+    handler = context.reader.membership.handlers["summary"]
+    asyncio.run(handler("r-2", summary))
+    tick_both(context)
+
+
+@then("the entry's clock isn't corrected")
+def check_not_corrected(context):
+    assert not context.entry.received_times, context.entry.received_times
+
+
+@then("both clocks are corrected to the entry's time")
+def check_corrected(context):
+    for member in (context.reader, context.entry):
+        (received_time,) = member.received_times
+        assert abs(received_time - context.entry.unix_time) < 0.5, received_time
+
+
 @given("a reader and an entry of its data centre that know endpoint s-1")
 def make_both(context):
     context.now = 50.0
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -69,12 +69,19 @@
 
 
 class Summary(Figures):
-    """What a reader sends other data centres' readers: the sums over its entries."""
+    """
+    What a reader sends other data centres' readers: the sums over its entries.
+
+    ``now`` is the median Unix time of its entries, whose number is ``clock_count``;
+    both are missing in messages of older builds.
+    """
 
     sender: str
     uptime_s: float
     data_centre: str
     heard: int
+    now: typing.NotRequired[float]
+    clock_count: typing.NotRequired[int]
 
 
 class Relay(Figures):
@@ -85,9 +92,11 @@
     ``age_s`` is the time since it read the endpoints, ``configuration_age_s`` since it
     read the configuration, missing in relays of older builds. ``use`` and ``load`` are
     those of all other entries, and ``heard`` counts the entries that the sums are based
-    on. ``version`` is that of the configuration in force at the reader. ``endpoints``
-    and ``removed`` are the changes since its last relay, ``lapsed`` names the endpoints
-    whose removal it defers, and ``digest`` is the digest of all endpoints it knows.
+    on. ``now`` is its Unix time, that of a majority of entries if ``has_majority``,
+    which is missing in relays of older builds. ``version`` is that of the configuration
+    in force at the reader. ``endpoints`` and ``removed`` are the changes since its last
+    relay, ``lapsed`` names the endpoints whose removal it defers, and ``digest`` is
+    that of all endpoints it knows.
     ``levels`` are the levels of its quotas, for entries that have just started.
     """
 
@@ -98,6 +107,7 @@
     configuration_age_s: typing.NotRequired[float]
     heard: int
     now: float
+    has_majority: typing.NotRequired[bool]
     version: int
     endpoints: list[EndpointFields]
     removed: list[str]
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -215,6 +215,7 @@
             "uptime_s": self._uptime_s,
             "data_centre": self._data_centre,
             **summary._asdict(),
+            **self._aggregator.clocks()._asdict(),
         }
         by_data_centre: dict[str, list[str]] = {}
         for peer in self._live_peers():
@@ -248,6 +249,7 @@
         changes: tuple[list[messages.EndpointFields], list[str]],
         own_state: LocalState,
     ) -> messages.Relay:
+        majority_time = self._aggregator.majority_time()
         return {
             "sender": self._membership.name,
             "start": self._process_run,
@@ -256,7 +258,8 @@
             "configuration_age_s": (
                 time.monotonic() - self._get_configuration_read_at()
             ),
-            "now": self._aggregator.median_time(own_state.now),
+            "now": own_state.now if majority_time is None else majority_time,
+            "has_majority": majority_time is not None,
             "version": self._configuration_version(),
             "endpoints": changes[0],
             "removed": changes[1],
@@ -305,7 +308,9 @@
         self._state_exchange.receive_state(
             RelayedState(relay["start"], is_recent_start, sums, relay["levels"])
         )
-        self._state_exchange.receive_time(relay["now"])
+        # A reader that has just started hears few clocks, and its own may be wrong.
+        if relay.get("has_majority", True):
+            self._state_exchange.receive_time(relay["now"])
         self._state_exchange.receive_version(relay["version"])
 
     def record_store_read(self) -> None:
