Don't answer for windows by a clock that no majority has confirmed

An entry that started ahead stored and reported nothing until true time had caught up.

Change: the reporter begins once a majority has confirmed or corrected the clock. Without any majority the wall clock counts after 10 s, for entries that are one or two.

--- a/acaciaward/gateway/duties.py
+++ b/acaciaward/gateway/duties.py
@@ -92,6 +92,7 @@
                 live_names=self._live_names,
                 peer_counts=usage_of_others,
                 send=cloud.report_usage,
+                is_clock_confirmed=lambda: self.clock.is_confirmed,
             )
             self._task_factories.append(reporter.run)
         if platform_duties.SCALING_DUTY in names:
--- a/acaciaward/usage/counting.py
+++ b/acaciaward/usage/counting.py
@@ -20,6 +20,8 @@
 RETAINED_WINDOWS = 8
 # A clock further off the majority's time than this is considered stepped.
 CLOCK_STEP_THRESHOLD_S = 0.5
+# An entry that has heard no majority for so long is one of very few.
+CONFIRMATION_TIMEOUT_S = 10.0
 
 Counts = dict[str, int]
 
@@ -42,6 +44,19 @@
     ):
         self._steady_clock = steady_clock
         self._offset_s = wall_clock() - steady_clock()
+        self._started_at = steady_clock()
+        self._is_confirmed = False
+
+    @property
+    def is_confirmed(self) -> bool:
+        """
+        Whether a majority of entries has confirmed or corrected this clock.
+
+        Without a majority, the wall clock counts after ``CONFIRMATION_TIMEOUT_S``.
+        """
+        if self._is_confirmed:
+            return True
+        return self._steady_clock() - self._started_at >= CONFIRMATION_TIMEOUT_S
 
     def now(self) -> float:
         """Return Unix seconds."""
@@ -49,6 +64,7 @@
 
     def correct(self, majority_time: float) -> None:
         """Adopt the majority's Unix time if this clock is too far off it."""
+        self._is_confirmed = True
         error_s = majority_time - self.now()
         if abs(error_s) > CLOCK_STEP_THRESHOLD_S:
             log.warning("clock corrected", extra=logs.fields(by_s=round(error_s, 3)))
--- a/acaciaward/usage/features/reporters.py
+++ b/acaciaward/usage/features/reporters.py
@@ -49,7 +49,11 @@
 
     def restore(self, before: float) -> None:
         """Lose what was appended at ``before`` or later, and begin the next era."""
-        count = sum(at < before for at in self._appended_at)
+        self.cut_back(self.first_offset + sum(at < before for at in self._appended_at))
+
+    def cut_back(self, end_offset: int) -> None:
+        """Lose the records from an offset on, and begin the next era."""
+        count = end_offset - self.first_offset
         del self.records[count:], self._appended_at[count:]
         self.era += 1
 
@@ -109,14 +113,21 @@
 
 
 class Entry:
-    """One run of an entry's process: its counter, its reporter and its lease."""
+    """
+    One run of an entry's process: its counter, its reporter and its lease.
 
-    def __init__(self, world: "World", name: str):
+    Its clock is ``clock_error_s`` ahead until ``correct_clock``.
+    """
+
+    def __init__(self, world: "World", name: str, clock_error_s: float = 0.0):
         self.name = name
+        self.clock_error_s = clock_error_s
         self.is_suspended = False
         self.tenure = None
         self._world = world
-        self.counter = counting.UsageCounter(WINDOW_S, lambda: world.now)
+        self.counter = counting.UsageCounter(
+            WINDOW_S, lambda: world.now + self.clock_error_s
+        )
         self.reporter = reporting.Reporter(
             world.topic,
             typing.cast(typing.Any, self),
@@ -127,8 +138,13 @@
             live_names=lambda: world.entries,
             peer_counts=lambda: {},
             send=self._send,
+            is_clock_confirmed=lambda: not self.clock_error_s,
         )
 
+    def correct_clock(self) -> None:
+        """Correct the clock as a majority of entries does."""
+        self.clock_error_s = 0.0
+
     def held(self, *, for_s=0.0):
         """Return the tenure of this entry, as the duties' lease does."""
         return self.tenure
@@ -159,9 +175,9 @@
         for name in names:
             self.start(name)
 
-    def start(self, name: str) -> None:
+    def start(self, name: str, clock_error_s: float = 0.0) -> None:
         """Start an entry's process, or start it again."""
-        self.entries[name] = Entry(self, name)
+        self.entries[name] = Entry(self, name, clock_error_s)
 
     def receive(self, window, counts, name):
         """Receive a report as the platform does."""
--- a/acaciaward/usage/features/steps/lostdecisions_steps.py
+++ b/acaciaward/usage/features/steps/lostdecisions_steps.py
@@ -1,8 +1,10 @@
 """Steps for decisions on usage that the store loses."""
 
+import msgspec
 from behave import given, then, when
 
 from acaciaward import errors
+from acaciaward.usage import decisions
 from acaciaward.usage.features import reporters
 
 WINDOW_S = reporters.WINDOW_S
@@ -155,11 +157,113 @@
     context.runner.run(world.run_until(world.now + 0.75))
     topic.loses_answers = topic.delays_appends = False
     if when == "and done after a restore":
+        # The decision's condition holds: all that was appended since is lost.
+        topic.restore(end_of(window) + 1.0)
+        assert topic.late and topic.late[0][1] == topic.end_offset, topic.late
+    if when == "and lost with the store":
         context.runner.run(world.run_until(world.now + 0.5))
         topic.restore(end_of(window))
     topic.do_late()
 
 
+@when("entry {name} holds the lease")
+def give_lease(context, name):
+    context.world.give_lease(name)
+
+
+@when(
+    "entry three is restarted with its clock {seconds:d} s {off}, corrected 1 s later"
+)
+def restart_with_wrong_clock(context, seconds, off):
+    world = context.world
+    world.start("three", {"ahead": seconds, "behind": -seconds}[off])
+    context.runner.run(world.run_until(world.now + 1.0))
+    world.entries["three"].correct_clock()
+
+
+def interrupt_decision(context, window, interrupt):
+    """Call ``interrupt`` once, just before a decision on a window is appended."""
+    world, topic = context.world, context.world.topic
+    append = topic._append
+    is_interrupted = False
+
+    def append_later(records, expected_end):
+        nonlocal is_interrupted
+        if not is_interrupted and f'{window},""'.encode() in records[0]:
+            is_interrupted = True
+            interrupt()
+        return append(records, expected_end)
+
+    topic._append = append_later
+    while not is_interrupted:
+        context.runner.run(world.run_until(world.now + reporters.STEP_S))
+        assert world.now < end_of(window) + reporters.DEADLINE_S
+    topic._append = append
+
+
+def decide_elsewhere(world, window):
+    """Let entry two decide on a window and send it, with counts of its own."""
+    world.give_lease("two")
+    decision = decisions.Record(window, "", {"org": 99}, world.topic.era)
+    world.topic._add([msgspec.json.encode(decision)])
+    world.receive(window, decision.counts, "two")
+
+
+@when(
+    "entry one is suspended as it appends its decision on {window:d}, another"
+    " decides and sends"
+)
+def suspend_before_append(context, window):
+    interrupt_decision(context, window, lambda: decide_elsewhere(context.world, window))
+
+
+@when(
+    "entry one is suspended as it appends its decision on {window:d}, another"
+    " decides, sends, and its decision is lost with the store's"
+)
+def suspend_before_append_and_restore(context, window):
+    def interrupt():
+        end_offset = context.world.topic.end_offset
+        decide_elsewhere(context.world, window)
+        context.world.topic.cut_back(end_offset)
+
+    interrupt_decision(context, window, interrupt)
+
+
+@when(
+    "the decision of entry one on {window:d} isn't appended yet, two sends other counts"
+)
+def delay_decision(context, window):
+    world, topic = context.world, context.world.topic
+    context.runner.run(world.run_until(end_of(window) + 1.0))
+    topic.delays_appends = True
+    while not topic.late:
+        context.runner.run(world.run_until(world.now + reporters.STEP_S))
+    topic.delays_appends = False
+    del topic.late[1:]
+    context.end_offset = topic.end_offset
+    decide_elsewhere(world, window)
+
+
+@when("the store loses the decision of two, and appends that of one")
+def lose_decision_of_two(context):
+    topic = context.world.topic
+    topic.cut_back(context.end_offset)
+    topic.do_late()
+    assert topic.end_offset == context.end_offset + 1, topic.late
+
+
+@then("window {window:d} was reported in time")
+def check_window_in_time(context, window):
+    check_windows_in_time(context, window, window)
+
+
+@then("windows {first:d} to {last:d} were reported in time")
+def check_windows_in_time(context, first, last):
+    world = context.world
+    assert not world.late_windows(first, last), world.first_sent_at
+
+
 @then("no window was sent with two counts")
 def check_once(context):
     assert not context.world.windows_sent_twice(), context.world.windows_sent_twice()
@@ -168,7 +272,7 @@
 @then("windows {first:d} to {last:d} were reported in time, with the right counts")
 def check_in_time(context, first, last):
     world = context.world
-    assert not world.late_windows(first, last), world.first_sent_at
+    check_windows_in_time(context, first, last)
     for window in range(first, last + 1):
         counts = {}
         for entry in world.entries.values():
--- a/acaciaward/usage/reporting.py
+++ b/acaciaward/usage/reporting.py
@@ -41,7 +41,8 @@
     its own counts and ``peer_counts``, the counts that the entries it reads for
     reported. For an entry that isn't a reader, ``peer_counts`` returns None and it
     stores nothing. ``report_deadline_s`` is the time after a window's end at which
-    its report is late.
+    its report is late. Nothing is stored or reported before ``is_clock_confirmed``:
+    what an entry says of windows by a wrong clock can't be taken back.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         live_names: abc.Callable[[], abc.Collection[str]],
         peer_counts: abc.Callable[[], ReportedCounts | None],
         send: SendReport,
+        is_clock_confirmed: abc.Callable[[], bool] = lambda: True,
     ):
         self._lease = lease
         self._counter = counter
@@ -65,8 +67,9 @@
         self._live_names = live_names
         self._peer_counts = peer_counts
         self._send = send
-        self._first_window = counter.current_window()
-        self._last_stored_window = self._first_window - 1
+        self._is_clock_confirmed = is_clock_confirmed
+        self._first_window: int | None = None
+        self._last_stored_window = 0
         self._reported_windows: set[int] = set()
         self._unknown_windows: set[int] = set()
         self._decisions = decisions.Decisions(topic, ledger, counter.current_window)
@@ -84,6 +87,11 @@
 
     async def step(self) -> None:
         """Store and report the windows that are due."""
+        if self._first_window is None:
+            if not self._is_clock_confirmed():
+                return
+            self._first_window = self._counter.current_window()
+            self._last_stored_window = self._first_window - 1
         await self._begin_to_read()
         current = self._counter.current_window()
         is_due = self._counter.time_since_end_s(current - 1) >= STORE_DELAY_S
