Keep endpoints that were leaving so when an older copy lists them

Not reported by users: callers' work could reach endpoints that had left (DRAIN).

Cause: an endpoint that says it is leaving was taken at its record's newest word, and a store that was restored from an older copy lists it as ready, also after its removal.

Change: an incarnation that was leaving stays so for a minute, unless its record states no start, as it may have restarted then.

--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -5,7 +5,8 @@
 of the store that happens to live endpoints, too, so removals seen around an outage are
 deferred for ``REMOVAL_DEFERRAL_S``: meanwhile, a lapsed endpoint gets work only if
 there is no other. An endpoint that restarts under its old name is another incarnation,
-and nothing known of the old one applies to it.
+and nothing known of the old one applies to it. One that has said it is leaving doesn't
+stay, whatever a store that was restored from an older copy says.
 """
 
 import enum
@@ -23,6 +24,8 @@
 OUTAGE_SETTLE_S = 3.0
 # How long versions of endpoints that have ended are remembered; longer than a stream.
 ENDED_VERSIONS_S = 600.0
+# How long it is remembered that an endpoint was leaving; longer than a copy is old.
+LEAVING_MEMORY_S = 60.0
 
 
 class EndpointState(enum.Enum):
@@ -67,6 +70,8 @@
         self._clock = clock
         self._endpoints: dict[str, Endpoint] = {}
         self._leaving_since: dict[str, float] = {}
+        # When an incarnation last said that it is leaving, also after its removal.
+        self._said_leaving_at: dict[tuple[str, int], float] = {}
         self._deferred_removals: dict[str, float] = {}
         self._mismatched: set[tuple[str, int]] = set()
         self._outage_seen_at = -OUTAGE_SETTLE_S
@@ -87,7 +92,8 @@
         self._outage_seen_at = self._clock()
 
     def update(self, endpoint: Endpoint) -> None:
-        """Add or update an endpoint."""
+        """Add or update an endpoint; one that was leaving stays so."""
+        endpoint = self._keep_leaving(endpoint)
         self._deferred_removals.pop(endpoint.name, None)
         previous = self._endpoints.get(endpoint.name)
         if previous == endpoint:
@@ -120,6 +126,22 @@
             )
         self._notify(previous, endpoint)
 
+    def _keep_leaving(self, endpoint: Endpoint) -> Endpoint:
+        now = self._clock()
+        if endpoint.state is EndpointState.LEAVING:
+            self._said_leaving_at = {
+                incarnation: said_at
+                for incarnation, said_at in self._said_leaving_at.items()
+                if now - said_at < LEAVING_MEMORY_S
+            }
+            self._said_leaving_at[endpoint.incarnation] = now
+            return endpoint
+        # Without the time of its start, one that has restarted may be ready again.
+        said_at = self._said_leaving_at.get(endpoint.incarnation)
+        if not endpoint.born or said_at is None or now - said_at >= LEAVING_MEMORY_S:
+            return endpoint
+        return endpoint._replace(state=EndpointState.LEAVING)
+
     def remove(self, name: str, reason: str) -> None:
         """Remove an endpoint, deferred if the store was unavailable just before."""
         if name not in self._endpoints:
--- a/acaciaward/catalogue/features/catalogue.feature
+++ b/acaciaward/catalogue/features/catalogue.feature
@@ -35,6 +35,18 @@
     When e-1 reports that it is leaving
     Then e-2 may get work
 
+  # Guards against work for an endpoint that left and that a restored store lists again.
+  Scenario: An endpoint that was leaving gets no work again from an older copy
+    Given endpoints e-1 and e-2
+    When e-1 reports that it is leaving
+    And an older copy of the store lists all as ready
+    Then e-2 may get work
+    When the record of e-1 is removed
+    And an older copy of the store lists all as ready
+    Then e-2 may get work
+    When e-1 starts again
+    Then e-1, e-2 may get work
+
   Scenario: A new start under an old name is another incarnation
     Given endpoints e-1 and e-2
     When another server answers at the address of e-1
--- a/acaciaward/catalogue/features/steps/catalogue_steps.py
+++ b/acaciaward/catalogue/features/steps/catalogue_steps.py
@@ -73,6 +73,11 @@
     context.directory.update(make_endpoint(name))
 
 
+@when("an older copy of the store lists all as ready")
+def list_older_copy(context):
+    context.directory.replace_all([make_endpoint(name) for name in ("e-1", "e-2")])
+
+
 @when("{name} reports that it is leaving")
 def leave(context, name):
     context.directory.update(make_endpoint(name, state=LEAVING))
