Don't let messages that were held up set a clock back

Cause: each relay's time was taken for the present time. A message may be late, never early.

Change: a clock that is behind the majority is corrected at once, one that seems ahead only after it has for 0.6 s, by the least delayed of the messages.

Measured: the new scenario of usage.feature fails on the code before; 7 of 7 pass. In a run of an entry that is ahead the correction comes 0.6 s later than before.

--- a/acaciaward/usage/counting.py
+++ b/acaciaward/usage/counting.py
@@ -20,6 +20,8 @@
 RETAINED_WINDOWS = 8
 # A clock further off the majority's time than this is considered stepped.
 CLOCK_STEP_THRESHOLD_S = 0.5
+# Longer than a backlog of messages takes to be handled after a pause.
+AHEAD_CONFIRMATION_S = 0.6
 # An entry that has heard no majority for so long is one of very few.
 CONFIRMATION_TIMEOUT_S = 10.0
 
@@ -46,6 +48,9 @@
         self._offset_s = wall_clock() - steady_clock()
         self._started_at = steady_clock()
         self._is_confirmed = False
+        # Since when this clock has seemed to be ahead, and by how much, negative.
+        self._ahead_since: float | None = None
+        self._ahead_errors_s: list[float] = []
 
     @property
     def is_confirmed(self) -> bool:
@@ -63,9 +68,24 @@
         return self._offset_s + self._steady_clock()
 
     def correct(self, majority_time: float) -> None:
-        """Adopt the majority's Unix time if this clock is too far off it."""
-        self._is_confirmed = True
+        """
+        Adopt the majority's Unix time if this clock is too far off it.
+
+        A message with the time may be late but never early. So a clock that is behind
+        is corrected at once, and one that seems ahead only if it does for a while.
+        """
         error_s = majority_time - self.now()
+        if error_s < -CLOCK_STEP_THRESHOLD_S:
+            self._ahead_errors_s.append(error_s)
+            now = self._steady_clock()
+            if self._ahead_since is None:
+                self._ahead_since = now
+            if now - self._ahead_since < AHEAD_CONFIRMATION_S:
+                return
+            error_s = max(self._ahead_errors_s)
+        self._ahead_since = None
+        self._ahead_errors_s.clear()
+        self._is_confirmed = True
         if abs(error_s) > CLOCK_STEP_THRESHOLD_S:
             log.warning("clock corrected", extra=logs.fields(by_s=round(error_s, 3)))
             self._offset_s += error_s
--- a/acaciaward/usage/features/usage.feature
+++ b/acaciaward/usage/features/usage.feature
@@ -9,6 +9,17 @@
     Given a corrected clock that began 30 s ahead of two peers
     Then the true time is that of the peers
 
+  Scenario: A clock that is behind is corrected by the first message
+    Given a corrected clock that began 7 s behind two peers
+    When the time of the peers arrives once
+    Then the true time is that of the peers
+
+  # Guards against a clock that late messages set back, and windows counted by it.
+  Scenario: Messages that were held up don't set a clock back
+    Given a corrected clock that has the time of two peers
+    When 8 messages with the time arrive at once, the first 2 s late
+    Then the true time is that of the peers
+
   Scenario: The counts of a dead entry are those of its last report
     Given entries that reported 10 and 20 before the second died
     Then the window's total is 30
