Cut entries off from all servers in the soak

Change: an entry's sockets connect from a loopback address of its own, through a module that the soak starts entries with. The proxies before the servers know peers by it and cut single ones off: their connections hang, are reset, or only new ones are reset. The fault cuts one, two or all entries off for 3 to 12 s. Plants are started by the same module.

Measured: features/faultproxy.feature 4 passed.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,6 +29,10 @@
 # How long a part of prompts crashes servers.
 TAINTED_RANGE_S = (6.0, 15.0)
 
+# How entries are cut off from all servers, and for how long.
+CUT_MODES = ("hang", "reset", "refuse")
+CUT_RANGE_S = (3.0, 12.0)
+
 
 class FaultInjector(disturber.Disturber):
     """Injects faults for a given time."""
@@ -53,6 +57,7 @@
             (1, store_faults.compact),
             (0.5, store_faults.expire),
             (3, store_faults.restore),
+            (1, self._cut_off_from_servers),
             (2, self._change_configuration),
             (1, self._write_invalid_registration),
             (3, self._crash_server),
@@ -162,6 +167,31 @@
             proxy = self._system.server_proxies[server.name]
             await self._disturb_proxy(proxy, server.name)
 
+    async def _cut_off_from_servers(self) -> None:
+        """Cut one, several or all entries off from all servers."""
+        cuts = self._system.entry_cuts
+        if cuts:
+            return
+        count = self._random.choice((1, 2, len(self._system.entries)))
+        entries = self._random.sample(self._system.entries, count)
+        mode = self._random.choice(CUT_MODES)
+        names = [entry.name for entry in entries]
+        self._system.record_event(f"{mode} between {', '.join(names)} and all servers")
+        with self._disturbing(*names):
+            cuts.update((entry.source_address, mode) for entry in entries)
+            if mode == "reset":
+                self._cut_server_connections(entries)
+            await asyncio.sleep(self._random.uniform(*CUT_RANGE_S))
+            cuts.clear()
+            # What a hanging connection held up is either lost or arrives now.
+            if mode == "hang" and self._random.random() < 0.5:
+                self._cut_server_connections(entries)
+
+    def _cut_server_connections(self, entries: abc.Iterable[world.Entry]) -> None:
+        for proxy in self._system.server_proxies.values():
+            for entry in entries:
+                proxy.cut_connections(entry.source_address)
+
     async def _change_configuration(self) -> None:
         if time.monotonic() - self._configured_at >= CONFIGURATION_INTERVAL_S:
             self._configured_at = time.monotonic()
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -1,5 +1,5 @@
 """
-Runs an entry with a planted fault, to show that the soak detects it.
+Planted faults of entries, to show that the soak detects them.
 
     python -m soak --plant twice --seed 1 --minutes 0.7
 
@@ -9,7 +9,6 @@
 
 import asyncio
 import os
-import sys
 import time
 from collections import abc
 
@@ -17,7 +16,6 @@
 
 from acaciaward.admission import quotas, repeatbudget
 from acaciaward.catalogue import endpoints, routes, storeview
-from acaciaward.cli import main as cli_main
 from acaciaward.gateway import callers, callprogress, forwarding, process, upstreams
 from acaciaward.platform import duties, headers
 from acaciaward.quarantine import promptparts
@@ -223,14 +221,3 @@
         end,
     )
 }
-
-
-def main() -> None:
-    """Apply the plant that the first argument names; run the CLI with the others."""
-    name = sys.argv.pop(1)
-    PLANTS[name]()
-    cli_main.run()
-
-
-if __name__ == "__main__":
-    main()
--- a/soak/world.py
+++ b/soak/world.py
@@ -48,8 +48,10 @@
 class Entry:
     """One entry and its process."""
 
-    def __init__(self, name: str, data_centre: str):
+    def __init__(self, name: str, data_centre: str, source_address: str):
         self.name = name
+        # Its connections to servers come from this address.
+        self.source_address = source_address
         self.data_centre = data_centre
         self.ports = {
             listener: ports.find_free_port()
@@ -84,11 +86,17 @@
         self.configuration_changes: list[judge.ConfigurationChange] = []
         self.store = edgestore.EdgeStore(self._new_rng())
         self.entries = [
-            Entry(f"edge-{number}", DATA_CENTRES[number % len(DATA_CENTRES)])
+            Entry(
+                f"edge-{number}",
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+                f"127.0.1.{number + 1}",
+            )
             for number in range(entries)
         ]
         self.servers: dict[str, edgeserver.EdgeServer] = {}
         self.server_proxies: dict[str, faultproxy.FaultProxy] = {}
+        # How entries are cut off from all servers, by their source addresses.
+        self.entry_cuts: dict[str, str] = {}
         self._caller_count = caller_count
         self._callers: list[callers.Caller] = []
         # Parts that crash servers, and when each has done so.
@@ -179,12 +187,10 @@
         """Start an entry's process."""
         settings_path = self.folder / f"{entry.name}.conf"
         settings_path.write_text(self._settings_text(entry))
-        module = ["-m", "acaciaward", "gateway"]
-        if self.plant:
-            module = ["-m", "soak.plants", self.plant, "gateway"]
+        module = ["-m", "soak.entryprocess", entry.source_address, self.plant]
         with (self.folder / f"{entry.name}.log").open("ab") as output:
             entry.process = subprocess.Popen(
-                [sys.executable, *module, "--settings", str(settings_path)],
+                [sys.executable, *module, "gateway", "--settings", str(settings_path)],
                 cwd=ROOT,
                 env={"PATH": os.environ["PATH"], "PYTHONPATH": str(ROOT)},
                 stdout=output,
@@ -262,6 +268,7 @@
         server.on_crash = self._record_crash
         await server.start()
         proxy = faultproxy.FaultProxy(("127.0.0.1", server.port), port=port)
+        proxy.peer_faults = self.entry_cuts
         await proxy.start()
         server.register(proxy.port)
         self.servers[server.name] = server
--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -7,6 +7,9 @@
 forwarded). ``direction`` names the direction that a hold or cut applies to: request,
 answer or both. ``delay_s`` delays each chunk of data in both directions.
 ``silence_connections`` lets open connections carry nothing more, while new ones work.
+``peer_faults`` cuts peers off by their addresses: with ``hang`` their connections carry
+nothing, with ``refuse`` new ones are aborted while open ones work, with ``reset`` new
+ones are aborted (``cut_connections`` aborts the open ones).
 """
 
 import asyncio
@@ -33,8 +36,10 @@
             "delay_s": 0.0,
             "cut_after_bytes": 0,
         }
+        self.peer_faults: dict[str, str] = {}
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        # The writers to both ends of each connection, with the address of its peer.
+        self._writers: dict[asyncio.StreamWriter, str] = {}
         self._silenced_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -48,19 +53,22 @@
         if self._server is not None:
             self._server.close()
 
-    def cut_connections(self) -> None:
-        """Abort every open connection."""
-        for writer in list(self._writers):
-            writer.transport.abort()
+    def cut_connections(self, peer: str | None = None) -> None:
+        """Abort every open connection, or those of one peer's address."""
+        for writer, address in list(self._writers.items()):
+            if peer in (None, address):
+                writer.transport.abort()
 
     def silence_connections(self) -> None:
         """Forward nothing more on the open connections, without closing them."""
-        self._silenced_writers |= self._writers
+        self._silenced_writers |= self._writers.keys()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.faults["mode"] == "refuse":
+        peer = writer.get_extra_info("peername")[0]
+        is_peer_refused = self.peer_faults.get(peer) in ("refuse", "reset")
+        if self.faults["mode"] == "refuse" or is_peer_refused:
             writer.transport.abort()
             return
         try:
@@ -69,13 +77,14 @@
             writer.transport.abort()
             return
         pair = {writer, target_writer}
-        self._writers |= pair
+        self._writers |= dict.fromkeys(pair, peer)
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pump(reader, target_writer, "request", pair))
                 group.create_task(self._pump(target_reader, writer, "answer", pair))
         finally:
-            self._writers -= pair
+            for pair_writer in pair:
+                del self._writers[pair_writer]
             self._silenced_writers -= pair
 
     async def _pump(
@@ -89,10 +98,7 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_BYTES):
                 await asyncio.sleep(self.faults["delay_s"])
-                while (
-                    self._is_mode_active("hold", direction)
-                    or writer in self._silenced_writers
-                ):
+                while self._is_held(writer, direction):
                     await asyncio.sleep(HOLD_POLL_S)
                 if self._is_mode_active("cut", direction):
                     allowed_bytes = max(
@@ -108,6 +114,13 @@
         for pair_writer in pair:
             pair_writer.close()
 
+    def _is_held(self, writer: asyncio.StreamWriter, direction: str) -> bool:
+        return (
+            self._is_mode_active("hold", direction)
+            or writer in self._silenced_writers
+            or self.peer_faults.get(self._writers[writer]) == "hang"
+        )
+
     def _is_mode_active(self, mode: str, direction: str) -> bool:
         is_matching_direction = self.faults["direction"] in ("both", direction)
         return self.faults["mode"] == mode and is_matching_direction
