--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -16,13 +16,15 @@
 BUDGET   Repeats stay within the retry budget.
 QUOTA    An organisation gets no more than its quota.
 ONE      One entry at a time carries out a duty.
+USAGE    Windows of usage are reported in time again after the store was restored.
 GONE     Requests of callers that left are neither sent to servers nor kept running.
 LOST     An orderly stop of an entry loses no requests.
 RECOVER  Requests are served again once faults are over.
 =======  ==========================================================================
 
-Those from DRAIN on concern spans of time and are checked in ``judge``; END is checked
-where entries are started and stopped, in ``world`` and ``faults``.
+Those from DRAIN on concern spans of time and are checked in ``judge`` and
+``dutyrules``; END is checked where entries are started and stopped, in ``world`` and
+``faults``.
 """
 
 import dataclasses
