--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -9,8 +9,9 @@
 import asyncio
 import contextlib
 import time
+import typing
 
-from acaciaward.catalogue import routes
+from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import (
     callers,
     callprogress,
@@ -24,7 +25,6 @@
     upstreams,
 )
 from acaciaward.resumption import origins
-from acaciaward.routing import occupancy
 
 SERVER_ERROR = 500
 
@@ -39,20 +39,42 @@
 MIN_TIME_LEFT_S = 0.005
 
 
+class Work(typing.Protocol):
+    """One call at one endpoint, or at the peer that stands in for endpoints."""
+
+    endpoint: endpoints.Endpoint
+
+    @property
+    def answered_for_s(self) -> float:
+        """How long ago the answer began, in seconds; 0 if it hasn't."""
+
+    def record_first_byte(self) -> None:
+        """Record that the answer has begun."""
+
+
 class Attempts:
-    """Makes the attempts of all calls."""
+    """
+    Makes the attempts of all calls at endpoints.
+
+    The methods whose names don't begin with ``make`` are what differs for an attempt
+    through a peer.
+    """
 
     def __init__(self, dependencies: interfaces.Dependencies):
         self._deps = dependencies
 
+    @property
+    def _pool(self) -> upstreams.UpstreamPool:
+        return self._deps.pool
+
     async def make(
         self,
         progress: callprogress.Progress,
-        work: occupancy.ActiveCall,
+        work: Work,
         responder: callers.Responder,
     ) -> bool:
         """Send the call to one endpoint; return whether its answer is a failure."""
-        pool = self._deps.pool
+        pool = self._pool
         upstream = await pool.acquire(
             work.endpoint, may_repeat=progress.route.may_repeat
         )
@@ -60,25 +82,14 @@
             left_s = progress.left_s
             if left_s < MIN_TIME_LEFT_S:
                 raise TimeoutError
-            forwarding = calls.Forwarding(
-                work.endpoint.name,
-                progress.organisation.name if progress.organisation else None,
-                progress.rank,
-                left_s,
-                progress.last_delivered_id,
-            )
-            headers = self._deps.codec.encode_forwarded(progress.call, forwarding)
-            progress.sends += 1
-            decisions.record_sent(
-                progress, work, is_new_connection=not upstream.exchanges
-            )
+            headers = self._encode(progress, work, left_s)
+            self._record_sent(progress, work, is_new_connection=not upstream.exchanges)
             was_sent_before = progress.may_have_run
             progress.may_have_run = True
             with self._guard(progress, work, upstream):
-                reply = await self._exchange(progress, upstream, headers)
-                self._deps.occupancy.record_data(work.endpoint)
+                reply = await self._exchange(progress, work, upstream, headers)
                 head = reply.head
-                self._record_limit(work, head)
+                self._record_head(progress, work, head)
                 if head.is_refusal:
                     progress.may_have_run = was_sent_before
                     await reply.read(MAX_BUFFERED_BYTES)
@@ -95,14 +106,49 @@
             raise
         pool.release(upstream, head)
         if head.is_refusal:
-            raise errors.NotRunError(
-                f"refused with {head.status}",
-                is_misdirected=head.is_misdirected,
-                retry_after_s=head.retry_after_s,
-            )
+            raise self._refusal_error(head)
         return head.status >= SERVER_ERROR
 
-    def _record_limit(self, work: occupancy.ActiveCall, head: calls.ReplyHead) -> None:
+    def _encode(
+        self, progress: callprogress.Progress, work: Work, left_s: float
+    ) -> calls.Headers:
+        forwarding = calls.Forwarding(
+            work.endpoint.name,
+            progress.organisation.name if progress.organisation else None,
+            progress.rank,
+            left_s,
+            progress.last_delivered_id,
+        )
+        return self._deps.codec.encode_forwarded(progress.call, forwarding)
+
+    def _decode(self, status: int, headers: calls.Headers) -> calls.ReplyHead:
+        return self._deps.codec.decode_reply(status, headers)
+
+    def _record_sent(
+        self, progress: callprogress.Progress, work: Work, *, is_new_connection: bool
+    ) -> None:
+        progress.sends += 1
+        decisions.record_sent(progress, work, is_new_connection=is_new_connection)
+
+    def _record_head(
+        self, progress: callprogress.Progress, work: Work, head: calls.ReplyHead
+    ) -> None:
+        self._record_data(work)
+        self._record_limit(work, head)
+
+    def _record_data(self, work: Work) -> None:
+        self._deps.occupancy.record_data(work.endpoint)
+        self._deps.reachability.record_data(work.endpoint.service)
+
+    @staticmethod
+    def _refusal_error(head: calls.ReplyHead) -> errors.NotRunError:
+        return errors.NotRunError(
+            f"refused with {head.status}",
+            is_misdirected=head.is_misdirected,
+            retry_after_s=head.retry_after_s,
+        )
+
+    def _record_limit(self, work: Work, head: calls.ReplyHead) -> None:
         if head.is_misdirected or not (head.is_signed or head.is_refusal):
             return
         if head.limit_per_s is not None:
@@ -114,22 +160,20 @@
     async def _exchange(
         self,
         progress: callprogress.Progress,
+        work: Work,
         upstream: upstreams.UpstreamConnection,
         headers: calls.Headers,
     ) -> upstreams.Reply:
         call, route = progress.call, progress.route
-        decode = self._deps.codec.decode_reply
         is_idempotent = route.kind is routes.RequestKind.IDEMPOTENT
-        if not is_idempotent or not self._may_retry_elsewhere(
-            progress, upstream.endpoint.service
-        ):
-            return await upstream.exchange(call, headers, decode)
+        if not is_idempotent or not self._may_retry_elsewhere(progress, work):
+            return await upstream.exchange(call, headers, self._decode)
         no_data_timeout_s = min(
             NO_DATA_TIMEOUT_TARGETS * route.target_s, progress.left_s / 2
         )
         try:
             async with asyncio.timeout(no_data_timeout_s) as limit:
-                return await upstream.exchange(call, headers, decode)
+                return await upstream.exchange(call, headers, self._decode)
         except TimeoutError as error:
             if not limit.expired():
                 raise
@@ -140,7 +184,7 @@
     async def _forward_answer(
         self,
         progress: callprogress.Progress,
-        work: occupancy.ActiveCall,
+        work: Work,
         reply: upstreams.Reply,
         responder: callers.Responder,
     ) -> None:
@@ -155,7 +199,11 @@
             raise errors.BrokenOffError(f"resume answered {reply.head.status}")
         if self._is_retryable_failure(progress, reply.head):
             raise errors.BrokenOffError(f"endpoint failed with {reply.head.status}")
-        await responder.send(reply.head.status, reply.head.headers, body)
+        await responder.send(
+            reply.head.status,
+            reply.head.headers + self._detour_headers(progress),
+            body,
+        )
 
     def _is_retryable_failure(
         self, progress: callprogress.Progress, head: calls.ReplyHead
@@ -171,39 +219,60 @@
     async def _forward_stream(
         self,
         progress: callprogress.Progress,
-        work: occupancy.ActiveCall,
+        work: Work,
         reply: upstreams.Reply,
         responder: callers.Responder,
     ) -> None:
         splitter = events.EventSplitter()
         has_event = has_survived = False
         while (part := await reply.read_part()) is not None:
-            self._deps.occupancy.record_data(work.endpoint)
+            self._record_data(work)
             new_events = splitter.feed(part)
             has_event = has_event or bool(new_events)
             if not has_survived and work.answered_for_s >= SURVIVAL_S:
                 has_survived = True
-                self._deps.prompt_parts.record_served(progress.call.shared_parts)
+                self._record_survived(progress)
             new_data = [
                 event.data for event in new_events if progress.accept_event(event)
             ]
             if new_data:
                 self._record_first_byte(progress, work)
                 if progress.stream_version is None:
-                    self._bind_to_version(progress, work)
+                    self._bind_to_version(progress, work, reply.head)
                 if not responder.has_begun:
-                    await responder.start(reply.head.status, reply.head.headers)
+                    await self._start_answer(progress, reply, responder)
                 await responder.write(b"".join(new_data))
         if splitter.rest.strip():
             raise errors.ConnectionLostError("stream ended inside an event")
         if not reply.is_framed and not has_event:
             raise errors.ConnectionLostError("stream ended before its first event")
         if not responder.has_begun:
-            await responder.start(reply.head.status, reply.head.headers)
+            await self._start_answer(progress, reply, responder)
         await responder.finish()
 
+    async def _start_answer(
+        self,
+        progress: callprogress.Progress,
+        reply: upstreams.Reply,
+        responder: callers.Responder,
+    ) -> None:
+        await responder.start(
+            reply.head.status, reply.head.headers + self._detour_headers(progress)
+        )
+
+    def _detour_headers(self, progress: callprogress.Progress) -> calls.Headers:
+        """Return what the peer gets to know that sent the call through this entry."""
+        if progress.call.detour is None:
+            return []
+        return self._deps.detour_codec.encode_reply(
+            calls.DetourReply(progress.sends, progress.stream_version)
+        )
+
+    def _record_survived(self, progress: callprogress.Progress) -> None:
+        self._deps.prompt_parts.record_served(progress.call.shared_parts)
+
     def _bind_to_version(
-        self, progress: callprogress.Progress, work: occupancy.ActiveCall
+        self, progress: callprogress.Progress, work: Work, head: calls.ReplyHead
     ) -> None:
         """Let a stream go on only at the version of software that begins it."""
         endpoint, attempt_id = work.endpoint, progress.call.attempt_id
@@ -218,45 +287,52 @@
     def _guard(
         self,
         progress: callprogress.Progress,
-        work: occupancy.ActiveCall,
+        work: Work,
         upstream: upstreams.UpstreamConnection,
     ) -> contextlib.AbstractContextManager:
         """Abandon an unresponsive endpoint if another one may continue the answer."""
         if not progress.route.is_resumable:
             return contextlib.nullcontext()
-        tracker = self._deps.occupancy
 
         def may_abandon() -> bool:
-            is_unresponsive = tracker.is_unresponsive(work.endpoint)
-            return is_unresponsive and self._may_retry_elsewhere(
-                progress, work.endpoint.service
+            return self._is_unresponsive(work) and self._may_retry_elsewhere(
+                progress, work
             )
 
         return responsiveness.Guard(upstream, may_abandon)
 
-    def _may_retry_elsewhere(
-        self, progress: callprogress.Progress, service: str
-    ) -> bool:
+    def _is_unresponsive(self, work: Work) -> bool:
+        return self._deps.occupancy.is_unresponsive(work.endpoint)
+
+    def _may_retry_elsewhere(self, progress: callprogress.Progress, work: Work) -> bool:
         """
         Return whether the call may be sent to another endpoint and there is one.
 
         If not, the attempt keeps waiting for an unresponsive endpoint, which may still
         answer in time.
         """
+        service = work.endpoint.service
         return (
             progress.sends < progress.route.max_attempts
             and self._deps.repeats.may_repeat(service)
-            and self._deps.occupancy.has_alternative(
-                service, progress.tried, progress.stream_version
+            and self._has_alternative(progress, service)
+        )
+
+    def _has_alternative(self, progress: callprogress.Progress, service: str) -> bool:
+        if self._deps.reachability.is_cut_off(service):
+            # The entry that sent a call through this one may send it through another.
+            return progress.call.detour is not None or self._deps.peers.is_any_usable(
+                progress, service
             )
+        return self._deps.occupancy.has_alternative(
+            service, progress.tried, progress.stream_version
         )
 
-    def _record_first_byte(
-        self, progress: callprogress.Progress, work: occupancy.ActiveCall
-    ) -> None:
+    def _record_first_byte(self, progress: callprogress.Progress, work: Work) -> None:
         work.record_first_byte()
         if not progress.has_run:
             progress.has_run = True
             progress.first_byte_s = time.monotonic() - progress.call.received_at
-            if progress.organisation is not None:
+            # The entry that took the call from its caller counts it.
+            if progress.organisation is not None and progress.call.detour is None:
                 self._deps.record_run(progress.organisation.name)
--- a/acaciaward/gateway/callprogress.py
+++ b/acaciaward/gateway/callprogress.py
@@ -19,8 +19,10 @@
         *,
         verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
         retry_after_s: float | None = None,
+        is_cut_off: bool = False,
     ):
         super().__init__(reason)
+        self.is_cut_off = is_cut_off
         self.status = status
         self.reason = reason
         self.verdict = verdict
@@ -36,6 +38,8 @@
     ``has_run`` by the first byte of an answer. ``charged`` is the amount taken from the
     organisation's quota. ``stream_version`` is the version of the endpoint's software
     that began its stream, to which the stream is bound from its first event on.
+    ``failed_connects`` counts endpoints that couldn't be connected to, and ``detours``
+    peers that the call was to go through.
     """
 
     def __init__(self, call: calls.Call, route: routes.Route, deadline: float):
@@ -44,7 +48,11 @@
         self.deadline = deadline
         self.organisation: routes.Organisation | None = None
         self.tried: set[tuple[str, int]] = set()
-        self.sends = 0
+        self.sends = self.sends_before = call.detour.sends if call.detour else 0
+        # The number of sends after which the retry budget allowed one more.
+        self.allowed_after_sends = -1
+        self.failed_connects = 0
+        self.detours = 0
         self.may_have_run = False
         self.has_run = False
         self.last_delivered_id: int | None = call.last_event_id
@@ -61,6 +69,12 @@
         """Seconds until the call must be answered."""
         return self.deadline - time.monotonic()
 
+    @property
+    def has_used_attempts(self) -> bool:
+        """Whether a peer's call was written as often as the peer allowed."""
+        detour = self.call.detour
+        return detour is not None and self.sends - detour.sends >= detour.limit
+
     @property
     def organisation_name(self) -> str:
         """The organisation's name, empty without one."""
--- a/acaciaward/gateway/calls.py
+++ b/acaciaward/gateway/calls.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from acaciaward import verdicts
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -28,6 +30,38 @@
         return max(0, self.prompt_tokens - sum(size for _, size in self.shared))
 
 
+class Detour(typing.NamedTuple):
+    """
+    What an entry tells the peer through which it sends a call.
+
+    The peer sends it to ``service``, a stream that has begun to endpoints of
+    ``version`` only. The call was written ``sends`` times before, and the peer may
+    write it another ``limit`` times.
+    """
+
+    service: str
+    version: str | None
+    sends: int
+    limit: int
+
+
+class DetourReply(typing.NamedTuple):
+    """
+    What a peer tells of its answer to a call that another entry sent through it.
+
+    ``sends`` are those before its first byte, of this entry and the peer, and
+    ``version`` is that of the endpoint that began a stream. An answer of the peer's own
+    has a ``verdict`` and its ``reason``; ``is_cut_off`` means that the peer is cut off
+    from the service's endpoints itself.
+    """
+
+    sends: int
+    version: str | None = None
+    verdict: verdicts.Verdict | None = None
+    reason: str = ""
+    is_cut_off: bool = False
+
+
 class Call(typing.NamedTuple):
     """
     One complete request as its caller sent it.
@@ -35,7 +69,8 @@
     ``received_at`` is the monotonic time at which its last byte arrived, ``timeout_s``
     the caller's timeout from then on and ``key`` the caller's API key. A caller that
     takes a stream up after ``last_event_id`` names the attempt that brought its first
-    event, ``resumed_attempt_id``.
+    event, ``resumed_attempt_id``. A call that a peer sent through this entry has a
+    ``detour``; that of a caller never has.
     """
 
     method: bytes
@@ -50,6 +85,7 @@
     prompt: Prompt | None = None
     last_event_id: int | None = None
     resumed_attempt_id: str | None = None
+    detour: Detour | None = None
 
     @property
     def path(self) -> str:
@@ -80,7 +116,7 @@
     means that the request was not run, ``is_misdirected`` that another endpoint now
     has the address, ``is_signed`` that the answer carries the endpoint's signature.
     ``limit_per_s`` is how many requests a second the endpoint takes from all entries
-    together, None without a limit.
+    together, None without a limit. ``detour`` comes with the answers of peers.
     """
 
     status: int
@@ -93,3 +129,4 @@
     keep_alive_s: float | None = None
     retry_after_s: float | None = None
     limit_per_s: float | None = None
+    detour: DetourReply | None = None
--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -6,7 +6,9 @@
 
 import logging
 import time
+import typing
 
+from acaciaward.catalogue import endpoints
 from acaciaward.gateway import callprogress, calls, errors, metrics
 from acaciaward.observability import logs
 from acaciaward.routing import occupancy
@@ -14,6 +16,12 @@
 log = logging.getLogger(__name__)
 
 
+class Attempt(typing.Protocol):
+    """A call at one endpoint or peer."""
+
+    endpoint: endpoints.Endpoint
+
+
 def record_sent(
     progress: callprogress.Progress,
     work: occupancy.ActiveCall,
@@ -51,6 +59,42 @@
     )
 
 
+def record_detour(
+    progress: callprogress.Progress, work: Attempt, *, is_new_connection: bool
+) -> None:
+    """Log the peer that a call is sent through."""
+    log.info(
+        "sent through a peer",
+        extra=logs.fields(
+            request=progress.call.attempt_id,
+            peer=work.endpoint.name,
+            service=work.endpoint.service,
+            route=progress.route.name,
+            left_ms=int(progress.left_s * 1000),
+            fresh_link=is_new_connection,
+            after_event=progress.last_delivered_id,
+            endpoint_version=progress.stream_version,
+        ),
+    )
+
+
+def record_detour_end(
+    progress: callprogress.Progress, work: Attempt, result: str, reason: object
+) -> None:
+    """Log how an attempt through a peer ended."""
+    metrics.DETOURS.labels(result).inc()
+    log.info(
+        "attempt through a peer ended",
+        extra=logs.fields(
+            request=progress.call.attempt_id,
+            peer=work.endpoint.name,
+            kind=result,
+            reason=reason,
+            delivered=progress.last_delivered_id,
+        ),
+    )
+
+
 def record_failed_attempt(
     progress: callprogress.Progress,
     work: occupancy.ActiveCall,
--- /dev/null
+++ b/acaciaward/gateway/detours.py
@@ -0,0 +1,225 @@
+"""
+Sends calls through a peer while this entry doesn't reach a service's endpoints.
+
+The peer stands in for an endpoint: its answers are checked and continued elsewhere as
+an endpoint's are, and a call that may run only once is sent again only if the peer says
+that it has not run. What concerns the call's caller (quota, usage, retry budget) is
+counted at the entry that took it, what concerns endpoints at the peer. A call never
+goes through a second peer. See ``docs/design/cut-off.md``.
+"""
+
+import collections
+import random
+import time
+import typing
+from collections import abc
+
+from acaciaward.catalogue import endpoints
+from acaciaward.gateway import (
+    attempts,
+    callprogress,
+    calls,
+    decisions,
+    errors,
+    upstreams,
+)
+from acaciaward.membership import interfaces as membership_interfaces
+
+State = membership_interfaces.PeerState
+
+# Peers that one call is sent to, at most.
+MAX_PEERS_PER_CALL = 3
+# How long a peer that refused since it's cut off too, or wasn't reached, is left alone.
+AVOIDANCE_S = 1.0
+# Other data centres help if less than this share of an entry's own serves the rest.
+LEAST_LOCAL_SHARE = 0.5
+
+
+class Membership(typing.Protocol):
+    """The entries that this one knows."""
+
+    @property
+    def name(self) -> str:
+        """The name of this entry."""
+
+    def peers(self) -> list[membership_interfaces.Peer]:
+        """Return all known entries, this one included."""
+
+
+class PeerChoice:
+    """Chooses the peers that calls go through."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        *,
+        data_centre: str,
+        rng: random.Random | None = None,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ):
+        self._membership = membership
+        self._data_centre = data_centre
+        self._random = rng or random.Random()
+        self._clock = clock
+        # Until when a peer is left alone for a service.
+        self._avoided_until: dict[tuple[str, str], float] = collections.defaultdict(
+            float
+        )
+
+    def choose(
+        self, progress: callprogress.Progress, service: str
+    ) -> membership_interfaces.Peer | None:
+        """Return a peer for a call, None if none can help or enough have been tried."""
+        usable = self._usable(progress, service)
+        local = [peer for peer in usable if peer.data_centre == self._data_centre]
+        entries = [
+            peer
+            for peer in self._membership.peers()
+            if peer.state is State.LIVE and peer.data_centre == self._data_centre
+        ]
+        if local and len(local) >= LEAST_LOCAL_SHARE * len(entries):
+            usable = local
+        return self._random.choice(usable) if usable else None
+
+    def is_any_usable(self, progress: callprogress.Progress, service: str) -> bool:
+        """Return whether a call may go through a peer and there is one."""
+        return bool(self._usable(progress, service))
+
+    def is_live(self, name: str) -> bool:
+        """Return whether a peer answers, as far as is known."""
+        return any(
+            peer.name == name and peer.state in (State.LIVE, State.LEAVING)
+            for peer in self._membership.peers()
+        )
+
+    def avoid(self, name: str, service: str) -> None:
+        """Leave a peer alone for a moment."""
+        self._avoided_until[(name, service)] = self._clock() + AVOIDANCE_S
+
+    def _usable(
+        self, progress: callprogress.Progress, service: str
+    ) -> list[membership_interfaces.Peer]:
+        if progress.call.detour is not None or progress.detours >= MAX_PEERS_PER_CALL:
+            return []
+        now = self._clock()
+        return [
+            peer
+            for peer in self._membership.peers()
+            if peer.state is State.LIVE
+            and peer.detour_port
+            and not peer.is_isolated
+            and peer.name != self._membership.name
+            and self._avoided_until.get((peer.name, service), 0.0) <= now
+        ]
+
+
+class PeerWork:
+    """One call at a peer; implements ``attempts.Work``."""
+
+    def __init__(
+        self,
+        peer: membership_interfaces.Peer,
+        service: str,
+        progress: callprogress.Progress,
+    ):
+        # The port tells a peer's connections apart from those to an earlier one.
+        self.endpoint = endpoints.Endpoint(
+            peer.name,
+            peer.detour_port,
+            service,
+            peer.address,
+            peer.detour_port,
+            peer.data_centre,
+            slots=1,
+            state=endpoints.EndpointState.READY,
+        )
+        # If the peer is lost, it counts as having used them all, so one is kept back.
+        attempts_left = progress.route.max_attempts - progress.sends
+        self.limit = max(1, attempts_left - 1)
+        self.sends_before = progress.sends
+        self.started_at = time.monotonic()
+        self._answered_at: float | None = None
+
+    @property
+    def answered_for_s(self) -> float:
+        """How long ago the answer began, in seconds; 0 if it hasn't."""
+        if self._answered_at is None:
+            return 0.0
+        return time.monotonic() - self._answered_at
+
+    def record_first_byte(self) -> None:
+        """Record that the answer has begun."""
+        if self._answered_at is None:
+            self._answered_at = time.monotonic()
+
+
+class PeerAttempts(attempts.Attempts):
+    """Makes attempts through peers."""
+
+    @property
+    def _pool(self) -> upstreams.UpstreamPool:
+        return self._deps.peer_pool
+
+    def _encode(
+        self, progress: callprogress.Progress, work: PeerWork, left_s: float
+    ) -> calls.Headers:
+        detour = calls.Detour(
+            work.endpoint.service,
+            progress.stream_version,
+            progress.sends,
+            work.limit,
+        )
+        return self._deps.detour_codec.encode_call(
+            progress.call, detour, left_s, progress.last_delivered_id
+        )
+
+    def _decode(self, status: int, headers: calls.Headers) -> calls.ReplyHead:
+        return self._deps.detour_codec.decode_reply(status, headers)
+
+    def _record_sent(
+        self,
+        progress: callprogress.Progress,
+        work: PeerWork,
+        *,
+        is_new_connection: bool,
+    ) -> None:
+        progress.sends += work.limit
+        decisions.record_detour(progress, work, is_new_connection=is_new_connection)
+
+    def _record_head(
+        self,
+        progress: callprogress.Progress,
+        work: PeerWork,
+        head: calls.ReplyHead,
+    ) -> None:
+        if head.detour is not None and head.detour.verdict is not None:
+            progress.sends = max(work.sends_before, head.detour.sends)
+
+    def _record_data(self, work: attempts.Work) -> None:
+        """Do nothing: the peer has the endpoint's load."""
+
+    def _record_survived(self, progress: callprogress.Progress) -> None:
+        """Do nothing: the peer has recorded it."""
+
+    @staticmethod
+    def _refusal_error(head: calls.ReplyHead) -> errors.NotRunError:
+        return errors.PeerRefusalError(
+            head.detour.reason,
+            status=head.status,
+            is_cut_off=head.detour.is_cut_off,
+            retry_after_s=head.retry_after_s,
+        )
+
+    def _bind_to_version(
+        self,
+        progress: callprogress.Progress,
+        work: attempts.Work,
+        head: calls.ReplyHead,
+    ) -> None:
+        progress.stream_version = head.detour.version
+
+    def _is_unresponsive(self, work: attempts.Work) -> bool:
+        return not self._deps.peers.is_live(work.endpoint.name)
+
+    def _has_alternative(self, progress: callprogress.Progress, service: str) -> bool:
+        return self._deps.peers.is_any_usable(progress, service)
--- a/acaciaward/gateway/errors.py
+++ b/acaciaward/gateway/errors.py
@@ -30,6 +30,22 @@
         self.retry_after_s = retry_after_s
 
 
+class PeerRefusalError(NotRunError):
+    """A peer answered that a call that was sent through it has not run."""
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int,
+        is_cut_off: bool,
+        retry_after_s: float | None = None,
+    ):
+        super().__init__(message, retry_after_s=retry_after_s)
+        self.status = status
+        self.is_cut_off = is_cut_off
+
+
 class BrokenOffError(ForwardingError):
     """The connection or answer failed after bytes were sent: the call may have run."""
 
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -8,11 +8,17 @@
 
 from acaciaward.admission import quotas, repeatbudget
 from acaciaward.catalogue import endpoints, routes
-from acaciaward.gateway import callers, forwarding, interfaces, upstreams
-from acaciaward.platform import headers
+from acaciaward.gateway import (
+    callers,
+    detours,
+    forwarding,
+    interfaces,
+    upstreams,
+)
+from acaciaward.platform import detours as platform_detours, headers
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.resumption import origins
-from acaciaward.routing import demand, occupancy
+from acaciaward.routing import demand, occupancy, reachability
 
 # How long an endpoint that answers early waits before it reads the body.
 EARLY_S = 0.3
@@ -209,6 +215,7 @@
         quota=None,
         timeout_s=2,
         count=2,
+        peers=None,
     ):
         self._count = count
         self.directory = endpoints.Directory(time.monotonic)
@@ -240,7 +247,10 @@
         if quota is not None:
             self.quotas.set_rules({"org": quotas.Rule(quota.rate, quota.burst)})
             self.quotas.refund("org", quota.burst)
-        self.pool = upstreams.UpstreamPool()
+        self.reachability = reachability.Reachability(self.directory)
+        self.pool = upstreams.UpstreamPool(on_connect=self.reachability.record_connect)
+        self.peer_pool = upstreams.UpstreamPool()
+        self.peers = peers if peers is not None else NoPeers()
         self.repeats = repeatbudget.RepeatBudgets(
             repeatbudget.Budget(0.2, 20, 10), time.monotonic, lambda: 1
         )
@@ -249,16 +259,20 @@
             data_centre="dc",
             rng=random.Random(1),
         )
-        forwarder = forwarding.Forwarder(
+        self.forwarder = forwarding.Forwarder(
             interfaces.Dependencies(
                 index=lambda: self.index,
                 occupancy=self.occupancy,
                 directory=self.directory,
                 pool=self.pool,
+                reachability=self.reachability,
+                peers=detours.PeerChoice(self.peers, data_centre="dc"),
+                peer_pool=self.peer_pool,
                 quotas=self.quotas,
                 reporting_share=lambda: 1.0,
                 repeats=self.repeats,
                 codec=headers,
+                detour_codec=platform_detours,
                 demand=demand.Demand(time.monotonic, lambda name: 0.1),
                 suspects=suspects.Suspects(time.monotonic),
                 origins=origins.StreamOrigins(NoPeers()),
@@ -269,9 +283,13 @@
             rng=random.Random(1),
         )
         self.server = callers.CallerServer(
-            forwarder.handle, headers.decode_call, routes.Limits
+            self.forwarder.handle, headers.decode_call, routes.Limits
+        )
+        self.detours = callers.CallerServer(
+            self.forwarder.handle_from_peer, platform_detours.decode_call, routes.Limits
         )
         self.port = 0
+        self.detour_port = 0
 
     async def start(self):
         for number in range(self._count):
@@ -292,11 +310,14 @@
                 )
             )
         self.port = await self.server.start("127.0.0.1", 0)
+        self.detour_port = await self.detours.start("127.0.0.1", 0)
 
     async def stop(self):
-        self.server.stop_accepting()
-        self.server.abort()
+        for server in (self.server, self.detours):
+            server.stop_accepting()
+            server.abort()
         self.pool.close()
+        self.peer_pool.close()
         for scripted in self.endpoints.values():
             await scripted.stop()
 
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 import random
 import time
 import typing
@@ -18,6 +19,7 @@
     callprogress,
     calls,
     decisions,
+    detours,
     errors,
     interfaces,
     metrics,
@@ -26,7 +28,10 @@
 from acaciaward.resumption import origins
 from acaciaward.routing import occupancy, placement
 
+log = logging.getLogger(__name__)
+
 FIRST_ERROR_STATUS = 400
+BAD_REQUEST = 400
 UNAUTHORISED = 401
 NOT_FOUND = 404
 TOO_MANY = 429
@@ -34,6 +39,10 @@
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
+# After as many failed connections, a call is left to a peer, if one can help.
+MAX_FAILED_CONNECTS = 3
+# Refusals of a peer that are the caller's answer.
+PEER_REFUSALS = frozenset({TOO_MANY, UNAVAILABLE})
 # Timeout of a call that states none.
 DEFAULT_TIMEOUT_S = 30.0
 # Longest retry delay given to callers: a share of the time until the deadline, but
@@ -59,6 +68,7 @@
         self._deps = dependencies
         self._random = rng or random.Random()
         self._attempts = attempts.Attempts(dependencies)
+        self._peer_attempts = detours.PeerAttempts(dependencies)
 
     async def handle(self, call: calls.Call, responder: callers.Responder) -> None:
         """Answer one call."""
@@ -81,6 +91,16 @@
             if progress is not None:
                 self._settle(progress)
 
+    async def handle_from_peer(
+        self, call: calls.Call, responder: callers.Responder
+    ) -> None:
+        """Answer a call that a peer sends through this entry."""
+        if call.detour is None:
+            log.warning("a peer's call has no detour")
+            await responder.send(BAD_REQUEST, [], b"")
+            return
+        await self.handle(call, responder)
+
     def _admit(self, call: calls.Call) -> tuple[routes.Index, callprogress.Progress]:
         index = self._deps.index()
         if index is None:
@@ -105,7 +125,8 @@
     def _charge(self, progress: callprogress.Progress) -> None:
         organisation = progress.organisation
         quota = organisation.quota if organisation else None
-        if quota is None:
+        # The entry that took a call from its caller has charged it.
+        if quota is None or progress.call.detour is not None:
             return
         amount = 1.0
         if quota.counts_tokens:
@@ -128,53 +149,131 @@
         responder: callers.Responder,
     ) -> None:
         service = await self._find_service(index, progress)
+        if progress.call.detour is None:
+            self._record_first_attempt(service, progress)
+        while True:
+            self._refuse_suspect(progress, responder)
+            if self._needs_peer(service, progress):
+                make_attempt = self._attempt_through_peer
+            else:
+                make_attempt = self._attempt_at_endpoint
+            if await make_attempt(service, progress, responder):
+                return
+            self._check_retry(service, progress, responder)
+
+    def _record_first_attempt(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> None:
         self._deps.repeats.record_first_attempt(service.name)
         prompt = progress.call.prompt
         if prompt is not None:
             is_long = self._deps.occupancy.is_long(prompt, progress.route.max_gap_s)
             self._deps.demand.record(service.name, prompt.fresh_tokens, is_long=is_long)
-        while True:
-            self._refuse_suspect(progress, responder)
-            candidate = self._choose_endpoint(service, progress)
-            work = self._deps.occupancy.start(candidate, progress.call)
-            progress.tried.add(work.endpoint.incarnation)
-            is_failed = True
-            is_unreachable = False
-            try:
-                is_failed = await self._attempts.make(progress, work, responder)
-                metrics.ATTEMPT_SECONDS.labels("answered").observe(
-                    time.monotonic() - work.started_at
-                )
-                self._record_served(progress, responder)
-                return
-            except errors.NotSentError as error:
-                is_unreachable = True
-                decisions.record_failed_attempt(progress, work, error)
-            except errors.NotRunError as error:
-                is_failed = error.is_misdirected
-                if error.is_misdirected:
-                    self._deps.directory.record_mismatch(work.endpoint)
-                decisions.record_failed_attempt(progress, work, error)
-            except errors.BrokenOffError as error:
-                is_unreachable = isinstance(
-                    error, errors.SilentError
-                ) and self._deps.occupancy.is_unresponsive(work.endpoint)
-                decisions.record_failed_attempt(progress, work, error)
-                progress.may_have_run = True
-                self._record_crash(progress, work, error)
-                if not progress.route.may_repeat:
-                    self._raise_refusal(progress, responder, str(error))
-            except (asyncio.CancelledError, callers.CallerGoneError):
-                # A disconnect of the caller or the deadline isn't the endpoint's
-                # failure unless it had sent no byte for long.
-                waited_s = time.monotonic() - work.started_at
-                is_failed = not work.has_first_byte and waited_s > (
-                    2 * progress.route.target_s
+
+    def _needs_peer(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> bool:
+        """Return whether endpoints of a service aren't reached from here."""
+        if self._deps.reachability.is_cut_off(service.name):
+            return True
+        return progress.failed_connects >= MAX_FAILED_CONNECTS and (
+            progress.call.detour is not None
+            or self._deps.peers.is_any_usable(progress, service.name)
+        )
+
+    async def _attempt_through_peer(
+        self,
+        service: routes.Service,
+        progress: callprogress.Progress,
+        responder: callers.Responder,
+    ) -> bool:
+        """Send a call through a peer; return whether it is answered."""
+        peer = self._deps.peers.choose(progress, service.name)
+        if peer is None:
+            self._raise_refusal(
+                progress,
+                responder,
+                f"cut off from the endpoints of {service.name}",
+                is_cut_off=True,
+            )
+        progress.detours += 1
+        work = detours.PeerWork(peer, service.name, progress)
+        try:
+            await self._peer_attempts.make(progress, work, responder)
+            decisions.record_detour_end(progress, work, "answered", None)
+            return True
+        except errors.NotSentError as error:
+            self._deps.peers.avoid(peer.name, service.name)
+            decisions.record_detour_end(progress, work, "NotSentError", error)
+        except errors.PeerRefusalError as error:
+            decisions.record_detour_end(progress, work, "PeerRefusalError", error)
+            if not error.is_cut_off and error.status in PEER_REFUSALS:
+                self._raise_refusal(
+                    progress,
+                    responder,
+                    f"peer refused: {error}",
+                    retry_after_s=error.retry_after_s,
+                    status=error.status,
                 )
-                raise
-            finally:
-                work.end(is_failed=is_failed, is_unreachable=is_unreachable)
-            self._check_retry(service, progress, responder)
+            # It is cut off itself, or its configuration differs.
+            self._deps.peers.avoid(peer.name, service.name)
+        except errors.BrokenOffError as error:
+            decisions.record_detour_end(progress, work, type(error).__name__, error)
+            progress.may_have_run = True
+            if not progress.route.may_repeat:
+                self._raise_refusal(progress, responder, str(error))
+        return False
+
+    async def _attempt_at_endpoint(
+        self,
+        service: routes.Service,
+        progress: callprogress.Progress,
+        responder: callers.Responder,
+    ) -> bool:
+        """Send a call to an endpoint; return whether it is answered."""
+        candidate = self._choose_endpoint(service, progress)
+        if candidate is None:
+            return await self._attempt_through_peer(service, progress, responder)
+        work = self._deps.occupancy.start(candidate, progress.call)
+        progress.tried.add(work.endpoint.incarnation)
+        is_failed = True
+        is_unreachable = False
+        try:
+            is_failed = await self._attempts.make(progress, work, responder)
+            metrics.ATTEMPT_SECONDS.labels("answered").observe(
+                time.monotonic() - work.started_at
+            )
+            self._record_served(progress, responder)
+            return True
+        except errors.NotSentError as error:
+            is_unreachable = True
+            progress.failed_connects += 1
+            decisions.record_failed_attempt(progress, work, error)
+        except errors.NotRunError as error:
+            is_failed = error.is_misdirected
+            if error.is_misdirected:
+                self._deps.directory.record_mismatch(work.endpoint)
+            decisions.record_failed_attempt(progress, work, error)
+        except errors.BrokenOffError as error:
+            is_unreachable = isinstance(
+                error, errors.SilentError
+            ) and self._deps.occupancy.is_unresponsive(work.endpoint)
+            decisions.record_failed_attempt(progress, work, error)
+            progress.may_have_run = True
+            self._record_crash(progress, work, error)
+            if not progress.route.may_repeat:
+                self._raise_refusal(progress, responder, str(error))
+        except (asyncio.CancelledError, callers.CallerGoneError):
+            # A disconnect of the caller or the deadline isn't the endpoint's
+            # failure unless it had sent no byte for long.
+            waited_s = time.monotonic() - work.started_at
+            is_failed = not work.has_first_byte and waited_s > (
+                2 * progress.route.target_s
+            )
+            raise
+        finally:
+            work.end(is_failed=is_failed, is_unreachable=is_unreachable)
+        return False
 
     def _record_served(
         self, progress: callprogress.Progress, responder: callers.Responder
@@ -194,10 +293,24 @@
         If its route leads there no more, it goes on as a new stream would.
         """
         route = progress.route
+        detour = progress.call.detour
+        if detour is not None:
+            return self._use_service(
+                index, progress, origins.Origin(detour.service, detour.version)
+            )
         is_stream = route.kind is routes.RequestKind.STREAM
         if progress.call.last_event_id is None or not is_stream:
             return self._choose_service(index, route)
         origin = await self._find_origin(index, progress)
+        return self._use_service(index, progress, origin)
+
+    def _use_service(
+        self,
+        index: routes.Index,
+        progress: callprogress.Progress,
+        origin: origins.Origin,
+    ) -> routes.Service:
+        route = progress.route
         service = index.catalogue.services.get(origin.service)
         if service is None or origin.service not in [name for name, _ in route.shares]:
             return self._choose_service(index, route)
@@ -245,7 +358,8 @@
 
     def _choose_endpoint(
         self, service: routes.Service, progress: callprogress.Progress
-    ) -> placement.Candidate:
+    ) -> placement.Candidate | None:
+        """Return where to send a call, None if it may go through a peer."""
         candidate = self._deps.occupancy.choose(
             service,
             progress.call,
@@ -256,6 +370,10 @@
         if candidate is not None:
             self._refuse_if_hopeless(service, progress, candidate)
             return candidate
+        if progress.failed_connects and self._deps.peers.is_any_usable(
+            progress, service.name
+        ):
+            return None
         if progress.may_have_run:
             raise callprogress.RefusedError(
                 BAD_GATEWAY, "no other endpoint", verdict=MAY_HAVE_RUN
@@ -342,8 +460,10 @@
         responder: callers.Responder,
     ) -> None:
         """Raise unless the call may be sent again; ended endpoints don't count."""
-        if progress.sends == 0:
+        if progress.sends in (progress.sends_before, progress.allowed_after_sends):
             return
+        if progress.has_used_attempts:
+            self._raise_refusal(progress, responder, "the peer's attempts used up")
         ended = sum(self._has_ended(incarnation) for incarnation in progress.tried)
         if progress.sends >= progress.route.max_attempts + ended:
             self._raise_refusal(progress, responder, "attempts used up")
@@ -351,6 +471,7 @@
         metrics.REPEATS.labels(is_allowed).inc()
         if not is_allowed:
             self._raise_refusal(progress, responder, "retry budget spent")
+        progress.allowed_after_sends = progress.sends
 
     def _has_ended(self, incarnation: tuple[str, int]) -> bool:
         known = self._deps.directory.get(incarnation[0])
@@ -363,12 +484,14 @@
         reason: str,
         *,
         retry_after_s: float | None = None,
+        status: int = UNAVAILABLE,
+        is_cut_off: bool = False,
     ) -> typing.NoReturn:
         if not progress.may_have_run and not responder.has_begun:
             if retry_after_s is None:
                 retry_after_s = self._retry_delay_s(progress)
             raise callprogress.RefusedError(
-                UNAVAILABLE, reason, retry_after_s=retry_after_s
+                status, reason, retry_after_s=retry_after_s, is_cut_off=is_cut_off
             )
         raise callprogress.RefusedError(BAD_GATEWAY, reason, verdict=MAY_HAVE_RUN)
 
@@ -406,6 +529,15 @@
         headers = self._deps.codec.encode_gateway_reply(
             call.attempt_id, refusal.verdict, refusal.retry_after_s
         )
+        if call.detour is not None:
+            headers += self._deps.detour_codec.encode_reply(
+                calls.DetourReply(
+                    progress.sends if progress else call.detour.sends,
+                    verdict=refusal.verdict,
+                    reason=refusal.reason,
+                    is_cut_off=refusal.is_cut_off,
+                )
+            )
         await responder.send(refusal.status, headers, b"")
 
     def _settle(self, progress: callprogress.Progress) -> None:
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -7,9 +7,10 @@
 from acaciaward.admission import quotas, repeatbudget
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import callprogress, calls, upstreams
+from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.resumption import origins
-from acaciaward.routing import demand, occupancy
+from acaciaward.routing import demand, occupancy, reachability
 
 
 class Codec(typing.Protocol):
@@ -32,6 +33,43 @@
         """Return the headers of an answer that the gateway itself gives."""
 
 
+class DetourCodec(typing.Protocol):
+    """Encodes and decodes the headers of calls that one entry sends through another."""
+
+    def encode_call(
+        self,
+        call: calls.Call,
+        detour: calls.Detour,
+        timeout_s: float,
+        last_event_id: int | None,
+    ) -> calls.Headers:
+        """Return the headers of a call for the peer that it is sent through."""
+
+    def encode_reply(self, reply: calls.DetourReply) -> calls.Headers:
+        """Return the headers that an answer to a peer's call has besides its own."""
+
+    def decode_reply(self, status: int, given: calls.Headers) -> calls.ReplyHead:
+        """Return the decoded head of a peer's answer."""
+
+
+class Peers(typing.Protocol):
+    """Chooses the peers that calls go through."""
+
+    def choose(
+        self, progress: callprogress.Progress, service: str
+    ) -> membership_interfaces.Peer | None:
+        """Return a peer for a call, None if none can help."""
+
+    def is_any_usable(self, progress: callprogress.Progress, service: str) -> bool:
+        """Return whether a call may go through a peer and there is one."""
+
+    def is_live(self, name: str) -> bool:
+        """Return whether a peer answers, as far as is known."""
+
+    def avoid(self, name: str, service: str) -> None:
+        """Leave a peer alone for a moment."""
+
+
 class Origins(typing.Protocol):
     """Remembers which version of an endpoint's software began a stream."""
 
@@ -50,17 +88,22 @@
 
     ``reporting_share`` returns the share of the known entries whose reports this one
     has, itself included. ``record_run`` gets the organisation of a call that began to
-    run, and ``record_end`` the final state of each call.
+    run, and ``record_end`` the final state of each call. ``peer_pool`` has the
+    connections to ``peers``.
     """
 
     index: abc.Callable[[], routes.Index | None]
     occupancy: occupancy.Occupancy
     directory: endpoints.Directory
     pool: upstreams.UpstreamPool
+    reachability: reachability.Reachability
+    peers: Peers
+    peer_pool: upstreams.UpstreamPool
     quotas: quotas.Quotas
     reporting_share: abc.Callable[[], float]
     repeats: repeatbudget.RepeatBudgets
     codec: Codec
+    detour_codec: DetourCodec
     demand: demand.Demand
     suspects: suspects.Suspects
     prompt_parts: promptparts.PromptParts
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -31,6 +31,15 @@
     "Streams that callers took up, by how the version that began them was known",
     ["version_by"],
 )
+DETOURS = prometheus_client.Counter(
+    "acaciaward_gateway_detours_total",
+    "Calls sent through a peer since endpoints weren't reached, by how that ended",
+    ["result"],
+)
+CUT_OFF_SERVICES = prometheus_client.Gauge(
+    "acaciaward_gateway_cut_off_services",
+    "Services whose endpoints this entry doesn't reach",
+)
 FIRST_BYTE_SECONDS = prometheus_client.Histogram(
     "acaciaward_gateway_first_byte_seconds",
     "Time from a whole request to the first byte of its answer, in seconds",
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -18,10 +18,12 @@
 from acaciaward.gateway import (
     callers,
     callprogress,
+    detours,
     duties,
     forwarding,
     interfaces,
     metrics,
+    probing,
     stateexchange,
     statushandlers,
     upstreams,
@@ -30,6 +32,7 @@
 from acaciaward.observability import logs
 from acaciaward.platform import (
     calls as platform_calls,
+    detours as platform_detours,
     documents,
     headers,
     store,
@@ -38,7 +41,7 @@
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.relays import relaying
 from acaciaward.resumption import origins
-from acaciaward.routing import demand, endpointlimits, occupancy
+from acaciaward.routing import demand, endpointlimits, occupancy, reachability
 from acaciaward.settings import loader
 from acaciaward.usage import reporting
 
@@ -57,6 +60,10 @@
 DISCOVERY_HOLD_FACTOR = 3.0
 # Part of the stop limit that is reserved for ending the process.
 EXIT_MARGIN_S = 0.8
+# Room for the headers that peers add to a caller's.
+DETOUR_HEADER_BYTES = 2048
+# Peers keep idle connections for less time.
+DETOUR_IDLE_S = 15.0
 # Longest time for which a connection to the platform's services may be idle between two
 # calls; longer than the pause between two reads of the endpoints.
 MAX_PLATFORM_IDLE_S = 1.0
@@ -129,13 +136,13 @@
             demand=lambda name: self._state_exchange.demand_of(name),
             usage_of_others=self._reported_usage,
         )
-        self._pool = upstreams.UpstreamPool()
         self._directory.subscribe(self._drop_connections)
         self._occupancy = occupancy.Occupancy(
             self._directory,
             data_centre=self._settings["instance"]["data_centre"],
             limits=endpointlimits.EndpointLimits(self.name, self._serving_entries),
         )
+        self._build_links()
         self._quotas = quotas.Quotas(time.monotonic, self._entry_count)
         self._saver = quotastore.Saver(
             topics.KeyedTopic(self._store, QUOTAS_TOPIC),
@@ -162,12 +169,19 @@
                 occupancy=self._occupancy,
                 directory=self._directory,
                 pool=self._pool,
+                reachability=self._reachability,
+                peers=detours.PeerChoice(
+                    self._membership,
+                    data_centre=self._settings["instance"]["data_centre"],
+                ),
+                peer_pool=self._peer_pool,
                 quotas=self._quotas,
                 reporting_share=self._reporting_share,
                 repeats=repeatbudget.RepeatBudgets(
                     budget, time.monotonic, self._entry_count
                 ),
                 codec=headers,
+                detour_codec=platform_detours,
                 demand=self._demand,
                 suspects=self._suspects,
                 prompt_parts=self._prompt_parts,
@@ -178,6 +192,19 @@
         )
         self._build_state_exchange()
 
+    def _build_links(self) -> None:
+        self._reachability = reachability.Reachability(
+            self._directory, self._occupancy.is_unresponsive
+        )
+        self._reachability.on_cut_off = self._drop_service_connections
+        self._pool = upstreams.UpstreamPool(
+            on_connect=self._reachability.record_connect
+        )
+        self._peer_pool = upstreams.UpstreamPool()
+        self._prober = probing.Prober(
+            self._reachability, self._membership, self._pool, self._peer_pool
+        )
+
     def _build_state_exchange(self) -> None:
         self._state_exchange = stateexchange.GatewayStateExchange(
             stateexchange.Components(
@@ -209,6 +236,11 @@
             headers.decode_call,
             lambda: self._store_view.catalogue.limits,
         )
+        self._detours = callers.CallerServer(
+            self._forwarder.handle_from_peer,
+            platform_detours.decode_call,
+            self._detour_limits,
+        )
         status_handlers = statushandlers.StatusHandlers(
             self._membership,
             is_ready=lambda: self.is_ready,
@@ -247,6 +279,18 @@
         if after is None or after.incarnation != before.incarnation:
             self._pool.drop(before.incarnation)
 
+    def _drop_service_connections(self, service: str) -> None:
+        for endpoint in self._directory.of_service(service):
+            self._pool.drop(endpoint.incarnation)
+
+    def _detour_limits(self) -> routes.Limits:
+        """Return the callers' limits with room for what peers add."""
+        limits = self._store_view.catalogue.limits
+        return limits._replace(
+            header_bytes=limits.header_bytes + DETOUR_HEADER_BYTES,
+            idle_s=DETOUR_IDLE_S,
+        )
+
     def _serving_entries(self) -> list[str]:
         """Return the names of the entries that serve callers, as far as known."""
         return [
@@ -283,7 +327,7 @@
                     del self._last_seen[name]
             self._directory.remove_due()
             metrics.ENTRIES_IN_SUMS.set(self._relaying.entry_count)
-            metrics.OPEN_REQUESTS.set(self._callers.busy_count)
+            metrics.OPEN_REQUESTS.set(self._busy_count)
             metrics.SUSPECTS.set(len(self._suspects))
             metrics.BLAMED_PARTS.set(len(self._prompt_parts.blamed))
             metrics.ENDPOINTS_AGE_SECONDS.set(now - self._endpoints_read_at)
@@ -307,6 +351,10 @@
         if progress.first_byte_s is not None:
             metrics.FIRST_BYTE_SECONDS.labels(kind).observe(progress.first_byte_s)
 
+    @property
+    def _busy_count(self) -> int:
+        return self._callers.busy_count + self._detours.busy_count
+
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -323,6 +371,7 @@
             self._run_housekeeping(),
             self._relaying.run(),
             self._saver.run(),
+            self._prober.run(),
             self._announce_when_ready(),
             *self._duties.tasks(),
         ):
@@ -330,6 +379,11 @@
         for name, server in self._auxiliary_servers.items():
             await server.start(settings[name]["address"], settings[name]["port"])
         listen = settings["callers"]
+        detours_port = await self._detours.start(
+            settings["detours"].get("address", listen["address"]),
+            settings["detours"].get("port", 0),
+        )
+        self._membership.set_detour_port(detours_port)
         port = await self._callers.start(listen["address"], listen["port"])
         log.info("entry started", extra=logs.fields(port=port))
 
@@ -348,24 +402,28 @@
         limit_s = self._settings["bounds"]["stop_limit_s"] - EXIT_MARGIN_S
         deadline = time.monotonic() + limit_s
         self._is_leaving = True
-        self._callers.is_leaving = True
+        self._callers.is_leaving = self._detours.is_leaving = True
         self._membership.set_leaving()
         await self._membership.send_updates_now()
         log.info("entry leaving", extra=logs.fields(limit_s=limit_s))
         lifetime_s = self._settings["discovery"]["lifetime_s"]
         await asyncio.sleep(min(DISCOVERY_HOLD_FACTOR * lifetime_s, limit_s / 2))
         self._callers.stop_accepting()
-        while self._callers.busy_count and time.monotonic() < deadline:
+        self._detours.stop_accepting()
+        while self._busy_count and time.monotonic() < deadline:
             await asyncio.sleep(POLL_INTERVAL_S)
-        aborted = self._callers.busy_count
+        aborted = self._busy_count
         await self._end()
         log.info("entry stopped", extra=logs.fields(cut=aborted))
         return aborted
 
     async def _end(self) -> None:
         self._callers.abort()
+        self._detours.stop_accepting()
+        self._detours.abort()
         await tasks.end_tasks(self._tasks)
         self._pool.close()
+        self._peer_pool.close()
         await self._transport.stop()
         await self._client.close()
 
--- a/acaciaward/gateway/settings.py
+++ b/acaciaward/gateway/settings.py
@@ -190,6 +190,13 @@
     port: Port | msgspec.UnsetType = msgspec.UNSET
 
 
+class Detours(_Group):
+    """Where peers send calls that can't reach endpoints; if left out, a free port."""
+
+    address: Address | msgspec.UnsetType = msgspec.UNSET
+    port: Port | msgspec.UnsetType = msgspec.UNSET
+
+
 class Logging(_Group):
     """Log lines."""
 
@@ -223,6 +230,7 @@
     duties: Duties
     bounds: Bounds
     metrics: Metrics
+    detours: Detours
     logging: Logging
 
 
--- a/acaciaward/gateway/statushandlers.py
+++ b/acaciaward/gateway/statushandlers.py
@@ -55,11 +55,10 @@
         await responder.send(OK if self._is_ready() else UNAVAILABLE, [], b"")
 
     async def _answer_discovery(self, responder: callers.Responder) -> None:
-        addresses = [
-            f"{peer.address}:{peer.port}"
-            for peer in self._membership.peers()
-            if peer.state is State.LIVE
-        ]
+        live = [peer for peer in self._membership.peers() if peer.state is State.LIVE]
+        # Entries that don't reach endpoints serve through the others.
+        listed = [peer for peer in live if not peer.is_isolated] or live
+        addresses = [f"{peer.address}:{peer.port}" for peer in listed]
         if not addresses:
             await responder.send(UNAVAILABLE, [], b"")
             return
--- a/acaciaward/gateway/upstreams.py
+++ b/acaciaward/gateway/upstreams.py
@@ -45,6 +45,17 @@
 DecodeReply = abc.Callable[[int, calls.Headers], calls.ReplyHead]
 
 
+class OnConnect(typing.Protocol):
+    """Is told how a new connection to an endpoint went."""
+
+    def __call__(self, endpoint: endpoints.Endpoint, *, is_connected: bool) -> None:
+        """Record that an endpoint took a connection or that it couldn't be reached."""
+
+
+def _ignore_connect(endpoint: endpoints.Endpoint, *, is_connected: bool) -> None:
+    """Do nothing."""
+
+
 class _UpstreamProtocol(asyncio.Protocol):
     """Buffers what an endpoint sends, and distinguishes a reset from an orderly end."""
 
@@ -287,10 +298,21 @@
 
 
 class UpstreamPool:
-    """Idle upstream connections, by endpoint incarnation."""
+    """
+    Idle upstream connections, by endpoint incarnation.
+
+    ``on_connect`` is called with each endpoint that a connection was opened to, and
+    whether that worked.
+    """
 
-    def __init__(self, *, connect_timeout_s: float = CONNECT_TIMEOUT_S):
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        on_connect: OnConnect = _ignore_connect,
+    ):
         self._connect_timeout_s = connect_timeout_s
+        self._on_connect = on_connect
         self._idle: dict[tuple[str, int], collections.deque[UpstreamConnection]] = {}
         # By service: longest idle time after which a call that may run only once may
         # still use a connection. A service without a value has no limit.
@@ -326,10 +348,25 @@
                     _UpstreamProtocol, endpoint.address, endpoint.port
                 )
         except (OSError, TimeoutError) as error:
+            self._on_connect(endpoint, is_connected=False)
             reason = str(error) or type(error).__name__
             raise errors.NotSentError(f"no connection: {reason}") from error
+        self._on_connect(endpoint, is_connected=True)
         return UpstreamConnection(endpoint, protocol)
 
+    async def probe(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether an endpoint takes a connection; it is closed at once."""
+        try:
+            upstream = await self._connect(endpoint)
+        except errors.NotSentError as error:
+            log.info(
+                "probe of an endpoint failed",
+                extra=logs.fields(endpoint=endpoint.name, reason=error),
+            )
+            return False
+        upstream.close()
+        return True
+
     def record_stale(self, upstream: UpstreamConnection) -> None:
         """Lower the service's idle limit: an endpoint dropped an idle connection."""
         if upstream.idle_s < MIN_DROPPED_IDLE_S:
--- a/acaciaward/membership/gossip.py
+++ b/acaciaward/membership/gossip.py
@@ -106,6 +106,16 @@
         self._own_peer = self._own_peer._replace(state=state, incarnation=incarnation)
         self._queue_own_peer(dissemination.Priority.URGENT)
 
+    def set_detour_port(self, port: int) -> None:
+        """Set where this entry takes the calls of peers, before it is ready."""
+        self._own_peer = self._own_peer._replace(detour_port=port)
+
+    def set_isolated(self, is_isolated: bool) -> None:
+        """Announce whether this entry is cut off from endpoints, if that changed."""
+        if self._own_peer.is_isolated != is_isolated:
+            self._own_peer = self._own_peer._replace(is_isolated=is_isolated)
+            self._set_own_state(self._own_peer.state)
+
     def set_configuration_version(self, version: int) -> None:
         """Announce the configuration version in force here with the next probes."""
         self._own_peer = self._own_peer._replace(configuration_version=version)
--- a/acaciaward/membership/interfaces.py
+++ b/acaciaward/membership/interfaces.py
@@ -34,6 +34,8 @@
     other entries do. ``incarnation`` is the version of the entry's own state: it
     rises each time the entry restarts, changes its state or refutes a report
     about itself. ``configuration_version`` is the last that it reported.
+    ``detour_port`` is where it takes the calls of peers that are cut off from
+    endpoints, 0 if it takes none, and ``is_isolated`` means that it is cut off itself.
     """
 
     name: str
@@ -45,6 +47,8 @@
     incarnation: int
     state: PeerState
     configuration_version: int
+    detour_port: int = 0
+    is_isolated: bool = False
 
 
 class HintKind(enum.Enum):
--- a/acaciaward/membership/messages.py
+++ b/acaciaward/membership/messages.py
@@ -7,7 +7,8 @@
     """
     One entry in a message; ``interfaces.Peer`` explains the fields.
 
-    ``public_key`` is the CURVE key in Z85, or null without encryption.
+    ``public_key`` is the CURVE key in Z85, or null without encryption. Older builds
+    don't send the fields that aren't required.
     """
 
     name: str
@@ -21,6 +22,8 @@
     state: str
     configuration_version: int
     public_key: str | None
+    detour_port: typing.NotRequired[int]
+    is_isolated: typing.NotRequired[bool]
 
 
 class HintFields(typing.TypedDict):
--- a/acaciaward/membership/peertable.py
+++ b/acaciaward/membership/peertable.py
@@ -76,6 +76,7 @@
     is_valid = (
         all(0 < len(name) <= MAX_NAME_CHARACTERS for name in names)
         and all(0 < port <= MAX_PORT for port in ports)
+        and 0 <= fields.get("detour_port", 0) <= MAX_PORT
         and 0 <= fields["incarnation"] <= max_incarnation
     )
     if not is_valid:
@@ -84,7 +85,9 @@
         state = State(fields["state"])
     except ValueError:
         return None
-    peer_values = {name: fields[name] for name in interfaces.Peer._fields}
+    peer_values = {
+        name: fields[name] for name in interfaces.Peer._fields if name in fields
+    }
     listen_address = transport.PeerAddress(
         fields["peer_address"], fields["peer_port"], fields["public_key"]
     )
--- a/acaciaward/platform/headers.py
+++ b/acaciaward/platform/headers.py
@@ -25,6 +25,8 @@
 NOT_EXECUTED = b"not-executed"
 SERVER_LIMIT = b"server-limit"
 SIGNATURE = b"server-signature"
+# Set by this project alone, between two entries.
+DETOUR = b"acaciaward-detour"
 
 MISDIRECTED_STATUS = 421
 REFUSAL_STATUSES = frozenset({408, 429, 503})
@@ -50,6 +52,7 @@
     {
         AUTHORIZATION,
         DEADLINE,
+        DETOUR,
         LAST_EVENT_ID,
         NOT_EXECUTED,
         SIGNATURE,
@@ -82,6 +85,7 @@
     prompt: calls.Prompt | None
     last_event_id: int | None
     resumed_attempt_id: str | None
+    detour: typing.NotRequired[calls.Detour]
 
 
 def decode_call(headers: calls.Headers) -> CallFields:
@@ -132,7 +136,7 @@
 
 def encode_forwarded(call: calls.Call, forwarding: calls.Forwarding) -> calls.Headers:
     """Return the headers to send to an endpoint for a caller's call."""
-    dropped = CONNECTION_HEADERS | SYSTEM_HEADERS | _named_by_connection(call.headers)
+    dropped = CONNECTION_HEADERS | SYSTEM_HEADERS | named_by_connection(call.headers)
     headers = [header for header in call.headers if header[0].lower() not in dropped]
     headers.append((b"Deadline-Ms", b"%d" % max(1, int(forwarding.timeout_s * 1000))))
     headers.append((b"Expect-Instance", forwarding.endpoint.encode()))
@@ -150,7 +154,8 @@
     return headers
 
 
-def _named_by_connection(headers: calls.Headers) -> frozenset[bytes]:
+def named_by_connection(headers: calls.Headers) -> frozenset[bytes]:
+    """Return the headers that concern only the connection, by ``Connection``."""
     values = [value for name, value in headers if name.lower() == b"connection"]
     names = {name.strip().lower() for value in values for name in value.split(b",")}
     # Naming them in Connection must not make a request lose these headers.
@@ -166,7 +171,7 @@
 def decode_reply(status: int, headers: calls.Headers) -> calls.ReplyHead:
     """Decode an endpoint's status and headers; drop those of the connection."""
     values = {name.lower(): value.decode("latin-1") for name, value in headers}
-    dropped = CONNECTION_HEADERS | _named_by_connection(headers)
+    dropped = CONNECTION_HEADERS | named_by_connection(headers)
     is_misdirected = status == MISDIRECTED_STATUS and SIGNATURE not in values
     return calls.ReplyHead(
         status=status,
--- a/acaciaward/platform/nodefile.py
+++ b/acaciaward/platform/nodefile.py
@@ -19,8 +19,10 @@
 
 PATH_VARIABLE = "ACACIAWARD_NODE_FILE"
 DEFAULT_PATH = "/etc/acaciaward/boot.conf"
-# The port that serves metrics is the first of InternalPortRange plus this offset.
+# The ports that serve metrics and calls of peers are the first of InternalPortRange
+# plus these offsets.
 METRICS_PORT_OFFSET = 1
+DETOURS_PORT_OFFSET = 2
 
 # The project's setting for each of the platform's bounds, and the factor that converts
 # its value: 0.001 for milliseconds, which the project's settings have in seconds.
@@ -81,7 +83,8 @@
         "store": _address(fields, "Platform.Address"),
         "duties": {"names": _split_list(fields.get("Cloud.Duties", ""))},
         "bounds": _decode_bounds(fields),
-        "metrics": _metrics_address(fields),
+        "metrics": _internal_address(fields, METRICS_PORT_OFFSET),
+        "detours": _internal_address(fields, DETOURS_PORT_OFFSET),
     }
     if fields.get("Cloud.Address"):
         settings["cloud"] = _address(fields, "Cloud.Address")
@@ -124,8 +127,14 @@
     return bounds
 
 
-def _metrics_address(fields: abc.Mapping[str, str]) -> dict[str, typing.Any]:
-    first_port = fields.get("InternalPortRange", "").split(",")[0]
+def _internal_address(
+    fields: abc.Mapping[str, str], offset: int
+) -> dict[str, typing.Any]:
+    """Return an address on a port for traffic between entries, if there is one."""
+    first_port, _, last_port = fields.get("InternalPortRange", "").partition(",")
     if not first_port.isdecimal() or not fields.get("Ip"):
         return {}
-    return {"address": fields["Ip"], "port": int(first_port) + METRICS_PORT_OFFSET}
+    port = int(first_port) + offset
+    if last_port.isdecimal() and port > int(last_port):
+        return {}
+    return {"address": fields["Ip"], "port": port}
