--- a/acaciaward/gateway/features/environment.py
+++ b/acaciaward/gateway/features/environment.py
@@ -7,12 +7,14 @@
 
 def before_scenario(context, scenario):
     context.runner = asyncio.Runner()
-    context.front = None
+    context.front = context.group = None
     context.data = b""
     explaining_steps.listen(context)
 
 
 def after_scenario(context, scenario):
-    if context.front is not None:
+    if context.group is not None:
+        context.runner.run(context.group.stop())
+    elif context.front is not None:
         context.runner.run(context.front.stop())
     context.runner.close()
