--- a/acaciaward/gateway/features/fleet.py
+++ b/acaciaward/gateway/features/fleet.py
@@ -11,6 +11,7 @@
 import re
 import time
 import typing
+from collections import abc
 
 from acaciaward.catalogue.features import delivery
 from acaciaward.gateway import process
@@ -70,8 +71,11 @@
         seed: int = 1,
         versions: tuple[str, ...] = (edgeserver.FIRST_VERSION,),
         events: int = EVENTS,
+        configuration: abc.Mapping[str, typing.Any] = {},
     ):
-        self.world = delivery.World(data_centres, entries_each, seed, ROUTE)
+        self.world = delivery.World(
+            data_centres, entries_each, seed, ROUTE, configuration
+        )
         self.arrivals: list[Arrival] = []
         self.tries: list[Try] = []
         # When an endpoint crashed, and the part that crashed it, None for a chance.
