--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -14,19 +14,26 @@
 import typing
 from collections import abc
 
-from acaciaward.catalogue import endpoints
+from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import (
     attempts,
+    callers,
     callprogress,
     calls,
     decisions,
     errors,
+    interfaces,
+    refusals,
     upstreams,
 )
 from acaciaward.membership import interfaces as membership_interfaces
 
 State = membership_interfaces.PeerState
 
+# After as many failed connections, a call is left to a peer, if one can help.
+MAX_FAILED_CONNECTS = 3
+# Refusals of a peer that are the caller's answer.
+PEER_REFUSALS = frozenset({429, 503})
 # Peers that one call is sent to, at most.
 MAX_PEERS_PER_CALL = 3
 # How long a peer that refused since it's cut off too, or wasn't reached, is left alone.
@@ -223,3 +230,71 @@
 
     def _has_alternative(self, progress: callprogress.Progress, service: str) -> bool:
         return self._deps.peers.is_any_usable(progress, service)
+
+
+class Detours:
+    """Decides which calls go through peers, and sends these."""
+
+    def __init__(
+        self, dependencies: interfaces.Dependencies, refuser: refusals.Refusals
+    ):
+        self._deps = dependencies
+        self._refusals = refuser
+        self._attempts = PeerAttempts(dependencies)
+
+    def is_needed(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> bool:
+        """Return whether endpoints of a service aren't reached from here."""
+        if self._deps.reachability.is_cut_off(service.name):
+            return True
+        return progress.failed_connects >= MAX_FAILED_CONNECTS and (
+            progress.call.detour is not None
+            or self._deps.peers.is_any_usable(progress, service.name)
+        )
+
+    async def attempt(
+        self,
+        service: routes.Service,
+        progress: callprogress.Progress,
+        responder: callers.Responder,
+    ) -> bool:
+        """Send a call through a peer; return whether it is answered."""
+        peer = self._deps.peers.choose(progress, service.name)
+        if peer is None:
+            self._refusals.refuse(
+                progress,
+                responder,
+                f"cut off from the endpoints of {service.name}",
+                is_cut_off=True,
+            )
+        progress.detours += 1
+        work = PeerWork(peer, service.name, progress)
+        try:
+            await self._attempts.make(progress, work, responder)
+            decisions.record_detour_end(progress, work, "answered", None)
+            return True
+        except errors.NotSentError as error:
+            self._deps.peers.avoid(peer.name, service.name)
+            decisions.record_detour_end(progress, work, "NotSentError", error)
+        except errors.PeerRefusalError as error:
+            decisions.record_detour_end(progress, work, "PeerRefusalError", error)
+            if not error.is_cut_off and error.status in PEER_REFUSALS:
+                self._refusals.refuse(
+                    progress,
+                    responder,
+                    f"peer refused: {error}",
+                    retry_after_s=error.retry_after_s,
+                    status=error.status,
+                )
+            # It is cut off itself, or its configuration differs.
+            self._deps.peers.avoid(peer.name, service.name)
+            if not self._deps.reachability.is_cut_off(service.name):
+                # Nor does the peer reach them: the endpoints have ended.
+                progress.detours = MAX_PEERS_PER_CALL
+        except errors.BrokenOffError as error:
+            decisions.record_detour_end(progress, work, type(error).__name__, error)
+            progress.may_have_run = True
+            if not progress.route.may_repeat:
+                self._refusals.refuse(progress, responder, str(error))
+        return False
--- /dev/null
+++ b/acaciaward/gateway/refusals.py
@@ -0,0 +1,54 @@
+"""Refuses calls: the status and retry delay for callers, and what these promise."""
+
+import random
+import typing
+
+from acaciaward import verdicts
+from acaciaward.gateway import callers, callprogress
+
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+
+# Longest retry delay given to callers: a share of the time until the deadline, but
+# not less than the floor. The delay is drawn from the upper half of that range.
+MAX_RETRY_DELAY_SHARE = 0.25
+MAX_RETRY_DELAY_FLOOR_S = 0.05
+
+
+class Refusals:
+    """Refuses the calls of all callers."""
+
+    def __init__(self, rng: random.Random):
+        self._random = rng
+
+    def refuse(
+        self,
+        progress: callprogress.Progress,
+        responder: callers.Responder,
+        reason: str,
+        *,
+        retry_after_s: float | None = None,
+        status: int = UNAVAILABLE,
+        is_cut_off: bool = False,
+    ) -> typing.NoReturn:
+        """
+        Raise ``RefusedError``; ``status`` is that of a call that has not run.
+
+        ``is_cut_off`` tells a peer that this entry doesn't reach the endpoints.
+        """
+        if not progress.may_have_run and not responder.has_begun:
+            if retry_after_s is None:
+                retry_after_s = self.retry_delay_s(progress)
+            raise callprogress.RefusedError(
+                status, reason, retry_after_s=retry_after_s, is_cut_off=is_cut_off
+            )
+        raise callprogress.RefusedError(
+            BAD_GATEWAY, reason, verdict=verdicts.Verdict.MAY_HAVE_RUN
+        )
+
+    def retry_delay_s(self, progress: callprogress.Progress) -> float:
+        """Return a random retry delay that leaves time for the call to be served."""
+        max_delay_s = max(
+            MAX_RETRY_DELAY_FLOOR_S, MAX_RETRY_DELAY_SHARE * progress.left_s
+        )
+        return self._random.uniform(max_delay_s / 2, max_delay_s)
--- /dev/null
+++ b/acaciaward/gateway/retries.py
@@ -0,0 +1,113 @@
+"""
+Decides whether a call may be sent again, and what its failures say of it.
+
+A call under which endpoints crash is refused, as are those with a part of a prompt that
+endpoints crash under.
+"""
+
+from acaciaward.catalogue import endpoints, routes
+from acaciaward.gateway import (
+    attempts,
+    callers,
+    callprogress,
+    decisions,
+    errors,
+    interfaces,
+    metrics,
+    refusals,
+)
+from acaciaward.quarantine import suspects
+from acaciaward.routing import occupancy
+
+FIRST_ERROR_STATUS = 400
+
+
+class Retries:
+    """Decides about the retries of all calls."""
+
+    def __init__(
+        self, dependencies: interfaces.Dependencies, refuser: refusals.Refusals
+    ):
+        self._deps = dependencies
+        self._refusals = refuser
+
+    def refuse_suspect(
+        self, progress: callprogress.Progress, responder: callers.Responder
+    ) -> None:
+        """Raise if the call would probably crash one more endpoint."""
+        if self._deps.suspects.is_suspect(progress.digest):
+            self._refusals.refuse(
+                progress,
+                responder,
+                "endpoints broke off under it",
+                retry_after_s=suspects.SUSPICION_LIFETIME_S,
+            )
+        refuse_for_s = self._deps.prompt_parts.refuse_for_s(progress.call.shared_parts)
+        if refuse_for_s > 0:
+            self._refusals.refuse(
+                progress,
+                responder,
+                "endpoints crashed under a part of its prompt",
+                retry_after_s=refuse_for_s,
+            )
+
+    def check(
+        self,
+        service: routes.Service,
+        progress: callprogress.Progress,
+        responder: callers.Responder,
+    ) -> None:
+        """Raise unless the call may be sent again; ended endpoints don't count."""
+        if progress.sends in (progress.sends_before, progress.allowed_after_sends):
+            return
+        if progress.has_used_attempts:
+            self._refusals.refuse(progress, responder, "the peer's attempts used up")
+        ended = sum(self._has_ended(incarnation) for incarnation in progress.tried)
+        if progress.sends >= progress.route.max_attempts + ended:
+            self._refusals.refuse(progress, responder, "attempts used up")
+        is_allowed = self._deps.repeats.spend(service.name)
+        metrics.REPEATS.labels(is_allowed).inc()
+        if not is_allowed:
+            self._refusals.refuse(progress, responder, "retry budget spent")
+        progress.allowed_after_sends = progress.sends
+
+    def _has_ended(self, incarnation: tuple[str, int]) -> bool:
+        known = self._deps.directory.get(incarnation[0])
+        return known is None or known.incarnation != incarnation
+
+    def record_crash(
+        self,
+        progress: callprogress.Progress,
+        work: occupancy.ActiveCall,
+        error: errors.BrokenOffError,
+    ) -> None:
+        """
+        Suspect a call of a crash of the endpoint that was to answer it.
+
+        An endpoint that was leaving or unresponsive, or whose answer had gone on for
+        long, ended for another reason.
+        """
+        known = self._deps.directory.get(work.endpoint.name)
+        is_leaving = (
+            known is not None and known.state is endpoints.EndpointState.LEAVING
+        )
+        has_survived = work.answered_for_s >= attempts.SURVIVAL_S
+        if is_leaving or has_survived or isinstance(error, errors.SilentError):
+            return
+        name, born = work.endpoint.incarnation
+        crashes = self._deps.suspects.record_crash(progress.digest, f"{name}/{born}")
+        part_crashes = 0
+        if isinstance(error, errors.ConnectionLostError):
+            part_crashes = self._deps.prompt_parts.record_crash(
+                progress.call.shared_parts, f"{name}/{born}"
+            )
+        decisions.record_suspected_crash(progress, work, crashes, part_crashes)
+
+    def record_served(
+        self, progress: callprogress.Progress, responder: callers.Responder
+    ) -> None:
+        """Record that a call was answered, so that neither it nor its parts crash."""
+        if responder.status < FIRST_ERROR_STATUS:
+            self._deps.prompt_parts.record_served(progress.call.shared_parts)
+        if self._deps.suspects.record_served(progress.digest):
+            decisions.record_cleared(progress)
--- /dev/null
+++ b/acaciaward/gateway/servicechoice.py
@@ -0,0 +1,100 @@
+"""
+Chooses the service that a call goes to.
+
+A stream that its caller takes up goes to the service and the version of its software
+that began it, a call that a peer sends through this entry to those that the peer names.
+"""
+
+import random
+
+from acaciaward.catalogue import routes
+from acaciaward.gateway import callprogress, interfaces, metrics, refusals
+from acaciaward.resumption import origins
+
+
+class ServiceChoice:
+    """Chooses the services of all calls."""
+
+    def __init__(
+        self,
+        dependencies: interfaces.Dependencies,
+        refuser: refusals.Refusals,
+        rng: random.Random,
+    ):
+        self._deps = dependencies
+        self._refusals = refuser
+        self._random = rng
+
+    async def find(
+        self, index: routes.Index, progress: callprogress.Progress
+    ) -> routes.Service:
+        """
+        Return the service for a call: for a stream that is taken up, where it began.
+
+        If its route leads there no more, it goes on as a new stream would.
+        """
+        route = progress.route
+        detour = progress.call.detour
+        if detour is not None:
+            return self._use_service(
+                index, progress, origins.Origin(detour.service, detour.version)
+            )
+        is_stream = route.kind is routes.RequestKind.STREAM
+        if progress.call.last_event_id is None or not is_stream:
+            return self._choose_service(index, route)
+        origin = await self._find_origin(index, progress)
+        return self._use_service(index, progress, origin)
+
+    def _use_service(
+        self,
+        index: routes.Index,
+        progress: callprogress.Progress,
+        origin: origins.Origin,
+    ) -> routes.Service:
+        route = progress.route
+        service = index.catalogue.services.get(origin.service)
+        if service is None or origin.service not in [name for name, _ in route.shares]:
+            return self._choose_service(index, route)
+        progress.stream_version = origin.version
+        return service
+
+    async def _find_origin(
+        self, index: routes.Index, progress: callprogress.Progress
+    ) -> origins.Origin:
+        """Return where a stream began that is taken up; raise if that isn't known."""
+        attempt_id = progress.call.resumed_attempt_id
+        if attempt_id is not None:
+            origin = await self._deps.origins.find(
+                progress.organisation_name, attempt_id
+            )
+            if origin is not None:
+                metrics.TAKEN_UP.labels("origin").inc()
+                return origin
+        service = self._choose_service(index, progress.route)
+        version = self._deps.directory.only_version(
+            service.name, progress.route.timeout_s
+        )
+        if version is not None:
+            metrics.TAKEN_UP.labels("only version").inc()
+            return origins.Origin(service.name, version)
+        metrics.TAKEN_UP.labels("nothing").inc()
+        raise callprogress.RefusedError(
+            refusals.UNAVAILABLE,
+            "the version that began its stream isn't known",
+            retry_after_s=self._refusals.retry_delay_s(progress),
+        )
+
+    def _choose_service(
+        self, index: routes.Index, route: routes.Route
+    ) -> routes.Service:
+        names = [name for name, _ in route.shares]
+        weights = [weight for _, weight in route.shares]
+        if sum(weights) <= 0:
+            weights = [1.0] * len(names)
+        (name,) = self._random.choices(names, weights)
+        service = index.catalogue.services.get(name)
+        if service is None:
+            raise callprogress.RefusedError(
+                refusals.UNAVAILABLE, f"unknown service {name}"
+            )
+        return service
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -18,7 +18,14 @@
 from acaciaward.admission import quotas, repeatbudget
 from acaciaward.catalogue import endpoints, routes, storeview
 from acaciaward.cli import main as cli_main
-from acaciaward.gateway import callers, callprogress, forwarding, process, upstreams
+from acaciaward.gateway import (
+    callers,
+    callprogress,
+    forwarding,
+    process,
+    refusals,
+    upstreams,
+)
 from acaciaward.platform import duties, headers
 from acaciaward.quarantine import promptparts
 from acaciaward.routing import occupancy
@@ -40,10 +47,10 @@
 def refused() -> None:
     """Refuse calls that may have run, as if they had not."""
 
-    def raise_refusal(self, progress, responder, reason, **more):
+    def refuse(self, progress, responder, reason, **more):
         raise callprogress.RefusedError(503, reason, retry_after_s=0.1)
 
-    forwarding.Forwarder._raise_refusal = raise_refusal
+    refusals.Refusals.refuse = refuse
 
 
 def mixed() -> None:
