--- a/acaciaward/membership/features/membership.feature
+++ b/acaciaward/membership/features/membership.feature
@@ -56,3 +56,15 @@
     And 27 more entries start
     And messages are counted for 3 s
     Then messages and bytes per entry grew by a factor of at most 1.3
+
+  Scenario: An entry that reaches no endpoint is known to all, until it does again
+    Given 9 entries at 10 times normal speed
+    When entry-4 is isolated from endpoints
+    Then every other entry knows that entry-4 is isolated
+    And every entry sees the others as live
+    When entry-4 reaches endpoints again
+    Then no other entry thinks that entry-4 is isolated
+
+  Scenario: An entry of an older build takes no detours and isn't isolated
+    Given the record of an entry of an older build
+    Then it has no port for detours and isn't isolated
--- a/acaciaward/membership/features/steps/membership_steps.py
+++ b/acaciaward/membership/features/steps/membership_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from acaciaward.membership import interfaces
+from acaciaward.membership import interfaces, peertable
 from acaciaward.membership.features import fakes
 
 URGENT = (
@@ -217,3 +217,60 @@
     first, second = context.counts
     for before, after in zip(first, second, strict=True):
         assert 0 < after <= factor * before, context.counts
+
+
+@when("{name} is isolated from endpoints")
+def isolate(context, name):
+    context.cluster.entries[name].set_isolated(True)
+
+
+@when("{name} reaches endpoints again")
+def reach_again(context, name):
+    context.cluster.entries[name].set_isolated(False)
+
+
+def wait_until_isolated(context, name, is_isolated):
+    def is_known():
+        return all(
+            peer.is_isolated is is_isolated
+            for entry in context.cluster.entries.values()
+            for peer in entry.peers()
+            if peer.name == name
+        )
+
+    context.runner.run(context.cluster.wait_until(is_known))
+
+
+@then("every other entry knows that {name} is isolated")
+def check_isolated(context, name):
+    wait_until_isolated(context, name, True)
+
+
+@then("no other entry thinks that {name} is isolated")
+def check_not_isolated(context, name):
+    wait_until_isolated(context, name, False)
+
+
+@given("the record of an entry of an older build")
+def make_old_record(context):
+    context.record = peertable.from_fields(
+        {
+            "name": "entry-1",
+            "address": "127.0.0.1",
+            "port": 1,
+            "peer_address": "127.0.0.1",
+            "peer_port": 2,
+            "data_centre": "dc",
+            "region": "region",
+            "incarnation": 1,
+            "state": "live",
+            "configuration_version": 1,
+            "public_key": None,
+        }
+    )
+
+
+@then("it has no port for detours and isn't isolated")
+def check_old_record(context):
+    peer = context.record.peer
+    assert (peer.detour_port, peer.is_isolated) == (0, False), peer
--- a/acaciaward/membership/features/steps/transport_steps.py
+++ b/acaciaward/membership/features/steps/transport_steps.py
@@ -334,7 +334,8 @@
         "state": TEXTS | strategies.sampled_from(("live", "dead", "leaving")),
         "configuration_version": NUMBERS,
         "public_key": strategies.none() | TEXTS,
-    }
+    },
+    optional={"detour_port": NUMBERS, "is_isolated": strategies.booleans()},
 )
 HINTS = strategies.fixed_dictionaries(
     {
--- a/acaciaward/platform/features/steps/platform_steps.py
+++ b/acaciaward/platform/features/steps/platform_steps.py
@@ -251,6 +251,7 @@
     assert settings["callers"] == {"address": "10.1.0.16", "port": 8360}
     assert settings["bounds"]["lease_s"] == 3.0
     assert settings["metrics"]["port"] == 7501
+    assert settings["detours"] == {"address": "10.1.0.16", "port": 7502}
     assert len(settings["peers"]["seeds"]) == 2
 
 
