Show the size of relays, lost connections between entries and full queues

Change: a reader logs the bytes of a relay by part and its bytes a second every two seconds, the longest pause between its ticks too; the ends of connections to peers and messages dropped at a full queue are counted and logged once a second at most; an entry logs who did not answer it, the silence before a relay, and at its start the bandwidth of its link. Metrics: acaciaward_relay_bytes, acaciaward_peer_connections_lost_total, acaciaward_peer_messages_unsent_total.

Tests: a step in transport.feature, a scenario in relays.feature.

--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -331,7 +331,10 @@
             await server.start(settings[name]["address"], settings[name]["port"])
         listen = settings["callers"]
         port = await self._callers.start(listen["address"], listen["port"])
-        log.info("entry started", extra=logs.fields(port=port))
+        log.info(
+            "entry started",
+            extra=logs.fields(port=port, link_mbps=settings["instance"]["link_mbps"]),
+        )
 
     async def _announce_when_ready(self) -> None:
         while not self.is_ready:
--- a/acaciaward/gateway/settings.py
+++ b/acaciaward/gateway/settings.py
@@ -42,6 +42,9 @@
     name: _described(Name, "Name of this instance, unique among the entries.")
     data_centre: _described(Name, "Data centre of the instance.")
     region: _described(Name, "Region of the data centre.")
+    link_mbps: _described(
+        float | None, "Bandwidth of the instance's link in Mbit/s, or null if unknown."
+    )
 
 
 class SocketAddress(_Group):
--- a/acaciaward/membership/features/steps/transport_steps.py
+++ b/acaciaward/membership/features/steps/transport_steps.py
@@ -15,7 +15,7 @@
 from acaciaward import errors, wire
 from acaciaward.entry import peerservices
 from acaciaward.identity import curvekeys
-from acaciaward.membership import hints, interfaces, transport
+from acaciaward.membership import connectionevents, hints, interfaces, transport
 from acaciaward.membership.features import fakes
 from standins import faultproxy, ports
 
@@ -265,6 +265,7 @@
         context.proxy.silence_connections()
 
     context.client = make_transport(context)
+    context.lost = connectionevents.LOST_CONNECTIONS._value.get()
     context.runner.run(run())
 
 
@@ -285,6 +286,11 @@
     assert is_replaced
 
 
+@then("the lost connection is counted")
+def check_lost_counted(context):
+    assert connectionevents.LOST_CONNECTIONS._value.get() > context.lost
+
+
 @then("a valid request of another peer is answered")
 def check_other(context):
     assert transport.DROPPED_MESSAGES._value.get() > context.dropped
--- a/acaciaward/membership/features/transport.feature
+++ b/acaciaward/membership/features/transport.feature
@@ -32,6 +32,7 @@
     Given an entry without encryption
     When the connection of a peer to it goes silent for good
     Then the peer is answered again within 2 s
+    And the lost connection is counted
 
   Scenario: Mutated messages between entries are decoded or refused
     Then mutated frames of every kind raise nothing but a wire error
--- a/acaciaward/membership/peertable.py
+++ b/acaciaward/membership/peertable.py
@@ -180,6 +180,10 @@
         current = self._records.get(name)
         if current is None or current.peer.state not in _NEXT_WORSE_STATES:
             return
+        log.info(
+            "peer doesn't answer",
+            extra=logs.fields(peer=name, state=current.peer.state.value),
+        )
         peer = current.peer._replace(state=_NEXT_WORSE_STATES[current.peer.state])
         self._store(PeerRecord(peer, current.listen_address, time.monotonic()))
 
--- a/acaciaward/membership/transport.py
+++ b/acaciaward/membership/transport.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import functools
 import itertools
 import logging
 import time
@@ -21,7 +22,7 @@
 import zmq.auth.asyncio
 
 from acaciaward import errors, wire
-from acaciaward.membership import interfaces
+from acaciaward.membership import connectionevents, interfaces
 from acaciaward.observability import logs
 
 log = logging.getLogger(__name__)
@@ -86,7 +87,7 @@
     def __init__(self, socket: zmq.asyncio.Socket):
         self.socket = socket
         self.pending_replies: dict[bytes, asyncio.Future] = {}
-        self.task: asyncio.Task | None = None
+        self.tasks: list[asyncio.Task] = []
         self.used_at = time.monotonic()
 
 
@@ -135,6 +136,7 @@
         self._handlers: dict[str, interfaces.MessageHandler] = {}
         self._channels: dict[PeerAddress, _Channel] = {}
         self._request_numbers = itertools.count(1)
+        self._events = connectionevents.ConnectionEvents()
         self._tasks: set[asyncio.Task] = set()
 
     def handle(self, kind: str, handler: interfaces.MessageHandler) -> None:
@@ -218,13 +220,20 @@
         frames = [NOTIFICATION_NUMBER, *self._message_table.encode(kind, body)]
         _count_frames("sent", frames)
         sending = channel.socket.send_multipart(frames, flags=zmq.NOBLOCK)
-        sending.add_done_callback(_ignore_full_queue)
+        sending.add_done_callback(
+            functools.partial(self._count_unsent, peer_address.url)
+        )
+
+    def _count_unsent(self, peer: str, sending: asyncio.Future) -> None:
+        if not sending.cancelled() and sending.exception() is not None:
+            self._events.count_unsent(peer)
 
     def forget(self, peer_address: PeerAddress) -> None:
         """Close the socket to a peer."""
         channel = self._channels.pop(peer_address, None)
         if channel is not None:
-            channel.task.cancel()
+            for task in channel.tasks:
+                task.cancel()
             channel.socket.close(0)
 
     def count_dropped(self, reason: object) -> None:
@@ -263,7 +272,10 @@
                 socket.curve_serverkey = peer_address.public_key.encode()
             socket.connect(peer_address.url)
             channel = _Channel(socket)
-            channel.task = self._start_task(self._receive_replies(channel))
+            channel.tasks = [
+                self._start_task(self._receive_replies(channel)),
+                self._start_task(self._events.watch(socket, peer_address.url)),
+            ]
             self._channels[peer_address] = channel
         channel = self._channels[peer_address]
         channel.used_at = time.monotonic()
@@ -339,8 +351,3 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
-
-
-def _ignore_full_queue(sending: asyncio.Future) -> None:
-    if not sending.cancelled():
-        sending.exception()
--- a/acaciaward/platform/nodefile.py
+++ b/acaciaward/platform/nodefile.py
@@ -72,6 +72,7 @@
             name=fields.get("NodeName"),
             data_centre=fields.get("Zone"),
             region=fields.get("Region"),
+            link_mbps=_number(fields, "Limits.LinkMbps"),
         ),
         "callers": _address(fields, "Listen.Frontend"),
         "readiness": _address(fields, "Listen.Readiness"),
@@ -88,7 +89,7 @@
     return settings
 
 
-def _drop_missing(**values: str | None) -> dict[str, str]:
+def _drop_missing(**values: typing.Any) -> dict[str, typing.Any]:
     return {name: value for name, value in values.items() if value}
 
 
@@ -113,17 +114,24 @@
 def _decode_bounds(fields: abc.Mapping[str, str]) -> dict[str, float]:
     bounds = {}
     for name, (setting, factor) in BOUNDS.items():
-        text = fields.get(f"Bounds.{name}")
-        if text:
-            try:
-                bounds[setting] = float(text) * factor
-            except ValueError as error:
-                raise storeview.UnreadableError(
-                    f"Bounds.{name}: expected a number, got {text!r}"
-                ) from error
+        value = _number(fields, f"Bounds.{name}")
+        if value is not None:
+            bounds[setting] = value * factor
     return bounds
 
 
+def _number(fields: abc.Mapping[str, str], name: str) -> float | None:
+    text = fields.get(name)
+    if not text:
+        return None
+    try:
+        return float(text)
+    except ValueError as error:
+        raise storeview.UnreadableError(
+            f"{name}: expected a number, got {text!r}"
+        ) from error
+
+
 def _metrics_address(fields: abc.Mapping[str, str]) -> dict[str, typing.Any]:
     first_port = fields.get("InternalPortRange", "").split(",")[0]
     if not first_port.isdecimal() or not fields.get("Ip"):
--- a/acaciaward/relays/features/relays.feature
+++ b/acaciaward/relays/features/relays.feature
@@ -57,3 +57,8 @@
     When the reader has read nothing for 1.4 s
     Then the entry reads the store itself
     But it still receives sums over 2 entries
+
+  Scenario: A reader shows the size of its relays by part
+    Given a reader and an entry of its data centre that know endpoint s-1
+    When the reader relays for 2.1 s
+    Then the parts of its last relay add up to a size over 100 bytes
--- a/acaciaward/relays/features/steps/relays_steps.py
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -9,7 +9,7 @@
 
 from acaciaward.catalogue import endpoints
 from acaciaward.membership import interfaces
-from acaciaward.relays import aggregation, relaying
+from acaciaward.relays import aggregation, relaying, relaysizes
 
 TICK_S = 0.25
 
@@ -338,3 +338,17 @@
     assert context.entry.relaying.entry_count == count, (
         context.entry.relaying.entry_count
     )
+
+
+@when("the reader relays for {seconds:g} s")
+def relay_for(context, seconds):
+    tick_both(context)
+    time.sleep(seconds)
+    tick_both(context)
+
+
+@then("the parts of its last relay add up to a size over {size:d} bytes")
+def check_measured_size(context, size):
+    parts = (*relaysizes.PARTS, "other")
+    sizes = [relaysizes.RELAY_BYTES.labels(part)._value.get() for part in parts]
+    assert sum(sizes) > size and min(sizes) > 0, sizes
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -22,7 +22,7 @@
 )
 from acaciaward.observability import logs
 from acaciaward.quarantine import promptparts, suspects
-from acaciaward.relays import aggregation, messages
+from acaciaward.relays import aggregation, messages, relaysizes
 from acaciaward.routing import endpointlimits
 
 log = logging.getLogger(__name__)
@@ -114,6 +114,7 @@
         self._get_configuration_read_at = configuration_read_at
         self._configuration_version = configuration_version
         self._aggregator = aggregation.Aggregator(time.monotonic)
+        self._sizes = relaysizes.RelaySizes()
         self._changed: dict[str, endpoints.Endpoint | None] = {}
         self._last_relay_at = -math.inf
         self._store_read_at = -math.inf
@@ -170,6 +171,7 @@
 
     def tick(self) -> None:
         """Send a report to the reader, or relays if this entry is the reader."""
+        self._sizes.record_tick()
         self._choose_reader()
         own_state = self._state_exchange.collect_state()
         report = self._make_report(own_state)
@@ -225,12 +227,15 @@
                 self._membership.notify(reader, "summary", own_summary)
         changes = self._collect_changes()
         names = by_data_centre.get(self._data_centre, [])
+        relay = None
         for name, sums in self._aggregator.sums_for_each(names).items():
             relay = self._make_relay(sums, changes, own_state)
             if name == self._membership.name:
                 self._apply_relay(relay)
             else:
                 self._membership.notify(name, "relay", relay)
+        if relay is not None:
+            self._sizes.record(relay, len(names) - 1)
 
     def _collect_changes(self) -> tuple[list[messages.EndpointFields], list[str]]:
         changed, self._changed = self._changed, {}
@@ -275,6 +280,12 @@
     async def _receive_relay(self, sender: str, relay: messages.Relay) -> None:
         if relay["sender"] != self._reader:
             return
+        silent_s = time.monotonic() - self._last_relay_at
+        if RELAY_TIMEOUT_S < silent_s < math.inf:
+            log.info(
+                "relays resumed",
+                extra=logs.fields(reader=sender, silent_s=round(silent_s, 2)),
+            )
         if relay["age_s"] < MAX_STORE_AGE_S:
             self._apply_endpoint_changes(relay)
         self._apply_relay(relay)
