Keep a suspect reader while its relays come

Cause: one entry anywhere that got no answer to a probe in 0.3 s made all entries of the reader's data centre choose another, and back when the suspicion was refuted. A new reader's first relay counts only the reports that it has got so far, and entries cut the levels of their quotas to that share at once.

In a model of 20 entries the first relay of a new reader counts one.

Change: an entry keeps a suspect reader while its last relay is at most 0.6 s old. Readers send their sums to a suspect reader of another data centre as well as to its successor.

Tests: two scenarios of relaybytes.feature failed before; that a suspect reader without relays is replaced held before, too.

--- a/acaciaward/relays/features/fakes.py
+++ b/acaciaward/relays/features/fakes.py
@@ -14,8 +14,9 @@
 class DirectMembership:
     """Delivers messages between two entries of one data centre immediately."""
 
-    def __init__(self, name, members):
+    def __init__(self, name, members, data_centre):
         self.name = name
+        self.data_centre = data_centre
         self.handlers = {}
         self.members = members
         self.drops_messages = False
@@ -39,17 +40,17 @@
         return [
             types.SimpleNamespace(
                 name=name,
-                data_centre="dc",
+                data_centre=member.data_centre,
                 state=states.SUSPECT if name in self.suspects else states.LIVE,
             )
-            for name in self.members
+            for name, member in self.members.items()
         ]
 
 
 class EntryUnderTest:
     """One entry with its directory and membership."""
 
-    def __init__(self, name, members, clock):
+    def __init__(self, name, members, clock, data_centre="dc"):
         self.age_s = 0.0
         self.directory = endpoints.Directory(clock)
         self.state = relaying.LocalState(
@@ -62,13 +63,13 @@
             receive_time=lambda now: None,
             receive_version=lambda version: None,
         )
-        self.membership = DirectMembership(name, members)
+        self.membership = DirectMembership(name, members, data_centre)
         self.relaying = relaying.Relaying(
             self.membership,
             self.directory,
             state_exchange,
             process_run=f"{name}/1",
-            data_centre="dc",
+            data_centre=data_centre,
             store_read_at=lambda: time.monotonic() - self.age_s,
             configuration_read_at=lambda: time.monotonic() - self.age_s,
             configuration_version=lambda: 1,
--- a/acaciaward/relays/features/relaybytes.feature
+++ b/acaciaward/relays/features/relaybytes.feature
@@ -21,3 +21,23 @@
     When nothing new happens for 40 relays
     And an entry restarts with no knowledge of them
     Then its first relay tells all crashes
+
+  # One failed probe anywhere made all entries of a data centre change their reader.
+  Scenario: A suspect reader stays the reader of entries that its relays reach
+    Given a data centre of 20 entries that know all crashes that a relay may hold
+    When nothing new happens for 4 relays
+    And all entries take their reader for suspect
+    And nothing new happens for 4 relays
+    Then each entry got 8 relays from the same reader
+
+  Scenario: A suspect reader whose relays stop is replaced at once
+    Given a data centre of 20 entries that know all crashes that a relay may hold
+    When nothing new happens for 4 relays
+    And their reader has sent nothing for 0.7 s and is suspect
+    Then all other entries choose the same other reader
+
+  Scenario: A suspect reader still gets the sums of other data centres
+    Given 3 data centres of 4 entries each
+    And each takes the readers of the others for suspect
+    When nothing new happens for 4 relays
+    Then each entry has got sums over 12 entries
--- a/acaciaward/relays/features/steps/relaybytes_steps.py
+++ b/acaciaward/relays/features/steps/relaybytes_steps.py
@@ -199,6 +199,37 @@
         assert sources == [context.reader.relaying._process_run] * count, name
 
 
+@given("{centres:d} data centres of {count:d} entries each")
+def make_data_centres(context, centres, count):
+    members = {}
+    context.entries = [
+        fakes.EntryUnderTest(
+            f"edge-{centre}-{number}", members, time.monotonic, f"dc-{centre}"
+        )
+        for centre in range(centres)
+        for number in range(count)
+    ]
+
+
+@given("each takes the readers of the others for suspect")
+def suspect_other_readers(context):
+    for entry in context.entries:
+        entry.relaying._choose_reader()
+    readers = {
+        entry.membership.data_centre: entry.relaying._reader
+        for entry in context.entries
+    }
+    for entry in context.entries:
+        others = {**readers, entry.membership.data_centre: None}
+        entry.membership.suspects.update(others.values())
+
+
+@then("each entry has got sums over {count:d} entries")
+def check_heard(context, count):
+    for entry in context.entries:
+        assert [state.sums.heard for state in entry.received] == [count]
+
+
 @when("their reader has sent nothing for {seconds:g} s and is suspect")
 def stop_reader(context, seconds):
     context.entries = context.others
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 State = membership_interfaces.PeerState
+LIVE_STATES = frozenset({State.LIVE, State.JOINING, State.LEAVING})
 
 # Interval at which entries report and readers relay. A reader's network link may carry
 # only 5 Mbit/s, shared with callers; relaybytes.feature bounds what relays take of it.
@@ -37,6 +38,8 @@
 MAX_STORE_AGE_S = 1.3
 # Without a relay for this long, an entry counts itself only.
 RELAY_TIMEOUT_S = 1.2
+# A suspect peer remains the reader while its last relay is newer than this.
+SUSPECT_RELAY_AGE_S = 0.6
 # After this many consecutive relays with a different digest, an entry reads the store.
 MAX_DIGEST_MISMATCHES = 3
 
@@ -189,8 +192,8 @@
     def _choose_reader(self) -> None:
         names = {
             peer.name
-            for peer in self._live_peers()
-            if peer.data_centre == self._data_centre
+            for peer in self._membership.peers()
+            if peer.data_centre == self._data_centre and self._may_read(peer)
         } | {self._membership.name}
         (reader,) = rendezvous.choose("reader", names, 1)
         if reader != self._reader:
@@ -199,9 +202,34 @@
             self._report_excerpts = excerpts.Excerpts()
             self._relay_excerpts = excerpts.Excerpts()
 
-    def _live_peers(self) -> list[membership_interfaces.Peer]:
-        states = (State.LIVE, State.JOINING, State.LEAVING)
-        return [peer for peer in self._membership.peers() if peer.state in states]
+    def _may_read(self, peer: membership_interfaces.Peer) -> bool:
+        # Relays show that a suspect reader works. Another reader would know no reports
+        # at first, so that all entries would admit little for a moment.
+        is_relaying = (
+            peer.name == self._reader
+            and time.monotonic() - self._last_relay_at < SUSPECT_RELAY_AGE_S
+        )
+        return peer.state in LIVE_STATES or (
+            peer.state is State.SUSPECT and is_relaying
+        )
+
+    def _readers_elsewhere(self) -> set[str]:
+        """Return the other data centres' readers; a suspect one and its successor."""
+        return {
+            rendezvous.choose("reader", names, 1)[0]
+            for states in (LIVE_STATES, LIVE_STATES | {State.SUSPECT})
+            for data_centre, names in self._names_by_data_centre(states).items()
+            if data_centre != self._data_centre
+        }
+
+    def _names_by_data_centre(
+        self, states: abc.Container[State]
+    ) -> dict[str, list[str]]:
+        names: dict[str, list[str]] = {}
+        for peer in self._membership.peers():
+            if peer.state in states:
+                names.setdefault(peer.data_centre, []).append(peer.name)
+        return names
 
     def _make_report(self, own_state: LocalState) -> messages.Report:
         fields = own_state._asdict()
@@ -225,15 +253,10 @@
             "data_centre": self._data_centre,
             **summary._asdict(),
         }
-        by_data_centre: dict[str, list[str]] = {}
-        for peer in self._live_peers():
-            by_data_centre.setdefault(peer.data_centre, []).append(peer.name)
-        for data_centre, names in by_data_centre.items():
-            if data_centre != self._data_centre:
-                (reader,) = rendezvous.choose("reader", names, 1)
-                self._membership.notify(reader, "summary", own_summary)
+        for reader in self._readers_elsewhere():
+            self._membership.notify(reader, "summary", own_summary)
         changes = self._collect_changes()
-        names = by_data_centre.get(self._data_centre, [])
+        names = self._names_by_data_centre(LIVE_STATES).get(self._data_centre, [])
         started = self._aggregator.recently_started()
         excerpt = None
         for name, sums in self._aggregator.sums_for_each(names).items():
