--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -385,7 +385,10 @@
         )
         self._membership.set_detour_port(detours_port)
         port = await self._callers.start(listen["address"], listen["port"])
-        log.info("entry started", extra=logs.fields(port=port))
+        log.info(
+            "entry started",
+            extra=logs.fields(port=port, link_mbps=settings["instance"]["link_mbps"]),
+        )
 
     async def _announce_when_ready(self) -> None:
         while not self.is_ready:
--- a/acaciaward/relays/features/relays.feature
+++ b/acaciaward/relays/features/relays.feature
@@ -65,3 +65,8 @@
     Then the entry's clock isn't corrected
     When it hears of 3 clocks of another data centre
     Then both clocks are corrected to the entry's time
+
+  Scenario: A reader shows the size of its relays by part
+    Given a reader and an entry of its data centre that know endpoint s-1
+    When the reader relays for 2.1 s
+    Then the parts of its last relay add up to a size over 100 bytes
--- a/acaciaward/relays/features/steps/relays_steps.py
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import time
-import types
 
 import msgspec
 from behave import given, then, when
 
 from acaciaward.catalogue import endpoints
-from acaciaward.membership import interfaces
-from acaciaward.relays import aggregation, relaying
+from acaciaward.relays import aggregation, relaysizes
+from acaciaward.relays.features import fakes
 
 TICK_S = 0.25
 
@@ -193,70 +192,14 @@
     assert sizes[many] <= factor * sizes[few], sizes
 
 
-class DirectMembership:
-    """Delivers messages between two entries of one data centre immediately."""
-
-    def __init__(self, name, members):
-        self.name = name
-        self.handlers = {}
-        self.members = members
-        self.drops_messages = False
-        members[name] = self
-
-    def handle(self, kind, handler):
-        self.handlers[kind] = handler
-
-    def notify(self, peer, kind, body):
-        recipient = self.members[peer]
-        if not recipient.drops_messages:
-            copy = msgspec.msgpack.decode(msgspec.msgpack.encode(body))
-            asyncio.run(recipient.handlers[kind](self.name, copy))
-
-    def peers(self):
-        live = interfaces.PeerState.LIVE
-        return [
-            types.SimpleNamespace(name=name, data_centre="dc", state=live)
-            for name in self.members
-        ]
-
-
-class EntryUnderTest:
-    """One entry with its directory and membership."""
-
-    def __init__(self, name, members, clock):
-        self.age_s = 0.0
-        self.unix_time = 1000.0
-        # Times that the entry was told to be those of the majority.
-        self.received_times = []
-        self.directory = endpoints.Directory(clock)
-        state_exchange = types.SimpleNamespace(
-            collect_state=lambda: relaying.LocalState(
-                self.unix_time, {}, {}, {}, {"crashes": {}, "cleared": []}, {}, {}
-            ),
-            receive_state=lambda state: None,
-            receive_time=self.received_times.append,
-            receive_version=lambda version: None,
-        )
-        self.membership = DirectMembership(name, members)
-        self.relaying = relaying.Relaying(
-            self.membership,
-            self.directory,
-            state_exchange,
-            process_run=f"{name}/1",
-            data_centre="dc",
-            store_read_at=lambda: time.monotonic() - self.age_s,
-            configuration_read_at=lambda: time.monotonic() - self.age_s,
-            configuration_version=lambda: 1,
-        )
-
-
 def make_endpoint(state=endpoints.EndpointState.READY):
     return endpoints.Endpoint("s-1", 1, "s", "127.0.0.1", 1, "dc", 4, state)
 
 
 @when("the reader's clock is {seconds:g} s ahead as it starts")
 def start_ahead(context, seconds):
-    context.reader.unix_time += seconds
+    state = context.reader.state
+    context.reader.state = state._replace(now=state.now + seconds)
     context.entry.received_times.clear()
     for _ in range(5):
         tick_both(context)
@@ -266,7 +209,7 @@
 def hear_clocks(context, count):
     summary = {"sender": "r-2/1", "uptime_s": 100.0, "data_centre": "dc-2"}
     summary |= aggregation.Aggregator(time.monotonic).summary()._asdict()
-    summary |= {"now": context.entry.unix_time, "clock_count": count}
+    summary |= {"now": context.entry.state.now, "clock_count": count}
     handler = context.reader.membership.handlers["summary"]
     asyncio.run(handler("r-2", summary))
     tick_both(context)
@@ -281,14 +224,16 @@
 def check_corrected(context):
     for member in (context.reader, context.entry):
         (received_time,) = member.received_times
-        assert abs(received_time - context.entry.unix_time) < 0.5, received_time
+        assert abs(received_time - context.entry.state.now) < 0.5, received_time
 
 
 @given("a reader and an entry of its data centre that know endpoint s-1")
 def make_both(context):
     context.now = 50.0
     members = {}
-    both = [EntryUnderTest(name, members, lambda: context.now) for name in ("a", "b")]
+    both = [
+        fakes.EntryUnderTest(name, members, lambda: context.now) for name in ("a", "b")
+    ]
     for member in both:
         member.directory.update(make_endpoint())
     tick_all(both)
@@ -371,3 +316,17 @@
     assert context.entry.relaying.entry_count == count, (
         context.entry.relaying.entry_count
     )
+
+
+@when("the reader relays for {seconds:g} s")
+def relay_for(context, seconds):
+    tick_both(context)
+    time.sleep(seconds)
+    tick_both(context)
+
+
+@then("the parts of its last relay add up to a size over {size:d} bytes")
+def check_measured_size(context, size):
+    parts = (*relaysizes.PARTS, "other")
+    sizes = [relaysizes.RELAY_BYTES.labels(part)._value.get() for part in parts]
+    assert sum(sizes) > size and min(sizes) > 0, sizes
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -22,21 +22,24 @@
 )
 from acaciaward.observability import logs
 from acaciaward.quarantine import promptparts, suspects
-from acaciaward.relays import aggregation, messages
+from acaciaward.relays import aggregation, excerpts, messages, relaysizes
 from acaciaward.routing import endpointlimits
 
 log = logging.getLogger(__name__)
 
 State = membership_interfaces.PeerState
+LIVE_STATES = frozenset({State.LIVE, State.JOINING, State.LEAVING})
 
-# Interval at which entries report and readers relay. A relay to each of 20 entries is
-# up to 8 KB, and a reader's network link may carry only 5 Mbit/s.
+# Interval at which entries report and readers relay. A reader's network link may carry
+# only 5 Mbit/s, shared with callers; relaybytes.feature bounds what relays take of it.
 TICK_INTERVAL_S = 0.25
 # An entry reads the store itself if the reader read it longer ago than this: all
 # entries must know of a leaving endpoint or a configuration in less than two seconds.
 MAX_STORE_AGE_S = 1.3
 # Without a relay for this long, an entry counts itself only.
 RELAY_TIMEOUT_S = 1.2
+# A suspect peer remains the reader while its last relay is newer than this.
+SUSPECT_RELAY_AGE_S = 0.6
 # After this many consecutive relays with a different digest, an entry reads the store.
 MAX_DIGEST_MISMATCHES = 3
 
@@ -114,6 +117,9 @@
         self._get_configuration_read_at = configuration_read_at
         self._configuration_version = configuration_version
         self._aggregator = aggregation.Aggregator(time.monotonic)
+        self._sizes = relaysizes.RelaySizes()
+        self._report_excerpts = excerpts.Excerpts()
+        self._relay_excerpts = excerpts.Excerpts()
         self._changed: dict[str, endpoints.Endpoint | None] = {}
         self._last_relay_at = -math.inf
         self._store_read_at = -math.inf
@@ -170,6 +176,7 @@
 
     def tick(self) -> None:
         """Send a report to the reader, or relays if this entry is the reader."""
+        self._sizes.record_tick()
         self._choose_reader()
         own_state = self._state_exchange.collect_state()
         report = self._make_report(own_state)
@@ -177,22 +184,52 @@
             self._aggregator.receive_report(report)
             self._send_relays(own_state)
         else:
-            self._membership.notify(self._reader, "report", report)
+            # The reader's own report is whole, so it knows what others leave out.
+            self._membership.notify(
+                self._reader, "report", self._report_excerpts.abridge(report)
+            )
 
     def _choose_reader(self) -> None:
         names = {
             peer.name
-            for peer in self._live_peers()
-            if peer.data_centre == self._data_centre
+            for peer in self._membership.peers()
+            if peer.data_centre == self._data_centre and self._may_read(peer)
         } | {self._membership.name}
         (reader,) = rendezvous.choose("reader", names, 1)
         if reader != self._reader:
             log.info("reader chosen", extra=logs.fields(reader=reader, of=len(names)))
             self._reader = reader
+            self._report_excerpts = excerpts.Excerpts()
+            self._relay_excerpts = excerpts.Excerpts()
+
+    def _may_read(self, peer: membership_interfaces.Peer) -> bool:
+        # Relays show that a suspect reader works. Another reader would know no reports
+        # at first, so that all entries would admit little for a moment.
+        is_relaying = (
+            peer.name == self._reader
+            and time.monotonic() - self._last_relay_at < SUSPECT_RELAY_AGE_S
+        )
+        return peer.state in LIVE_STATES or (
+            peer.state is State.SUSPECT and is_relaying
+        )
+
+    def _readers_elsewhere(self) -> set[str]:
+        """Return the other data centres' readers; a suspect one and its successor."""
+        return {
+            rendezvous.choose("reader", names, 1)[0]
+            for states in (LIVE_STATES, LIVE_STATES | {State.SUSPECT})
+            for data_centre, names in self._names_by_data_centre(states).items()
+            if data_centre != self._data_centre
+        }
 
-    def _live_peers(self) -> list[membership_interfaces.Peer]:
-        states = (State.LIVE, State.JOINING, State.LEAVING)
-        return [peer for peer in self._membership.peers() if peer.state in states]
+    def _names_by_data_centre(
+        self, states: abc.Container[State]
+    ) -> dict[str, list[str]]:
+        names: dict[str, list[str]] = {}
+        for peer in self._membership.peers():
+            if peer.state in states:
+                names.setdefault(peer.data_centre, []).append(peer.name)
+        return names
 
     def _make_report(self, own_state: LocalState) -> messages.Report:
         fields = own_state._asdict()
@@ -217,21 +254,25 @@
             **summary._asdict(),
             **self._aggregator.clocks()._asdict(),
         }
-        by_data_centre: dict[str, list[str]] = {}
-        for peer in self._live_peers():
-            by_data_centre.setdefault(peer.data_centre, []).append(peer.name)
-        for data_centre, names in by_data_centre.items():
-            if data_centre != self._data_centre:
-                (reader,) = rendezvous.choose("reader", names, 1)
-                self._membership.notify(reader, "summary", own_summary)
+        for reader in self._readers_elsewhere():
+            self._membership.notify(reader, "summary", own_summary)
         changes = self._collect_changes()
-        names = by_data_centre.get(self._data_centre, [])
+        names = self._names_by_data_centre(LIVE_STATES).get(self._data_centre, [])
+        started = self._aggregator.recently_started()
+        majority_time = self._aggregator.majority_time()
+        excerpt = None
         for name, sums in self._aggregator.sums_for_each(names).items():
-            relay = self._make_relay(sums, changes, own_state)
+            relay = self._make_relay(sums, changes, own_state, majority_time)
             if name == self._membership.name:
                 self._apply_relay(relay)
-            else:
-                self._membership.notify(name, "relay", relay)
+                continue
+            # Crashes are the same for all entries.
+            if excerpt is None:
+                excerpt = self._relay_excerpts.abridge(relay)
+            if name not in started:
+                relay |= {"crashes": excerpt["crashes"], "parts": excerpt["parts"]}
+            self._membership.notify(name, "relay", relay)
+            self._sizes.record(relay)
 
     def _collect_changes(self) -> tuple[list[messages.EndpointFields], list[str]]:
         changed, self._changed = self._changed, {}
@@ -248,8 +289,8 @@
         sums: aggregation.Sums,
         changes: tuple[list[messages.EndpointFields], list[str]],
         own_state: LocalState,
+        majority_time: float | None,
     ) -> messages.Relay:
-        majority_time = self._aggregator.majority_time()
         return {
             "sender": self._membership.name,
             "start": self._process_run,
@@ -267,6 +308,7 @@
             "digest": endpoints_digest(self._directory.all()),
             "levels": own_state.levels,
             **sums._asdict(),
+            "load": _rounded(sums.load),
         }
 
     async def _receive_report(self, sender: str, report: messages.Report) -> None:
@@ -278,6 +320,12 @@
     async def _receive_relay(self, sender: str, relay: messages.Relay) -> None:
         if relay["sender"] != self._reader:
             return
+        silent_s = time.monotonic() - self._last_relay_at
+        if RELAY_TIMEOUT_S < silent_s < math.inf:
+            log.info(
+                "relays resumed",
+                extra=logs.fields(reader=sender, silent_s=round(silent_s, 2)),
+            )
         if relay["age_s"] < MAX_STORE_AGE_S:
             self._apply_endpoint_changes(relay)
         self._apply_relay(relay)
@@ -339,6 +387,14 @@
     return combined
 
 
+def _rounded(load: abc.Mapping[str, tuple[float, float]]) -> dict[str, tuple[int, int]]:
+    """Return loads as integers, which are encoded in a few bytes."""
+    return {
+        name: (round(requests), round(tokens))
+        for name, (requests, tokens) in load.items()
+    }
+
+
 def _to_fields(endpoint: endpoints.Endpoint) -> messages.EndpointFields:
     return {**endpoint._asdict(), "state": endpoint.state.value}
 
