Let a peer run a call only at the service that it names

Cause: a peer whose newer configuration leads the route elsewhere chose a service of its own for a call that a cut-off entry sent through it, and dropped the version of its stream.

Change: it refuses the call as not run, and the entry asks another peer. An answer of another version than the stream's is broken off.

--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -211,6 +211,8 @@
             return
         if head.detour.verdict is not None:
             progress.sends = max(work.sends_before, head.detour.sends)
+        elif progress.stream_version not in (None, head.detour.version):
+            raise errors.BrokenOffError("the peer's stream is of another version")
 
     def _record_data(self, work: attempts.Work) -> None:
         """Do nothing: the peer has the endpoint's load."""
--- a/acaciaward/gateway/features/detours.feature
+++ b/acaciaward/gateway/features/detours.feature
@@ -114,6 +114,14 @@
     And the second request to have arrived says that 3 was the last event
     And 2 calls have come to the peers
 
+  # A peer with another configuration joined streams of two services in one answer (ORDER).
+  Scenario: A peer whose route leads elsewhere doesn't run a call
+    Given an entry for resumable streams that is cut off, and 2 peers
+    And the peers' routes lead to another service
+    When a caller asks
+    Then the answer is 503 with a retry delay
+    And 0 requests have arrived
+
   # A stream that began through a peer may go on only at its version (ORDER).
   Scenario: After a cut, a stream goes on at the version that began it
     Given an entry for resumable streams that is cut off, and 2 peers
--- a/acaciaward/gateway/features/steps/detours_steps.py
+++ b/acaciaward/gateway/features/steps/detours_steps.py
@@ -142,6 +142,24 @@
     cut_off(context.front)
 
 
+@given("the peers' routes lead to another service")
+def lead_elsewhere(context):
+    for front in context.group.peers:
+        catalogue = front.index.catalogue
+        (route,) = catalogue.routes
+        front.index = routes.Index(
+            catalogue._replace(
+                routes=(route._replace(shares=(("other", 1.0),)),),
+                services={
+                    "service": routes.Service("service", 100),
+                    "other": routes.Service("other", 100),
+                },
+            )
+        )
+        for endpoint in front.directory.all():
+            front.directory.update(endpoint._replace(name="o-1", service="other"))
+
+
 @given("an entry for {kind} that reaches endpoints, and 2 peers")
 def start_reaching(context, kind):
     start(context, kind)
--- a/acaciaward/gateway/servicechoice.py
+++ b/acaciaward/gateway/servicechoice.py
@@ -8,7 +8,7 @@
 import random
 
 from acaciaward.catalogue import routes
-from acaciaward.gateway import callprogress, interfaces, metrics, refusals
+from acaciaward.gateway import callprogress, calls, interfaces, metrics, refusals
 from acaciaward.resumption import origins
 
 
@@ -36,15 +36,30 @@
         route = progress.route
         detour = progress.call.detour
         if detour is not None:
-            return self._use_service(
-                index, progress, origins.Origin(detour.service, detour.version)
-            )
+            return self._use_named(index, progress, detour)
         is_stream = route.kind is routes.RequestKind.STREAM
         if progress.call.last_event_id is None or not is_stream:
             return self._choose_service(index, route)
         origin = await self._find_origin(index, progress)
         return self._use_service(index, progress, origin)
 
+    @staticmethod
+    def _use_named(
+        index: routes.Index, progress: callprogress.Progress, detour: calls.Detour
+    ) -> routes.Service:
+        """Return the service that a peer names; raise if its route leads elsewhere."""
+        service = index.catalogue.services.get(detour.service)
+        is_on_route = detour.service in [name for name, _ in progress.route.shares]
+        if service is None or not is_on_route:
+            # A stream that has begun would go on at another service.
+            raise callprogress.RefusedError(
+                refusals.UNAVAILABLE,
+                f"the route doesn't lead to {detour.service} here",
+                is_cut_off=True,
+            )
+        progress.stream_version = detour.version
+        return service
+
     def _use_service(
         self,
         index: routes.Index,
