Build an entry's links in a module of their own

The pools of connections to endpoints and peers, what they reach and the prober move to gateway/links.py, unchanged in what they do. Measured: delivery, forwarding, detours and usage features pass as before.

--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -22,11 +22,10 @@
     duties,
     forwarding,
     interfaces,
+    links,
     metrics,
-    probing,
     stateexchange,
     statushandlers,
-    upstreams,
 )
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import logs
@@ -41,7 +40,7 @@
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.relays import relaying
 from acaciaward.resumption import origins
-from acaciaward.routing import demand, endpointlimits, occupancy, reachability
+from acaciaward.routing import demand, endpointlimits, occupancy
 from acaciaward.settings import loader
 from acaciaward.usage import reporting
 
@@ -136,13 +135,12 @@
             demand=lambda name: self._state_exchange.demand_of(name),
             usage_of_others=self._reported_usage,
         )
-        self._directory.subscribe(self._drop_connections)
         self._occupancy = occupancy.Occupancy(
             self._directory,
             data_centre=self._settings["instance"]["data_centre"],
             limits=endpointlimits.EndpointLimits(self.name, self._serving_entries),
         )
-        self._build_links()
+        self._links = links.Links(self._directory, self._occupancy, self._membership)
         self._quotas = quotas.Quotas(time.monotonic, self._entry_count)
         self._saver = quotastore.Saver(
             topics.KeyedTopic(self._store, QUOTAS_TOPIC),
@@ -168,13 +166,13 @@
                 index=lambda: self._store_view.index,
                 occupancy=self._occupancy,
                 directory=self._directory,
-                pool=self._pool,
-                reachability=self._reachability,
+                pool=self._links.pool,
+                reachability=self._links.reachability,
                 peers=detours.PeerChoice(
                     self._membership,
                     data_centre=self._settings["instance"]["data_centre"],
                 ),
-                peer_pool=self._peer_pool,
+                peer_pool=self._links.peer_pool,
                 quotas=self._quotas,
                 reporting_share=self._reporting_share,
                 repeats=repeatbudget.RepeatBudgets(
@@ -192,19 +190,6 @@
         )
         self._build_state_exchange()
 
-    def _build_links(self) -> None:
-        self._reachability = reachability.Reachability(
-            self._directory, self._occupancy.is_unresponsive
-        )
-        self._reachability.on_cut_off = self._drop_service_connections
-        self._pool = upstreams.UpstreamPool(
-            on_connect=self._reachability.record_connect
-        )
-        self._peer_pool = upstreams.UpstreamPool()
-        self._prober = probing.Prober(
-            self._reachability, self._membership, self._pool, self._peer_pool
-        )
-
     def _build_state_exchange(self) -> None:
         self._state_exchange = stateexchange.GatewayStateExchange(
             stateexchange.Components(
@@ -271,18 +256,6 @@
         metrics.CONFIGURATION_VERSION.set(catalogue.version)
         self._in_force_since = time.monotonic()
 
-    def _drop_connections(
-        self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
-    ) -> None:
-        if before is None:
-            return
-        if after is None or after.incarnation != before.incarnation:
-            self._pool.drop(before.incarnation)
-
-    def _drop_service_connections(self, service: str) -> None:
-        for endpoint in self._directory.of_service(service):
-            self._pool.drop(endpoint.incarnation)
-
     def _detour_limits(self) -> routes.Limits:
         """Return the callers' limits with room for what peers add."""
         limits = self._store_view.catalogue.limits
@@ -371,7 +344,7 @@
             self._run_housekeeping(),
             self._relaying.run(),
             self._saver.run(),
-            self._prober.run(),
+            self._links.prober.run(),
             self._announce_when_ready(),
             *self._duties.tasks(),
         ):
@@ -425,8 +398,7 @@
         self._detours.stop_accepting()
         self._detours.abort()
         await tasks.end_tasks(self._tasks)
-        self._pool.close()
-        self._peer_pool.close()
+        self._links.close()
         await self._transport.stop()
         await self._client.close()
 
