Remember which endpoints nobody reaches, and don't try them with each call

Cause: endpoints that have ended stay listed until their records lapse. Each call tried three of them in turn, then three more at a peer, and nothing was remembered but a pause that is ignored when all endpoints are paused. Evidence: with 6 endpoints gone, 6 calls made 18 connections here (12 more than needed to learn it), and 36 where the peers reach none either. Change: a call that failed to connect tries no other endpoint that wasn't reached last. When a peer doesn't reach them either, the incarnations are remembered for a second and calls are refused before anything is sent; an endpoint that isn't among them is tried.

--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import logging
 import random
 import time
 import typing
@@ -27,6 +28,9 @@
     upstreams,
 )
 from acaciaward.membership import interfaces as membership_interfaces
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
 
 State = membership_interfaces.PeerState
 
@@ -38,6 +42,8 @@
 MAX_PEERS_PER_CALL = 3
 # How long a peer that refused since it's cut off too, or wasn't reached, is left alone.
 AVOIDANCE_S = 1.0
+# How long it is remembered that neither this entry nor a peer reaches endpoints.
+UNREACHED_S = 1.0
 # Other data centres help if less than this share of an entry's own serves the rest.
 LEAST_LOCAL_SHARE = 0.5
 
@@ -76,6 +82,10 @@
         self._avoided_until: dict[tuple[str, str], float] = collections.defaultdict(
             float
         )
+        # The endpoints of a service, and of a version, that nobody reaches, until when.
+        self._unreached: dict[
+            tuple[str, str | None], tuple[frozenset[tuple[str, int]], float]
+        ] = {}
 
     def choose(
         self, progress: callprogress.Progress, service: str
@@ -107,6 +117,31 @@
         """Leave a peer alone for a moment."""
         self._avoided_until[(name, service)] = self._clock() + AVOIDANCE_S
 
+    def record_unreached(
+        self,
+        service: str,
+        version: str | None,
+        incarnations: frozenset[tuple[str, int]],
+    ) -> None:
+        """Record that neither this entry nor a peer reaches any of the endpoints."""
+        self._unreached[(service, version)] = (
+            incarnations,
+            self._clock() + UNREACHED_S,
+        )
+
+    def is_unreached(
+        self,
+        service: str,
+        version: str | None,
+        incarnations: frozenset[tuple[str, int]],
+    ) -> bool:
+        """Return whether all of the endpoints were found unreached a moment ago."""
+        known, until = self._unreached.get((service, version), (frozenset(), 0.0))
+        if self._clock() >= until:
+            self._unreached.pop((service, version), None)
+            return False
+        return bool(incarnations) and incarnations <= known
+
     def _usable(
         self, progress: callprogress.Progress, service: str
     ) -> list[membership_interfaces.Peer]:
@@ -308,6 +343,7 @@
             if not self._deps.reachability.is_cut_off(service.name):
                 # Nor does the peer reach them: the endpoints have ended.
                 progress.has_no_detour = True
+                self._record_unreached(service, progress)
         except errors.BrokenOffError as error:
             decisions.record_detour_end(progress, work, type(error).__name__, error)
             progress.may_have_run = True
@@ -316,3 +352,21 @@
             if not progress.route.may_repeat:
                 self._refusals.refuse(progress, responder, str(error))
         return False
+
+    def _record_unreached(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> None:
+        version = progress.stream_version
+        incarnations = self._deps.occupancy.unreachable(service.name, version)
+        if not incarnations:
+            return
+        self._deps.peers.record_unreached(service.name, version, incarnations)
+        log.info(
+            "endpoints reached by nobody",
+            extra=logs.fields(
+                service=service.name,
+                endpoint_version=version,
+                count=len(incarnations),
+                for_s=UNREACHED_S,
+            ),
+        )
--- a/acaciaward/gateway/features/detours.feature
+++ b/acaciaward/gateway/features/detours.feature
@@ -28,6 +28,30 @@
     Then the answer is 200 with the body "done"
     And 3 connections to endpoints were tried
 
+  # Each call tried three endpoints that had ended, here and at a peer, so that streams
+  # of a version that has no endpoint left were refused late.
+  Scenario: Endpoints that took no connection aren't tried by each call anew
+    Given an entry for non_idempotent requests whose 6 endpoints are gone, and 2 peers
+    When a caller asks 6 times
+    Then each answer is 200
+    And at most 10 connections to endpoints were tried
+
+  Scenario: Calls are refused at once when no peer reaches the endpoints either
+    Given an entry for non_idempotent requests whose 6 endpoints are gone, and 2 peers
+    And the peers' endpoints are gone, too
+    When a caller asks 6 times
+    Then each answer is 503
+    And at most 7 connections to endpoints were tried
+    And 2 calls have come to the peers
+
+  Scenario: An endpoint that is new is tried although the others weren't reached
+    Given an entry for non_idempotent requests whose 6 endpoints are gone, and 2 peers
+    And the peers' endpoints are gone, too
+    When a caller asks 3 times
+    And an endpoint is added
+    And a caller asks
+    Then the answer is 200 with the body "done"
+
   Scenario: A peer that is cut off too is left alone for another one
     Given an entry for non_idempotent requests that is cut off, and 2 peers
     And one peer is cut off too
--- a/acaciaward/gateway/features/steps/detours_steps.py
+++ b/acaciaward/gateway/features/steps/detours_steps.py
@@ -171,12 +171,15 @@
     context.runner.run(context.group.let_die())
 
 
+def let_vanish(front):
+    for endpoint in front.directory.all():
+        front.directory.update(endpoint._replace(port=ports.find_free_port()))
+
+
 @given("an entry for {kind} whose {count:d} endpoints are gone, and 2 peers")
 def start_gone(context, kind, count):
     start(context, kind, count)
-    directory = context.front.directory
-    for endpoint in directory.all():
-        directory.update(endpoint._replace(port=ports.find_free_port()))
+    let_vanish(context.front)
     # The cut isn't known yet: its evidence is cleared each time.
     links = context.front.reachability
     context.tried = []
@@ -189,6 +192,20 @@
     context.front.pool._on_connect = record
 
 
+@given("the peers' endpoints are gone, too")
+def let_peers_vanish(context):
+    for peer in context.group.peers:
+        let_vanish(peer)
+
+
+@when("an endpoint is added")
+def add_endpoint(context):
+    front = context.front
+    known = front.directory.all()[0]
+    port = front.endpoints[known.name].port
+    front.directory.update(known._replace(name="s-new", port=port))
+
+
 @given("one peer is cut off too")
 def cut_off_one(context):
     cut_off(context.group.peers[0])
@@ -405,6 +422,11 @@
     assert len(context.tried) == count, context.tried
 
 
+@then("at most {count:d} connections to endpoints were tried")
+def check_tried_at_most(context, count):
+    assert len(context.tried) <= count, len(context.tried)
+
+
 @then("the peer gets the entry's detour alone")
 def check_detour(context):
     (call,) = [call for came in context.group.came.values() for call in came]
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -217,17 +217,27 @@
         self, service: routes.Service, progress: callprogress.Progress
     ) -> placement.Candidate | None:
         """Return where to send a call, None if it may go through a peer."""
-        candidate = self._deps.occupancy.choose(
-            service,
-            progress.call,
-            excluded=progress.tried,
-            max_gap_s=progress.route.max_gap_s,
-            version=progress.stream_version,
+        version = progress.stream_version
+        is_unreached = self._deps.peers.is_unreached(
+            service.name,
+            version,
+            self._deps.occupancy.unreachable(service.name, version),
         )
+        candidate = None
+        if not is_unreached:
+            candidate = self._deps.occupancy.choose(
+                service,
+                progress.call,
+                excluded=progress.tried,
+                max_gap_s=progress.route.max_gap_s,
+                version=version,
+                has_failed_connect=progress.failed_connects > 0,
+            )
         if candidate is not None:
             self._refuse_if_hopeless(service, progress, candidate)
             return candidate
-        if progress.failed_connects and self._deps.peers.is_any_usable(
+        may_go_through_peer = progress.failed_connects and not is_unreached
+        if may_go_through_peer and self._deps.peers.is_any_usable(
             progress, service.name
         ):
             return None
@@ -235,14 +245,12 @@
             raise callprogress.RefusedError(
                 refusals.BAD_GATEWAY, "no other endpoint", verdict=MAY_HAVE_RUN
             )
-        at_version = (
-            "" if progress.stream_version is None else f" at {progress.stream_version}"
-        )
+        at_version = "" if version is None else f" at {version}"
         raise callprogress.RefusedError(
             refusals.UNAVAILABLE,
             f"no endpoint of {service.name}{at_version}",
             retry_after_s=self._refusals.retry_delay_s(progress),
-            is_cut_off=progress.failed_connects > 0,
+            is_cut_off=is_unreached or progress.failed_connects > 0,
         )
 
     def _refuse_if_hopeless(
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -69,6 +69,22 @@
     def avoid(self, name: str, service: str) -> None:
         """Leave a peer alone for a moment."""
 
+    def record_unreached(
+        self,
+        service: str,
+        version: str | None,
+        incarnations: frozenset[tuple[str, int]],
+    ) -> None:
+        """Record that neither this entry nor a peer reaches any of the endpoints."""
+
+    def is_unreached(
+        self,
+        service: str,
+        version: str | None,
+        incarnations: frozenset[tuple[str, int]],
+    ) -> bool:
+        """Return whether all of the endpoints were found unreached a moment ago."""
+
 
 class Origins(typing.Protocol):
     """Remembers which version of an endpoint's software began a stream."""
--- a/acaciaward/routing/health.py
+++ b/acaciaward/routing/health.py
@@ -20,12 +20,14 @@
     """
     One endpoint's health: failures in a row, smoothed share of failed calls, pause.
 
-    ``paused_until`` is in seconds of the observer's clock.
+    ``paused_until`` is in seconds of the observer's clock. ``is_unreachable`` is true
+    if the last call didn't reach the endpoint.
     """
 
     consecutive_failures: int = 0
     failed_share: float = 0.0
     paused_until: float = 0.0
+    is_unreachable: bool = False
 
     def after_success(self) -> "Health":
         """Return the health after a call that was answered."""
@@ -44,7 +46,7 @@
         pause_s = 0.0
         if steps > 0:
             pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** (steps - 1))
-        return Health(consecutive_failures, share, now + pause_s)
+        return Health(consecutive_failures, share, now + pause_s, is_unreachable)
 
     def is_paused(self, now: float) -> bool:
         """Return whether calls should be sent elsewhere."""
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -144,20 +144,20 @@
         excluded: abc.Container[Incarnation] = (),
         max_gap_s: float | None = None,
         version: str | None = None,
+        has_failed_connect: bool = False,
     ) -> placement.Candidate | None:
         """
         Return where to send a call, or None if no endpoint may get it.
 
         ``max_gap_s`` is the longest allowed pause between the events of its answer,
-        ``version`` the only version of the endpoints' software that may get it.
+        ``version`` the only version of the endpoints' software that may get it. One
+        that wasn't reached and is paused gets calls only if no other is left, and no
+        call that has failed to reach one already.
         """
         now = self._clock()
         ready = [
             endpoint
-            for endpoint in (
-                _of_version(self._directory.ready(service.name), version)
-                or _of_version(self._directory.lapsed(service.name), version)
-            )
+            for endpoint in self._usable(service.name, version)
             if endpoint.incarnation not in excluded and self.limits.may_send(endpoint)
         ]
         healthy = [
@@ -167,9 +167,14 @@
             and not self.is_unresponsive(endpoint)
         ]
         # When all are paused, the one whose pause ends first is the next probe.
-        if not healthy and ready:
+        probes = [
+            endpoint
+            for endpoint in ready
+            if not (has_failed_connect and self._health_of(endpoint).is_unreachable)
+        ]
+        if not healthy and probes:
             healthy = [
-                min(ready, key=lambda endpoint: self._health_of(endpoint).paused_until)
+                min(probes, key=lambda endpoint: self._health_of(endpoint).paused_until)
             ]
         reports = self._fresh_reports()
         names = [endpoint.name for endpoint in healthy]
@@ -183,6 +188,23 @@
         ]
         return placement.choose(candidates, call.prompt, self._random, pool=set(pool))
 
+    def _usable(self, service: str, version: str | None) -> list[endpoints.Endpoint]:
+        """Return the endpoints that are ready, if there are none those that lapsed."""
+        return _of_version(self._directory.ready(service), version) or _of_version(
+            self._directory.lapsed(service), version
+        )
+
+    def unreachable(self, service: str, version: str | None) -> frozenset[Incarnation]:
+        """
+        Return the endpoints that may get calls if none of them was reached last.
+
+        If any was reached, or wasn't tried, nothing is returned.
+        """
+        usable = self._usable(service, version)
+        if not all(self._health_of(endpoint).is_unreachable for endpoint in usable):
+            return frozenset()
+        return frozenset(endpoint.incarnation for endpoint in usable)
+
     def has_alternative(
         self,
         service: str,
