Keep the versions that began streams in the store, for when all entries are lost

Cause: a stream's version was kept by three entries' memories, which ended together. Entries that start can't know which versions served before. Ruled out: what callers bring (an id alone), endpoints' caches (a part may be another request's of the session, or evicted), the log of the endpoints' records (no times, may be deleted), a record for each stream (two calls). Change: a stream's first event is passed on only when the store names its version. One name for a service is then proof. While there are several, one entry, the recorder, appends the streams it is told of in batches; a stream that isn't there stays unknown and is refused. Records count only in the era of the store in which they were written, and go 60 s after the last endpoint.

--- a/acaciaward/catalogue/routes.py
+++ b/acaciaward/catalogue/routes.py
@@ -151,6 +151,16 @@
         """Return the organisation that an API key belongs to, if any."""
         return self._by_key.get(key)
 
+    @functools.cached_property
+    def resumable_services(self) -> frozenset[str]:
+        """The names of the services with streams that callers may take up."""
+        return frozenset(
+            name
+            for route in self.catalogue.routes
+            if route.is_resumable
+            for name, _ in route.shares
+        )
+
     @functools.cached_property
     def scaled_services(self) -> list[Service]:
         """The services whose endpoints are rented."""
--- a/acaciaward/catalogue/storeview.py
+++ b/acaciaward/catalogue/storeview.py
@@ -109,6 +109,11 @@
         # Before the endpoints are listed, none of them would seem to exist.
         return self.index.scaled_services if self.is_complete else []
 
+    @property
+    def resumable_services(self) -> frozenset[str]:
+        """The names of the services with streams that callers may take up."""
+        return self.index.resumable_services if self.index else frozenset()
+
     def subscribe(self, listener: abc.Callable[[routes.Catalogue], None]) -> None:
         """Call a listener with each version that comes into force."""
         self._listeners.append(listener)
--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -238,7 +238,7 @@
             if new_data:
                 self._record_first_byte(progress, work)
                 if progress.stream_version is None:
-                    self._bind_to_version(progress, work, reply.head)
+                    await self._bind_to_version(progress, work, reply.head)
                 if not responder.has_begun:
                     await self._start_answer(progress, reply, responder)
                 await responder.write(b"".join(new_data))
@@ -271,14 +271,14 @@
     def _record_survived(self, progress: callprogress.Progress) -> None:
         self._deps.prompt_parts.record_served(progress.call.shared_parts)
 
-    def _bind_to_version(
+    async def _bind_to_version(
         self, progress: callprogress.Progress, work: Work, head: calls.ReplyHead
     ) -> None:
         """Let a stream go on only at the version of software that begins it."""
         endpoint, attempt_id = work.endpoint, progress.call.attempt_id
         progress.stream_version = endpoint.version
         if progress.route.is_resumable and attempt_id is not None:
-            self._deps.origins.record(
+            await self._deps.origins.record(
                 progress.organisation_name,
                 attempt_id,
                 origins.Origin(endpoint.service, endpoint.version),
--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -264,7 +264,7 @@
             retry_after_s=head.retry_after_s,
         )
 
-    def _bind_to_version(
+    async def _bind_to_version(
         self,
         progress: callprogress.Progress,
         work: attempts.Work,
--- a/acaciaward/gateway/features/fleet.py
+++ b/acaciaward/gateway/features/fleet.py
@@ -30,6 +30,8 @@
 TIMEOUT_MS = 3000
 EVENTS = 10
 BACK_AFTER_S = 1.0
+# Pause of a caller that finds no entry which takes connections.
+RECONNECT_S = 0.05
 # Number and version, empty for the first, of an event of the stand-in.
 EVENT = re.compile(rb"id: (\d+)\ndata: \S+ \d+ ?(\S*)\n")
 FIRST_PARTS = ("f1", "f2")
@@ -83,6 +85,8 @@
         self.deadly_parts: frozenset[str] = frozenset()
         self.tainted_share = 0.0
         self._is_unframed = False
+        # Whether callers wait for entries that are listed, as all others have ended.
+        self.waits_for_entries = False
         self._versions = versions
         self._events = events
         self._data_centres = data_centres
@@ -185,13 +189,38 @@
         """Reset all connections of an entry's callers."""
         entry.gateway._callers.abort()
 
+    async def add_version(self, version):
+        """Start as many endpoints of a version as there are others."""
+        self._versions += (version,)
+        for _ in range(self._count):
+            await self._add(version)
+
+    async def end_all(self):
+        """End all entries at once, without draining."""
+        self.waits_for_entries = True
+        for entry in self.world.entries:
+            # No caller is answered by an entry while others are being ended.
+            entry.gateway._is_leaving = True
+            entry.gateway._callers.abort()
+        await asyncio.gather(*(self._end(entry) for entry in self.world.entries))
+
+    async def start_all(self):
+        """Start all entries anew."""
+        await asyncio.gather(*(self._start(entry) for entry in self.world.entries))
+
     async def restart(self, entry):
         """End an entry without draining, and start it anew."""
+        await self._end(entry)
+        await self._start(entry)
+
+    async def _end(self, entry):
         old = entry.gateway
         await old._end()
         for server in [old._callers, *old._auxiliary_servers.values()]:
             server.stop_accepting()
             server.abort()
+
+    async def _start(self, entry):
         entry.gateway = process.Gateway(self.world._settings(entry))
         await entry.gateway.start()
 
@@ -226,9 +255,19 @@
             if is_over:
                 return
 
+    async def _listed_entries(self):
+        """Return the entries that a caller may choose from."""
+        while self.waits_for_entries:
+            listed = [one for one in self.world.entries if one.gateway.is_ready]
+            if listed:
+                return listed
+            await asyncio.sleep(RECONNECT_S)
+        return self.world.entries
+
     async def _try(self, number, attempt, parts, last_event):
         """Make one try; return the last event and whether the request is over."""
-        entry = self._random.choice(self.world.entries)
+        entries = await self._listed_entries()
+        entry = self._random.choice(entries)
         sent_at = time.monotonic()
         try:
             reader, writer = await asyncio.open_connection(
--- a/acaciaward/gateway/features/steps/versions_steps.py
+++ b/acaciaward/gateway/features/steps/versions_steps.py
@@ -69,6 +69,48 @@
     context.runner.run(run())
 
 
+@given("{data_centres:d} data centres of {count:d} entries, 4 endpoints, and streams")
+def start_one_version(context, data_centres, count):
+    context.front = fleet.Fleet(
+        data_centres, count, ENDPOINTS // 2, versions=VERSIONS[:1], events=EVENTS
+    )
+    context.runner.run(context.front.start(RATE))
+    context.runner.run(asyncio.sleep(WARM_UP_S))
+
+
+@when("endpoints of a second version join, and {pause:g} s pass")
+def add_version(context, pause):
+    async def run():
+        await context.front.add_version(VERSIONS[1])
+        await asyncio.sleep(pause)
+
+    context.runner.run(run())
+
+
+@when("all entries end at once, {count:d} times, and are back after {down:g} s")
+def lose_all(context, count, down):
+    async def run():
+        for _ in range(count):
+            await context.front.end_all()
+            await asyncio.sleep(down)
+            await context.front.start_all()
+            await asyncio.sleep(SETTLE_S)
+
+    context.runner.run(run())
+
+
+@when("endpoints of a second version join while all entries are down for {down:g} s")
+def add_version_while_down(context, down):
+    async def run():
+        await context.front.end_all()
+        await context.front.add_version(VERSIONS[1])
+        await asyncio.sleep(down)
+        await context.front.start_all()
+        await asyncio.sleep(SETTLE_S)
+
+    context.runner.run(run())
+
+
 @when("all endpoints of the second version end")
 def end_version(context):
     async def run():
@@ -102,14 +144,24 @@
 
 
 @then("of the streams that were taken up half as many go on as new ones begin, or more")
-def check_share(context):
+def check_half(context):
     taken_up = [tries for tries in tries_by_stream(context) if is_taken_up(tries)]
-    if len(taken_up) < LEAST_TAKEN_UP:
-        return
+    if len(taken_up) >= LEAST_TAKEN_UP:
+        check_share(context, taken_up, 0.5)
+
+
+@then("the streams that were taken up go on {share:g} times as often as new ones begin")
+def check_go_on(context, share):
+    taken_up = [tries for tries in tries_by_stream(context) if is_taken_up(tries)]
+    assert len(taken_up) >= LEAST_TAKEN_UP, len(taken_up)
+    check_share(context, taken_up, share)
+
+
+def check_share(context, taken_up, share):
     went_on = sum(bool(tries[1].events) for tries in taken_up) / len(taken_up)
     first = [one for one in context.front.tries if one.is_first]
     began = sum(bool(one.events) for one in first) / len(first)
-    assert went_on >= began / 2, (went_on, began, len(taken_up))
+    assert went_on >= share * began, (went_on, began, len(taken_up))
 
 
 @then(
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -89,14 +89,19 @@
 class Origins(typing.Protocol):
     """Remembers which version of an endpoint's software began a stream."""
 
-    def record(
+    async def record(
         self, organisation: str, attempt_id: str, origin: origins.Origin
     ) -> None:
-        """Record where a stream began."""
+        """Record where a stream began; its first event may be sent afterwards."""
 
     async def find(self, organisation: str, attempt_id: str) -> origins.Origin | None:
         """Return where a stream began, None if that isn't known."""
 
+    async def find_stored(
+        self, organisation: str, attempt_id: str | None, service: str
+    ) -> origins.Origin | None:
+        """Return where the store says that a stream of a service began."""
+
 
 class Dependencies(typing.NamedTuple):
     """
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -39,7 +39,7 @@
 )
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.relays import relaying
-from acaciaward.resumption import origins
+from acaciaward.resumption import origins, servingversions, streamlog
 from acaciaward.routing import demand, endpointlimits, occupancy
 from acaciaward.settings import loader
 from acaciaward.usage import reporting
@@ -48,6 +48,8 @@
 
 State = membership_interfaces.PeerState
 QUOTAS_TOPIC = "keyed.acaciaward.quotas"
+VERSIONS_TOPIC = "keyed.acaciaward.versions"
+STREAMS_TOPIC = "acaciaward.streams"
 # How often lapsed endpoints and entries not seen for long are removed.
 HOUSEKEEPING_INTERVAL_S = 0.25
 # Peers seen within this time count as entries that may serve requests.
@@ -153,7 +155,7 @@
             bounds["quota_window_s"], bounds["quota_overshoot"], bounds["quota_slack"]
         )
         self._suspects = suspects.Suspects(time.monotonic)
-        self._origins = origins.StreamOrigins(self._membership)
+        self._build_origins()
         self._prompt_parts = promptparts.PromptParts(
             time.monotonic, self.name, self._serving_entries
         )
@@ -190,6 +192,31 @@
         )
         self._build_state_exchange()
 
+    def _build_origins(self) -> None:
+        self._origins = origins.StreamOrigins(self._membership)
+        self._origins.use_store(
+            origins.Stored(
+                servingversions.ServingVersions(
+                    topics.KeyedTopic(self._store, VERSIONS_TOPIC),
+                    self._membership,
+                    listed=self._resumable_versions,
+                    recorder=lambda: self._origins.recorder,
+                    era=lambda: self._store.era,
+                    process_run=self._duties.process_run,
+                ),
+                streamlog.StreamLog(topics.LogTopic(self._store, STREAMS_TOPIC)),
+            )
+        )
+
+    def _resumable_versions(self) -> set[origins.Origin]:
+        """Return the versions of the endpoints whose streams callers may take up."""
+        services = self._store_view.resumable_services
+        return {
+            origins.Origin(endpoint.service, endpoint.version)
+            for endpoint in self._directory.all()
+            if endpoint.service in services
+        }
+
     def _build_state_exchange(self) -> None:
         self._state_exchange = stateexchange.GatewayStateExchange(
             stateexchange.Components(
@@ -345,6 +372,7 @@
             self._relaying.run(),
             self._saver.run(),
             self._links.prober.run(),
+            *self._origins.coroutines(),
             self._announce_when_ready(),
             *self._duties.tasks(),
         ):
--- a/acaciaward/gateway/servicechoice.py
+++ b/acaciaward/gateway/servicechoice.py
@@ -92,6 +92,13 @@
         if version is not None:
             metrics.TAKEN_UP.labels("only version").inc()
             return origins.Origin(service.name, version)
+        if len([name for name, weight in progress.route.shares if weight > 0]) <= 1:
+            origin = await self._deps.origins.find_stored(
+                progress.organisation_name, attempt_id, service.name
+            )
+            if origin is not None:
+                metrics.TAKEN_UP.labels("store").inc()
+                return origin
         metrics.TAKEN_UP.labels("nothing").inc()
         raise callprogress.RefusedError(
             refusals.UNAVAILABLE,
--- a/acaciaward/platform/topics.py
+++ b/acaciaward/platform/topics.py
@@ -36,6 +36,12 @@
         """Append a record that sets a key; an empty value deletes it."""
         await self._client.append(self._topic, [store.join_keyed(key, value)])
 
+    async def remove(self, key: str, *, expected_end: int) -> None:
+        """Remove a key if the topic ends at ``expected_end``; else raise."""
+        await self._client.append(
+            self._topic, [store.join_keyed(key, b"")], expected_end=expected_end
+        )
+
 
 class LogTopic:
     """Implements the topics of ``leases.conditionallease`` and ``usage.decisions``."""
--- a/acaciaward/resumption/features/origins.feature
+++ b/acaciaward/resumption/features/origins.feature
@@ -46,7 +46,7 @@
   Scenario: An entry sends no more messages with more entries
     Given 200 entries
     When 100 streams begin at entry 1
-    Then entry 1 has told 3 entries of each, and 12 different ones at most
+    Then entry 1 has told keepers and recorder of each, and 12 different ones at most
 
   Scenario: Streams are forgotten after a while, and their number is bounded
     Given 9 entries
--- a/acaciaward/resumption/features/steps/origins_steps.py
+++ b/acaciaward/resumption/features/steps/origins_steps.py
@@ -71,8 +71,10 @@
 
 @when('stream "{attempt}" of {organisation} begins at entry {entry:d}, at {version}')
 def begin(context, attempt, organisation, entry, version):
-    context.network.entries[f"e-{entry}"].record(
-        organisation, attempt, origins.Origin(SERVICE, version)
+    context.runner.run(
+        context.network.entries[f"e-{entry}"].record(
+            organisation, attempt, origins.Origin(SERVICE, version)
+        )
     )
 
 
@@ -149,13 +151,19 @@
 
 
 @then(
-    "entry {entry:d} has told {count:d} entries of each, and {most:d} different ones at"
-    " most"
+    "entry {entry:d} has told keepers and recorder of each, and {most:d} different"
+    " ones at most"
 )
-def check_told(context, entry, count, most):
+def check_told(context, entry, most):
     told = context.network.memberships[f"e-{entry}"].told
     streams = {stream for _, stream in told}
-    assert len(told) == count * len(streams), len(told)
+    one = context.network.entries[f"e-{entry}"]
+    expected = [
+        (name, stream)
+        for stream in streams
+        for name in {*one._ranked_entries(stream)[: origins.KEEPERS], one.recorder}
+    ]
+    assert sorted(told) == sorted(expected), len(told)
     assert len({peer for peer, _ in told}) <= most
 
 
--- /dev/null
+++ b/acaciaward/resumption/features/steps/storedorigins_steps.py
@@ -0,0 +1,320 @@
+"""Steps for what the store keeps of streams; the store is a stand-in in memory."""
+
+import asyncio
+import time
+import typing
+
+from behave import given, then, when
+
+from acaciaward import errors
+from acaciaward.catalogue import topicfollower
+from acaciaward.membership import interfaces
+from acaciaward.resumption import origins, servingversions, streamlog
+
+SERVICE = "llm"
+LIVE = interfaces.PeerState.LIVE
+
+
+class Page(typing.NamedTuple):
+    """Records from an offset on."""
+
+    records: list[bytes]
+    next_offset: int
+    end_offset: int
+    era: int
+
+
+class Store:
+    """The records of versions and the streams, in topics of their own."""
+
+    def __init__(self):
+        self.is_down = False
+        self.era = 1
+        self.values = {}
+        self.end = 0
+        self.writes = 0
+        self.records = []
+        self.first = 0
+        # Called once after the next listing.
+        self.after_listing = lambda: None
+
+    def check(self):
+        if self.is_down:
+            raise errors.PlatformUnknownError("the store is down")
+
+    async def read_all(self):
+        self.check()
+        listing = topicfollower.Listing(dict(self.values), self.end, self.era)
+        self.after_listing()
+        return listing
+
+    async def set(self, key, value):
+        self.check()
+        self.put(key, value)
+
+    def put(self, key, value):
+        self.values[key] = value
+        self.end += 1
+        self.writes += 1
+
+    async def remove(self, key, *, expected_end):
+        self.check()
+        if expected_end != self.end:
+            raise errors.PlatformRefusedError("the topic doesn't end there")
+        del self.values[key]
+        self.end += 1
+
+    async def read(self, start):
+        self.check()
+        if start < self.first:
+            raise errors.RecordsExpiredError("expired", first_offset=self.first)
+        end = len(self.records)
+        return Page(self.records[start:], end, end, self.era)
+
+    async def append_unconditionally(self, records):
+        self.check()
+        self.records += records
+
+    @property
+    def versions(self):
+        records = servingversions._decode_all(
+            topicfollower.Listing(self.values, self.end, self.era)
+        )
+        return {record.version for record in records.values()}
+
+
+class Entry:
+    """One entry's part; messages between entries arrive at once."""
+
+    def __init__(self, fleet, name):
+        self.name = name
+        self.offset_s = 0.0
+        self._fleet = fleet
+        self._handlers = {}
+        self._running = set()
+        self.origins = origins.StreamOrigins(self)
+        self.versions = servingversions.ServingVersions(
+            fleet.store,
+            self,
+            listed=lambda: frozenset(fleet.listed),
+            recorder=lambda: self.origins.recorder,
+            era=lambda: fleet.store.era,
+            process_run=f"{name}/{fleet.runs}",
+            clock=lambda: time.monotonic() + self.offset_s,
+        )
+        self.origins.use_store(
+            origins.Stored(self.versions, streamlog.StreamLog(fleet.store))
+        )
+
+    def peers(self):
+        return [
+            interfaces.Peer(name, "127.0.0.1", 1, 1, "dc", "region", 1, LIVE, 1)
+            for name in self._fleet.entries
+        ]
+
+    def handle(self, kind, handler):
+        self._handlers[kind] = handler
+
+    def notify(self, peer, kind, body):
+        if peer not in self._fleet.ended:
+            handler = self._fleet.entries[peer]._handlers[kind]
+            task = asyncio.ensure_future(handler(self.name, body))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def request(self, peer, kind, body, *, timeout_s):
+        if peer in self._fleet.ended:
+            raise errors.PeerUnreachableError(f"{peer}: no reply")
+        return await self._fleet.entries[peer]._handlers[kind](self.name, body)
+
+
+class Fleet:
+    """All entries with their store, and the versions that it lists."""
+
+    def __init__(self, count, versions):
+        self.store = Store()
+        self.listed = {origins.Origin(SERVICE, version) for version in versions}
+        self.names = [f"e-{number}" for number in range(1, count + 1)]
+        self.runs = 0
+        self.tasks = []
+        self.begun = []
+
+    async def start(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.runs += 1
+        self.ended = set()
+        self.entries = {}
+        for name in self.names:
+            self.entries[name] = Entry(self, name)
+        self.tasks = [
+            asyncio.ensure_future(coroutine)
+            for entry in self.entries.values()
+            for coroutine in entry.origins.coroutines()
+        ]
+
+    @property
+    def recorder(self):
+        return self.entries[self.entries["e-1"].origins.recorder]
+
+    async def begin(self, name, stream, version):
+        origin = origins.Origin(SERVICE, version)
+        await self.entries[name].origins.record("org", stream, origin)
+        self.begun.append(version in self.store.versions)
+
+
+def start(context, count, versions):
+    context.fleet = Fleet(count, versions)
+    context.runner.run(context.fleet.start())
+
+
+@given("{count:d} entries with a store that lists version {version}")
+def start_one(context, count, version):
+    start(context, count, [version])
+
+
+@given("{count:d} entries with a store that lists versions {first} and {second}")
+def start_two(context, count, first, second):
+    start(context, count, [first, second])
+
+
+@given("the store is down")
+def take_down(context):
+    context.fleet.store.is_down = True
+
+
+@when("the store is back")
+def bring_back(context):
+    context.fleet.store.is_down = False
+
+
+@when('stored stream "{stream}" begins at entry {entry:d}, at {version}')
+def begin(context, stream, entry, version):
+    began_at = time.monotonic()
+    context.runner.run(context.fleet.begin(f"e-{entry}", stream, version))
+    context.took_s = time.monotonic() - began_at
+
+
+@when('stored stream "{stream}" begins at each entry, at {version}')
+@when('stored stream "{stream}" begins at each other entry, at {version}')
+def begin_everywhere(context, stream, version):
+    async def run():
+        names = [
+            name for name in context.fleet.names if name not in context.fleet.ended
+        ]
+        await asyncio.gather(
+            *(context.fleet.begin(name, f"{stream}-{name}", version) for name in names)
+        )
+
+    context.runner.run(run())
+
+
+@when("the recorder ends")
+def end_recorder(context):
+    context.fleet.ended.add(context.fleet.recorder.name)
+
+
+@when("version {version} is listed, too")
+def add_version(context, version):
+    context.fleet.listed.add(origins.Origin(SERVICE, version))
+
+
+@when("version {version} is listed no more")
+def remove_version(context, version):
+    context.fleet.listed.remove(origins.Origin(SERVICE, version))
+
+
+@when("{seconds:g} s pass at the recorder")
+def pass_at_recorder(context, seconds):
+    context.fleet.recorder.offset_s += seconds
+
+
+@when("{seconds:g} s pass by")
+def wait(context, seconds):
+    context.runner.run(asyncio.sleep(seconds))
+
+
+@when("all entries start anew")
+def restart(context):
+    context.runner.run(context.fleet.start())
+
+
+@when("the recorder compares")
+def compare(context):
+    context.runner.run(
+        context.fleet.recorder.versions.sweep(frozenset(context.fleet.listed))
+    )
+
+
+@when("{version} is written again while the recorder compares")
+def write_while_comparing(context, version):
+    store = context.fleet.store
+
+    def write():
+        store.after_listing = lambda: None
+        key = servingversions._key(origins.Origin(SERVICE, version))
+        store.put(key, store.values[key])
+
+    store.after_listing = write
+    try:
+        compare(context)
+    except errors.PlatformRefusedError:
+        return
+    raise AssertionError("the removal wasn't refused")
+
+
+@when("the store loses {version} and has a new era")
+def restore_store(context, version):
+    store = context.fleet.store
+    del store.values[servingversions._key(origins.Origin(SERVICE, version))]
+    store.records.clear()
+    store.era += 1
+
+
+@when("an invalid record is in the store")
+def put_invalid(context):
+    context.fleet.store.put("x", b"{")
+
+
+@when("the store drops the records of streams so far")
+def expire(context):
+    context.fleet.store.first = len(context.fleet.store.records)
+
+
+@then('each entry finds {version} for "{stream}" in the store')
+def check_found(context, version, stream):
+    async def run():
+        return {
+            await entry.origins.find_stored("org", stream, SERVICE)
+            for entry in context.fleet.entries.values()
+        }
+
+    expected = None if version == "nothing" else origins.Origin(SERVICE, version)
+    found = context.runner.run(run())
+    assert found == {expected}, found
+
+
+@then("the store named {version} before any of them began")
+def check_named_before(context, version):
+    assert context.fleet.begun and all(context.fleet.begun), context.fleet.begun
+
+
+@then("the store has got {count:d} records of versions")
+def check_writes(context, count):
+    assert context.fleet.store.writes == count, context.fleet.store.writes
+
+
+@then("it was begun within {limit_s:g} s")
+def check_begun_in_time(context, limit_s):
+    assert context.took_s < limit_s, context.took_s
+
+
+@then("the store names {version}")
+def check_named(context, version):
+    assert version in context.fleet.store.versions, context.fleet.store.versions
+
+
+@then("the store doesn't name {version}")
+def check_not_named(context, version):
+    assert version not in context.fleet.store.versions, context.fleet.store.versions
--- /dev/null
+++ b/acaciaward/resumption/features/storedorigins.feature
@@ -0,0 +1,135 @@
+Feature: The store keeps what outlives all entries of where streams began
+
+  One entry, the recorder, writes a record of each version that may have begun streams,
+  and while there are several, the streams of each.
+
+  Scenario: The only version in the store began a stream that nobody remembers
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And all entries start anew
+    Then each entry finds v1 for "a" in the store
+
+  Scenario: Of several versions, the store tells which began a stream
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 2, at v2
+    And 0.3 s pass by
+    And all entries start anew
+    Then each entry finds v1 for "a" in the store
+    And each entry finds v2 for "b" in the store
+
+  # A stream begins in the moment before the loss, so that it isn't in the store yet.
+  Scenario: A stream that isn't in the store has no version if there are several
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 2, at v2
+    And all entries start anew
+    Then each entry finds nothing for "b" in the store
+
+  Scenario: Streams from before a release are stored when it begins
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And version v2 is listed, too
+    And stored stream "b" begins at entry 2, at v2
+    And 0.3 s pass by
+    And all entries start anew
+    Then each entry finds v1 for "a" in the store
+
+  # A stream ran on a version that the store didn't name, so the other one was guessed.
+  Scenario: A stream begins only when the store names its version
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "b" begins at each entry, at v2
+    Then the store named v2 before any of them began
+
+  Scenario: Each version is written once, however many entries begin streams
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at each entry, at v1
+    And stored stream "b" begins at each entry, at v2
+    Then the store has got 2 records of versions
+
+  Scenario: A store that takes nothing doesn't hold up streams
+    Given 9 entries with a store that lists version v1
+    And the store is down
+    When stored stream "a" begins at entry 1, at v1
+    Then it was begun within 0.25 s
+    When the store is back
+    And the recorder compares
+    And all entries start anew
+    Then each entry finds v1 for "a" in the store
+
+  Scenario: A recorder that doesn't answer is done without
+    Given 9 entries with a store that lists version v1
+    When the recorder ends
+    And stored stream "a" begins at each other entry, at v1
+    And 0.5 s pass by
+    Then the store names v1
+
+  # An older copy lacks the version that was added last.
+  Scenario: A store that was restored from an older copy is trusted once it's compared
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 2, at v2
+    And the store loses v2 and has a new era
+    And all entries start anew
+    Then each entry finds nothing for "b" in the store
+    When the recorder compares
+    Then the store names v1
+    And the store names v2
+
+  Scenario: A version without endpoints is removed when none of its streams runs
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 2, at v2
+    And version v2 is listed no more
+    And the recorder compares
+    And 59 s pass at the recorder
+    And the recorder compares
+    Then the store names v2
+    When 2 s pass at the recorder
+    And the recorder compares
+    Then the store doesn't name v2
+
+  # The recorder was paused, and went on with what it had read before.
+  Scenario: A recorder that was paused removes no version that is back
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 2, at v2
+    And version v2 is listed no more
+    And the recorder compares
+    And 61 s pass at the recorder
+    And v2 is written again while the recorder compares
+    Then the store names v2
+
+  Scenario: A version that comes back is recorded anew
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 2, at v2
+    And version v2 is listed no more
+    And 0.3 s pass by
+    And the recorder compares
+    And 61 s pass at the recorder
+    And the recorder compares
+    Then the store doesn't name v2
+    When version v2 is listed, too
+    And 0.3 s pass by
+    And stored stream "c" begins at entry 2, at v2
+    Then the store names v2
+
+  Scenario: A record that can't be read makes nothing certain
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And an invalid record is in the store
+    And all entries start anew
+    Then each entry finds nothing for "a" in the store
+
+  Scenario: Expired records of streams are skipped
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 2, at v2
+    And 0.3 s pass by
+    And the store drops the records of streams so far
+    And stored stream "c" begins at entry 2, at v2
+    And 0.3 s pass by
+    And all entries start anew
+    Then each entry finds v2 for "c" in the store
+    And each entry finds nothing for "a" in the store
--- a/acaciaward/resumption/messages.py
+++ b/acaciaward/resumption/messages.py
@@ -26,7 +26,23 @@
     version: str | None
 
 
+class VersionServes(typing.TypedDict):
+    """Asks the recorder to record in the store that a version may begin streams."""
+
+    sender: str
+    service: str
+    version: str
+
+
+class VersionServesAnswer(typing.TypedDict):
+    """Whether the store has that record."""
+
+    is_recorded: bool
+
+
 MESSAGE_TYPES: dict[str, type] = {
+    "version_serves": VersionServes,
+    "version_serves_answer": VersionServesAnswer,
     "stream_began": StreamBegan,
     "stream_origin": OriginRequest,
     "stream_origin_answer": OriginAnswer,
--- a/acaciaward/resumption/origins.py
+++ b/acaciaward/resumption/origins.py
@@ -7,9 +7,13 @@
 the first event of a stream, it tells a few other entries, the stream's keepers, chosen
 by rendezvous hashing. An entry that doesn't know a stream asks them.
 
-    origins.record("org", "attempt-1", Origin("service", "v2"))
+    await origins.record("org", "attempt-1", Origin("service", "v2"))
     await origins.find("org", "attempt-1")  # Origin(service='service', version='v2')
 
+What must outlive all entries is in the store: which versions may have begun streams,
+and while there are several, which stream began at which. One entry, the recorder, is
+told of all streams and writes that for the others.
+
 See ``docs/design/software-versions.md`` for the ways weighed.
 """
 
@@ -25,7 +29,7 @@
 from acaciaward import errors
 from acaciaward.membership import interfaces, rendezvous
 from acaciaward.observability import logs
-from acaciaward.resumption import messages
+from acaciaward.resumption import messages, servingversions, streamlog
 
 log = logging.getLogger(__name__)
 
@@ -44,11 +48,14 @@
 DIGEST_BYTES = 8
 
 
-class Origin(typing.NamedTuple):
-    """The service and the version of its software that began a stream."""
+Origin = servingversions.Origin
+
 
-    service: str
-    version: str
+class Stored(typing.NamedTuple):
+    """What is kept in the store, and outlives all entries."""
+
+    versions: servingversions.ServingVersions
+    streams: streamlog.StreamLog
 
 
 class Membership(interfaces.Membership, interfaces.PeerNetwork, typing.Protocol):
@@ -65,10 +72,12 @@
         self, membership: Membership, *, clock: abc.Callable[[], float] = time.monotonic
     ):
         self._membership = membership
+        self._stored: Stored | None = None
         self._clock = clock
         self._origins: collections.OrderedDict[str, tuple[Origin, float]]
         self._origins = collections.OrderedDict()
         self._group: list[str] = []
+        self._recorder = membership.name
         self._group_chosen_at = -math.inf
         membership.handle("stream_began", self._receive)
         membership.handle("stream_origin", self._answer)
@@ -76,8 +85,27 @@
     def __len__(self) -> int:
         return len(self._origins)
 
-    def record(self, organisation: str, attempt_id: str, origin: Origin) -> None:
-        """Record where a stream began, and tell its keepers."""
+    def use_store(self, stored: Stored) -> None:
+        """Keep in the store what must outlive all entries."""
+        self._stored = stored
+        stored.versions.on_several = self._store_streams_of
+
+    @property
+    def recorder(self) -> str:
+        """The name of the entry that writes to the store for all."""
+        self._choose_group()
+        return self._recorder
+
+    def coroutines(self) -> list[abc.Coroutine]:
+        """Return the coroutines to run as tasks."""
+        return [part.run() for part in self._stored or ()]
+
+    async def record(self, organisation: str, attempt_id: str, origin: Origin) -> None:
+        """
+        Record where a stream began, and tell its keepers and the recorder.
+
+        The stream's first event may be passed on afterwards.
+        """
         stream = _digest(organisation, attempt_id)
         self._remember(stream, origin)
         body: messages.StreamBegan = {
@@ -85,8 +113,12 @@
             "stream": stream,
             **origin._asdict(),
         }
-        for keeper in self._ranked_entries(stream)[:KEEPERS]:
-            self._membership.notify(keeper, "stream_began", body)
+        told = dict.fromkeys([*self._ranked_entries(stream)[:KEEPERS], self.recorder])
+        for name in told:
+            if name != self._membership.name:
+                self._membership.notify(name, "stream_began", body)
+        if self._stored is not None:
+            await self._stored.versions.ensure(origin)
 
     async def find(self, organisation: str, attempt_id: str) -> Origin | None:
         """Return where a stream began, or None if no entry that was asked knows."""
@@ -94,9 +126,11 @@
         known = self._origins.get(stream)
         if known is not None:
             return known[0]
+        asked = dict.fromkeys([*self._ranked_entries(stream), self.recorder])
         requests = [
-            asyncio.ensure_future(self._request(keeper, stream))
-            for keeper in self._ranked_entries(stream)
+            asyncio.ensure_future(self._request(name, stream))
+            for name in asked
+            if name != self._membership.name
         ]
         try:
             for request in asyncio.as_completed(requests):
@@ -109,6 +143,30 @@
                 request.cancel()
         return None
 
+    async def find_stored(
+        self, organisation: str, attempt_id: str | None, service: str
+    ) -> Origin | None:
+        """
+        Return where the store says that a stream began, None if it doesn't tell.
+
+        ``service`` is the only one that the stream can have begun at.
+        """
+        if self._stored is None:
+            return None
+        try:
+            versions = await self._stored.versions.read(service)
+            if len(versions) == 1:
+                return Origin(service, *versions)
+            if attempt_id is None:
+                return None
+            return await self._stored.streams.find(_digest(organisation, attempt_id))
+        except errors.PlatformError as error:
+            log.info(
+                "could not ask the store where a stream began",
+                extra=logs.fields(reason=error),
+            )
+            return None
+
     async def _request(self, keeper: str, stream: str) -> Origin | None:
         body: messages.OriginRequest = {
             "sender": self._membership.name,
@@ -141,7 +199,9 @@
 
     def _remember(self, stream: str, origin: Origin) -> None:
         now = self._clock()
-        self._origins.setdefault(stream, (origin, now))
+        if stream not in self._origins:
+            self._origins[stream] = (origin, now)
+            self._store_if_needed(stream, origin)
         while self._origins:
             _, recorded_at = next(iter(self._origins.values()))
             is_expired = now - recorded_at > RETENTION_S
@@ -149,6 +209,18 @@
                 break
             self._origins.popitem(last=False)
 
+    def _store_if_needed(self, stream: str, origin: Origin) -> None:
+        if self._stored is None or self.recorder != self._membership.name:
+            return
+        if self._stored.versions.has_several(origin.service):
+            self._stored.streams.add(stream, origin)
+
+    def _store_streams_of(self, service: str) -> None:
+        """Store the streams that began before a service had several versions."""
+        for stream, (origin, _) in self._origins.items():
+            if origin.service == service:
+                self._stored.streams.add(stream, origin)
+
     def _ranked_entries(self, stream: str) -> list[str]:
         """
         Return the entries that may keep a stream, the first keeper first.
@@ -156,6 +228,11 @@
         They are one more than there are keepers, as the entry that began the stream may
         be among them, but not this entry.
         """
+        self._choose_group()
+        ranked = rendezvous.choose(stream, self._group, KEEPERS + 1)
+        return [name for name in ranked if name != self._membership.name]
+
+    def _choose_group(self) -> None:
         now = self._clock()
         if now - self._group_chosen_at >= GROUP_INTERVAL_S:
             names = {
@@ -165,8 +242,7 @@
             } | {self._membership.name}
             self._group = rendezvous.choose("stream origins", names, KEEPER_GROUP)
             self._group_chosen_at = now
-        ranked = rendezvous.choose(stream, self._group, KEEPERS + 1)
-        return [name for name in ranked if name != self._membership.name]
+            (self._recorder,) = rendezvous.choose("stream recorder", self._group, 1)
 
 
 def _digest(organisation: str, attempt_id: str) -> str:
--- /dev/null
+++ b/acaciaward/resumption/servingversions.py
@@ -0,0 +1,358 @@
+"""
+Keeps in the store which software versions may have begun the streams that still run.
+
+An entry passes on the first event of a stream only once the store has a record of its
+endpoint's version, so the records of a service name every version that a stream may
+have begun at. They outlive all entries: where a service has one record, a stream whose
+origin no entry remembers began at that version.
+
+    await versions.ensure(Origin("service", "v2"))
+    await versions.read("service")  # frozenset({'v1', 'v2'})
+
+One entry, the recorder, writes the records for all, and removes that of a version whose
+last endpoint has left for longer than a stream may run.
+"""
+
+import asyncio
+import collections
+import hashlib
+import itertools
+import logging
+import math
+import time
+import typing
+from collections import abc
+
+import msgspec
+
+from acaciaward import errors
+from acaciaward.catalogue import topicfollower
+from acaciaward.observability import logs
+from acaciaward.resumption import messages
+
+log = logging.getLogger(__name__)
+
+# A version without endpoints is kept for longer than callers take up its streams.
+RETENTION_S = 60.0
+# How often the recorder compares the records with the endpoints that are listed.
+SWEEP_INTERVAL_S = 5.0
+CHECK_INTERVAL_S = 0.25
+# An entry that becomes the recorder waits this long, as it may just have started and
+# not know the others yet.
+SETTLE_S = 1.0
+# A stream's first event waits this long for the record of its version.
+MAX_WAIT_S = 0.15
+REQUEST_TIMEOUT_S = 0.3
+# After a failure, streams of that version don't wait for as long.
+FAILURE_PAUSE_S = 1.0
+# How long what was read is used for further streams.
+READ_LIFETIME_S = 0.5
+
+
+class Origin(typing.NamedTuple):
+    """The service and the version of its software that began a stream."""
+
+    service: str
+    version: str
+
+
+class Record(typing.NamedTuple):
+    """
+    The store's record of one version.
+
+    ``mark`` differs for each write. The record counts only in the store's ``era`` in
+    which it was written, as others may have been lost with the store's last seconds.
+    """
+
+    service: str
+    version: str
+    era: int
+    mark: str
+
+
+class Topic(typing.Protocol):
+    """A keyed topic of the store; calls may raise ``PlatformError``."""
+
+    async def read_all(self) -> topicfollower.Listing:
+        """Return the newest value of each key."""
+
+    async def set(self, key: str, value: bytes) -> None:
+        """Set the value of a key."""
+
+    async def remove(self, key: str, *, expected_end: int) -> None:
+        """Remove a key if the topic ends at an offset."""
+
+
+class Network(typing.Protocol):
+    """Requests to single peers."""
+
+    @property
+    def name(self) -> str:
+        """The name of this entry."""
+
+    def handle(
+        self, kind: str, handler: abc.Callable[..., abc.Awaitable[abc.Mapping | None]]
+    ) -> None:
+        """Serve requests of a kind."""
+
+    async def request(
+        self,
+        peer: str,
+        kind: str,
+        body: abc.Mapping[str, typing.Any],
+        *,
+        timeout_s: float,
+    ) -> dict[str, typing.Any]:
+        """Send a request and return the reply, or raise ``PeerUnreachableError``."""
+
+
+class ServingVersions:
+    """
+    The records of all services' versions.
+
+    ``listed`` returns the versions of the endpoints that are listed, ``recorder`` the
+    name of the entry that writes the records. ``on_several`` is called at the recorder
+    with a service that has begun to have several versions.
+    """
+
+    def __init__(
+        self,
+        topic: Topic,
+        network: Network,
+        *,
+        listed: abc.Callable[[], abc.Set[Origin]],
+        recorder: abc.Callable[[], str],
+        era: abc.Callable[[], int],
+        process_run: str,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ):
+        self._topic = topic
+        self._network = network
+        self._listed = listed
+        self._recorder = recorder
+        self._era = era
+        self._process_run = process_run
+        self._clock = clock
+        self._writes = itertools.count(1)
+        # Versions whose record this entry knows to be in the store.
+        self._recorded: set[Origin] = set()
+        self._recordings: dict[Origin, asyncio.Task] = {}
+        self._failed_at: dict[Origin, float] = {}
+        # When a record without endpoints was first seen, by its key and mark.
+        self._unlisted_since: dict[tuple[str, str], float] = {}
+        self._read_lock = asyncio.Lock()
+        self._read_at = -math.inf
+        self._read_versions: dict[str, frozenset[str]] = {}
+        # The versions that have a record, as known to the recorder.
+        self._serving: frozenset[Origin] = frozenset()
+        self.on_several: abc.Callable[[str], None] = lambda service: None
+        network.handle("version_serves", self._answer)
+
+    def has_several(self, service: str) -> bool:
+        """Return whether a service has several versions, as known to the recorder."""
+        return sum(origin.service == service for origin in self._serving) > 1
+
+    async def ensure(self, origin: Origin) -> None:
+        """
+        Wait until the store has a version's record, but not for long.
+
+        If the store doesn't take it in time, the record is written later.
+        """
+        if origin in self._recorded:
+            return
+        recording = self._recordings.get(origin)
+        if recording is None:
+            failed_s = self._clock() - self._failed_at.get(origin, -math.inf)
+            if failed_s < FAILURE_PAUSE_S:
+                return
+            recording = asyncio.create_task(self._record(origin))
+            self._recordings[origin] = recording
+        await asyncio.wait([recording], timeout=MAX_WAIT_S)
+
+    async def _record(self, origin: Origin) -> None:
+        try:
+            if not await self._ask_recorder(origin):
+                await self._write(origin)
+            self._recorded.add(origin)
+        except errors.PlatformError as error:
+            self._failed_at[origin] = self._clock()
+            log.warning(
+                "could not record a version in the store",
+                extra=logs.fields(
+                    service=origin.service,
+                    endpoint_version=origin.version,
+                    reason=error,
+                ),
+            )
+        finally:
+            del self._recordings[origin]
+
+    async def _ask_recorder(self, origin: Origin) -> bool:
+        recorder = self._recorder()
+        if recorder == self._network.name:
+            return False
+        body: messages.VersionServes = {
+            "sender": self._network.name,
+            **origin._asdict(),
+        }
+        try:
+            answer = await self._network.request(
+                recorder, "version_serves", body, timeout_s=REQUEST_TIMEOUT_S
+            )
+        except errors.PeerUnreachableError as error:
+            log.info(
+                "recorder of versions doesn't answer",
+                extra=logs.fields(peer=recorder, reason=error),
+            )
+            return False
+        return answer["is_recorded"]
+
+    async def _answer(
+        self, sender: str, body: messages.VersionServes
+    ) -> messages.VersionServesAnswer:
+        origin = Origin(body["service"], body["version"])
+        await self.ensure(origin)
+        return {"is_recorded": origin in self._recorded}
+
+    async def _write(self, origin: Origin) -> None:
+        record = Record(
+            origin.service,
+            origin.version,
+            self._era(),
+            f"{self._process_run}/{next(self._writes)}",
+        )
+        await self._topic.set(_key(origin), msgspec.json.encode(record))
+        self._set_serving(self._serving | {origin})
+        log.info(
+            "version recorded in the store",
+            extra=logs.fields(
+                service=origin.service, endpoint_version=origin.version, era=record.era
+            ),
+        )
+
+    async def read(self, service: str) -> frozenset[str]:
+        """Return the versions that may have begun streams; empty if not known."""
+        async with self._read_lock:
+            if self._clock() - self._read_at >= READ_LIFETIME_S:
+                listing = await self._topic.read_all()
+                self._read_versions = _trusted_versions(listing)
+                self._read_at = self._clock()
+        return self._read_versions.get(service, frozenset())
+
+    async def run(self) -> None:
+        """Keep the records in line with the endpoints that are listed."""
+        due_at = math.inf
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            listed = self._listed()
+            # A version that comes back needs a record that may have been removed.
+            self._recorded &= listed
+            now = self._clock()
+            if self._recorder() != self._network.name:
+                self._unlisted_since.clear()
+                self._serving = frozenset()
+                due_at = math.inf
+                continue
+            due_at = min(due_at, now + SETTLE_S)
+            if now < due_at:
+                continue
+            due_at = now + SWEEP_INTERVAL_S
+            try:
+                await self.sweep(listed)
+            except errors.PlatformError as error:
+                log.info(
+                    "could not compare the versions in the store",
+                    extra=logs.fields(reason=error),
+                )
+
+    async def sweep(self, listed: abc.Set[Origin]) -> None:
+        """Write the records that are missing, and remove one that is out of use."""
+        listing = await self._topic.read_all()
+        records = _decode_all(listing)
+        known = {
+            Origin(record.service, record.version)
+            for record in records.values()
+            if record.era == listing.era
+        }
+        self._set_serving(frozenset(known))
+        missing = listed - known
+        for origin in missing:
+            await self._write(origin)
+        self._recorded |= listed
+        if not missing:
+            await self._remove_unused(listing, records, listed)
+
+    def _set_serving(self, serving: frozenset[Origin]) -> None:
+        services = {origin.service for origin in serving}
+        before = {service for service in services if self.has_several(service)}
+        self._serving = serving
+        for service in services - before:
+            if self.has_several(service):
+                self.on_several(service)
+
+    async def _remove_unused(
+        self,
+        listing: topicfollower.Listing,
+        records: abc.Mapping[str, Record],
+        listed: abc.Set[Origin],
+    ) -> None:
+        now = self._clock()
+        unlisted = {
+            (key, record.mark)
+            for key, record in records.items()
+            if Origin(record.service, record.version) not in listed
+        }
+        self._unlisted_since = {
+            found: self._unlisted_since.get(found, now) for found in unlisted
+        }
+        due = [
+            key
+            for (key, _), since in self._unlisted_since.items()
+            if now - since >= RETENTION_S
+        ]
+        # One at a time: the condition is that nothing was written since the listing.
+        for key in due[:1]:
+            await self._topic.remove(key, expected_end=listing.next_offset)
+            log.info(
+                "version removed from the store",
+                extra=logs.fields(
+                    service=records[key].service, endpoint_version=records[key].version
+                ),
+            )
+
+
+def _key(origin: Origin) -> str:
+    hasher = hashlib.blake2b(digest_size=16)
+    hasher.update(f"{len(origin.service)}:{origin.service}{origin.version}".encode())
+    return hasher.hexdigest()
+
+
+def _decode_all(listing: topicfollower.Listing) -> dict[str, Record]:
+    records = {}
+    for key, value in listing.values.items():
+        try:
+            records[key] = msgspec.json.decode(value, type=Record)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            log.warning(
+                "record of a version is invalid",
+                extra=logs.fields(key=key, reason=error),
+            )
+    return records
+
+
+def _trusted_versions(listing: topicfollower.Listing) -> dict[str, frozenset[str]]:
+    """Return the versions of each service all of whose records count."""
+    records = _decode_all(listing)
+    versions: dict[str, set[str]] = collections.defaultdict(set)
+    for record in records.values():
+        versions[record.service].add(record.version)
+    doubtful = {
+        record.service for record in records.values() if record.era != listing.era
+    }
+    if len(records) < len(listing.values):
+        return {}
+    return {
+        service: frozenset(found)
+        for service, found in versions.items()
+        if service not in doubtful
+    }
