Play the loss of all entries in the soak with callers that wait for them

What callers saw: nothing new. The soak killed all entries, but its callers gave a broken stream up while none was there, so no soak has ever taken one up afterwards, and the plant 'guessed', which takes any version that the store names, went unseen. 'asked the store where a stream began' is logged. A reading of the versions counts only for streams that are taken up before it begins, so that one which began in between can't be misjudged.

--- a/acaciaward/resumption/features/steps/storedorigins_steps.py
+++ b/acaciaward/resumption/features/steps/storedorigins_steps.py
@@ -33,6 +33,7 @@
         self.values = {}
         self.end = 0
         self.writes = 0
+        self.listings = 0
         self.records = []
         self.first = 0
         # Called once after the next listing.
@@ -44,6 +45,7 @@
 
     async def read_all(self):
         self.check()
+        self.listings += 1
         listing = topicfollower.Listing(dict(self.values), self.end, self.era)
         self.after_listing()
         return listing
@@ -305,6 +307,27 @@
     assert context.fleet.store.writes == count, context.fleet.store.writes
 
 
+@when("{count:d} streams are taken up at entry {entry:d} at once")
+def take_up(context, count, entry):
+    async def run():
+        context.fleet.store.listings = 0
+        one = context.fleet.entries[f"e-{entry}"]
+        found = await asyncio.gather(
+            *(
+                one.origins.find_stored("org", f"s-{number}", SERVICE)
+                for number in range(count)
+            )
+        )
+        assert set(found) == {origins.Origin(SERVICE, "v1")}, found
+
+    context.runner.run(run())
+
+
+@then("the store has got {count:d} calls to list versions, or fewer")
+def check_listings(context, count):
+    assert context.fleet.store.listings <= count, context.fleet.store.listings
+
+
 @then("it was begun within {limit_s:g} s")
 def check_begun_in_time(context, limit_s):
     assert context.took_s < limit_s, context.took_s
--- a/acaciaward/resumption/features/storedorigins.feature
+++ b/acaciaward/resumption/features/storedorigins.feature
@@ -115,6 +115,22 @@
     And stored stream "c" begins at entry 2, at v2
     Then the store names v2
 
+  # An entry that has just read the records must not decide by them for a later stream.
+  Scenario: A version that is recorded after a read counts for streams that begin then
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And all entries start anew
+    Then each entry finds v1 for "a" in the store
+    When stored stream "b" begins at entry 2, at v2
+    Then each entry finds nothing for "c" in the store
+
+  Scenario: Streams that are taken up at once share a call
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And all entries start anew
+    And 100 streams are taken up at entry 1 at once
+    Then the store has got 2 calls to list versions, or fewer
+
   Scenario: A record that can't be read makes nothing certain
     Given 9 entries with a store that lists version v1
     When stored stream "a" begins at entry 1, at v1
--- a/acaciaward/resumption/origins.py
+++ b/acaciaward/resumption/origins.py
@@ -155,17 +155,26 @@
             return None
         try:
             versions = await self._stored.versions.read(service)
-            if len(versions) == 1:
-                return Origin(service, *versions)
-            if attempt_id is None:
-                return None
-            return await self._stored.streams.find(_digest(organisation, attempt_id))
+            origin = Origin(service, *versions) if len(versions) == 1 else None
+            if len(versions) > 1 and attempt_id is not None:
+                stream = _digest(organisation, attempt_id)
+                origin = await self._stored.streams.find(stream)
         except errors.PlatformError as error:
             log.info(
                 "could not ask the store where a stream began",
                 extra=logs.fields(reason=error),
             )
             return None
+        log.info(
+            "asked the store where a stream began",
+            extra=logs.fields(
+                attempt=attempt_id,
+                service=service,
+                versions=",".join(sorted(versions)),
+                endpoint_version=origin.version if origin else None,
+            ),
+        )
+        return origin
 
     async def _request(self, keeper: str, stream: str) -> Origin | None:
         body: messages.OriginRequest = {
--- a/acaciaward/resumption/servingversions.py
+++ b/acaciaward/resumption/servingversions.py
@@ -45,8 +45,8 @@
 REQUEST_TIMEOUT_S = 0.3
 # After a failure, streams of that version don't wait for as long.
 FAILURE_PAUSE_S = 1.0
-# How long what was read is used for further streams.
-READ_LIFETIME_S = 0.5
+# Shortest time between two reads; streams that are taken up meanwhile share the second.
+READ_INTERVAL_S = 0.1
 
 
 class Origin(typing.NamedTuple):
@@ -141,7 +141,7 @@
         # When a record without endpoints was first seen, by its key and mark.
         self._unlisted_since: dict[tuple[str, str], float] = {}
         self._read_lock = asyncio.Lock()
-        self._read_at = -math.inf
+        self._read_began_at = -math.inf
         self._read_versions: dict[str, frozenset[str]] = {}
         # The versions that have a record, as known to the recorder.
         self._serving: frozenset[Origin] = frozenset()
@@ -232,12 +232,16 @@
 
     async def read(self, service: str) -> frozenset[str]:
         """Return the versions that may have begun streams; empty if not known."""
+        asked_at = self._clock()
         async with self._read_lock:
-            if self._clock() - self._read_at >= READ_LIFETIME_S:
-                listing = await self._topic.read_all()
-                self._read_versions = _trusted_versions(listing)
-                self._read_at = self._clock()
-        return self._read_versions.get(service, frozenset())
+            # An earlier read may lack a version that a stream began at meanwhile.
+            if self._read_began_at < asked_at:
+                since_s = self._clock() - self._read_began_at
+                await asyncio.sleep(max(0.0, READ_INTERVAL_S - since_s))
+                began_at = self._clock()
+                self._read_versions = _trusted_versions(await self._topic.read_all())
+                self._read_began_at = began_at
+            return self._read_versions.get(service, frozenset())
 
     async def run(self) -> None:
         """Keep the records in line with the endpoints that are listed."""
@@ -254,7 +258,7 @@
                 due_at = math.inf
                 continue
             due_at = min(due_at, now + SETTLE_S)
-            if now < due_at:
+            if now < due_at or not listed:
                 continue
             due_at = now + SWEEP_INTERVAL_S
             try:
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,3 +13,8 @@
       | plant   | promise |
       | unasked | UNASKED |
       | quota   | QUOTA   |
+
+  # Callers gave a stream up while all entries were down, so that no soak showed it.
+  Scenario: A build that guesses the version which began a stream is caught
+    When a soak with seed 2, 3 entries and the plant guessed loses all entries often for 30 s
+    Then the promise ORDER was broken
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,10 +16,11 @@
 
 
 @when("a soak with seed {seed:d} and {entries:d} entries runs for {seconds:d} s")
-def soak(context, seed, seconds, entries, plant=""):
+def soak(context, seed, seconds, entries, plant="", favoured=""):
     command = [sys.executable, "-m", "soak", "--json", "--callers", "12"]
     command += ["--seed", str(seed), "--minutes", str(seconds / 60)]
     command += ["--entries", str(entries), "--plant", plant]
+    command += ["--favoured", favoured]
     finished = subprocess.run(
         command, capture_output=True, text=True, timeout=SOAK_TIMEOUT_S
     )
@@ -35,6 +36,14 @@
     soak(context, seed, seconds, entries, plant)
 
 
+@when(
+    "a soak with seed {seed:d}, {entries:d} entries and the plant {plant}"
+    " loses all entries often for {seconds:d} s"
+)
+def soak_losses(context, seed, seconds, entries, plant):
+    soak(context, seed, seconds, entries, plant, favoured="kill_all_entries")
+
+
 @then("no promise was broken")
 def check_no_violation(context):
     assert not context.result["violations"], context.result
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,14 +23,20 @@
 
 
 async def soak(
-    seed: int, seconds: float, *, entries: int, callers: int, plant: str
+    seed: int,
+    seconds: float,
+    *,
+    entries: int,
+    callers: int,
+    plant: str,
+    favoured: str = "",
 ) -> dict:
     """Run one soak and return its result."""
     system = world.SystemUnderTest(
         seed, entries=entries, caller_count=callers, plant=plant
     )
     began_at = time.monotonic()
-    injector = faults.FaultInjector(system)
+    injector = faults.FaultInjector(system, favoured)
     fault_free_s = system.bounds.recover_s + RECOVERY_CHECK_S
     try:
         await system.start()
@@ -73,6 +79,14 @@
 ) -> dict:
     """Return a soak's result; keep a copy of its folder if a promise was broken."""
     attempts = system.recorder.attempts.values()
+    taken_up = {
+        attempt.origin.attempt_id for attempt in attempts if attempt.origin is not None
+    }
+    went_on = {
+        attempt.origin.attempt_id
+        for attempt in attempts
+        if attempt.origin is not None and attempt.events
+    }
     violations = system.recorder.violations
     lines = [
         f"{violation.promise} at {violation.at - began_at:.2f}: {violation.detail}"
@@ -92,6 +106,8 @@
         "served": sum(
             attempt.is_complete and attempt.status == 200 for attempt in attempts
         ),
+        "taken_up": len(taken_up),
+        "went_on": len(went_on),
         "violations": lines,
     }
 
@@ -111,6 +127,7 @@
 @click.option("--entries", type=int, default=4, show_default=True)
 @click.option("--callers", type=int, default=24, show_default=True)
 @click.option("--plant", default="", help="Play a build that breaks a promise.")
+@click.option("--favoured", default="", help="Inject this fault more often.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON, a line a seed.")
 def main(
     seed: int,
@@ -119,6 +136,7 @@
     entries: int,
     callers: int,
     plant: str,
+    favoured: str,
     as_json: bool,
 ):
     """Play seeds against real entries and say which promises were broken."""
@@ -133,6 +151,7 @@
                 entries=entries,
                 callers=callers,
                 plant=plant,
+                favoured=favoured,
             )
         )
         failed_count += bool(result["violations"])
@@ -141,13 +160,17 @@
             continue
         click.echo(
             f"seed {current_seed}: {result['faults']} faults, {result['served']} of "
-            f"{result['requests']} served, {len(result['violations'])} violations"
+            f"{result['requests']} served, {result['went_on']} of "
+            f"{result['taken_up']} streams taken up went on, "
+            f"{len(result['violations'])} violations"
         )
         for line in result["violations"]:
             click.echo(f"  {line}")
         if result["violations"]:
+            options = f" --favoured {favoured}" if favoured else ""
             click.echo(
                 f"  again: python -m soak --seed {current_seed} --minutes {minutes}"
+                f"{options}"
             )
     sys.exit(1 if failed_count else 0)
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,6 +25,10 @@
 # Share of streams with a part that crashes servers, while there is one.
 TAINTED_SHARE = 0.1
 MEAN_PAUSE_S = 0.06
+# For how long a caller tries to take a stream up, and its pause between two tries.
+TAKE_UP_S = 4.0
+TAKE_UP_PAUSE_S = 0.1
+UNAVAILABLE = 503
 TOKENS_PER_EVENT = 5
 
 
@@ -133,7 +137,20 @@
         attempt = await self._try(kind)
         is_broken_off = not attempt.is_complete and attempt.events > 0
         if kind.name == "resumable" and is_broken_off:
-            await self._try(kind, origin=attempt)
+            await self._take_up(kind, attempt)
+
+    async def _take_up(self, kind: RequestKind, origin: ledger.Attempt) -> None:
+        """Take a stream up at an entry that can be reached and doesn't refuse."""
+        deadline = time.monotonic() + TAKE_UP_S
+        while time.monotonic() < deadline:
+            # All entries may be down, and their proxies then close connections.
+            with contextlib.suppress(OSError, TimeoutError):
+                attempt = await self._try(kind, origin=origin)
+                has_left = attempt.caller_left_at is not None
+                if has_left or attempt.status not in (None, UNAVAILABLE):
+                    return
+            await asyncio.sleep(TAKE_UP_PAUSE_S)
+            await self._resolve()
 
     async def _try(
         self, kind: RequestKind, *, origin: ledger.Attempt | None = None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,8 @@
 # Factors for these intervals, of which each soak draws one: promises that bind only
 # what is undisturbed can be checked only if there is time between faults.
 INTERVAL_FACTORS = (1.0, 1.0, 3.0, 6.0)
+# Weight of a fault that is to be injected often; the others' add up to about 40.
+FAVOURED_WEIGHT = 6
 # Minimum time between two configurations, so that the service that ran a request
 # tells which of them was in force.
 CONFIGURATION_INTERVAL_S = 3.0
@@ -37,7 +39,8 @@
 class FaultInjector(disturber.Disturber):
     """Injects faults for a given time."""
 
-    def __init__(self, system: world.SystemUnderTest):
+    def __init__(self, system: world.SystemUnderTest, favoured: str = ""):
+        """Inject the fault that is named ``favoured`` more often than others."""
         super().__init__(system)
         store_faults = storefaults.StoreFaults(system)
         self._tasks: set[asyncio.Task] = set()
@@ -66,6 +69,13 @@
             (1, self._reuse_address),
             (1, self._taint_part),
         ]
+        names = [fault.__name__.lstrip("_") for _, fault in self._weighted_faults]
+        if favoured and favoured not in names:
+            raise ValueError(f"no fault {favoured!r}; there are {', '.join(names)}")
+        for number, name in enumerate(names):
+            if name == favoured:
+                fault = self._weighted_faults[number][1]
+                self._weighted_faults[number] = (FAVOURED_WEIGHT, fault)
 
     async def run(self, seconds: float) -> None:
         """Start faults for so long, then wait until the last of them is over."""
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -26,6 +26,7 @@
 )
 from acaciaward.platform import duties, headers
 from acaciaward.quarantine import promptparts
+from acaciaward.resumption import servingversions
 from acaciaward.routing import occupancy
 
 STARTED_AT = time.monotonic()
@@ -93,6 +94,16 @@
     endpoints.Directory.only_version = lambda directory, service, span_s: ""
 
 
+def guessed() -> None:
+    """Take any version that the store names for the one that began a stream."""
+    original = servingversions.ServingVersions.read
+
+    async def read(self, service):
+        return frozenset(sorted(await original(self, service))[:1])
+
+    servingversions.ServingVersions.read = read
+
+
 def parts() -> None:
     """Blame no part of prompts."""
     promptparts.PromptParts.refuse_for_s = lambda parts, names: 0.0
@@ -214,6 +225,7 @@
         unasked,
         order,
         versions,
+        guessed,
         parts,
         drain,
         config,
