Leave an endpoint that stalls but sends a byte now and then

Cause: any part that came counted as data of the endpoint. Evidence: 'A stream whose endpoint sends a byte now and then continues elsewhere' failed: events 1 to 3, then nothing until the deadline of 1.5 s. Change: complete events count, and each KiB of an incomplete one, so that a large event on a slow link isn't left ('A stream with a large event on a slow link isn't left'). A stream that stalls alone, at an endpoint that serves others, still waits for its caller or deadline, as before.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -35,6 +35,9 @@
 NO_DATA_TIMEOUT_TARGETS = 1.5
 # An endpoint whose answer has gone on for this long doesn't crash under its call.
 SURVIVAL_S = 0.5
+# Bytes of an event that is still incomplete count as data from this number on, as a
+# stream that has stalled may send a byte now and then.
+MIN_DATA_BYTES = 1024
 # A call with less time than this until its deadline isn't sent.
 MIN_TIME_LEFT_S = 0.005
 
@@ -225,9 +228,13 @@
     ) -> None:
         splitter = events.EventSplitter()
         has_event = has_survived = False
+        uncounted_bytes = 0
         while (part := await reply.read_part()) is not None:
-            self._record_data(work)
             new_events = splitter.feed(part)
+            uncounted_bytes += len(part)
+            if new_events or uncounted_bytes >= MIN_DATA_BYTES:
+                self._record_data(work)
+                uncounted_bytes = 0
             has_event = has_event or bool(new_events)
             if not has_survived and work.answered_for_s >= SURVIVAL_S:
                 has_survived = True
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -140,27 +140,69 @@
             write_chunk(writer, rest)
         await writer.drain()
         await asyncio.sleep(0.02)
-        if then == "end":
-            writer.write(b"0\r\n\r\n")
-            await writer.drain()
-        elif then == "reset":
-            reset(writer)
-        elif then == "reset a while later":
-            await asyncio.sleep(0.6)
-            reset(writer)
-        elif then == "hang":
-            await reader.read(1)
-        elif then == "end a second later":
-            await asyncio.sleep(1.0)
-            write_chunk(writer, event(last + 1))
-            writer.write(b"0\r\n\r\n")
-            await writer.drain()
-        else:
-            writer.close()
+        await ENDINGS[then](reader, writer, last + 1)
 
     return script
 
 
+async def end(reader, writer, number):
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
+async def reset_now(reader, writer, number):
+    reset(writer)
+
+
+async def reset_later(reader, writer, number):
+    await asyncio.sleep(0.6)
+    reset(writer)
+
+
+async def fall_silent(reader, writer, number):
+    await reader.read(1)
+
+
+async def end_later(reader, writer, number):
+    await asyncio.sleep(1.0)
+    write_chunk(writer, event(number))
+    await end(reader, writer, number)
+
+
+async def trickle(reader, writer, number):
+    """Send bytes of an event that is never complete."""
+    for _ in range(30):
+        write_chunk(writer, b"i")
+        await writer.drain()
+        await asyncio.sleep(0.15)
+
+
+async def send_slowly(reader, writer, number):
+    """Send one event in ten parts, and end."""
+    large = b"id: %d\ndata: %s\n\n" % (number, b"x" * 40_000)
+    for at in range(0, len(large), 4_000):
+        write_chunk(writer, large[at : at + 4_000])
+        await writer.drain()
+        await asyncio.sleep(0.15)
+    await end(reader, writer, number)
+
+
+async def close(reader, writer, number):
+    writer.close()
+
+
+ENDINGS = {
+    "end": end,
+    "reset": reset_now,
+    "reset a while later": reset_later,
+    "hang": fall_silent,
+    "end a second later": end_later,
+    "trickle": trickle,
+    "send one large event slowly": send_slowly,
+    "close": close,
+}
+
+
 def write_chunk(writer, data):
     writer.write(b"%x\r\n" % len(data) + data + b"\r\n")
 
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -106,6 +106,13 @@
     "answer unsigned": lambda: [scripted.answer(signed=False)],
     "hang, then answer": lambda: [scripted.hang(), scripted.answer()],
     "hang": lambda: [scripted.hang()],
+    "stream 1 to 3 and trickle, then 4 to 6 and end": lambda: [
+        scripted.stream(1, 3, then="trickle"),
+        scripted.stream(4, 6),
+    ],
+    "stream 1 to 3 and one large event slowly": lambda: [
+        scripted.stream(1, 3, then="send one large event slowly"),
+    ],
     "hang, then answer a stream": lambda: [scripted.hang(), scripted.stream(1, 6)],
     "answer another request first": lambda: [answer_other_first],
     "begin a stream without chunks and close": lambda: [unframed_stream(0)],
@@ -486,6 +493,11 @@
     assert scripted.is_complete(context.data)
 
 
+@then("the answer is complete")
+def check_whole(context):
+    assert scripted.is_complete(context.data), context.data[-200:]
+
+
 @then("it took less than {seconds:g} s")
 def check_duration(context, seconds):
     assert context.took_s < seconds, context.took_s
--- a/acaciaward/gateway/features/streams.feature
+++ b/acaciaward/gateway/features/streams.feature
@@ -114,6 +114,20 @@
     When a caller asks
     Then the events are 1 to 6 and the answer is complete
 
+  # A byte now and then counted as an answer that goes on, until the caller's deadline.
+  Scenario: A stream whose endpoint sends a byte now and then continues elsewhere
+    Given a front for resumable streams
+    And the endpoints stream 1 to 3 and trickle, then 4 to 6 and end
+    When a caller asks
+    Then the events are 1 to 6 and the answer is complete
+
+  Scenario: A stream with a large event on a slow link isn't left
+    Given a front for resumable streams
+    And the endpoints stream 1 to 3 and one large event slowly
+    When a caller with a timeout of 2.9 s asks
+    Then the answer is complete
+    And 1 endpoints were tried
+
   Scenario: An unresponsive endpoint is left while the objective can be met
     Given a front for resumable streams
     And the endpoints stream nothing and hang, then 1 to 6 and end
