Don't blame the soak's entries for SIGHUP before their first statement

Cause: the soak sends SIGHUP to a process that it has just started. Until its first statement has run, a program can't ignore a signal. The soak records starts and signals.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -159,6 +159,7 @@
     async def _reload_entry(self) -> None:
         entry = self._choose_entry()
         if entry is not None:
+            self._system.record_event(f"{entry.name} gets SIGHUP")
             entry.signal(signal.SIGHUP)
 
     async def _disturb_store_connections(self) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import atexit
+import math
 import os
 import pathlib
 import random
@@ -38,6 +39,8 @@
     f"v{number}": 1 for number in range(VERSION_SERVICE_COUNT)
 }
 HOT_CALLER_COUNT = 4
+# The pages excuse a process that ends within a second of its start.
+EXCUSED_START_S = 1.0
 VERSIONS = ("v1", "v2")
 START_TIMEOUT_S = 15.0
 # Minimum delay before an entry that was killed or stopped is started again.
@@ -60,6 +63,7 @@
         self.start_count = 0
         self.is_expected_to_run = False
         self.process: subprocess.Popen | None = None
+        self.started_at = -math.inf
         self.store_proxy: faultproxy.FaultProxy | None = None
         self.caller_proxy: faultproxy.FaultProxy | None = None
 
@@ -198,6 +202,8 @@
             )
         entry.start_count += 1
         entry.is_expected_to_run = True
+        entry.started_at = time.monotonic()
+        self.record_event(f"{entry.name} started")
 
     def _settings_text(self, entry: Entry) -> str:
         bounds = self.bounds
@@ -239,11 +245,17 @@
         while True:
             for entry in self.entries:
                 code = entry.process.poll()
-                if entry.is_expected_to_run and code is not None:
+                if not entry.is_expected_to_run or code is None:
+                    continue
+                # Nothing can ignore a signal before its first statement has run.
+                age_s = time.monotonic() - entry.started_at
+                if code == -signal.SIGHUP and age_s < EXCUSED_START_S:
+                    self.record_event(f"{entry.name} ended by SIGHUP as it started")
+                else:
                     self.recorder.record_violation(
                         "END", f"{entry.name} ended with {code}"
                     )
-                    self.start_entry(entry)
+                self.start_entry(entry)
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def add_server(
