Store a service's streams before its second version, and know later attempts

What callers saw: a stream that had been taken up and broke off again was refused where two versions serve, as its caller names the attempt that took it up. And if all entries were lost in the moment in which a release began, none of the streams went on. Cause: origins were kept for the attempt that began a stream alone; and the record of the second version was written before the streams of the first. Change: each attempt that takes a stream up is recorded; the recorder appends what it remembers, then writes the record.

--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -384,14 +384,21 @@
 
 
 async def ask(
-    front, *, lines=(), body=b"", method="POST", timeout_s=3.0, caller_timeout_s=1.5
+    front,
+    *,
+    lines=(),
+    body=b"",
+    method="POST",
+    timeout_s=3.0,
+    caller_timeout_s=1.5,
+    attempt="a1",
 ):
     """Send a request on a new connection; return all bytes and whether it was reset."""
     reader, writer = await asyncio.open_connection("127.0.0.1", front.port)
     head = [
         f"{method} /a/1 HTTP/1.1",
         f"Host: {HOST}",
-        "Attempt-Id: a1",
+        f"Attempt-Id: {attempt}",
         f"Deadline-Ms: {caller_timeout_s * 1000:.0f}",
         f"Authorization: Bearer {KEY}",
         "Connection: close",
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -106,6 +106,11 @@
     "answer unsigned": lambda: [scripted.answer(signed=False)],
     "hang, then answer": lambda: [scripted.hang(), scripted.answer()],
     "hang": lambda: [scripted.hang()],
+    "stream 1 to 3 and reset, then 4 to 5 and reset, then 6 and end": lambda: [
+        scripted.stream(1, 3, then="reset"),
+        scripted.stream(4, 5, then="reset"),
+        scripted.stream(6, 6),
+    ],
     "stream 1 to 3 and trickle, then 4 to 6 and end": lambda: [
         scripted.stream(1, 3, then="trickle"),
         scripted.stream(4, 6),
@@ -297,6 +302,19 @@
     )
 
 
+@when("a caller asks and takes the stream up after {first:d} and after {second:d}")
+def ask_thrice(context, first, second):
+    async def run():
+        await scripted.ask(context.front)
+        for number, after in enumerate((first, second), start=1):
+            lines = [f"Last-Event-Id: {after}", f"Resumes: a{number}"]
+            context.data, _ = await scripted.ask(
+                context.front, lines=lines, attempt=f"a{number + 1}"
+            )
+
+    context.runner.run(run())
+
+
 @when("a caller sends the forged headers")
 def ask_forged(context):
     context.data, _ = context.runner.run(scripted.ask(context.front, lines=FORGED))
--- a/acaciaward/gateway/features/streams.feature
+++ b/acaciaward/gateway/features/streams.feature
@@ -85,6 +85,15 @@
     When a caller asks to go on after 12
     Then the answer is 503 and 0 requests arrived
 
+  # The last attempt's origin wasn't kept, so a stream that broke off twice was refused.
+  Scenario: A stream goes on at its version each time that it is taken up
+    Given a front for resumable streams
+    And the endpoints have the versions v1 and v2
+    And the endpoints stream 1 to 3 and reset, then 4 to 5 and reset, then 6 and end
+    When a caller asks and takes the stream up after 3 and after 5
+    Then the events are 6 to 6 and the answer is complete
+    And 1 endpoints were tried
+
   Scenario: A stream that no entry knows isn't taken up by an entry that has just started
     Given a front for resumable streams
     And the endpoints have the versions v1 and v1
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -94,6 +94,11 @@
     ) -> None:
         """Record where a stream began; its first event may be sent afterwards."""
 
+    def record_taken_up(
+        self, organisation: str, attempt_id: str, origin: origins.Origin
+    ) -> None:
+        """Record where the stream began that an attempt takes up."""
+
     async def find(self, organisation: str, attempt_id: str) -> origins.Origin | None:
         """Return where a stream began, None if that isn't known."""
 
--- a/acaciaward/gateway/servicechoice.py
+++ b/acaciaward/gateway/servicechoice.py
@@ -71,6 +71,10 @@
         if service is None or origin.service not in [name for name, _ in route.shares]:
             return self._choose_service(index, route)
         progress.stream_version = origin.version
+        if progress.call.attempt_id is not None:
+            self._deps.origins.record_taken_up(
+                progress.organisation_name, progress.call.attempt_id, origin
+            )
         return service
 
     async def _find_origin(
--- a/acaciaward/resumption/features/origins.feature
+++ b/acaciaward/resumption/features/origins.feature
@@ -38,6 +38,14 @@
     And stream "a" of org begins at entry 2, at v1
     Then entry 1 finds v2 for "a" of org
 
+  # The entry that took a stream up ended, and its caller named the last attempt.
+  Scenario: A stream that was taken up is known by its later attempts, too
+    Given 9 entries
+    When stream "a" of org begins at entry 1, at v2
+    And attempt "b" of org takes it up at entry 2, at v2
+    And entries 1 and 2 end
+    Then each entry finds v2 for "b" of org
+
   Scenario: An attempt of another organisation isn't found
     Given 9 entries
     When stream "a" of org begins at entry 1, at v2
--- a/acaciaward/resumption/features/steps/origins_steps.py
+++ b/acaciaward/resumption/features/steps/origins_steps.py
@@ -78,6 +78,20 @@
     )
 
 
+@when(
+    'attempt "{attempt}" of {organisation} takes it up at entry {entry:d}, at {version}'
+)
+def take_up(context, attempt, organisation, entry, version):
+    context.network.entries[f"e-{entry}"].record_taken_up(
+        organisation, attempt, origins.Origin(SERVICE, version)
+    )
+
+
+@when("entries {first:d} and {second:d} end")
+def end_two(context, first, second):
+    context.network.ended |= {f"e-{first}", f"e-{second}"}
+
+
 @when("{count:d} streams begin at entry {entry:d}")
 def begin_many(context, count, entry):
     for number in range(count):
--- a/acaciaward/resumption/features/steps/storedorigins_steps.py
+++ b/acaciaward/resumption/features/steps/storedorigins_steps.py
@@ -217,6 +217,19 @@
     context.fleet.ended.add(context.fleet.recorder.name)
 
 
+@when("the recorder ends and another one follows")
+def replace_recorder(context):
+    fleet = context.fleet
+    name = fleet.recorder.name
+    assert name not in ("e-1", "e-3"), name
+    fleet.names.remove(name)
+    del fleet.entries[name]
+    for entry in fleet.entries.values():
+        # The group is chosen anew.
+        entry.offset_s += 1.0
+        entry.origins._group_chosen_at = 0.0
+
+
 @when("version {version} is listed, too")
 def add_version(context, version):
     context.fleet.listed.add(origins.Origin(SERVICE, version))
--- a/acaciaward/resumption/features/storedorigins.feature
+++ b/acaciaward/resumption/features/storedorigins.feature
@@ -23,8 +23,9 @@
     Given 9 entries with a store that lists versions v1 and v2
     When stored stream "a" begins at entry 1, at v1
     And stored stream "b" begins at entry 2, at v2
+    And stored stream "c" begins at entry 2, at v2
     And all entries start anew
-    Then each entry finds nothing for "b" in the store
+    Then each entry finds nothing for "c" in the store
 
   Scenario: Streams from before a release are stored when it begins
     Given 9 entries with a store that lists version v1
@@ -35,6 +36,26 @@
     And all entries start anew
     Then each entry finds v1 for "a" in the store
 
+  # The store named the new version a moment before it had the streams of the old one, so
+  # that none of these went on if all entries were lost then.
+  Scenario: Streams from before a release are stored before its version is
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And version v2 is listed, too
+    And stored stream "b" begins at entry 2, at v2
+    And all entries start anew
+    Then each entry finds v1 for "a" in the store
+
+  Scenario: The same where the recorder is a new one
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And the recorder ends and another one follows
+    And stored stream "c" begins at entry 1, at v1
+    And version v2 is listed, too
+    And stored stream "b" begins at entry 3, at v2
+    And all entries start anew
+    Then each entry finds v1 for "c" in the store
+
   # A stream ran on a version that the store didn't name, so the other one was guessed.
   Scenario: A stream begins only when the store names its version
     Given 9 entries with a store that lists versions v1 and v2
--- a/acaciaward/resumption/origins.py
+++ b/acaciaward/resumption/origins.py
@@ -88,7 +88,7 @@
     def use_store(self, stored: Stored) -> None:
         """Keep in the store what must outlive all entries."""
         self._stored = stored
-        stored.versions.on_several = self._store_streams_of
+        stored.versions.store_streams = self._store_streams
 
     @property
     def recorder(self) -> str:
@@ -106,6 +106,14 @@
 
         The stream's first event may be passed on afterwards.
         """
+        self.record_taken_up(organisation, attempt_id, origin)
+        if self._stored is not None:
+            await self._stored.versions.ensure(origin)
+
+    def record_taken_up(
+        self, organisation: str, attempt_id: str, origin: Origin
+    ) -> None:
+        """Record that an attempt takes a stream up, as it may break off, too."""
         stream = _digest(organisation, attempt_id)
         self._remember(stream, origin)
         body: messages.StreamBegan = {
@@ -117,8 +125,6 @@
         for name in told:
             if name != self._membership.name:
                 self._membership.notify(name, "stream_began", body)
-        if self._stored is not None:
-            await self._stored.versions.ensure(origin)
 
     async def find(self, organisation: str, attempt_id: str) -> Origin | None:
         """Return where a stream began, or None if no entry that was asked knows."""
@@ -224,11 +230,18 @@
         if self._stored.versions.has_several(origin.service):
             self._stored.streams.add(stream, origin)
 
-    def _store_streams_of(self, service: str) -> None:
+    async def _store_streams(self, service: str) -> None:
         """Store the streams that began before a service had several versions."""
         for stream, (origin, _) in self._origins.items():
             if origin.service == service:
                 self._stored.streams.add(stream, origin)
+        try:
+            await self._stored.streams.flush()
+        except errors.PlatformError as error:
+            log.warning(
+                "could not store the streams of a service in time",
+                extra=logs.fields(service=service, reason=error),
+            )
 
     def _ranked_entries(self, stream: str) -> list[str]:
         """
--- a/acaciaward/resumption/servingversions.py
+++ b/acaciaward/resumption/servingversions.py
@@ -111,8 +111,8 @@
     The records of all services' versions.
 
     ``listed`` returns the versions of the endpoints that are listed, ``recorder`` the
-    name of the entry that writes the records. ``on_several`` is called at the recorder
-    with a service that has begun to have several versions.
+    name of the entry that writes the records. Before a service's second version gets
+    its record, ``store_streams`` stores the streams that this entry remembers.
     """
 
     def __init__(
@@ -145,7 +145,7 @@
         self._read_versions: dict[str, frozenset[str]] = {}
         # The versions that have a record, as known to the recorder.
         self._serving: frozenset[Origin] = frozenset()
-        self.on_several: abc.Callable[[str], None] = lambda service: None
+        self.store_streams: abc.Callable[[str], abc.Awaitable[None]] = _store_nothing
         network.handle("version_serves", self._answer)
 
     def has_several(self, service: str) -> bool:
@@ -215,6 +215,9 @@
         return {"is_recorded": origin in self._recorded}
 
     async def _write(self, origin: Origin) -> None:
+        if not self._serving:
+            self._serving = _serving(await self._topic.read_all())
+        await self._add_serving(origin)
         record = Record(
             origin.service,
             origin.version,
@@ -222,7 +225,6 @@
             f"{self._process_run}/{next(self._writes)}",
         )
         await self._topic.set(_key(origin), msgspec.json.encode(record))
-        self._set_serving(self._serving | {origin})
         log.info(
             "version recorded in the store",
             extra=logs.fields(
@@ -272,35 +274,31 @@
     async def sweep(self, listed: abc.Set[Origin]) -> None:
         """Write the records that are missing, and remove one that is out of use."""
         listing = await self._topic.read_all()
-        records = _decode_all(listing)
-        known = {
-            Origin(record.service, record.version)
-            for record in records.values()
-            if record.era == listing.era
-        }
-        self._set_serving(frozenset(known))
+        known = _serving(listing)
+        for origin in known:
+            await self._add_serving(origin)
+        self._serving = known
         missing = listed - known
         for origin in missing:
             await self._write(origin)
         self._recorded |= listed
         if not missing:
-            await self._remove_unused(listing, records, listed)
+            await self._remove_unused(listing, listed)
 
-    def _set_serving(self, serving: frozenset[Origin]) -> None:
-        services = {origin.service for origin in serving}
-        before = {service for service in services if self.has_several(service)}
-        self._serving = serving
-        for service in services - before:
-            if self.has_several(service):
-                self.on_several(service)
+    async def _add_serving(self, origin: Origin) -> None:
+        """Store the streams of a service that has several versions from now on."""
+        had_several = self.has_several(origin.service)
+        self._serving |= {origin}
+        if not had_several and self.has_several(origin.service):
+            await self.store_streams(origin.service)
 
     async def _remove_unused(
         self,
         listing: topicfollower.Listing,
-        records: abc.Mapping[str, Record],
         listed: abc.Set[Origin],
     ) -> None:
         now = self._clock()
+        records = _decode_all(listing)
         unlisted = {
             (key, record.mark)
             for key, record in records.items()
@@ -325,6 +323,19 @@
             )
 
 
+async def _store_nothing(service: str) -> None:
+    """Do nothing."""
+
+
+def _serving(listing: topicfollower.Listing) -> frozenset[Origin]:
+    """Return the versions that have a record of the store's era."""
+    return frozenset(
+        Origin(record.service, record.version)
+        for record in _decode_all(listing).values()
+        if record.era == listing.era
+    )
+
+
 def _key(origin: Origin) -> str:
     hasher = hashlib.blake2b(digest_size=16)
     hasher.update(f"{len(origin.service)}:{origin.service}{origin.version}".encode())
