--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,7 @@
 
 import click
 
-from soak import faults, judge, world
+from soak import builds, faults, judge, world
 
 # How long a soak checks for recovery at its end, once faults are over.
 RECOVERY_CHECK_S = 5.0
@@ -30,10 +30,15 @@
     callers: int,
     plant: str,
     favoured: str = "",
+    other_build: builds.Build | None = None,
 ) -> dict:
     """Run one soak and return its result."""
     system = world.SystemUnderTest(
-        seed, entries=entries, caller_count=callers, plant=plant
+        seed,
+        entries=entries,
+        caller_count=callers,
+        plant=plant,
+        other_build=other_build,
     )
     began_at = time.monotonic()
     injector = faults.FaultInjector(system, favoured)
@@ -128,6 +133,7 @@
 @click.option("--callers", type=int, default=24, show_default=True)
 @click.option("--plant", default="", help="Play a build that breaks a promise.")
 @click.option("--favoured", default="", help="Inject this fault more often.")
+@click.option("--beside", default="", help="Let entries be of this commit, too.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON, a line a seed.")
 def main(
     seed: int,
@@ -137,11 +143,13 @@
     callers: int,
     plant: str,
     favoured: str,
+    beside: str,
     as_json: bool,
 ):
     """Play seeds against real entries and say which promises were broken."""
     # On SIGTERM, exit as usual, so that the started processes are ended.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    other_build = builds.check_out(beside) if beside else None
     failed_count = 0
     for current_seed in range(seed, seed + seeds):
         result = asyncio.run(
@@ -152,6 +160,7 @@
                 callers=callers,
                 plant=plant,
                 favoured=favoured,
+                other_build=other_build,
             )
         )
         failed_count += bool(result["violations"])
@@ -168,6 +177,7 @@
             click.echo(f"  {line}")
         if result["violations"]:
             options = f" --favoured {favoured}" if favoured else ""
+            options += f" --beside {beside}" if beside else ""
             click.echo(
                 f"  again: python -m soak --seed {current_seed} --minutes {minutes}"
                 f"{options}"
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,15 +14,13 @@
 import random
 import signal
 import subprocess
-import sys
 import tempfile
 import time
 from collections import abc
 
-from soak import callers, conditions, configurations, judge, ledger
+from soak import builds, callers, conditions, configurations, judge, ledger
 from standins import edgeserver, edgestore, edgewire, faultproxy, ports
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
 DATA_CENTRES = ("north", "south")
 # API keys by organisation; "hot" has a quota, "calm" has none.
 API_KEYS = {"calm": "key-calm", "hot": "key-hot"}
@@ -81,9 +79,19 @@
 class SystemUnderTest:
     """Entries, stand-ins, proxies and callers of a soak."""
 
-    def __init__(self, seed: int, *, entries: int, caller_count: int, plant: str):
+    def __init__(
+        self,
+        seed: int,
+        *,
+        entries: int,
+        caller_count: int,
+        plant: str,
+        other_build: builds.Build | None = None,
+    ):
+        """With an ``other_build``, each start of an entry draws which of both runs."""
         self.random = random.Random(seed)
         self.plant = plant
+        self._other_build = other_build
         self.recorder = ledger.Recorder()
         self.bounds = conditions.Bounds()
         self.disturbances = conditions.Disturbances()
@@ -191,19 +199,25 @@
         """Start an entry's process."""
         settings_path = self.folder / f"{entry.name}.conf"
         settings_path.write_text(self._settings_text(entry))
+        build = self._draw_build()
         module = ["-m", "soak.entryprocess", entry.source_address, self.plant]
         with (self.folder / f"{entry.name}.log").open("ab") as output:
             entry.process = subprocess.Popen(
-                [sys.executable, *module, "gateway", "--settings", str(settings_path)],
-                cwd=ROOT,
-                env={"PATH": os.environ["PATH"], "PYTHONPATH": str(ROOT)},
+                [build.python, *module, "gateway", "--settings", str(settings_path)],
+                cwd=build.folder,
+                env={"PATH": os.environ["PATH"], "PYTHONPATH": str(build.folder)},
                 stdout=output,
                 stderr=output,
             )
         entry.start_count += 1
         entry.is_expected_to_run = True
         entry.started_at = time.monotonic()
-        self.record_event(f"{entry.name} started")
+        self.record_event(f"{entry.name} started: {build.name}")
+
+    def _draw_build(self) -> builds.Build:
+        if self._other_build is None:
+            return builds.WORK_TREE
+        return self.random.choice((builds.WORK_TREE, self._other_build))
 
     def _settings_text(self, entry: Entry) -> str:
         bounds = self.bounds
