Keep the soak's callers alive when an entry is killed under their discovery

Cause: a caller whose discovery answer broke off ended by IncompleteReadError, and nothing said so. Evidence: 'A caller goes on when an entry is killed under its discovery' failed with IncompleteReadError. Change: callers go on; a part of the soak that fails is a violation, SOAK.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -18,3 +18,8 @@
   Scenario: A build that guesses the version which began a stream is caught
     When a soak with seed 2, 3 entries and the plant guessed loses all entries often for 30 s
     Then the promise ORDER was broken
+
+  # All callers ended without a word, and with them what the soak could see.
+  Scenario: A caller goes on when an entry is killed under its discovery
+    When a soak's caller asks discovery at an entry that ends while it answers
+    Then the caller goes on
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,12 +5,16 @@
 build on purpose, to show that the soak detects it.
 """
 
+import asyncio
 import json
+import random
 import subprocess
 import sys
 
 from behave import then, when
 
+from soak import callers, ledger
+
 # Covers a soak of 30 s, its start and its shutdown.
 SOAK_TIMEOUT_S = 150
 
@@ -61,3 +65,31 @@
         violation.split(" ")[0] for violation in context.result["violations"]
     }
     assert promise in broken_promises, context.result
+
+
+@when("a soak's caller asks discovery at an entry that ends while it answers")
+def resolve_at_ending_entry(context):
+    async def end(reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n")
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(end, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        entries = {"127.0.0.1:1": callers.EntryPorts("edge-0", port, port)}
+        caller = callers.Caller(
+            ledger.Recorder(), [], {}, entries, lambda name: 1, random.Random(1)
+        )
+        context.failure = None
+        try:
+            await caller._resolve()
+        except Exception as error:
+            context.failure = error
+        server.close()
+
+    context.runner.run(run())
+
+
+@then("the caller goes on")
+def check_goes_on(context):
+    assert context.failure is None, repr(context.failure)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -29,6 +29,8 @@
 TAKE_UP_S = 4.0
 TAKE_UP_PAUSE_S = 0.1
 UNAVAILABLE = 503
+# Errors of a call to discovery; an entry that is killed ends its answer anywhere.
+UNRESOLVED = (OSError, TimeoutError, ValueError, LookupError, EOFError)
 TOKENS_PER_EVENT = 5
 
 
@@ -103,7 +105,7 @@
         if time.monotonic() - self._resolved_at < RESOLVE_S:
             return
         entry = self._random.choice(list(self._entries.values()))
-        with contextlib.suppress(OSError, TimeoutError, ValueError, LookupError):
+        with contextlib.suppress(*UNRESOLVED):
             async with asyncio.timeout(RESOLVE_S):
                 reader, writer = await asyncio.open_connection(
                     "127.0.0.1", entry.directory_port
--- a/soak/world.py
+++ b/soak/world.py
@@ -185,7 +185,14 @@
             self._start_task(caller.run())
 
     def _start_task(self, coroutine: abc.Coroutine) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._record_task_failure)
+        self._tasks.append(task)
+
+    def _record_task_failure(self, task: asyncio.Task) -> None:
+        """Record that a part of the soak, such as a caller, has failed."""
+        if not task.cancelled() and task.exception() is not None:
+            self.recorder.record_violation("SOAK", repr(task.exception()))
 
     async def _start_proxies(self, entry: Entry) -> None:
         entry.store_proxy = faultproxy.FaultProxy(("127.0.0.1", self.store.port))
