--- a/soak/world.py
+++ b/soak/world.py
@@ -37,6 +37,7 @@
     f"v{number}": 1 for number in range(VERSION_SERVICE_COUNT)
 }
 HOT_CALLER_COUNT = 4
+ENTRY_SCRIPT = builds.ROOT / "soak" / "entryprocess.py"
 # The pages excuse a process that ends within a second of its start.
 EXCUSED_START_S = 1.0
 VERSIONS = ("v1", "v2")
@@ -207,10 +208,14 @@
         settings_path = self.folder / f"{entry.name}.conf"
         settings_path.write_text(self._settings_text(entry))
         build = self._draw_build()
-        module = ["-m", "soak.entryprocess", entry.source_address, self.plant]
+        # This script with the build's own program; older builds don't have the script.
+        script = [str(ENTRY_SCRIPT), entry.source_address, self.plant]
         with (self.folder / f"{entry.name}.log").open("ab") as output:
             entry.process = subprocess.Popen(
-                [build.python, *module, "gateway", "--settings", str(settings_path)],
+                [
+                    *(build.python, "-P", *script),
+                    *("gateway", "--settings", str(settings_path)),
+                ],
                 cwd=build.folder,
                 env={"PATH": os.environ["PATH"], "PYTHONPATH": str(build.folder)},
                 stdout=output,
