--- a/acaciaward/resumption/servingversions.py
+++ b/acaciaward/resumption/servingversions.py
@@ -27,6 +27,7 @@
 
 from acaciaward import errors
 from acaciaward.catalogue import topicfollower
+from acaciaward.membership import interfaces
 from acaciaward.observability import logs
 from acaciaward.resumption import messages
 
@@ -83,28 +84,13 @@
         """Remove a key if the topic ends at an offset."""
 
 
-class Network(typing.Protocol):
-    """Requests to single peers."""
+class Network(interfaces.PeerNetwork, typing.Protocol):
+    """Requests to the other entries."""
 
     @property
     def name(self) -> str:
         """The name of this entry."""
 
-    def handle(
-        self, kind: str, handler: abc.Callable[..., abc.Awaitable[abc.Mapping | None]]
-    ) -> None:
-        """Serve requests of a kind."""
-
-    async def request(
-        self,
-        peer: str,
-        kind: str,
-        body: abc.Mapping[str, typing.Any],
-        *,
-        timeout_s: float,
-    ) -> dict[str, typing.Any]:
-        """Send a request and return the reply, or raise ``PeerUnreachableError``."""
-
 
 class ServingVersions:
     """
