--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -84,6 +84,11 @@
 ) -> dict:
     """Return a soak's result; keep a copy of its folder if a promise was broken."""
     attempts = system.recorder.attempts.values()
+    new_streams = [
+        attempt
+        for attempt in attempts
+        if attempt.kind == "resumable" and attempt.origin is None
+    ]
     taken_up = {
         attempt.origin.attempt_id for attempt in attempts if attempt.origin is not None
     }
@@ -111,6 +116,8 @@
         "served": sum(
             attempt.is_complete and attempt.status == 200 for attempt in attempts
         ),
+        "new_streams": len(new_streams),
+        "began": sum(attempt.events > 0 for attempt in new_streams),
         "taken_up": len(taken_up),
         "went_on": len(went_on),
         "violations": lines,
