Take the versions in the store for complete only once that is declared

Cause: one record was taken for the only version that may have begun streams. The store had been restored from a copy without any record, 0.29 s later all entries were killed, and the first stream of the new entries wrote the only record of the new era. Entries of older builds, which write none, have the same effect. Change: an entry that has known the endpoints for as long as streams run, and has recorded all versions of that time, declares the records complete in the store's era; before, nothing is concluded from them. New versions are recorded within a quarter of a second, not five.

--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -258,18 +258,27 @@
         This is None if there were several, or if the span began before the first
         endpoint was known. Where no endpoint reports a version, it's empty.
         """
-        now = self._clock()
-        versions = {endpoint.version for endpoint in self.of_service(service)}
-        if versions == {""}:
+        if {endpoint.version for endpoint in self.of_service(service)} == {""}:
             return ""
+        versions = self.versions_within(service, span_s)
+        return next(iter(versions)) if versions and len(versions) == 1 else None
+
+    def versions_within(self, service: str, span_s: float) -> frozenset[str] | None:
+        """
+        Return all versions of a service's software in a span of time until now.
+
+        This is None if the span began before the first endpoint was known.
+        """
+        now = self._clock()
         if self._first_update_at is None or now - self._first_update_at < span_s:
             return None
-        versions |= {
+        listed = {endpoint.version for endpoint in self.of_service(service)}
+        ended = {
             version
             for (name, version), ended_at in self._ended_versions.items()
             if name == service and now - ended_at < span_s
         }
-        return versions.pop() if len(versions) == 1 else None
+        return frozenset(listed | ended)
 
     def _notify(self, before: Endpoint | None, after: Endpoint | None) -> None:
         for listener in self._listeners:
--- a/acaciaward/catalogue/features/delivery.py
+++ b/acaciaward/catalogue/features/delivery.py
@@ -89,6 +89,8 @@
             for number in range(entries_each)
         ]
         self.version = 0
+        # Overrides fields of the records of endpoints.
+        self.endpoint_fields: dict[str, typing.Any] = {}
         # Monotonic time at which the store acknowledged each version first.
         self.acknowledged_at: dict[int, float] = {}
 
@@ -173,7 +175,7 @@
         """Return the record that an endpoint publishes about itself."""
         address = f"127.0.0.1:{1000 + number}"
         record = {"Service": "app", "Address": address, "Zone": "dc-0", "Slots": 4}
-        return record | {"State": "ready", "born": 1}
+        return record | {"State": "ready", "born": 1} | self.endpoint_fields
 
     def endpoint_names(self) -> set[str]:
         """Return the names of the endpoints that the store lists."""
--- a/acaciaward/catalogue/routes.py
+++ b/acaciaward/catalogue/routes.py
@@ -161,6 +161,14 @@
             for name, _ in route.shares
         )
 
+    @functools.cached_property
+    def longest_stream_s(self) -> float:
+        """The longest time for which a stream that callers may take up can run."""
+        return max(
+            (route.timeout_s for route in self.catalogue.routes if route.is_resumable),
+            default=0.0,
+        )
+
     @functools.cached_property
     def scaled_services(self) -> list[Service]:
         """The services whose endpoints are rented."""
--- a/acaciaward/gateway/features/fleet.py
+++ b/acaciaward/gateway/features/fleet.py
@@ -78,6 +78,7 @@
         self.world = delivery.World(
             data_centres, entries_each, seed, ROUTE, configuration
         )
+        self.world.endpoint_fields = {"Version": versions[0]}
         self.arrivals: list[Arrival] = []
         self.tries: list[Try] = []
         # When an endpoint crashed, and the part that crashed it, None for a chance.
--- a/acaciaward/gateway/features/steps/versions_steps.py
+++ b/acaciaward/gateway/features/steps/versions_steps.py
@@ -78,6 +78,11 @@
     context.runner.run(asyncio.sleep(WARM_UP_S))
 
 
+@given("entries have known the endpoints for as long as streams run")
+def watch(context):
+    context.runner.run(asyncio.sleep(fleet.ROUTE["TimeoutMs"] / 1000))
+
+
 @when("endpoints of a second version join, and {pause:g} s pass")
 def add_version(context, pause):
     async def run():
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -199,7 +199,8 @@
                 servingversions.ServingVersions(
                     topics.KeyedTopic(self._store, VERSIONS_TOPIC),
                     self._membership,
-                    listed=self._resumable_versions,
+                    listed=self._listed_versions,
+                    running=self._running_versions,
                     recorder=lambda: self._origins.recorder,
                     era=lambda: self._store.era,
                     process_run=self._duties.process_run,
@@ -208,7 +209,7 @@
             )
         )
 
-    def _resumable_versions(self) -> set[origins.Origin]:
+    def _listed_versions(self) -> set[origins.Origin]:
         """Return the versions of the endpoints whose streams callers may take up."""
         services = self._store_view.resumable_services
         return {
@@ -217,6 +218,23 @@
             if endpoint.service in services
         }
 
+    def _running_versions(self) -> set[origins.Origin] | None:
+        """
+        Return the versions that began the streams which callers may take up now.
+
+        This is None if the endpoints haven't been known for as long as streams run.
+        """
+        index = self._store_view.index
+        if index is None:
+            return None
+        found = set()
+        for service in index.resumable_services:
+            versions = self._directory.versions_within(service, index.longest_stream_s)
+            if versions is None:
+                return None
+            found |= {origins.Origin(service, version) for version in versions}
+        return found
+
     def _build_state_exchange(self) -> None:
         self._state_exchange = stateexchange.GatewayStateExchange(
             stateexchange.Components(
--- a/acaciaward/resumption/features/steps/storedorigins_steps.py
+++ b/acaciaward/resumption/features/steps/storedorigins_steps.py
@@ -99,6 +99,7 @@
             fleet.store,
             self,
             listed=lambda: frozenset(fleet.listed),
+            running=lambda: frozenset(fleet.listed) if fleet.has_watched else None,
             recorder=lambda: self.origins.recorder,
             era=lambda: fleet.store.era,
             process_run=f"{name}/{fleet.runs}",
@@ -138,6 +139,8 @@
         self.listed = {origins.Origin(SERVICE, version) for version in versions}
         self.names = [f"e-{number}" for number in range(1, count + 1)]
         self.runs = 0
+        # Whether entries have known the endpoints for as long as streams run.
+        self.has_watched = True
         self.tasks = []
         self.begun = []
 
@@ -252,7 +255,27 @@
 
 @when("all entries start anew")
 def restart(context):
+    compare(context)
+    restart_at_once(context)
+
+
+@when("all entries start anew at once")
+def restart_at_once(context):
     context.runner.run(context.fleet.start())
+    context.fleet.has_watched = False
+
+
+@when("the entries have known the endpoints for long")
+def watch(context):
+    context.fleet.has_watched = True
+
+
+@when("the store loses all and has a new era")
+def empty_store(context):
+    store = context.fleet.store
+    store.values.clear()
+    store.records.clear()
+    store.era += 1
 
 
 @when("the recorder compares")
--- a/acaciaward/resumption/features/storedorigins.feature
+++ b/acaciaward/resumption/features/storedorigins.feature
@@ -90,12 +90,52 @@
     Given 9 entries with a store that lists versions v1 and v2
     When stored stream "a" begins at entry 1, at v1
     And stored stream "b" begins at entry 2, at v2
+    And the recorder compares
     And the store loses v2 and has a new era
-    And all entries start anew
+    And all entries start anew at once
     Then each entry finds nothing for "b" in the store
     When the recorder compares
     Then the store names v1
     And the store names v2
+    And each entry finds nothing for "b" in the store
+
+  # The first record after a restore that had lost all looked like the only version.
+  Scenario: The first record in a new era isn't the only version
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 2, at v2
+    And the recorder compares
+    And the store loses all and has a new era
+    And all entries start anew at once
+    And stored stream "c" begins at entry 1, at v1
+    Then each entry finds nothing for "b" in the store
+
+  # Entries of an older build record nothing.
+  Scenario: The first record in an empty store isn't the only version
+    Given 9 entries with a store that lists versions v1 and v2
+    When all entries start anew at once
+    And stored stream "c" begins at entry 1, at v1
+    Then each entry finds nothing for "b" in the store
+
+  Scenario: Records are complete once the endpoints have been known for long
+    Given 9 entries with a store that lists version v1
+    When all entries start anew at once
+    And stored stream "a" begins at entry 1, at v1
+    And the recorder compares
+    Then each entry finds nothing for "b" in the store
+    When the entries have known the endpoints for long
+    And the recorder compares
+    And all entries start anew at once
+    Then each entry finds v1 for "a" in the store
+
+  Scenario: An entry that outlives a restore makes the records complete again
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And the recorder compares
+    And the store loses all and has a new era
+    And the recorder compares
+    And all entries start anew at once
+    Then each entry finds v1 for "a" in the store
 
   Scenario: A version without endpoints is removed when none of its streams runs
     Given 9 entries with a store that lists versions v1 and v2
--- a/acaciaward/resumption/servingversions.py
+++ b/acaciaward/resumption/servingversions.py
@@ -11,6 +11,11 @@
 
 One entry, the recorder, writes the records for all, and removes that of a version whose
 last endpoint has left for longer than a stream may run.
+
+The records are taken for complete only if the store says so, in the era in which they
+were written: a store that is new or was restored from an older copy lacks versions that
+have begun streams. An entry says so that has known the endpoints for as long as streams
+run and has recorded all their versions.
 """
 
 import asyncio
@@ -46,6 +51,8 @@
 REQUEST_TIMEOUT_S = 0.3
 # After a failure, streams of that version don't wait for as long.
 FAILURE_PAUSE_S = 1.0
+# The key of what says that the records are complete; others are hexadecimal digits.
+COMPLETE_KEY = "complete"
 # Shortest time between two reads; streams that are taken up meanwhile share the second.
 READ_INTERVAL_S = 0.1
 
@@ -71,6 +78,12 @@
     mark: str
 
 
+class Complete(typing.NamedTuple):
+    """Says that the records of an era name all versions that began running streams."""
+
+    era: int
+
+
 class Topic(typing.Protocol):
     """A keyed topic of the store; calls may raise ``PlatformError``."""
 
@@ -96,9 +109,11 @@
     """
     The records of all services' versions.
 
-    ``listed`` returns the versions of the endpoints that are listed, ``recorder`` the
-    name of the entry that writes the records. Before a service's second version gets
-    its record, ``store_streams`` stores the streams that this entry remembers.
+    ``listed`` returns the versions of the endpoints that are listed, and ``running``
+    those that began the streams which may be taken up now, None if that isn't known.
+    ``recorder`` returns the name of the entry that writes the records. Before a
+    service's second version gets its record, ``store_streams`` stores the streams that
+    this entry remembers.
     """
 
     def __init__(
@@ -107,6 +122,7 @@
         network: Network,
         *,
         listed: abc.Callable[[], abc.Set[Origin]],
+        running: abc.Callable[[], abc.Set[Origin] | None],
         recorder: abc.Callable[[], str],
         era: abc.Callable[[], int],
         process_run: str,
@@ -115,6 +131,7 @@
         self._topic = topic
         self._network = network
         self._listed = listed
+        self._running = running
         self._recorder = recorder
         self._era = era
         self._process_run = process_run
@@ -129,6 +146,8 @@
         self._read_lock = asyncio.Lock()
         self._read_began_at = -math.inf
         self._read_versions: dict[str, frozenset[str]] = {}
+        # The era in which the records are complete, as known to the recorder.
+        self._complete_era: int | None = None
         # The versions that have a record, as known to the recorder.
         self._serving: frozenset[Origin] = frozenset()
         self.store_streams: abc.Callable[[str], abc.Awaitable[None]] = _store_nothing
@@ -234,6 +253,7 @@
     async def run(self) -> None:
         """Keep the records in line with the endpoints that are listed."""
         due_at = math.inf
+        is_settled = False
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             listed = self._listed()
@@ -244,10 +264,15 @@
                 self._unlisted_since.clear()
                 self._serving = frozenset()
                 due_at = math.inf
+                is_settled = False
                 continue
             due_at = min(due_at, now + SETTLE_S)
-            if now < due_at or not listed:
+            is_due = now >= due_at
+            # What is new must not wait for the next comparison.
+            has_new = is_settled and self._has_new(listed)
+            if not listed or not (is_due or has_new):
                 continue
+            is_settled = True
             due_at = now + SWEEP_INTERVAL_S
             try:
                 await self.sweep(listed)
@@ -257,6 +282,11 @@
                     extra=logs.fields(reason=error),
                 )
 
+    def _has_new(self, listed: abc.Set[Origin]) -> bool:
+        """Return whether a version lacks its record, or all can be called complete."""
+        can_declare = self._complete_era != self._era() and self._running() is not None
+        return can_declare or not listed <= self._serving
+
     async def sweep(self, listed: abc.Set[Origin]) -> None:
         """Write the records that are missing, and remove one that is out of use."""
         listing = await self._topic.read_all()
@@ -264,12 +294,25 @@
         for origin in known:
             await self._add_serving(origin)
         self._serving = known
-        missing = listed - known
+        running = self._running()
+        missing = (listed | (running or frozenset())) - known
         for origin in missing:
             await self._write(origin)
         self._recorded |= listed
+        self._note_unlisted(listing, listed)
+        if _is_complete(listing):
+            self._complete_era = listing.era
+        elif running is not None:
+            await self._declare_complete(listing.era)
+            return
         if not missing:
-            await self._remove_unused(listing, listed)
+            await self._remove_unused(listing.next_offset)
+
+    async def _declare_complete(self, era: int) -> None:
+        """Let entries rely on the records of an era of the store."""
+        await self._topic.set(COMPLETE_KEY, msgspec.json.encode(Complete(era)))
+        self._complete_era = era
+        log.info("versions in the store are complete", extra=logs.fields(era=era))
 
     async def _add_serving(self, origin: Origin) -> None:
         """Store the streams of a service that has several versions from now on."""
@@ -278,35 +321,29 @@
         if not had_several and self.has_several(origin.service):
             await self.store_streams(origin.service)
 
-    async def _remove_unused(
-        self,
-        listing: topicfollower.Listing,
-        listed: abc.Set[Origin],
+    def _note_unlisted(
+        self, listing: topicfollower.Listing, listed: abc.Set[Origin]
     ) -> None:
+        """Note since when records have had no endpoint."""
         now = self._clock()
-        records = _decode_all(listing)
         unlisted = {
             (key, record.mark)
-            for key, record in records.items()
+            for key, record in _decode_all(listing).items()
             if Origin(record.service, record.version) not in listed
         }
         self._unlisted_since = {
             found: self._unlisted_since.get(found, now) for found in unlisted
         }
-        due = [
-            key
-            for (key, _), since in self._unlisted_since.items()
-            if now - since >= RETENTION_S
-        ]
-        # One at a time: the condition is that nothing was written since the listing.
-        for key in due[:1]:
-            await self._topic.remove(key, expected_end=listing.next_offset)
-            log.info(
-                "version removed from the store",
-                extra=logs.fields(
-                    service=records[key].service, endpoint_version=records[key].version
-                ),
-            )
+
+    async def _remove_unused(self, end_offset: int) -> None:
+        """Remove one record that is out of use, if the topic still ends there."""
+        now = self._clock()
+        for (key, mark), since in self._unlisted_since.items():
+            if now - since < RETENTION_S:
+                continue
+            await self._topic.remove(key, expected_end=end_offset)
+            log.info("version removed from the store", extra=logs.fields(mark=mark))
+            return
 
 
 async def _store_nothing(service: str) -> None:
@@ -331,6 +368,8 @@
 def _decode_all(listing: topicfollower.Listing) -> dict[str, Record]:
     records = {}
     for key, value in listing.values.items():
+        if key == COMPLETE_KEY:
+            continue
         try:
             records[key] = msgspec.json.decode(value, type=Record)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -341,19 +380,26 @@
     return records
 
 
+def _is_complete(listing: topicfollower.Listing) -> bool:
+    """Return whether the records of the store's era name all versions."""
+    value = listing.values.get(COMPLETE_KEY)
+    if value is None:
+        return False
+    try:
+        return msgspec.json.decode(value, type=Complete).era == listing.era
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        log.warning(
+            "record is invalid", extra=logs.fields(key=COMPLETE_KEY, reason=error)
+        )
+        return False
+
+
 def _trusted_versions(listing: topicfollower.Listing) -> dict[str, frozenset[str]]:
-    """Return the versions of each service all of whose records count."""
-    records = _decode_all(listing)
-    versions: dict[str, set[str]] = collections.defaultdict(set)
-    for record in records.values():
-        versions[record.service].add(record.version)
-    doubtful = {
-        record.service for record in records.values() if record.era != listing.era
-    }
-    if len(records) < len(listing.values):
+    """Return the versions of each service, of none if the records aren't complete."""
+    has_invalid = len(_decode_all(listing)) < len(listing.values) - 1
+    if not _is_complete(listing) or has_invalid:
         return {}
-    return {
-        service: frozenset(found)
-        for service, found in versions.items()
-        if service not in doubtful
-    }
+    versions: dict[str, set[str]] = collections.defaultdict(set)
+    for origin in _serving(listing):
+        versions[origin.service].add(origin.version)
+    return {service: frozenset(found) for service, found in versions.items()}
--- a/acaciaward/resumption/streamlog.py
+++ b/acaciaward/resumption/streamlog.py
@@ -27,7 +27,7 @@
 
 Origin = servingversions.Origin
 
-FLUSH_INTERVAL_S = 0.1
+FLUSH_INTERVAL_S = 0.05
 # Pause after an append that failed.
 BACKOFF_S = 0.5
 # More streams than this aren't kept for a store that takes no appends.
