Play endpoints that say they leave or ask for rest, and write down what was seen

Callers of an own run on: 51 of 347 refused in 6 s beside a sound endpoint while the other one said that it leaves and refused half of its requests; 141 of 347 while it refused all and asked for 3 s of rest.

--- a/acaciaward/routing/features/environment.py
+++ b/acaciaward/routing/features/environment.py
@@ -5,7 +5,7 @@
 
 def before_scenario(context, scenario):
     context.runner = asyncio.Runner()
-    context.world = context.traffic = None
+    context.world = context.traffic = context.began_at = None
 
 
 def after_scenario(context, scenario):
--- a/acaciaward/routing/features/steps/limits_steps.py
+++ b/acaciaward/routing/features/steps/limits_steps.py
@@ -1,9 +1,7 @@
 """Steps for limits that endpoints name, with entries that run in this process."""
 
 import asyncio
-import random
 import time
-import typing
 
 import hypothesis
 from behave import given, then, when
@@ -12,115 +10,12 @@
 from acaciaward.catalogue import endpoints
 from acaciaward.catalogue.features import delivery
 from acaciaward.routing import endpointlimits
-from standins import edgeserver
+from acaciaward.routing.features import traffic
 
 # Span of time, factor and number of requests by which a limit may be exceeded.
 WINDOW_S = 4.0
 OVERSHOOT = 1.5
 EXTRA_REQUESTS = 5
-OK = 200
-UNAVAILABLE = 503
-# Recorded for a connection that ended without an answer.
-NO_ANSWER = 0
-
-
-class Answer(typing.NamedTuple):
-    """What a caller got, ``took_s`` after it had sent its request."""
-
-    sent_at: float
-    took_s: float
-    status: int
-    retry_after_s: float | None
-
-
-class Traffic:
-    """Servers of one service, and callers of every entry."""
-
-    def __init__(self, world: delivery.World):
-        self._world = world
-        self._task = None
-        self._calls = set()
-        self.servers = {}
-        self.arrivals = {}
-        self.answers = []
-
-    def arrived(self, server, request):
-        self.arrivals[server.name].append(time.monotonic())
-
-    def ran(self, server, request):
-        pass
-
-    def ended(self, server, request):
-        pass
-
-    async def start(self, names, rate):
-        await self._world.start()
-        for number, name in enumerate(names):
-            server = edgeserver.EdgeServer(
-                self._world.store,
-                self,
-                name=name,
-                service="app",
-                data_centre=f"dc-{number % 2}",
-                rng=random.Random(number),
-            )
-            self.servers[name] = server
-            self.arrivals[name] = []
-            await server.start()
-            server.register(server.port)
-        self._world.store.drop(delivery.ENDPOINTS_TOPIC, "s-0")
-        await self._world.wait_until(
-            lambda: all(
-                entry.endpoint_names == set(names) for entry in self._world.entries
-            ),
-            5.0,
-        )
-        self._task = asyncio.create_task(self._send(rate))
-
-    async def stop(self):
-        for task in [self._task, *self._calls]:
-            task.cancel()
-        await asyncio.gather(self._task, *self._calls, return_exceptions=True)
-        for server in self.servers.values():
-            await server.stop()
-
-    async def _send(self, rate):
-        number = 0
-        while True:
-            entry = self._world.entries[number % len(self._world.entries)]
-            call = asyncio.create_task(self._call(entry, number))
-            self._calls.add(call)
-            call.add_done_callback(self._calls.discard)
-            number += 1
-            await asyncio.sleep(1 / rate)
-
-    async def _call(self, entry, number):
-        sent_at = time.monotonic()
-        port = entry.ports["Frontend"]
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        lines = ["GET /a/x HTTP/1.1", "Host: x.example", f"Attempt-Id: r-{number}"]
-        lines += ["Deadline-Ms: 1000", "Connection: close", "", ""]
-        writer.write("\r\n".join(lines).encode())
-        try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        except (OSError, asyncio.IncompleteReadError):
-            head = f"HTTP/1.1 {NO_ANSWER}\r\n\r\n"
-        headers = dict(
-            line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line
-        )
-        retry_after = headers.get("retry-after")
-        self.answers.append(
-            Answer(
-                sent_at,
-                time.monotonic() - sent_at,
-                int(head.split()[1]),
-                None if retry_after is None else float(retry_after),
-            )
-        )
-        writer.close()
-
-    def answers_since(self, at):
-        return [answer for answer in self.answers if answer.sent_at >= at]
 
 
 def find_most_in_window(arrivals):
@@ -135,9 +30,14 @@
     "{data_centres:d} data centres of {count:d} entries with callers that send"
     " {rate:d} requests a second"
 )
-def start_traffic(context, data_centres, count, rate):
-    context.world = delivery.World(data_centres, count)
-    context.traffic = Traffic(context.world)
+@given(
+    "{data_centres:d} data centres of {count:d} entries with callers that send"
+    " {rate:d} requests a second, each to {attempts:d} endpoints at most"
+)
+def start_traffic(context, data_centres, count, rate, attempts=1):
+    route = {"MaxAttempts": attempts}
+    context.world = delivery.World(data_centres, count, route=route)
+    context.traffic = traffic.Traffic(context.world)
     context.runner.run(context.traffic.start(["app-1", "app-2"], rate))
     context.runner.run(asyncio.sleep(1.0))
 
@@ -175,7 +75,7 @@
 @then("all requests were served meanwhile")
 def check_served(context):
     answers = context.traffic.answers_since(context.limited_at)
-    failed = [answer for answer in answers if answer.status != OK]
+    failed = [answer for answer in answers if answer.status != traffic.OK]
     assert answers and not failed, (len(answers), failed[:5])
 
 
@@ -183,7 +83,7 @@
 def check_rate(context, rate):
     begin = context.limited_at + delivery.CONTACT_S
     answers = context.traffic.answers_since(begin)
-    served = [answer for answer in answers if answer.status == OK]
+    served = [answer for answer in answers if answer.status == traffic.OK]
     seconds = time.monotonic() - begin
     assert len(served) >= rate * seconds, (len(served), seconds)
 
@@ -191,11 +91,11 @@
 @then("the others were refused within {limit_s:g} s, with a time to retry")
 def check_refusals(context, limit_s):
     answers = context.traffic.answers_since(context.limited_at + delivery.CONTACT_S)
-    others = [answer for answer in answers if answer.status != OK]
+    others = [answer for answer in answers if answer.status != traffic.OK]
     wrong = [
         answer
         for answer in others
-        if answer.status != UNAVAILABLE
+        if answer.status != traffic.UNAVAILABLE
         or answer.took_s > limit_s
         or not answer.retry_after_s
     ]
--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -7,6 +7,9 @@
 is truncated), ``cut`` truncates the answer, ``extra`` answers twice, ``fail`` answers
 500. ``share`` is the share of requests that the fault applies to. ``limit_per_s`` is
 named in all answers as the requests that the server takes from all entries together.
+``says_leaving`` decides by request and status which answers say that the server leaves,
+and ``rest`` is the time that refusals with 503 ask to be left alone for; ``on_answer``
+is then called with the headers that tell of the server.
 A request with one of ``deadly_parts`` in its prompt, other than as the last part,
 crashes the server inside the first event of its answer; ``on_crash`` is then called.
 Streams have chunks, or end with their connection if ``is_unframed``. ``version`` is
@@ -90,6 +93,12 @@
         self.behaviour = "pass"
         self.share = 1.0
         self.limit_per_s: float | None = None
+        self.says_leaving: typing.Callable[[edgewire.Request, int], bool] | None = None
+        self.rest: str | None = None
+        self.on_answer: (
+            typing.Callable[[EdgeServer, edgewire.Request, dict[str, str]], None] | None
+        )
+        self.on_answer = None
         self.deadly_parts: frozenset[str] = frozenset()
         self.on_crash: (
             typing.Callable[[EdgeServer, edgewire.Request | None], None] | None
@@ -181,11 +190,7 @@
     ) -> bool:
         expected_name = request.headers.get("expect-instance", self.name)
         attempt_id = request.headers.get("attempt-id", "")
-        limit = {}
-        if self.limit_per_s is not None:
-            limit = {"Server-Limit": f"{self.limit_per_s:g}"}
         headers = {"Attempt-Id": attempt_id, "Server-Signature": f"s.{self.name}"}
-        headers |= limit
         if expected_name != self.name:
             writer.write(edgewire.encode(421, b"", {"Instance-Id": self.name}))
             return True
@@ -194,7 +199,8 @@
         if self._random.random() >= self.share:
             behaviour = "pass"
         if behaviour == "refuse":
-            refusal_headers = {"Attempt-Id": attempt_id, "Not-Executed": "1"} | limit
+            refusal_headers = {"Attempt-Id": attempt_id, "Not-Executed": "1"}
+            refusal_headers |= self._tell(request, 503)
             writer.write(edgewire.encode(503, b"", refusal_headers))
             return True
         if behaviour == "silent":
@@ -203,6 +209,7 @@
         try:
             if behaviour == "fail":
                 await asyncio.sleep(RUN_S)
+                headers |= self._tell(request, 500)
                 writer.write(edgewire.encode(500, b"failed", headers))
                 return True
             if "token-usage" in request.headers:
@@ -211,6 +218,19 @@
         finally:
             self._observer.ended(self, request)
 
+    def _tell(self, request: edgewire.Request, status: int) -> dict[str, str]:
+        """Return the headers by which an answer tells of the server itself."""
+        headers = {}
+        if self.limit_per_s is not None:
+            headers["Server-Limit"] = f"{self.limit_per_s:g}"
+        if self.says_leaving is not None and self.says_leaving(request, status):
+            headers["Server-Leaving"] = "1"
+        if status == 503 and self.rest is not None:
+            headers["Retry-After"] = self.rest
+        if headers and self.on_answer is not None:
+            self.on_answer(self, request, headers)
+        return headers
+
     async def _answer(
         self,
         request: edgewire.Request,
@@ -220,6 +240,8 @@
     ) -> bool:
         await asyncio.sleep(self._random.uniform(RUN_S / 2, 2 * RUN_S))
         body = body_of(headers["Attempt-Id"], request.path)
+        if behaviour not in ("lose", "cut"):
+            headers |= self._tell(request, 200)
         data = edgewire.encode(200, body, headers)
         if behaviour in ("lose", "cut"):
             writer.write(data[: -len(body) // 2] if behaviour == "cut" else b"")
@@ -245,12 +267,13 @@
             int(request.headers["token-usage"].split(",")[1]) // TOKENS_PER_EVENT
         )
         first_event_id = int(request.headers.get("last-event-id", 0)) + 1
+        await asyncio.sleep(self._random.uniform(RUN_S / 2, 2 * RUN_S))
+        headers |= self._tell(request, 200)
         head_lines = ["HTTP/1.1 200 OK"]
         head_lines += [f"{name}: {value}" for name, value in headers.items()]
         head_lines.append(
             "Connection: close" if self.is_unframed else "Transfer-Encoding: chunked"
         )
-        await asyncio.sleep(self._random.uniform(RUN_S / 2, 2 * RUN_S))
         writer.write("\r\n".join([*head_lines, "", ""]).encode())
         aborted_event_id = self._random.randint(first_event_id, last_event_id + 1)
         for event_id in range(first_event_id, last_event_id + 1):
