Log and count what endpoints say of leaving and of rest

Needed to tell an entry that was told and goes on sending from one that wasn't told: neither header had a line. selfreports.py takes up what an answer's head says of its endpoint, so far in attempts.py; the named limit moved there as it was. Nothing acts on the new lines yet. A Retry-After that isn't a number is logged as an invalid limit is.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -20,7 +20,6 @@
     errors,
     events,
     interfaces,
-    metrics,
     responsiveness,
     upstreams,
 )
@@ -137,7 +136,7 @@
         self, progress: callprogress.Progress, work: Work, head: calls.ReplyHead
     ) -> None:
         self._record_data(work)
-        self._record_limit(work, head)
+        self._deps.self_reports.record(work.endpoint, head, work.started_at)
 
     def _record_data(self, work: Work) -> None:
         self._deps.occupancy.record_data(work.endpoint)
@@ -151,15 +150,6 @@
             retry_after_s=head.retry_after_s,
         )
 
-    def _record_limit(self, work: Work, head: calls.ReplyHead) -> None:
-        if head.is_misdirected or not (head.is_signed or head.is_refusal):
-            return
-        if head.limit_per_s is not None:
-            metrics.LIMITED_ANSWERS.inc()
-        self._deps.occupancy.limits.record(
-            work.endpoint, head.limit_per_s, work.started_at
-        )
-
     async def _exchange(
         self,
         progress: callprogress.Progress,
--- a/acaciaward/gateway/calls.py
+++ b/acaciaward/gateway/calls.py
@@ -116,7 +116,9 @@
     means that the request was not run, ``is_misdirected`` that another endpoint now
     has the address, ``is_signed`` that the answer carries the endpoint's signature.
     ``limit_per_s`` is how many requests a second the endpoint takes from all entries
-    together, None without a limit. ``detour`` comes with the answers of peers.
+    together, None without a limit. ``retry_after_s`` of a 503 is how long it wants no
+    requests from this entry, and ``says_leaving`` means that it is leaving. ``detour``
+    comes with the answers of peers.
     """
 
     status: int
@@ -129,4 +131,5 @@
     keep_alive_s: float | None = None
     retry_after_s: float | None = None
     limit_per_s: float | None = None
+    says_leaving: bool = False
     detour: DetourReply | None = None
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -13,6 +13,7 @@
     detours,
     forwarding,
     interfaces,
+    selfreports,
     upstreams,
 )
 from acaciaward.platform import detours as platform_detours, headers
@@ -305,6 +306,7 @@
             interfaces.Dependencies(
                 index=lambda: self.index,
                 occupancy=self.occupancy,
+                self_reports=selfreports.SelfReports(self.occupancy),
                 directory=self.directory,
                 pool=self.pool,
                 reachability=self.reachability,
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -6,7 +6,7 @@
 from acaciaward import verdicts
 from acaciaward.admission import quotas, repeatbudget
 from acaciaward.catalogue import endpoints, routes
-from acaciaward.gateway import callprogress, calls, upstreams
+from acaciaward.gateway import callprogress, calls, selfreports, upstreams
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.resumption import origins
@@ -120,6 +120,7 @@
 
     index: abc.Callable[[], routes.Index | None]
     occupancy: occupancy.Occupancy
+    self_reports: selfreports.SelfReports
     directory: endpoints.Directory
     pool: upstreams.UpstreamPool
     reachability: reachability.Reachability
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -71,6 +71,14 @@
     "acaciaward_gateway_limited_answers_total",
     "Answers of endpoints that named a limit on their requests",
 )
+LEAVING_ANSWERS = prometheus_client.Counter(
+    "acaciaward_gateway_leaving_answers_total",
+    "Answers of endpoints that said that they are leaving",
+)
+REST_ANSWERS = prometheus_client.Counter(
+    "acaciaward_gateway_rest_answers_total",
+    "Refusals of endpoints that asked for rest",
+)
 OPEN_REQUESTS = prometheus_client.Gauge(
     "acaciaward_gateway_open_requests", "Requests that are worked on now"
 )
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -24,6 +24,7 @@
     interfaces,
     links,
     metrics,
+    selfreports,
     stateexchange,
     statushandlers,
 )
@@ -167,6 +168,7 @@
             interfaces.Dependencies(
                 index=lambda: self._store_view.index,
                 occupancy=self._occupancy,
+                self_reports=selfreports.SelfReports(self._occupancy),
                 directory=self._directory,
                 pool=self._links.pool,
                 reachability=self._links.reachability,
--- /dev/null
+++ b/acaciaward/gateway/selfreports.py
@@ -0,0 +1,76 @@
+"""
+Takes up what endpoints say of themselves in the heads of their answers.
+
+    reports = SelfReports(occupancy)
+    reports.record(endpoint, head, sent_at)
+
+An answer with 421 comes from another endpoint that has the address now, so nothing in
+it counts. ``docs/design/endpoint-signals.md`` lists the headers.
+"""
+
+import logging
+from collections import abc
+
+from acaciaward.catalogue import endpoints
+from acaciaward.gateway import calls, metrics
+from acaciaward.observability import logs
+from acaciaward.routing import occupancy
+
+log = logging.getLogger(__name__)
+
+# A refusal with this status may ask for rest.
+REST_STATUS = 503
+
+Take = abc.Callable[[endpoints.Endpoint, calls.ReplyHead, float], None]
+
+
+class SelfReports:
+    """Passes each signal on to what keeps to it."""
+
+    def __init__(self, tracker: occupancy.Occupancy):
+        self._occupancy = tracker
+        self._takers: tuple[Take, ...] = (
+            self._take_limit,
+            self._take_leaving,
+            self._take_rest,
+        )
+
+    def record(
+        self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
+    ) -> None:
+        """Record the head of an answer to a request that was sent at ``sent_at``."""
+        if head.is_misdirected:
+            return
+        for take in self._takers:
+            take(endpoint, head, sent_at)
+
+    def _take_limit(
+        self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
+    ) -> None:
+        if not (head.is_signed or head.is_refusal):
+            return
+        if head.limit_per_s is not None:
+            metrics.LIMITED_ANSWERS.inc()
+        self._occupancy.limits.record(endpoint, head.limit_per_s, sent_at)
+
+    def _take_leaving(
+        self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
+    ) -> None:
+        if not head.says_leaving:
+            return
+        metrics.LEAVING_ANSWERS.inc()
+        log.info(
+            "endpoint says that it leaves",
+            extra=logs.fields(endpoint=endpoint.name, born=endpoint.born),
+        )
+
+    def _take_rest(
+        self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
+    ) -> None:
+        if head.status != REST_STATUS or not head.retry_after_s:
+            return
+        metrics.REST_ANSWERS.inc()
+        log.info(
+            "endpoint asks for rest",
+            extra=logs.fields(endpoint=endpoint.name, rest_s=head.retry_after_s),
+        )
--- a/acaciaward/platform/headers.py
+++ b/acaciaward/platform/headers.py
@@ -24,6 +24,8 @@
 RESUMES = b"resumes"
 NOT_EXECUTED = b"not-executed"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 SIGNATURE = b"server-signature"
 # Set by this project alone, between two entries.
 DETOUR = b"acaciaward-detour"
@@ -182,16 +184,22 @@
         is_misdirected=is_misdirected,
         ends_connection="close" in values.get(b"connection", "").lower(),
         keep_alive_s=_parse_keep_alive(values.get(b"keep-alive", "")),
-        retry_after_s=_parse_number(values.get(b"retry-after")),
-        limit_per_s=_parse_limit(values.get(SERVER_LIMIT)),
+        retry_after_s=_parse_signal(values, RETRY_AFTER),
+        limit_per_s=_parse_signal(values, SERVER_LIMIT),
+        says_leaving=values.get(SERVER_LEAVING, "0").strip() != "0",
     )
 
 
-def _parse_limit(text: str | None) -> float | None:
-    limit_per_s = _parse_number(text)
-    if text is not None and limit_per_s is None:
-        log.warning("endpoint's limit is invalid", extra=logs.fields(limit=text))
-    return limit_per_s
+def _parse_signal(values: dict[bytes, str], name: bytes) -> float | None:
+    """Return what an endpoint says of itself, None if that isn't a number from 0 on."""
+    text = values.get(name)
+    value = _parse_number(text)
+    if text is not None and value is None:
+        log.warning(
+            "endpoint's header is invalid",
+            extra=logs.fields(header=name.decode(), value=text),
+        )
+    return value
 
 
 def _parse_keep_alive(text: str) -> float | None:
