Send no more work to an endpoint whose answers say that it leaves

Callers saw: 51 of 347 refused beside a sound endpoint while the other one said so in refusals; the endpoint got 104 to 116 requests later than the drain time after the entry that sent them was told. Cause: nothing read `Server-Leaving`; only a record's state took an endpoint out. Change: the directory remembers departures by where they are known from, and an endpoint that said so itself stays out whatever its record says, for as long as it is listed and a minute after, until a new start. Without the time of its start that holds until it is removed or has another address. Relays and their digest carry the state that records say, so that entries that were told don't seem to have missed changes. A call that was chosen before is not written once the endpoint has said it (WithdrawnError: no byte was sent).

--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -5,8 +5,9 @@
 of the store that happens to live endpoints, too, so removals seen around an outage are
 deferred for ``REMOVAL_DEFERRAL_S``: meanwhile, a lapsed endpoint gets work only if
 there is no other. An endpoint that restarts under its old name is another incarnation,
-and nothing known of the old one applies to it. One that has said it is leaving doesn't
-stay, whatever a store that was restored from an older copy says.
+and nothing known of the old one applies to it. One that has said it is leaving, in its
+record or in an answer, doesn't stay: the store may list it as ready for seconds, or be
+restored from an older copy.
 """
 
 import enum
@@ -24,9 +25,12 @@
 OUTAGE_SETTLE_S = 3.0
 # How long versions of endpoints that have ended are remembered; longer than a stream.
 ENDED_VERSIONS_S = 600.0
-# How long it is remembered that an endpoint was leaving; longer than a copy is old.
+# How long it is remembered that an endpoint was leaving, after it was last seen; longer
+# than a copy is old.
 LEAVING_MEMORY_S = 60.0
 
+Incarnation = tuple[str, int]
+
 
 class EndpointState(enum.Enum):
     """Whether new work may go to an endpoint."""
@@ -63,6 +67,21 @@
         return (self.name, self.born)
 
 
+class _Departure(typing.NamedTuple):
+    """
+    That an endpoint is leaving, and when it was last seen.
+
+    It is known from the endpoint's record, from an answer to this entry or from one to
+    another entry, or from several of them.
+    """
+
+    seen_at: float
+    address: tuple[str, int]
+    in_record: bool = False
+    in_answer: bool = False
+    by_peer: bool = False
+
+
 class Directory:
     """The endpoints known to this entry, updated by change events."""
 
@@ -70,8 +89,8 @@
         self._clock = clock
         self._endpoints: dict[str, Endpoint] = {}
         self._leaving_since: dict[str, float] = {}
-        # When an incarnation last said that it is leaving, also after its removal.
-        self._said_leaving_at: dict[tuple[str, int], float] = {}
+        # The incarnations that are leaving, also after their removal.
+        self._departures: dict[Incarnation, _Departure] = {}
         self._deferred_removals: dict[str, float] = {}
         self._mismatched: set[tuple[str, int]] = set()
         self._outage_seen_at = -OUTAGE_SETTLE_S
@@ -127,21 +146,88 @@
         self._notify(previous, endpoint)
 
     def _keep_leaving(self, endpoint: Endpoint) -> Endpoint:
-        now = self._clock()
         if endpoint.state is EndpointState.LEAVING:
-            self._said_leaving_at = {
-                incarnation: said_at
-                for incarnation, said_at in self._said_leaving_at.items()
-                if now - said_at < LEAVING_MEMORY_S
-            }
-            self._said_leaving_at[endpoint.incarnation] = now
+            self._record_departure(endpoint, in_record=True)
             return endpoint
-        # Without the time of its start, one that has restarted may be ready again.
-        said_at = self._said_leaving_at.get(endpoint.incarnation)
-        if not endpoint.born or said_at is None or now - said_at >= LEAVING_MEMORY_S:
+        departure = self._departures.get(endpoint.incarnation)
+        if departure is None or not self._is_same_start(endpoint, departure):
             return endpoint
+        self._record_departure(endpoint)
         return endpoint._replace(state=EndpointState.LEAVING)
 
+    def _is_same_start(self, endpoint: Endpoint, departure: _Departure) -> bool:
+        """Return whether an endpoint is the one that was leaving, not a later start."""
+        if self._has_expired(endpoint.incarnation, departure):
+            return False
+        if endpoint.born:
+            return True
+        # Without the time of its start, one that has restarted may be ready again. A
+        # record that says so takes its word back, an answer is still true.
+        is_known = endpoint.name in self._endpoints
+        address = (endpoint.address, endpoint.port)
+        is_told = departure.in_answer or departure.by_peer
+        return is_known and is_told and address == departure.address
+
+    def _has_expired(self, incarnation: Incarnation, departure: _Departure) -> bool:
+        is_old = self._clock() - departure.seen_at >= LEAVING_MEMORY_S
+        return is_old and not self.is_leaving(incarnation)
+
+    def _record_departure(self, endpoint: Endpoint, **source: bool) -> None:
+        now = self._clock()
+        self._departures = {
+            incarnation: departure
+            for incarnation, departure in self._departures.items()
+            if not self._has_expired(incarnation, departure)
+        }
+        address = (endpoint.address, endpoint.port)
+        known = self._departures.get(endpoint.incarnation, _Departure(now, address))
+        self._departures[endpoint.incarnation] = known._replace(
+            seen_at=now, address=address, **source
+        )
+
+    def record_leaving(self, incarnation: Incarnation, *, by_peer: bool) -> None:
+        """
+        Record that an endpoint has said in an answer that it is leaving.
+
+        ``by_peer`` means that it has told another entry so.
+        """
+        endpoint = self._endpoints.get(incarnation[0])
+        if endpoint is None or endpoint.incarnation != incarnation:
+            return
+        if by_peer:
+            self._record_departure(endpoint, by_peer=True)
+        else:
+            self._record_departure(endpoint, in_answer=True)
+        if endpoint.state is EndpointState.READY:
+            self.update(endpoint)
+
+    @property
+    def told_leaving(self) -> list[Incarnation]:
+        """The endpoints that told this entry that they leave, and no record says so."""
+        return [
+            endpoint.incarnation
+            for endpoint in self._endpoints.values()
+            if (departure := self._departures.get(endpoint.incarnation)) is not None
+            and departure.in_answer
+            and not departure.in_record
+        ]
+
+    def as_listed(self, endpoint: Endpoint) -> Endpoint:
+        """Return an endpoint in the state that its record says."""
+        departure = self._departures.get(endpoint.incarnation)
+        if departure is None or departure.in_record:
+            return endpoint
+        return endpoint._replace(state=EndpointState.READY)
+
+    def is_leaving(self, incarnation: Incarnation) -> bool:
+        """Return whether an endpoint is known to be leaving."""
+        endpoint = self._endpoints.get(incarnation[0])
+        return (
+            endpoint is not None
+            and endpoint.incarnation == incarnation
+            and endpoint.state is EndpointState.LEAVING
+        )
+
     def remove(self, name: str, reason: str) -> None:
         """Remove an endpoint, deferred if the store was unavailable just before."""
         if name not in self._endpoints:
--- a/acaciaward/catalogue/features/catalogue.feature
+++ b/acaciaward/catalogue/features/catalogue.feature
@@ -47,6 +47,42 @@
     When e-1 starts again
     Then e-1, e-2 may get work
 
+  # Guards against work for an endpoint whose answers say that it leaves, as its record
+  # is ready for seconds.
+  Scenario: An endpoint that says in an answer that it leaves gets no work by its record
+    Given endpoints e-1 and e-2
+    When e-1 says in an answer that it leaves
+    And 61 s pass
+    And e-1 writes its record again
+    Then e-2 may get work
+    And e-1 is told to peers as leaving
+    When e-1 starts again
+    Then e-1, e-2 may get work
+    And none is told to peers as leaving
+
+  # Guards against work for such an endpoint if its record names no start.
+  Scenario: An endpoint without the time of its start stays away until it is removed
+    Given endpoints e-1 and e-2 without the times of their starts
+    When e-1 says in an answer that it leaves
+    And e-1 writes its record again
+    Then e-2 may get work
+    When the record of e-1 is removed
+    And e-1 writes its record again
+    Then e-1, e-2 may get work
+
+  Scenario: What another entry was told isn't told on
+    Given endpoints e-1 and e-2
+    When a peer says that e-1 leaves
+    Then e-2 may get work
+    And none is told to peers as leaving
+
+  Scenario: An endpoint whose record says that it leaves, too, isn't told on
+    Given endpoints e-1 and e-2
+    When e-1 says in an answer that it leaves
+    And e-1 reports that it is leaving
+    Then e-2 may get work
+    And none is told to peers as leaving
+
   Scenario: A new start under an old name is another incarnation
     Given endpoints e-1 and e-2
     When another server answers at the address of e-1
--- a/acaciaward/catalogue/features/steps/catalogue_steps.py
+++ b/acaciaward/catalogue/features/steps/catalogue_steps.py
@@ -45,11 +45,33 @@
 
 
 @given("endpoints e-1 and e-2")
-def make_directory(context):
+def make_directory(context, born=1):
     context.now = 100.0
+    context.born = born
     context.directory = endpoints.Directory(lambda: context.now)
     for name in ("e-1", "e-2"):
-        context.directory.update(make_endpoint(name))
+        context.directory.update(make_endpoint(name, born=born))
+
+
+@given("endpoints e-1 and e-2 without the times of their starts")
+def make_bornless(context):
+    make_directory(context, born=0)
+
+
+@when("{name} says in an answer that it leaves")
+def say_leaving(context, name):
+    context.directory.record_leaving((name, context.born), by_peer=False)
+
+
+@when("a peer says that {name} leaves")
+def hear_leaving(context, name):
+    context.directory.record_leaving((name, context.born), by_peer=True)
+
+
+@then("{names} is told to peers as leaving")
+def check_told(context, names):
+    found = [name for name, _ in context.directory.told_leaving]
+    assert (found or ["none"]) == names.split(", "), found
 
 
 @when("the record of {name} is removed")
@@ -70,7 +92,7 @@
 
 @when("{name} writes its record again")
 def write_again(context, name):
-    context.directory.update(make_endpoint(name))
+    context.directory.update(make_endpoint(name, born=context.born))
 
 
 @when("an older copy of the store lists all as ready")
--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -84,6 +84,7 @@
             left_s = progress.left_s
             if left_s < MIN_TIME_LEFT_S:
                 raise TimeoutError
+            self._check_wanted(work)
             headers = self._encode(progress, work, left_s)
             self._record_sent(progress, work, is_new_connection=not upstream.exchanges)
             was_sent_before = progress.may_have_run
@@ -142,6 +143,11 @@
         self._deps.occupancy.record_data(work.endpoint)
         self._deps.reachability.record_data(work.endpoint.service)
 
+    def _check_wanted(self, work: Work) -> None:
+        """Raise if the endpoint has said, while it was connected to, that it leaves."""
+        if self._deps.directory.is_leaving(work.endpoint.incarnation):
+            raise errors.WithdrawnError("leaving")
+
     @staticmethod
     def _refusal_error(head: calls.ReplyHead) -> errors.NotRunError:
         return errors.NotRunError(
--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -255,6 +255,9 @@
     def _record_survived(self, progress: callprogress.Progress) -> None:
         """Do nothing: the peer has recorded it."""
 
+    def _check_wanted(self, work: attempts.Work) -> None:
+        """Do nothing: the peer is no endpoint."""
+
     @staticmethod
     def _refusal_error(head: calls.ReplyHead) -> errors.NotRunError:
         return errors.PeerRefusalError(
--- a/acaciaward/gateway/errors.py
+++ b/acaciaward/gateway/errors.py
@@ -15,6 +15,10 @@
     """No byte was written: the call has not run at this endpoint."""
 
 
+class WithdrawnError(ForwardingError):
+    """The endpoint takes no more calls since it was chosen; no byte was written."""
+
+
 class NotRunError(ForwardingError):
     """The endpoint answered that it did not run the call."""
 
--- a/acaciaward/gateway/features/forwarding.feature
+++ b/acaciaward/gateway/features/forwarding.feature
@@ -46,6 +46,14 @@
     When a caller asks
     Then the answer is 502 and 1 request arrived
 
+  # Guards against sends, once a connection stands, to an endpoint that has said meanwhile
+  # that it leaves.
+  Scenario: A call isn't sent to an endpoint that leaves while it is connected to
+    Given a front for non_idempotent requests
+    When a caller asks while the endpoint that is connected to says that it leaves
+    Then the answer is 200 and 1 request arrived
+    And the endpoint that leaves got nothing
+
   Scenario: Bytes after an answer are discarded
     Given a front for idempotent requests
     And the endpoints answer twice, then answer
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -306,7 +306,7 @@
             interfaces.Dependencies(
                 index=lambda: self.index,
                 occupancy=self.occupancy,
-                self_reports=selfreports.SelfReports(self.occupancy),
+                self_reports=selfreports.SelfReports(self.directory, self.occupancy),
                 directory=self.directory,
                 pool=self.pool,
                 reachability=self.reachability,
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -261,6 +261,29 @@
     context.took_s = time.monotonic() - began
 
 
+@when("a caller asks while the endpoint that is connected to says that it leaves")
+def ask_while_leaving(context):
+    front = context.front
+    acquire = front.pool.acquire
+    context.left = []
+
+    async def acquire_slowly(endpoint, **options):
+        upstream = await acquire(endpoint, **options)
+        if not context.left:
+            context.left.append(endpoint.name)
+            front.directory.record_leaving(endpoint.incarnation, by_peer=False)
+        return upstream
+
+    front.pool.acquire = acquire_slowly
+    ask(context)
+
+
+@then("the endpoint that leaves got nothing")
+def check_left_alone(context):
+    (name,) = context.left
+    assert not context.front.endpoints[name].requests
+
+
 @when("a caller with a timeout of {timeout_s:g} s asks")
 def ask_with_timeout(context, timeout_s):
     context.data, context.is_reset = context.runner.run(
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -187,6 +187,9 @@
             is_unreachable = True
             progress.failed_connects += 1
             decisions.record_failed_attempt(progress, work, error)
+        except errors.WithdrawnError as error:
+            is_failed = False
+            decisions.record_failed_attempt(progress, work, error)
         except errors.NotRunError as error:
             is_failed = error.is_misdirected
             if error.is_misdirected:
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -168,7 +168,7 @@
             interfaces.Dependencies(
                 index=lambda: self._store_view.index,
                 occupancy=self._occupancy,
-                self_reports=selfreports.SelfReports(self._occupancy),
+                self_reports=selfreports.SelfReports(self._directory, self._occupancy),
                 directory=self._directory,
                 pool=self._links.pool,
                 reachability=self._links.reachability,
--- a/acaciaward/gateway/selfreports.py
+++ b/acaciaward/gateway/selfreports.py
@@ -1,7 +1,7 @@
 """
 Takes up what endpoints say of themselves in the heads of their answers.
 
-    reports = SelfReports(occupancy)
+    reports = SelfReports(directory, occupancy)
     reports.record(endpoint, head, sent_at)
 
 An answer with 421 comes from another endpoint that has the address now, so nothing in
@@ -27,7 +27,8 @@
 class SelfReports:
     """Passes each signal on to what keeps to it."""
 
-    def __init__(self, tracker: occupancy.Occupancy):
+    def __init__(self, directory: endpoints.Directory, tracker: occupancy.Occupancy):
+        self._directory = directory
         self._occupancy = tracker
         self._takers: tuple[Take, ...] = (
             self._take_limit,
@@ -59,10 +60,12 @@
         if not head.says_leaving:
             return
         metrics.LEAVING_ANSWERS.inc()
-        log.info(
-            "endpoint says that it leaves",
-            extra=logs.fields(endpoint=endpoint.name, born=endpoint.born),
-        )
+        if not self._directory.is_leaving(endpoint.incarnation):
+            log.info(
+                "endpoint says that it leaves",
+                extra=logs.fields(endpoint=endpoint.name, born=endpoint.born),
+            )
+        self._directory.record_leaving(endpoint.incarnation, by_peer=False)
 
     def _take_rest(
         self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -277,7 +277,7 @@
     def _collect_changes(self) -> tuple[list[messages.EndpointFields], list[str]]:
         changed, self._changed = self._changed, {}
         present = [
-            _to_fields(endpoint)
+            _to_fields(self._directory.as_listed(endpoint))
             for endpoint in changed.values()
             if endpoint is not None
         ]
@@ -305,7 +305,7 @@
             "endpoints": changes[0],
             "removed": changes[1],
             "lapsed": self._directory.deferred_removals,
-            "digest": endpoints_digest(self._directory.all()),
+            "digest": self._digest(),
             "levels": own_state.levels,
             **sums._asdict(),
             "load": _rounded(sums.load),
@@ -336,9 +336,14 @@
         for name in relay["removed"]:
             self._directory.remove_now(name, "its reader says so")
         self._directory.defer_removals(relay["lapsed"])
-        is_equal = relay["digest"] == endpoints_digest(self._directory.all())
+        is_equal = relay["digest"] == self._digest()
         self._mismatches = 0 if is_equal else self._mismatches + 1
 
+    def _digest(self) -> int:
+        # What endpoints say in answers reaches the entries at different times.
+        listed = map(self._directory.as_listed, self._directory.all())
+        return endpoints_digest(listed)
+
     def _apply_relay(self, relay: messages.Relay) -> None:
         self._last_relay_at = time.monotonic()
         self._store_read_at = self._last_relay_at - relay["age_s"]
