--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -314,6 +314,7 @@
             endpoint
             for endpoint in self.of_service(service)
             if endpoint.name in self._deferred_removals
+            and endpoint.state is EndpointState.READY
             and endpoint.incarnation not in self._mismatched
         ]
 
--- a/acaciaward/catalogue/features/catalogue.feature
+++ b/acaciaward/catalogue/features/catalogue.feature
@@ -35,6 +35,15 @@
     When e-1 reports that it is leaving
     Then e-2 may get work
 
+  # Guards against work for a leaving endpoint when the store's outage lets it lapse.
+  Scenario: A leaving endpoint isn't the last resort when it lapses
+    Given endpoints e-1 and e-2
+    When e-1 reports that it is leaving
+    And the store fails
+    And the record of e-1 is removed
+    Then e-2 may get work
+    And none may get work if there is no other
+
   # Guards against work for an endpoint that left and that a restored store lists again.
   Scenario: An endpoint that was leaving gets no work again from an older copy
     Given endpoints e-1 and e-2
