Tell all entries which endpoints say that they leave

Callers saw: calls that were spent on an endpoint which refuses, at entries that hadn't had an answer from it; 84 and 57 requests later than the contact time after another entry had been told. Cause: an answer is news to one entry, and records say "ready" for seconds. Change: reports and relays carry the endpoints that told an entry, for as long as no record says it. An entry reports only what it was told itself, so the news ends with the entry or the record. Older builds pass the field over.

--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -241,6 +241,7 @@
         self._state_exchange = stateexchange.GatewayStateExchange(
             stateexchange.Components(
                 self._quotas,
+                self._directory,
                 self._occupancy,
                 self._demand,
                 self._suspects,
--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -4,6 +4,7 @@
 from collections import abc
 
 from acaciaward.admission import quotas
+from acaciaward.catalogue import endpoints
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.relays import relaying
 from acaciaward.routing import demand, occupancy
@@ -17,6 +18,7 @@
     """The components whose state is shared among entries."""
 
     quotas: quotas.Quotas
+    directory: endpoints.Directory
     occupancy: occupancy.Occupancy
     demand: demand.Demand
     suspects: suspects.Suspects
@@ -48,6 +50,7 @@
             levels=components.quotas.levels(),
             limits=components.occupancy.limits.report(),
             parts=components.prompt_parts.report(),
+            leaving=components.directory.told_leaving,
         )
 
     def receive_state(self, state: relaying.RelayedState) -> None:
@@ -61,6 +64,8 @@
         self._components.suspects.receive(sums.crashes)
         self._components.prompt_parts.receive(sums.parts)
         self._components.occupancy.limits.receive(sums.limits)
+        for name, born in sums.leaving:
+            self._components.directory.record_leaving((name, born), by_peer=True)
         self._demand = {
             service: demand.ServiceDemand(*service_demand)
             for service, service_demand in sums.demand.items()
--- a/acaciaward/relays/aggregation.py
+++ b/acaciaward/relays/aggregation.py
@@ -10,6 +10,7 @@
 import typing
 from collections import abc
 
+from acaciaward.catalogue import endpoints
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.relays import messages
 from acaciaward.routing import endpointlimits
@@ -41,7 +42,8 @@
     Sums over several entries.
 
     ``heard`` counts the entries whose messages the sums are based on. ``crashes`` and
-    ``parts`` are those that any entry reports, ``limits`` the newest ones of endpoints.
+    ``parts`` are those that any entry reports, ``limits`` the newest ones of endpoints,
+    and ``leaving`` names those that told any entry that they leave.
     """
 
     heard: int
@@ -51,6 +53,7 @@
     crashes: suspects.CrashReport
     limits: endpointlimits.Report = {}
     parts: promptparts.Report = promptparts.empty_report()
+    leaving: abc.Sequence[endpoints.Incarnation] = ()
 
 
 class _UseTotals:
@@ -142,6 +145,7 @@
             suspects.merge(message["crashes"] for message in reports),
             self._merge_limits(self._reports),
             _merge_parts(reports),
+            _merge_leaving(reports),
         )
 
     def sums_for(self, entry: str) -> Sums:
@@ -167,6 +171,7 @@
         crashes = suspects.merge(message["crashes"] for message in all_messages)
         limits = self._merge_limits(self._reports, self._summaries)
         parts = _merge_parts(all_messages)
+        leaving = _merge_leaving(all_messages)
         own_loads = {message["sender"]: message["load"] for message in reports}
         sums = {}
         for entry in entries:
@@ -180,6 +185,7 @@
                 crashes,
                 limits,
                 parts,
+                leaving,
             )
         return sums
 
@@ -241,6 +247,14 @@
     )
 
 
+def _merge_leaving(
+    received: abc.Iterable[typing.Any],
+) -> list[endpoints.Incarnation]:
+    return sorted(
+        {tuple(one) for message in received for one in message.get("leaving", ())}
+    )
+
+
 def _add_figures(
     parts: abc.Iterable[abc.Mapping[str, tuple[float, ...]]],
 ) -> dict[str, tuple[float, ...]]:
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -42,7 +42,8 @@
     requests during which endpoints crashed. ``limits`` holds what endpoints take in
     requests a second from all entries, None for a limit that was lifted, and the age of
     that in seconds; ``parts`` holds the parts of prompts under which endpoints crashed.
-    Both are missing in messages of older builds.
+    ``leaving`` names the endpoints, with their starts, that said in answers that they
+    leave. These three are missing in messages of older builds.
     """
 
     use: dict[str, float]
@@ -51,6 +52,7 @@
     crashes: suspects.CrashReport
     limits: typing.NotRequired[dict[str, tuple[float | None, float]]]
     parts: typing.NotRequired[promptparts.Report]
+    leaving: typing.NotRequired[list[tuple[str, int]]]
 
 
 class Report(Figures):
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -60,6 +60,7 @@
     levels: dict[str, float]
     limits: endpointlimits.Report = {}
     parts: promptparts.Report = promptparts.empty_report()
+    leaving: abc.Sequence[endpoints.Incarnation] = ()
 
 
 class RelayedState(typing.NamedTuple):
--- a/acaciaward/relays/relaysizes.py
+++ b/acaciaward/relays/relaysizes.py
@@ -13,7 +13,17 @@
 
 LOG_INTERVAL_S = 2.0
 # Parts that make up most of a relay; the rest is counted together.
-PARTS = ("use", "load", "demand", "crashes", "limits", "parts", "endpoints", "levels")
+PARTS = (
+    "use",
+    "load",
+    "demand",
+    "crashes",
+    "limits",
+    "parts",
+    "leaving",
+    "endpoints",
+    "levels",
+)
 
 RELAY_BYTES = prometheus_client.Gauge(
     "acaciaward_relay_bytes", "Size of this reader's last relay by part", ["part"]
