Learn through peers, too, that an endpoint leaves

An entry that is cut off passes on answers that come through a peer; the endpoint that said in one that it leaves would get its calls again once the cut heals. The peer now names the endpoint in its own header, and the entry takes it up as if it had been told itself. Before, without the line that takes it up: 'An entry learns through a peer that an endpoint leaves' fails, neither endpoint is known to leave.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -200,7 +200,7 @@
             raise errors.BrokenOffError(f"endpoint failed with {reply.head.status}")
         await responder.send(
             reply.head.status,
-            reply.head.headers + self._detour_headers(progress),
+            reply.head.headers + self._detour_headers(progress, work, reply.head),
             body,
         )
 
@@ -243,32 +243,38 @@
                 if progress.stream_version is None:
                     await self._bind_to_version(progress, work, reply.head)
                 if not responder.has_begun:
-                    await self._start_answer(progress, reply, responder)
+                    await self._start_answer(progress, work, reply, responder)
                 await responder.write(b"".join(new_data))
         if splitter.rest.strip():
             raise errors.ConnectionLostError("stream ended inside an event")
         if not reply.is_framed and not has_event:
             raise errors.ConnectionLostError("stream ended before its first event")
         if not responder.has_begun:
-            await self._start_answer(progress, reply, responder)
+            await self._start_answer(progress, work, reply, responder)
         await responder.finish()
 
     async def _start_answer(
         self,
         progress: callprogress.Progress,
+        work: Work,
         reply: upstreams.Reply,
         responder: callers.Responder,
     ) -> None:
-        await responder.start(
-            reply.head.status, reply.head.headers + self._detour_headers(progress)
-        )
+        detour_headers = self._detour_headers(progress, work, reply.head)
+        await responder.start(reply.head.status, reply.head.headers + detour_headers)
 
-    def _detour_headers(self, progress: callprogress.Progress) -> calls.Headers:
+    def _detour_headers(
+        self, progress: callprogress.Progress, work: Work, head: calls.ReplyHead
+    ) -> calls.Headers:
         """Return what the peer gets to know that sent the call through this entry."""
         if progress.call.detour is None:
             return []
         return self._deps.detour_codec.encode_reply(
-            calls.DetourReply(progress.sends, progress.stream_version)
+            calls.DetourReply(
+                progress.sends,
+                progress.stream_version,
+                leaving=work.endpoint.incarnation if head.says_leaving else None,
+            )
         )
 
     def _record_survived(self, progress: callprogress.Progress) -> None:
--- a/acaciaward/gateway/calls.py
+++ b/acaciaward/gateway/calls.py
@@ -52,7 +52,8 @@
     ``sends`` are those before its first byte, of this entry and the peer, and
     ``version`` is that of the endpoint that began a stream. An answer of the peer's own
     has a ``verdict`` and its ``reason``; ``is_cut_off`` means that the peer is cut off
-    from the service's endpoints itself.
+    from the service's endpoints itself. ``leaving`` names an endpoint, with its start,
+    that says in its answer that it leaves.
     """
 
     sends: int
@@ -60,6 +61,7 @@
     verdict: verdicts.Verdict | None = None
     reason: str = ""
     is_cut_off: bool = False
+    leaving: tuple[str, int] | None = None
 
 
 class Call(typing.NamedTuple):
--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -244,6 +244,8 @@
     ) -> None:
         if head.detour is None:
             return
+        if head.detour.leaving is not None:
+            self._deps.directory.record_leaving(head.detour.leaving, by_peer=False)
         if head.detour.verdict is not None:
             progress.sends = max(work.sends_before, head.detour.sends)
         elif progress.stream_version not in (None, head.detour.version):
--- a/acaciaward/gateway/features/detours.feature
+++ b/acaciaward/gateway/features/detours.feature
@@ -8,6 +8,14 @@
     And the endpoint's signature is passed on, and nothing that entries tell each other
     And 1 request has arrived, without key and with the organisation
 
+  # Guards against work after a cut for an endpoint that said in it that it leaves.
+  Scenario: An entry learns through a peer that an endpoint leaves
+    Given an entry for non_idempotent requests that is cut off, and 2 peers
+    And all endpoints answer that they leave
+    When a caller asks
+    Then the answer is 200 with the body "done"
+    And the entry knows that 1 endpoint leaves
+
   Scenario: An entry that reaches endpoints sends nothing through its peers
     Given an entry for non_idempotent requests that reaches endpoints, and 2 peers
     When a caller asks
--- a/acaciaward/gateway/features/steps/detours_steps.py
+++ b/acaciaward/gateway/features/steps/detours_steps.py
@@ -449,3 +449,16 @@
     front = context.front
     (name,) = [name for name, one in front.endpoints.items() if one.requests]
     assert front.directory.get(name).version == version, name
+
+
+@given("all endpoints answer that they leave")
+def answer_leaving(context):
+    for front in context.group.fronts:
+        front.always(scripted.answer(lines=b"Server-Leaving: 1\r\n"))
+
+
+@then("the entry knows that {count:d} endpoint leaves")
+def check_leaving(context, count):
+    directory = context.group.entry.directory
+    known = [directory.is_leaving(one.incarnation) for one in directory.all()]
+    assert sum(known) == count, known
--- a/acaciaward/platform/detours.py
+++ b/acaciaward/platform/detours.py
@@ -39,6 +39,8 @@
     verdict: verdicts.Verdict | None
     reason: str
     is_cut_off: bool
+    # Missing in messages of older builds.
+    leaving: typing.NotRequired[tuple[str, int] | None]
 
 
 _DETOUR_DECODER = msgspec.json.Decoder(DetourFields)
@@ -119,4 +121,5 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         log.warning("a peer's header is invalid", extra=logs.fields(reason=error))
         return None
-    return {name: fields[name] for name in decoder.type.__annotations__}
+    known = decoder.type.__annotations__
+    return {name: value for name, value in fields.items() if name in known}
