Leave an endpoint alone for the time of rest that its refusals ask for

Callers saw: 141 of 347 refused in 6 s beside a sound endpoint, as each first send to the one that refuses took a retry of the shared budget. The endpoint had asked each entry for 3 s of rest and got up to 25 requests in them. Cause: `Retry-After` of an endpoint's 503 was decoded, and nothing chose by it. Evidence: 186 sends beside 185 refusals that ask for rest, all with send=1. Change: routing/rests.py keeps the times by endpoint, for this entry only; an endpoint at rest isn't chosen, nor an alternative, nor sent a call that was chosen before. A later refusal takes nothing back; a new start is free.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -144,9 +144,11 @@
         self._deps.reachability.record_data(work.endpoint.service)
 
     def _check_wanted(self, work: Work) -> None:
-        """Raise if the endpoint has said, while it was connected to, that it leaves."""
+        """Raise if the endpoint wants no calls any more since it was chosen."""
         if self._deps.directory.is_leaving(work.endpoint.incarnation):
             raise errors.WithdrawnError("leaving")
+        if self._deps.occupancy.rests.left_s(work.endpoint):
+            raise errors.WithdrawnError("at rest")
 
     @staticmethod
     def _refusal_error(head: calls.ReplyHead) -> errors.NotRunError:
--- a/acaciaward/gateway/features/forwarding.feature
+++ b/acaciaward/gateway/features/forwarding.feature
@@ -34,6 +34,40 @@
     When a caller asks
     Then the answer is 200 and 2 requests arrived
 
+  # Guards against requests to an endpoint that has asked this entry for rest.
+  Scenario Outline: An endpoint that refuses names how long it wants no requests
+    Given a front for non_idempotent requests with 1 endpoints
+    And all refuse with the line "<line>"
+    When a caller asks 2 times
+    Then both answers are 503
+    And <count> request arrived
+
+    Examples:
+      | line                                       | count |
+      | Retry-After: 3                             | 1     |
+      | retry-after: 0.75                          | 1     |
+      | Retry-After: 1e12                          | 1     |
+      | Retry-After: 0                             | 2     |
+      | Retry-After: -3                            | 2     |
+      | Retry-After: soon                          | 2     |
+      | Retry-After: inf                           | 2     |
+      | Retry-After: Fri, 04 Dec 2026 21:00:00 GMT | 2     |
+
+  # Guards against requests in the rest that a failure asks for.
+  Scenario: A call that may have run is not repeated, and its endpoint rests all the same
+    Given a front for non_idempotent requests with 1 endpoints
+    And all answer 503 without a promise, with the line "Retry-After: 3"
+    When a caller asks 2 times
+    Then 1 request arrived
+
+  # Guards against sends, once a connection stands, to an endpoint that has refused others
+  # meanwhile.
+  Scenario: A call isn't sent to an endpoint that asks for rest while it is connected to
+    Given a front for non_idempotent requests
+    When a caller asks while the endpoint that is connected to asks for rest
+    Then the answer is 200 and 1 request arrived
+    And the endpoint that leaves got nothing
+
   Scenario: A call refused by all endpoints is refused with a retry delay
     Given a front for non_idempotent requests
     And the endpoints refuse, then refuse
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -222,11 +222,12 @@
     return script
 
 
-def refuse():
+def refuse(lines=b""):
     async def script(head, reader, writer):
         writer.write(
             b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
             + echo(head)
+            + lines
             + b"Content-Length: 0\r\n\r\n"
         )
         await writer.drain()
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -261,20 +261,46 @@
     context.took_s = time.monotonic() - began
 
 
+@given('all refuse with the line "{line}"')
+def refuse_with_line(context, line):
+    context.front.always(scripted.refuse(lines=line.encode() + b"\r\n"))
+
+
+@given('all answer 503 without a promise, with the line "{line}"')
+def fail_with_line(context, line):
+    lines = line.encode() + b"\r\n"
+    context.front.always(scripted.answer(status=b"503 Unavailable", lines=lines))
+
+
 @when("a caller asks while the endpoint that is connected to says that it leaves")
 def ask_while_leaving(context):
+    directory = context.front.directory
+    ask_while_withdrawn(
+        context,
+        lambda endpoint: directory.record_leaving(endpoint.incarnation, by_peer=False),
+    )
+
+
+@when("a caller asks while the endpoint that is connected to asks for rest")
+def ask_while_at_rest(context):
+    rests = context.front.occupancy.rests
+    ask_while_withdrawn(context, lambda endpoint: rests.record(endpoint, 3.0))
+
+
+def ask_while_withdrawn(context, withdraw):
+    """Ask; ``withdraw`` is called with the first endpoint once it is connected to."""
     front = context.front
     acquire = front.pool.acquire
     context.left = []
 
-    async def acquire_slowly(endpoint, **options):
+    async def acquire_and_withdraw(endpoint, **options):
         upstream = await acquire(endpoint, **options)
         if not context.left:
             context.left.append(endpoint.name)
-            front.directory.record_leaving(endpoint.incarnation, by_peer=False)
+            withdraw(endpoint)
         return upstream
 
-    front.pool.acquire = acquire_slowly
+    front.pool.acquire = acquire_and_withdraw
     ask(context)
 
 
--- a/acaciaward/gateway/selfreports.py
+++ b/acaciaward/gateway/selfreports.py
@@ -73,7 +73,4 @@
         if head.status != REST_STATUS or not head.retry_after_s:
             return
         metrics.REST_ANSWERS.inc()
-        log.info(
-            "endpoint asks for rest",
-            extra=logs.fields(endpoint=endpoint.name, rest_s=head.retry_after_s),
-        )
+        self._occupancy.rests.record(endpoint, head.retry_after_s)
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -12,7 +12,7 @@
 
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls
-from acaciaward.routing import endpointlimits, health, placement
+from acaciaward.routing import endpointlimits, health, placement, rests
 
 # Other entries' reports older than this are ignored, in seconds.
 REPORT_LIFETIME_S = 3.0
@@ -92,8 +92,8 @@
     """
     Counts the work at endpoints, tracks their health, and chooses by both.
 
-    ``limits`` are those that endpoints name. One that has reached its limit isn't
-    chosen.
+    ``limits`` are those that endpoints name, ``rests`` the times for which they want no
+    requests. One that has reached its limit or is at rest isn't chosen.
     """
 
     def __init__(
@@ -109,6 +109,7 @@
         self._directory = directory
         self._data_centre = data_centre
         self.limits = limits or endpointlimits.EndpointLimits(clock=clock)
+        self.rests = rests.EndpointRests(clock=clock)
         self._random = rng or random.Random()
         self._running: collections.Counter[Incarnation] = collections.Counter()
         self._backlog: collections.Counter[Incarnation] = collections.Counter()
@@ -122,6 +123,7 @@
         self._reported_at = 0.0
         directory.subscribe(self._forget)
         directory.subscribe(self.limits.forget)
+        directory.subscribe(self.rests.forget)
 
     def _forget(
         self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
@@ -158,7 +160,7 @@
         ready = [
             endpoint
             for endpoint in self._usable(service.name, version)
-            if endpoint.incarnation not in excluded and self.limits.may_send(endpoint)
+            if endpoint.incarnation not in excluded and self._may_send(endpoint)
         ]
         healthy = [
             endpoint
@@ -194,6 +196,23 @@
             self._directory.lapsed(service), version
         )
 
+    def _may_send(self, endpoint: endpoints.Endpoint) -> bool:
+        return not self.rests.left_s(endpoint) and self.limits.may_send(endpoint)
+
+    def resting_for_s(self, service: str, version: str | None) -> float:
+        """
+        Return how long all endpoints that may get calls are still at rest.
+
+        This is 0 if one of them isn't at rest, or if there is none.
+        """
+        return min(
+            (
+                self.rests.left_s(endpoint)
+                for endpoint in self._usable(service, version)
+            ),
+            default=0.0,
+        )
+
     def unreachable(self, service: str, version: str | None) -> frozenset[Incarnation]:
         """
         Return the endpoints that may get calls if none of them was reached last.
@@ -221,7 +240,7 @@
             endpoint.incarnation not in tried
             and not self._health_of(endpoint).is_paused(now)
             and not self.is_unresponsive(endpoint)
-            and self.limits.may_send(endpoint)
+            and self._may_send(endpoint)
             for endpoint in _of_version(self._directory.ready(service), version)
         )
 
