Don't take a refusal, or a caller that left, for an endpoint's success

Callers saw: more refusals beside an endpoint that refuses, which looked healthy and idle: each refusal cleared its failures in a row and the pause after them, and shortened the measured time of its service. So did callers that left before the endpoint had to answer. Cause: the end of a call was failed or not; what is neither counted as success. Change: health.Outcome names five ends, a table says what each does; a refusal only shows that the endpoint is reached, an undecided end nothing. The handling of an attempt's errors is split by what they say of the endpoint and the call. The step of placement.feature asserts the same through the new method.

--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -26,7 +26,7 @@
     retries,
     servicechoice,
 )
-from acaciaward.routing import placement
+from acaciaward.routing import health, occupancy, placement
 
 log = logging.getLogger(__name__)
 
@@ -41,6 +41,7 @@
 # The gateway gives up this long before the caller's own timeout.
 DEADLINE_MARGIN_S = 0.02
 
+Outcome = health.Outcome
 NOT_RUN = verdicts.Verdict.NOT_RUN
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 
@@ -174,48 +175,71 @@
             return await self._detours.attempt(service, progress, responder)
         work = self._deps.occupancy.start(candidate, progress.call)
         progress.tried.add(work.endpoint.incarnation)
-        is_failed = True
-        is_unreachable = False
+        outcome = Outcome.FAILED
         try:
-            is_failed = await self._attempts.make(progress, work, responder)
+            if not await self._attempts.make(progress, work, responder):
+                outcome = Outcome.SERVED
             metrics.ATTEMPT_SECONDS.labels("answered").observe(
                 time.monotonic() - work.started_at
             )
             self._retries.record_served(progress, responder)
             return True
-        except errors.NotSentError as error:
-            is_unreachable = True
-            progress.failed_connects += 1
+        except errors.ForwardingError as error:
+            outcome = self._outcome_of(error, work)
             decisions.record_failed_attempt(progress, work, error)
-        except errors.WithdrawnError as error:
-            is_failed = False
-            decisions.record_failed_attempt(progress, work, error)
-        except errors.NotRunError as error:
-            is_failed = error.is_misdirected
-            if error.is_misdirected:
-                self._deps.directory.record_mismatch(work.endpoint)
-            decisions.record_failed_attempt(progress, work, error)
-        except errors.BrokenOffError as error:
-            is_unreachable = isinstance(
-                error, errors.SilentError
-            ) and self._deps.occupancy.is_unresponsive(work.endpoint)
-            decisions.record_failed_attempt(progress, work, error)
-            progress.may_have_run = True
-            self._retries.record_crash(progress, work, error)
-            if not progress.route.may_repeat:
-                self._refusals.refuse(progress, responder, str(error))
+            self._record_error(error, progress, work, responder)
         except (asyncio.CancelledError, callers.CallerGoneError):
-            # A disconnect of the caller or the deadline isn't the endpoint's
-            # failure unless it had sent no byte for long.
-            waited_s = time.monotonic() - work.started_at
-            is_failed = not work.has_first_byte and waited_s > (
-                2 * progress.route.target_s
-            )
+            outcome = self._outcome_of_cancelled(progress, work)
             raise
         finally:
-            work.end(is_failed=is_failed, is_unreachable=is_unreachable)
+            work.end(outcome)
         return False
 
+    def _outcome_of(
+        self, error: errors.ForwardingError, work: occupancy.ActiveCall
+    ) -> Outcome:
+        match error:
+            case errors.NotSentError():
+                return Outcome.UNREACHED
+            case errors.WithdrawnError():
+                return Outcome.UNDECIDED
+            case errors.NotRunError(is_misdirected=False):
+                return Outcome.REFUSED
+            case errors.SilentError():
+                if self._deps.occupancy.is_unresponsive(work.endpoint):
+                    return Outcome.UNREACHED
+        return Outcome.FAILED
+
+    @staticmethod
+    def _outcome_of_cancelled(
+        progress: callprogress.Progress, work: occupancy.ActiveCall
+    ) -> Outcome:
+        """Return the outcome if the caller left or the deadline was reached."""
+        if work.has_first_byte:
+            return Outcome.SERVED
+        waited_s = time.monotonic() - work.started_at
+        is_late = waited_s > 2 * progress.route.target_s
+        return Outcome.FAILED if is_late else Outcome.UNDECIDED
+
+    def _record_error(
+        self,
+        error: errors.ForwardingError,
+        progress: callprogress.Progress,
+        work: occupancy.ActiveCall,
+        responder: callers.Responder,
+    ) -> None:
+        """Record what an attempt's end means for the call; raise if it's refused."""
+        match error:
+            case errors.NotSentError():
+                progress.failed_connects += 1
+            case errors.NotRunError(is_misdirected=True):
+                self._deps.directory.record_mismatch(work.endpoint)
+            case errors.BrokenOffError():
+                progress.may_have_run = True
+                self._retries.record_crash(progress, work, error)
+                if not progress.route.may_repeat:
+                    self._refusals.refuse(progress, responder, str(error))
+
     def _choose_endpoint(
         self, service: routes.Service, progress: callprogress.Progress
     ) -> placement.Candidate | None:
--- a/acaciaward/routing/features/steps/occupancy_steps.py
+++ b/acaciaward/routing/features/steps/occupancy_steps.py
@@ -4,7 +4,7 @@
 
 from acaciaward.catalogue import endpoints
 from acaciaward.gateway import calls
-from acaciaward.routing import occupancy, placement
+from acaciaward.routing import health, occupancy, placement
 
 STEP_S = 0.01
 
@@ -67,3 +67,47 @@
 def check_unresponsive(context, most, least):
     found = context.tracked.unresponsive_after(most + 1)
     assert least < found <= most, found
+
+
+@given("an endpoint that failed two calls in a row")
+def make_failed(context):
+    context.tracked = TrackedEndpoint()
+    for _ in range(2):
+        context.tracked.send(10).end(health.Outcome.FAILED)
+
+
+@given("an endpoint that wasn't reached")
+def make_unreached(context):
+    context.tracked = TrackedEndpoint()
+    context.tracked.send(10).end(health.Outcome.UNREACHED)
+
+
+@when("a call there ends as {outcome}")
+def end_call(context, outcome):
+    context.tracked.send(10).end(health.Outcome(outcome))
+
+
+@when("{seconds:g} s pass there, and the call ends as {outcome}")
+def end_call_later(context, seconds, outcome):
+    context.tracked.now += seconds
+    context.work.end(health.Outcome(outcome))
+
+
+@then("the endpoint {state}")
+def check_state(context, state):
+    tracked = context.tracked
+    record = tracked.occupancy._health_of(tracked.endpoint)
+    is_paused = record.is_paused(tracked.now)
+    found = {
+        "is paused": is_paused,
+        "is not paused": not is_paused,
+        "counts as reached": not record.is_unreachable,
+        "counts as unreached": record.is_unreachable,
+    }
+    assert found[state], record
+
+
+@then("the service takes {seconds:g} s")
+def check_service_time(context, seconds):
+    found = context.tracked.occupancy.service_s("s")
+    assert found == seconds, found
--- a/acaciaward/routing/features/steps/placement_steps.py
+++ b/acaciaward/routing/features/steps/placement_steps.py
@@ -122,12 +122,12 @@
     record = health.Health()
     pauses = []
     for _ in range(6):
-        record = record.after_failure(10.0, is_unreachable=True)
+        record = record.after(health.Outcome.UNREACHED, 10.0)
         pauses.append(round(record.paused_until - 10.0, 3))
     assert pauses == [0.3, 0.6, 1.2, 2.4, 4.0, 4.0], pauses
     assert record.is_paused(13.9) and not record.is_paused(14.1)
-    assert not record.after_success().is_paused(10.0)
-    once = health.Health().after_failure(10.0, is_unreachable=False)
+    assert not record.after(health.Outcome.SERVED, 10.0).is_paused(10.0)
+    once = health.Health().after(health.Outcome.FAILED, 10.0)
     assert not once.is_paused(10.0)
 
 
--- a/acaciaward/routing/health.py
+++ b/acaciaward/routing/health.py
@@ -6,7 +6,9 @@
 row.
 """
 
+import enum
 import typing
+from collections import abc
 
 FIRST_PAUSE_S = 0.3
 LONGEST_PAUSE_S = 4.0
@@ -16,6 +18,18 @@
 PARTIAL_FAILURE_SHARE = 0.15
 
 
+class Outcome(enum.Enum):
+    """What the end of a call says of the health of its endpoint."""
+
+    SERVED = "served"
+    FAILED = "failed"
+    UNREACHED = "unreached"
+    # It was reached and did nothing.
+    REFUSED = "refused"
+    # The call ended for a reason of its own before the endpoint had to answer.
+    UNDECIDED = "undecided"
+
+
 class Health(typing.NamedTuple):
     """
     One endpoint's health: failures in a row, smoothed share of failed calls, pause.
@@ -29,11 +43,14 @@
     paused_until: float = 0.0
     is_unreachable: bool = False
 
-    def after_success(self) -> "Health":
-        """Return the health after a call that was answered."""
+    def after(self, outcome: Outcome, now: float) -> "Health":
+        """Return the health after a call with this outcome."""
+        return _AFTER[outcome](self, now)
+
+    def _after_success(self, now: float) -> "Health":
         return Health(0, self.failed_share * (1 - SMOOTHING), 0.0)
 
-    def after_failure(self, now: float, *, is_unreachable: bool) -> "Health":
+    def _after_failure(self, now: float, is_unreachable: bool = False) -> "Health":
         """
         Return the health after a failed call.
 
@@ -51,3 +68,12 @@
     def is_paused(self, now: float) -> bool:
         """Return whether calls should be sent elsewhere."""
         return now < self.paused_until
+
+
+_AFTER: dict[Outcome, abc.Callable[[Health, float], Health]] = {
+    Outcome.SERVED: Health._after_success,
+    Outcome.FAILED: Health._after_failure,
+    Outcome.UNREACHED: lambda health, now: health._after_failure(now, True),
+    Outcome.REFUSED: lambda health, now: health._replace(is_unreachable=False),
+    Outcome.UNDECIDED: lambda health, now: health,
+}
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -79,13 +79,13 @@
                 self, self._tokens_ahead + self.prefill_tokens, took_s
             )
 
-    def end(self, *, is_failed: bool, is_unreachable: bool = False) -> None:
+    def end(self, outcome: health.Outcome) -> None:
         """Remove the call from the endpoint and record its outcome."""
         if self._is_prefilling:
             self._is_prefilling = False
             self._occupancy.remove_backlog(self)
         took_s = self._occupancy.now() - self.started_at
-        self._occupancy.record_end(self, took_s, is_failed, is_unreachable)
+        self._occupancy.record_end(self, took_s, outcome)
 
 
 class Occupancy:
@@ -335,22 +335,20 @@
         self._subtract(self._backlog, work.endpoint.incarnation, work.prefill_tokens)
 
     def record_end(
-        self, work: ActiveCall, took_s: float, is_failed: bool, is_unreachable: bool
+        self, work: ActiveCall, took_s: float, outcome: health.Outcome
     ) -> None:
         """Remove a call from its endpoint and update the endpoint's health."""
         incarnation = work.endpoint.incarnation
         self._subtract(self._running, incarnation, 1)
         if incarnation not in self._running:
             self._no_data_since.pop(incarnation, None)
-        record = self._health_of(work.endpoint)
-        if is_failed:
-            record = record.after_failure(self._clock(), is_unreachable=is_unreachable)
-        else:
-            record = record.after_success()
+        self._health[incarnation] = self._health_of(work.endpoint).after(
+            outcome, self._clock()
+        )
+        if outcome is health.Outcome.SERVED:
             service = work.endpoint.service
             average_s = self._service_s.get(service, took_s)
             self._service_s[service] = average_s + SMOOTHING * (took_s - average_s)
-        self._health[incarnation] = record
 
     def service_s(self, service: str) -> float:
         """Return how long a request at a service takes, as measured here, or 0."""
