Take an answer that names no request for no other call's on a kept connection

Callers saw: calls that may run once and ran twice, where an endpoint wrote an earlier refusal once more on a kept connection. One that names the earlier call was skipped; one that names none was taken for the next call's answer, so that the call, which ran, was sent elsewhere or refused as not run (REFUSED, TWICE). Cause: an answer without Attempt-Id passed for any call's. Endpoints echo it. Change: such an answer counts only where no other can have come before it, the first on a new connection, which isn't kept then, so that endpoints that never echo are served, too. Elsewhere the call may have run, and its connection ends. Before: 'A refusal that is written once more' with one that names no call, and 'A connection isn't kept after an answer that names no call' fail (1 connection for 2 requests). The refusal that names the earlier call passed before, too.

--- a/acaciaward/gateway/features/forwarding.feature
+++ b/acaciaward/gateway/features/forwarding.feature
@@ -101,6 +101,25 @@
     When a caller asks
     Then the answer is 200 with the body "mine"
 
+  # A non-idempotent call ran twice: a refusal written once more was taken for its answer.
+  Scenario Outline: A refusal that is written once more answers no other call
+    Given a front for non_idempotent requests
+    And all answer, and before the next answer write a refusal that <names>
+    When a caller sends 6 calls that it names
+    Then no call was refused and each arrived once
+
+    Examples:
+      | names               |
+      | names an earlier call |
+      | names no call         |
+
+  Scenario: A connection isn't kept after an answer that names no call
+    Given a front for non_idempotent requests with 1 endpoints
+    And all answer without naming the call
+    When a caller asks 2 times
+    Then the answers are 200 200
+    And 2 requests arrived on 2 connections
+
   Scenario: An answer without a length ends with its connection
     Given a front for idempotent requests
     And the endpoints answer without a length
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -324,6 +324,14 @@
     ]
 
 
+@when("a caller sends {count:d} calls that it names")
+def ask_named(context, count):
+    context.answers = [
+        context.runner.run(scripted.ask(context.front, attempt=f"a{number}"))[0]
+        for number in range(count)
+    ]
+
+
 @when("a caller sends another body")
 def ask_another(context):
     context.data, _ = context.runner.run(scripted.ask(context.front, body=b"other"))
@@ -589,3 +597,47 @@
     heads = [head for head, _ in context.front.requests]
     last_event_ids = {scripted.header(head, "last-event-id") for head in heads}
     assert last_event_ids == {None, str(number)}, last_event_ids
+
+
+@given("all answer, and before the next answer write a refusal that {names}")
+def answer_after_refusal(context, names):
+    named = names == "names an earlier call"
+
+    class Connection:
+        """What was written on one connection."""
+
+        earlier = b""
+
+    connections = {}
+
+    async def script(head, reader, writer):
+        state = connections.setdefault(writer, Connection())
+        if state.earlier:
+            line = state.earlier if named else b""
+            writer.write(
+                b"HTTP/1.1 503 Unavailable\r\nNot-Executed: 1\r\n"
+                + line
+                + b"Content-Length: 0\r\n\r\n"
+            )
+        state.earlier = scripted.echo(head)
+        writer.write(scripted.complete_answer(head))
+        await writer.drain()
+
+    context.front.always(script)
+
+
+@then("no call was refused and each arrived once")
+def check_not_refused(context):
+    statuses = [scripted.status_of(data) for data in context.answers]
+    assert 503 not in statuses, statuses
+    assert len(context.front.requests) == len(statuses), statuses
+
+
+@given("all answer without naming the call")
+def answer_unnamed(context):
+    async def script(head, reader, writer):
+        named = scripted.complete_answer(head)
+        writer.write(named.replace(scripted.echo(head), b""))
+        await writer.drain()
+
+    context.front.always(script)
--- a/acaciaward/gateway/upstreams.py
+++ b/acaciaward/gateway/upstreams.py
@@ -2,7 +2,9 @@
 Pools upstream connections, the connections to endpoints, with one request at a time.
 
 A connection that receives bytes while idle, or more than one answer, is closed: such
-bytes belong to no request. An answer that names another request is skipped.
+bytes belong to no request. An answer that names another request is skipped. One that
+names none is taken for its request's only if no other answer can have come before it,
+on a new connection, which isn't kept afterwards.
 """
 
 import asyncio
@@ -174,6 +176,7 @@
             data += self._parser.send(h11.Data(data=call.body))
         data += self._parser.send(h11.EndOfMessage())
         self._protocol.transport.write(data)
+        is_first = self.exchanges == 1
         while True:
             event = await self._next_head()
             if isinstance(event, h11.InformationalResponse):
@@ -183,8 +186,9 @@
             reply_head = decode_reply(
                 event.status_code, list(event.headers.raw_items())
             )
-            if reply_head.attempt_id in (None, call.attempt_id):
+            if self._is_answer_to(call, reply_head, is_first=is_first):
                 return Reply(self, reply_head, is_framed=_is_framed(event))
+            is_first = False
             log.warning(
                 "skipped an answer that names another request",
                 extra=logs.fields(
@@ -195,6 +199,22 @@
             )
             await self._skip_answer(head)
 
+    @staticmethod
+    def _is_answer_to(
+        call: calls.Call, reply_head: calls.ReplyHead, *, is_first: bool
+    ) -> bool:
+        """
+        Return whether an answer is that of a call; raise if this can't be known.
+
+        It may be an earlier one that was written once more. ``is_first`` is true for
+        the first answer on its connection.
+        """
+        if reply_head.attempt_id is not None:
+            return reply_head.attempt_id == call.attempt_id
+        if not is_first and call.attempt_id is not None:
+            raise errors.BrokenOffError("an answer that names no request")
+        return True
+
     async def _next_head(self) -> typing.Any:
         try:
             return await self._next_event()
@@ -397,7 +417,8 @@
             self._trusted_idle_s[upstream.endpoint.service] = (
                 TRUSTED_IDLE_GROWTH * trusted_s
             )
-        if head.ends_connection or not upstream.is_clean():
+        is_unnamed = head.attempt_id is None
+        if head.ends_connection or is_unnamed or not upstream.is_clean():
             upstream.close()
             return
         idle = self._idle.setdefault(upstream.endpoint.incarnation, collections.deque())
