--- a/acaciaward/entry/features/steps/versions_steps.py
+++ b/acaciaward/entry/features/steps/versions_steps.py
@@ -38,6 +38,8 @@
     if value_type in SAMPLE_BY_TYPE:
         return SAMPLE_BY_TYPE[value_type]
     origin, arguments = typing.get_origin(value_type), typing.get_args(value_type)
+    if origin is tuple and ... not in arguments:
+        return [_sample(part, extra) for part in arguments]
     if origin in (list, tuple):
         return [_sample(arguments[0], extra)]
     if origin in (typing.Required, typing.NotRequired):
