Don't take a success without a length for whole if its body never begins

Change: such a success counts as lost, as a stream without its first event does: it may have run, is asked for elsewhere if it may be repeated, and else 502. What is given up is a success that is meant to be empty and says so by nothing; 204, 304 and answers to HEAD have no body and stay whole. A body that is cut short between two bytes by an orderly end can't be told from a whole one. Before: 'A success that ends with its connection before its body isn't whole' fails for both kinds, the answer is 200.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -25,6 +25,7 @@
 )
 from acaciaward.resumption import origins
 
+FIRST_FAILURE = 300
 SERVER_ERROR = 500
 
 # Size limit of answers that aren't streams; these are buffered before forwarding.
@@ -190,7 +191,7 @@
         responder: callers.Responder,
     ) -> None:
         is_stream = progress.route.kind is routes.RequestKind.STREAM
-        if is_stream and reply.head.status < 300:
+        if is_stream and reply.head.status < FIRST_FAILURE:
             await self._forward_stream(progress, work, reply, responder)
             return
         body = await reply.read(MAX_BUFFERED_BYTES)
@@ -198,6 +199,9 @@
         if responder.has_begun:
             # A stream that has begun can't continue with an error response.
             raise errors.BrokenOffError(f"resume answered {reply.head.status}")
+        if not (body or reply.is_framed) and reply.head.status < FIRST_FAILURE:
+            # Where the connection was lost just after the head, it looks the same.
+            raise errors.ConnectionLostError("answer ended before its body")
         if self._is_retryable_failure(progress, reply.head):
             raise errors.BrokenOffError(f"endpoint failed with {reply.head.status}")
         await responder.send(
--- a/acaciaward/gateway/features/forwarding.feature
+++ b/acaciaward/gateway/features/forwarding.feature
@@ -120,6 +120,24 @@
     Then the answers are 200 200
     And 2 requests arrived on 2 connections
 
+  # Callers got a 200 with an empty body, framed as whole.
+  Scenario Outline: A success that ends with its connection before its body isn't whole
+    Given a front for <kind> requests
+    And all begin an answer without a length and close
+    When a caller asks
+    Then the answer is 502 and <count> requests arrived
+
+    Examples:
+      | kind           | count |
+      | non_idempotent | 1     |
+      | idempotent     | 2     |
+
+  Scenario: A success that has no body by its status is whole
+    Given a front for non_idempotent requests
+    And all answer 204 without a length
+    When a caller asks
+    Then the answer is 204 and 1 request arrived
+
   Scenario: An answer without a length ends with its connection
     Given a front for idempotent requests
     And the endpoints answer without a length
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -641,3 +641,23 @@
         await writer.drain()
 
     context.front.always(script)
+
+
+@given("all begin an answer without a length and close")
+def begin_and_close(context):
+    context.front.always(bodiless(b"200 OK"))
+
+
+@given("all answer 204 without a length")
+def answer_no_content(context):
+    context.front.always(bodiless(b"204 No Content"))
+
+
+def bodiless(status):
+    async def script(head, reader, writer):
+        writer.write(b"HTTP/1.1 " + status + b"\r\n" + scripted.echo(head))
+        writer.write(scripted.SIGNATURE + b"\r\n")
+        await writer.drain()
+        writer.close()
+
+    return script
--- a/acaciaward/gateway/upstreams.py
+++ b/acaciaward/gateway/upstreams.py
@@ -46,6 +46,9 @@
 # TCP closes a connection whose bytes aren't acknowledged for this long.
 USER_TIMEOUT_MS = 3000
 
+# Answers with these end with their head.
+BODILESS_STATUSES = frozenset({204, 304})
+
 DecodeReply = abc.Callable[[int, calls.Headers], calls.ReplyHead]
 
 
@@ -187,7 +190,7 @@
                 event.status_code, list(event.headers.raw_items())
             )
             if self._is_answer_to(call, reply_head, is_first=is_first):
-                return Reply(self, reply_head, is_framed=_is_framed(event))
+                return Reply(self, reply_head, is_framed=_is_framed(call, event))
             is_first = False
             log.warning(
                 "skipped an answer that names another request",
@@ -279,7 +282,9 @@
         self._parser.start_next_cycle()
 
 
-def _is_framed(response: h11.Response) -> bool:
+def _is_framed(call: calls.Call, response: h11.Response) -> bool:
+    if call.method == b"HEAD" or response.status_code in BODILESS_STATUSES:
+        return True
     return any(
         name in (b"content-length", b"transfer-encoding")
         for name, _ in response.headers
@@ -290,7 +295,8 @@
     """
     An endpoint's answer whose head has arrived.
 
-    One that isn't framed has neither a length nor chunks, and ends with its connection.
+    One that isn't framed has a body with neither length nor chunks, which ends with its
+    connection.
     """
 
     def __init__(
