Don't continue a stream with an error that its next endpoint answers with

Cause: only status and kind told a stream that goes on from an error; events without an id passed, as comments do, and the end of the error ended the stream. Change: an answer that goes on with a stream, also one that a caller takes up, must be an event stream if it names its type, and show its first event's number before anything but comments; else it counts as broken off. In any stream, another answer's head ends it as broken off: without length or chunks, what follows looks like its body. Events without ids pass as before in a new stream. An error numbered as the next event can't be told from the event.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -25,6 +25,7 @@
 )
 from acaciaward.resumption import origins
 
+EVENT_STREAM = "text/event-stream"
 FIRST_FAILURE = 300
 SERVER_ERROR = 500
 
@@ -192,6 +193,7 @@
     ) -> None:
         is_stream = progress.route.kind is routes.RequestKind.STREAM
         if is_stream and reply.head.status < FIRST_FAILURE:
+            self._check_media_type(progress, reply.head)
             await self._forward_stream(progress, work, reply, responder)
             return
         body = await reply.read(MAX_BUFFERED_BYTES)
@@ -210,6 +212,15 @@
             body,
         )
 
+    @staticmethod
+    def _check_media_type(
+        progress: callprogress.Progress, head: calls.ReplyHead
+    ) -> None:
+        """Raise if a stream that has begun would go on with something else."""
+        has_begun = progress.last_delivered_id is not None
+        if has_begun and head.media_type not in (None, EVENT_STREAM):
+            raise errors.BrokenOffError(f"resume answered {head.media_type}")
+
     def _is_retryable_failure(
         self, progress: callprogress.Progress, head: calls.ReplyHead
     ) -> bool:
@@ -229,10 +240,13 @@
         responder: callers.Responder,
     ) -> None:
         splitter = events.EventSplitter()
+        answer_check = events.AnswerCheck(
+            is_continued=progress.last_delivered_id is not None
+        )
         has_event = has_survived = False
         uncounted_bytes = 0
         while (part := await reply.read_part()) is not None:
-            new_events = splitter.feed(part)
+            new_events = answer_check.check(splitter.feed(part))
             uncounted_bytes += len(part)
             if new_events or uncounted_bytes >= MIN_DATA_BYTES:
                 self._record_data(work)
--- a/acaciaward/gateway/calls.py
+++ b/acaciaward/gateway/calls.py
@@ -119,8 +119,9 @@
     has the address, ``is_signed`` that the answer carries the endpoint's signature.
     ``limit_per_s`` is how many requests a second the endpoint takes from all entries
     together, None without a limit. ``retry_after_s`` of a 503 is how long it wants no
-    requests from this entry, and ``says_leaving`` means that it is leaving. ``detour``
-    comes with the answers of peers.
+    requests from this entry, and ``says_leaving`` means that it is leaving.
+    ``media_type`` is that of the body without parameters. ``detour`` comes with the
+    answers of peers.
     """
 
     status: int
@@ -133,5 +134,6 @@
     keep_alive_s: float | None = None
     retry_after_s: float | None = None
     limit_per_s: float | None = None
+    media_type: str | None = None
     says_leaving: bool = False
     detour: DetourReply | None = None
--- a/acaciaward/gateway/events.py
+++ b/acaciaward/gateway/events.py
@@ -8,11 +8,14 @@
 
 import re
 import typing
+from collections import abc
 
 from acaciaward.gateway import errors
 
 # An event may not be larger; without an end it would fill the memory.
 MAX_EVENT_BYTES = 8 * 1024 * 1024
+# Where an answer has neither length nor chunks, another answer may follow inside it.
+ANSWER_START = b"HTTP/1."
 _END = re.compile(rb"\r?\n\r?\n")
 _MAX_END_BYTES = len(b"\r\n\r\n")
 _NUMBER = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
@@ -24,6 +27,34 @@
     number: int | None
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether all lines are comments, which mean nothing to callers."""
+        return all(line.startswith(b":") for line in self.data.splitlines() if line)
+
+
+class AnswerCheck:
+    """
+    Checks that the events of one answer belong to its stream.
+
+    An answer that continues a stream must show by its first event's number that it
+    does; text without one may be an error that an endpoint answers with success.
+    """
+
+    def __init__(self, *, is_continued: bool):
+        self._needs_number = is_continued
+
+    def check(self, new_events: abc.Sequence[Event]) -> abc.Sequence[Event]:
+        """Return the events; raise ``errors.BrokenOffError`` at a foreign one."""
+        for event in new_events:
+            if event.data.startswith(ANSWER_START):
+                raise errors.BrokenOffError("another answer's head inside a stream")
+            if event.number is not None:
+                self._needs_number = False
+            elif self._needs_number and not event.is_comment:
+                raise errors.BrokenOffError("a stream goes on without a number")
+        return new_events
+
 
 class EventSplitter:
     """Buffers bytes until an event is complete."""
--- a/acaciaward/gateway/features/detours.feature
+++ b/acaciaward/gateway/features/detours.feature
@@ -146,6 +146,20 @@
     And the second request to have arrived says that 3 was the last event
     And 2 calls have come to the peers
 
+  # Callers found an error's text in the middle of their stream.
+  Scenario Outline: A stream that began through a peer isn't continued with an error
+    Given an entry for resumable streams that is cut off, and 2 peers
+    And the peers' endpoints stream 1 to 3, then each answers with <error>
+    When a caller asks
+    Then the answer is aborted and looks incomplete
+
+    Examples:
+      | error                           |
+      | a failure                       |
+      | a success of another media type |
+      | an event without an id          |
+      | the head of a failure as text   |
+
   # A peer with another configuration joined streams of two services in one answer (ORDER).
   Scenario: A peer whose route leads elsewhere doesn't run a call
     Given an entry for resumable streams that is cut off, and 2 peers
--- a/acaciaward/gateway/features/steps/detours_steps.py
+++ b/acaciaward/gateway/features/steps/detours_steps.py
@@ -8,6 +8,7 @@
 from acaciaward.admission import quotas
 from acaciaward.catalogue import routes
 from acaciaward.gateway.features import scripted
+from acaciaward.gateway.features.steps import forwarding_steps
 from acaciaward.membership import interfaces
 from standins import ports
 
@@ -254,6 +255,15 @@
     context.totals = [front.quotas.admitted_totals() for front in context.group.fronts]
 
 
+@given("the peers' endpoints stream 1 to 3, then each answers with {error}")
+def stream_and_fail(context, error):
+    shared = [scripted.stream(1, 3, then="reset")]
+    for front in context.group.peers:
+        for endpoint in front.endpoints.values():
+            endpoint.scripts = shared
+        front.always(forwarding_steps.NEXT_ANSWERS[error])
+
+
 @given("the peers' endpoints stream 1 to 3 and reset, then 4 to 6 and end")
 def stream_on(context):
     shared = [scripted.stream(1, 3, then="reset"), scripted.stream(4, 6)]
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -661,3 +661,79 @@
         writer.close()
 
     return script
+
+
+UNNUMBERED = b"event: error\ndata: overloaded\n\n"
+FAILURE_HEAD = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+JSON = b"Content-Type: application/json\r\n"
+FINAL = b"data: [DONE]\n\n"
+
+
+def write_answer(status, lines, *pieces):
+    """Return a script that answers with chunks, or without a length, and closes."""
+
+    async def script(head, reader, writer):
+        writer.write(b"HTTP/1.1 " + status + b"\r\n" + scripted.echo(head))
+        writer.write(scripted.SIGNATURE + lines + b"\r\n")
+        for piece in pieces:
+            if CHUNKED in lines:
+                scripted.write_chunk(writer, piece)
+            else:
+                writer.write(piece)
+        if CHUNKED in lines:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        writer.close()
+
+    return script
+
+
+EVENTS_4_TO_6 = [scripted.event(number) for number in (4, 5, 6)]
+NEXT_ANSWERS = {
+    "a failure": scripted.answer(b"overloaded\n\n", b"500 Internal Server Error"),
+    "a failure without a length": write_answer(b"500 Failed", b"", UNNUMBERED),
+    "a success of another media type": scripted.answer(
+        b'{"error": "overloaded"}\n\n', lines=JSON
+    ),
+    "a success of another type, in chunks": write_answer(
+        b"200 OK", JSON + CHUNKED, b'{"error": "overloaded"}\n\n'
+    ),
+    "an event without an id": write_answer(b"200 OK", CHUNKED, UNNUMBERED),
+    "an event without an id, and an end": write_answer(
+        b"200 OK", CHUNKED, UNNUMBERED, FINAL
+    ),
+    "the head of a failure as text": write_answer(b"200 OK", CHUNKED, FAILURE_HEAD),
+    "comments and 4 to 6 and an end": write_answer(
+        b"200 OK",
+        b"Content-Type: text/event-stream; charset=utf-8\r\n" + CHUNKED,
+        b": waiting\n\n",
+        *EVENTS_4_TO_6,
+        FINAL,
+    ),
+}
+
+
+@given("a stream stops after 3 events, and the next answer is {answer}")
+def stop_and_answer(context, answer):
+    context.front.script(
+        scripted.stream(1, 3, then="reset"), *[NEXT_ANSWERS[answer]] * 3
+    )
+
+
+@given("each next answer is {answer}")
+def answer_next(context, answer):
+    context.front.always(NEXT_ANSWERS[answer])
+
+
+@given("a stream without chunks goes on with the head of another answer")
+def stream_with_head(context):
+    numbered = [scripted.event(number) for number in (1, 2, 3)]
+    context.front.always(write_answer(b"200 OK", b"", *numbered, FAILURE_HEAD))
+
+
+@then("the ids of its events are {first:d} to {last:d}")
+def check_ids(context, first, last):
+    body = scripted.body_of(context.data)
+    found = [int(number) for number in re.findall(rb"^id: (\d+)$", body, re.MULTILINE)]
+    assert found == list(range(first, last + 1)), body
--- a/acaciaward/gateway/features/streams.feature
+++ b/acaciaward/gateway/features/streams.feature
@@ -63,6 +63,43 @@
     When a caller asks
     Then the events are 1 to 6 and the answer is complete
 
+  # Callers found an error's text in the middle of their stream, or it ended as complete.
+  Scenario Outline: A stream isn't continued with an error
+    Given a front for resumable streams
+    And a stream stops after 3 events, and the next answer is <error>
+    When a caller asks
+    Then the answer is aborted and looks incomplete
+    And 2 endpoints were tried
+
+    Examples:
+      | error                                |
+      | a failure                            |
+      | a failure without a length           |
+      | a success of another media type      |
+      | a success of another type, in chunks |
+      | an event without an id               |
+      | an event without an id, and an end   |
+      | the head of a failure as text        |
+
+  Scenario: A stream that a caller takes up doesn't go on with an error
+    Given a front for resumable streams
+    And each next answer is an event without an id
+    When a caller asks to go on after 12
+    Then the answer is 502 and 2 requests arrived
+
+  Scenario: A stream that holds the head of another answer isn't whole
+    Given a front for other streams
+    And a stream without chunks goes on with the head of another answer
+    When a caller asks
+    Then the answer is aborted, 502 or 504
+
+  Scenario: Comments and ends without ids are no errors
+    Given a front for resumable streams
+    And a stream stops after 3 events, and the next answer is comments and 4 to 6 and an end
+    When a caller asks
+    Then the answer is complete
+    And the ids of its events are 1 to 6
+
   Scenario: A caller's own resume is forwarded
     Given a front for resumable streams
     And the endpoints stream 13 to 15 and end
--- a/acaciaward/platform/headers.py
+++ b/acaciaward/platform/headers.py
@@ -186,6 +186,7 @@
         keep_alive_s=_parse_keep_alive(values.get(b"keep-alive", "")),
         retry_after_s=_parse_signal(values, RETRY_AFTER),
         limit_per_s=_parse_signal(values, SERVER_LIMIT),
+        media_type=_parse_media_type(values.get(b"content-type")),
         says_leaving=values.get(SERVER_LEAVING, "0").strip() != "0",
     )
 
@@ -202,6 +203,10 @@
     return value
 
 
+def _parse_media_type(text: str | None) -> str | None:
+    return None if text is None else text.partition(";")[0].strip().lower()
+
+
 def _parse_keep_alive(text: str) -> float | None:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
