Play and judge in the soak what servers say of themselves in answers

Servers say in answers that they leave while their records say ready, refuse and ask for rest, write an unnamed refusal once more on a kept connection, close after a head without a length, and answer a stream that goes on with an error. signals.py judges by the process that was told and sends; proxies tell which one a connection is of, so calls through peers count for the peer. `mixed` breaks the check of unnamed answers now, as an answer that names no request is no longer taken for any.

--- /dev/null
+++ b/features/soaksignals.feature
@@ -0,0 +1,11 @@
+Feature: The soak sees whether entries heed what servers say in their answers
+
+  # No rule of the bench, no stand-in and no soak had these signals for four landings.
+  Scenario Outline: A build that passes over what servers say is caught
+    When a soak with seed <seed>, 3 entries and the plant <plant> has the fault <fault> often for 36 s
+    Then the promise <promise> was broken
+
+    Examples:
+      | seed | plant   | fault                  | promise |
+      | 2    | leaving | let_server_say_leaving | DRAIN   |
+      | 1    | rest    | ask_for_rest           | BUDGET  |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -48,6 +48,14 @@
     soak(context, seed, seconds, entries, plant, favoured="kill_all_entries")
 
 
+@when(
+    "a soak with seed {seed:d}, {entries:d} entries and the plant {plant}"
+    " has the fault {fault} often for {seconds:d} s"
+)
+def soak_fault(context, seed, seconds, entries, plant, fault):
+    soak(context, seed, seconds, entries, plant, favoured=fault)
+
+
 @then("no promise was broken")
 def check_no_violation(context):
     assert not context.result["violations"], context.result
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -57,6 +57,7 @@
             world.VERSION_SERVICE_COUNT,
             system.crashes,
             [entry.name for entry in system.entries],
+            system.signals,
         )
         checker.check_recovery(faults_ended_at, time.monotonic())
         await asyncio.sleep(_usage_check_s(system))
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -10,7 +10,7 @@
 import typing
 from collections import abc
 
-from soak import conditions, dutyrules, ledger
+from soak import conditions, dutyrules, ledger, signals
 from standins import edgestore
 
 # Allowance for the delays of the proxies and of this process, which come on top of an
@@ -40,6 +40,7 @@
         version_service_count: int,
         part_crashes: abc.Mapping[str, abc.Sequence[float]],
         entry_names: abc.Collection[str],
+        signal_log: signals.Signals,
     ):
         self._recorder = recorder
         self._store = store
@@ -48,6 +49,7 @@
         self._bounds = bounds
         self._version_service_count = version_service_count
         self._part_crashes = part_crashes
+        self._signals = signal_log
         self._duties = dutyrules.DutyChecker(
             recorder, store, disturbances, bounds, entry_names
         )
@@ -61,6 +63,9 @@
         self._duties.check()
         self._check_gone_callers()
         self._check_deadly_parts()
+        self._signals.check(
+            self._recorder, self._disturbances, self._bounds, MEASUREMENT_ALLOWANCE_S
+        )
 
     def _is_in_contact(self, entry: str, begin: float, end: float) -> bool:
         """Whether an entry and the store were undisturbed for long enough."""
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -11,9 +11,11 @@
 MIXED    An answer belongs to the request that it is given for.
 ORDER    The events of a stream arrive in order, without gaps and from one version.
 END      An entry ends when it is told to, and only then.
-DRAIN    A server that leaves receives no requests once its drain time is over.
+DRAIN    A server that leaves receives no requests once its drain time is over; one
+         that has said so in an answer, none from the entry that it has told.
 CONFIG   A configuration is in force in time, and no older one follows it.
-BUDGET   Repeats stay within the retry budget.
+BUDGET   Repeats stay within the retry budget, and a server gets the rest that it asks
+         an entry for.
 QUOTA    An organisation gets no more than its quota.
 ONE      One entry at a time carries out a duty.
 USAGE    Windows of usage are reported in time again after the store was restored.
@@ -22,7 +24,7 @@
 RECOVER  Requests are served again once faults are over.
 =======  ==========================================================================
 
-Those from DRAIN on concern spans of time and are checked in ``judge`` and
+Those from DRAIN on concern spans of time and are checked in ``judge``, ``signals`` and
 ``dutyrules``; END is checked where entries are started and stopped, in ``world`` and
 ``faults``.
 """
@@ -112,6 +114,11 @@
     def __init__(self):
         self.attempts: dict[str, Attempt] = {}
         self.violations: list[Violation] = []
+        # Is called with each arrival: server, port of the sender, and both times.
+        self.on_arrival: (
+            typing.Callable[[edgeserver.EdgeServer, int, float, float], None] | None
+        )
+        self.on_arrival = None
 
     def record_violation(
         self, promise: str, detail: str, at: float | None = None
@@ -125,7 +132,10 @@
         if attempt is None:
             self.record_violation("UNASKED", f"unknown request {request.target}")
             return
-        attempt.arrivals.append(Observation(time.monotonic(), server))
+        now = time.monotonic()
+        attempt.arrivals.append(Observation(now, server))
+        if self.on_arrival is not None:
+            self.on_arrival(server, request.peer_port, now, attempt.sent_at)
         received = (request.target, request.body, request.headers.get("tenant"))
         if received != (attempt.path, attempt.body, attempt.organisation):
             self.record_violation("UNASKED", f"{attempt.attempt_id}: {received}")
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -19,6 +19,7 @@
 from acaciaward.gateway import (
     callers,
     callprogress,
+    events,
     forwarding,
     process,
     refusals,
@@ -27,7 +28,7 @@
 from acaciaward.platform import duties, headers
 from acaciaward.quarantine import promptparts
 from acaciaward.resumption import servingversions
-from acaciaward.routing import occupancy
+from acaciaward.routing import occupancy, rests
 
 STARTED_AT = time.monotonic()
 # Delay after the start of the process with which some plants take effect.
@@ -70,12 +71,9 @@
             upstream._parser.receive_data(rest)
 
     upstreams.UpstreamConnection.start_next = start_next
-    decode = headers.decode_reply
-
-    def decode_reply(status, found):
-        return decode(status, found)._replace(attempt_id=None)
-
-    headers.decode_reply = decode_reply
+    upstreams.UpstreamConnection._is_answer_to = staticmethod(
+        lambda call, reply_head, *, is_first: True
+    )
 
 
 def unasked() -> None:
@@ -114,6 +112,21 @@
     endpoints.Directory.ready = lambda directory, service: directory.of_service(service)
 
 
+def leaving() -> None:
+    """Pass over that endpoints say in their answers that they leave."""
+    endpoints.Directory.record_leaving = lambda directory, incarnation, *, by_peer: None
+
+
+def rest() -> None:
+    """Send requests to endpoints that have asked for rest."""
+    rests.EndpointRests.left_s = lambda known, endpoint: 0.0
+
+
+def joined() -> None:
+    """Go on with a stream whatever the next endpoint answers."""
+    events.AnswerCheck.check = lambda check, new_events: new_events
+
+
 def config() -> None:
     """Keep the first configuration and ignore later ones."""
     original = storeview.StoreView._apply_configurations
@@ -228,6 +241,9 @@
         guessed,
         parts,
         drain,
+        leaving,
+        rest,
+        joined,
         config,
         budget,
         quota,
--- a/soak/world.py
+++ b/soak/world.py
@@ -17,7 +17,15 @@
 import time
 from collections import abc
 
-from soak import builds, callers, conditions, configurations, judge, ledger
+from soak import (
+    builds,
+    callers,
+    conditions,
+    configurations,
+    judge,
+    ledger,
+    signals,
+)
 from standins import edgeserver, edgestore, edgewire, faultproxy, ports
 
 DATA_CENTRES = ("north", "south")
@@ -102,6 +110,8 @@
             )
             for number in range(entries)
         ]
+        self.signals = signals.Signals(self._find_sender)
+        self.recorder.on_arrival = self.signals.arrived
         self.servers: dict[str, edgeserver.EdgeServer] = {}
         self.server_proxies: dict[str, faultproxy.FaultProxy] = {}
         # How entries are cut off from all servers, by their source addresses.
@@ -293,6 +303,7 @@
         server.version = VERSIONS[self._server_number % len(VERSIONS)]
         server.deadly_parts = self.deadly_parts
         server.on_crash = self._record_crash
+        server.on_answer = self._record_signals
         await server.start()
         proxy = faultproxy.FaultProxy(("127.0.0.1", server.port), port=port)
         proxy.peer_faults = self.entry_cuts
@@ -302,6 +313,25 @@
         self.server_proxies[server.name] = proxy
         return server
 
+    def _record_signals(
+        self,
+        server: edgeserver.EdgeServer,
+        request: edgewire.Request,
+        headers: dict[str, str],
+    ) -> None:
+        self.signals.answered(server, request, headers, time.monotonic())
+
+    def _find_sender(
+        self, server: edgeserver.EdgeServer, port: int
+    ) -> tuple[str, int] | None:
+        """Return the entry that a server's proxy connects for, and its start."""
+        proxy = self.server_proxies.get(server.name)
+        address = proxy.peers_by_port.get(port) if proxy is not None else None
+        for entry in self.entries:
+            if entry.source_address == address:
+                return entry.name, entry.start_count
+        return None
+
     def set_deadly_parts(self, parts: abc.Collection[str]) -> None:
         """Let parts of prompts crash servers; callers send some streams with them."""
         self.deadly_parts = frozenset(parts)
--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -5,7 +5,10 @@
 body. ``behaviour`` injects a fault: ``silent`` never answers, ``refuse`` rejects
 without running, ``lose`` runs and resets the connection without an answer (a stream
 is truncated), ``cut`` truncates the answer, ``extra`` answers twice, ``fail`` answers
-500. ``share`` is the share of requests that the fault applies to. ``limit_per_s`` is
+500, ``stale`` writes a refusal that names no request once more before the answer, on
+connections that were used before, ``bare`` closes after the head of an answer without a
+length, and ``overload`` answers streams that go on with an error under status 200.
+``share`` is the share of requests that the fault applies to. ``limit_per_s`` is
 named in all answers as the requests that the server takes from all entries together.
 ``says_leaving`` decides by request and status which answers say that the server leaves,
 and ``rest`` is the time that refusals with 503 ask to be left alone for; ``on_answer``
@@ -21,6 +24,7 @@
 import random
 import time
 import typing
+import weakref
 
 from standins import edgestore, edgewire
 
@@ -32,7 +36,20 @@
 EVENT_INTERVAL_S = 0.015
 TOKENS_PER_EVENT = 5
 SLOTS = 16
-BEHAVIOURS = ("pass", "silent", "refuse", "lose", "cut", "extra", "fail")
+BEHAVIOURS = (
+    "pass",
+    "silent",
+    "refuse",
+    "lose",
+    "cut",
+    "extra",
+    "fail",
+    "stale",
+    "bare",
+    "overload",
+)
+STALE_REFUSAL = edgewire.encode(503, b"", {"Not-Executed": "1"})
+OVERLOADED = b"event: error\ndata: overloaded\n\n"
 
 
 class Watch(typing.Protocol):
@@ -113,6 +130,9 @@
         self._observer = watch
         self._random = rng
         self._listener = edgewire.Listener(self._handle)
+        self._used_connections: weakref.WeakSet[asyncio.StreamWriter] = (
+            weakref.WeakSet()
+        )
         self._sequence = 0
         self._heartbeat_task: asyncio.Task | None = None
 
@@ -198,6 +218,9 @@
         behaviour = self.behaviour
         if self._random.random() >= self.share:
             behaviour = "pass"
+        if behaviour == "stale" and writer in self._used_connections:
+            writer.write(STALE_REFUSAL)
+        self._used_connections.add(writer)
         if behaviour == "refuse":
             refusal_headers = {"Attempt-Id": attempt_id, "Not-Executed": "1"}
             refusal_headers |= self._tell(request, 503)
@@ -243,6 +266,11 @@
         if behaviour not in ("lose", "cut"):
             headers |= self._tell(request, 200)
         data = edgewire.encode(200, body, headers)
+        if behaviour == "bare":
+            writer.write(data.partition(b"\r\n\r\n")[0].replace(b"Length", b"Note"))
+            writer.write(b"\r\n\r\n")
+            await writer.drain()
+            return False
         if behaviour in ("lose", "cut"):
             writer.write(data[: -len(body) // 2] if behaviour == "cut" else b"")
             await writer.drain()
@@ -275,6 +303,12 @@
             "Connection: close" if self.is_unframed else "Transfer-Encoding: chunked"
         )
         writer.write("\r\n".join([*head_lines, "", ""]).encode())
+        if behaviour == "overload" and first_event_id > 1:
+            writer.write(self._frame(OVERLOADED))
+            if not self.is_unframed:
+                writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            return not self.is_unframed
         aborted_event_id = self._random.randint(first_event_id, last_event_id + 1)
         for event_id in range(first_event_id, last_event_id + 1):
             data = event(attempt_id, event_id, self.version)
--- a/standins/edgewire.py
+++ b/standins/edgewire.py
@@ -16,12 +16,17 @@
 
 
 class Request(typing.NamedTuple):
-    """One complete request; header names are in lower case."""
+    """
+    One complete request; header names are in lower case.
+
+    ``peer_port`` is the port from which its connection was made.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    peer_port: int = 0
 
     @property
     def path(self) -> str:
@@ -106,7 +111,9 @@
         task = asyncio.current_task()
         self._writers[task] = writer
         try:
+            peer_port = writer.get_extra_info("peername")[1]
             while (request := await read_request(reader)) is not None:
+                request = request._replace(peer_port=peer_port)
                 if not await self._handle_until_disconnect(request, reader, writer):
                     break
         except (OSError, asyncio.CancelledError):
--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -37,6 +37,8 @@
             "cut_after_bytes": 0,
         }
         self.peer_faults: dict[str, str] = {}
+        # The address of the peer for which each port connects to the target.
+        self.peers_by_port: dict[int, str] = {}
         self._server: asyncio.Server | None = None
         # The writers to both ends of each connection, with the address of its peer.
         self._writers: dict[asyncio.StreamWriter, str] = {}
@@ -78,6 +80,7 @@
             return
         pair = {writer, target_writer}
         self._writers |= dict.fromkeys(pair, peer)
+        self.peers_by_port[target_writer.get_extra_info("sockname")[1]] = peer
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pump(reader, target_writer, "request", pair))
