Don't let entries that start anew spend the retry budget of those that ended

Cause: all entries were killed at 3.57 s and back at 4.53 s, inside one window; a new process starts with its whole part, 0.7 of the budget in sum, and those before it had spent as much. Change: where the store has saved quotas, so that entries had run before, an entry uses 0.3 in its first window: what is left of the budget. Before: three of four examples of 'Entries that start anew don't spend the repeat budget twice' fail (260, 259 and 260 repeats with 1000 requests, 258 allowed). After: all pass; from the second window on the budget is as before. The check's windows begin each 0.1 s now, not each second.

--- a/acaciaward/admission/features/shared.feature
+++ b/acaciaward/admission/features/shared.feature
@@ -34,6 +34,20 @@
     When every request of 60 s is repeated as often as allowed
     Then no window of 10 s holds more repeats than the budget allows
 
+  # Entries that started anew spent the burst again that those before them had spent.
+  Scenario Outline: Entries that start anew don't spend the repeat budget twice
+    Given 9 entries with a repeat ratio of 0.2 and 58 in 10 s
+    When every request from <begin> s to 60 s is repeated, and <which> start anew at 30 s
+    Then no window of 10 s holds more repeats than the budget allows
+    And half of what the budget allows is used from 40 s on
+
+    Examples:
+      | begin | which       |
+      | 0     | all entries |
+      | 29    | all entries |
+      | 25    | all entries |
+      | 25    | entries, one each half a second, |
+
   Scenario: When all entries are killed at once, a quota isn't spent twice
     Given 9 entries that share a quota of 1000 a second and 9000 at once
     And they exchange reports every 0.5 s
--- a/acaciaward/admission/features/steps/shared_steps.py
+++ b/acaciaward/admission/features/steps/shared_steps.py
@@ -205,29 +205,68 @@
 def make_budgets(context, count, ratio, burst):
     context.now = 0.0
     context.budget = repeatbudget.Budget(ratio, burst, 10.0)
-    context.budgets = [
-        repeatbudget.RepeatBudgets(context.budget, lambda: context.now, lambda: count)
-        for _ in range(count)
-    ]
+
+    def make_budgets():
+        is_first = context.now == 0.0
+        return repeatbudget.RepeatBudgets(
+            context.budget,
+            lambda: context.now,
+            lambda: count,
+            has_predecessor=lambda: not is_first,
+        )
+
+    context.make_budgets = make_budgets
+    context.budgets = [context.make_budgets() for _ in range(count)]
 
 
 @when("every request of {seconds:d} s is repeated as often as allowed")
 def repeat_all(context, seconds):
+    repeat_between(context, 0, seconds)
+
+
+@when(
+    "every request from {begin:d} s to {end:d} s is repeated, and {which} start anew at"
+    " {start:d} s"
+)
+def repeat_and_restart(context, begin, end, which, start):
+    count = len(context.budgets)
+    pause_s = 0.0 if which == "all entries" else 0.5
+    starts = {number: start + number * pause_s for number in range(count)}
+    repeat_between(context, begin, end, starts)
+
+
+def repeat_between(context, begin, end, starts=None):
+    """Repeat requests as often as allowed; ``starts`` says when entries start anew."""
     context.first_attempts, context.repeats = [], []
+    starts = starts or {}
     rng = random.Random(2)
-    while context.now < seconds:
+    while context.now < end:
+        for number, start in list(starts.items()):
+            if context.now >= start:
+                del starts[number]
+                context.budgets[number] = context.make_budgets()
         budget = rng.choice(context.budgets)
         budget.record_first_attempt("s")
         context.first_attempts.append(context.now)
-        while budget.spend("s"):
+        while context.now >= begin and budget.spend("s"):
             context.repeats.append(context.now)
         context.now += 0.01
 
 
+@then("half of what the budget allows is used from {begin:d} s on")
+def check_used(context, begin):
+    budget = context.budget
+    repeats = sum(begin <= at < begin + 10 for at in context.repeats)
+    first_attempts = sum(begin <= at < begin + 10 for at in context.first_attempts)
+    allowed = budget.ratio * first_attempts + budget.burst
+    assert repeats >= 0.5 * allowed, (repeats, allowed)
+
+
 @then("no window of 10 s holds more repeats than the budget allows")
 def check_repeats(context):
     budget = context.budget
-    for start in range(0, 50):
+    for step in range(0, 500):
+        start = step / 10
         first_attempts = sum(start <= at < start + 10 for at in context.first_attempts)
         repeats = sum(start <= at < start + 10 for at in context.repeats)
         assert repeats <= budget.ratio * first_attempts + budget.burst, (
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -180,7 +180,10 @@
                 quotas=self._quotas,
                 reporting_share=self._reporting_share,
                 repeats=repeatbudget.RepeatBudgets(
-                    budget, time.monotonic, self._entry_count
+                    budget,
+                    time.monotonic,
+                    self._entry_count,
+                    has_predecessor=lambda: self._saver.saved_entry_count > 0,
                 ),
                 codec=headers,
                 detour_codec=platform_detours,
