Don't continue a stream with an error after nothing but a comment of it

What has begun is an answer, not only its events. A continuation may set the pause before a reconnect before its first event, as streams often do. Before: 'A stream of which only a comment was sent' fails without the change.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -193,7 +193,9 @@
     ) -> None:
         is_stream = progress.route.kind is routes.RequestKind.STREAM
         if is_stream and reply.head.status < FIRST_FAILURE:
-            self._check_media_type(progress, reply.head)
+            is_continued = responder.has_begun or progress.last_delivered_id is not None
+            if is_continued and reply.head.media_type not in (None, EVENT_STREAM):
+                raise errors.BrokenOffError(f"resume answered {reply.head.media_type}")
             await self._forward_stream(progress, work, reply, responder)
             return
         body = await reply.read(MAX_BUFFERED_BYTES)
@@ -212,15 +214,6 @@
             body,
         )
 
-    @staticmethod
-    def _check_media_type(
-        progress: callprogress.Progress, head: calls.ReplyHead
-    ) -> None:
-        """Raise if a stream that has begun would go on with something else."""
-        has_begun = progress.last_delivered_id is not None
-        if has_begun and head.media_type not in (None, EVENT_STREAM):
-            raise errors.BrokenOffError(f"resume answered {head.media_type}")
-
     def _is_retryable_failure(
         self, progress: callprogress.Progress, head: calls.ReplyHead
     ) -> bool:
@@ -241,7 +234,7 @@
     ) -> None:
         splitter = events.EventSplitter()
         answer_check = events.AnswerCheck(
-            is_continued=progress.last_delivered_id is not None
+            is_continued=responder.has_begun or progress.last_delivered_id is not None
         )
         has_event = has_survived = False
         uncounted_bytes = 0
--- a/acaciaward/gateway/events.py
+++ b/acaciaward/gateway/events.py
@@ -28,9 +28,12 @@
     data: bytes
 
     @property
-    def is_comment(self) -> bool:
-        """Whether all lines are comments, which mean nothing to callers."""
-        return all(line.startswith(b":") for line in self.data.splitlines() if line)
+    def has_content(self) -> bool:
+        """Whether it has more than comments and the pause before a reconnect."""
+        return any(
+            line and not line.startswith((b":", b"retry:"))
+            for line in self.data.splitlines()
+        )
 
 
 class AnswerCheck:
@@ -51,7 +54,7 @@
                 raise errors.BrokenOffError("another answer's head inside a stream")
             if event.number is not None:
                 self._needs_number = False
-            elif self._needs_number and not event.is_comment:
+            elif self._needs_number and event.has_content:
                 raise errors.BrokenOffError("a stream goes on without a number")
         return new_events
 
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -667,6 +667,7 @@
 FAILURE_HEAD = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 JSON = b"Content-Type: application/json\r\n"
+COMMENT = b": waiting\n\n"
 FINAL = b"data: [DONE]\n\n"
 
 
@@ -707,7 +708,8 @@
     "comments and 4 to 6 and an end": write_answer(
         b"200 OK",
         b"Content-Type: text/event-stream; charset=utf-8\r\n" + CHUNKED,
-        b": waiting\n\n",
+        COMMENT,
+        b"retry: 500\n\n",
         *EVENTS_4_TO_6,
         FINAL,
     ),
@@ -721,6 +723,18 @@
     )
 
 
+@given("a stream stops after a comment, and the next answer is {answer}")
+def stop_after_comment(context, answer):
+    begun = scripted.stream(1, 0, then="reset", rest=COMMENT)
+    context.front.script(begun, *[NEXT_ANSWERS[answer]] * 3)
+
+
+@then("the answer is aborted and looks incomplete, with nothing but a comment")
+def check_comment(context):
+    assert not scripted.is_complete(context.data), context.data
+    assert scripted.body_of(context.data) == COMMENT, context.data
+
+
 @given("each next answer is {answer}")
 def answer_next(context, answer):
     context.front.always(NEXT_ANSWERS[answer])
--- a/acaciaward/gateway/features/streams.feature
+++ b/acaciaward/gateway/features/streams.feature
@@ -81,6 +81,12 @@
       | an event without an id, and an end   |
       | the head of a failure as text        |
 
+  Scenario: A stream of which only a comment was sent isn't continued with an error
+    Given a front for resumable streams
+    And a stream stops after a comment, and the next answer is an event without an id
+    When a caller asks
+    Then the answer is aborted and looks incomplete, with nothing but a comment
+
   Scenario: A stream that a caller takes up doesn't go on with an error
     Given a front for resumable streams
     And each next answer is an event without an id
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -258,12 +258,13 @@
         for reader in self._readers_elsewhere():
             self._membership.notify(reader, "summary", own_summary)
         changes = self._collect_changes()
+        digest = self._digest()
         names = self._names_by_data_centre(LIVE_STATES).get(self._data_centre, [])
         started = self._aggregator.recently_started()
         majority_time = self._aggregator.majority_time()
         excerpt = None
         for name, sums in self._aggregator.sums_for_each(names).items():
-            relay = self._make_relay(sums, changes, own_state, majority_time)
+            relay = self._make_relay(sums, changes, digest, own_state, majority_time)
             if name == self._membership.name:
                 self._apply_relay(relay)
                 continue
@@ -289,6 +290,7 @@
         self,
         sums: aggregation.Sums,
         changes: tuple[list[messages.EndpointFields], list[str]],
+        digest: int,
         own_state: LocalState,
         majority_time: float | None,
     ) -> messages.Relay:
@@ -306,7 +308,7 @@
             "endpoints": changes[0],
             "removed": changes[1],
             "lapsed": self._directory.deferred_removals,
-            "digest": self._digest(),
+            "digest": digest,
             "levels": own_state.levels,
             **sums._asdict(),
             "load": _rounded(sums.load),
--- a/acaciaward/routing/rests.py
+++ b/acaciaward/routing/rests.py
@@ -32,7 +32,9 @@
         A later refusal may name less, but takes nothing back of what an earlier one
         has asked for.
         """
-        until = self._clock() + rest_s
+        now = self._clock()
+        self._until = {key: at for key, at in self._until.items() if at > now}
+        until = now + rest_s
         if until <= self._until.get(endpoint.incarnation, 0.0):
             return
         self._until[endpoint.incarnation] = until
