Judge signals in the soak by whether an entry was told, not by contact

Only a disturbance of the server around the answer, or of the entry since, excuses now: a stricter check.

--- a/soak/signals.py
+++ b/soak/signals.py
@@ -17,6 +17,8 @@
 UNDER_WAY_S = 0.5
 # How many may reach it in the rest of that time.
 MAX_REQUESTS_AT_REST = 2
+# Time around an answer in which a disturbance of its server may keep it from the entry.
+DELIVERY_S = 0.5
 
 
 class Link(typing.NamedTuple):
@@ -79,15 +81,15 @@
         bounds: conditions.Bounds,
         allowance_s: float,
     ) -> None:
-        """Record what was broken; disturbed entries and servers may not be told."""
+        """Record what was broken by entries that were told and went on undisturbed."""
         for link, answers in self._told.items():
-            names = (link.entry, link.server.name)
 
-            def is_bound(begin: float, end: float, names=names) -> bool:
-                begin -= bounds.contact_s
-                return all(
-                    disturbances.is_undisturbed(name, begin, end) for name in names
-                )
+            def is_bound(begin: float, end: float, link=link) -> bool:
+                # Being out of touch excuses nothing, only not having been told.
+                told = (begin - DELIVERY_S, begin + DELIVERY_S)
+                return disturbances.is_undisturbed(
+                    link.entry, begin, end
+                ) and disturbances.is_undisturbed(link.server.name, *told)
 
             sent = self._sent[link]
             self._check_leaving(
