Remember an endpoint's leaving whether its record is there or not

An endpoint that said in an answer that it leaves, while its record was missing, got work once the record was back: what it said was dropped with no record to mark. One whose removal was deferred in an outage was put back for good when it said so, as any update ends the deferral; it then stayed listed as leaving. Change: what an answer says is kept by the endpoint's name and start alone, and marking it isn't an update of its record. Before: 'while its record is missing stays away' and 'A lapsed endpoint that says that it leaves is removed all the same' fail. After: both pass.

--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -72,11 +72,12 @@
     That an endpoint is leaving, and when it was last seen.
 
     It is known from the endpoint's record, from an answer to this entry or from one to
-    another entry, or from several of them.
+    another entry, or from several of them. The address is that in its last record, None
+    if there was none since.
     """
 
     seen_at: float
-    address: tuple[str, int]
+    address: tuple[str, int] | None = None
     in_record: bool = False
     in_answer: bool = False
     by_peer: bool = False
@@ -100,6 +101,17 @@
         self._listeners: list[abc.Callable[[Endpoint | None, Endpoint | None], None]]
         self._listeners = []
 
+    @property
+    def told_leaving(self) -> list[Incarnation]:
+        """The endpoints that told this entry that they leave, and no record says so."""
+        return [
+            endpoint.incarnation
+            for endpoint in self._endpoints.values()
+            if (departure := self._departures.get(endpoint.incarnation)) is not None
+            and departure.in_answer
+            and not departure.in_record
+        ]
+
     def subscribe(
         self, listener: abc.Callable[[Endpoint | None, Endpoint | None], None]
     ) -> None:
@@ -114,6 +126,9 @@
         """Add or update an endpoint; one that was leaving stays so."""
         endpoint = self._keep_leaving(endpoint)
         self._deferred_removals.pop(endpoint.name, None)
+        self._set(endpoint)
+
+    def _set(self, endpoint: Endpoint) -> None:
         previous = self._endpoints.get(endpoint.name)
         if previous == endpoint:
             return
@@ -173,44 +188,32 @@
         return is_old and not self.is_leaving(incarnation)
 
     def _record_departure(self, endpoint: Endpoint, **source: bool) -> None:
+        address = (endpoint.address, endpoint.port)
+        self._add_departure(endpoint.incarnation, address=address, **source)
+
+    def _add_departure(self, incarnation: Incarnation, **changes: typing.Any) -> None:
         now = self._clock()
         self._departures = {
-            incarnation: departure
-            for incarnation, departure in self._departures.items()
-            if not self._has_expired(incarnation, departure)
+            known: departure
+            for known, departure in self._departures.items()
+            if not self._has_expired(known, departure)
         }
-        address = (endpoint.address, endpoint.port)
-        known = self._departures.get(endpoint.incarnation, _Departure(now, address))
-        self._departures[endpoint.incarnation] = known._replace(
-            seen_at=now, address=address, **source
-        )
+        departure = self._departures.get(incarnation, _Departure(now))
+        self._departures[incarnation] = departure._replace(seen_at=now, **changes)
 
     def record_leaving(self, incarnation: Incarnation, *, by_peer: bool) -> None:
         """
         Record that an endpoint has said in an answer that it is leaving.
 
-        ``by_peer`` means that it has told another entry so.
+        ``by_peer`` means that it has told another entry so. Its record may be missing
+        now and come back.
         """
+        source = {"by_peer": True} if by_peer else {"in_answer": True}
+        self._add_departure(incarnation, **source)
         endpoint = self._endpoints.get(incarnation[0])
-        if endpoint is None or endpoint.incarnation != incarnation:
-            return
-        if by_peer:
-            self._record_departure(endpoint, by_peer=True)
-        else:
-            self._record_departure(endpoint, in_answer=True)
-        if endpoint.state is EndpointState.READY:
-            self.update(endpoint)
-
-    @property
-    def told_leaving(self) -> list[Incarnation]:
-        """The endpoints that told this entry that they leave, and no record says so."""
-        return [
-            endpoint.incarnation
-            for endpoint in self._endpoints.values()
-            if (departure := self._departures.get(endpoint.incarnation)) is not None
-            and departure.in_answer
-            and not departure.in_record
-        ]
+        if endpoint is not None and endpoint.incarnation == incarnation:
+            self._record_departure(endpoint)
+            self._set(endpoint._replace(state=EndpointState.LEAVING))
 
     def as_listed(self, endpoint: Endpoint) -> Endpoint:
         """Return an endpoint in the state that its record says."""
--- a/acaciaward/catalogue/features/catalogue.feature
+++ b/acaciaward/catalogue/features/catalogue.feature
@@ -69,6 +69,25 @@
     Then e-1, e-2 may get work
     And none is told to peers as leaving
 
+  # Guards against work for such an endpoint when its record is back after an outage.
+  Scenario: An endpoint that says that it leaves while its record is missing stays away
+    Given endpoints e-1 and e-2
+    When the record of e-1 is removed
+    And e-1 says in an answer that it leaves
+    And e-1 writes its record again
+    Then e-2 may get work
+
+  # Guards against an endpoint that stays listed since it said that it leaves.
+  Scenario: A lapsed endpoint that says that it leaves is removed all the same
+    Given endpoints e-1 and e-2
+    When the store fails
+    And the record of e-1 is removed
+    And e-1 says in an answer that it leaves
+    Then e-2 may get work
+    And none may get work if there is no other
+    When 2.1 s pass
+    Then e-1 is listed no more
+
   # Guards against work for such an endpoint if its record names no start.
   Scenario: An endpoint without the time of its start stays away until it is removed
     Given endpoints e-1 and e-2 without the times of their starts
--- a/acaciaward/catalogue/features/steps/catalogue_steps.py
+++ b/acaciaward/catalogue/features/steps/catalogue_steps.py
@@ -68,6 +68,11 @@
     context.directory.record_leaving((name, context.born), by_peer=True)
 
 
+@then("{name} is listed no more")
+def check_removed(context, name):
+    assert context.directory.get(name) is None
+
+
 @then("{names} is told to peers as leaving")
 def check_told(context, names):
     found = [name for name, _ in context.directory.told_leaving]
