Call the time that an endpoint wants no requests a back-off, as the field does

"Rest" is the users' word. routing/rests.py, its metric, log line, steps, plant and fault of the soak have the new name; so do takers of signals (`_record_*`), departures that were announced, and what the soak's judge records.

--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -102,7 +102,7 @@
         self._listeners = []
 
     @property
-    def told_leaving(self) -> list[Incarnation]:
+    def announced_departures(self) -> list[Incarnation]:
         """The endpoints that told this entry that they leave, and no record says so."""
         return [
             endpoint.incarnation
--- a/acaciaward/catalogue/features/steps/catalogue_steps.py
+++ b/acaciaward/catalogue/features/steps/catalogue_steps.py
@@ -75,7 +75,7 @@
 
 @then("{names} is told to peers as leaving")
 def check_told(context, names):
-    found = [name for name, _ in context.directory.told_leaving]
+    found = [name for name, _ in context.directory.announced_departures]
     assert (found or ["none"]) == names.split(", "), found
 
 
--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -149,8 +149,8 @@
         """Raise if the endpoint wants no calls any more since it was chosen."""
         if self._deps.directory.is_leaving(work.endpoint.incarnation):
             raise errors.WithdrawnError("leaving")
-        if self._deps.occupancy.rests.left_s(work.endpoint):
-            raise errors.WithdrawnError("at rest")
+        if self._deps.occupancy.backoffs.left_s(work.endpoint):
+            raise errors.WithdrawnError("backing off")
 
     @staticmethod
     def _refusal_error(head: calls.ReplyHead) -> errors.NotRunError:
--- a/acaciaward/gateway/features/forwarding.feature
+++ b/acaciaward/gateway/features/forwarding.feature
@@ -34,7 +34,7 @@
     When a caller asks
     Then the answer is 200 and 2 requests arrived
 
-  # Guards against requests to an endpoint that has asked this entry for rest.
+  # Guards against requests to an endpoint that has asked this entry to back off.
   Scenario Outline: An endpoint that refuses names how long it wants no requests
     Given a front for non_idempotent requests with 1 endpoints
     And all refuse with the line "<line>"
@@ -53,8 +53,8 @@
       | Retry-After: inf                           | 2     |
       | Retry-After: Fri, 04 Dec 2026 21:00:00 GMT | 2     |
 
-  # Guards against requests in the rest that a failure asks for.
-  Scenario: A call that may have run is not repeated, and its endpoint rests all the same
+  # Guards against requests during the back-off that a failure asks for.
+  Scenario: A call that may have run is not repeated, and its endpoint is left alone all the same
     Given a front for non_idempotent requests with 1 endpoints
     And all answer 503 without a promise, with the line "Retry-After: 3"
     When a caller asks 2 times
@@ -62,9 +62,9 @@
 
   # Guards against sends, once a connection stands, to an endpoint that has refused others
   # meanwhile.
-  Scenario: A call isn't sent to an endpoint that asks for rest while it is connected to
+  Scenario: A call isn't sent to an endpoint that asks to back off while it is connected to
     Given a front for non_idempotent requests
-    When a caller asks while the endpoint that is connected to asks for rest
+    When a caller asks while the endpoint that is connected to asks to back off
     Then the answer is 200 and 1 request arrived
     And the endpoint that leaves got nothing
 
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -281,10 +281,10 @@
     )
 
 
-@when("a caller asks while the endpoint that is connected to asks for rest")
-def ask_while_at_rest(context):
-    rests = context.front.occupancy.rests
-    ask_while_withdrawn(context, lambda endpoint: rests.record(endpoint, 3.0))
+@when("a caller asks while the endpoint that is connected to asks to back off")
+def ask_while_backing_off(context):
+    backoffs = context.front.occupancy.backoffs
+    ask_while_withdrawn(context, lambda endpoint: backoffs.record(endpoint, 3.0))
 
 
 def ask_while_withdrawn(context, withdraw):
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -263,10 +263,10 @@
         if candidate is not None:
             self._refuse_if_hopeless(service, progress, candidate)
             return candidate
-        rest_s = self._deps.occupancy.resting_for_s(service.name, version)
+        backoff_s = self._deps.occupancy.backoff_left_s(service.name, version)
         # A peer would only get round what the endpoints have asked for.
         may_go_through_peer = (
-            progress.failed_connects and not is_unreached and not rest_s
+            progress.failed_connects and not is_unreached and not backoff_s
         )
         if may_go_through_peer and self._deps.peers.is_any_usable(
             progress, service.name
@@ -277,11 +277,11 @@
                 refusals.BAD_GATEWAY, "no other endpoint", verdict=MAY_HAVE_RUN
             )
         at_version = "" if version is None else f" at {version}"
-        if rest_s:
+        if backoff_s:
             raise callprogress.RefusedError(
                 refusals.UNAVAILABLE,
-                f"all endpoints of {service.name}{at_version} are at rest",
-                retry_after_s=self._refusals.delay_after_rest_s(progress, rest_s),
+                f"all endpoints of {service.name}{at_version} asked to back off",
+                retry_after_s=self._refusals.delay_after_backoff_s(progress, backoff_s),
             )
         raise callprogress.RefusedError(
             refusals.UNAVAILABLE,
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -75,9 +75,9 @@
     "acaciaward_gateway_leaving_answers_total",
     "Answers of endpoints that said that they are leaving",
 )
-REST_ANSWERS = prometheus_client.Counter(
-    "acaciaward_gateway_rest_answers_total",
-    "Refusals of endpoints that asked for rest",
+BACKOFF_ANSWERS = prometheus_client.Counter(
+    "acaciaward_gateway_backoff_answers_total",
+    "Refusals of endpoints that asked this entry to back off",
 )
 OPEN_REQUESTS = prometheus_client.Gauge(
     "acaciaward_gateway_open_requests", "Requests that are worked on now"
--- a/acaciaward/gateway/refusals.py
+++ b/acaciaward/gateway/refusals.py
@@ -46,11 +46,11 @@
             BAD_GATEWAY, reason, verdict=verdicts.Verdict.MAY_HAVE_RUN
         )
 
-    def delay_after_rest_s(
-        self, progress: callprogress.Progress, rest_s: float
+    def delay_after_backoff_s(
+        self, progress: callprogress.Progress, backoff_s: float
     ) -> float:
-        """Return a random retry delay that is longer than a rest of ``rest_s``."""
-        return rest_s + self.retry_delay_s(progress)
+        """Return a random retry delay that is longer than endpoints' back-off."""
+        return backoff_s + self.retry_delay_s(progress)
 
     def retry_delay_s(self, progress: callprogress.Progress) -> float:
         """Return a random retry delay that leaves time for the call to be served."""
--- a/acaciaward/gateway/selfreports.py
+++ b/acaciaward/gateway/selfreports.py
@@ -18,10 +18,10 @@
 
 log = logging.getLogger(__name__)
 
-# A refusal with this status may ask for rest.
-REST_STATUS = 503
+# A refusal with this status may ask to back off.
+BACKOFF_STATUS = 503
 
-Take = abc.Callable[[endpoints.Endpoint, calls.ReplyHead, float], None]
+Record = abc.Callable[[endpoints.Endpoint, calls.ReplyHead, float], None]
 
 
 class SelfReports:
@@ -30,10 +30,10 @@
     def __init__(self, directory: endpoints.Directory, tracker: occupancy.Occupancy):
         self._directory = directory
         self._occupancy = tracker
-        self._takers: tuple[Take, ...] = (
-            self._take_limit,
-            self._take_leaving,
-            self._take_rest,
+        self._recorders: tuple[Record, ...] = (
+            self._record_limit,
+            self._record_leaving,
+            self._record_backoff,
         )
 
     def record(
@@ -42,10 +42,10 @@
         """Record the head of an answer to a request that was sent at ``sent_at``."""
         if head.is_misdirected:
             return
-        for take in self._takers:
-            take(endpoint, head, sent_at)
+        for record in self._recorders:
+            record(endpoint, head, sent_at)
 
-    def _take_limit(
+    def _record_limit(
         self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
     ) -> None:
         if not (head.is_signed or head.is_refusal):
@@ -54,7 +54,7 @@
             metrics.LIMITED_ANSWERS.inc()
         self._occupancy.limits.record(endpoint, head.limit_per_s, sent_at)
 
-    def _take_leaving(
+    def _record_leaving(
         self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
     ) -> None:
         if not head.says_leaving:
@@ -67,10 +67,10 @@
             )
         self._directory.record_leaving(endpoint.incarnation, by_peer=False)
 
-    def _take_rest(
+    def _record_backoff(
         self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
     ) -> None:
-        if head.status != REST_STATUS or not head.retry_after_s:
+        if head.status != BACKOFF_STATUS or not head.retry_after_s:
             return
-        metrics.REST_ANSWERS.inc()
-        self._occupancy.rests.record(endpoint, head.retry_after_s)
+        metrics.BACKOFF_ANSWERS.inc()
+        self._occupancy.backoffs.record(endpoint, head.retry_after_s)
--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -50,7 +50,7 @@
             levels=components.quotas.levels(),
             limits=components.occupancy.limits.report(),
             parts=components.prompt_parts.report(),
-            leaving=components.directory.told_leaving,
+            leaving=components.directory.announced_departures,
         )
 
     def receive_state(self, state: relaying.RelayedState) -> None:
--- a/acaciaward/routing/rests.py
+++ b/acaciaward/routing/backoffs.py
@@ -1,11 +1,11 @@
 """
-Keeps the times of rest that endpoints ask this entry for.
+Keeps the times for which endpoints ask this entry to back off.
 
 A refusal with 503 may name how long its endpoint wants no request from the entry that
 it refused. Only that entry is asked, so nothing of it is shared.
 
-    rests.record(endpoint, 3.0)
-    rests.left_s(endpoint)  # 3.0, and less with time
+    backoffs.record(endpoint, 3.0)
+    backoffs.left_s(endpoint)  # 3.0, and less with time
 """
 
 import logging
@@ -18,29 +18,29 @@
 log = logging.getLogger(__name__)
 
 
-class EndpointRests:
-    """The times of rest of all endpoints."""
+class EndpointBackoffs:
+    """The back-off of all endpoints."""
 
     def __init__(self, *, clock: abc.Callable[[], float] = time.monotonic):
         self._clock = clock
         self._until: dict[endpoints.Incarnation, float] = {}
 
-    def record(self, endpoint: endpoints.Endpoint, rest_s: float) -> None:
+    def record(self, endpoint: endpoints.Endpoint, backoff_s: float) -> None:
         """
-        Record that an endpoint asks for rest from now on.
+        Record that an endpoint asks to back off from now on.
 
         A later refusal may name less, but takes nothing back of what an earlier one
         has asked for.
         """
         now = self._clock()
         self._until = {key: at for key, at in self._until.items() if at > now}
-        until = now + rest_s
+        until = now + backoff_s
         if until <= self._until.get(endpoint.incarnation, 0.0):
             return
         self._until[endpoint.incarnation] = until
         log.info(
-            "endpoint asks for rest",
-            extra=logs.fields(endpoint=endpoint.name, rest_s=rest_s),
+            "endpoint asks to back off",
+            extra=logs.fields(endpoint=endpoint.name, backoff_s=backoff_s),
         )
 
     def left_s(self, endpoint: endpoints.Endpoint) -> float:
--- a/acaciaward/routing/features/signals.feature
+++ b/acaciaward/routing/features/signals.feature
@@ -3,7 +3,7 @@
   Callers send requests to six entries of two data centres; app-1 and app-2 serve them.
   The store lists both as ready all the while.
 
-  # Requests reached an endpoint 67 to 210 times after its answers had said it leaves.
+  # An endpoint got 104 to 116 requests too late after its answers had said it leaves.
   Scenario Outline: An endpoint that says in its answers that it leaves gets no more work
     Given 2 data centres of 3 entries with callers that send 60 requests a second, each to 3 endpoints at most
     When app-1 says in <answers> that it leaves
@@ -24,33 +24,33 @@
     And 6 s pass
     Then no entry sent app-1 a request later than the contact time
 
-  # An endpoint had asked an entry for 3 s of rest, and got up to 25 requests in them.
-  Scenario Outline: An endpoint that asks for rest gets none of the requests of that entry
+  # An endpoint had asked an entry to back off for 3 s, and got up to 25 requests in them.
+  Scenario Outline: An endpoint that asks an entry to back off gets none of its requests
     Given 2 data centres of 3 entries with callers that send 60 requests a second, each to 3 endpoints at most
-    When app-1 refuses <share> of 100 requests and asks for <rest> s of rest
+    When app-1 refuses <share> of 100 requests and asks for a back-off of <seconds> s
     And 8 s pass
-    Then no entry sent app-1 more than 2 requests in a time of rest
+    Then no entry sent app-1 more than 2 requests during a back-off
     And all requests were served
 
     Examples:
-      | share | rest |
+      | share | seconds |
       | 100   | 3    |
       | 15    | 3    |
       | 100   | 1.25 |
 
-  # Callers' requests went to endpoints at rest, where no other endpoint was left.
-  Scenario: Callers are refused at once where all endpoints are at rest
+  # Callers' requests went to endpoints that asked to back off, where no other endpoint was left.
+  Scenario: Callers are refused at once where all endpoints asked to back off
     Given 2 data centres of 3 entries with callers that send 60 requests a second, each to 3 endpoints at most
-    When app-1 refuses 100 of 100 requests and asks for 3 s of rest
-    And app-2 refuses 100 of 100 requests and asks for 3 s of rest
+    When app-1 refuses 100 of 100 requests and asks for a back-off of 3 s
+    And app-2 refuses 100 of 100 requests and asks for a back-off of 3 s
     And 6 s pass
-    Then no entry sent app-1 more than 2 requests in a time of rest
-    And no entry sent app-2 more than 2 requests in a time of rest
+    Then no entry sent app-1 more than 2 requests during a back-off
+    And no entry sent app-2 more than 2 requests during a back-off
     And all requests were refused within 0.3 s, with a time to retry
 
-  Scenario: An endpoint whose rest is over gets its share again
+  Scenario: An endpoint whose back-off is over gets its share again
     Given 2 data centres of 3 entries with callers that send 60 requests a second, each to 3 endpoints at most
-    When app-1 refuses 100 of 100 requests and asks for 2 s of rest
+    When app-1 refuses 100 of 100 requests and asks for a back-off of 2 s
     And 1 s pass
     And app-1 refuses no requests
     And 3 s pass
--- a/acaciaward/routing/features/steps/rests_steps.py
+++ b/acaciaward/routing/features/steps/backoffs_steps.py
@@ -1,4 +1,4 @@
-"""Steps for times of rest, with a clock of their own."""
+"""Steps for back-offs that endpoints ask for, with a clock of their own."""
 
 from behave import given, then, when
 
@@ -22,10 +22,10 @@
         context.directory.update(make_endpoint(name))
 
 
-@when("{name} asks for {rest:g} s of rest at {at:g} s")
-def ask_for_rest(context, name, rest, at):
+@when("{name} asks for a back-off of {seconds:g} s at {at:g} s")
+def ask_to_back_off(context, name, seconds, at):
     context.now = at
-    context.occupancy.rests.record(context.directory.get(name), rest)
+    context.occupancy.backoffs.record(context.directory.get(name), seconds)
 
 
 @when("{name} starts anew")
@@ -33,10 +33,10 @@
     context.directory.update(make_endpoint(name, born=2))
 
 
-@then("{name} is at rest for {left:g} s more")
+@then("{name} is left alone for {left:g} s more")
 def check_left(context, name, left):
     if name == "the service":
-        found = context.occupancy.resting_for_s("app", None)
+        found = context.occupancy.backoff_left_s("app", None)
     else:
-        found = context.occupancy.rests.left_s(context.directory.get(name))
+        found = context.occupancy.backoffs.left_s(context.directory.get(name))
     assert found == left, found
--- a/acaciaward/routing/features/steps/signals_steps.py
+++ b/acaciaward/routing/features/steps/signals_steps.py
@@ -15,7 +15,7 @@
 # Time after a refusal in which requests may still be under way, and how many may reach
 # the endpoint in the rest of the time that it asked for.
 GRACE_S = 0.5
-MAX_REQUESTS_AT_REST = 2
+MAX_REQUESTS_IN_BACKOFF = 2
 REFUSED = 503
 
 # Share of requests that are refused, and which answers say that the endpoint leaves.
@@ -45,10 +45,10 @@
     )
 
 
-@when("{name} refuses {share:d} of 100 requests and asks for {rest} s of rest")
-def ask_for_rest(context, name, share, rest):
+@when("{name} refuses {share:d} of 100 requests and asks for a back-off of {seconds} s")
+def ask_to_back_off(context, name, share, seconds):
     refuse(context, name, share / 100)
-    context.traffic.servers[name].rest = rest
+    context.traffic.servers[name].backoff = seconds
 
 
 @when("{name} refuses no requests")
@@ -63,7 +63,7 @@
     for entry in range(len(context.world.entries)):
         told = [
             answer.at
-            for answer in context.traffic.told[name, entry]
+            for answer in context.traffic.announced[name, entry]
             if "Server-Leaving" in answer.headers
         ]
         told_count += bool(told)
@@ -79,7 +79,7 @@
 def check_all_leave(context, name):
     told_at = min(
         answer.at
-        for (server, _), answers in context.traffic.told.items()
+        for (server, _), answers in context.traffic.announced.items()
         for answer in answers
         if server == name
     )
@@ -91,25 +91,27 @@
     assert not late, len(late)
 
 
-@then("no entry sent {name} more than 2 requests in a time of rest")
-def check_rest(context, name):
-    broken = rest_count = most = 0
+@then("no entry sent {name} more than 2 requests during a back-off")
+def check_backoff(context, name):
+    broken = backoff_count = most = 0
     for entry in range(len(context.world.entries)):
         arrived_at = [
             request.at
             for request in context.traffic.requests[name]
             if request.entry == entry
         ]
-        for answer in context.traffic.told[name, entry]:
+        for answer in context.traffic.announced[name, entry]:
             if "Retry-After" not in answer.headers:
                 continue
             end = answer.at + float(answer.headers["Retry-After"])
             count = sum(answer.at + GRACE_S < at < end for at in arrived_at)
-            rest_count += 1
-            broken += count > MAX_REQUESTS_AT_REST
+            backoff_count += 1
+            broken += count > MAX_REQUESTS_IN_BACKOFF
             most = max(most, count)
-    assert rest_count
-    assert not broken, f"{broken} of {rest_count} rests broken, up to {most} requests"
+    assert backoff_count
+    assert not broken, (
+        f"{broken} of {backoff_count} back-offs broken, up to {most} requests"
+    )
 
 
 @then("all requests were served")
--- a/acaciaward/routing/features/traffic.py
+++ b/acaciaward/routing/features/traffic.py
@@ -36,7 +36,7 @@
     entry: int
 
 
-class Told(typing.NamedTuple):
+class Announcement(typing.NamedTuple):
     """The headers of an answer that tell of its server, and when it was written."""
 
     at: float
@@ -56,7 +56,7 @@
         self.requests = collections.defaultdict(list)
         self.answers = []
         # What answers told of their servers, by server and entry.
-        self.told = collections.defaultdict(list)
+        self.announced = collections.defaultdict(list)
         self._sent_at = {}
 
     def entry_of(self, request):
@@ -72,8 +72,8 @@
         )
 
     def answered(self, server, request, headers):
-        self.told[server.name, self.entry_of(request)].append(
-            Told(time.monotonic(), headers)
+        self.announced[server.name, self.entry_of(request)].append(
+            Announcement(time.monotonic(), headers)
         )
 
     def ran(self, server, request):
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -12,7 +12,7 @@
 
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls
-from acaciaward.routing import endpointlimits, health, placement, rests
+from acaciaward.routing import backoffs, endpointlimits, health, placement
 
 # Other entries' reports older than this are ignored, in seconds.
 REPORT_LIFETIME_S = 3.0
@@ -92,8 +92,8 @@
     """
     Counts the work at endpoints, tracks their health, and chooses by both.
 
-    ``limits`` are those that endpoints name, ``rests`` the times for which they want no
-    requests. One that has reached its limit or is at rest isn't chosen.
+    ``limits`` are those that endpoints name, ``backoffs`` how long they want nothing
+    from this entry. One that has reached its limit or asked to back off isn't chosen.
     """
 
     def __init__(
@@ -109,7 +109,7 @@
         self._directory = directory
         self._data_centre = data_centre
         self.limits = limits or endpointlimits.EndpointLimits(clock=clock)
-        self.rests = rests.EndpointRests(clock=clock)
+        self.backoffs = backoffs.EndpointBackoffs(clock=clock)
         self._random = rng or random.Random()
         self._running: collections.Counter[Incarnation] = collections.Counter()
         self._backlog: collections.Counter[Incarnation] = collections.Counter()
@@ -123,7 +123,7 @@
         self._reported_at = 0.0
         directory.subscribe(self._forget)
         directory.subscribe(self.limits.forget)
-        directory.subscribe(self.rests.forget)
+        directory.subscribe(self.backoffs.forget)
 
     def _forget(
         self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
@@ -197,17 +197,17 @@
         )
 
     def _may_send(self, endpoint: endpoints.Endpoint) -> bool:
-        return not self.rests.left_s(endpoint) and self.limits.may_send(endpoint)
+        return not self.backoffs.left_s(endpoint) and self.limits.may_send(endpoint)
 
-    def resting_for_s(self, service: str, version: str | None) -> float:
+    def backoff_left_s(self, service: str, version: str | None) -> float:
         """
-        Return how long all endpoints that may get calls are still at rest.
+        Return how long all endpoints that may get calls are still to be left alone.
 
-        This is 0 if one of them isn't at rest, or if there is none.
+        This is 0 if one of them may be asked, or if there is none.
         """
         return min(
             (
-                self.rests.left_s(endpoint)
+                self.backoffs.left_s(endpoint)
                 for endpoint in self._usable(service, version)
             ),
             default=0.0,
--- a/features/soaksignals.feature
+++ b/features/soaksignals.feature
@@ -8,4 +8,4 @@
     Examples:
       | seed | plant   | fault                  | promise |
       | 2    | leaving | let_server_say_leaving | DRAIN   |
-      | 1    | rest    | ask_for_rest           | BUDGET  |
+      | 1    | backoff | ask_to_back_off        | BUDGET  |
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,8 +30,8 @@
 
 # How much longer one goes on that says so only in its answers.
 SAID_LEAVING_RANGE_S = (3.0, 8.0)
-# How long servers ask for rest, and for how long they refuse requests.
-REST_RANGE_S = (1.0, 6.0)
+# How long servers ask to back off, and for how long they refuse requests.
+BACKOFF_RANGE_S = (1.0, 6.0)
 
 # How long a part of prompts crashes servers.
 TAINTED_RANGE_S = (6.0, 15.0)
@@ -74,7 +74,7 @@
             (1, self._reuse_address),
             (1, self._taint_part),
             (2, self._let_server_say_leaving),
-            (2, self._ask_for_rest),
+            (2, self._ask_to_back_off),
         ]
         names = [fault.__name__.lstrip("_") for _, fault in self._weighted_faults]
         if favoured and favoured not in names:
@@ -255,15 +255,15 @@
         await asyncio.sleep(drain_s + self._random.uniform(*SAID_LEAVING_RANGE_S))
         await self._system.stop_server(server)
 
-    async def _ask_for_rest(self) -> None:
+    async def _ask_to_back_off(self) -> None:
         """Let a server refuse some or all requests and name how long it wants none."""
         server = self._choose_server()
         if server is None:
             return
         server.share = self._random.choice((0.2, 0.6, 1.0))
-        server.rest = f"{self._random.uniform(*REST_RANGE_S):.2f}"
+        server.backoff = f"{self._random.uniform(*BACKOFF_RANGE_S):.2f}"
         server.behaviour = "refuse"
-        await asyncio.sleep(self._random.uniform(*REST_RANGE_S))
+        await asyncio.sleep(self._random.uniform(*BACKOFF_RANGE_S))
         server.behaviour = "pass"
 
     async def _make_server_misbehave(self) -> None:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -14,8 +14,8 @@
 DRAIN    A server that leaves receives no requests once its drain time is over; one
          that has said so in an answer, none from the entry that it has told.
 CONFIG   A configuration is in force in time, and no older one follows it.
-BUDGET   Repeats stay within the retry budget, and a server gets the rest that it asks
-         an entry for.
+BUDGET   Repeats stay within the retry budget, and an entry backs off from a server
+         for as long as that asks for.
 QUOTA    An organisation gets no more than its quota.
 ONE      One entry at a time carries out a duty.
 USAGE    Windows of usage are reported in time again after the store was restored.
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -28,7 +28,7 @@
 from acaciaward.platform import duties, headers
 from acaciaward.quarantine import promptparts
 from acaciaward.resumption import servingversions
-from acaciaward.routing import occupancy, rests
+from acaciaward.routing import backoffs, occupancy
 
 STARTED_AT = time.monotonic()
 # Delay after the start of the process with which some plants take effect.
@@ -93,7 +93,7 @@
 
 
 def guessed() -> None:
-    """Take any version that the store names for the one that began a stream."""
+    """Record any version that the store names for the one that began a stream."""
     original = servingversions.ServingVersions.read
 
     async def read(self, service):
@@ -117,9 +117,9 @@
     endpoints.Directory.record_leaving = lambda directory, incarnation, *, by_peer: None
 
 
-def rest() -> None:
-    """Send requests to endpoints that have asked for rest."""
-    rests.EndpointRests.left_s = lambda known, endpoint: 0.0
+def backoff() -> None:
+    """Send requests to endpoints that have asked to back off."""
+    backoffs.EndpointBackoffs.left_s = lambda known, endpoint: 0.0
 
 
 def joined() -> None:
@@ -242,7 +242,7 @@
         parts,
         drain,
         leaving,
-        rest,
+        backoff,
         joined,
         config,
         budget,
--- a/soak/signals.py
+++ b/soak/signals.py
@@ -2,7 +2,7 @@
 Checks that entries heed what servers say of themselves in their answers.
 
 DRAIN binds each entry from the first answer that says its server leaves, BUDGET from
-each refusal that asks for rest. Both bind the process that was told and sends, not the
+each refusal that asks to back off. Both bind the process that got the answer, not the
 entry that took a request from its caller: it may have sent it through a peer.
 """
 
@@ -13,10 +13,10 @@
 from soak import conditions, ledger
 from standins import edgeserver, edgewire
 
-# Time in which requests may still be under way to a server that has asked for rest.
+# Time in which requests may still be under way to a server that has asked to back off.
 UNDER_WAY_S = 0.5
 # How many may reach it in the rest of that time.
-MAX_REQUESTS_AT_REST = 2
+MAX_REQUESTS_IN_BACKOFF = 2
 # Time around an answer in which a disturbance of its server may keep it from the entry.
 DELIVERY_S = 0.5
 
@@ -29,7 +29,7 @@
     server: edgeserver.EdgeServer
 
 
-class Told(typing.NamedTuple):
+class Announcement(typing.NamedTuple):
     """The headers of an answer that tell of its server, and when it was written."""
 
     at: float
@@ -38,7 +38,7 @@
 
 class Signals:
     """
-    Records what each entry was told and what it sent.
+    Records what servers announced to each entry, and what it sent.
 
     ``find_sender`` returns the entry whose connection to a server has a port, and how
     often it was started, None if that isn't known.
@@ -49,7 +49,7 @@
         find_sender: abc.Callable[[edgeserver.EdgeServer, int], tuple[str, int] | None],
     ):
         self._find_sender = find_sender
-        self._told: dict[Link, list[Told]] = collections.defaultdict(list)
+        self._announced: dict[Link, list[Announcement]] = collections.defaultdict(list)
         self._sent: dict[Link, list[tuple[float, float]]] = collections.defaultdict(
             list
         )
@@ -72,7 +72,7 @@
         """Record what an answer tells of its server."""
         sender = self._find_sender(server, request.peer_port)
         if sender is not None:
-            self._told[Link(*sender, server)].append(Told(at, headers))
+            self._announced[Link(*sender, server)].append(Announcement(at, headers))
 
     def check(
         self,
@@ -81,21 +81,21 @@
         bounds: conditions.Bounds,
         allowance_s: float,
     ) -> None:
-        """Record what was broken by entries that were told and went on undisturbed."""
-        for link, answers in self._told.items():
+        """Record the promises that entries broke although an answer reached them."""
+        for link, answers in self._announced.items():
 
             def is_bound(begin: float, end: float, link=link) -> bool:
-                # Being out of touch excuses nothing, only not having been told.
-                told = (begin - DELIVERY_S, begin + DELIVERY_S)
+                # An entry out of touch is bound, too, if the answer reached it.
+                delivery = (begin - DELIVERY_S, begin + DELIVERY_S)
                 return disturbances.is_undisturbed(
                     link.entry, begin, end
-                ) and disturbances.is_undisturbed(link.server.name, *told)
+                ) and disturbances.is_undisturbed(link.server.name, *delivery)
 
             sent = self._sent[link]
             self._check_leaving(
                 recorder, link, answers, sent, is_bound, bounds.drain_s + allowance_s
             )
-            self._check_rests(recorder, link, answers, sent, is_bound, allowance_s)
+            self._check_backoffs(recorder, link, answers, sent, is_bound, allowance_s)
 
     def _check_leaving(self, recorder, link, answers, sent, is_bound, limit_s):
         for answer in answers:
@@ -114,17 +114,17 @@
                 recorder.record_violation("DRAIN", detail, late[0])
                 return
 
-    def _check_rests(self, recorder, link, answers, sent, is_bound, allowance_s):
+    def _check_backoffs(self, recorder, link, answers, sent, is_bound, allowance_s):
         for answer in answers:
             if "Retry-After" not in answer.headers:
                 continue
             begin = answer.at + UNDER_WAY_S + allowance_s
             end = answer.at + float(answer.headers["Retry-After"]) - allowance_s
             arrived = [at for at, _ in sent if begin < at < end]
-            if len(arrived) > MAX_REQUESTS_AT_REST and is_bound(answer.at, end):
+            if len(arrived) > MAX_REQUESTS_IN_BACKOFF and is_bound(answer.at, end):
                 detail = (
                     f"{len(arrived)} requests of {link.entry} to {link.server.name}"
-                    f" in {answer.headers['Retry-After']} s of rest"
+                    f" in {answer.headers['Retry-After']} s of back-off"
                 )
                 recorder.record_violation("BUDGET", detail, begin)
                 return
--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -11,7 +11,7 @@
 ``share`` is the share of requests that the fault applies to. ``limit_per_s`` is
 named in all answers as the requests that the server takes from all entries together.
 ``says_leaving`` decides by request and status which answers say that the server leaves,
-and ``rest`` is the time that refusals with 503 ask to be left alone for; ``on_answer``
+and ``backoff`` is the time for which refusals with 503 ask to back off; ``on_answer``
 is then called with the headers that tell of the server.
 A request with one of ``deadly_parts`` in its prompt, other than as the last part,
 crashes the server inside the first event of its answer; ``on_crash`` is then called.
@@ -111,7 +111,7 @@
         self.share = 1.0
         self.limit_per_s: float | None = None
         self.says_leaving: typing.Callable[[edgewire.Request, int], bool] | None = None
-        self.rest: str | None = None
+        self.backoff: str | None = None
         self.on_answer: (
             typing.Callable[[EdgeServer, edgewire.Request, dict[str, str]], None] | None
         )
@@ -248,8 +248,8 @@
             headers["Server-Limit"] = f"{self.limit_per_s:g}"
         if self.says_leaving is not None and self.says_leaving(request, status):
             headers["Server-Leaving"] = "1"
-        if status == 503 and self.rest is not None:
-            headers["Retry-After"] = self.rest
+        if status == 503 and self.backoff is not None:
+            headers["Retry-After"] = self.backoff
         if headers and self.on_answer is not None:
             self.on_answer(self, request, headers)
         return headers
