--- a/soak/plants.py
+++ b/soak/plants.py
@@ -93,7 +93,7 @@
 
 
 def guessed() -> None:
-    """Record any version that the store names for the one that began a stream."""
+    """Take any version that the store names for the one that began a stream."""
     original = servingversions.ServingVersions.read
 
     async def read(self, service):
