Log each answer that is cut with what led to it, and count cuts by cause

A cut was one more `refused`, without the attempts that had failed, and what a stop cut at its end was logged as `caller left`, or not at all.

The line `answer cut` has the cause, the endpoints that failed and how, the time since the last event, attempts, retry budget, and whether the entry was stopping or a configuration had just come into force: what tells the hypotheses of docs/incidents/silent-second.md apart. `explain` prints it.

--- a/acaciaward/gateway/callprogress.py
+++ b/acaciaward/gateway/callprogress.py
@@ -1,7 +1,9 @@
 """The state of one call, and the exception that ends it without an answer."""
 
+import enum
 import functools
 import time
+import typing
 
 from acaciaward import verdicts
 from acaciaward.catalogue import routes
@@ -9,6 +11,28 @@
 from acaciaward.quarantine import suspects
 
 
+class Cause(enum.Enum):
+    """Why the gateway itself ends a call; the values are those of a metric's label."""
+
+    REQUEST = "request"
+    QUARANTINE = "quarantine"
+    ATTEMPTS = "attempts"
+    BUDGET = "budget"
+    BROKEN_OFF = "broken off"
+    PEER = "peer"
+    CUT_OFF = "cut off"
+    NO_ENDPOINT = "no endpoint"
+    DEADLINE = "deadline"
+    STOP = "stop"
+
+
+class FailedAttempt(typing.NamedTuple):
+    """How an attempt at an endpoint or through a peer failed."""
+
+    endpoint: str
+    kind: str
+
+
 class RefusedError(Exception):
     """The call ends with an answer from the gateway itself."""
 
@@ -20,8 +44,10 @@
         verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
         retry_after_s: float | None = None,
         is_cut_off: bool = False,
+        cause: Cause = Cause.REQUEST,
     ):
         super().__init__(reason)
+        self.cause = cause
         self.is_cut_off = is_cut_off
         self.status = status
         self.reason = reason
@@ -40,7 +66,7 @@
     that began its stream, to which the stream is bound from its first event on.
     ``failed_connects`` counts endpoints that couldn't be connected to, ``tried_peers``
     names the peers that the call was to go through. With ``has_no_detour`` peers don't
-    reach the endpoints either.
+    reach the endpoints either. ``failed_attempts`` are the attempts that have failed.
     """
 
     def __init__(self, call: calls.Call, route: routes.Route, deadline: float):
@@ -55,6 +81,9 @@
         self.failed_connects = 0
         self.tried_peers: set[str] = set()
         self.has_no_detour = False
+        # The name of the service that was chosen.
+        self.service: str | None = None
+        self.failed_attempts: list[FailedAttempt] = []
         self.may_have_run = False
         self.has_run = False
         self.last_delivered_id: int | None = call.last_event_id
--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -16,6 +16,14 @@
 log = logging.getLogger(__name__)
 
 
+class CutState(typing.NamedTuple):
+    """What was so when an answer was cut; ``has_budget`` is of the retry budget."""
+
+    has_budget: bool | None
+    is_stopping: bool
+    configuration_age_s: float
+
+
 class Attempt(typing.Protocol):
     """A call at one endpoint or peer."""
 
@@ -83,6 +91,9 @@
 ) -> None:
     """Log how an attempt through a peer ended."""
     metrics.DETOURS.labels(result).inc()
+    if result != "answered":
+        failed = callprogress.FailedAttempt(work.endpoint.name, result)
+        progress.failed_attempts.append(failed)
     log.info(
         "attempt through a peer ended",
         extra=logs.fields(
@@ -102,6 +113,8 @@
 ) -> None:
     """Log how an attempt at one endpoint failed."""
     result = type(error).__name__
+    failed = callprogress.FailedAttempt(work.endpoint.name, result)
+    progress.failed_attempts.append(failed)
     metrics.ATTEMPTS.labels(result).inc()
     metrics.ATTEMPT_SECONDS.labels(result).observe(time.monotonic() - work.started_at)
     log.info(
@@ -215,3 +228,36 @@
             else int(1000 * (now - last_event_at)),
         ),
     )
+
+
+def record_cut(
+    progress: callprogress.Progress, refusal: callprogress.RefusedError, state: CutState
+) -> None:
+    """Log why an answer that has begun isn't completed, with what led to it."""
+    metrics.CUTS.labels(refusal.cause.value).inc()
+    last_event_at = progress.last_event_at
+    silent_ms = None
+    if last_event_at is not None:
+        silent_ms = int(1000 * (time.monotonic() - last_event_at))
+    log.info(
+        "answer cut",
+        extra=logs.fields(
+            request=progress.call.attempt_id,
+            cause=refusal.cause.value,
+            reason=refusal.reason,
+            service=progress.service,
+            failed=",".join(
+                f"{failed.endpoint}:{failed.kind}"
+                for failed in progress.failed_attempts
+            ),
+            silent_ms=silent_ms,
+            last_event=progress.last_delivered_id,
+            sends=progress.sends,
+            max_attempts=progress.route.max_attempts,
+            has_budget=state.has_budget,
+            left_ms=int(1000 * progress.left_s),
+            stopping=state.is_stopping,
+            version=progress.version,
+            configuration_age_ms=int(1000 * state.configuration_age_s),
+        ),
+    )
--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -325,6 +325,7 @@
                 progress,
                 responder,
                 f"cut off from the endpoints of {service.name}",
+                cause=callprogress.Cause.CUT_OFF,
                 is_cut_off=True,
             )
         progress.tried_peers.add(peer.name)
@@ -343,6 +344,7 @@
                     progress,
                     responder,
                     f"peer refused: {error}",
+                    cause=callprogress.Cause.PEER,
                     retry_after_s=error.retry_after_s,
                     status=error.status,
                 )
--- a/acaciaward/gateway/features/explaining.feature
+++ b/acaciaward/gateway/features/explaining.feature
@@ -44,6 +44,23 @@
       | Last-Event-Id |
       | Token-Usage   |
 
+  # No line told why a stream was cut: the lines of a request showed nothing of it.
+  Scenario: A stream that is cut is logged with what led to it
+    Given a front for resumable streams
+    And the endpoints stream 1 to 3 and reset, then 4 to 5 and reset
+    When a caller asks
+    Then the line "answer cut" has cause attempts, sends 2, max_attempts 2, last_event 5
+    And its field failed names 2 endpoints with ConnectionLostError
+    And cuts are counted by the cause "attempts"
+    And the cause that is explained names 2 of 2 attempts
+
+  # Streams that were cut at the end of a stop were logged as if their callers had left.
+  Scenario: Streams that the end of a stop cuts are logged as cut
+    Given an entry whose endpoints take 30 s for a stream and 30 s for a call
+    When the entry stops while 3 streams run, and its process ends
+    Then 3 lines "answer cut" say cause stop and stopping True
+    And there is no line "caller left"
+
   Scenario: An unresponsive endpoint is logged as silent, not as crashed
     Given a front for resumable streams
     And the endpoints hang, then answer a stream
--- a/acaciaward/gateway/features/steps/explaining_steps.py
+++ b/acaciaward/gateway/features/steps/explaining_steps.py
@@ -6,7 +6,9 @@
 from behave import given, then, when
 
 from acaciaward.catalogue import routes
+from acaciaward.gateway import metrics
 from acaciaward.gateway.features import scripted
+from acaciaward.observability import timeline
 
 LOGGERS = ("acaciaward.gateway.decisions", "acaciaward.gateway.callers")
 
@@ -148,3 +150,58 @@
 @then('there is no line "{event}"')
 def check_no_line(context, event):
     assert not context.lines.fields(event), context.lines.fields(event)
+
+
+@then('the line "{event}" has {expected}')
+def check_fields(context, event, expected):
+    (fields,) = context.lines.fields(event)
+    for key, text in [pair.split(" ") for pair in expected.split(", ")]:
+        assert str(fields[key]) == text, (key, fields)
+
+
+@then("its field failed names {count:d} endpoints with {kind}")
+def check_failed(context, count, kind):
+    (fields,) = context.lines.fields("answer cut")
+    failed = [part.split(":") for part in fields["failed"].split(",")]
+    assert len(failed) == count, failed
+    assert {word for _, word in failed} == {kind}, failed
+
+
+@then('cuts are counted by the cause "{cause}"')
+def check_cuts(context, cause):
+    assert metrics.CUTS.labels(cause)._value.get() >= 1
+
+
+@then("the cause that is explained names {text}")
+def check_explained(context, text):
+    lines = [
+        timeline.Line("", record.getMessage(), as_text(record))
+        for record in context.lines.records
+    ]
+    cause = timeline.describe_cause(lines)
+    assert text in cause, cause
+
+
+def as_text(record):
+    fields = getattr(record, "acaciaward_fields", {})
+    return {name: str(value) for name, value in fields.items()}
+
+
+@when("the entry stops while {count:d} streams run, and its process ends")
+def stop_with_streams(context, count):
+    async def run():
+        connections = [await context.group.connect() for _ in range(count)]
+        for reader, writer in connections:
+            lines = ("Token-Usage: 10,50", "Prompt-Prefix: own:10")
+            context.group.send(writer, "/s/", *lines)
+            await reader.readuntil(b"\r\n\r\n")
+        await context.group.entry.gateway.stop()
+
+    context.runner.run(run())
+
+
+@then('{count:d} lines "{event}" say cause {cause} and stopping {text}')
+def check_cut_lines(context, count, event, cause, text):
+    found = context.lines.fields(event)
+    assert len(found) == count, found
+    assert {(line["cause"], str(line["stopping"])) for line in found} == {(cause, text)}
--- a/acaciaward/gateway/features/steps/stopping_steps.py
+++ b/acaciaward/gateway/features/steps/stopping_steps.py
@@ -214,7 +214,9 @@
 
 async def wait_in(known, responder):
     try:
-        async with known.limit(time.monotonic() + ANSWER_TIMEOUT_S, responder):
+        deadline = time.monotonic() + ANSWER_TIMEOUT_S
+        progress = types.SimpleNamespace(deadline=deadline)
+        async with known.limit(progress, responder):
             await asyncio.get_running_loop().create_future()
     except TimeoutError:
         return
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -45,6 +45,7 @@
 CLOSED_RETRY_S = 0.05
 
 CLOSED_REASON = "the entry is stopping"
+ENDED_REASON = "the entry's process ends"
 
 Outcome = health.Outcome
 NOT_RUN = verdicts.Verdict.NOT_RUN
@@ -75,7 +76,7 @@
         try:
             index, progress = self._admit(call)
             self._charge(progress)
-            async with self.shutdown.limit(progress.deadline, responder):
+            async with self.shutdown.limit(progress, responder):
                 await self._forward(index, progress, responder)
             progress.outcome = f"answered {responder.status}"
             decisions.record_answered(progress, responder.status)
@@ -84,7 +85,8 @@
         except callprogress.RefusedError as refusal:
             await self._refuse(call, progress, responder, refusal)
         except (asyncio.CancelledError, callers.CallerGoneError):
-            decisions.record_caller_left(call, progress)
+            if not self.shutdown.has_ended:
+                decisions.record_caller_left(call, progress)
             raise
         finally:
             if progress is not None:
@@ -103,7 +105,10 @@
     def _admit(self, call: calls.Call) -> tuple[routes.Index, callprogress.Progress]:
         if self.shutdown.is_closed:
             raise callprogress.RefusedError(
-                refusals.UNAVAILABLE, CLOSED_REASON, retry_after_s=CLOSED_RETRY_S
+                refusals.UNAVAILABLE,
+                CLOSED_REASON,
+                retry_after_s=CLOSED_RETRY_S,
+                cause=callprogress.Cause.STOP,
             )
         index = self._deps.index()
         if index is None:
@@ -152,6 +157,7 @@
         responder: callers.Responder,
     ) -> None:
         service = await self._services.find(index, progress)
+        progress.service = service.name
         if progress.call.detour is None:
             self._record_first_attempt(service, progress)
         while True:
@@ -284,7 +290,10 @@
             return None
         if progress.may_have_run:
             raise callprogress.RefusedError(
-                refusals.BAD_GATEWAY, "no other endpoint", verdict=MAY_HAVE_RUN
+                refusals.BAD_GATEWAY,
+                "no other endpoint",
+                verdict=MAY_HAVE_RUN,
+                cause=callprogress.Cause.NO_ENDPOINT,
             )
         at_version = "" if version is None else f" at {version}"
         if backoff_s:
@@ -292,12 +301,14 @@
                 refusals.UNAVAILABLE,
                 f"all endpoints of {service.name}{at_version} asked to back off",
                 retry_after_s=self._refusals.delay_after_backoff_s(progress, backoff_s),
+                cause=callprogress.Cause.NO_ENDPOINT,
             )
         raise callprogress.RefusedError(
             refusals.UNAVAILABLE,
             f"no endpoint of {service.name}{at_version}",
             retry_after_s=self._refusals.retry_delay_s(progress),
             is_cut_off=is_unreached or progress.failed_connects > 0,
+            cause=callprogress.Cause.NO_ENDPOINT,
         )
 
     def _refuse_if_hopeless(
@@ -316,6 +327,7 @@
             refusals.UNAVAILABLE,
             f"all endpoints of {service.name} are full",
             retry_after_s=self._refusals.retry_delay_s(progress),
+            cause=callprogress.Cause.NO_ENDPOINT,
         )
 
     async def _answer_deadline(
@@ -325,14 +337,18 @@
         progress.outcome = "timed out"
         is_stopped = self.shutdown.has_given_up and progress.left_s > 0
         reason = CLOSED_REASON if is_stopped else "deadline"
+        cause = callprogress.Cause.DEADLINE
+        if is_stopped:
+            cause = callprogress.Cause.STOP
         refusal = callprogress.RefusedError(
-            GATEWAY_TIMEOUT, reason, verdict=MAY_HAVE_RUN
+            GATEWAY_TIMEOUT, reason, verdict=MAY_HAVE_RUN, cause=cause
         )
         if not progress.may_have_run:
             refusal = callprogress.RefusedError(
                 refusals.UNAVAILABLE,
                 f"{reason} before a send",
                 retry_after_s=CLOSED_RETRY_S if is_stopped else None,
+                cause=cause,
             )
         await self._refuse(progress.call, progress, responder, refusal)
 
@@ -344,6 +360,8 @@
         refusal: callprogress.RefusedError,
     ) -> None:
         decisions.record_refused(call, progress, refusal, responder.has_begun)
+        if responder.has_begun and progress is not None:
+            self._record_cut(progress, refusal)
         if progress is not None:
             progress.outcome = f"refused {refusal.status}"
         if responder.has_begun:
@@ -363,6 +381,39 @@
             )
         await responder.send(refusal.status, headers, b"")
 
+    def _record_cut(
+        self, progress: callprogress.Progress, refusal: callprogress.RefusedError
+    ) -> None:
+        repeats = self._deps.repeats
+        decisions.record_cut(
+            progress,
+            refusal,
+            decisions.CutState(
+                has_budget=None
+                if progress.service is None
+                else repeats.may_repeat(progress.service),
+                is_stopping=self.shutdown.is_stopping,
+                configuration_age_s=self._deps.configuration_age_s(),
+            ),
+        )
+
+    def end(self) -> None:
+        """Log the calls that the end of the process cuts."""
+        self.shutdown.has_ended = True
+        for progress, responder in self.shutdown.running:
+            refusal = callprogress.RefusedError(
+                GATEWAY_TIMEOUT,
+                ENDED_REASON,
+                verdict=MAY_HAVE_RUN,
+                cause=callprogress.Cause.STOP,
+            )
+            progress.outcome = "cut by the stop"
+            decisions.record_refused(
+                progress.call, progress, refusal, responder.has_begun
+            )
+            if responder.has_begun:
+                self._record_cut(progress, refusal)
+
     def _settle(self, progress: callprogress.Progress) -> None:
         if progress.charged and not progress.may_have_run and not progress.has_run:
             self._deps.quotas.refund(progress.organisation.name, progress.charged)
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -115,7 +115,8 @@
     ``reporting_share`` returns the share of the known entries whose reports this one
     has, itself included. ``record_run`` gets the organisation of a call that began to
     run, and ``record_end`` the final state of each call. ``peer_pool`` has the
-    connections to ``peers``.
+    connections to ``peers``, and ``configuration_age_s`` returns for how long the
+    configuration has been in force.
     """
 
     index: abc.Callable[[], routes.Index | None]
@@ -137,3 +138,4 @@
     origins: Origins
     record_run: abc.Callable[[str], None]
     record_end: abc.Callable[[callprogress.Progress], None]
+    configuration_age_s: abc.Callable[[], float] = lambda: 0.0
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -12,6 +12,11 @@
     "Answers of the system's own by status, and cut answers",
     ["status", "cut"],
 )
+CUTS = prometheus_client.Counter(
+    "acaciaward_gateway_cuts_total",
+    "Answers that had begun and weren't completed, by why",
+    ["cause"],
+)
 ATTEMPTS = prometheus_client.Counter(
     "acaciaward_gateway_attempts_total",
     "Calls written to endpoints, and how those that failed did",
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -201,6 +201,7 @@
                 origins=self._origins,
                 record_run=self._duties.counter.record_request,
                 record_end=self._record_end,
+                configuration_age_s=self._configuration_age_s,
             )
         )
         self._build_state_exchange()
@@ -363,11 +364,14 @@
             metrics.SUSPECTS.set(len(self._suspects))
             metrics.BLAMED_PARTS.set(len(self._prompt_parts.blamed))
             metrics.ENDPOINTS_AGE_SECONDS.set(now - self._endpoints_read_at)
-            metrics.CONFIGURATION_AGE_SECONDS.set(now - self._in_force_since)
+            metrics.CONFIGURATION_AGE_SECONDS.set(self._configuration_age_s())
             due = time.monotonic() + HOUSEKEEPING_INTERVAL_S
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             metrics.LOOP_LAG_SECONDS.observe(max(0.0, time.monotonic() - due))
 
+    def _configuration_age_s(self) -> float:
+        return time.monotonic() - self._in_force_since
+
     def _reported_usage(self) -> reporting.ReportedCounts | None:
         """Return other entries' usage counts, or None if the reader stores them."""
         if self._relaying.is_relayed:
@@ -437,7 +441,7 @@
         """
         limit_s = self._settings["bounds"]["stop_limit_s"] - EXIT_MARGIN_S
         deadline = time.monotonic() + limit_s
-        self._is_leaving = True
+        self._is_leaving = self._forwarder.shutdown.is_stopping = True
         self._callers.is_leaving = self._detours.is_leaving = True
         self._membership.set_leaving()
         await self._membership.send_updates_now()
@@ -451,6 +455,7 @@
         self._forwarder.shutdown.give_up()
         await self._wait_until_idle(deadline)
         aborted = self._busy_count
+        self._forwarder.end()
         await self._end()
         log.info("entry stopped", extra=logs.fields(cut=aborted))
         return aborted
--- a/acaciaward/gateway/refusals.py
+++ b/acaciaward/gateway/refusals.py
@@ -28,6 +28,7 @@
         reason: str,
         *,
         retry_after_s: float | None = None,
+        cause: callprogress.Cause = callprogress.Cause.BROKEN_OFF,
         status: int = UNAVAILABLE,
         is_cut_off: bool = False,
     ) -> typing.NoReturn:
@@ -40,10 +41,14 @@
             if retry_after_s is None:
                 retry_after_s = self.retry_delay_s(progress)
             raise callprogress.RefusedError(
-                status, reason, retry_after_s=retry_after_s, is_cut_off=is_cut_off
+                status,
+                reason,
+                retry_after_s=retry_after_s,
+                is_cut_off=is_cut_off,
+                cause=cause,
             )
         raise callprogress.RefusedError(
-            BAD_GATEWAY, reason, verdict=verdicts.Verdict.MAY_HAVE_RUN
+            BAD_GATEWAY, reason, verdict=verdicts.Verdict.MAY_HAVE_RUN, cause=cause
         )
 
     def delay_after_backoff_s(
--- a/acaciaward/gateway/retries.py
+++ b/acaciaward/gateway/retries.py
@@ -40,6 +40,7 @@
                 progress,
                 responder,
                 "endpoints broke off under it",
+                cause=callprogress.Cause.QUARANTINE,
                 retry_after_s=suspects.SUSPICION_LIFETIME_S,
             )
         refuse_for_s = self._deps.prompt_parts.refuse_for_s(progress.call.shared_parts)
@@ -48,6 +49,7 @@
                 progress,
                 responder,
                 "endpoints crashed under a part of its prompt",
+                cause=callprogress.Cause.QUARANTINE,
                 retry_after_s=refuse_for_s,
             )
 
@@ -61,14 +63,29 @@
         if progress.sends in (progress.sends_before, progress.allowed_after_sends):
             return
         if progress.has_used_attempts:
-            self._refusals.refuse(progress, responder, "the peer's attempts used up")
+            self._refusals.refuse(
+                progress,
+                responder,
+                "the peer's attempts used up",
+                cause=callprogress.Cause.ATTEMPTS,
+            )
         ended = sum(self._has_ended(incarnation) for incarnation in progress.tried)
         if progress.sends >= progress.route.max_attempts + ended:
-            self._refusals.refuse(progress, responder, "attempts used up")
+            self._refusals.refuse(
+                progress,
+                responder,
+                "attempts used up",
+                cause=callprogress.Cause.ATTEMPTS,
+            )
         is_allowed = self._deps.repeats.spend(service.name)
         metrics.REPEATS.labels(is_allowed).inc()
         if not is_allowed:
-            self._refusals.refuse(progress, responder, "retry budget spent")
+            self._refusals.refuse(
+                progress,
+                responder,
+                "retry budget spent",
+                cause=callprogress.Cause.BUDGET,
+            )
         progress.allowed_after_sends = progress.sends
 
     def _has_ended(self, incarnation: tuple[str, int]) -> bool:
--- a/acaciaward/gateway/shutdown.py
+++ b/acaciaward/gateway/shutdown.py
@@ -6,7 +6,7 @@
 is up are ended by their time limit, so that their callers get an answer.
 
     shutdown = Shutdown()
-    async with shutdown.limit(deadline, responder):
+    async with shutdown.limit(progress, responder):
         ...
     shutdown.give_up()  # raises TimeoutError inside the block
 
@@ -18,28 +18,39 @@
 import contextlib
 import typing
 
-from acaciaward.gateway import callers
+from acaciaward.gateway import callers, callprogress
+
+Running = tuple[callprogress.Progress, callers.Responder]
 
 
 class Shutdown:
     """The state of the stop, and the time limits of the calls that run."""
 
     def __init__(self):
+        self.is_stopping = False
         self.is_closed = False
         self.has_given_up = False
-        self._responders: dict[asyncio.Timeout, callers.Responder] = {}
+        self.has_ended = False
+        self._running: dict[asyncio.Timeout, Running] = {}
+
+    @property
+    def running(self) -> list[Running]:
+        """The calls whose answers aren't complete."""
+        return [
+            running for running in self._running.values() if not running[1].is_finished
+        ]
 
     @contextlib.asynccontextmanager
     async def limit(
-        self, deadline: float, responder: callers.Responder
+        self, progress: callprogress.Progress, responder: callers.Responder
     ) -> typing.AsyncIterator[None]:
-        """Raise ``TimeoutError`` at a time of the steady clock, or when giving up."""
-        async with asyncio.timeout_at(deadline) as limit:
-            self._responders[limit] = responder
+        """Raise ``TimeoutError`` at a call's deadline, or when giving up."""
+        async with asyncio.timeout_at(progress.deadline) as limit:
+            self._running[limit] = (progress, responder)
             try:
                 yield
             finally:
-                del self._responders[limit]
+                del self._running[limit]
 
     def close(self) -> None:
         """Take no more calls."""
@@ -49,6 +60,6 @@
         """End the calls that have no answer yet, now."""
         self.has_given_up = True
         now = asyncio.get_running_loop().time()
-        for limit, responder in self._responders.items():
+        for limit, (_, responder) in self._running.items():
             if not (responder.has_begun or limit.expired()):
                 limit.reschedule(now)
--- a/acaciaward/observability/timeline.py
+++ b/acaciaward/observability/timeline.py
@@ -134,7 +134,12 @@
     if not end_lines:
         return _describe_missing_end(lines[-1], outages or OutageTracker())
     last = end_lines[-1]
-    return _describe_end(last) + _describe_wait(lines, last) + _describe_failure(lines)
+    return (
+        _describe_end(last)
+        + _describe_wait(lines, last)
+        + _describe_failure(lines)
+        + _describe_cut(lines)
+    )
 
 
 def _describe_missing_end(last: Line, outages: OutageTracker) -> str:
@@ -168,6 +173,20 @@
     return f", after {fields.get('endpoint')}: {fields.get('reason')}"
 
 
+def _describe_cut(lines: abc.Sequence[Line]) -> str:
+    """Return what was so when an answer that had begun was cut, or ""."""
+    cuts = [line.fields for line in lines if line.event == "answer cut"]
+    if not cuts:
+        return ""
+    fields = cuts[-1]
+    stopping = ", the entry was stopping" if fields.get("stopping") == "True" else ""
+    return (
+        f" ({fields.get('sends')} of {fields.get('max_attempts')} attempts used, "
+        f"failed: {fields.get('failed') or 'none'}, "
+        f"{fields.get('silent_ms')} ms after the last event{stopping})"
+    )
+
+
 def _describe_end(line: Line) -> str:
     fields = line.fields
     if line.event == "caller left":
