Test that what endpoints work on isn't given up as they are silent for a second

The scenarios fail on this code: streams that had begun are cut with "attempts used up" as the endpoint that is asked instead refuses, is lost or is silent, too, and with "retry budget spent" as many fall silent at once.

The stand-in endpoint can stand still, as a process that is stopped by a signal.

--- a/acaciaward/gateway/features/fleet.py
+++ b/acaciaward/gateway/features/fleet.py
@@ -73,10 +73,14 @@
         seed: int = 1,
         versions: tuple[str, ...] = (edgeserver.FIRST_VERSION,),
         events: int = EVENTS,
+        event_interval_s: float = edgeserver.EVENT_INTERVAL_S,
+        timeout_ms: int = TIMEOUT_MS,
         configuration: abc.Mapping[str, typing.Any] = {},
     ):
+        """Start nothing yet; the route allows a third more than ``timeout_ms``."""
+        route = ROUTE | {"TimeoutMs": timeout_ms * 4 // 3}
         self.world = delivery.World(
-            data_centres, entries_each, seed, ROUTE, configuration
+            data_centres, entries_each, seed, route, configuration
         )
         self.world.endpoint_fields = {"Version": versions[0]}
         self.arrivals: list[Arrival] = []
@@ -88,8 +92,12 @@
         self._is_unframed = False
         # Whether callers wait for entries that are listed, as all others have ended.
         self.waits_for_entries = False
+        # The names of entries that new callers don't choose any more.
+        self.stopping: set[str] = set()
         self._versions = versions
         self._events = events
+        self._event_interval_s = event_interval_s
+        self._timeout_ms = timeout_ms
         self._data_centres = data_centres
         self._count = endpoints
         self._random = random.Random(seed)
@@ -139,6 +147,7 @@
             rng=random.Random(number),
         )
         server.version = version
+        server.event_interval_s = self._event_interval_s
         server.deadly_parts = self.deadly_parts
         server.on_crash = self._crashed
         server.is_unframed = self._is_unframed
@@ -174,6 +183,11 @@
         for server in self._servers.values():
             server.is_unframed = True
 
+    @property
+    def servers(self):
+        """The endpoints that run."""
+        return list(self._servers.values())
+
     def crash_one(self):
         """Crash an endpoint that has done nothing wrong."""
         name = self._random.choice(sorted(self._servers))
@@ -263,7 +277,7 @@
             if listed:
                 return listed
             await asyncio.sleep(RECONNECT_S)
-        return self.world.entries
+        return [one for one in self.world.entries if one.name not in self.stopping]
 
     async def _try(self, number, attempt, parts, last_event):
         """Make one try; return the last event and whether the request is over."""
@@ -278,7 +292,10 @@
             return last_event, False
         prefix = ",".join(f"{part}:100" for part in [*parts, f"own-{number}"])
         lines = [f"POST /a/{number} HTTP/1.1", "Host: x.example"]
-        lines += [f"Attempt-Id: r-{number}-{attempt}", f"Deadline-Ms: {TIMEOUT_MS}"]
+        lines += [
+            f"Attempt-Id: r-{number}-{attempt}",
+            f"Deadline-Ms: {self._timeout_ms}",
+        ]
         lines += [f"Token-Usage: 400,{self._events * edgeserver.TOKENS_PER_EVENT}"]
         lines += [f"Prompt-Prefix: {prefix}", "Connection: close"]
         if last_event:
@@ -286,7 +303,7 @@
         writer.write("\r\n".join([*lines, "Content-Length: 0", "", ""]).encode())
         data = b""
         try:
-            async with asyncio.timeout(TIMEOUT_MS / 1000):
+            async with asyncio.timeout(self._timeout_ms / 1000):
                 while part := await reader.read(65536):
                     data += part
         except (OSError, TimeoutError):
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -37,7 +37,11 @@
         self.is_early = False
         self.drops_after_s = None
         self.requests = []
+        self.arrived_at = []
         self.closed = 0
+        # When scripts ended, and how many run.
+        self.ended_at = []
+        self.working = 0
         self.server = None
         self.port = 0
         self.connections = 0
@@ -74,8 +78,14 @@
                     continue
                 body = await reader.readexactly(int(length or 0))
                 self.requests.append((head, body))
+                self.arrived_at.append(time.monotonic())
                 script = self.scripts.pop(0) if self.scripts else self.default_script
-                await script(head, reader, writer)
+                self.working += 1
+                try:
+                    await script(head, reader, writer)
+                finally:
+                    self.working -= 1
+                    self.ended_at.append(time.monotonic())
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             # asyncio streams log a server task that ends as cancelled as an error.
             self.closed += 1
@@ -417,7 +427,8 @@
                 data += part
     except ConnectionResetError:
         is_reset = True
-    writer.close()
+    finally:
+        writer.close()
     return data, is_reset
 
 
--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -19,6 +19,8 @@
 crashes the server inside the first event of its answer; ``on_crash`` is then called.
 Streams have chunks, or end with their connection if ``is_unframed``. ``version`` is
 that of the server's software; the events of another one than ``v1`` name it.
+``stand_still`` lets a server do nothing for a while, as a process that is stopped by a
+signal: what it runs goes on afterwards, and no heartbeat is sent meanwhile.
 ``watch`` is notified of each request that arrives, begins to run and ends.
 """
 
@@ -124,6 +126,7 @@
         )
         self.on_crash = None
         self.is_unframed = False
+        self.event_interval_s = EVENT_INTERVAL_S
         self.version = FIRST_VERSION
         self.record_fields: dict[str, typing.Any] = {}
         self.renews_record = True
@@ -139,6 +142,8 @@
         )
         self._sequence = 0
         self._heartbeat_task: asyncio.Task | None = None
+        self._is_running = asyncio.Event()
+        self._is_running.set()
 
     @property
     def port(self) -> int:
@@ -155,9 +160,22 @@
         self._write_entry("ready")
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
+    async def stand_still(self, seconds: float) -> None:
+        """Read and write nothing for so long, and go on."""
+        self._is_running.clear()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._is_running.set()
+
+    async def _work(self, seconds: float) -> None:
+        """Let time pass, and more while the server stands still."""
+        await asyncio.sleep(seconds)
+        await self._is_running.wait()
+
     async def _send_heartbeats(self) -> None:
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
+            await self._work(HEARTBEAT_S)
             if self.left_at is None and self.renews_record:
                 self._write_entry("ready")
 
@@ -218,6 +236,7 @@
     async def _handle(
         self, request: edgewire.Request, writer: asyncio.StreamWriter
     ) -> bool:
+        await self._is_running.wait()
         expected_name = request.headers.get("expect-instance", self.name)
         attempt_id = request.headers.get("attempt-id", "")
         headers = {"Attempt-Id": attempt_id, "Server-Signature": f"s.{self.name}"}
@@ -241,7 +260,7 @@
         self._observer.ran(self, request)
         try:
             if behaviour == "fail":
-                await asyncio.sleep(RUN_S)
+                await self._work(RUN_S)
                 headers |= self._tell(request, 500)
                 writer.write(edgewire.encode(500, b"failed", headers))
                 return True
@@ -271,7 +290,7 @@
         headers: dict[str, str],
         behaviour: str,
     ) -> bool:
-        await asyncio.sleep(self._random.uniform(RUN_S / 2, 2 * RUN_S))
+        await self._work(self._random.uniform(RUN_S / 2, 2 * RUN_S))
         body = body_of(headers["Attempt-Id"], request.path)
         if behaviour not in ("lose", "cut"):
             headers |= self._tell(request, 200)
@@ -305,7 +324,7 @@
             int(request.headers["token-usage"].split(",")[1]) // TOKENS_PER_EVENT
         )
         first_event_id = int(request.headers.get("last-event-id", 0)) + 1
-        await asyncio.sleep(self._random.uniform(RUN_S / 2, 2 * RUN_S))
+        await self._work(self._random.uniform(RUN_S / 2, 2 * RUN_S))
         headers |= self._tell(request, 200)
         head_lines = ["HTTP/1.1 200 OK"]
         head_lines += [f"{name}: {value}" for name, value in headers.items()]
@@ -334,7 +353,7 @@
                 return False
             writer.write(self._frame(data))
             await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await self._work(self.event_interval_s)
         if self.is_unframed:
             return False
         writer.write(b"0\r\n\r\n")
