Hedge calls whose endpoint is silent instead of giving up what it works on

Cause: an attempt was ended, and its connection closed, as soon as another endpoint seemed well. Only then was that one asked; its refusal used up the attempts, or the retry budget was spent by then. The time-out of idempotent calls without data and calls through peers did the same.

Evidence: silences.feature, 16 of 21 scenarios failed before: 13 to 27 of some 145 streams cut while 2 to 4 of 6 endpoints stood still for 1.0 to 1.3 s and the others refused; `answer cut` names `attempts` and `budget` as the causes.

Whether a call may have run is counted by the sends that weren't refused, as two may be under way.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -6,7 +6,6 @@
 received completely.
 """
 
-import asyncio
 import contextlib
 import functools
 import time
@@ -20,6 +19,7 @@
     decisions,
     errors,
     events,
+    hedging,
     interfaces,
     responsiveness,
     upstreams,
@@ -77,6 +77,7 @@
         progress: callprogress.Progress,
         work: Work,
         responder: callers.Responder,
+        contender: hedging.Contender,
     ) -> bool:
         """Send the call to one endpoint; return whether its answer is a failure."""
         pool = self._pool
@@ -90,17 +91,25 @@
             self._check_wanted(work)
             headers = self._encode(progress, work, left_s)
             self._record_sent(progress, work, is_new_connection=not upstream.exchanges)
-            was_sent_before = progress.may_have_run
-            progress.may_have_run = True
-            with self._guard(progress, work, upstream):
-                reply = await self._exchange(progress, work, upstream, headers)
+            progress.record_written()
+            contender.source = upstream
+            with self._guard(progress, work, upstream, contender):
+                reply = await upstream.exchange(
+                    progress.call,
+                    headers,
+                    self._decode,
+                    on_other=functools.partial(self._record_other, work),
+                )
                 head = reply.head
                 self._record_head(progress, work, head)
                 if head.is_refusal:
-                    progress.may_have_run = was_sent_before
                     await reply.read(MAX_BUFFERED_BYTES)
+                    progress.record_refused()
                 elif head.is_signed:
-                    await self._forward_answer(progress, work, reply, responder)
+                    contender.record_head(is_success=head.status < FIRST_FAILURE)
+                    await self._forward_answer(
+                        progress, work, reply, responder, contender
+                    )
                 else:
                     raise errors.BrokenOffError(f"unsigned answer {head.status}")
         except errors.StaleLinkError:
@@ -164,50 +173,20 @@
             retry_after_s=head.retry_after_s,
         )
 
-    async def _exchange(
-        self,
-        progress: callprogress.Progress,
-        work: Work,
-        upstream: upstreams.UpstreamConnection,
-        headers: calls.Headers,
-    ) -> upstreams.Reply:
-        call, route = progress.call, progress.route
-        is_idempotent = route.kind is routes.RequestKind.IDEMPOTENT
-        exchange = functools.partial(
-            upstream.exchange,
-            call,
-            headers,
-            self._decode,
-            on_other=functools.partial(self._record_other, work),
-        )
-        if not is_idempotent or not self._may_retry_elsewhere(progress, work):
-            return await exchange()
-        no_data_timeout_s = min(
-            NO_DATA_TIMEOUT_TARGETS * route.target_s, progress.left_s / 2
-        )
-        try:
-            async with asyncio.timeout(no_data_timeout_s) as limit:
-                return await exchange()
-        except TimeoutError as error:
-            if not limit.expired():
-                raise
-            raise errors.SilentError(
-                f"no data for {no_data_timeout_s:.3f} s"
-            ) from error
-
     async def _forward_answer(
         self,
         progress: callprogress.Progress,
         work: Work,
         reply: upstreams.Reply,
         responder: callers.Responder,
+        contender: hedging.Contender,
     ) -> None:
         is_stream = progress.route.kind is routes.RequestKind.STREAM
         if is_stream and reply.head.status < FIRST_FAILURE:
             is_continued = responder.has_begun or progress.last_delivered_id is not None
             if is_continued and reply.head.media_type not in (None, EVENT_STREAM):
                 raise errors.BrokenOffError(f"resume answered {reply.head.media_type}")
-            await self._forward_stream(progress, work, reply, responder)
+            await self._forward_stream(progress, work, reply, responder, contender)
             return
         body = await reply.read(MAX_BUFFERED_BYTES)
         self._record_first_byte(progress, work)
@@ -217,8 +196,12 @@
         if not (body or reply.is_framed) and reply.head.status < FIRST_FAILURE:
             # Where the connection was lost just after the head, it looks the same.
             raise errors.ConnectionLostError("answer ended before its body")
-        if self._is_retryable_failure(progress, reply.head):
+        has_failed = reply.head.status >= SERVER_ERROR
+        if self._is_retryable_failure(progress, reply.head) or (
+            has_failed and contender.has_rival
+        ):
             raise errors.BrokenOffError(f"endpoint failed with {reply.head.status}")
+        contender.claim()
         await responder.send(
             reply.head.status,
             reply.head.headers + self._detour_headers(progress, work, reply.head),
@@ -242,6 +225,7 @@
         work: Work,
         reply: upstreams.Reply,
         responder: callers.Responder,
+        contender: hedging.Contender,
     ) -> None:
         splitter = events.EventSplitter()
         answer_check = events.AnswerCheck(
@@ -250,6 +234,7 @@
         has_event = has_survived = False
         uncounted_bytes = 0
         while (part := await reply.read_part()) is not None:
+            contender.check()
             new_events = answer_check.check(splitter.feed(part))
             uncounted_bytes += len(part)
             if new_events or uncounted_bytes >= MIN_DATA_BYTES:
@@ -259,9 +244,7 @@
             if not has_survived and work.answered_for_s >= SURVIVAL_S:
                 has_survived = True
                 self._record_survived(progress)
-            new_data = [
-                event.data for event in new_events if progress.accept_event(event)
-            ]
+            new_data = self._accept(progress, new_events, contender)
             if new_data:
                 self._record_first_byte(progress, work)
                 if progress.stream_version is None:
@@ -273,10 +256,27 @@
             raise errors.ConnectionLostError("stream ended inside an event")
         if not reply.is_framed and not has_event:
             raise errors.ConnectionLostError("stream ended before its first event")
+        contender.claim()
         if not responder.has_begun:
             await self._start_answer(progress, work, reply, responder)
         await responder.finish()
 
+    @staticmethod
+    def _accept(
+        progress: callprogress.Progress,
+        new_events: list[events.Event],
+        contender: hedging.Contender,
+    ) -> list[bytes]:
+        """Return the data of the events that the caller doesn't have yet."""
+        accepted = []
+        for event in new_events:
+            if progress.is_new(event):
+                progress.check_order(event)
+                contender.claim()
+                progress.record_event(event)
+                accepted.append(event.data)
+        return accepted
+
     async def _start_answer(
         self,
         progress: callprogress.Progress,
@@ -322,44 +322,29 @@
         progress: callprogress.Progress,
         work: Work,
         upstream: upstreams.UpstreamConnection,
+        contender: hedging.Contender,
     ) -> contextlib.AbstractContextManager:
-        """Abandon an unresponsive endpoint if another one may continue the answer."""
-        if not progress.route.is_resumable:
-            return contextlib.nullcontext()
-
-        def may_abandon() -> bool:
-            return self._is_unresponsive(work) and self._may_retry_elsewhere(
-                progress, work
+        """Start a backup of a call that may be repeated if its endpoint is silent."""
+        route = progress.route
+        if route.is_resumable:
+            return responsiveness.Guard(
+                upstream,
+                functools.partial(self._is_unresponsive, progress, work),
+                contender.start_backup,
             )
-
-        return responsiveness.Guard(upstream, may_abandon)
-
-    def _is_unresponsive(self, work: Work) -> bool:
-        return self._deps.occupancy.is_unresponsive(work.endpoint)
-
-    def _may_retry_elsewhere(self, progress: callprogress.Progress, work: Work) -> bool:
-        """
-        Return whether the call may be sent to another endpoint and there is one.
-
-        If not, the attempt keeps waiting for an unresponsive endpoint, which may still
-        answer in time.
-        """
-        service = work.endpoint.service
-        return (
-            progress.sends < progress.route.max_attempts
-            and self._deps.repeats.may_repeat(service)
-            and self._has_alternative(progress, service)
+        if route.kind is not routes.RequestKind.IDEMPOTENT:
+            return contextlib.nullcontext()
+        return responsiveness.Guard(
+            upstream,
+            lambda: not contender.has_head,
+            contender.start_backup,
+            first_check_s=min(
+                NO_DATA_TIMEOUT_TARGETS * route.target_s, progress.left_s / 2
+            ),
         )
 
-    def _has_alternative(self, progress: callprogress.Progress, service: str) -> bool:
-        if self._deps.reachability.is_cut_off(service):
-            # The entry that sent a call through this one may send it through another.
-            return progress.call.detour is not None or self._deps.peers.is_any_usable(
-                progress, service
-            )
-        return self._deps.occupancy.has_alternative(
-            service, progress.tried, progress.stream_version
-        )
+    def _is_unresponsive(self, progress: callprogress.Progress, work: Work) -> bool:
+        return self._deps.occupancy.is_unresponsive(work.endpoint)
 
     def _record_first_byte(self, progress: callprogress.Progress, work: Work) -> None:
         work.record_first_byte()
--- a/acaciaward/gateway/callprogress.py
+++ b/acaciaward/gateway/callprogress.py
@@ -60,10 +60,10 @@
     The state of one call.
 
     ``tried`` holds the incarnations of the endpoints chosen so far and ``sends``
-    counts requests written. ``may_have_run`` is set by a send that wasn't refused,
-    ``has_run`` by the first byte of an answer. ``charged`` is the amount taken from the
-    organisation's quota. ``stream_version`` is the version of the endpoint's software
-    that began its stream, to which the stream is bound from its first event on.
+    counts requests written. ``has_run`` is set by the first byte of an answer.
+    ``charged`` is the amount taken from the organisation's quota. ``stream_version`` is
+    the version of the endpoint's software that began its stream, to which the stream is
+    bound from its first event on.
     ``failed_connects`` counts endpoints that couldn't be connected to, ``tried_peers``
     names the peers that the call was to go through. With ``has_no_detour`` peers don't
     reach the endpoints either. ``failed_attempts`` are the attempts that have failed.
@@ -84,7 +84,7 @@
         # The name of the service that was chosen.
         self.service: str | None = None
         self.failed_attempts: list[FailedAttempt] = []
-        self.may_have_run = False
+        self._unrefused_sends = 0
         self.has_run = False
         self.last_delivered_id: int | None = call.last_event_id
         self.charged = 0.0
@@ -95,6 +95,19 @@
         self.last_event_at: float | None = None
         self.longest_gap_s = 0.0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run the call, or still may."""
+        return self._unrefused_sends > 0
+
+    def record_written(self) -> None:
+        """Record that the call was written to a connection."""
+        self._unrefused_sends += 1
+
+    def record_refused(self) -> None:
+        """Record that where the call was written to it won't run."""
+        self._unrefused_sends -= 1
+
     @property
     def left_s(self) -> float:
         """Seconds until the call must be answered."""
@@ -125,22 +138,23 @@
             return organisation.rank
         return self.route.rank
 
-    def accept_event(self, event: events.Event) -> bool:
-        """Return whether an event is new and must be forwarded; raise on a gap."""
+    def is_new(self, event: events.Event) -> bool:
+        """Return whether an event hasn't been forwarded."""
+        known = self.last_delivered_id
+        return event.number is None or known is None or event.number > known
+
+    def check_order(self, event: events.Event) -> None:
+        """Raise if events are missing before a new one."""
+        known = self.last_delivered_id
+        if event.number is None or known is None:
+            return
+        if event.number > known + 1:
+            raise errors.BrokenOffError(f"event {event.number} after {known}")
+
+    def record_event(self, event: events.Event) -> None:
+        """Record that a new event is forwarded."""
         if event.number is None:
-            return True
-        if (
-            self.last_delivered_id is not None
-            and event.number <= self.last_delivered_id
-        ):
-            return False
-        if (
-            self.last_delivered_id is not None
-            and event.number > self.last_delivered_id + 1
-        ):
-            raise errors.BrokenOffError(
-                f"event {event.number} after {self.last_delivered_id}"
-            )
+            return
         self.last_delivered_id = event.number
         now = time.monotonic()
         if self.last_event_at is not None:
@@ -148,4 +162,3 @@
             metrics.EVENT_GAP_SECONDS.observe(gap_s)
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
         self.last_event_at = now
-        return True
--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -23,6 +23,7 @@
     calls,
     decisions,
     errors,
+    hedging,
     interfaces,
     refusals,
     upstreams,
@@ -44,6 +45,10 @@
 AVOIDANCE_S = 1.0
 # How long it is remembered that neither this entry nor a peer reaches endpoints.
 UNREACHED_S = 1.0
+# A peer that has sent no data for a call for this long, and for so many of its latency
+# objectives, may not reach the endpoint any more.
+MIN_SILENCE_S = 1.0
+NO_DATA_TIMEOUT_TARGETS = 1.5
 # Other data centres help if less than this share of an entry's own serves the rest.
 LEAST_LOCAL_SHARE = 0.5
 
@@ -186,8 +191,9 @@
         # If the peer is lost, it counts as having used them all, so one is kept back.
         attempts_left = progress.route.max_attempts - progress.sends
         self.limit = max(1, attempts_left - 1)
+        # The attempts that the peer is told of.
         self.sends_before = progress.sends
-        self.started_at = time.monotonic()
+        self.started_at = self.data_at = time.monotonic()
         self._answered_at: float | None = None
 
     @property
@@ -213,6 +219,7 @@
     def _encode(
         self, progress: callprogress.Progress, work: PeerWork, left_s: float
     ) -> calls.Headers:
+        work.sends_before = progress.sends
         detour = calls.Detour(
             work.endpoint.service,
             progress.stream_version,
@@ -247,15 +254,16 @@
         if head.detour.leaving is not None:
             self._deps.directory.record_leaving(head.detour.leaving, by_peer=False)
         if head.detour.verdict is not None:
-            progress.sends = max(work.sends_before, head.detour.sends)
+            used = max(0, head.detour.sends - work.sends_before)
+            progress.sends -= work.limit - min(used, work.limit)
         elif progress.stream_version not in (None, head.detour.version):
             raise errors.BrokenOffError("the peer's stream is of another version")
 
     def _record_other(self, work: attempts.Work, head: calls.ReplyHead) -> None:
         """Do nothing: the peer is no endpoint."""
 
-    def _record_data(self, work: attempts.Work) -> None:
-        """Do nothing: the peer has the endpoint's load."""
+    def _record_data(self, work: PeerWork) -> None:
+        work.data_at = time.monotonic()
 
     def _record_survived(self, progress: callprogress.Progress) -> None:
         """Do nothing: the peer has recorded it."""
@@ -280,11 +288,12 @@
     ) -> None:
         progress.stream_version = head.detour.version
 
-    def _is_unresponsive(self, work: attempts.Work) -> bool:
-        return not self._deps.peers.is_live(work.endpoint.name)
-
-    def _has_alternative(self, progress: callprogress.Progress, service: str) -> bool:
-        return self._deps.peers.is_any_usable(progress, service)
+    def _is_unresponsive(self, progress: callprogress.Progress, work: PeerWork) -> bool:
+        if not self._deps.peers.is_live(work.endpoint.name):
+            return True
+        # The peer can't ask another endpoint, or is cut off, too.
+        limit_s = NO_DATA_TIMEOUT_TARGETS * progress.route.target_s
+        return time.monotonic() - work.data_at > max(MIN_SILENCE_S, limit_s)
 
 
 class Detours:
@@ -317,6 +326,7 @@
         service: routes.Service,
         progress: callprogress.Progress,
         responder: callers.Responder,
+        contender: hedging.Contender,
     ) -> bool:
         """Send a call through a peer; return whether it is answered."""
         peer = self._deps.peers.choose(progress, service.name)
@@ -331,7 +341,7 @@
         progress.tried_peers.add(peer.name)
         work = PeerWork(peer, service.name, progress)
         try:
-            await self._attempts.make(progress, work, responder)
+            await self._attempts.make(progress, work, responder, contender)
             decisions.record_detour_end(progress, work, "answered", None)
             return True
         except errors.NotSentError as error:
@@ -356,7 +366,6 @@
                 self._record_unreached(service, progress)
         except errors.BrokenOffError as error:
             decisions.record_detour_end(progress, work, type(error).__name__, error)
-            progress.may_have_run = True
             if isinstance(error, PEER_LOST):
                 self._deps.peers.avoid(peer.name, service.name)
             if not progress.route.may_repeat:
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import logging
 import random
 import time
@@ -20,6 +21,7 @@
     decisions,
     detours,
     errors,
+    hedging,
     interfaces,
     metrics,
     refusals,
@@ -160,15 +162,78 @@
         progress.service = service.name
         if progress.call.detour is None:
             self._record_first_attempt(service, progress)
-        while True:
-            self._retries.refuse_suspect(progress, responder)
-            if self._detours.is_needed(service, progress):
-                make_attempt = self._detours.attempt
-            else:
+
+        def prepare_backup() -> hedging.RunAttempt:
+            return self._prepare_backup(service, progress, responder)
+
+        async with hedging.Hedge(progress) as hedge:
+            while True:
+                self._retries.refuse_suspect(progress, responder)
                 make_attempt = self._attempt_at_endpoint
-            if await make_attempt(service, progress, responder):
-                return
-            self._retries.check(service, progress, responder)
+                if self._detours.is_needed(service, progress):
+                    make_attempt = self._detours.attempt
+                run_attempt = functools.partial(
+                    make_attempt, service, progress, responder
+                )
+                if await hedge.run(run_attempt, prepare_backup):
+                    return
+                self._retries.check(service, progress, responder)
+
+    def _prepare_backup(
+        self,
+        service: routes.Service,
+        progress: callprogress.Progress,
+        responder: callers.Responder,
+    ) -> hedging.RunAttempt:
+        """
+        Return a further attempt beside one whose endpoint is silent.
+
+        Its repeat is taken from the retry budget at once. Raises ``NoBackupError`` if
+        it wouldn't help or isn't allowed.
+        """
+        self._retries.check_backup(service, progress)
+        if self._detours.is_needed(service, progress):
+            if not self._deps.peers.is_any_usable(progress, service.name):
+                raise hedging.NoBackupError("no peer")
+            run_attempt = functools.partial(
+                self._detours.attempt, service, progress, responder
+            )
+        else:
+            self._find_backup(service, progress)
+            run_attempt = functools.partial(
+                self._attempt_backup, service, progress, responder
+            )
+        self._retries.spend(service, progress)
+        return run_attempt
+
+    async def _attempt_backup(
+        self,
+        service: routes.Service,
+        progress: callprogress.Progress,
+        responder: callers.Responder,
+        contender: hedging.Contender,
+    ) -> bool:
+        """Send a call to an endpoint that seems well; return whether it is answered."""
+        # Chosen again: other calls may have been sent there since.
+        candidate = self._find_backup(service, progress)
+        return await self._attempt_at(candidate, progress, responder, contender)
+
+    def _find_backup(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> placement.Candidate:
+        """Return an endpoint that seems well and isn't full; raise without one."""
+        version = progress.stream_version
+        has_alternative = self._deps.occupancy.has_alternative(
+            service.name, progress.tried, version
+        )
+        candidate = self._find_endpoint(service, progress) if has_alternative else None
+        if candidate is None:
+            raise hedging.NoBackupError("no other endpoint seems well")
+        if placement.exceeds_wait_limit(
+            candidate, progress.call.prompt, progress.left_s
+        ):
+            raise hedging.NoBackupError("the other endpoints are full")
+        return candidate
 
     def _record_first_attempt(
         self, service: routes.Service, progress: callprogress.Progress
@@ -184,16 +249,27 @@
         service: routes.Service,
         progress: callprogress.Progress,
         responder: callers.Responder,
+        contender: hedging.Contender,
     ) -> bool:
-        """Send a call to an endpoint; return whether it is answered."""
+        """Choose an endpoint and send a call there; return whether it is answered."""
         candidate = self._choose_endpoint(service, progress)
         if candidate is None:
-            return await self._detours.attempt(service, progress, responder)
+            return await self._detours.attempt(service, progress, responder, contender)
+        return await self._attempt_at(candidate, progress, responder, contender)
+
+    async def _attempt_at(
+        self,
+        candidate: placement.Candidate,
+        progress: callprogress.Progress,
+        responder: callers.Responder,
+        contender: hedging.Contender,
+    ) -> bool:
+        """Send a call to an endpoint; return whether it is answered."""
         work = self._deps.occupancy.start(candidate, progress.call)
         progress.tried.add(work.endpoint.incarnation)
         outcome = Outcome.FAILED
         try:
-            if not await self._attempts.make(progress, work, responder):
+            if not await self._attempts.make(progress, work, responder, contender):
                 outcome = Outcome.SERVED
             metrics.ATTEMPT_SECONDS.labels("answered").observe(
                 time.monotonic() - work.started_at
@@ -251,7 +327,6 @@
             case errors.NotRunError(is_misdirected=True):
                 self._deps.directory.record_mismatch(work.endpoint)
             case errors.BrokenOffError():
-                progress.may_have_run = True
                 self._retries.record_crash(progress, work, error)
                 if not progress.route.may_repeat:
                     self._refusals.refuse(progress, responder, str(error))
@@ -268,14 +343,7 @@
         )
         candidate = None
         if not is_unreached:
-            candidate = self._deps.occupancy.choose(
-                service,
-                progress.call,
-                excluded=progress.tried,
-                max_gap_s=progress.route.max_gap_s,
-                version=version,
-                has_failed_connect=progress.failed_connects > 0,
-            )
+            candidate = self._find_endpoint(service, progress)
         if candidate is not None:
             self._refuse_if_hopeless(service, progress, candidate)
             return candidate
@@ -311,6 +379,18 @@
             cause=callprogress.Cause.NO_ENDPOINT,
         )
 
+    def _find_endpoint(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> placement.Candidate | None:
+        return self._deps.occupancy.choose(
+            service,
+            progress.call,
+            excluded=progress.tried,
+            max_gap_s=progress.route.max_gap_s,
+            version=progress.stream_version,
+            has_failed_connect=progress.failed_connects > 0,
+        )
+
     def _refuse_if_hopeless(
         self,
         service: routes.Service,
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -27,9 +27,14 @@
     "Further attempts of a call, by whether the budget allowed them",
     ["allowed"],
 )
+BACKUPS = prometheus_client.Counter(
+    "acaciaward_gateway_backups_total",
+    "Attempts beside one whose endpoint was silent, by how they ended",
+    ["result"],
+)
 RESUMES = prometheus_client.Counter(
     "acaciaward_gateway_resumes_total",
-    "Streams that went on at another endpoint within one answer",
+    "Streams that were sent to another endpoint within one answer",
 )
 TAKEN_UP = prometheus_client.Counter(
     "acaciaward_gateway_taken_up_total",
--- a/acaciaward/gateway/responsiveness.py
+++ b/acaciaward/gateway/responsiveness.py
@@ -1,5 +1,5 @@
 """
-Ends an attempt whose endpoint is unresponsive.
+Notices that the endpoint of an attempt is silent.
 
 Each attempt has a single polling timer, however many parts its answer has.
 """
@@ -9,9 +9,7 @@
 import typing
 from collections import abc
 
-from acaciaward.gateway import errors
-
-# How often an attempt checks whether its endpoint is unresponsive.
+# How often an attempt checks whether its endpoint is silent.
 CHECK_INTERVAL_S = 0.1
 # An entry whose event loop was blocked reads in this time what arrived meanwhile.
 RECHECK_DELAY_S = 0.03
@@ -20,30 +18,40 @@
 class Source(typing.Protocol):
     """The connection that an attempt waits on for bytes of its answer."""
 
-    def interrupt(self, error: errors.BrokenOffError) -> bool:
-        """Raise an error in a call that waits for bytes; return whether one does."""
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a call waits for bytes."""
 
 
 class Guard:
     """
     Monitors one attempt while its block runs.
 
-        with responsiveness.Guard(upstream, lambda: tracker.is_unresponsive(endpoint)):
+        with responsiveness.Guard(upstream, is_silent, contender.start_backup):
             await upstream.exchange(...)
 
-    The block ends with ``SilentError`` if it waits for bytes while the endpoint is
-    unresponsive at two checks in a row. Time spent otherwise, such as on a slow
-    caller, doesn't count.
+    ``on_silent`` is called while the block waits for bytes and the endpoint was silent
+    at two checks in a row, again and again. Time spent otherwise, such as on a slow
+    caller, doesn't count. The first check comes after ``first_check_s``.
     """
 
-    def __init__(self, source: Source, is_unresponsive: abc.Callable[[], bool]):
+    def __init__(
+        self,
+        source: Source,
+        is_silent: abc.Callable[[], bool],
+        on_silent: abc.Callable[[], None],
+        *,
+        first_check_s: float = CHECK_INTERVAL_S,
+    ):
         self._source = source
-        self._is_unresponsive = is_unresponsive
-        self._was_unresponsive = False
+        self._is_silent = is_silent
+        self._on_silent = on_silent
+        self._first_check_s = first_check_s
+        self._was_silent = False
         self._timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> "Guard":
-        self._schedule_check(CHECK_INTERVAL_S)
+        self._schedule_check(self._first_check_s)
         return self
 
     def __exit__(
@@ -59,13 +67,13 @@
         self._timer = asyncio.get_running_loop().call_later(delay_s, self._check)
 
     def _check(self) -> None:
-        if not self._is_unresponsive():
-            self._was_unresponsive = False
+        if not self._is_silent():
+            self._was_silent = False
             self._schedule_check(CHECK_INTERVAL_S)
-        elif not self._was_unresponsive:
-            self._was_unresponsive = True
+        elif not self._was_silent:
+            self._was_silent = True
             self._schedule_check(RECHECK_DELAY_S)
         else:
-            error = errors.SilentError("endpoint sends no data to any of its calls")
-            if not self._source.interrupt(error):
-                self._schedule_check(CHECK_INTERVAL_S)
+            self._schedule_check(CHECK_INTERVAL_S)
+            if self._source.is_waiting:
+                self._on_silent()
--- a/acaciaward/gateway/retries.py
+++ b/acaciaward/gateway/retries.py
@@ -12,6 +12,7 @@
     callprogress,
     decisions,
     errors,
+    hedging,
     interfaces,
     metrics,
     refusals,
@@ -53,6 +54,32 @@
                 retry_after_s=refuse_for_s,
             )
 
+    def check_backup(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> None:
+        """Raise if a call may not be sent once more beside an attempt that runs."""
+        if self._deps.suspects.is_suspect(progress.digest):
+            raise hedging.NoBackupError("endpoints broke off under it")
+        if self._deps.prompt_parts.refuse_for_s(progress.call.shared_parts) > 0:
+            raise hedging.NoBackupError("endpoints crashed under a part of its prompt")
+        if progress.has_used_attempts:
+            raise hedging.NoBackupError("the peer's attempts used up")
+        if progress.sends >= progress.route.max_attempts:
+            raise hedging.NoBackupError("attempts used up")
+        has_spent = progress.sends == progress.allowed_after_sends
+        if not (has_spent or self._deps.repeats.may_repeat(service.name)):
+            raise hedging.NoBackupError("retry budget spent")
+
+    def spend(self, service: routes.Service, progress: callprogress.Progress) -> bool:
+        """Take a send of a call from the retry budget; return whether it allows it."""
+        if progress.sends == progress.allowed_after_sends:
+            return True
+        is_allowed = self._deps.repeats.spend(service.name)
+        metrics.REPEATS.labels(is_allowed).inc()
+        if is_allowed:
+            progress.allowed_after_sends = progress.sends
+        return is_allowed
+
     def check(
         self,
         service: routes.Service,
@@ -77,16 +104,13 @@
                 "attempts used up",
                 cause=callprogress.Cause.ATTEMPTS,
             )
-        is_allowed = self._deps.repeats.spend(service.name)
-        metrics.REPEATS.labels(is_allowed).inc()
-        if not is_allowed:
+        if not self.spend(service, progress):
             self._refusals.refuse(
                 progress,
                 responder,
                 "retry budget spent",
                 cause=callprogress.Cause.BUDGET,
             )
-        progress.allowed_after_sends = progress.sends
 
     def _has_ended(self, incarnation: tuple[str, int]) -> bool:
         known = self._deps.directory.get(incarnation[0])
--- a/acaciaward/gateway/upstreams.py
+++ b/acaciaward/gateway/upstreams.py
@@ -106,9 +106,14 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a ``receive`` is pending."""
+        return self._waiter is not None and not self._waiter.done()
+
     def interrupt(self, error: Exception) -> bool:
         """Raise an error in a pending ``receive``; return whether there was one."""
-        if self._waiter is None or self._waiter.done():
+        if not self.is_waiting:
             return False
         self._waiter.set_exception(error)
         return True
@@ -164,6 +169,11 @@
         """Close at once; the endpoint cancels the call that it is processing."""
         self._protocol.transport.abort()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a call waits for bytes."""
+        return self._protocol.is_waiting
+
     def interrupt(self, error: errors.BrokenOffError) -> bool:
         """Raise an error in the call that waits for bytes; return whether one does."""
         return self._protocol.interrupt(error)
