--- a/acaciaward/gateway/features/silences.feature
+++ b/acaciaward/gateway/features/silences.feature
@@ -27,6 +27,14 @@
     Then the answer is 200 with the body "late"
     And 2 endpoints were tried
 
+  # Guards against a second run of what may run once, and against giving it up.
+  Scenario: A call that may run only once waits for an endpoint that is silent
+    Given a front for non_idempotent requests
+    And an answer comes after 1.2 s, and others refuse
+    When a caller with a timeout of 2.9 s asks
+    Then the answer is 200 with the body "late"
+    And 1 endpoints were tried
+
   Scenario: A stream goes on after a silence though another endpoint is lost
     Given a front for resumable streams
     And a stream is silent after 3 events and goes on a second later, and others die
@@ -100,6 +108,13 @@
       | 4     | 1.2     | take streams |
       | 6     | 1.3     | take streams |
 
+  # Guards against sound endpoints that are left out for long after a silence.
+  Scenario: Endpoints that stood still get calls again
+    Given 2 entries with 6 endpoints, and streams of 4 s
+    When 2 of the endpoints stand still for 1.3 s, and the others take streams
+    Then no stream that had begun is cut
+    And the endpoints that stood still got calls again within 5 s
+
   Scenario: Streams go on while endpoints stand still again and again
     Given 2 entries with 6 endpoints, and streams of 4 s
     When 3 of the endpoints stand still for 1.1 s, 3 times, and the others refuse
--- a/acaciaward/gateway/features/steps/silences_steps.py
+++ b/acaciaward/gateway/features/steps/silences_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 from behave import given, then, when
 
@@ -229,6 +230,7 @@
 def stand_still_often(context, count, seconds, times, word):
     servers = sorted(context.front.servers, key=lambda server: server.name)
     still, well = servers[:count], servers[count:]
+    context.still_names = {server.name for server in still}
 
     async def run():
         for _ in range(times):
@@ -242,6 +244,7 @@
             for server in well:
                 server.behaviour = "pass"
             lapse.cancel()
+            context.went_on_at = time.monotonic()
             await asyncio.sleep(EVENT_INTERVAL_S)
         await asyncio.sleep(STREAM_END_S)
 
@@ -297,3 +300,13 @@
     cut = [one for one in begun if not one.is_complete]
     assert len(begun) >= LEAST_BEGUN, len(begun)
     assert not cut, f"{len(cut)} of {len(begun)} were cut"
+
+
+@then("the endpoints that stood still got calls again within {limit_s:g} s")
+def check_used_again(context, limit_s):
+    reached = {
+        arrival.endpoint
+        for arrival in context.front.arrivals
+        if 0 <= arrival.at - context.went_on_at <= limit_s
+    }
+    assert context.still_names <= reached, (context.still_names, reached)
