Log how the version of each stream that is taken up was known

Callers saw streams of two versions, and no log told from what an entry had taken the version: a counter has sources, no line ties one to a stream. The line "stream taken up" names the request, the attempt that it resumes, who knew (this entry's memory, a peer, the only version, the store, nobody), how many peers were asked and had answered, the route's services, the versions listed, and the ages of this entry's reads of endpoints and configuration. acaciaward_gateway_taken_up_total counts memory and peer in place of origin. No decision changes.

--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -5,12 +5,15 @@
 """
 
 import logging
+import math
 import time
 import typing
+from collections import abc
 
 from acaciaward.catalogue import endpoints
-from acaciaward.gateway import callprogress, calls, errors, metrics
+from acaciaward.gateway import callprogress, calls, errors, interfaces, metrics
 from acaciaward.observability import logs
+from acaciaward.resumption import origins
 from acaciaward.routing import occupancy
 
 log = logging.getLogger(__name__)
@@ -59,6 +62,50 @@
     )
 
 
+class TakeUp(typing.NamedTuple):
+    """
+    How an entry decided where a stream began that its caller takes up.
+
+    ``known_by`` names what told it, ``nothing`` if the stream is refused.
+    """
+
+    known_by: str
+    origin: origins.Origin | None
+    search: origins.Search
+    services: abc.Collection[str]
+    listed: abc.Collection[str]
+    read_at: interfaces.ReadTimes
+
+
+def record_take_up(progress: callprogress.Progress, take_up: TakeUp) -> None:
+    """Log how the version that began a stream was known, and from which inputs."""
+    metrics.TAKEN_UP.labels(take_up.known_by).inc()
+    now = time.monotonic()
+    origin, read_at = take_up.origin, take_up.read_at
+    log.info(
+        "stream taken up",
+        extra=logs.fields(
+            request=progress.call.attempt_id,
+            resumes=progress.call.resumed_attempt_id,
+            known_by=take_up.known_by,
+            service=origin.service if origin else None,
+            endpoint_version=origin.version if origin else None,
+            peers_asked=take_up.search.asked,
+            peers_answered=take_up.search.answered,
+            services=",".join(sorted(take_up.services)),
+            listed_versions=",".join(sorted(take_up.listed)),
+            endpoints_age_ms=_age_ms(now, read_at.endpoints),
+            configuration_age_ms=_age_ms(now, read_at.configuration),
+            version=progress.version,
+            took_ms=int(1000 * (now - progress.call.received_at)),
+        ),
+    )
+
+
+def _age_ms(now: float, read_at: float) -> int | None:
+    return int(1000 * (now - read_at)) if math.isfinite(read_at) else None
+
+
 def record_detour(
     progress: callprogress.Progress, work: Attempt, *, is_new_connection: bool
 ) -> None:
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -321,6 +321,7 @@
                 demand=demand.Demand(time.monotonic, lambda name: 0.1),
                 suspects=suspects.Suspects(time.monotonic),
                 origins=origins.StreamOrigins(NoPeers()),
+                read_at=lambda: interfaces.ReadTimes(*2 * [time.monotonic()]),
                 prompt_parts=promptparts.PromptParts(time.monotonic),
                 record_run=self.ran.append,
                 record_end=self.ended.append,
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -99,8 +99,8 @@
     ) -> None:
         """Record where the stream began that an attempt takes up."""
 
-    async def find(self, organisation: str, attempt_id: str) -> origins.Origin | None:
-        """Return where a stream began, None if that isn't known."""
+    async def search(self, organisation: str, attempt_id: str) -> origins.Search:
+        """Find out where a stream began."""
 
     async def find_stored(
         self, organisation: str, attempt_id: str | None, service: str
@@ -108,6 +108,13 @@
         """Return where the store says that a stream of a service began."""
 
 
+class ReadTimes(typing.NamedTuple):
+    """When the last reads of the store began, in monotonic seconds."""
+
+    endpoints: float
+    configuration: float
+
+
 class Dependencies(typing.NamedTuple):
     """
     What forwarding needs from the other packages.
@@ -115,7 +122,8 @@
     ``reporting_share`` returns the share of the known entries whose reports this one
     has, itself included. ``record_run`` gets the organisation of a call that began to
     run, and ``record_end`` the final state of each call. ``peer_pool`` has the
-    connections to ``peers``.
+    connections to ``peers``. ``read_at`` returns when this entry, or the one that reads
+    the store for it, last did so.
     """
 
     index: abc.Callable[[], routes.Index | None]
@@ -135,5 +143,6 @@
     suspects: suspects.Suspects
     prompt_parts: promptparts.PromptParts
     origins: Origins
+    read_at: abc.Callable[[], ReadTimes]
     record_run: abc.Callable[[str], None]
     record_end: abc.Callable[[callprogress.Progress], None]
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -199,6 +199,7 @@
                 suspects=self._suspects,
                 prompt_parts=self._prompt_parts,
                 origins=self._origins,
+                read_at=self._read_times,
                 record_run=self._duties.counter.record_request,
                 record_end=self._record_end,
             )
@@ -345,6 +346,16 @@
     def _endpoints_read_at(self) -> float:
         return max(self._relaying.store_read_at, self._store_view.endpoints_read_at)
 
+    def _read_times(self) -> interfaces.ReadTimes:
+        """Return when this entry or its reader last read the store."""
+        return interfaces.ReadTimes(
+            self._endpoints_read_at,
+            max(
+                self._relaying.configuration_read_at,
+                self._store_view.configuration_read_at,
+            ),
+        )
+
     async def _run_housekeeping(self) -> None:
         while True:
             now = time.monotonic()
--- a/acaciaward/gateway/servicechoice.py
+++ b/acaciaward/gateway/servicechoice.py
@@ -8,7 +8,7 @@
 import random
 
 from acaciaward.catalogue import routes
-from acaciaward.gateway import callprogress, calls, interfaces, metrics, refusals
+from acaciaward.gateway import callprogress, calls, decisions, interfaces, refusals
 from acaciaward.resumption import origins
 
 
@@ -82,34 +82,56 @@
     ) -> origins.Origin:
         """Return where a stream began that is taken up; raise if that isn't known."""
         attempt_id = progress.call.resumed_attempt_id
+        search = origins.Search(None)
         if attempt_id is not None:
-            origin = await self._deps.origins.find(
+            search = await self._deps.origins.search(
                 progress.organisation_name, attempt_id
             )
-            if origin is not None:
-                metrics.TAKEN_UP.labels("origin").inc()
-                return origin
+            if search.origin is not None:
+                self._record_take_up(progress, search.known_by, search.origin, search)
+                return search.origin
         service = self._choose_service(index, progress.route)
         version = self._deps.directory.only_version(
             service.name, progress.route.timeout_s
         )
         if version is not None:
-            metrics.TAKEN_UP.labels("only version").inc()
-            return origins.Origin(service.name, version)
+            origin = origins.Origin(service.name, version)
+            self._record_take_up(progress, "only version", origin, search)
+            return origin
         if len([name for name, weight in progress.route.shares if weight > 0]) <= 1:
             origin = await self._deps.origins.find_stored(
                 progress.organisation_name, attempt_id, service.name
             )
             if origin is not None:
-                metrics.TAKEN_UP.labels("store").inc()
+                self._record_take_up(progress, "store", origin, search)
                 return origin
-        metrics.TAKEN_UP.labels("nothing").inc()
+        self._record_take_up(progress, "nothing", None, search)
         raise callprogress.RefusedError(
             refusals.UNAVAILABLE,
             "the version that began its stream isn't known",
             retry_after_s=self._refusals.retry_delay_s(progress),
         )
 
+    def _record_take_up(
+        self,
+        progress: callprogress.Progress,
+        known_by: str,
+        origin: origins.Origin | None,
+        search: origins.Search,
+    ) -> None:
+        services = {name for name, _ in progress.route.shares}
+        listed = {
+            endpoint.version
+            for service in services
+            for endpoint in self._deps.directory.of_service(service)
+        }
+        decisions.record_take_up(
+            progress,
+            decisions.TakeUp(
+                known_by, origin, search, services, listed, self._deps.read_at()
+            ),
+        )
+
     def _choose_service(
         self, index: routes.Index, route: routes.Route
     ) -> routes.Service:
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -147,6 +147,11 @@
         """The monotonic time at which the reader last read the endpoints."""
         return self._store_read_at
 
+    @property
+    def configuration_read_at(self) -> float:
+        """The monotonic time at which the reader last read the configuration."""
+        return self._configuration_read_at
+
     @property
     def is_behind(self) -> bool:
         """Whether the digests of relays show that this entry has missed changes."""
--- a/acaciaward/resumption/origins.py
+++ b/acaciaward/resumption/origins.py
@@ -51,6 +51,20 @@
 Origin = servingversions.Origin
 
 
+class Search(typing.NamedTuple):
+    """
+    What the entries that were asked know of a stream.
+
+    ``origin`` is None if nobody knows. ``known_by`` says who does: this entry's
+    ``memory`` or a ``peer``. ``answered`` of the ``asked`` peers had answered by then.
+    """
+
+    origin: Origin | None
+    known_by: str | None = None
+    asked: int = 0
+    answered: int = 0
+
+
 class Stored(typing.NamedTuple):
     """What is kept in the store, and outlives all entries."""
 
@@ -129,26 +143,33 @@
 
     async def find(self, organisation: str, attempt_id: str) -> Origin | None:
         """Return where a stream began, or None if no entry that was asked knows."""
+        return (await self.search(organisation, attempt_id)).origin
+
+    async def search(self, organisation: str, attempt_id: str) -> Search:
+        """Find out where a stream began from this entry's memory, or from peers."""
         stream = _digest(organisation, attempt_id)
         known = self._origins.get(stream)
         if known is not None:
-            return known[0]
+            return Search(known[0], "memory")
         asked = dict.fromkeys([*self._ranked_entries(stream), self.recorder])
         requests = [
             asyncio.ensure_future(self._request(name, stream))
             for name in asked
             if name != self._membership.name
         ]
+        answered = 0
         try:
             for request in asyncio.as_completed(requests):
-                origin = await request
+                answer = await request
+                answered += answer is not None
+                origin = _decode(answer)
                 if origin is not None:
                     self._remember(stream, origin)
-                    return origin
+                    return Search(origin, "peer", len(requests), answered)
         finally:
             for request in requests:
                 request.cancel()
-        return None
+        return Search(None, None, len(requests), answered)
 
     async def find_stored(
         self, organisation: str, attempt_id: str | None, service: str
@@ -183,13 +204,16 @@
         )
         return origin
 
-    async def _request(self, keeper: str, stream: str) -> Origin | None:
+    async def _request(
+        self, keeper: str, stream: str
+    ) -> abc.Mapping[str, typing.Any] | None:
+        """Ask a peer; return its answer, None if there is none."""
         body: messages.OriginRequest = {
             "sender": self._membership.name,
             "stream": stream,
         }
         try:
-            answer = await self._membership.request(
+            return await self._membership.request(
                 keeper, "stream_origin", body, timeout_s=REQUEST_TIMEOUT_S
             )
         except errors.PeerUnreachableError as error:
@@ -198,9 +222,6 @@
                 extra=logs.fields(peer=keeper, reason=error),
             )
             return None
-        if answer["service"] is None or answer["version"] is None:
-            return None
-        return Origin(answer["service"], answer["version"])
 
     async def _receive(self, sender: str, body: messages.StreamBegan) -> None:
         self._remember(body["stream"], Origin(body["service"], body["version"]))
@@ -268,6 +289,12 @@
             (self._recorder,) = rendezvous.choose("stream recorder", self._group, 1)
 
 
+def _decode(answer: abc.Mapping[str, typing.Any] | None) -> Origin | None:
+    if answer is None or answer["service"] is None or answer["version"] is None:
+        return None
+    return Origin(answer["service"], answer["version"])
+
+
 def _digest(organisation: str, attempt_id: str) -> str:
     """Return a name that no other organisation's stream has."""
     hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
