--- a/acaciaward/catalogue/features/delivery.py
+++ b/acaciaward/catalogue/features/delivery.py
@@ -100,13 +100,8 @@
         self.change()
         self.store.put(ENDPOINTS_TOPIC, "s-0", self.endpoint_record(0))
         for entry in self.entries:
-            entry.proxy = faultproxy.FaultProxy(("127.0.0.1", self.store.port))
-            await entry.proxy.start()
-            entry.gateway = process.Gateway(self._settings(entry))
-            entry.view.subscribe(entry.record)
-            context = contextvars.copy_context()
-            context.run(entry_name.set, entry.name)
-            await asyncio.create_task(entry.gateway.start(), context=context)
+            await self.start_proxy(entry)
+            await self.start_gateway(entry)
         await self.wait_until(
             lambda: all(entry.gateway.is_ready for entry in self.entries),
             START_TIMEOUT_S,
@@ -116,7 +111,29 @@
             START_TIMEOUT_S,
         )
 
+    async def start_proxy(self, entry: Entry) -> None:
+        """Start the proxy between an entry and the store."""
+        entry.proxy = faultproxy.FaultProxy(("127.0.0.1", self.store.port))
+        await entry.proxy.start()
+
+    async def start_gateway(self, entry: Entry) -> None:
+        """Start an entry's gateway in this process."""
+        entry.gateway = process.Gateway(self._settings(entry))
+        entry.view.subscribe(entry.record)
+        context = contextvars.copy_context()
+        context.run(entry_name.set, entry.name)
+        await asyncio.create_task(entry.gateway.start(), context=context)
+
     def _settings(self, entry: Entry) -> loader.Settings:
+        return loader.check(
+            nodefile.decode(self.settings_text(entry)),
+            name=entry.name,
+            package=gateway_settings.PACKAGE,
+            find_first_problem=gateway_settings.find_first_problem,
+        )
+
+    def settings_text(self, entry: Entry) -> str:
+        """Return the settings file of an entry."""
         seeds = ",".join(
             f"127.0.0.1:{seed.ports['Control']}" for seed in self.entries[:3]
         )
@@ -132,13 +149,7 @@
         }
         for name, port in entry.ports.items():
             fields[f"Listen.{name}"] = f"127.0.0.1:{port}"
-        text = "".join(f"{name}={value}\n" for name, value in fields.items())
-        return loader.check(
-            nodefile.decode(text),
-            name=entry.name,
-            package=gateway_settings.PACKAGE,
-            find_first_problem=gateway_settings.find_first_problem,
-        )
+        return "".join(f"{name}={value}\n" for name, value in fields.items())
 
     async def stop(self) -> None:
         """Stop every gateway without draining, then proxies and store."""
@@ -159,6 +170,11 @@
             entry for entry in self.entries if not entry.gateway._relaying.is_relayed
         ]
 
+    def change_route(self, fields: abc.Mapping[str, typing.Any]) -> int:
+        """Write the next configuration with other fields of the route."""
+        self._route = {**self._route, **fields}
+        return self.change()
+
     def change(self) -> int:
         """Write the next configuration as the operator, and return its version."""
         self.version += self.random.randint(1, 4)
