Only a read that began after the take-up tells which version is the only one

What callers saw: at an entry that had been cut off or had stood still during a release, or whose reader had, streams of the new version were taken up and went on at the old one, with 200 and to their end. Cause: where no peer knew a stream, Directory.only_version took this entry's view of the endpoints for proof, however long ago it was read, and also if a version could have come and gone in between. Change: the store is asked first, which versions have begun streams, then which endpoints it lists, by a read that begins after the take-up came; many share one (catalogue/sharedread.py), and a read that fails fails for all that wait, so that a cut-off entry refuses at once. The listing proves something only together with a view without a gap: after more than 2 s without a read, an entry knows the endpoints anew since then only. A relay counts as a read if its digest is this entry's. Neither clocks nor peers decide, so it doesn't matter in which order an entry that stood still gets its timers, relays and calls. Entries declare the store's records complete only from such a view, too. One call of the store more per tenth of a second and entry in which nobody knows a stream. The soak's plant takes the new arguments.

--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -12,6 +12,7 @@
 
 import enum
 import logging
+import math
 import time
 import typing
 from collections import abc
@@ -25,6 +26,8 @@
 REMOVAL_DEFERRAL_S = 2.0
 # An outage counts as over when the store's last failure is this long ago.
 OUTAGE_SETTLE_S = 3.0
+# Endpoints whose records come and go between two reads this far apart may be missed.
+MAX_READ_GAP_S = 2.0
 # How long versions of endpoints that have ended are remembered; longer than a stream.
 ENDED_VERSIONS_S = 600.0
 
@@ -84,7 +87,9 @@
         self._deferred_removals: dict[str, float] = {}
         self._mismatched: set[tuple[str, int]] = set()
         self._outage_seen_at = -OUTAGE_SETTLE_S
-        self._first_update_at: float | None = None
+        # Since when no endpoint can have come and gone unseen, None before the first.
+        self._known_since: float | None = None
+        self._read_at = -math.inf
         # When the last endpoint of a service and version was seen that has ended.
         self._ended_versions: dict[tuple[str, str], float] = {}
         self._listeners: list[abc.Callable[[Endpoint | None, Endpoint | None], None]]
@@ -111,6 +116,26 @@
         """Record that the store has just failed to answer."""
         self._outage_seen_at = self._clock()
 
+    def record_read(self, began_at: float, *, is_continuous: bool = False) -> None:
+        """
+        Record that the endpoints are known as of a read that began at ``began_at``.
+
+        It ``is_continuous`` if it brought every change since the read before.
+        """
+        if not (is_continuous or self.is_continuous_at(began_at)):
+            # The first read has none before it.
+            if math.isfinite(self._read_at):
+                log.info(
+                    "endpoints weren't read for long",
+                    extra=logs.fields(gap_s=round(began_at - self._read_at, 2)),
+                )
+            self._known_since = began_at
+        self._read_at = max(self._read_at, began_at)
+
+    def is_continuous_at(self, read_at: float) -> bool:
+        """Return whether the last read was shortly before that at ``read_at``."""
+        return read_at - self._read_at <= MAX_READ_GAP_S
+
     def update(self, endpoint: Endpoint) -> None:
         """Add or update an endpoint; one that was leaving stays so."""
         self._recorded_states[endpoint.name] = endpoint.state
@@ -125,8 +150,8 @@
         previous = self._endpoints.get(endpoint.name)
         if previous == endpoint:
             return
-        if self._first_update_at is None:
-            self._first_update_at = self._clock()
+        if self._known_since is None:
+            self._known_since = self._clock()
         if previous is not None and previous.version != endpoint.version:
             self._record_end(previous)
         self._endpoints[endpoint.name] = endpoint
@@ -292,26 +317,36 @@
         }
         self._ended_versions[(endpoint.service, endpoint.version)] = now
 
-    def only_version(self, service: str, span_s: float) -> str | None:
+    def only_version(
+        self, service: str, span_s: float, *, listed: abc.Set[str], read_at: float
+    ) -> str | None:
         """
         Return the one version of a service's software in a span of time until now.
 
-        This is None if there were several, or if the span began before the first
-        endpoint was known. Where no endpoint reports a version, it's empty.
+        ``listed`` are the versions of its endpoints as of a read that began at
+        ``read_at``. This is None if there were several, or if an endpoint may have come
+        and gone unseen within the span.
         """
-        if {endpoint.version for endpoint in self.of_service(service)} == {""}:
-            return ""
-        versions = self.versions_within(service, span_s)
-        return next(iter(versions)) if versions and len(versions) == 1 else None
+        known = self.versions_within(service, span_s)
+        if known is None or not self.is_continuous_at(read_at):
+            return None
+        versions = known | listed
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    def reports_no_version(self, service: str) -> bool:
+        """Return whether none of a service's endpoints has reported a version."""
+        ended = {version for name, version in self._ended_versions if name == service}
+        listed = {endpoint.version for endpoint in self.of_service(service)}
+        return listed | ended == {""}
 
     def versions_within(self, service: str, span_s: float) -> frozenset[str] | None:
         """
         Return all versions of a service's software in a span of time until now.
 
-        This is None if the span began before the first endpoint was known.
+        This is None if an endpoint may have come and gone unseen within the span.
         """
         now = self._clock()
-        if self._first_update_at is None or now - self._first_update_at < span_s:
+        if self._known_since is None or now - self._known_since < span_s:
             return None
         listed = {endpoint.version for endpoint in self.of_service(service)}
         ended = {
--- a/acaciaward/catalogue/storeview.py
+++ b/acaciaward/catalogue/storeview.py
@@ -5,12 +5,13 @@
 ignored; an endpoint whose record can't be decoded is removed.
 """
 
+import collections
 import logging
 import typing
 from collections import abc
 
 from acaciaward import errors
-from acaciaward.catalogue import endpoints, routes, topicfollower
+from acaciaward.catalogue import endpoints, routes, sharedread, topicfollower
 from acaciaward.observability import logs
 
 log = logging.getLogger(__name__)
@@ -24,6 +25,13 @@
     """A record of the store that can't be decoded; the message says why."""
 
 
+class ListedVersions(typing.NamedTuple):
+    """The versions of each service as of a read, and when that began."""
+
+    read_at: float
+    versions: abc.Mapping[str, abc.Set[str]]
+
+
 class Decoder(typing.Protocol):
     """Decodes the store's records; raises ``UnreadableError`` for an invalid one."""
 
@@ -81,10 +89,15 @@
             on_listing=self._apply_endpoints,
             on_change=self._apply_endpoint,
             on_outage=directory.record_outage,
+            on_read=lambda began_at, is_continuous: directory.record_read(
+                began_at, is_continuous=is_continuous
+            ),
             is_relayed=is_relayed,
             pause_s=pause_s,
         )
 
+        self._listing = sharedread.SharedRead(endpoint_source.read_all)
+
     @property
     def catalogue(self) -> routes.Catalogue:
         """The configuration in force; version -1 if there is none yet."""
@@ -176,6 +189,21 @@
         )
         self.on_endpoints_read()
 
+    async def list_versions(self) -> ListedVersions:
+        """
+        Read which versions of the services' software the store lists now.
+
+        The read begins after the call; it may raise ``PlatformError``. It changes
+        nothing in the directory, which follows the topic by itself.
+        """
+        read = await self._listing.get()
+        versions = collections.defaultdict(set)
+        for name, data in read.value.values.items():
+            endpoint = self._try_decode(name, data)
+            if endpoint is not None:
+                versions[endpoint.service].add(endpoint.version)
+        return ListedVersions(read.began_at, versions)
+
     def _apply_endpoint(self, change: topicfollower.Change) -> None:
         if change.value is None:
             self._directory.remove(change.key, "its entry was removed")
@@ -185,6 +213,12 @@
             self._directory.update(endpoint)
 
     def _decode(self, name: str, data: bytes) -> endpoints.Endpoint | None:
+        endpoint = self._try_decode(name, data)
+        if endpoint is None:
+            self._directory.remove_now(name, "unreadable entry")
+        return endpoint
+
+    def _try_decode(self, name: str, data: bytes) -> endpoints.Endpoint | None:
         try:
             return self._decoder.decode_endpoint(name, data)
         except UnreadableError as error:
@@ -199,5 +233,4 @@
                 extra=logs.fields(endpoint=name[:MAX_LOGGED_CHARACTERS]),
                 exc_info=error,
             )
-        self._directory.remove_now(name, "unreadable entry")
         return None
--- a/acaciaward/catalogue/topicfollower.py
+++ b/acaciaward/catalogue/topicfollower.py
@@ -76,7 +76,9 @@
     ``wait_s`` is the long-poll timeout: the store may hold a call that long until
     there is a change. ``pause_s`` is a pause between calls, for topics that change all
     the time. While ``is_relayed`` returns True, updates arrive another way and nothing
-    is read; afterwards, a listing is read first.
+    is read; afterwards, a listing is read first. ``on_read`` is called after each read
+    with the monotonic time at which it began, and whether every change since the read
+    before was among its changes.
     """
 
     def __init__(
@@ -87,6 +89,9 @@
         on_listing: abc.Callable[[abc.Mapping[str, bytes]], None],
         on_change: abc.Callable[[Change], None],
         on_outage: abc.Callable[[], None] = lambda: None,
+        on_read: abc.Callable[[float, bool], None] = lambda began_at, is_continuous: (
+            None
+        ),
         wait_s: float = 0.0,
         pause_s: float = 0.0,
         is_relayed: abc.Callable[[], bool] = lambda: False,
@@ -96,6 +101,7 @@
         self._on_listing = on_listing
         self._on_change = on_change
         self._on_outage = on_outage
+        self._on_read = on_read
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._is_relayed = is_relayed
@@ -148,7 +154,7 @@
             self._on_listing(listing.values)
             self._next_offset = listing.next_offset
             self._era = listing.era
-            self.read_at = listing_requested_at
+            self._record_read(listing_requested_at, is_continuous=False)
             self.listed.set()
         requested_at = time.monotonic()
         # After a failure the first answer is needed at once, also if nothing changed.
@@ -170,7 +176,11 @@
         for change in page.changes:
             self._on_change(change)
         self._next_offset = page.next_offset
-        self.read_at = requested_at
+        self._record_read(requested_at, is_continuous=True)
+
+    def _record_read(self, began_at: float, *, is_continuous: bool) -> None:
+        self.read_at = began_at
+        self._on_read(began_at, is_continuous)
 
     async def _back_off(self) -> None:
         max_backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -7,7 +7,7 @@
 import time
 
 from acaciaward.admission import quotas, repeatbudget
-from acaciaward.catalogue import endpoints, routes
+from acaciaward.catalogue import endpoints, routes, storeview
 from acaciaward.gateway import (
     callers,
     detours,
@@ -323,6 +323,7 @@
                 origins=origins.StreamOrigins(NoPeers()),
                 read_at=lambda: interfaces.ReadTimes(*2 * [time.monotonic()]),
                 prompt_parts=promptparts.PromptParts(time.monotonic),
+                list_versions=self._list_versions,
                 record_run=self.ran.append,
                 record_end=self.ended.append,
             ),
@@ -337,6 +338,13 @@
         self.port = 0
         self.detour_port = 0
 
+    async def _list_versions(self):
+        """Return what the directory has, which no store changes behind its back."""
+        now = time.monotonic()
+        self.directory.record_read(now, is_continuous=True)
+        versions = {one.version for one in self.directory.of_service("service")}
+        return storeview.ListedVersions(now, {"service": versions})
+
     async def start(self):
         for number in range(self._count):
             scripted = ScriptedEndpoint()
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -5,7 +5,7 @@
 
 from acaciaward import verdicts
 from acaciaward.admission import quotas, repeatbudget
-from acaciaward.catalogue import endpoints, routes
+from acaciaward.catalogue import endpoints, routes, storeview
 from acaciaward.gateway import callprogress, calls, selfreports, upstreams
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.quarantine import promptparts, suspects
@@ -123,7 +123,8 @@
     has, itself included. ``record_run`` gets the organisation of a call that began to
     run, and ``record_end`` the final state of each call. ``peer_pool`` has the
     connections to ``peers``. ``read_at`` returns when this entry, or the one that reads
-    the store for it, last did so.
+    the store for it, last did so. ``list_versions`` reads now which versions the store
+    lists, and may raise ``PlatformError``.
     """
 
     index: abc.Callable[[], routes.Index | None]
@@ -144,5 +145,6 @@
     prompt_parts: promptparts.PromptParts
     origins: Origins
     read_at: abc.Callable[[], ReadTimes]
+    list_versions: abc.Callable[[], abc.Awaitable[storeview.ListedVersions]]
     record_run: abc.Callable[[str], None]
     record_end: abc.Callable[[callprogress.Progress], None]
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -200,6 +200,7 @@
                 prompt_parts=self._prompt_parts,
                 origins=self._origins,
                 read_at=self._read_times,
+                list_versions=self._store_view.list_versions,
                 record_run=self._duties.counter.record_request,
                 record_end=self._record_end,
             )
@@ -239,7 +240,7 @@
         This is None if the endpoints haven't been known for as long as streams run.
         """
         index = self._store_view.index
-        if index is None:
+        if index is None or not self._directory.is_continuous_at(time.monotonic()):
             return None
         found = set()
         for service in index.resumable_services:
--- a/acaciaward/gateway/servicechoice.py
+++ b/acaciaward/gateway/servicechoice.py
@@ -5,12 +5,21 @@
 that began it, a call that a peer sends through this entry to those that the peer names.
 """
 
+import asyncio
+import logging
 import random
 
+from acaciaward import errors
 from acaciaward.catalogue import routes
 from acaciaward.gateway import callprogress, calls, decisions, interfaces, refusals
+from acaciaward.observability import logs
 from acaciaward.resumption import origins
 
+log = logging.getLogger(__name__)
+
+# How long the store may take to tell where a stream began.
+STORE_LIMIT_S = 0.5
+
 
 class ServiceChoice:
     """Chooses the services of all calls."""
@@ -91,27 +100,56 @@
                 self._record_take_up(progress, search.known_by, search.origin, search)
                 return search.origin
         service = self._choose_service(index, progress.route)
-        version = self._deps.directory.only_version(
-            service.name, progress.route.timeout_s
-        )
-        if version is not None:
-            origin = origins.Origin(service.name, version)
-            self._record_take_up(progress, "only version", origin, search)
+        if self._deps.directory.reports_no_version(service.name):
+            known_by, origin = "no version", origins.Origin(service.name, "")
+        else:
+            known_by, origin = await self._ask_store(progress, service.name)
+        self._record_take_up(progress, known_by, origin, search)
+        if origin is not None:
             return origin
-        if len([name for name, weight in progress.route.shares if weight > 0]) <= 1:
-            origin = await self._deps.origins.find_stored(
-                progress.organisation_name, attempt_id, service.name
-            )
-            if origin is not None:
-                self._record_take_up(progress, "store", origin, search)
-                return origin
-        self._record_take_up(progress, "nothing", None, search)
         raise callprogress.RefusedError(
             refusals.UNAVAILABLE,
             "the version that began its stream isn't known",
             retry_after_s=self._refusals.retry_delay_s(progress),
         )
 
+    async def _ask_store(
+        self, progress: callprogress.Progress, service: str
+    ) -> tuple[str, origins.Origin | None]:
+        """
+        Return where a stream began, None if that isn't known, and how it's known.
+
+        Nothing counts that was read before the caller asked: at another entry, a
+        version may have joined and have begun the stream since.
+        """
+        try:
+            async with asyncio.timeout(STORE_LIMIT_S):
+                shares = progress.route.shares
+                if len([name for name, weight in shares if weight > 0]) <= 1:
+                    origin = await self._deps.origins.find_stored(
+                        progress.organisation_name,
+                        progress.call.resumed_attempt_id,
+                        service,
+                    )
+                    if origin is not None:
+                        return "store", origin
+                listed = await self._deps.list_versions()
+        except (errors.PlatformError, TimeoutError) as error:
+            log.info(
+                "could not ask the store which versions serve",
+                extra=logs.fields(service=service, reason=repr(error)),
+            )
+            return "nothing", None
+        version = self._deps.directory.only_version(
+            service,
+            progress.route.timeout_s,
+            listed=listed.versions.get(service, frozenset()),
+            read_at=listed.read_at,
+        )
+        if version is None:
+            return "nothing", None
+        return "only version", origins.Origin(service, version)
+
     def _record_take_up(
         self,
         progress: callprogress.Progress,
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -351,6 +351,9 @@
         self._directory.defer_removals(relay["lapsed"])
         is_equal = relay["digest"] == self._digest()
         self._mismatches = 0 if is_equal else self._mismatches + 1
+        if is_equal:
+            # With another digest, changes were missed.
+            self._directory.record_read(time.monotonic() - relay["age_s"])
 
     def _digest(self) -> int:
         # What endpoints say in answers reaches the entries at different times.
--- a/acaciaward/resumption/servingversions.py
+++ b/acaciaward/resumption/servingversions.py
@@ -31,7 +31,7 @@
 import msgspec
 
 from acaciaward import decoding, errors
-from acaciaward.catalogue import topicfollower
+from acaciaward.catalogue import sharedread, topicfollower
 from acaciaward.membership import interfaces
 from acaciaward.observability import logs
 from acaciaward.resumption import messages
@@ -53,8 +53,6 @@
 FAILURE_PAUSE_S = 1.0
 # The key of what says that the records are complete; others are hexadecimal digits.
 COMPLETE_KEY = "complete"
-# Shortest time between two reads; streams that are taken up meanwhile share the second.
-READ_INTERVAL_S = 0.1
 
 
 class Origin(typing.NamedTuple):
@@ -143,9 +141,7 @@
         self._failed_at: dict[Origin, float] = {}
         # When a record without endpoints was first seen, by its key and mark.
         self._unlisted_since: dict[tuple[str, str], float] = {}
-        self._read_lock = asyncio.Lock()
-        self._read_began_at = -math.inf
-        self._read_versions: dict[str, frozenset[str]] = {}
+        self._listing = sharedread.SharedRead(lambda: topic.read_all(), clock=clock)
         # The era in which the records are complete, as known to the recorder.
         self._complete_era: int | None = None
         # The versions that have a record, as known to the recorder.
@@ -239,16 +235,8 @@
 
     async def read(self, service: str) -> frozenset[str]:
         """Return the versions that may have begun streams; empty if not known."""
-        asked_at = self._clock()
-        async with self._read_lock:
-            # An earlier read may lack a version that a stream began at meanwhile.
-            if self._read_began_at < asked_at:
-                since_s = self._clock() - self._read_began_at
-                await asyncio.sleep(max(0.0, READ_INTERVAL_S - since_s))
-                began_at = self._clock()
-                self._read_versions = _trusted_versions(await self._topic.read_all())
-                self._read_began_at = began_at
-            return self._read_versions.get(service, frozenset())
+        read = await self._listing.get()
+        return _trusted_versions(read.value).get(service, frozenset())
 
     async def run(self) -> None:
         """Keep the records in line with the endpoints that are listed."""
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -89,7 +89,7 @@
 def versions() -> None:
     """Let streams go on at any version of the endpoints' software."""
     occupancy._of_version = lambda known, version: known
-    endpoints.Directory.only_version = lambda directory, service, span_s: ""
+    endpoints.Directory.only_version = lambda directory, service, span_s, **listing: ""
 
 
 def guessed() -> None:
