No service is drawn for a stream that may have begun at several

What callers saw: where a route leads to two services, or moved, and nobody remembered a stream, about half of the streams went on at the other service's version. Cause: ServiceChoice drew one of the route's services and took its only version; a route that had moved back looked as if it had led there all the time. Change: routehistory.py remembers to which services a path has led for as long as its streams run. With several, only the record of the stream itself counts, else it's refused. So that there is one also after most entries have ended, a service that shares a route, or did until a moment ago, has a record of its own like a second version, written before the first event of such a stream: then the recorder stores all streams of the service, and an entry that has just started, or whose configuration is old, takes no version for the only one. Entries of older builds read that record as one more version, and refuse or look the stream up. Of the moved routes, streams whose callers name nothing are refused.

--- a/acaciaward/gateway/features/outofstep.feature
+++ b/acaciaward/gateway/features/outofstep.feature
@@ -90,12 +90,13 @@
     And the other entries end
     And callers take the streams up there 3 times, <naming>
     Then no stream holds events of two versions
+    And <share> of the streams that were taken up go on
     And streams that don't go on are refused within 1 s, to be retried soon
 
     Examples:
-      | naming                |
-      | naming their attempts |
-      | naming nothing        |
+      | naming                | share |
+      | naming their attempts | 0.9   |
+      | naming nothing        | 0     |
 
   # Review case 3: a stream whose service was known went on at the new one (ORDER).
   Scenario Outline: A route moves to another service, and an entry ends
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -7,7 +7,7 @@
 import time
 
 from acaciaward.admission import quotas, repeatbudget
-from acaciaward.catalogue import endpoints, routes, storeview
+from acaciaward.catalogue import endpoints, routehistory, routes, storeview
 from acaciaward.gateway import (
     callers,
     detours,
@@ -287,6 +287,8 @@
                 {"org": organisation},
             )
         )
+        self.route_history = routehistory.RouteHistory()
+        self.route_history.record(self.index.catalogue)
         self.quotas = quotas.Quotas(time.monotonic, lambda: 1)
         if quota is not None:
             self.quotas.set_rules({"org": quotas.Rule(quota.rate, quota.burst)})
@@ -323,6 +325,7 @@
                 origins=origins.StreamOrigins(NoPeers()),
                 read_at=lambda: interfaces.ReadTimes(*2 * [time.monotonic()]),
                 prompt_parts=promptparts.PromptParts(time.monotonic),
+                route_history=self.route_history,
                 list_versions=self._list_versions,
                 record_run=self.ran.append,
                 record_end=self.ended.append,
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -5,7 +5,7 @@
 
 from acaciaward import verdicts
 from acaciaward.admission import quotas, repeatbudget
-from acaciaward.catalogue import endpoints, routes, storeview
+from acaciaward.catalogue import endpoints, routehistory, routes, storeview
 from acaciaward.gateway import callprogress, calls, selfreports, upstreams
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.quarantine import promptparts, suspects
@@ -102,10 +102,15 @@
     async def search(self, organisation: str, attempt_id: str) -> origins.Search:
         """Find out where a stream began."""
 
-    async def find_stored(
+    async def look_up(
         self, organisation: str, attempt_id: str | None, service: str
+    ) -> origins.StoredAnswer:
+        """Look up in the store where a stream of a service began."""
+
+    async def find_recorded(
+        self, organisation: str, attempt_id: str
     ) -> origins.Origin | None:
-        """Return where the store says that a stream of a service began."""
+        """Return where the store says that this very stream began."""
 
 
 class ReadTimes(typing.NamedTuple):
@@ -145,6 +150,7 @@
     prompt_parts: promptparts.PromptParts
     origins: Origins
     read_at: abc.Callable[[], ReadTimes]
+    route_history: routehistory.RouteHistory
     list_versions: abc.Callable[[], abc.Awaitable[storeview.ListedVersions]]
     record_run: abc.Callable[[str], None]
     record_end: abc.Callable[[callprogress.Progress], None]
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -14,7 +14,13 @@
 
 from acaciaward import httpclient, tasks
 from acaciaward.admission import quotas, quotastore, repeatbudget
-from acaciaward.catalogue import endpoints, peerfetching, routes, storeview
+from acaciaward.catalogue import (
+    endpoints,
+    peerfetching,
+    routehistory,
+    routes,
+    storeview,
+)
 from acaciaward.entry import peerservices
 from acaciaward.gateway import (
     callers,
@@ -124,6 +130,8 @@
             is_relayed=lambda: self._relaying.is_relayed,
             is_configuration_relayed=lambda: self._relaying.is_configuration_relayed,
         )
+        self._route_history = routehistory.RouteHistory()
+        self._store_view.subscribe(self._route_history.record)
         self._store_view.subscribe(self._use_catalogue)
         self._peer_fetcher = peerfetching.PeerFetcher(
             self._membership,
@@ -200,6 +208,7 @@
                 prompt_parts=self._prompt_parts,
                 origins=self._origins,
                 read_at=self._read_times,
+                route_history=self._route_history,
                 list_versions=self._store_view.list_versions,
                 record_run=self._duties.counter.record_request,
                 record_end=self._record_end,
@@ -216,6 +225,7 @@
                     self._membership,
                     listed=self._listed_versions,
                     running=self._running_versions,
+                    shared=lambda: self._route_history.shared_services,
                     recorder=lambda: self._origins.recorder,
                     era=lambda: self._store.era,
                     process_run=self._duties.process_run,
@@ -227,7 +237,11 @@
     def _listed_versions(self) -> set[origins.Origin]:
         """Return the versions of the endpoints whose streams callers may take up."""
         services = self._store_view.resumable_services
-        return {
+        shared = {
+            origins.Origin(service, servingversions.SHARED)
+            for service in self._route_history.shared_services
+        }
+        return shared | {
             origins.Origin(endpoint.service, endpoint.version)
             for endpoint in self._directory.all()
             if endpoint.service in services
--- a/acaciaward/gateway/servicechoice.py
+++ b/acaciaward/gateway/servicechoice.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import random
+from collections import abc
 
 from acaciaward import errors
 from acaciaward.catalogue import routes
@@ -49,7 +50,7 @@
         is_stream = route.kind is routes.RequestKind.STREAM
         if progress.call.last_event_id is None or not is_stream:
             return self._choose_service(index, route)
-        origin = await self._find_origin(index, progress)
+        origin = await self._find_origin(progress)
         return self._use_service(index, progress, origin)
 
     @staticmethod
@@ -86,9 +87,7 @@
             )
         return service
 
-    async def _find_origin(
-        self, index: routes.Index, progress: callprogress.Progress
-    ) -> origins.Origin:
+    async def _find_origin(self, progress: callprogress.Progress) -> origins.Origin:
         """Return where a stream began that is taken up; raise if that isn't known."""
         attempt_id = progress.call.resumed_attempt_id
         search = origins.Search(None)
@@ -99,11 +98,10 @@
             if search.origin is not None:
                 self._record_take_up(progress, search.known_by, search.origin, search)
                 return search.origin
-        service = self._choose_service(index, progress.route)
-        if self._deps.directory.reports_no_version(service.name):
-            known_by, origin = "no version", origins.Origin(service.name, "")
-        else:
-            known_by, origin = await self._ask_store(progress, service.name)
+        services = self._deps.route_history.services_within(
+            progress.call.host, progress.call.path, progress.route.timeout_s
+        )
+        known_by, origin = await self._ask_store(progress, services)
         self._record_take_up(progress, known_by, origin, search)
         if origin is not None:
             return origin
@@ -114,32 +112,49 @@
         )
 
     async def _ask_store(
-        self, progress: callprogress.Progress, service: str
+        self, progress: callprogress.Progress, services: abc.Set[str]
     ) -> tuple[str, origins.Origin | None]:
         """
         Return where a stream began, None if that isn't known, and how it's known.
 
-        Nothing counts that was read before the caller asked: at another entry, a
-        version may have joined and have begun the stream since.
+        It began at one of ``services``. Nothing counts that was read before the caller
+        asked: at another entry, a version may have joined and have begun the stream
+        since.
         """
+        attempt_id = progress.call.resumed_attempt_id
+        organisation = progress.organisation_name
         try:
             async with asyncio.timeout(STORE_LIMIT_S):
-                shares = progress.route.shares
-                if len([name for name, weight in shares if weight > 0]) <= 1:
-                    origin = await self._deps.origins.find_stored(
-                        progress.organisation_name,
-                        progress.call.resumed_attempt_id,
-                        service,
+                if len(services) == 1:
+                    (service,) = services
+                    return await self._find_version(progress, service)
+                if attempt_id is not None:
+                    origin = await self._deps.origins.find_recorded(
+                        organisation, attempt_id
                     )
                     if origin is not None:
                         return "store", origin
-                listed = await self._deps.list_versions()
         except (errors.PlatformError, TimeoutError) as error:
             log.info(
                 "could not ask the store which versions serve",
-                extra=logs.fields(service=service, reason=repr(error)),
+                extra=logs.fields(request=progress.call.attempt_id, reason=repr(error)),
             )
+        return "nothing", None
+
+    async def _find_version(
+        self, progress: callprogress.Progress, service: str
+    ) -> tuple[str, origins.Origin | None]:
+        """Find out which version of a service began a stream; raise if that fails."""
+        if self._deps.directory.reports_no_version(service):
+            return "no version", origins.Origin(service, "")
+        stored = await self._deps.origins.look_up(
+            progress.organisation_name, progress.call.resumed_attempt_id, service
+        )
+        if stored.origin is not None:
+            return "store", stored.origin
+        if stored.is_shared:
             return "nothing", None
+        listed = await self._deps.list_versions()
         version = self._deps.directory.only_version(
             service,
             progress.route.timeout_s,
@@ -157,7 +172,9 @@
         origin: origins.Origin | None,
         search: origins.Search,
     ) -> None:
-        services = {name for name, _ in progress.route.shares}
+        services = self._deps.route_history.services_within(
+            progress.call.host, progress.call.path, progress.route.timeout_s
+        )
         listed = {
             endpoint.version
             for service in services
--- a/acaciaward/resumption/origins.py
+++ b/acaciaward/resumption/origins.py
@@ -65,6 +65,18 @@
     answered: int = 0
 
 
+class StoredAnswer(typing.NamedTuple):
+    """
+    What the store says of a stream.
+
+    ``origin`` is None if it doesn't tell. With ``is_shared``, its service shares or
+    just shared a route with others, also if this entry's configuration doesn't say so.
+    """
+
+    origin: Origin | None = None
+    is_shared: bool = False
+
+
 class Stored(typing.NamedTuple):
     """What is kept in the store, and outlives all entries."""
 
@@ -179,8 +191,14 @@
 
         ``service`` is the only one that the stream can have begun at.
         """
+        return (await self.look_up(organisation, attempt_id, service)).origin
+
+    async def look_up(
+        self, organisation: str, attempt_id: str | None, service: str
+    ) -> StoredAnswer:
+        """Look up in the store where a stream of a service began."""
         if self._stored is None:
-            return None
+            return StoredAnswer()
         try:
             versions = await self._stored.versions.read(service)
             origin = Origin(service, *versions) if len(versions) == 1 else None
@@ -192,7 +210,7 @@
                 "could not ask the store where a stream began",
                 extra=logs.fields(reason=error),
             )
-            return None
+            return StoredAnswer()
         log.info(
             "asked the store where a stream began",
             extra=logs.fields(
@@ -202,7 +220,17 @@
                 endpoint_version=origin.version if origin else None,
             ),
         )
-        return origin
+        return StoredAnswer(origin, servingversions.SHARED in versions)
+
+    async def find_recorded(self, organisation: str, attempt_id: str) -> Origin | None:
+        """
+        Return where the store says that this stream began, None if it doesn't tell.
+
+        It has the streams of services that have several versions or share a route.
+        """
+        if self._stored is None:
+            return None
+        return await self._stored.streams.find(_digest(organisation, attempt_id))
 
     async def _request(
         self, keeper: str, stream: str
--- a/acaciaward/resumption/servingversions.py
+++ b/acaciaward/resumption/servingversions.py
@@ -51,6 +51,9 @@
 REQUEST_TIMEOUT_S = 0.3
 # After a failure, streams of that version don't wait for as long.
 FAILURE_PAUSE_S = 1.0
+# Recorded like a version of a service that shares a route with others: then its
+# streams are in the store, and no version counts as the only one.
+SHARED = "(shared)"
 # The key of what says that the records are complete; others are hexadecimal digits.
 COMPLETE_KEY = "complete"
 
@@ -109,7 +112,8 @@
 
     ``listed`` returns the versions of the endpoints that are listed, and ``running``
     those that began the streams which may be taken up now, None if that isn't known.
-    ``recorder`` returns the name of the entry that writes the records. Before a
+    ``recorder`` returns the name of the entry that writes the records, and ``shared``
+    the services that share a route, now or until a moment ago. Before a
     service's second version gets its record, ``store_streams`` stores the streams that
     this entry remembers.
     """
@@ -122,6 +126,7 @@
         listed: abc.Callable[[], abc.Set[Origin]],
         running: abc.Callable[[], abc.Set[Origin] | None],
         recorder: abc.Callable[[], str],
+        shared: abc.Callable[[], abc.Set[str]] = frozenset,
         era: abc.Callable[[], int],
         process_run: str,
         clock: abc.Callable[[], float] = time.monotonic,
@@ -131,6 +136,7 @@
         self._listed = listed
         self._running = running
         self._recorder = recorder
+        self._shared = shared
         self._era = era
         self._process_run = process_run
         self._clock = clock
@@ -159,6 +165,11 @@
 
         If the store doesn't take it in time, the record is written later.
         """
+        if origin.service in self._shared():
+            await self._ensure_recorded(Origin(origin.service, SHARED))
+        await self._ensure_recorded(origin)
+
+    async def _ensure_recorded(self, origin: Origin) -> None:
         if origin in self._recorded:
             return
         recording = self._recordings.get(origin)
@@ -212,7 +223,7 @@
         self, sender: str, body: messages.VersionServes
     ) -> messages.VersionServesAnswer:
         origin = Origin(body["service"], body["version"])
-        await self.ensure(origin)
+        await self._ensure_recorded(origin)
         return {"is_recorded": origin in self._recorded}
 
     async def _write(self, origin: Origin) -> None:
