A stream whose route has moved isn't taken up at the new service

What callers saw: after a route had moved, streams that were taken up went on at the new service and its version. Cause: ServiceChoice knew where the stream began, and if the route led there no more, let it go on as a new stream would. Change: refused with 503 and a time to retry. The old service may serve it no more (CONFIG), the new one can't; if the route moves back in time, it goes on.

--- a/acaciaward/gateway/servicechoice.py
+++ b/acaciaward/gateway/servicechoice.py
@@ -41,7 +41,8 @@
         """
         Return the service for a call: for a stream that is taken up, where it began.
 
-        If its route leads there no more, it goes on as a new stream would.
+        If its route leads there no more, the call is refused: the configuration forbids
+        the old service, and the stream doesn't fit at the new one.
         """
         route = progress.route
         detour = progress.call.detour
@@ -76,10 +77,14 @@
         progress: callprogress.Progress,
         origin: origins.Origin,
     ) -> routes.Service:
-        route = progress.route
         service = index.catalogue.services.get(origin.service)
-        if service is None or origin.service not in [name for name, _ in route.shares]:
-            return self._choose_service(index, route)
+        is_on_route = origin.service in [name for name, _ in progress.route.shares]
+        if service is None or not is_on_route:
+            raise callprogress.RefusedError(
+                refusals.UNAVAILABLE,
+                f"the route doesn't lead to {origin.service} any more",
+                retry_after_s=self._refusals.retry_delay_s(progress),
+            )
         progress.stream_version = origin.version
         if progress.call.attempt_id is not None:
             self._deps.origins.record_taken_up(
