--- a/acaciaward/catalogue/features/catalogue.feature
+++ b/acaciaward/catalogue/features/catalogue.feature
@@ -167,3 +167,42 @@
     Given endpoints e-1 and e-2
     When the record of e-1 can't be decoded
     Then e-2 may get work
+
+  # An entry that was cut off took the version that it knew for the only one (ORDER).
+  Scenario: A version that joined since the endpoints were followed counts
+    Given an endpoint of v1 that has been followed for 20 s
+    When the store lists v1 and v2
+    Then no version is the only one of the last 15 s
+    When the store lists v1
+    Then v1 is the only one of the last 15 s
+
+  # A version that had come and gone unseen had begun streams all the same (ORDER).
+  Scenario: A version may have come and gone while the endpoints weren't read
+    Given an endpoint of v1 that has been followed for 20 s
+    When the endpoints aren't read for 4 s
+    And the store lists v1
+    Then no version is the only one of the last 15 s
+    When the endpoints are followed for 16 s
+    And the store lists v1
+    Then v1 is the only one of the last 15 s
+
+  Scenario: Changes that were all read late leave no gap
+    Given an endpoint of v1 that has been followed for 20 s
+    When the endpoints aren't read for 4 s, and then all changes are
+    And the store lists v1
+    Then v1 is the only one of the last 15 s
+
+  # A route that had moved back looked as if it had always led there (ORDER).
+  Scenario: Services to which a path has led are remembered while its streams run
+    Given a route that leads to a, then for 5 s to b, then to a again
+    Then a path has led to a, b within 15 s
+    And a, b share a route
+    When 16 s go by
+    Then a path has led to a within 15 s
+    And none share a route
+
+  Scenario: Services of a route that is split share it as long as it is
+    Given a route that leads to a and b
+    When 100 s go by
+    Then a path has led to a, b within 15 s
+    And a, b share a route
--- a/acaciaward/catalogue/features/steps/catalogue_steps.py
+++ b/acaciaward/catalogue/features/steps/catalogue_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from acaciaward.catalogue import endpoints, routes
+from acaciaward.catalogue import endpoints, routehistory, routes
 
 READY = endpoints.EndpointState.READY
 LEAVING = endpoints.EndpointState.LEAVING
@@ -161,3 +161,108 @@
 def check_ready(context, names):
     found = sorted(endpoint.name for endpoint in context.directory.ready("s"))
     assert found == names.split(", "), found
+
+
+READ_INTERVAL_S = 0.5
+
+
+def follow(context, seconds):
+    for _ in range(round(seconds / READ_INTERVAL_S)):
+        context.now += READ_INTERVAL_S
+        context.directory.record_read(context.now)
+
+
+@given("an endpoint of v1 that has been followed for {seconds:g} s")
+def follow_one(context, seconds):
+    make_directory(context)
+    for name in ("e-1", "e-2"):
+        context.directory.update(make_endpoint(name)._replace(version="v1"))
+    follow(context, seconds)
+
+
+@when("the endpoints are followed for {seconds:g} s")
+def follow_on(context, seconds):
+    follow(context, seconds)
+
+
+@when("the endpoints aren't read for {seconds:g} s")
+def leave_unread(context, seconds):
+    context.now += seconds
+    context.directory.record_read(context.now)
+
+
+@when("the endpoints aren't read for {seconds:g} s, and then all changes are")
+def read_late(context, seconds):
+    context.now += seconds
+    context.directory.record_read(context.now, is_continuous=True)
+
+
+@when("the store lists v1 and v2")
+def list_both(context):
+    context.listed = {"v1", "v2"}
+
+
+@when("the store lists v1")
+def list_one(context):
+    context.listed = {"v1"}
+
+
+def only_version(context, span_s):
+    return context.directory.only_version(
+        "s", span_s, listed=context.listed, read_at=context.now
+    )
+
+
+@then("no version is the only one of the last {span:g} s")
+def check_no_only(context, span):
+    assert only_version(context, span) is None, only_version(context, span)
+
+
+@then("{version} is the only one of the last {span:g} s")
+def check_only(context, version, span):
+    assert only_version(context, span) == version, only_version(context, span)
+
+
+def record_route(context, *services):
+    route = make_route("h", "/a/")._replace(
+        kind=routes.RequestKind.STREAM,
+        is_resumable=True,
+        timeout_s=15.0,
+        shares=tuple((name, 1.0) for name in services),
+    )
+    context.history.record(routes.Catalogue(1, (route,)))
+
+
+@given("a route that leads to a, then for 5 s to b, then to a again")
+def move_and_back(context):
+    context.now = 100.0
+    context.history = routehistory.RouteHistory(lambda: context.now)
+    record_route(context, "a")
+    context.now += 60.0
+    record_route(context, "b")
+    context.now += 5.0
+    record_route(context, "a")
+
+
+@given("a route that leads to a and b")
+def split_route(context):
+    context.now = 100.0
+    context.history = routehistory.RouteHistory(lambda: context.now)
+    record_route(context, "a", "b")
+
+
+@when("{seconds:g} s go by")
+def go_by(context, seconds):
+    context.now += seconds
+
+
+@then("a path has led to {names} within {span:g} s")
+def check_services(context, names, span):
+    found = context.history.services_within("h", "/a/1", span)
+    assert found == set(names.split(", ")), found
+
+
+@then("{names} share a route")
+def check_shared(context, names):
+    expected = set() if names == "none" else set(names.split(", "))
+    assert context.history.shared_services == expected, context.history.shared_services
--- a/acaciaward/catalogue/routehistory.py
+++ b/acaciaward/catalogue/routehistory.py
@@ -76,8 +76,9 @@
             own = _services_of(route)
             former = _find_services(previous, route.host, route.prefix)
             until = math.inf if len(own) > 1 else now + longest_s
-            if len(own | former) > 1:
-                self._shared_until |= dict.fromkeys(own | former, until)
+            for name in own | former if len(own | former) > 1 else ():
+                known_until = self._shared_until.get(name, -math.inf)
+                self._shared_until[name] = max(known_until, until)
 
     @property
     def shared_services(self) -> frozenset[str]:
--- a/acaciaward/resumption/features/steps/storedorigins_steps.py
+++ b/acaciaward/resumption/features/steps/storedorigins_steps.py
@@ -29,6 +29,7 @@
 
     def __init__(self):
         self.is_down = False
+        self.fails_after_s = 0.0
         self.era = 1
         self.values = {}
         self.end = 0
@@ -44,6 +45,9 @@
             raise errors.PlatformUnknownError("the store is down")
 
     async def read_all(self):
+        if self.fails_after_s:
+            await asyncio.sleep(self.fails_after_s)
+            raise errors.PlatformUnknownError("no answer")
         self.check()
         self.listings += 1
         listing = topicfollower.Listing(dict(self.values), self.end, self.era)
@@ -98,9 +102,10 @@
         self.versions = servingversions.ServingVersions(
             fleet.store,
             self,
-            listed=lambda: frozenset(fleet.listed),
-            running=lambda: frozenset(fleet.listed) if fleet.has_watched else None,
+            listed=fleet.list_all,
+            running=lambda: fleet.list_all() if fleet.has_watched else None,
             recorder=lambda: self.origins.recorder,
+            shared=lambda: fleet.shared,
             era=lambda: fleet.store.era,
             process_run=f"{name}/{fleet.runs}",
             clock=lambda: time.monotonic() + self.offset_s,
@@ -137,6 +142,7 @@
     def __init__(self, count, versions):
         self.store = Store()
         self.listed = {origins.Origin(SERVICE, version) for version in versions}
+        self.shared = frozenset()
         self.names = [f"e-{number}" for number in range(1, count + 1)]
         self.runs = 0
         # Whether entries have known the endpoints for as long as streams run.
@@ -159,6 +165,11 @@
             for run in entry.origins.tasks
         ]
 
+    def list_all(self):
+        """Return all that needs a record."""
+        shared = {origins.Origin(name, servingversions.SHARED) for name in self.shared}
+        return frozenset(self.listed | shared)
+
     @property
     def recorder(self):
         return self.entries[self.entries["e-1"].origins.recorder]
@@ -184,6 +195,38 @@
     start(context, count, [first, second])
 
 
+@given("the service shares a route with another")
+def share_route(context):
+    context.fleet.shared = frozenset({SERVICE})
+
+
+@when("the store answers each call with an error after {pause:g} s")
+def fail_later(context, pause):
+    context.fleet.store.fails_after_s = pause
+
+
+@when("{count:d} streams are looked for at entry {entry:d}, {pause:g} s apart")
+def look_for(context, count, entry, pause):
+    async def look(number):
+        await asyncio.sleep(number * pause)
+        began_at = time.monotonic()
+        one = context.fleet.entries[f"e-{entry}"]
+        found = await one.origins.find_stored("org", f"s-{number}", SERVICE)
+        return found, time.monotonic() - began_at
+
+    async def run():
+        return await asyncio.gather(*map(look, range(count)))
+
+    context.looked = context.runner.run(run())
+
+
+@then("each was known not to be found within {limit_s:g} s")
+def check_looked(context, limit_s):
+    assert all(found is None for found, _ in context.looked)
+    longest_s = max(took_s for _, took_s in context.looked)
+    assert longest_s < limit_s, longest_s
+
+
 @given("the store is down")
 def take_down(context):
     context.fleet.store.is_down = True
@@ -280,9 +323,7 @@
 
 @when("the recorder compares")
 def compare(context):
-    context.runner.run(
-        context.fleet.recorder.versions.sweep(frozenset(context.fleet.listed))
-    )
+    context.runner.run(context.fleet.recorder.versions.sweep(context.fleet.list_all()))
 
 
 @when("{version} is written again while the recorder compares")
--- a/acaciaward/resumption/features/storedorigins.feature
+++ b/acaciaward/resumption/features/storedorigins.feature
@@ -192,6 +192,23 @@
     And 100 streams are taken up at entry 1 at once
     Then the store has got 2 calls to list versions, or fewer
 
+  # Each stream that was taken up waited for a call of its own, one after the other.
+  Scenario: A store that doesn't answer holds up no stream for longer than one call
+    Given 9 entries with a store that lists version v1
+    When the store answers each call with an error after 0.3 s
+    And 20 streams are looked for at entry 1, 0.01 s apart
+    Then each was known not to be found within 0.8 s
+
+  # The only version of the service to which the route leads now wasn't the stream's.
+  Scenario: Streams of services that share a route are stored, and no version is the only one
+    Given 9 entries with a store that lists version v1
+    And the service shares a route with another
+    When stored stream "a" begins at entry 1, at v1
+    And 0.3 s pass by
+    And all entries start anew
+    Then each entry finds v1 for "a" in the store
+    And each entry finds nothing for "b" in the store
+
   Scenario: A record that can't be read makes nothing certain
     Given 9 entries with a store that lists version v1
     When stored stream "a" begins at entry 1, at v1
