--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -7,7 +7,7 @@
 import time
 
 from acaciaward.admission import quotas, repeatbudget
-from acaciaward.catalogue import endpoints, routes
+from acaciaward.catalogue import endpoints, routehistory, routes, storeview
 from acaciaward.gateway import (
     callers,
     detours,
@@ -297,6 +297,8 @@
                 {"org": organisation},
             )
         )
+        self.route_history = routehistory.RouteHistory()
+        self.route_history.record(self.index.catalogue)
         self.quotas = quotas.Quotas(time.monotonic, lambda: 1)
         if quota is not None:
             self.quotas.set_rules({"org": quotas.Rule(quota.rate, quota.burst)})
@@ -331,7 +333,10 @@
                 demand=demand.Demand(time.monotonic, lambda name: 0.1),
                 suspects=suspects.Suspects(time.monotonic),
                 origins=origins.StreamOrigins(NoPeers()),
+                read_at=lambda: interfaces.ReadTimes(*2 * [time.monotonic()]),
                 prompt_parts=promptparts.PromptParts(time.monotonic),
+                route_history=self.route_history,
+                list_versions=self._list_versions,
                 record_run=self.ran.append,
                 record_end=self.ended.append,
             ),
@@ -346,6 +351,13 @@
         self.port = 0
         self.detour_port = 0
 
+    async def _list_versions(self):
+        """Return what the directory has, which no store changes behind its back."""
+        now = time.monotonic()
+        self.directory.record_read(now, is_continuous=True)
+        versions = {one.version for one in self.directory.of_service("service")}
+        return storeview.ListedVersions(now, {"service": versions})
+
     async def start(self):
         for number in range(self._count):
             scripted = ScriptedEndpoint()
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -5,7 +5,7 @@
 
 from acaciaward import verdicts
 from acaciaward.admission import quotas, repeatbudget
-from acaciaward.catalogue import endpoints, routes
+from acaciaward.catalogue import endpoints, routehistory, routes, storeview
 from acaciaward.gateway import callprogress, calls, selfreports, upstreams
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.quarantine import promptparts, suspects
@@ -99,13 +99,25 @@
     ) -> None:
         """Record where the stream began that an attempt takes up."""
 
-    async def find(self, organisation: str, attempt_id: str) -> origins.Origin | None:
-        """Return where a stream began, None if that isn't known."""
+    async def search(self, organisation: str, attempt_id: str) -> origins.Search:
+        """Find out where a stream began."""
 
-    async def find_stored(
+    async def look_up(
         self, organisation: str, attempt_id: str | None, service: str
+    ) -> origins.StoredAnswer:
+        """Look up in the store where a stream of a service began."""
+
+    async def find_recorded(
+        self, organisation: str, attempt_id: str
     ) -> origins.Origin | None:
-        """Return where the store says that a stream of a service began."""
+        """Return where the store says that this very stream began."""
+
+
+class ReadTimes(typing.NamedTuple):
+    """When the last reads of the store began, in monotonic seconds."""
+
+    endpoints: float
+    configuration: float
 
 
 class Dependencies(typing.NamedTuple):
@@ -115,8 +127,10 @@
     ``reporting_share`` returns the share of the known entries whose reports this one
     has, itself included. ``record_run`` gets the organisation of a call that began to
     run, and ``record_end`` the final state of each call. ``peer_pool`` has the
-    connections to ``peers``, and ``configuration_age_s`` returns for how long the
-    configuration has been in force.
+    connections to ``peers``. ``read_at`` returns when this entry, or the one that reads
+    the store for it, last did so. ``list_versions`` reads now which versions the store
+    lists, and may raise ``PlatformError``. ``configuration_age_s`` returns for how long
+    the configuration has been in force.
     """
 
     index: abc.Callable[[], routes.Index | None]
@@ -136,6 +150,9 @@
     suspects: suspects.Suspects
     prompt_parts: promptparts.PromptParts
     origins: Origins
+    read_at: abc.Callable[[], ReadTimes]
+    route_history: routehistory.RouteHistory
+    list_versions: abc.Callable[[], abc.Awaitable[storeview.ListedVersions]]
     record_run: abc.Callable[[str], None]
     record_end: abc.Callable[[callprogress.Progress], None]
     configuration_age_s: abc.Callable[[], float] = lambda: 0.0
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -147,6 +147,11 @@
         """The monotonic time at which the reader last read the endpoints."""
         return self._store_read_at
 
+    @property
+    def configuration_read_at(self) -> float:
+        """The monotonic time at which the reader last read the configuration."""
+        return self._configuration_read_at
+
     @property
     def is_behind(self) -> bool:
         """Whether the digests of relays show that this entry has missed changes."""
@@ -346,6 +351,9 @@
         self._directory.defer_removals(relay["lapsed"])
         is_equal = relay["digest"] == self._digest()
         self._mismatches = 0 if is_equal else self._mismatches + 1
+        if is_equal:
+            # With another digest, changes were missed.
+            self._directory.record_read(time.monotonic() - relay["age_s"])
 
     def _digest(self) -> int:
         # What endpoints say in answers reaches the entries at different times.
--- a/acaciaward/resumption/origins.py
+++ b/acaciaward/resumption/origins.py
@@ -51,6 +51,32 @@
 Origin = servingversions.Origin
 
 
+class Search(typing.NamedTuple):
+    """
+    What the entries that were asked know of a stream.
+
+    ``origin`` is None if nobody knows. ``known_by`` says who does: this entry's
+    ``memory`` or a ``peer``. ``answered`` of the ``asked`` peers had answered by then.
+    """
+
+    origin: Origin | None
+    known_by: str | None = None
+    asked: int = 0
+    answered: int = 0
+
+
+class StoredAnswer(typing.NamedTuple):
+    """
+    What the store says of a stream.
+
+    ``origin`` is None if it doesn't tell. With ``is_shared``, its service shares or
+    just shared a route with others, also if this entry's configuration doesn't say so.
+    """
+
+    origin: Origin | None = None
+    is_shared: bool = False
+
+
 class Stored(typing.NamedTuple):
     """What is kept in the store, and outlives all entries."""
 
@@ -129,26 +155,33 @@
 
     async def find(self, organisation: str, attempt_id: str) -> Origin | None:
         """Return where a stream began, or None if no entry that was asked knows."""
+        return (await self.search(organisation, attempt_id)).origin
+
+    async def search(self, organisation: str, attempt_id: str) -> Search:
+        """Find out where a stream began from this entry's memory, or from peers."""
         stream = _digest(organisation, attempt_id)
         known = self._origins.get(stream)
         if known is not None:
-            return known[0]
+            return Search(known[0], "memory")
         asked = dict.fromkeys([*self._ranked_entries(stream), self.recorder])
         requests = [
             asyncio.ensure_future(self._request(name, stream))
             for name in asked
             if name != self._membership.name
         ]
+        answered = 0
         try:
             for request in asyncio.as_completed(requests):
-                origin = await request
+                answer = await request
+                answered += answer is not None
+                origin = _decode(answer)
                 if origin is not None:
                     self._remember(stream, origin)
-                    return origin
+                    return Search(origin, "peer", len(requests), answered)
         finally:
             for request in requests:
                 request.cancel()
-        return None
+        return Search(None, None, len(requests), answered)
 
     async def find_stored(
         self, organisation: str, attempt_id: str | None, service: str
@@ -158,8 +191,14 @@
 
         ``service`` is the only one that the stream can have begun at.
         """
+        return (await self.look_up(organisation, attempt_id, service)).origin
+
+    async def look_up(
+        self, organisation: str, attempt_id: str | None, service: str
+    ) -> StoredAnswer:
+        """Look up in the store where a stream of a service began."""
         if self._stored is None:
-            return None
+            return StoredAnswer()
         try:
             versions = await self._stored.versions.read(service)
             origin = Origin(service, *versions) if len(versions) == 1 else None
@@ -171,7 +210,7 @@
                 "could not ask the store where a stream began",
                 extra=logs.fields(reason=error),
             )
-            return None
+            return StoredAnswer()
         log.info(
             "asked the store where a stream began",
             extra=logs.fields(
@@ -181,15 +220,28 @@
                 endpoint_version=origin.version if origin else None,
             ),
         )
-        return origin
+        return StoredAnswer(origin, servingversions.SHARED in versions)
+
+    async def find_recorded(self, organisation: str, attempt_id: str) -> Origin | None:
+        """
+        Return where the store says that this stream began, None if it doesn't tell.
+
+        It has the streams of services that have several versions or share a route.
+        """
+        if self._stored is None:
+            return None
+        return await self._stored.streams.find(_digest(organisation, attempt_id))
 
-    async def _request(self, keeper: str, stream: str) -> Origin | None:
+    async def _request(
+        self, keeper: str, stream: str
+    ) -> abc.Mapping[str, typing.Any] | None:
+        """Ask a peer; return its answer, None if there is none."""
         body: messages.OriginRequest = {
             "sender": self._membership.name,
             "stream": stream,
         }
         try:
-            answer = await self._membership.request(
+            return await self._membership.request(
                 keeper, "stream_origin", body, timeout_s=REQUEST_TIMEOUT_S
             )
         except errors.PeerUnreachableError as error:
@@ -198,9 +250,6 @@
                 extra=logs.fields(peer=keeper, reason=error),
             )
             return None
-        if answer["service"] is None or answer["version"] is None:
-            return None
-        return Origin(answer["service"], answer["version"])
 
     async def _receive(self, sender: str, body: messages.StreamBegan) -> None:
         self._remember(body["stream"], Origin(body["service"], body["version"]))
@@ -268,6 +317,12 @@
             (self._recorder,) = rendezvous.choose("stream recorder", self._group, 1)
 
 
+def _decode(answer: abc.Mapping[str, typing.Any] | None) -> Origin | None:
+    if answer is None or answer["service"] is None or answer["version"] is None:
+        return None
+    return Origin(answer["service"], answer["version"])
+
+
 def _digest(organisation: str, attempt_id: str) -> str:
     """Return a name that no other organisation's stream has."""
     hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
--- a/acaciaward/resumption/servingversions.py
+++ b/acaciaward/resumption/servingversions.py
@@ -31,7 +31,7 @@
 import msgspec
 
 from acaciaward import decoding, errors
-from acaciaward.catalogue import topicfollower
+from acaciaward.catalogue import sharedread, topicfollower
 from acaciaward.membership import interfaces
 from acaciaward.observability import logs
 from acaciaward.resumption import messages
@@ -51,10 +51,11 @@
 REQUEST_TIMEOUT_S = 0.3
 # After a failure, streams of that version don't wait for as long.
 FAILURE_PAUSE_S = 1.0
+# Recorded like a version of a service that shares a route with others: then its
+# streams are in the store, and no version counts as the only one.
+SHARED = "(shared)"
 # The key of what says that the records are complete; others are hexadecimal digits.
 COMPLETE_KEY = "complete"
-# Shortest time between two reads; streams that are taken up meanwhile share the second.
-READ_INTERVAL_S = 0.1
 
 
 class Origin(typing.NamedTuple):
@@ -111,7 +112,8 @@
 
     ``listed`` returns the versions of the endpoints that are listed, and ``running``
     those that began the streams which may be taken up now, None if that isn't known.
-    ``recorder`` returns the name of the entry that writes the records. Before a
+    ``recorder`` returns the name of the entry that writes the records, and ``shared``
+    the services that share a route, now or until a moment ago. Before a
     service's second version gets its record, ``store_streams`` stores the streams that
     this entry remembers.
     """
@@ -124,6 +126,7 @@
         listed: abc.Callable[[], abc.Set[Origin]],
         running: abc.Callable[[], abc.Set[Origin] | None],
         recorder: abc.Callable[[], str],
+        shared: abc.Callable[[], abc.Set[str]] = frozenset,
         era: abc.Callable[[], int],
         process_run: str,
         clock: abc.Callable[[], float] = time.monotonic,
@@ -133,6 +136,7 @@
         self._listed = listed
         self._running = running
         self._recorder = recorder
+        self._shared = shared
         self._era = era
         self._process_run = process_run
         self._clock = clock
@@ -143,9 +147,7 @@
         self._failed_at: dict[Origin, float] = {}
         # When a record without endpoints was first seen, by its key and mark.
         self._unlisted_since: dict[tuple[str, str], float] = {}
-        self._read_lock = asyncio.Lock()
-        self._read_began_at = -math.inf
-        self._read_versions: dict[str, frozenset[str]] = {}
+        self._listing = sharedread.SharedRead(lambda: topic.read_all(), clock=clock)
         # The era in which the records are complete, as known to the recorder.
         self._complete_era: int | None = None
         # The versions that have a record, as known to the recorder.
@@ -163,6 +165,11 @@
 
         If the store doesn't take it in time, the record is written later.
         """
+        if origin.service in self._shared():
+            await self._ensure_recorded(Origin(origin.service, SHARED))
+        await self._ensure_recorded(origin)
+
+    async def _ensure_recorded(self, origin: Origin) -> None:
         if origin in self._recorded:
             return
         recording = self._recordings.get(origin)
@@ -216,7 +223,7 @@
         self, sender: str, body: messages.VersionServes
     ) -> messages.VersionServesAnswer:
         origin = Origin(body["service"], body["version"])
-        await self.ensure(origin)
+        await self._ensure_recorded(origin)
         return {"is_recorded": origin in self._recorded}
 
     async def _write(self, origin: Origin) -> None:
@@ -239,16 +246,8 @@
 
     async def read(self, service: str) -> frozenset[str]:
         """Return the versions that may have begun streams; empty if not known."""
-        asked_at = self._clock()
-        async with self._read_lock:
-            # An earlier read may lack a version that a stream began at meanwhile.
-            if self._read_began_at < asked_at:
-                since_s = self._clock() - self._read_began_at
-                await asyncio.sleep(max(0.0, READ_INTERVAL_S - since_s))
-                began_at = self._clock()
-                self._read_versions = _trusted_versions(await self._topic.read_all())
-                self._read_began_at = began_at
-            return self._read_versions.get(service, frozenset())
+        read = await self._listing.get()
+        return _trusted_versions(read.value).get(service, frozenset())
 
     async def run(self) -> None:
         """Keep the records in line with the endpoints that are listed."""
