Handle signals during a command's start and exit

An entry that got SIGTERM while it imported its modules ended with -15. One that got SIGHUP or SIGTERM while it exited, after its event loop had closed, ended with -1 or -15, as if it had been killed: a loop that closes puts the default actions back.

What remains is the interpreter's own start.

--- a/acaciaward/cli/entry.py
+++ b/acaciaward/cli/entry.py
@@ -1,13 +1,14 @@
 """The ``entry`` command: runs one entry until a signal or a drain stops it."""
 
 import asyncio
+import functools
 import logging
 import signal
 import sys
 
 import click
 
-from acaciaward import errors
+from acaciaward import errors, signals
 from acaciaward.entry import process
 from acaciaward.observability import logs
 from acaciaward.settings import loader
@@ -43,13 +44,24 @@
 
 async def _run(settings: loader.Settings) -> int:
     entry_process = process.EntryProcess(settings)
-    signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, signals.put_nowait, number)
+    received: asyncio.Queue[signal.Signals] = asyncio.Queue()
+    handlers = {
+        number: functools.partial(received.put_nowait, number)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    }
+    signals.handle(asyncio.get_running_loop(), handlers)
+    try:
+        return await _run_until_stopped(entry_process, received)
+    finally:
+        signals.ignore(handlers)
+
+
+async def _run_until_stopped(
+    entry_process: process.EntryProcess, received: asyncio.Queue[signal.Signals]
+) -> int:
     await entry_process.start()
     drain_stop = asyncio.create_task(entry_process.stop_requested.wait())
-    first_signal = asyncio.create_task(signals.get())
+    first_signal = asyncio.create_task(received.get())
     await asyncio.wait({drain_stop, first_signal}, return_when=asyncio.FIRST_COMPLETED)
     # After a drain no signal has arrived yet, so the next one is already the one
     # that stops the entry at once.
@@ -57,7 +69,7 @@
         first_signal.cancel()
     drain_stop.cancel()
     stopping = asyncio.create_task(entry_process.stop())
-    second_signal = asyncio.create_task(signals.get())
+    second_signal = asyncio.create_task(received.get())
     await asyncio.wait({stopping, second_signal}, return_when=asyncio.FIRST_COMPLETED)
     if not stopping.done():
         log.warning("second signal, stopping at once")
--- a/acaciaward/cli/gateway.py
+++ b/acaciaward/cli/gateway.py
@@ -1,6 +1,7 @@
 """The ``gateway`` command: runs one entry on the platform until a signal stops it."""
 
 import asyncio
+import functools
 import logging
 import pathlib
 import signal
@@ -8,7 +9,7 @@
 
 import click
 
-from acaciaward import errors
+from acaciaward import errors, signals
 from acaciaward.cli import output
 from acaciaward.gateway import process, settings as gateway_settings
 from acaciaward.observability import bufferedlog, logs
@@ -64,13 +65,16 @@
     log_writer = asyncio.create_task(log_handler.run())
     entry = process.Gateway(settings)
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _check_settings, settings_path)
+    handlers = {
+        signal.SIGTERM: stop.set,
+        signal.SIGINT: stop.set,
+        signal.SIGHUP: functools.partial(_check_settings, settings_path),
+    }
+    signals.handle(asyncio.get_running_loop(), handlers)
     await entry.start()
     await stop.wait()
     await entry.stop()
+    signals.ignore(handlers)
     log_writer.cancel()
     await asyncio.gather(log_writer, return_exceptions=True)
     return 0
--- a/acaciaward/platform/features/platform.feature
+++ b/acaciaward/platform/features/platform.feature
@@ -48,6 +48,27 @@
       | entry   | is ignored |
       | status  | ends it    |
 
+  # Entries that were stopped while they started ended as if they had been killed.
+  Scenario Outline: A stop during the start ends a serving process in order
+    Then SIGTERM while "<command>" imports its modules <effect>
+
+    Examples:
+      | command         | effect          |
+      | gateway         | ends it with 0  |
+      | entry           | ends it with 0  |
+      | gateway --check | ends it         |
+      | status          | ends it         |
+
+  # Signals that came after the event loop had closed ended entries with a failure.
+  Scenario Outline: A signal during the exit doesn't change how a serving process ends
+    Then <signal> while a stopped gateway exits leaves its exit code at 0
+
+    Examples:
+      | signal  |
+      | SIGHUP  |
+      | SIGTERM |
+      | SIGINT  |
+
   Scenario: Headers that only the system may set are never forwarded from a caller
     Then no header that the system sets reaches an endpoint from a caller
 
