Count the time of a stop from its signal

The 3.0 s until an entry closes, and its limit, began when its event loop got to the signal, so an entry that was held up took calls, and ran, that much longer.

The time is taken where the signal arrives, and a call is compared with the time of the close by the clock. The scenario lets 0.5 s pass between signal and stop: before, a call 3.1 s after the signal was served; now one at 2.9 s is, and one at 3.1 s isn't passed on. The soak's plant of a stop that cuts takes the new argument.

--- a/acaciaward/cli/entry.py
+++ b/acaciaward/cli/entry.py
@@ -1,7 +1,6 @@
 """The ``entry`` command: runs one entry until a signal or a drain stops it."""
 
 import asyncio
-import functools
 import logging
 import signal
 import sys
@@ -44,11 +43,8 @@
 
 async def _run(settings: loader.Settings) -> int:
     entry_process = process.EntryProcess(settings)
-    received: asyncio.Queue[signal.Signals] = asyncio.Queue()
-    handlers = {
-        number: functools.partial(received.put_nowait, number)
-        for number in (signal.SIGTERM, signal.SIGINT)
-    }
+    received: asyncio.Queue[float] = asyncio.Queue()
+    handlers = dict.fromkeys((signal.SIGTERM, signal.SIGINT), received.put_nowait)
     signals.handle(asyncio.get_running_loop(), handlers)
     try:
         return await _run_until_stopped(entry_process, received)
@@ -57,7 +53,7 @@
 
 
 async def _run_until_stopped(
-    entry_process: process.EntryProcess, received: asyncio.Queue[signal.Signals]
+    entry_process: process.EntryProcess, received: asyncio.Queue[float]
 ) -> int:
     await entry_process.start()
     drain_stop = asyncio.create_task(entry_process.stop_requested.wait())
--- a/acaciaward/cli/gateway.py
+++ b/acaciaward/cli/gateway.py
@@ -1,7 +1,6 @@
 """The ``gateway`` command: runs one entry on the platform until a signal stops it."""
 
 import asyncio
-import functools
 import logging
 import pathlib
 import signal
@@ -64,16 +63,15 @@
 ) -> int:
     log_writer = asyncio.create_task(log_handler.run())
     entry = process.Gateway(settings)
-    stop = asyncio.Event()
+    stops: asyncio.Queue[float] = asyncio.Queue()
     handlers = {
-        signal.SIGTERM: stop.set,
-        signal.SIGINT: stop.set,
-        signal.SIGHUP: functools.partial(_check_settings, settings_path),
+        signal.SIGTERM: stops.put_nowait,
+        signal.SIGINT: stops.put_nowait,
+        signal.SIGHUP: lambda arrived_at: _check_settings(settings_path),
     }
     signals.handle(asyncio.get_running_loop(), handlers)
     await entry.start()
-    await stop.wait()
-    await entry.stop()
+    await entry.stop(await stops.get())
     signals.ignore(handlers)
     log_writer.cancel()
     await asyncio.gather(log_writer, return_exceptions=True)
--- a/acaciaward/gateway/features/steps/stopping_steps.py
+++ b/acaciaward/gateway/features/steps/stopping_steps.py
@@ -85,6 +85,8 @@
         self.world = delivery.World(1, entries, configuration={"Routes": routes})
         self.watch = Watch()
         self.answers = []
+        # How long after its signal the entry begins to stop.
+        self.held_up_s = 0.0
         self._numbers = itertools.count()
         self.server = SlowServer(
             self.world.store,
@@ -177,11 +179,12 @@
         writer.close()
 
     async def stop_entry_after(self, delay_s, calls):
+        requested_at = time.monotonic() + delay_s
         async with asyncio.TaskGroup() as group:
             for call in calls:
                 group.create_task(call)
-            await asyncio.sleep(delay_s)
-            await self.entry.gateway.stop()
+            await asyncio.sleep(delay_s + self.held_up_s)
+            await self.entry.gateway.stop(requested_at)
 
 
 @given(
@@ -207,6 +210,11 @@
     context.runner.run(group.world.end(group.world.entries.pop()))
 
 
+@when("the entry is held up for {held_up_s:g} s as it is told to stop under a stream")
+def hold_up(context, held_up_s):
+    context.group.held_up_s = held_up_s
+
+
 @then(
     "a call that comes {early_s:g} s after is served, and one {late_s:g} s after"
     " reaches no endpoint"
--- a/acaciaward/gateway/features/stopping.feature
+++ b/acaciaward/gateway/features/stopping.feature
@@ -32,3 +32,9 @@
     Given an entry and a peer whose endpoints take 4 s for a stream and 0.1 s for a call
     When the entry stops under a stream just after its peer has gone
     Then a call that comes 2.9 s after is served, and one 3.1 s after reaches no endpoint
+
+  # An entry that was held up as its signal came closed, and ended, that much later.
+  Scenario: The time of a stop counts from its signal
+    Given an entry whose endpoints take 4 s for a stream and 0.1 s for a call
+    When the entry is held up for 0.5 s as it is told to stop under a stream
+    Then a call that comes 2.9 s after is served, and one 3.1 s after reaches no endpoint
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -429,23 +429,26 @@
         self._membership.set_ready()
         log.info("entry ready")
 
-    async def stop(self) -> int:
+    async def stop(self, requested_at: float | None = None) -> int:
         """
         Leave, drain running requests and end within the stop limit.
 
-        Returns the number of requests that were aborted.
+        The limit counts from ``requested_at``, a time of the steady clock, by default
+        from now. Returns the number of requests that were aborted.
         """
         limit_s = self._settings["bounds"]["stop_limit_s"] - EXIT_MARGIN_S
-        deadline = time.monotonic() + limit_s
+        began_at = time.monotonic() if requested_at is None else requested_at
+        deadline = began_at + limit_s
+        lifetime_s = self._settings["discovery"]["lifetime_s"]
+        closes_at = began_at + min(DISCOVERY_HOLD_FACTOR * lifetime_s, limit_s / 2)
+        self._forwarder.shutdown.close_at(closes_at)
         self._is_leaving = True
         self._callers.is_leaving = self._detours.is_leaving = True
         self._membership.set_leaving()
         # Not awaited: a peer that has gone must not delay the close.
         self._start_task(self._membership.send_updates_now)
         log.info("entry leaving", extra=logs.fields(limit_s=limit_s))
-        lifetime_s = self._settings["discovery"]["lifetime_s"]
-        await asyncio.sleep(min(DISCOVERY_HOLD_FACTOR * lifetime_s, limit_s / 2))
-        self._forwarder.shutdown.close()
+        await asyncio.sleep(closes_at - time.monotonic())
         self._callers.stop_accepting()
         self._detours.stop_accepting()
         await self._wait_until_idle(deadline - GIVE_UP_MARGIN_S)
--- a/acaciaward/gateway/shutdown.py
+++ b/acaciaward/gateway/shutdown.py
@@ -1,9 +1,10 @@
 """
 Keeps what an entry's stop means for its calls.
 
-While the entry only leaves, calls are served as before. Once it is closed, a call that
-arrives is refused, since it might not end in time. Calls that still run when the time
-is up are ended by their time limit, so that their callers get an answer.
+While the entry only leaves, calls are served as before. Once it is closed, by the clock
+and however late the entry notices, a call that arrives is refused, since it might not
+end in time. Calls that still run when the time is up are ended by their time limit, so
+that their callers get an answer.
 
     shutdown = Shutdown()
     async with shutdown.limit(deadline, responder):
@@ -16,6 +17,8 @@
 
 import asyncio
 import contextlib
+import math
+import time
 import typing
 
 from acaciaward.gateway import callers
@@ -25,10 +28,15 @@
     """The state of the stop, and the time limits of the calls that run."""
 
     def __init__(self):
-        self.is_closed = False
         self.has_given_up = False
+        self._closes_at = math.inf
         self._responders: dict[asyncio.Timeout, callers.Responder] = {}
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether calls are refused now."""
+        return time.monotonic() >= self._closes_at
+
     @contextlib.asynccontextmanager
     async def limit(
         self, deadline: float, responder: callers.Responder
@@ -41,9 +49,9 @@
             finally:
                 del self._responders[limit]
 
-    def close(self) -> None:
-        """Take no more calls."""
-        self.is_closed = True
+    def close_at(self, closes_at: float) -> None:
+        """Take no more calls from a time of the steady clock on."""
+        self._closes_at = closes_at
 
     def give_up(self) -> None:
         """End the calls that have no answer yet, now."""
--- a/acaciaward/signals.py
+++ b/acaciaward/signals.py
@@ -1,7 +1,7 @@
 """
 Handles the signals of a command that serves callers, up to the process's exit.
 
-    signals.handle(asyncio.get_running_loop(), {signal.SIGTERM: stop.set})
+    signals.handle(asyncio.get_running_loop(), {signal.SIGTERM: request_stop})
     signals.ignore([signal.SIGTERM])
 
 A loop's own ``add_signal_handler`` isn't used: when the loop closes, it restores the
@@ -10,9 +10,12 @@
 
 import asyncio
 import signal
+import time
 from collections import abc
 
-Handlers = abc.Mapping[signal.Signals, abc.Callable[[], object]]
+# Gets the time of the steady clock at which the signal arrived.
+Handler = abc.Callable[[float], object]
+Handlers = abc.Mapping[signal.Signals, Handler]
 
 
 def handle(loop: asyncio.AbstractEventLoop, handlers: Handlers) -> None:
@@ -20,7 +23,8 @@
 
     def schedule(number: int, frame: object) -> None:
         if not loop.is_closed():
-            loop.call_soon_threadsafe(handlers[signal.Signals(number)])
+            handler = handlers[signal.Signals(number)]
+            loop.call_soon_threadsafe(handler, time.monotonic())
 
     for number in handlers:
         signal.signal(number, schedule)
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -211,7 +211,7 @@
 def lost() -> None:
     """Abort running requests on an orderly stop."""
 
-    async def stop(gateway):
+    async def stop(gateway, requested_at):
         await gateway._end()
         return 1
 
