Accept streams whose events' ids rise by more than one

Any number but the last one plus one was taken for a gap, so a stream whose ids rise otherwise was broken off at its second event, and one that its caller took up was answered 502.

What the numbers mean is learnt from the stream's first answer with two events: a step, or none if they rise unevenly. From the next answer on, a number that doesn't follow by the step is a missing event, as before. An uneven stream goes on with any larger number, and so does one that a caller takes up, whose first answer isn't known; a jump inside the first answer, which was a gap before, is now an uneven step, since one connection loses nothing.

Progress.accept_event is split into is_new, check_order and record_event.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -11,6 +11,7 @@
 import functools
 import time
 import typing
+from collections import abc
 
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import (
@@ -249,6 +250,7 @@
         )
         has_event = has_survived = False
         uncounted_bytes = 0
+        progress.begin_run()
         while (part := await reply.read_part()) is not None:
             new_events = answer_check.check(splitter.feed(part))
             uncounted_bytes += len(part)
@@ -259,16 +261,13 @@
             if not has_survived and work.answered_for_s >= SURVIVAL_S:
                 has_survived = True
                 self._record_survived(progress)
-            new_data = [
-                event.data for event in new_events if progress.accept_event(event)
-            ]
-            if new_data:
+            if new_data := self._take_new(progress, new_events):
                 self._record_first_byte(progress, work)
                 if progress.stream_version is None:
                     await self._bind_to_version(progress, work, reply.head)
                 if not responder.has_begun:
                     await self._start_answer(progress, work, reply, responder)
-                await responder.write(b"".join(new_data))
+                await responder.write(new_data)
         if splitter.rest.strip():
             raise errors.ConnectionLostError("stream ended inside an event")
         if not reply.is_framed and not has_event:
@@ -277,6 +276,18 @@
             await self._start_answer(progress, work, reply, responder)
         await responder.finish()
 
+    @staticmethod
+    def _take_new(
+        progress: callprogress.Progress, new_events: abc.Iterable[events.Event]
+    ) -> bytes:
+        """Return the events to forward; raise if some are missing before them."""
+        found = []
+        for event in filter(progress.is_new, new_events):
+            progress.check_order(event)
+            progress.record_event(event)
+            found.append(event.data)
+        return b"".join(found)
+
     async def _start_answer(
         self,
         progress: callprogress.Progress,
--- a/acaciaward/gateway/callprogress.py
+++ b/acaciaward/gateway/callprogress.py
@@ -5,7 +5,7 @@
 
 from acaciaward import verdicts
 from acaciaward.catalogue import routes
-from acaciaward.gateway import calls, errors, events, metrics
+from acaciaward.gateway import calls, eventnumbers, events, metrics
 from acaciaward.quarantine import suspects
 
 
@@ -57,7 +57,6 @@
         self.has_no_detour = False
         self.may_have_run = False
         self.has_run = False
-        self.last_delivered_id: int | None = call.last_event_id
         self.charged = 0.0
         self.outcome = "cut"
         self.version = -1
@@ -65,6 +64,7 @@
         self.first_byte_s: float | None = None
         self.last_event_at: float | None = None
         self.longest_gap_s = 0.0
+        self._event_numbers = eventnumbers.EventNumbers(call.last_event_id)
 
     @property
     def left_s(self) -> float:
@@ -96,27 +96,32 @@
             return organisation.rank
         return self.route.rank
 
-    def accept_event(self, event: events.Event) -> bool:
-        """Return whether an event is new and must be forwarded; raise on a gap."""
+    @property
+    def last_delivered_id(self) -> int | None:
+        """The number of the last event that was forwarded, or that the caller has."""
+        return self._event_numbers.last
+
+    def begin_run(self) -> None:
+        """Begin with the events of another answer of the stream."""
+        self._event_numbers.begin_run()
+
+    def is_new(self, event: events.Event) -> bool:
+        """Whether an event has not been forwarded."""
+        return event.number is None or self._event_numbers.is_new(event.number)
+
+    def check_order(self, event: events.Event) -> None:
+        """Raise ``errors.BrokenOffError`` if events are missing before a new one."""
+        if event.number is not None:
+            self._event_numbers.check(event.number)
+
+    def record_event(self, event: events.Event) -> None:
+        """Record that a new event is forwarded."""
         if event.number is None:
-            return True
-        if (
-            self.last_delivered_id is not None
-            and event.number <= self.last_delivered_id
-        ):
-            return False
-        if (
-            self.last_delivered_id is not None
-            and event.number > self.last_delivered_id + 1
-        ):
-            raise errors.BrokenOffError(
-                f"event {event.number} after {self.last_delivered_id}"
-            )
-        self.last_delivered_id = event.number
+            return
+        self._event_numbers.record(event.number)
         now = time.monotonic()
         if self.last_event_at is not None:
             gap_s = now - self.last_event_at
             metrics.EVENT_GAP_SECONDS.observe(gap_s)
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
         self.last_event_at = now
-        return True
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -131,17 +131,22 @@
 
 def stream(first, last, *, then="end", rest=b""):
     """Return a script: send events first to last and ``rest``, then act by ``then``."""
+    return stream_numbers(range(first, last + 1), last + 1, then=then, rest=rest)
+
+
+def stream_numbers(numbers, next_number, *, then="end", rest=b""):
+    """Return a script: send events of these numbers, then act as ``stream`` does."""
 
     async def script(head, reader, writer):
         writer.write(b"HTTP/1.1 200 OK\r\n" + echo(head) + SIGNATURE)
         writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
-        for number in range(first, last + 1):
+        for number in numbers:
             write_chunk(writer, event(number))
         if rest:
             write_chunk(writer, rest)
         await writer.drain()
         await asyncio.sleep(0.02)
-        await ENDINGS[then](reader, writer, last + 1)
+        await ENDINGS[then](reader, writer, next_number)
 
     return script
 
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -280,10 +280,21 @@
 def set_scripts(context, script):
     if script.startswith("stream ") and script not in SCRIPTS:
         context.front.script(*parse_streams(script))
+    elif script.startswith("send the ids "):
+        context.front.script(*parse_ids(script))
     else:
         context.front.script(*SCRIPTS[script]())
 
 
+def parse_ids(text):
+    scripts = []
+    for part in text.removeprefix("send the ids ").split(", then "):
+        listed, then = part.split(" and ")
+        numbers = [int(number) for number in listed.split()]
+        scripts.append(scripted.stream_numbers(numbers, numbers[-1] + 1, then=then))
+    return scripts
+
+
 def parse_streams(text):
     scripts = []
     for part in text.removeprefix("stream ").split(", then "):
@@ -612,6 +623,14 @@
     assert scripted.is_complete(context.data)
 
 
+@then("the answer is {ending} and has the ids {text}")
+def check_listed_ids(context, ending, text):
+    expected = b"".join(scripted.event(int(number)) for number in text.split())
+    assert scripted.body_of(context.data) == expected, context.data
+    is_complete = {"complete": True, "aborted": False}[ending]
+    assert scripted.is_complete(context.data) == is_complete, context.data
+
+
 @then("the answer is complete")
 def check_whole(context):
     assert scripted.is_complete(context.data), context.data[-200:]
--- a/acaciaward/gateway/features/streams.feature
+++ b/acaciaward/gateway/features/streams.feature
@@ -31,6 +31,42 @@
     When a caller asks
     Then the answer is aborted and looks incomplete
 
+  # Streams whose ids rise by more than one were broken off at their second event.
+  Scenario Outline: Ids that rise by more than one are accepted
+    Given a front for resumable streams
+    And the endpoints send the ids <sent>
+    When a caller asks
+    Then the answer is complete and has the ids <ids>
+
+    Examples:
+      | sent                                   | ids            |
+      | 10 20 30 and end                       | 10 20 30       |
+      | 10 20 30 and reset, then 40 50 and end | 10 20 30 40 50 |
+      | 10 20 and reset, then 10 20 30 and end | 10 20 30       |
+      | 1 4 5 9 and end                        | 1 4 5 9        |
+      | 1 4 5 9 and reset, then 12 13 and end  | 1 4 5 9 12 13  |
+      | 1 4 5 and reset, then 4 5 12 and end   | 1 4 5 12       |
+      | 7 and reset, then 14 21 and end        | 7 14 21        |
+
+  Scenario Outline: An event that is missing by the stream's own ids is never skipped
+    Given a front for resumable streams
+    And the endpoints send the ids <sent>
+    When a caller asks
+    Then the answer is aborted and has the ids <ids>
+
+    Examples:
+      | sent                                   | ids         |
+      | 10 20 30 and reset, then 50 60 and end | 10 20 30    |
+      | 10 20 30 and reset, then 35 45 and end | 10 20 30    |
+      | 10 20 30 and reset, then 40 60 and end | 10 20 30 40 |
+      | 1 2 3 and reset, then 4 6 and end      | 1 2 3 4     |
+
+  Scenario: A stream whose ids rise by more than one is taken up by its caller
+    Given a front for resumable streams
+    And the endpoints send the ids 20 30 and end
+    When a caller asks to go on after 12
+    Then the answer is complete and has the ids 20 30
+
   Scenario: A stream that may not resume is visibly aborted
     Given a front for other streams
     And the endpoints stream 1 to 3 and reset, then 4 to 6 and end
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -83,7 +83,9 @@
 
 def order() -> None:
     """Forward the events of a stream whatever their number."""
-    callprogress.Progress.accept_event = lambda progress, event: True
+    callprogress.Progress.is_new = lambda progress, event: True
+    callprogress.Progress.check_order = lambda progress, event: None
+    callprogress.Progress.record_event = lambda progress, event: None
 
 
 def versions() -> None:
