Answer 502 where an endpoint's status promises more than it states

A server that ran a request and failed it with a signed 503 without Not-Executed had its status passed on.

It costs the caller the endpoint's body and a retry where the endpoint had not run the request after all. Requests that may run again keep the endpoint's status, as their clients come again anyway. Such an answer counts as a failure of the endpoint, not as a crash under the request.

The examples 429 and 503 of 'An endpoint's own failure is forwarded' asked for the opposite for requests that may run once; they are replaced by five that ask for 502 (all failed before) and five that ask for the unchanged status where the request may run again. Two more guard the way through a peer (failed before) and against taking such answers for crashes (with the change, but without its exemption: 502, 502, 502, 503, 503).

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -22,6 +22,7 @@
     errors,
     events,
     interfaces,
+    refusals,
     responsiveness,
     upstreams,
 )
@@ -220,6 +221,10 @@
             raise errors.ConnectionLostError("answer ended before its body")
         if self._is_retryable_failure(progress, reply.head):
             raise errors.BrokenOffError(f"endpoint failed with {reply.head.status}")
+        if reply.head.status in refusals.PROMISES and not progress.route.may_repeat:
+            raise errors.UnstatedRefusalError(
+                f"endpoint answered {reply.head.status} and may have run it"
+            )
         await responder.send(
             reply.head.status,
             reply.head.headers + self._detour_headers(progress, work, reply.head),
--- a/acaciaward/gateway/errors.py
+++ b/acaciaward/gateway/errors.py
@@ -64,3 +64,7 @@
 
 class SilentError(BrokenOffError):
     """The endpoint sent no data for too long."""
+
+
+class UnstatedRefusalError(BrokenOffError):
+    """The status promises that the call has not run; the endpoint doesn't state it."""
--- a/acaciaward/gateway/features/answers.feature
+++ b/acaciaward/gateway/features/answers.feature
@@ -10,11 +10,47 @@
       | status |
       | 400    |
       | 404    |
-      | 429    |
       | 500    |
-      | 503    |
       | 504    |
 
+  # Callers sent calls again that had run, as the status promised that they hadn't (REFUSED).
+  Scenario Outline: A status that promises "not run" isn't forwarded unless the endpoint says so
+    Given a front for <kind>
+    And the endpoints answer with status <status>
+    When a caller asks
+    Then the answer is 502 and 1 request arrived
+    And the answer is 502, and it is the gateway's own
+
+    Examples:
+      | kind                    | status |
+      | non_idempotent requests | 408    |
+      | non_idempotent requests | 421    |
+      | non_idempotent requests | 429    |
+      | non_idempotent requests | 503    |
+      | other streams           | 503    |
+
+  # Guards against a call that is refused for minutes, as if endpoints crashed under it.
+  Scenario: Endpoints that answer with such a status aren't taken for crashed
+    Given a front for non_idempotent requests with 5 endpoints
+    And the endpoints answer with status 503
+    When a caller asks 5 times
+    Then each answer is 502
+    And 5 requests arrived at endpoints
+
+  Scenario Outline: A call that may run again gets whatever status its endpoint gave
+    Given a front for <kind>
+    And the endpoints answer with status <status>
+    When a caller asks
+    Then the answer is <status> with the endpoint's signature and body
+
+    Examples:
+      | kind                | status |
+      | idempotent requests | 408    |
+      | idempotent requests | 421    |
+      | idempotent requests | 429    |
+      | idempotent requests | 503    |
+      | resumable streams   | 503    |
+
   Scenario Outline: An answer without the endpoint's signature isn't forwarded
     Given a front for non_idempotent requests
     And the endpoints answer <status> unsigned
--- a/acaciaward/gateway/features/detours.feature
+++ b/acaciaward/gateway/features/detours.feature
@@ -16,6 +16,14 @@
     Then the answer is 200 with the body "done"
     And the entry knows that 1 endpoint leaves
 
+  # Guards against an endpoint's status that promises "not run" and comes through a peer.
+  Scenario: A refusal that an endpoint doesn't state isn't one through a peer
+    Given an entry for non_idempotent requests that is cut off, and 2 peers
+    And all endpoints answer 503 after they have run a call
+    When a caller asks
+    Then the answer is 502, and it is the gateway's own
+    And 1 request has arrived
+
   Scenario: An entry that reaches endpoints sends nothing through its peers
     Given an entry for non_idempotent requests that reaches endpoints, and 2 peers
     When a caller asks
--- a/acaciaward/gateway/features/steps/detours_steps.py
+++ b/acaciaward/gateway/features/steps/detours_steps.py
@@ -467,6 +467,12 @@
         front.always(scripted.answer(lines=b"Server-Leaving: 1\r\n"))
 
 
+@given("all endpoints answer 503 after they have run a call")
+def answer_unstated(context):
+    for front in context.group.fronts:
+        front.always(scripted.answer(status=b"503 Unavailable"))
+
+
 @then("the entry knows that {count:d} endpoint leaves")
 def check_leaving(context, count):
     directory = context.group.entry.directory
--- a/acaciaward/gateway/refusals.py
+++ b/acaciaward/gateway/refusals.py
@@ -8,6 +8,8 @@
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
+# Statuses that promise callers that a call has not run and never will.
+PROMISES = frozenset({408, 421, 429, UNAVAILABLE})
 
 # Longest retry delay given to callers: a share of the time until the deadline, but
 # not less than the floor. The delay is drawn from the upper half of that range.
--- a/acaciaward/gateway/retries.py
+++ b/acaciaward/gateway/retries.py
@@ -20,6 +20,7 @@
 from acaciaward.routing import occupancy
 
 FIRST_ERROR_STATUS = 400
+NO_CRASHES = (errors.SilentError, errors.UnstatedRefusalError)
 
 
 class Retries:
@@ -85,14 +86,14 @@
         Suspect a call of a crash of the endpoint that was to answer it.
 
         An endpoint that was leaving or unresponsive, or whose answer had gone on for
-        long, ended for another reason.
+        long, ended for another reason; one that answered with a status did not end.
         """
         known = self._deps.directory.get(work.endpoint.name)
         is_leaving = (
             known is not None and known.state is endpoints.EndpointState.LEAVING
         )
         has_survived = work.answered_for_s >= attempts.SURVIVAL_S
-        if is_leaving or has_survived or isinstance(error, errors.SilentError):
+        if is_leaving or has_survived or isinstance(error, NO_CRASHES):
             return
         name, born = work.endpoint.incarnation
         crashes = self._deps.suspects.record_crash(progress.digest, f"{name}/{born}")
