Begin an entry's stop at once when a peer has just gone

The product's own entry waited, as the platform's did, until its neighbours' probes had answered or timed out (0.4 s) before it asked callers to leave and its stop's limit began, so a reclaim notice was overrun by as much.

The scenario ends one of two entries of a demonstration and stops the other: 0.2 s later it still served as before; now it is leaving.

--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -375,7 +375,8 @@
         )
         log.info("entry leaving", extra=logs.fields(limit_s=limits.limit_s))
         self._membership.set_leaving()
-        await self._membership.send_updates_now()
+        # Not awaited: a peer that has gone must not delay the stop.
+        self._start_task(self._membership.send_updates_now())
         left_s, _ = await asyncio.gather(
             stopping.drain_requests(self._drain, limits),
             self._leases.release_all(self._settings["leases"]["order_timeout_s"]),
