--- a/acaciaward/cli/gateway.py
+++ b/acaciaward/cli/gateway.py
@@ -8,7 +8,7 @@
 
 import click
 
-from acaciaward import errors
+from acaciaward import errors, signals
 from acaciaward.cli import output
 from acaciaward.gateway import process, settings as gateway_settings
 from acaciaward.observability import bufferedlog, logs
@@ -63,14 +63,16 @@
 ) -> int:
     log_writer = asyncio.create_task(log_handler.run())
     entry = process.Gateway(settings)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _check_settings, settings_path)
+    stops: asyncio.Queue[float] = asyncio.Queue()
+    handlers = {
+        signal.SIGTERM: stops.put_nowait,
+        signal.SIGINT: stops.put_nowait,
+        signal.SIGHUP: lambda arrived_at: _check_settings(settings_path),
+    }
+    signals.handle(asyncio.get_running_loop(), handlers)
     await entry.start()
-    await stop.wait()
-    await entry.stop()
+    await entry.stop(await stops.get())
+    signals.ignore(handlers)
     log_writer.cancel()
     await asyncio.gather(log_writer, return_exceptions=True)
     return 0
--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -21,6 +21,7 @@
     events,
     hedging,
     interfaces,
+    refusals,
     responsiveness,
     upstreams,
 )
@@ -201,6 +202,10 @@
             has_failed and contender.has_rival
         ):
             raise errors.BrokenOffError(f"endpoint failed with {reply.head.status}")
+        if reply.head.status in refusals.PROMISES and not progress.route.may_repeat:
+            raise errors.UnstatedRefusalError(
+                f"endpoint answered {reply.head.status} and may have run it"
+            )
         contender.claim()
         await responder.send(
             reply.head.status,
@@ -251,7 +256,7 @@
                     await self._bind_to_version(progress, work, reply.head)
                 if not responder.has_begun:
                     await self._start_answer(progress, work, reply, responder)
-                await responder.write(b"".join(new_data))
+                await responder.write(new_data)
         if splitter.rest.strip():
             raise errors.ConnectionLostError("stream ended inside an event")
         if not reply.is_framed and not has_event:
@@ -267,14 +272,16 @@
         new_events: list[events.Event],
         contender: hedging.Contender,
     ) -> list[bytes]:
-        """Return the data of the events that the caller doesn't have yet."""
+        """Return the events that the caller doesn't have; raise if some are missing."""
         accepted = []
-        for event in new_events:
-            if progress.is_new(event):
-                progress.check_order(event)
-                contender.claim()
-                progress.record_event(event)
-                accepted.append(event.data)
+        for event in filter(progress.is_new, new_events):
+            if not contender.has_event:
+                progress.begin_run()
+            progress.check_order(event)
+            contender.claim()
+            contender.has_event = True
+            progress.record_event(event)
+            accepted.append(event.data)
         return accepted
 
     async def _start_answer(
--- a/acaciaward/gateway/callprogress.py
+++ b/acaciaward/gateway/callprogress.py
@@ -7,7 +7,7 @@
 
 from acaciaward import verdicts
 from acaciaward.catalogue import routes
-from acaciaward.gateway import calls, errors, events, metrics
+from acaciaward.gateway import calls, eventnumbers, events, metrics
 from acaciaward.quarantine import suspects
 
 
@@ -86,7 +86,6 @@
         self.failed_attempts: list[FailedAttempt] = []
         self._unrefused_sends = 0
         self.has_run = False
-        self.last_delivered_id: int | None = call.last_event_id
         self.charged = 0.0
         self.outcome = "cut"
         self.version = -1
@@ -94,6 +93,7 @@
         self.first_byte_s: float | None = None
         self.last_event_at: float | None = None
         self.longest_gap_s = 0.0
+        self._event_numbers = eventnumbers.EventNumbers(call.last_event_id)
 
     @property
     def may_have_run(self) -> bool:
@@ -138,24 +138,29 @@
             return organisation.rank
         return self.route.rank
 
+    @property
+    def last_delivered_id(self) -> int | None:
+        """The number of the last event that was forwarded, or that the caller has."""
+        return self._event_numbers.last
+
+    def begin_run(self) -> None:
+        """Begin with the events of another answer of the stream."""
+        self._event_numbers.begin_run()
+
     def is_new(self, event: events.Event) -> bool:
-        """Return whether an event hasn't been forwarded."""
-        known = self.last_delivered_id
-        return event.number is None or known is None or event.number > known
+        """Whether an event has not been forwarded."""
+        return event.number is None or self._event_numbers.is_new(event.number)
 
     def check_order(self, event: events.Event) -> None:
-        """Raise if events are missing before a new one."""
-        known = self.last_delivered_id
-        if event.number is None or known is None:
-            return
-        if event.number > known + 1:
-            raise errors.BrokenOffError(f"event {event.number} after {known}")
+        """Raise ``errors.BrokenOffError`` if events are missing before a new one."""
+        if event.number is not None:
+            self._event_numbers.check(event.number)
 
     def record_event(self, event: events.Event) -> None:
         """Record that a new event is forwarded."""
         if event.number is None:
             return
-        self.last_delivered_id = event.number
+        self._event_numbers.record(event.number)
         now = time.monotonic()
         if self.last_event_at is not None:
             gap_s = now - self.last_event_at
--- a/acaciaward/gateway/hedging.py
+++ b/acaciaward/gateway/hedging.py
@@ -55,7 +55,7 @@
         self._hedge = hedge
         self._prepare_backup = prepare_backup
         self.is_superseded = False
-        self.has_head = False
+        self.has_head = self.has_event = False
         self._last_decision = ""
         self.source: Source | None = None
         self.task: asyncio.Task | None = None
--- a/acaciaward/gateway/shutdown.py
+++ b/acaciaward/gateway/shutdown.py
@@ -1,9 +1,10 @@
 """
 Keeps what an entry's stop means for its calls.
 
-While the entry only leaves, calls are served as before. Once it is closed, a call that
-arrives is refused, since it might not end in time. Calls that still run when the time
-is up are ended by their time limit, so that their callers get an answer.
+While the entry only leaves, calls are served as before. Once it is closed, by the clock
+and however late the entry notices, a call that arrives is refused, since it might not
+end in time. Calls that still run when the time is up are ended by their time limit, so
+that their callers get an answer.
 
     shutdown = Shutdown()
     async with shutdown.limit(progress, responder):
@@ -16,6 +17,8 @@
 
 import asyncio
 import contextlib
+import math
+import time
 import typing
 
 from acaciaward.gateway import callers, callprogress
@@ -28,7 +31,7 @@
 
     def __init__(self):
         self.is_stopping = False
-        self.is_closed = False
+        self._closes_at = math.inf
         self.has_given_up = False
         self.has_ended = False
         self._running: dict[asyncio.Timeout, Running] = {}
@@ -40,6 +43,11 @@
             running for running in self._running.values() if not running[1].is_finished
         ]
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether calls are refused now."""
+        return time.monotonic() >= self._closes_at
+
     @contextlib.asynccontextmanager
     async def limit(
         self, progress: callprogress.Progress, responder: callers.Responder
@@ -52,9 +60,9 @@
             finally:
                 del self._running[limit]
 
-    def close(self) -> None:
-        """Take no more calls."""
-        self.is_closed = True
+    def close_at(self, closes_at: float) -> None:
+        """Take no more calls from a time of the steady clock on."""
+        self._closes_at = closes_at
 
     def give_up(self) -> None:
         """End the calls that have no answer yet, now."""
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -85,6 +85,7 @@
     """Forward the events of a stream whatever their number."""
     callprogress.Progress.is_new = lambda progress, event: True
     callprogress.Progress.check_order = lambda progress, event: None
+    callprogress.Progress.record_event = lambda progress, event: None
 
 
 def versions() -> None:
@@ -212,7 +213,7 @@
 def lost() -> None:
     """Abort running requests on an orderly stop."""
 
-    async def stop(gateway):
+    async def stop(gateway, requested_at):
         await gateway._end()
         return 1
 
