--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -271,7 +271,7 @@
         progress: callprogress.Progress,
         new_events: list[events.Event],
         contender: hedging.Contender,
-    ) -> list[bytes]:
+    ) -> bytes:
         """Return the events that the caller doesn't have; raise if some are missing."""
         accepted = []
         for event in filter(progress.is_new, new_events):
@@ -282,7 +282,7 @@
             contender.has_event = True
             progress.record_event(event)
             accepted.append(event.data)
-        return accepted
+        return b"".join(accepted)
 
     async def _start_answer(
         self,
