Treat a peer at an odd address as unreachable

Any entry, or whoever speaks for one, says in gossip where a peer listens. An address that is none, or a CURVE key that is none, made ZeroMQ raise while the socket was being connected, outside of what PeerTransport.request catches. The task that probes all peers ended with it, was started again, and ended each time the odd peer's turn came.

--- a/acaciaward/membership/features/steps/transport_steps.py
+++ b/acaciaward/membership/features/steps/transport_steps.py
@@ -291,6 +291,43 @@
     assert connectionevents.LOST_CONNECTIONS._value.get() > context.lost
 
 
+def check_unreachable(context, addresses):
+    server = context.server
+    dropped = transport.DROPPED_MESSAGES._value.get()
+
+    async def check(address):
+        server.notify(address, "echo", {"sender": "test", "text": "hello"})
+        try:
+            await send_echo(server, address, timeout_s=0.1)
+        except errors.PeerUnreachableError:
+            return
+        raise AssertionError(address)
+
+    for address in addresses:
+        context.runner.run(check(address))
+    counted = transport.DROPPED_MESSAGES._value.get() - dropped
+    assert counted >= len(addresses), counted
+
+
+@then("peers at odd addresses are unreachable and counted")
+def check_odd_addresses(context):
+    texts = ("", "no address", "127.0.0.1:1:2", "a/b", "é", "\x00", "\ud800")
+    check_unreachable(context, [transport.PeerAddress(text, 1) for text in texts])
+
+
+@then("peers with odd keys are unreachable and counted")
+def check_odd_keys(context):
+    texts = ("", "short", "x" * 41, "é" * 40, "\x00" * 40)
+    check_unreachable(
+        context, [transport.PeerAddress("127.0.0.1", 1, text) for text in texts]
+    )
+
+
+@then("a valid request is answered")
+def check_answered(context):
+    check_valid_answered(context)
+
+
 @then("a valid request of another peer is answered")
 def check_other(context):
     assert transport.DROPPED_MESSAGES._value.get() > context.dropped
--- a/acaciaward/membership/features/transport.feature
+++ b/acaciaward/membership/features/transport.feature
@@ -48,3 +48,14 @@
   Scenario: Hints are found by subject, expire, and never keep newer ones out
     Then a full hint table accepts new hints and drops what expires first
     And expired hints are removed completely
+
+  # Another entry, or a record in the store, says where a peer listens: an odd address
+  # ended the task that probes all peers, each time its turn came.
+  Scenario: Peers at what is no address are counted as unreachable
+    Given an entry without encryption
+    Then peers at odd addresses are unreachable and counted
+    And a valid request is answered
+
+  Scenario: Peers with what is no key are counted as unreachable
+    Given an entry with CURVE that allows one peer
+    Then peers with odd keys are unreachable and counted
--- a/acaciaward/membership/peertable.py
+++ b/acaciaward/membership/peertable.py
@@ -20,6 +20,7 @@
 MAX_PEERS = 4000
 MAX_NAME_CHARACTERS = 63
 MAX_PORT = 65535
+MAX_ADDRESS_CHARACTERS = 255
 DEAD_RETENTION_S = 7200.0
 # Incarnations start at the Unix time in milliseconds. An entry could never exceed
 # one that lies far ahead of its clock, and so could not refute it.
@@ -72,10 +73,12 @@
     """Return the peer that fields describe, or None if a value is out of bounds."""
     names = (fields["name"], fields["data_centre"], fields["region"])
     ports = (fields["port"], fields["peer_port"])
+    addresses = (fields["address"], fields["peer_address"], fields["public_key"] or "")
     max_incarnation = time.time() * 1000 + MAX_INCARNATION_LEAD_MS
     is_valid = (
         all(0 < len(name) <= MAX_NAME_CHARACTERS for name in names)
         and all(0 < port <= MAX_PORT for port in ports)
+        and max(map(len, addresses)) <= MAX_ADDRESS_CHARACTERS
         and 0 <= fields.get("detour_port", 0) <= MAX_PORT
         and 0 <= fields["incarnation"] <= max_incarnation
     )
--- a/acaciaward/membership/transport.py
+++ b/acaciaward/membership/transport.py
@@ -257,30 +257,42 @@
                 f"{peer_address.url}: no CURVE key is known"
             )
         if peer_address not in self._channels:
-            socket = self._context.socket(zmq.DEALER)
-            socket.setsockopt(zmq.LINGER, 0)
-            socket.setsockopt(zmq.SNDHWM, PEER_QUEUE_MESSAGES)
-            socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
-            socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-            socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
-            socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-            socket.setsockopt(zmq.CONNECT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-            socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
-            if self._curve is not None:
-                socket.curve_secretkey = self._curve.secret_key.encode()
-                socket.curve_publickey = self._curve.public_key.encode()
-                socket.curve_serverkey = peer_address.public_key.encode()
-            socket.connect(peer_address.url)
-            channel = _Channel(socket)
-            channel.tasks = [
-                self._start_task(self._receive_replies(channel)),
-                self._start_task(self._events.watch(socket, peer_address.url)),
-            ]
-            self._channels[peer_address] = channel
+            self._channels[peer_address] = self._open_channel(peer_address)
         channel = self._channels[peer_address]
         channel.used_at = time.monotonic()
         return channel
 
+    def _open_channel(self, peer_address: PeerAddress) -> _Channel:
+        socket = self._context.socket(zmq.DEALER)
+        try:
+            self._connect(socket, peer_address)
+        except (zmq.ZMQError, ValueError, OverflowError) as error:
+            # Other entries say where a peer listens; what they say may be no address.
+            socket.close(0)
+            self.count_dropped(error)
+            raise errors.PeerUnreachableError(f"not an address: {error}") from error
+        channel = _Channel(socket)
+        channel.tasks = [
+            self._start_task(self._receive_replies(channel)),
+            self._start_task(self._events.watch(socket, peer_address.url)),
+        ]
+        return channel
+
+    def _connect(self, socket: zmq.asyncio.Socket, peer_address: PeerAddress) -> None:
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, PEER_QUEUE_MESSAGES)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        if self._curve is not None:
+            socket.curve_secretkey = self._curve.secret_key.encode()
+            socket.curve_publickey = self._curve.public_key.encode()
+            socket.curve_serverkey = peer_address.public_key.encode()
+        socket.connect(peer_address.url)
+
     async def _receive_replies(self, channel: _Channel) -> None:
         while True:
             number, *frames = await channel.socket.recv_multipart()
