Charge use from a cut only for the time in which it counted

Callers of an organisation at its quota were refused for eight seconds after entries that had been cut off from each other for long met again. Each side had spent its own part of the rate meanwhile; at the first sums after the cut, both were charged with all that the other had spent, and the bucket was overdrawn to its limit.

Cause: sums of use rise by what each source's totals rose since its last message, however long ago that was. The part of a source that isn't heard is set aside already (reachable_fraction), so that its use was paid for.

Now a source that was silent for longer than its messages count (1.5 s) is charged with the use of that time alone, in the readers' sums and in the buckets, and with nothing after 10 s of silence: the windows of quotas have passed then.

--- a/acaciaward/admission/features/shared.feature
+++ b/acaciaward/admission/features/shared.feature
@@ -19,6 +19,16 @@
     When they are partitioned into 6 and 3 and 8 times the quota is requested over 20 s
     Then no window of 8 s exceeds the quota by more than a tenth and 1200 units
 
+  # What each side had spent of its own part was charged to both when they met: quotas
+  # were refused for eight seconds.
+  Scenario: Entries that were partitioned for long use the quota as soon as they meet
+    Given 9 entries that share a quota of 1000 a second and 1000 at once
+    And they exchange reports every 0.5 s
+    When they are partitioned into 6 and 3 and 8 times the quota is requested over 20 s
+    And they meet and 8 times the quota is requested over 12 s
+    Then no window of 8 s exceeds the quota by more than a tenth and 1200 units
+    And at least 0.9 of the quota was used in the last 12 s
+
   Scenario: A lowered quota applies at once
     Given 9 entries that share a quota of 1000 a second and 1000 at once
     And they exchange reports every 0.5 s
--- a/acaciaward/admission/features/steps/shared_steps.py
+++ b/acaciaward/admission/features/steps/shared_steps.py
@@ -152,6 +152,20 @@
     context.entries.run(factor, 20.0)
 
 
+@when("they meet and {factor:g} times the quota is requested over {seconds:g} s")
+def run_together(context, factor, seconds):
+    context.entries.groups = [set(range(len(context.entries.quotas)))]
+    context.entries.run(factor, seconds)
+
+
+@then("at least {part:g} of the quota was used in the last {seconds:g} s")
+def check_used_last(context, part, seconds):
+    entries = context.entries
+    begin = entries.now - seconds
+    used = sum(amount for at, amount in entries.admitted if at >= begin)
+    assert used >= part * entries.rule.rate * seconds, used
+
+
 @when(
     "the quota is lowered to 100 and {factor:g} times the quota is requested over 20 s"
 )
--- a/acaciaward/admission/quotas.py
+++ b/acaciaward/admission/quotas.py
@@ -32,6 +32,10 @@
 WARM_UP_S = 2.0
 # Delay until gossip reports what peers admitted.
 GOSSIP_LAG_S = 0.5
+# Sources that have been silent for this long don't count any more.
+SOURCE_TIMEOUT_S = 1.5
+# Use from before a longer silence is no longer charged.
+MAX_CHARGED_SILENCE_S = 10.0
 # Time constant of the smoothed rates of an organisation's use, here and at peers.
 RATE_SMOOTHING_S = 6.0
 # Weight of an even share as the prior of the peers' share, as a fraction of the
@@ -98,7 +102,8 @@
         self._refilled_at = now
         self._reachable_fraction = 1.0
         self._warm_up_until = now + WARM_UP_S
-        self._total_by_source: dict[str, float] = {}
+        # Total and time of the last report.
+        self._total_by_source: dict[str, tuple[float, float]] = {}
         self._recent_admissions: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
@@ -200,13 +205,18 @@
 
         The first total of a recently started source was admitted around or after this
         entry's start and counts in full; the first total of an older source doesn't
-        count.
+        count. After a silence, only its first seconds count: the peers then used a part
+        of the rate that this entry had left to them. After a long one, none count.
         """
-        previous_total = self._total_by_source.get(
-            source, 0.0 if is_recent_start else total
+        previous_total, previous_at = self._total_by_source.get(
+            source, (0.0 if is_recent_start else total, now)
         )
-        self._total_by_source[source] = total
-        amount = total - previous_total
+        self._total_by_source[source] = total, now
+        silence_s = now - previous_at
+        counted_part = SOURCE_TIMEOUT_S / max(SOURCE_TIMEOUT_S, silence_s)
+        if silence_s > MAX_CHARGED_SILENCE_S:
+            counted_part = 0.0
+        amount = (total - previous_total) * counted_part
         if amount:
             self._peer_rate.add(amount, now)
             min_level = -MAX_OVERDRAFT_S * self.rule.rate
--- a/acaciaward/relays/aggregation.py
+++ b/acaciaward/relays/aggregation.py
@@ -21,6 +21,8 @@
 # use can't have been counted before. The time is long enough to receive messages from
 # all sources that start together.
 RECENT_START_S = 3.0
+# Use from before a longer silence is no longer charged: windows of quotas have passed.
+MAX_CHARGED_SILENCE_S = 10.0
 # With fewer clocks than this there is no majority.
 MIN_CLOCKS = 3
 
@@ -63,16 +65,25 @@
         self.total: dict[str, float] = {}
         self._by_source: dict[str, dict[str, float]] = {}
         self._last_totals: dict[str, dict[str, float]] = {}
+        self._last_at: dict[str, float] = {}
 
     def add(
-        self, source: str, totals: abc.Mapping[str, float], uptime_s: float
+        self, source: str, totals: abc.Mapping[str, float], uptime_s: float, now: float
     ) -> None:
         """
         Add what a source's totals rose by since its last ones.
 
         The first totals of a source that didn't start recently are only the baseline.
+        Of a source that was silent for longer than its messages count, only the part of
+        that time is added: after it, the source used a part of the quota that was left
+        to it. Nothing is added after a long silence.
         """
         is_recent_start = uptime_s < RECENT_START_S
+        silence_s = now - self._last_at.get(source, now)
+        counted_part = MAX_AGE_S / max(MAX_AGE_S, silence_s)
+        if silence_s > MAX_CHARGED_SILENCE_S:
+            counted_part = 0.0
+        self._last_at[source] = now
         last_totals = self._last_totals.get(source)
         own_totals = self._by_source.setdefault(source, {})
         for name, total in totals.items():
@@ -81,7 +92,7 @@
             else:
                 previous = last_totals.get(name, 0.0)
             # A total is lower than before after a restart or if units were returned.
-            amount = total - previous
+            amount = (total - previous) * counted_part
             own_totals[name] = own_totals.get(name, 0.0) + amount
             self.total[name] = self.total.get(name, 0.0) + amount
         self._last_totals[source] = dict(totals)
@@ -109,13 +120,15 @@
         """Store the report of an entry of this data centre, and add its use."""
         source = report["start"]
         self._reports[report["sender"]] = _Received(self._clock(), report)
-        self._own_use.add(source, report["use"], report["uptime_s"])
-        self._all_use.add(source, report["use"], report["uptime_s"])
+        for use in (self._own_use, self._all_use):
+            use.add(source, report["use"], report["uptime_s"], self._clock())
 
     def receive_summary(self, summary: messages.Summary) -> None:
         """Store the summary of another data centre's reader, and add its use."""
         self._summaries[summary["data_centre"]] = _Received(self._clock(), summary)
-        self._all_use.add(summary["sender"], summary["use"], summary["uptime_s"])
+        self._all_use.add(
+            summary["sender"], summary["use"], summary["uptime_s"], self._clock()
+        )
 
     def reports(self) -> dict[str, messages.Report]:
         """Return the last report of each entry, including those that are gone."""
--- a/acaciaward/relays/features/relays.feature
+++ b/acaciaward/relays/features/relays.feature
@@ -13,6 +13,15 @@
     Then no entry ever received a use that fell
     And each entry has received a use of 80 units a second from 9 entries
 
+  # What a cut-off data centre had spent of its own part was charged to all at once.
+  Scenario: What entries used while they were cut off isn't charged when they are back
+    Given 3 data centres with 3 entries each
+    When each entry uses 10 units a second for 5 s
+    And a data centre is cut off while each entry uses 10 units a second for 40 s
+    And each entry uses 10 units a second for 0.5 s
+    Then no entry has received a use that rose by more than 150 units meanwhile
+    And no entry ever received a use that fell
+
   Scenario: Loads of an entry that has failed are dropped
     Given 3 data centres with 3 entries each
     When each entry uses 10 units a second for 5 s
--- a/acaciaward/relays/features/steps/relays_steps.py
+++ b/acaciaward/relays/features/steps/relays_steps.py
@@ -23,6 +23,7 @@
         self.received_uses = {}
         self.sums = {}
         self.clock_offsets_s = {}
+        self.cut_off = None
         for data_centre in range(data_centres):
             self.aggregators[data_centre] = aggregation.Aggregator(lambda: self.now)
             for number in range(entries):
@@ -55,7 +56,8 @@
             summary |= reader_aggregator.summary()._asdict()
             summary |= reader_aggregator.clocks()._asdict()
             for other_data_centre, other_aggregator in self.aggregators.items():
-                if other_data_centre != data_centre:
+                is_cut = self.cut_off in (data_centre, other_data_centre)
+                if other_data_centre != data_centre and not is_cut:
                     other_aggregator.receive_summary(summary)
         for name, (data_centre, start, _) in self.entries.items():
             sums = self.aggregators[data_centre].sums_for(name)
@@ -123,11 +125,32 @@
     context.simulation = Simulation(data_centres, entries)
 
 
-@when("each entry uses {rate:d} units a second for {seconds:d} s")
+@when("each entry uses {rate:d} units a second for {seconds:g} s")
 def use(context, rate, seconds):
     context.simulation.run(rate, seconds)
 
 
+@when(
+    "a data centre is cut off while each entry uses {rate:d} units a second for"
+    " {seconds:d} s"
+)
+def use_cut_off(context, rate, seconds):
+    simulation = context.simulation
+    simulation.cut_off = 2
+    simulation.run(rate, seconds)
+    simulation.cut_off = None
+    context.before = {name: sums.use["org"] for name, sums in simulation.sums.items()}
+
+
+@then("no entry has received a use that rose by more than {units:g} units meanwhile")
+def check_rise(context, units):
+    rises = {
+        name: sums.use["org"] - context.before[name]
+        for name, sums in context.simulation.sums.items()
+    }
+    assert max(rises.values()) <= units, rises
+
+
 @when("an entry restarts")
 def restart_entry(context):
     entry = context.simulation.entries["e-1-2"]
