Find entries through the store when no seed answers, and count who may serve

A newcomer whose seeds had all ended never joined, and served as a system of its own: with whole quotas and the whole retry budget. Entries that were cut off from each other for over 30 s did the same.

Cause: addresses came from the seeds of the start and from gossip alone, and an entry that heard nobody for PEER_MEMORY_S counted itself as all there are.

Three contacts of each group, and each entry that knows nobody, now keep a record in the store (keyed.acaciaward.entries) and try the addresses of others'. An entry that knows nobody divides by ten, or by as many as were saved, until the store has shown its own record and no others'. Peers that fell silent are counted until the store, read since, shows no group that hears them; a minority that doesn't reach the store either spends a sixth of its part.

--- a/acaciaward/catalogue/features/delivery.py
+++ b/acaciaward/catalogue/features/delivery.py
@@ -88,6 +88,8 @@
             for data_centre in range(data_centres)
             for number in range(entries_each)
         ]
+        # Where entries find others at their start; the machines may be gone by then.
+        self.seeds = [entry.ports["Control"] for entry in self.entries[:3]]
         self.version = 0
         # Overrides fields of the records of endpoints.
         self.endpoint_fields: dict[str, typing.Any] = {}
@@ -100,13 +102,7 @@
         self.change()
         self.store.put(ENDPOINTS_TOPIC, "s-0", self.endpoint_record(0))
         for entry in self.entries:
-            entry.proxy = faultproxy.FaultProxy(("127.0.0.1", self.store.port))
-            await entry.proxy.start()
-            entry.gateway = process.Gateway(self._settings(entry))
-            entry.view.subscribe(entry.record)
-            context = contextvars.copy_context()
-            context.run(entry_name.set, entry.name)
-            await asyncio.create_task(entry.gateway.start(), context=context)
+            await self.start_entry(entry)
         await self.wait_until(
             lambda: all(entry.gateway.is_ready for entry in self.entries),
             START_TIMEOUT_S,
@@ -116,10 +112,33 @@
             START_TIMEOUT_S,
         )
 
+    async def start_entry(self, entry: Entry) -> None:
+        """Start an entry that has its proxy to the store."""
+        entry.proxy = faultproxy.FaultProxy(("127.0.0.1", self.store.port))
+        await entry.proxy.start()
+        entry.gateway = process.Gateway(self._settings(entry))
+        self.prepare(entry)
+        entry.view.subscribe(entry.record)
+        context = contextvars.copy_context()
+        context.run(entry_name.set, entry.name)
+        await asyncio.create_task(entry.gateway.start(), context=context)
+
+    def prepare(self, entry: Entry) -> None:
+        """Change an entry's gateway before it starts."""
+
+    async def end_entry(self, entry: Entry) -> None:
+        """Stop an entry's gateway without draining, then its proxy."""
+        if entry.gateway is not None:
+            await entry.gateway._end()
+            for server in entry.gateway._auxiliary_servers.values():
+                server.stop_accepting()
+                server.abort()
+            entry.gateway._callers.stop_accepting()
+        if entry.proxy is not None:
+            await entry.proxy.stop()
+
     def _settings(self, entry: Entry) -> loader.Settings:
-        seeds = ",".join(
-            f"127.0.0.1:{seed.ports['Control']}" for seed in self.entries[:3]
-        )
+        seeds = ",".join(f"127.0.0.1:{port}" for port in self.seeds)
         fields = {
             "NodeName": entry.name,
             "Zone": entry.data_centre,
@@ -143,14 +162,7 @@
     async def stop(self) -> None:
         """Stop every gateway without draining, then proxies and store."""
         for entry in self.entries:
-            if entry.gateway is not None:
-                await entry.gateway._end()
-                for server in entry.gateway._auxiliary_servers.values():
-                    server.stop_accepting()
-                    server.abort()
-                entry.gateway._callers.stop_accepting()
-            if entry.proxy is not None:
-                await entry.proxy.stop()
+            await self.end_entry(entry)
         await self.store.stop()
 
     def readers(self) -> list[Entry]:
--- a/acaciaward/entry/peerservices.py
+++ b/acaciaward/entry/peerservices.py
@@ -51,14 +51,10 @@
     own_address = transport.PeerAddress(
         peers["address"], peers["port"], curve.public_key if curve else None
     )
-    seeds = [
-        transport.PeerAddress(seed["address"], seed["port"], seed.get("public_key"))
-        for seed in peers["seeds"]
-    ]
     membership = gossip.GossipMembership(
         _own_peer(settings),
         own_address,
-        [seed for seed in seeds if seed[:2] != own_address[:2]],
+        read_seeds(peers),
         peer_transport,
         hint_table,
         probe_interval_s=peers["probe_interval_s"],
@@ -71,6 +67,14 @@
     return PeerServices(peer_transport, hint_table, membership)
 
 
+def read_seeds(peers: dict[str, typing.Any]) -> list[transport.PeerAddress]:
+    """Return the addresses of the seeds from the ``peers`` settings."""
+    return [
+        transport.PeerAddress(seed["address"], seed["port"], seed.get("public_key"))
+        for seed in peers["seeds"]
+    ]
+
+
 def read_curve_keys(peers: dict[str, typing.Any]) -> transport.CurveKeys | None:
     """Return the keys from the ``peers`` settings, or None without encryption."""
     if peers["secret_key"] is None:
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -106,6 +106,10 @@
 ENTRIES_IN_SUMS = prometheus_client.Gauge(
     "acaciaward_gateway_entries_heard", "Entries behind the newest sums"
 )
+COUNTED_ENTRIES = prometheus_client.Gauge(
+    "acaciaward_gateway_entries_counted",
+    "Entries among which quotas and retry budgets are divided, as counted here",
+)
 TASK_FAILURES = prometheus_client.Counter(
     "acaciaward_gateway_task_failures_total",
     "Tasks of the entry that failed and were run again",
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -29,7 +29,11 @@
     stateexchange,
     statushandlers,
 )
-from acaciaward.membership import interfaces as membership_interfaces
+from acaciaward.membership import (
+    contacts,
+    entrycount,
+    interfaces as membership_interfaces,
+)
 from acaciaward.observability import logs
 from acaciaward.platform import (
     calls as platform_calls,
@@ -52,13 +56,9 @@
 QUOTAS_TOPIC = "keyed.acaciaward.quotas"
 VERSIONS_TOPIC = "keyed.acaciaward.versions"
 STREAMS_TOPIC = "acaciaward.streams"
+ENTRIES_TOPIC = "keyed.acaciaward.entries"
 # How often lapsed endpoints and entries not seen for long are removed.
 HOUSEKEEPING_INTERVAL_S = 0.25
-# Peers seen within this time count as entries that may serve requests.
-PEER_MEMORY_S = 30.0
-# Until gossip has settled after a start, this many entries are assumed to exist.
-GOSSIP_SETTLE_S = 2.0
-ASSUMED_ENTRIES = 10
 # Callers may use a discovery answer for three times its stated lifetime.
 DISCOVERY_HOLD_FACTOR = 3.0
 # Part of the stop limit that is reserved for ending the process.
@@ -82,8 +82,7 @@
         self._settings = settings
         self._tasks: list[asyncio.Task] = []
         self._is_leaving = False
-        self._last_seen: dict[str, float] = {}
-        self._started = self._in_force_since = time.monotonic()
+        self._in_force_since = time.monotonic()
         self._client = httpclient.HttpClient(
             connect_timeout_s=settings["store"]["timeout_s"],
             max_idle_s=MAX_PLATFORM_IDLE_S,
@@ -152,13 +151,23 @@
             unix_time=self._duties.clock.now,
         )
         self._links = links.Links(self._directory, self._occupancy, self._membership)
-        self._quotas = quotas.Quotas(time.monotonic, self._entry_count)
+        self._known_entries = entrycount.EntryCount(
+            self.name, time.monotonic, saved=lambda: self._saver.saved_entry_count
+        )
+        self._contacts = contacts.Contacts(
+            topics.KeyedTopic(self._store, ENTRIES_TOPIC),
+            self._membership,
+            self._known_entries,
+            era=lambda: self._store.era,
+            now=self._duties.clock.now,
+        )
+        self._quotas = quotas.Quotas(time.monotonic, self._known_entries.count)
         self._saver = quotastore.Saver(
             topics.KeyedTopic(self._store, QUOTAS_TOPIC),
             self._quotas,
             is_duty_holder=lambda: self._duties.is_held,
             now=self._duties.clock.now,
-            entry_count=self._entry_count,
+            entry_count=self._known_entries.count,
         )
         self._tolerance = quotas.Tolerance(
             bounds["quota_window_s"], bounds["quota_overshoot"], bounds["quota_slack"]
@@ -190,7 +199,7 @@
                 repeats=repeatbudget.RepeatBudgets(
                     budget,
                     time.monotonic,
-                    self._entry_count,
+                    self._known_entries.count,
                     has_predecessor=lambda: self._saver.saved_entry_count > 0,
                 ),
                 codec=headers,
@@ -331,15 +340,9 @@
             if peer.state in (State.LIVE, State.LEAVING)
         ]
 
-    def _entry_count(self) -> int:
-        """Return the number of known entries, at first at least the assumed one."""
-        is_starting = time.monotonic() - self._started < GOSSIP_SETTLE_S
-        assumed = max(ASSUMED_ENTRIES, self._saver.saved_entry_count)
-        return max(assumed if is_starting else 1, len(self._last_seen))
-
     def _reporting_share(self) -> float:
         """Return the share of known entries that the newest sums include."""
-        return min(1.0, self._relaying.entry_count / self._entry_count())
+        return min(1.0, self._relaying.entry_count / self._known_entries.count())
 
     @property
     def _endpoints_read_at(self) -> float:
@@ -348,15 +351,7 @@
     async def _run_housekeeping(self) -> None:
         while True:
             now = time.monotonic()
-            live = [
-                peer.name
-                for peer in self._membership.peers()
-                if peer.state in (State.LIVE, State.JOINING, State.LEAVING)
-            ]
-            self._last_seen |= dict.fromkeys(live, now)
-            for name, last_seen in list(self._last_seen.items()):
-                if last_seen < now - PEER_MEMORY_S:
-                    del self._last_seen[name]
+            self._count_entries()
             self._directory.remove_due()
             metrics.ENTRIES_IN_SUMS.set(self._relaying.entry_count)
             metrics.OPEN_REQUESTS.set(self._busy_count)
@@ -368,6 +363,21 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             metrics.LOOP_LAG_SECONDS.observe(max(0.0, time.monotonic() - due))
 
+    def _count_entries(self) -> None:
+        live = [
+            peer
+            for peer in self._membership.peers()
+            if peer.state in (State.LIVE, State.JOINING, State.LEAVING)
+        ]
+        self._known_entries.record_heard(
+            [peer.name for peer in live],
+            counted_by_peers=max(
+                (peer.counted for peer in live if peer.name != self.name), default=0
+            ),
+        )
+        self._membership.set_counted(self._known_entries.counted)
+        metrics.COUNTED_ENTRIES.set(self._known_entries.count())
+
     def _reported_usage(self) -> reporting.ReportedCounts | None:
         """Return other entries' usage counts, or None if the reader stores them."""
         if self._relaying.is_relayed:
@@ -392,12 +402,17 @@
         """Whether callers may be sent here."""
         return self._store_view.is_complete and not self._is_leaving
 
+    def set_seeds(self, peers: dict[str, typing.Any]) -> None:
+        """Look for other entries at the seeds of changed ``peers`` settings."""
+        self._membership.set_seeds(peerservices.read_seeds(peers))
+
     async def start(self) -> None:
         """Start every component; return when callers can connect."""
         settings = self._settings
         await self._transport.start()
         for run in (
             self._membership.run,
+            self._contacts.run,
             *self._store_view.tasks,
             self._peer_fetcher.run,
             self._run_housekeeping,
--- a/acaciaward/membership/features/environment.py
+++ b/acaciaward/membership/features/environment.py
@@ -5,13 +5,13 @@
 
 from acaciaward.membership.features import virtualtime
 
-# Scenarios of this feature have no sockets, so their time can be virtual.
-VIRTUAL_FEATURE = "membership.feature"
+# Scenarios of these features have no sockets, so their time can be virtual.
+VIRTUAL_FEATURES = ("membership.feature", "contacts.feature")
 
 
 def before_scenario(context, scenario):
     context.stack = contextlib.ExitStack()
-    if scenario.filename.endswith(VIRTUAL_FEATURE):
+    if scenario.filename.endswith(VIRTUAL_FEATURES):
         runner = virtualtime.virtual_runner()
     else:
         runner = asyncio.Runner()
--- a/acaciaward/membership/features/steps/transport_steps.py
+++ b/acaciaward/membership/features/steps/transport_steps.py
@@ -378,7 +378,11 @@
         "configuration_version": NUMBERS,
         "public_key": strategies.none() | TEXTS,
     },
-    optional={"detour_port": NUMBERS, "is_isolated": strategies.booleans()},
+    optional={
+        "detour_port": NUMBERS,
+        "is_isolated": strategies.booleans(),
+        "counted": NUMBERS,
+    },
 )
 HINTS = strategies.fixed_dictionaries(
     {
--- a/acaciaward/membership/gossip.py
+++ b/acaciaward/membership/gossip.py
@@ -13,6 +13,7 @@
 import random
 import time
 import typing
+from collections import abc
 
 from acaciaward import errors
 from acaciaward.membership import (
@@ -61,7 +62,7 @@
     ):
         self._own_peer = own_peer
         self._listen_address = listen_address
-        self._seeds = seeds
+        self.set_seeds(seeds)
         self._transport = peer_transport
         self._hint_table = hint_table
         self._probe_interval_s = probe_interval_s
@@ -88,10 +89,29 @@
         """The name of this entry."""
         return self._own_peer.name
 
+    @property
+    def own_fields(self) -> messages.PeerFields:
+        """This entry in the form of messages."""
+        return peertable.to_fields(self._own_peer, self._listen_address)
+
     def peers(self) -> list[interfaces.Peer]:
         """Return all known entries, this one included."""
         return [self._own_peer, *(record.peer for record in self._table.all())]
 
+    def set_seeds(self, seeds: abc.Iterable[transport.PeerAddress]) -> None:
+        """Replace the addresses at which others are looked for; its own is left out."""
+        own = self._listen_address[:2]
+        self._seeds = [seed for seed in seeds if seed[:2] != own]
+
+    async def join(self, record: peertable.PeerRecord) -> bool:
+        """Exchange what both know with an entry; return whether it was reached."""
+        if record.listen_address[:2] == self._listen_address[:2]:
+            return False
+        if not await self._probe_address(record.listen_address):
+            return False
+        await self._sync(record.peer.name)
+        return True
+
     def set_ready(self) -> None:
         """Announce that this entry has a configuration and serves callers."""
         if self._own_peer.state is State.JOINING:
@@ -116,6 +136,13 @@
             self._own_peer = self._own_peer._replace(is_isolated=is_isolated)
             self._set_own_state(self._own_peer.state)
 
+    def set_counted(self, count: int) -> None:
+        """Announce how many entries there are if the store shows others, else 0."""
+        count = min(count, peertable.MAX_PEERS)
+        if self._own_peer.counted != count:
+            self._own_peer = self._own_peer._replace(counted=count)
+            self._set_own_state(self._own_peer.state)
+
     def set_configuration_version(self, version: int) -> None:
         """Announce the configuration version in force here with the next probes."""
         self._own_peer = self._own_peer._replace(configuration_version=version)
@@ -301,7 +328,7 @@
     async def _sync(self, name: str) -> None:
         body: messages.Sync = {
             "sender": self.name,
-            "own": peertable.to_fields(self._own_peer, self._listen_address),
+            "own": self.own_fields,
             "peers_digest": self._table.digest(self._own_peer),
             "hints_digest": self._hint_table.digest(),
         }
@@ -347,8 +374,11 @@
         }
 
     def _next_gossip(self) -> messages.Gossip:
-        own = peertable.to_fields(self._own_peer, self._listen_address)
-        message: messages.Gossip = {"sender": self.name, "peers": [own], "hints": []}
+        message: messages.Gossip = {
+            "sender": self.name,
+            "peers": [self.own_fields],
+            "hints": [],
+        }
         for key, fields in self._updates.next_batch(MESSAGE_BUDGET_BYTES):
             message["peers" if key[0] == "peer" else "hints"].append(fields)
         return message
@@ -391,8 +421,7 @@
             self._queue_own_peer(dissemination.Priority.URGENT)
 
     def _queue_own_peer(self, priority: dissemination.Priority) -> None:
-        fields = peertable.to_fields(self._own_peer, self._listen_address)
-        self._queue_update(("peer", self.name), fields, priority)
+        self._queue_update(("peer", self.name), self.own_fields, priority)
 
     def _queue_peer(self, record: peertable.PeerRecord) -> None:
         fields = peertable.to_fields(record.peer, record.listen_address)
--- a/acaciaward/membership/interfaces.py
+++ b/acaciaward/membership/interfaces.py
@@ -36,6 +36,8 @@
     about itself. ``configuration_version`` is the last that it reported.
     ``detour_port`` is where it takes the calls of peers that are cut off from
     endpoints, 0 if it takes none, and ``is_isolated`` means that it is cut off itself.
+    ``counted`` is how many entries there are with those that it knows of by the store
+    only, 0 if there are none of these.
     """
 
     name: str
@@ -49,6 +51,7 @@
     configuration_version: int
     detour_port: int = 0
     is_isolated: bool = False
+    counted: int = 0
 
 
 class HintKind(enum.Enum):
--- a/acaciaward/membership/messages.py
+++ b/acaciaward/membership/messages.py
@@ -24,6 +24,7 @@
     public_key: str | None
     detour_port: typing.NotRequired[int]
     is_isolated: typing.NotRequired[bool]
+    counted: typing.NotRequired[int]
 
 
 class HintFields(typing.TypedDict):
--- a/acaciaward/membership/peertable.py
+++ b/acaciaward/membership/peertable.py
@@ -62,6 +62,8 @@
 ) -> messages.PeerFields:
     """Return a peer in the form of messages."""
     fields = peer._asdict() | {"state": peer.state.value}
+    if not peer.counted:
+        del fields["counted"]
     return fields | {
         "peer_address": listen_address.address,
         "peer_port": listen_address.port,
@@ -80,6 +82,7 @@
         and all(0 < port <= MAX_PORT for port in ports)
         and max(map(len, addresses)) <= MAX_ADDRESS_CHARACTERS
         and 0 <= fields.get("detour_port", 0) <= MAX_PORT
+        and 0 <= fields.get("counted", 0) <= MAX_PEERS
         and 0 <= fields["incarnation"] <= max_incarnation
     )
     if not is_valid:
