Use seeds that change in the settings file, and skip odd ones

One seed that is no address kept an entry from starting, and seeds that the platform changed in the settings file were used after a restart only.

Seeds are now decoded one by one: what is no address is left out, counted (acaciaward_invalid_seeds) and named in one log line. The gateway's command looks at the file every 5 s, as it may change without a signal, and gives the entry the seeds if they differ; a file that can't be read leaves the former ones.

--- a/acaciaward/cli/gateway.py
+++ b/acaciaward/cli/gateway.py
@@ -17,6 +17,9 @@
 
 log = logging.getLogger(__name__)
 
+# The platform may change the settings file without a signal.
+SEEDS_INTERVAL_S = 5.0
+
 
 @click.command()
 @click.option(
@@ -69,17 +72,54 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _check_settings, settings_path)
     await entry.start()
+    seeds_reader = asyncio.create_task(follow_seeds(entry, settings, settings_path))
     await stop.wait()
     await entry.stop()
-    log_writer.cancel()
-    await asyncio.gather(log_writer, return_exceptions=True)
+    for task in (seeds_reader, log_writer):
+        task.cancel()
+    await asyncio.gather(seeds_reader, log_writer, return_exceptions=True)
     return 0
 
 
+async def follow_seeds(
+    entry: process.Gateway, settings: loader.Settings, settings_path: pathlib.Path
+) -> None:
+    """Let an entry use the seeds of the settings file whenever they change."""
+    seeds = settings["peers"]["seeds"]
+    # The file may have changed during the start.
+    modified_at = None
+    while True:
+        await asyncio.sleep(SEEDS_INTERVAL_S)
+        before, modified_at = modified_at, _modified_at(settings_path)
+        if modified_at == before:
+            continue
+        try:
+            peers = load(settings_path)["peers"]
+        except errors.SettingsError as error:
+            log.warning(
+                "cannot read the seeds again; the former ones stay",
+                extra=logs.fields(reason=error),
+            )
+            continue
+        if peers["seeds"] != seeds:
+            seeds = peers["seeds"]
+            entry.set_seeds(peers)
+            log.info("seeds changed", extra=logs.fields(seeds=seeds))
+
+
+def _modified_at(path: pathlib.Path) -> int | None:
+    """Return when a file was changed last, in nanoseconds, None if it isn't there."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError as error:
+        log.info("settings file isn't there", extra=logs.fields(reason=error))
+        return None
+
+
 def _check_settings(settings_path: pathlib.Path) -> None:
     try:
         load(settings_path)
     except errors.SettingsError as error:
         log.error("settings file is invalid", extra=logs.fields(reason=error))
         return
-    log.info("settings file is valid; changes take effect after a restart")
+    log.info("settings file is valid; changes of all but seeds need a restart")
--- a/acaciaward/platform/features/platform.feature
+++ b/acaciaward/platform/features/platform.feature
@@ -17,6 +17,19 @@
     And a settings file without a store is refused with one line
     And a settings file with a bad bound is refused with one line
 
+  # One odd seed kept an entry from starting.
+  Scenario: Odd seeds are skipped with one line, and all else is used
+    Given a settings file whose seeds are odd but for one
+    Then it passes the check with that seed alone
+    And one line says how many seeds were skipped
+
+  # Seeds were read once; those of a changed file were used after a restart only.
+  Scenario: Seeds that change in the settings file are used without a restart
+    Given an entry that follows the seeds of its settings file
+    When the settings file becomes invalid
+    And the settings file gets other seeds
+    Then the entry has got these seeds
+
   Scenario Outline: A mistake in the settings is named by its key
     Given settings whose <key> is <value>
     Then they are refused with a line that names <key>
--- a/acaciaward/platform/features/steps/platform_steps.py
+++ b/acaciaward/platform/features/steps/platform_steps.py
@@ -1,18 +1,24 @@
 """Steps for decoding the platform's records, settings and headers."""
 
+import asyncio
 import copy
 import json
+import logging
+import pathlib
 import signal
 import subprocess
 import sys
 import tempfile
+import types
+from unittest import mock
 
 import hypothesis
-from behave import given, then
+from behave import given, then, when
 from hypothesis import strategies
 
 from acaciaward import errors
 from acaciaward.catalogue import endpoints, routes, storeview
+from acaciaward.cli import gateway as gateway_command
 from acaciaward.gateway import calls, settings as gateway_settings
 from acaciaward.platform import (
     documents,
@@ -271,6 +277,76 @@
     raise AssertionError("accepted")
 
 
+@given("a settings file whose seeds are odd but for one")
+def write_odd_seeds(context):
+    seeds = ["seed", "10.1.0.300:1", "10.1.0.1:0", "10.1.0.1:65536", "10.1.0.1", "é:1"]
+    seeds += ["10.1.0.1:99999999999999999999", "x" * 100_000, "10.2.0.33:8367"]
+    context.odd_seeds = len(seeds) - 1
+    context.settings_text = NODE_FILE.replace(
+        "Seeds=10.1.0.16:8367,10.2.0.33:8367", f"Seeds={','.join(seeds)}"
+    )
+    context.lines = []
+    handler = logging.Handler()
+    handler.emit = context.lines.append
+    logging.getLogger(nodefile.__name__).addHandler(handler)
+    context.add_cleanup(logging.getLogger(nodefile.__name__).removeHandler, handler)
+
+
+@then("it passes the check with that seed alone")
+def check_sound_seed(context):
+    peers = check_settings(context.settings_text)["peers"]
+    assert peers["seeds"] == [{"address": "10.2.0.33", "port": 8367}], peers
+
+
+@then("one line says how many seeds were skipped")
+def check_seeds_counted(context):
+    (line,) = context.lines
+    assert line.getMessage() == "seeds skipped"
+    assert nodefile.INVALID_SEEDS._value.get() == context.odd_seeds
+
+
+@given("an entry that follows the seeds of its settings file")
+def follow_seeds(context):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.path = pathlib.Path(directory.name) / "boot.conf"
+    context.path.write_text(NODE_FILE)
+    context.contents = []
+
+
+@when("the settings file becomes invalid")
+def write_invalid(context):
+    context.contents.append("Seeds=10.9.0.1:1")
+
+
+@when("the settings file gets other seeds")
+def write_seeds(context):
+    context.contents.append(NODE_FILE.replace("10.2.0.33:8367", "10.3.0.1:1"))
+
+
+@then("the entry has got these seeds")
+def check_followed(context):
+    seeds = []
+    entry = types.SimpleNamespace(set_seeds=lambda peers: seeds.append(peers["seeds"]))
+
+    async def follow():
+        settings = gateway_command.load(context.path)
+        with mock.patch.object(gateway_command, "SEEDS_INTERVAL_S", 0.05):
+            task = asyncio.create_task(
+                gateway_command.follow_seeds(entry, settings, context.path)
+            )
+            for content in context.contents:
+                await asyncio.sleep(0.15)
+                context.path.write_text(content)
+            await asyncio.sleep(0.3)
+            assert not task.done()
+            task.cancel()
+
+    asyncio.run(follow())
+    addresses = [[seed["address"] for seed in found] for found in seeds]
+    assert addresses == [["10.1.0.16", "10.3.0.1"]], addresses
+
+
 @given("settings whose {key} is {value}")
 def corrupt_settings(context, key, value):
     context.settings = check_settings(NODE_FILE)
--- a/acaciaward/platform/nodefile.py
+++ b/acaciaward/platform/nodefile.py
@@ -8,21 +8,33 @@
 Unknown fields are ignored. Missing ones are reported when the settings are checked.
 """
 
+import logging
 import os
 import pathlib
 import typing
 from collections import abc
 
+import prometheus_client
+
 from acaciaward import errors
 from acaciaward.catalogue import storeview
+from acaciaward.observability import logs
 from acaciaward.platform import documents
 
+log = logging.getLogger(__name__)
+
 PATH_VARIABLE = "ACACIAWARD_NODE_FILE"
 DEFAULT_PATH = "/etc/acaciaward/boot.conf"
 # The ports that serve metrics and calls of peers are the first of InternalPortRange
 # plus these offsets.
 METRICS_PORT_OFFSET = 1
 DETOURS_PORT_OFFSET = 2
+# The platform names at most three seeds.
+MAX_SEEDS = 16
+INVALID_SEEDS = prometheus_client.Gauge(
+    "acaciaward_invalid_seeds",
+    "Seeds in the platform's settings file that were skipped when it was last read",
+)
 
 # The project's setting for each of the platform's bounds, and the factor that converts
 # its value: 0.001 for milliseconds, which the project's settings have in seconds.
@@ -80,7 +92,7 @@
         "readiness": _address(fields, "Listen.Readiness"),
         "discovery": _address(fields, "Listen.Directory"),
         "peers": _address(fields, "Listen.Control")
-        | {"seeds": _addresses(fields.get("Seeds", ""))},
+        | {"seeds": _seeds(fields.get("Seeds", ""))},
         "store": _address(fields, "Platform.Address"),
         "duties": {"names": _split_list(fields.get("Cloud.Duties", ""))},
         "bounds": _decode_bounds(fields),
@@ -107,11 +119,27 @@
     return {"address": address, "port": port}
 
 
-def _addresses(text: str) -> list[dict[str, typing.Any]]:
-    return [
-        dict(zip(("address", "port"), documents.split_address(part), strict=True))
-        for part in _split_list(text)
-    ]
+def _seeds(text: str) -> list[dict[str, typing.Any]]:
+    """Return the seeds that are addresses; the others are counted and logged."""
+    seeds = []
+    invalid = []
+    parts = _split_list(text)
+    for part in parts[:MAX_SEEDS]:
+        try:
+            address, port = documents.split_address(part)
+        except storeview.UnreadableError as error:
+            invalid.append(str(error))
+        else:
+            seeds.append({"address": address, "port": port})
+    INVALID_SEEDS.set(len(invalid) + max(0, len(parts) - MAX_SEEDS))
+    if invalid or len(parts) > MAX_SEEDS:
+        log.warning(
+            "seeds skipped",
+            extra=logs.fields(
+                reason="; ".join(invalid), seeds=len(parts), used=len(seeds)
+            ),
+        )
+    return seeds
 
 
 def _decode_bounds(fields: abc.Mapping[str, str]) -> dict[str, float]:
