--- a/acaciaward/catalogue/features/delivery.py
+++ b/acaciaward/catalogue/features/delivery.py
@@ -88,6 +88,8 @@
             for data_centre in range(data_centres)
             for number in range(entries_each)
         ]
+        # Where entries find others at their start; the machines may be gone by then.
+        self.seeds = [entry.ports["Control"] for entry in self.entries[:3]]
         self.version = 0
         # Overrides fields of the records of endpoints.
         self.endpoint_fields: dict[str, typing.Any] = {}
@@ -100,8 +102,7 @@
         self.change()
         self.store.put(ENDPOINTS_TOPIC, "s-0", self.endpoint_record(0))
         for entry in self.entries:
-            await self.start_proxy(entry)
-            await self.start_gateway(entry)
+            await self.start_entry(entry)
         await self.wait_until(
             lambda: all(entry.gateway.is_ready for entry in self.entries),
             START_TIMEOUT_S,
@@ -111,6 +112,11 @@
             START_TIMEOUT_S,
         )
 
+    async def start_entry(self, entry: Entry) -> None:
+        """Start an entry with its proxy to the store."""
+        await self.start_proxy(entry)
+        await self.start_gateway(entry)
+
     async def start_proxy(self, entry: Entry) -> None:
         """Start the proxy between an entry and the store."""
         entry.proxy = faultproxy.FaultProxy(("127.0.0.1", self.store.port))
@@ -119,11 +125,15 @@
     async def start_gateway(self, entry: Entry) -> None:
         """Start an entry's gateway in this process."""
         entry.gateway = process.Gateway(self._settings(entry))
+        self.prepare(entry)
         entry.view.subscribe(entry.record)
         context = contextvars.copy_context()
         context.run(entry_name.set, entry.name)
         await asyncio.create_task(entry.gateway.start(), context=context)
 
+    def prepare(self, entry: Entry) -> None:
+        """Change an entry's gateway before it starts."""
+
     def _settings(self, entry: Entry) -> loader.Settings:
         return loader.check(
             nodefile.decode(self.settings_text(entry)),
@@ -134,9 +144,7 @@
 
     def settings_text(self, entry: Entry) -> str:
         """Return the settings file of an entry."""
-        seeds = ",".join(
-            f"127.0.0.1:{seed.ports['Control']}" for seed in self.entries[:3]
-        )
+        seeds = ",".join(f"127.0.0.1:{port}" for port in self.seeds)
         fields = {
             "NodeName": entry.name,
             "Zone": entry.data_centre,
@@ -154,10 +162,10 @@
     async def stop(self) -> None:
         """Stop every gateway without draining, then proxies and store."""
         for entry in self.entries:
-            await self.end(entry)
+            await self.end_entry(entry)
         await self.store.stop()
 
-    async def end(self, entry: Entry) -> None:
+    async def end_entry(self, entry: Entry) -> None:
         """Stop a gateway without draining, and its proxy."""
         if entry.gateway is not None:
             await entry.gateway._end()
--- a/acaciaward/gateway/features/steps/stopping_steps.py
+++ b/acaciaward/gateway/features/steps/stopping_steps.py
@@ -207,7 +207,7 @@
 @when("the entry stops under a stream just after its peer has gone")
 def lose_peer(context):
     group = context.group
-    context.runner.run(group.world.end(group.world.entries.pop()))
+    context.runner.run(group.world.end_entry(group.world.entries.pop()))
 
 
 @when("the entry is held up for {held_up_s:g} s as it is told to stop under a stream")
