Start favoured faults in a rhythm of their own, among fewer others

Cause: a favoured fault was one of some 50 weights with 6.

Now a favoured fault starts every 2 to 4 s, a loss of all entries every 7 to 9 s, and the faults that are drawn beside it have the slow paces, so that entries are undisturbed for as long as the promises ask. Every other server that speaks while its record changes says that it leaves.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import signal
 import subprocess
 import time
@@ -20,8 +21,13 @@
 # Factors for these intervals, of which each soak draws one: promises that bind only
 # what is undisturbed can be checked only if there is time between faults.
 INTERVAL_FACTORS = (1.0, 1.0, 3.0, 6.0)
-# Weight of a fault that is to be injected often; the others' add up to about 40.
-FAVOURED_WEIGHT = 6
+# Those beside a fault that is injected often; with more, little is undisturbed by then.
+INTERVAL_FACTORS_BESIDE_FAVOURED = (3.0, 6.0)
+# Range of the time between two starts of a fault that is to be injected often, beside
+# those that are drawn. Entries that are lost more often don't get to know of any
+# version how long it has served.
+FAVOURED_INTERVAL_RANGE_S = (2.0, 4.0)
+FAVOURED_INTERVAL_RANGES_S = {"kill_all_entries": (7.0, 9.0)}
 # Minimum time between two configurations, so that the service that ran a request
 # tells which of them was in force.
 CONFIGURATION_INTERVAL_S = 3.0
@@ -38,9 +44,8 @@
 RECORD_CHANGE_RANGE_S = (0.1, 2.0)
 RECORD_PAUSE_RANGE_S = (0.3, 2.0)
 MANY_DIGITS = 10**400
-# Share of servers that leave, among those that speak while their records change; the
-# others refuse few requests, so that they don't soon tell again what they have told.
-LEAVING_SHARE = 0.3
+# Servers that speak while their records change refuse few requests, so that they don't
+# soon tell again what they have told.
 FEW_REFUSED = 0.2
 
 # How long a part of prompts crashes servers.
@@ -62,6 +67,8 @@
 CUT_MODES = ("hang", "reset", "refuse")
 CUT_RANGE_S = (3.0, 12.0)
 
+Fault = abc.Callable[[], abc.Coroutine]
+
 
 class FaultInjector(disturber.Disturber):
     """Injects faults for a given time."""
@@ -73,8 +80,12 @@
         self._tasks: set[asyncio.Task] = set()
         self._configured_at = time.monotonic()
         self.injected: list[str] = []
-        self._interval_factor = self._random.choice(INTERVAL_FACTORS)
-        self._weighted_faults: list[tuple[float, abc.Callable[[], abc.Coroutine]]] = [
+        # Every other server that speaks while its record changes says that it leaves.
+        self._speaks_of_leaving = itertools.cycle((False, True))
+        self._interval_factor = self._random.choice(
+            INTERVAL_FACTORS_BESIDE_FAVOURED if favoured else INTERVAL_FACTORS
+        )
+        self._weighted_faults: list[tuple[float, Fault]] = [
             (3, self._kill_random_entry),
             (2, self._stop_entry),
             (2, self._pause_entry),
@@ -100,30 +111,46 @@
             (2, self._change_record),
             (2, self._speak_while_record_changes),
         ]
-        names = [fault.__name__.lstrip("_") for _, fault in self._weighted_faults]
-        if favoured and favoured not in names:
-            raise ValueError(f"no fault {favoured!r}; there are {', '.join(names)}")
-        for number, name in enumerate(names):
-            if name == favoured:
-                fault = self._weighted_faults[number][1]
-                self._weighted_faults[number] = (FAVOURED_WEIGHT, fault)
+        faults = {
+            fault.__name__.lstrip("_"): fault for _, fault in self._weighted_faults
+        }
+        if favoured and favoured not in faults:
+            raise ValueError(f"no fault {favoured!r}; there are {', '.join(faults)}")
+        self._favoured = faults.get(favoured)
+        self._favoured_interval_range_s = FAVOURED_INTERVAL_RANGES_S.get(
+            favoured, FAVOURED_INTERVAL_RANGE_S
+        )
 
     async def run(self, seconds: float) -> None:
         """Start faults for so long, then wait until the last of them is over."""
         end = time.monotonic() + seconds
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._start_drawn(end))
+            if self._favoured is not None:
+                group.create_task(self._start_favoured(self._favoured, end))
+        while self._tasks:
+            await asyncio.sleep(world.POLL_INTERVAL_S)
+
+    async def _start_drawn(self, end: float) -> None:
         weights = [weight for weight, _ in self._weighted_faults]
         while time.monotonic() < end:
             ((_, fault),) = self._random.choices(self._weighted_faults, weights)
-            self.injected.append(fault.__qualname__)
-            self._system.record_event(fault.__qualname__)
-            task = asyncio.create_task(fault())
-            self._tasks.add(task)
-            task.add_done_callback(self._on_task_done)
+            self._start(fault)
             await asyncio.sleep(
                 self._interval_factor * self._random.uniform(*INTERVAL_RANGE_S)
             )
-        while self._tasks:
-            await asyncio.sleep(world.POLL_INTERVAL_S)
+
+    async def _start_favoured(self, fault: Fault, end: float) -> None:
+        while time.monotonic() < end:
+            await asyncio.sleep(self._random.uniform(*self._favoured_interval_range_s))
+            self._start(fault)
+
+    def _start(self, fault: Fault) -> None:
+        self.injected.append(fault.__qualname__)
+        self._system.record_event(fault.__qualname__)
+        task = asyncio.create_task(fault())
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
 
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
@@ -293,7 +320,7 @@
             return
         speaking = asyncio.create_task(
             self._say_leaving(server)
-            if self._random.random() < LEAVING_SHARE
+            if next(self._speaks_of_leaving)
             else self._refuse_for_a_while(server, FEW_REFUSED, BACKOFF_RANGE_S[1])
         )
         while not speaking.done():
