Let the soak's servers stand still, and judge each stream that is cut

No soak had that fault, and LOST was judged for orderly stops alone.

A stream that had begun and was cut is LOST, unless a server that it was sent to, or an entry that took or sent it, had a fault or was ended, its deadline was near, a stop was in its last sixth, or its caller left.

Servers that stand still record a request when it arrives, not when they go on: the arrival is what DRAIN and BUDGET bind.

The plant `hasty` ends an attempt when its endpoint is silent and another one seems well, as before the fix.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,10 +10,12 @@
 import random
 import subprocess
 import sys
+import time
+import types
 
-from behave import then, when
+from behave import given, then, when
 
-from soak import callers, ledger
+from soak import callers, conditions, judge, ledger
 
 # Covers a soak of 30 s, its start and its shutdown.
 SOAK_TIMEOUT_S = 150
@@ -102,3 +104,72 @@
 @then("the caller goes on")
 def check_goes_on(context):
     assert context.failure is None, repr(context.failure)
+
+
+STREAM_TIMEOUT_S = 3.0
+DISTURBANCE_S = 0.2
+NAMES = {
+    "its entry": "edge-0",
+    "the peer": "edge-1",
+    "another peer": "edge-2",
+    "its server": "s-1",
+    "the store": "store",
+}
+KINDS = {
+    "a fault": conditions.Kind.FAULT,
+    "a stop": conditions.Kind.STOP,
+    "an end": conditions.Kind.END,
+}
+
+
+@given(
+    "a stream that was sent to a server {ago_s:g} s ago and was cut after {after_s:g} s"
+)
+def cut_stream(context, ago_s, after_s):
+    sent_at = time.monotonic() - ago_s
+    server = types.SimpleNamespace(name="s-1", left_at=None)
+    context.attempt = ledger.Attempt(
+        *("a-1", "resumable", "/s/1", "calm", b"", "edge-0", 1, sent_at),
+        timeout_s=STREAM_TIMEOUT_S,
+        event_count=80,
+        events=3,
+        ended_at=sent_at + after_s,
+        status=200,
+        arrivals=[ledger.Observation(sent_at, server)],
+        senders={"edge-1"},
+    )
+    context.disturbances = conditions.Disturbances()
+
+
+@given("{what} that had {disturbance} {when_s:g} s after it was sent")
+def disturb(context, what, disturbance, when_s):
+    if what != "nothing":
+        begin = context.attempt.sent_at + when_s
+        name, kind = NAMES[what], KINDS[disturbance]
+        context.disturbances.begin(name, begin, kind)
+        context.disturbances.end(name, begin + DISTURBANCE_S, kind)
+
+
+@when("the soak judges what callers got")
+def judge_cuts(context):
+    recorder = context.recorder = ledger.Recorder()
+    recorder.attempts["a-1"] = context.attempt
+    checker = judge.Checker(
+        recorder,
+        store=None,
+        disturbances=context.disturbances,
+        configuration_changes=[],
+        bounds=conditions.Bounds(),
+        version_service_count=1,
+        part_crashes={},
+        entry_names=[],
+        signal_log=None,
+        orderly_stops=[],
+    )
+    checker._check_cuts()
+
+
+@then("the stream {verdict} as lost")
+def check_verdict(context, verdict):
+    lost = [found for found in context.recorder.violations if found.promise == "LOST"]
+    assert len(lost) == (verdict == "counts"), lost
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -58,6 +58,7 @@
             system.crashes,
             [entry.name for entry in system.entries],
             system.signals,
+            system.orderly_stops,
         )
         checker.check_recovery(faults_ended_at, time.monotonic())
         await asyncio.sleep(_usage_check_s(system))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -94,10 +94,18 @@
         weights = [kind.weight for kind in self._kinds]
         while not self.is_stopping:
             (kind,) = self._random.choices(self._kinds, weights)
-            await self._resolve()
-            with contextlib.suppress(OSError, TimeoutError):
-                await self._send(kind)
+            await self.send(kind)
             await asyncio.sleep(self._random.expovariate(1 / MEAN_PAUSE_S))
+        self.close()
+
+    async def send(self, kind: RequestKind) -> None:
+        """Send a request; a stream that may be taken up is, if it breaks off."""
+        await self._resolve()
+        with contextlib.suppress(OSError, TimeoutError):
+            await self._send(kind)
+
+    def close(self) -> None:
+        """Close the connections that are open."""
         for connection in self._open_connections.values():
             connection.writer.close()
 
@@ -203,6 +211,7 @@
             entry=connection.entry.name,
             incarnation=connection.incarnation,
             sent_at=time.monotonic(),
+            timeout_s=kind.timeout_s,
             event_count=kind.event_count,
             origin=origin,
         )
--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -5,7 +5,11 @@
 """
 
 import collections
+import dataclasses
+import enum
+import math
 import typing
+from collections import abc
 
 
 class Bounds(typing.NamedTuple):
@@ -46,21 +50,34 @@
     gone_share: float = 0.25
 
 
+class Kind(enum.Enum):
+    """What a disturbance does to what it disturbs."""
+
+    FAULT = enum.auto()
+    # An entry is told to end, and has time for what it has begun.
+    STOP = enum.auto()
+    # What has had its time to leave or stop ends, and breaks off what it still runs.
+    END = enum.auto()
+
+
+DISTURBING_KINDS = frozenset({Kind.FAULT, Kind.STOP})
+
+
 class Disturbances:
     """When entries, servers and the store were disturbed, by their names."""
 
     def __init__(self):
-        self._spans: dict[str, list[list[float]]] = collections.defaultdict(list)
+        self._spans: dict[str, list[_Span]] = collections.defaultdict(list)
 
-    def begin(self, name: str, at: float) -> None:
+    def begin(self, name: str, at: float, kind: Kind = Kind.FAULT) -> None:
         """Record that a disturbance of ``name`` began."""
-        self._spans[name].append([at, float("inf")])
+        self._spans[name].append(_Span(kind, at))
 
-    def end(self, name: str, at: float) -> None:
-        """Record that the oldest open disturbance of ``name`` ended."""
+    def end(self, name: str, at: float, kind: Kind = Kind.FAULT) -> None:
+        """Record that the oldest open disturbance of ``name`` of that kind ended."""
         for span in self._spans[name]:
-            if span[1] == float("inf"):
-                span[1] = at
+            if span.kind is kind and span.end == math.inf:
+                span.end = at
                 return
 
     def is_undisturbed(
@@ -70,14 +87,23 @@
         end: float,
         *,
         except_begun_at: float | None = None,
+        kinds: abc.Container[Kind] = DISTURBING_KINDS,
     ) -> bool:
         """
         Whether nothing disturbed ``name`` between ``begin`` and ``end``.
 
-        Disturbances that began at ``except_begun_at`` don't count.
+        Disturbances that began at ``except_begun_at`` or that aren't of these ``kinds``
+        don't count.
         """
         return not any(
-            span_begin < end and begin < span_end
-            for span_begin, span_end in self._spans[name]
-            if span_begin != except_begun_at
+            span.begin < end and begin < span.end
+            for span in self._spans[name]
+            if span.begin != except_begun_at and span.kind in kinds
         )
+
+
+@dataclasses.dataclass
+class _Span:
+    kind: Kind
+    begin: float
+    end: float = math.inf
--- a/soak/disturber.py
+++ b/soak/disturber.py
@@ -6,7 +6,7 @@
 import time
 from collections import abc
 
-from soak import world
+from soak import conditions, world
 from standins import faultproxy
 
 # Range of a fault's duration; some faults outlast every timeout of an entry.
@@ -26,16 +26,18 @@
         return self._random.uniform(*DURATION_RANGE_S)
 
     @contextlib.contextmanager
-    def _disturbing(self, *names: str) -> abc.Iterator[float]:
+    def _disturbing(
+        self, *names: str, kind: conditions.Kind = conditions.Kind.FAULT
+    ) -> abc.Iterator[float]:
         """Record a disturbance for the body's time; yield the moment when it began."""
         began = time.monotonic()
         for name in names:
-            self._system.disturbances.begin(name, began)
+            self._system.disturbances.begin(name, began, kind)
         try:
             yield began
         finally:
             for name in names:
-                self._system.disturbances.end(name, time.monotonic())
+                self._system.disturbances.end(name, time.monotonic(), kind)
 
     def _choose_entry(self) -> world.Entry | None:
         running = self._running_entries()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 import typing
 from collections import abc
 
-from soak import disturber, storefaults, world
+from soak import conditions, disturber, judge, standstills, storefaults, world
 from standins import edgeserver
 
 # Range of the time between the starts of two faults; short enough that they overlap.
@@ -51,6 +51,9 @@
 # How long a part of prompts crashes servers.
 TAINTED_RANGE_S = (6.0, 15.0)
 
+# Time from the start of a standstill fault until planned work that it comes with.
+BEFORE_PLANNED_WORK_RANGE_S = (0.0, 1.5)
+
 # Fields of records that no server writes.
 ODD_FIELDS = (
     {"Slots": MANY_DIGITS},
@@ -77,6 +80,12 @@
         """Inject the fault that is named ``favoured`` more often than others."""
         super().__init__(system)
         store_faults = storefaults.StoreFaults(system)
+        self._standstills = standstills.Standstills(system)
+        # What is done beside standstills, in turn.
+        self._planned_work: abc.Iterator[Fault | None]
+        self._planned_work = itertools.cycle(
+            (None, self._stop_entry, self._reload_entry, self._change_configuration)
+        )
         self._tasks: set[asyncio.Task] = set()
         self._configured_at = time.monotonic()
         self.injected: list[str] = []
@@ -110,6 +119,7 @@
             (2, self._ask_to_back_off),
             (2, self._change_record),
             (2, self._speak_while_record_changes),
+            (2, self._stand_still),
         ]
         faults = {
             fault.__name__.lstrip("_"): fault for _, fault in self._weighted_faults
@@ -180,11 +190,13 @@
         entry = self._choose_entry()
         if entry is None:
             return
-        with self._disturbing(entry.name) as began:
+        with self._disturbing(entry.name, kind=conditions.Kind.STOP) as began:
             entry.is_expected_to_run = False
             entry.signal(signal.SIGTERM)
             await self._wait_for_end(entry, began)
-            self._system.orderly_stops.append((entry.name, began, time.monotonic()))
+            self._system.orderly_stops.append(
+                judge.OrderlyStop(entry.name, began, time.monotonic())
+            )
             await asyncio.sleep(world.RESTART_DELAY_S)
             self._system.start_entry(entry)
             await asyncio.sleep(1.0)
@@ -202,8 +214,9 @@
                 self._system.recorder.record_violation(
                     "END", f"{entry.name} ignored SIGTERM"
                 )
-            entry.signal(signal.SIGKILL)
-            await asyncio.to_thread(entry.process.wait)
+            with self._disturbing(entry.name, kind=conditions.Kind.END):
+                entry.signal(signal.SIGKILL)
+                await asyncio.to_thread(entry.process.wait)
 
     async def _pause_entry(self) -> None:
         entry = self._choose_entry()
@@ -400,6 +413,15 @@
         await asyncio.sleep(self._random.uniform(*TAINTED_RANGE_S))
         self._system.set_deadly_parts([])
 
+    async def _stand_still(self) -> None:
+        """Let servers stand still, and stop or reload an entry, or configure them."""
+        planned_work = next(self._planned_work)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._standstills.stand_still())
+            if planned_work is not None:
+                await asyncio.sleep(self._random.uniform(*BEFORE_PLANNED_WORK_RANGE_S))
+                group.create_task(planned_work())
+
     async def _reuse_address(self) -> None:
         """Start a server of another service at the address of one that has ended."""
         server = self._choose_server("app")
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -16,6 +16,15 @@
 # Allowance for the delays of the proxies and of this process, which come on top of an
 # entry's own in times that are measured at a server.
 MEASUREMENT_ALLOWANCE_S = 0.25
+# Time before its deadline from which on an entry may end a call.
+DEADLINE_S = 0.25
+# Part of the time to stop after which an entry may end what it still runs, if that was
+# sent soon after the signal.
+LAST_PART = 5 / 6
+SENT_SOON_S = 3.0
+OK = 200
+# What makes a server or an entry break off what it runs.
+BREAKING_OFF = frozenset({conditions.Kind.FAULT, conditions.Kind.END})
 # Approximate duration of a complete stream of the resumable kind.
 COMPLETE_STREAM_S = 1.2
 
@@ -27,6 +36,14 @@
     acknowledged_at: float
 
 
+class OrderlyStop(typing.NamedTuple):
+    """An entry that was told to end, when it was, and when its process had ended."""
+
+    entry: str
+    began: float
+    ended: float
+
+
 class Checker:
     """Finds promises that were broken over spans of time, and records violations."""
 
@@ -41,6 +58,7 @@
         part_crashes: abc.Mapping[str, abc.Sequence[float]],
         entry_names: abc.Collection[str],
         signal_log: signals.Signals,
+        orderly_stops: abc.Sequence[OrderlyStop],
     ):
         self._recorder = recorder
         self._store = store
@@ -50,6 +68,8 @@
         self._version_service_count = version_service_count
         self._part_crashes = part_crashes
         self._signals = signal_log
+        self._orderly_stops = orderly_stops
+        self._lost: set[str] = set()
         self._duties = dutyrules.DutyChecker(
             recorder, store, disturbances, bounds, entry_names
         )
@@ -63,6 +83,7 @@
         self._duties.check()
         self._check_gone_callers()
         self._check_deadly_parts()
+        self._check_cuts()
         self._signals.check(
             self._recorder, self._disturbances, self._bounds, MEASUREMENT_ALLOWANCE_S
         )
@@ -260,6 +281,58 @@
             detail = f"{continued} of {continued + stopped} worked on for nobody"
             self._recorder.record_violation("GONE", detail)
 
+    def _check_cuts(self) -> None:
+        """
+        Check that no stream that had begun was cut though its servers were sound.
+
+        A server that stands still, refuses or leaves is sound. Nothing is checked of a
+        stream if it was at its deadline, or if one of its servers broke off or one of
+        its entries was disturbed, other than by an orderly stop.
+        """
+        for attempt in self._recorder.attempts.values():
+            if not attempt.event_count or attempt.status != OK or attempt.is_complete:
+                continue
+            has_left = attempt.caller_left_at is not None
+            if has_left or attempt.ended_at is None or self._is_at_limit(attempt):
+                continue
+            begin, end = attempt.sent_at - self._bounds.contact_s, attempt.ended_at
+            is_undisturbed = self._disturbances.is_undisturbed
+            are_entries_sound = all(
+                is_undisturbed(name, begin, end, kinds=BREAKING_OFF)
+                for name in {attempt.entry, *attempt.senders}
+            )
+            are_servers_sound = all(
+                is_undisturbed(server.name, begin, end, kinds=BREAKING_OFF)
+                for _, server in attempt.arrivals
+            )
+            if are_entries_sound and are_servers_sound:
+                self._record_lost(attempt, end)
+
+    def _is_at_limit(self, attempt: ledger.Attempt) -> bool:
+        """Whether an entry may have ended an attempt because its time was up."""
+        ended_at = attempt.ended_at
+        if ended_at >= attempt.sent_at + attempt.timeout_s - DEADLINE_S:
+            return True
+        stop_limit_s = LAST_PART * self._bounds.stop_limit_s
+        return any(
+            stop.entry == attempt.entry
+            and attempt.sent_at <= stop.began + SENT_SOON_S
+            and stop.began + stop_limit_s <= ended_at
+            and ended_at <= stop.ended + MEASUREMENT_ALLOWANCE_S
+            for stop in self._orderly_stops
+        )
+
+    def _record_lost(self, attempt: ledger.Attempt, at: float) -> None:
+        if attempt.attempt_id in self._lost:
+            return
+        self._lost.add(attempt.attempt_id)
+        detail = f"{attempt.attempt_id} at {attempt.entry}"
+        if attempt.events:
+            after_s = attempt.ended_at - attempt.sent_at
+            names = ", ".join(server.name for _, server in attempt.arrivals)
+            detail += f", {attempt.events} events, {after_s:.2f} s; sent to {names}"
+        self._recorder.record_violation("LOST", detail, at)
+
     def check_stop(self, entry: str, began: float, ended: float) -> None:
         """
         Check that an orderly stop of an entry lost no request.
@@ -278,14 +351,12 @@
             if not is_relevant or not began - 1.0 < attempt.sent_at < began + 3.0:
                 continue
             servers = [server.name for _, server in attempt.arrivals]
-            if not servers or attempt.ended_at is None:
+            if not servers or attempt.ended_at is None or self._is_at_limit(attempt):
                 continue
             if not all(is_undisturbed(name, begin, ended) for name in servers):
                 continue
             if attempt.status is None or not attempt.is_complete:
-                self._recorder.record_violation(
-                    "LOST", f"{attempt.attempt_id} at {entry}", began
-                )
+                self._record_lost(attempt, began)
 
     def check_recovery(self, faults_ended_at: float, now: float) -> None:
         """Check that enough was served from ``recover_s`` after the last fault on."""
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -20,7 +20,8 @@
 ONE      One entry at a time carries out a duty.
 USAGE    Windows of usage are reported in time again after the store was restored.
 GONE     Requests of callers that left are neither sent to servers nor kept running.
-LOST     An orderly stop of an entry loses no requests.
+LOST     An orderly stop of an entry loses no requests, and no stream that has begun
+         is cut while its servers are sound, though they may be silent for a while.
 RECOVER  Requests are served again once faults are over.
 =======  ==========================================================================
 
@@ -29,6 +30,7 @@
 ``faults``.
 """
 
+import collections
 import dataclasses
 import time
 import typing
@@ -60,10 +62,11 @@
     """
     One request of a caller and its outcome.
 
-    ``arrivals`` lists when servers received it, ``runs`` when they began to run it.
-    Times are those of ``time.monotonic``. An attempt that takes a stream up has the one
-    that brought its first event as ``origin``; ``version`` is that of the software of
-    the servers whose events it got.
+    ``arrivals`` lists when servers received it, ``runs`` when they began to run it, and
+    ``senders`` are the entries that sent it to them. Times are those of
+    ``time.monotonic``; its caller waits for ``timeout_s``. An attempt that takes a
+    stream up has the one that brought its first event as ``origin``; ``version`` is
+    that of the software of the servers whose events it got.
     """
 
     attempt_id: str
@@ -74,6 +77,7 @@
     entry: str
     incarnation: int
     sent_at: float
+    timeout_s: float
     event_count: int = 0
     first_event: int = 1
     origin: "Attempt | None" = None
@@ -86,6 +90,7 @@
     is_complete: bool = False
     arrivals: list[Observation] = dataclasses.field(default_factory=list)
     runs: list[Observation] = dataclasses.field(default_factory=list)
+    senders: set[str] = dataclasses.field(default_factory=set)
     run_ended_at: float | None = None
 
     @property
@@ -114,9 +119,9 @@
     def __init__(self):
         self.attempts: dict[str, Attempt] = {}
         self.violations: list[Violation] = []
-        # Is called with each arrival: server, port of the sender, and both times.
+        # Is called with each arrival, its server and the port of its sender.
         self.on_arrival: (
-            typing.Callable[[edgeserver.EdgeServer, int, float, float], None] | None
+            typing.Callable[[Attempt, edgeserver.EdgeServer, int], None] | None
         )
         self.on_arrival = None
 
@@ -132,10 +137,9 @@
         if attempt is None:
             self.record_violation("UNASKED", f"unknown request {request.target}")
             return
-        now = time.monotonic()
-        attempt.arrivals.append(Observation(now, server))
+        attempt.arrivals.append(Observation(time.monotonic(), server))
         if self.on_arrival is not None:
-            self.on_arrival(server, request.peer_port, now, attempt.sent_at)
+            self.on_arrival(attempt, server, request.peer_port)
         received = (request.target, request.body, request.headers.get("tenant"))
         if received != (attempt.path, attempt.body, attempt.organisation):
             self.record_violation("UNASKED", f"{attempt.attempt_id}: {received}")
@@ -161,6 +165,14 @@
         if attempt is not None:
             attempt.run_ended_at = time.monotonic()
 
+    def count_runs(self) -> collections.Counter[str]:
+        """Return how many requests each server, by its name, works on."""
+        return collections.Counter(
+            attempt.runs[-1].server.name
+            for attempt in self.attempts.values()
+            if attempt.runs and attempt.run_ended_at is None
+        )
+
     def _check_refusal(self, attempt: Attempt) -> None:
         is_refused = attempt.status in REFUSAL_STATUSES
         if is_refused and attempt.runs and not attempt.may_repeat:
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -19,8 +19,10 @@
 from acaciaward.gateway import (
     callers,
     callprogress,
+    errors,
     events,
     forwarding,
+    hedging,
     process,
     refusals,
     upstreams,
@@ -219,6 +221,19 @@
     process.Gateway.stop = stop
 
 
+def hasty() -> None:
+    """End attempts whose endpoints are silent once another one seems well."""
+
+    def start_backup(contender):
+        try:
+            contender._prepare_backup()
+        except hedging.NoBackupError:
+            return
+        contender.source.interrupt(errors.SilentError("endpoint sends no data"))
+
+    hedging.Contender.start_backup = start_backup
+
+
 def recover() -> None:
     """Refuse every request from ``EFFECT_DELAY_S`` after the start on."""
     original = forwarding.Forwarder.handle
@@ -267,6 +282,7 @@
         usage,
         gone,
         lost,
+        hasty,
         recover,
         end,
     )
--- a/soak/world.py
+++ b/soak/world.py
@@ -31,10 +31,11 @@
 DATA_CENTRES = ("north", "south")
 # API keys by organisation; "hot" has a quota, "calm" has none.
 API_KEYS = {"calm": "key-calm", "hot": "key-hot"}
+RESUMABLE = callers.RequestKind("resumable", "/s/", "calm", 5.0, 0.2, 80)
 REQUEST_KINDS = (
     callers.RequestKind("idempotent", "/p/", "calm", 1.5, 0.25),
     callers.RequestKind("non_idempotent", "/u/", "calm", 1.5, 0.25),
-    callers.RequestKind("resumable", "/s/", "calm", 5.0, 0.2, 80),
+    RESUMABLE,
     callers.RequestKind("stream", "/o/", "calm", 3.0, 0.1, 8),
     callers.RequestKind("version", "/v/", "calm", 1.0, 0.1),
     callers.RequestKind("idempotent", "/p/", "hot", 1.0, 0.1),
@@ -111,7 +112,7 @@
             for number in range(entries)
         ]
         self.signals = signals.Signals(self._find_sender)
-        self.recorder.on_arrival = self.signals.arrived
+        self.recorder.on_arrival = self._record_arrival
         self.servers: dict[str, edgeserver.EdgeServer] = {}
         self.server_proxies: dict[str, faultproxy.FaultProxy] = {}
         # How entries are cut off from all servers, by their source addresses.
@@ -123,8 +124,7 @@
         self.crashes: dict[str, list[float]] = {}
         self._tasks: list[asyncio.Task] = []
         self._temporary_folder = tempfile.TemporaryDirectory(prefix="acaciaward-soak-")
-        # Orderly stops: the entry, when it got the signal, when its process had ended.
-        self.orderly_stops: list[tuple[str, float, float]] = []
+        self.orderly_stops: list[judge.OrderlyStop] = []
         # The faults and their parts, and when each began.
         self.events: list[tuple[float, str]] = []
         self._server_number = 0
@@ -168,29 +168,42 @@
         self._start_task(self._restart_ended_entries())
 
     def _start_callers(self) -> None:
-        entry_ports = {
-            entry.address: callers.EntryPorts(
-                entry.name, entry.caller_proxy.port, entry.ports["Directory"]
-            )
-            for entry in self.entries
-        }
-        entries_by_name = {entry.name: entry for entry in self.entries}
         for number in range(self._caller_count):
             is_hot = number < HOT_CALLER_COUNT
             kinds = [
                 kind for kind in REQUEST_KINDS if is_hot == (kind.organisation == "hot")
             ]
-            caller = callers.Caller(
-                self.recorder,
-                kinds,
-                API_KEYS,
-                entry_ports,
-                lambda name: entries_by_name[name].start_count,
-                self._new_rng(),
-            )
+            caller = self._new_caller(kinds)
             self._callers.append(caller)
             self._start_task(caller.run())
 
+    def _new_caller(self, kinds: abc.Sequence[callers.RequestKind]) -> callers.Caller:
+        entry_ports = {
+            entry.address: callers.EntryPorts(
+                entry.name, entry.caller_proxy.port, entry.ports["Directory"]
+            )
+            for entry in self.entries
+        }
+        entries_by_name = {entry.name: entry for entry in self.entries}
+        return callers.Caller(
+            self.recorder,
+            kinds,
+            API_KEYS,
+            entry_ports,
+            lambda name: entries_by_name[name].start_count,
+            self._new_rng(),
+        )
+
+    def send_streams(self, count: int) -> None:
+        """Start so many streams that may be taken up, at once, each by its caller."""
+        for _ in range(count):
+            self._start_task(self._send_stream())
+
+    async def _send_stream(self) -> None:
+        caller = self._new_caller([RESUMABLE])
+        await caller.send(RESUMABLE)
+        caller.close()
+
     def _start_task(self, coroutine: abc.Coroutine) -> None:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._record_task_failure)
@@ -313,6 +326,15 @@
         self.server_proxies[server.name] = proxy
         return server
 
+    def _record_arrival(
+        self, attempt: ledger.Attempt, server: edgeserver.EdgeServer, port: int
+    ) -> None:
+        sender = self._find_sender(server, port)
+        if sender is not None:
+            attempt.senders.add(sender[0])
+        arrived_at, _ = attempt.arrivals[-1]
+        self.signals.arrived(server, port, arrived_at, attempt.sent_at)
+
     def _record_signals(
         self,
         server: edgeserver.EdgeServer,
@@ -359,10 +381,13 @@
         self, server: edgeserver.EdgeServer, *, lapses: bool = False
     ) -> None:
         """Stop a server and its proxy; ``lapses`` lets its registration expire."""
+        kind = conditions.Kind.END
+        self.disturbances.begin(server.name, time.monotonic(), kind)
         if self.servers.get(server.name) is server:
             del self.servers[server.name]
             await self.server_proxies.pop(server.name).stop()
         await server.stop(lapses=lapses)
+        self.disturbances.end(server.name, time.monotonic(), kind)
 
     def change_configuration(self) -> None:
         """Write the next configuration; the version route gets another service."""
--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -236,14 +236,15 @@
     async def _handle(
         self, request: edgewire.Request, writer: asyncio.StreamWriter
     ) -> bool:
-        await self._is_running.wait()
         expected_name = request.headers.get("expect-instance", self.name)
         attempt_id = request.headers.get("attempt-id", "")
         headers = {"Attempt-Id": attempt_id, "Server-Signature": f"s.{self.name}"}
+        if expected_name == self.name:
+            self._observer.arrived(self, request)
+        await self._is_running.wait()
         if expected_name != self.name:
             writer.write(edgewire.encode(421, b"", {"Instance-Id": self.name}))
             return True
-        self._observer.arrived(self, request)
         behaviour = self.behaviour
         if self._random.random() >= self.share:
             behaviour = "pass"
