--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,13 +6,14 @@
 """
 
 import asyncio
+import itertools
 import signal
 import subprocess
 import time
 import typing
 from collections import abc
 
-from soak import disturber, storefaults, world
+from soak import conditions, disturber, judge, standstills, storefaults, world
 from standins import edgeserver
 
 # Range of the time between the starts of two faults; short enough that they overlap.
@@ -20,8 +21,13 @@
 # Factors for these intervals, of which each soak draws one: promises that bind only
 # what is undisturbed can be checked only if there is time between faults.
 INTERVAL_FACTORS = (1.0, 1.0, 3.0, 6.0)
-# Weight of a fault that is to be injected often; the others' add up to about 40.
-FAVOURED_WEIGHT = 6
+# Those beside a fault that is injected often; with more, little is undisturbed by then.
+INTERVAL_FACTORS_BESIDE_FAVOURED = (3.0, 6.0)
+# Range of the time between two starts of a fault that is to be injected often, beside
+# those that are drawn. Entries that are lost more often don't get to know of any
+# version how long it has served.
+FAVOURED_INTERVAL_RANGE_S = (2.0, 4.0)
+FAVOURED_INTERVAL_RANGES_S = {"kill_all_entries": (7.0, 9.0)}
 # Minimum time between two configurations, so that the service that ran a request
 # tells which of them was in force.
 CONFIGURATION_INTERVAL_S = 3.0
@@ -38,14 +44,16 @@
 RECORD_CHANGE_RANGE_S = (0.1, 2.0)
 RECORD_PAUSE_RANGE_S = (0.3, 2.0)
 MANY_DIGITS = 10**400
-# Share of servers that leave, among those that speak while their records change; the
-# others refuse few requests, so that they don't soon tell again what they have told.
-LEAVING_SHARE = 0.3
+# Servers that speak while their records change refuse few requests, so that they don't
+# soon tell again what they have told.
 FEW_REFUSED = 0.2
 
 # How long a part of prompts crashes servers.
 TAINTED_RANGE_S = (6.0, 15.0)
 
+# Time from the start of a standstill fault until planned work that it comes with.
+BEFORE_PLANNED_WORK_RANGE_S = (0.0, 1.5)
+
 # Fields of records that no server writes.
 ODD_FIELDS = (
     {"Slots": MANY_DIGITS},
@@ -62,6 +70,8 @@
 CUT_MODES = ("hang", "reset", "refuse")
 CUT_RANGE_S = (3.0, 12.0)
 
+Fault = abc.Callable[[], abc.Coroutine]
+
 
 class FaultInjector(disturber.Disturber):
     """Injects faults for a given time."""
@@ -70,11 +80,21 @@
         """Inject the fault that is named ``favoured`` more often than others."""
         super().__init__(system)
         store_faults = storefaults.StoreFaults(system)
+        self._standstills = standstills.Standstills(system)
+        # What is done beside standstills, in turn.
+        self._planned_work: abc.Iterator[Fault | None]
+        self._planned_work = itertools.cycle(
+            (None, self._stop_entry, self._reload_entry, self._change_configuration)
+        )
         self._tasks: set[asyncio.Task] = set()
         self._configured_at = time.monotonic()
         self.injected: list[str] = []
-        self._interval_factor = self._random.choice(INTERVAL_FACTORS)
-        self._weighted_faults: list[tuple[float, abc.Callable[[], abc.Coroutine]]] = [
+        # Every other server that speaks while its record changes says that it leaves.
+        self._speaks_of_leaving = itertools.cycle((False, True))
+        self._interval_factor = self._random.choice(
+            INTERVAL_FACTORS_BESIDE_FAVOURED if favoured else INTERVAL_FACTORS
+        )
+        self._weighted_faults: list[tuple[float, Fault]] = [
             (3, self._kill_random_entry),
             (2, self._stop_entry),
             (2, self._pause_entry),
@@ -99,31 +119,48 @@
             (2, self._ask_to_back_off),
             (2, self._change_record),
             (2, self._speak_while_record_changes),
+            (2, self._stand_still),
         ]
-        names = [fault.__name__.lstrip("_") for _, fault in self._weighted_faults]
-        if favoured and favoured not in names:
-            raise ValueError(f"no fault {favoured!r}; there are {', '.join(names)}")
-        for number, name in enumerate(names):
-            if name == favoured:
-                fault = self._weighted_faults[number][1]
-                self._weighted_faults[number] = (FAVOURED_WEIGHT, fault)
+        faults = {
+            fault.__name__.lstrip("_"): fault for _, fault in self._weighted_faults
+        }
+        if favoured and favoured not in faults:
+            raise ValueError(f"no fault {favoured!r}; there are {', '.join(faults)}")
+        self._favoured = faults.get(favoured)
+        self._favoured_interval_range_s = FAVOURED_INTERVAL_RANGES_S.get(
+            favoured, FAVOURED_INTERVAL_RANGE_S
+        )
 
     async def run(self, seconds: float) -> None:
         """Start faults for so long, then wait until the last of them is over."""
         end = time.monotonic() + seconds
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._start_drawn(end))
+            if self._favoured is not None:
+                group.create_task(self._start_favoured(self._favoured, end))
+        while self._tasks:
+            await asyncio.sleep(world.POLL_INTERVAL_S)
+
+    async def _start_drawn(self, end: float) -> None:
         weights = [weight for weight, _ in self._weighted_faults]
         while time.monotonic() < end:
             ((_, fault),) = self._random.choices(self._weighted_faults, weights)
-            self.injected.append(fault.__qualname__)
-            self._system.record_event(fault.__qualname__)
-            task = asyncio.create_task(fault())
-            self._tasks.add(task)
-            task.add_done_callback(self._on_task_done)
+            self._start(fault)
             await asyncio.sleep(
                 self._interval_factor * self._random.uniform(*INTERVAL_RANGE_S)
             )
-        while self._tasks:
-            await asyncio.sleep(world.POLL_INTERVAL_S)
+
+    async def _start_favoured(self, fault: Fault, end: float) -> None:
+        while time.monotonic() < end:
+            await asyncio.sleep(self._random.uniform(*self._favoured_interval_range_s))
+            self._start(fault)
+
+    def _start(self, fault: Fault) -> None:
+        self.injected.append(fault.__qualname__)
+        self._system.record_event(fault.__qualname__)
+        task = asyncio.create_task(fault())
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
 
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
@@ -153,11 +190,13 @@
         entry = self._choose_entry()
         if entry is None:
             return
-        with self._disturbing(entry.name) as began:
+        with self._disturbing(entry.name, kind=conditions.Kind.STOP) as began:
             entry.is_expected_to_run = False
             entry.signal(signal.SIGTERM)
             await self._wait_for_end(entry, began)
-            self._system.orderly_stops.append((entry.name, began, time.monotonic()))
+            self._system.orderly_stops.append(
+                judge.OrderlyStop(entry.name, began, time.monotonic())
+            )
             await asyncio.sleep(world.RESTART_DELAY_S)
             self._system.start_entry(entry)
             await asyncio.sleep(1.0)
@@ -175,8 +214,9 @@
                 self._system.recorder.record_violation(
                     "END", f"{entry.name} ignored SIGTERM"
                 )
-            entry.signal(signal.SIGKILL)
-            await asyncio.to_thread(entry.process.wait)
+            with self._disturbing(entry.name, kind=conditions.Kind.END):
+                entry.signal(signal.SIGKILL)
+                await asyncio.to_thread(entry.process.wait)
 
     async def _pause_entry(self) -> None:
         entry = self._choose_entry()
@@ -293,7 +333,7 @@
             return
         speaking = asyncio.create_task(
             self._say_leaving(server)
-            if self._random.random() < LEAVING_SHARE
+            if next(self._speaks_of_leaving)
             else self._refuse_for_a_while(server, FEW_REFUSED, BACKOFF_RANGE_S[1])
         )
         while not speaking.done():
@@ -373,6 +413,15 @@
         await asyncio.sleep(self._random.uniform(*TAINTED_RANGE_S))
         self._system.set_deadly_parts([])
 
+    async def _stand_still(self) -> None:
+        """Let servers stand still, and stop or reload an entry, or configure them."""
+        planned_work = next(self._planned_work)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._standstills.stand_still())
+            if planned_work is not None:
+                await asyncio.sleep(self._random.uniform(*BEFORE_PLANNED_WORK_RANGE_S))
+                group.create_task(planned_work())
+
     async def _reuse_address(self) -> None:
         """Start a server of another service at the address of one that has ended."""
         server = self._choose_server("app")
