Count crashes that come later in an answer, by what crashed endpoints have in common

Retries.record_crash passed over every crash later than 0.5 s into an answer, since sound streams beside the cause would have been suspected.

Suspects now counts those too, apart from early ones. It takes five crashes with later ones among them, and a third of all crashes known in 30 s. Early crashes must be five as well where three endpoints crashed without the request: in a release that crashes under 5 in 100 runs, a request that had met three of them was refused. Reports and relays carry the requests beside a crash by endpoint, in an optional field. Reports of others are checked; odd ones are skipped with one counted line.

The step of relaybytes.feature that fills all that relays may hold fills the new field, too; its limits are as before.

--- a/acaciaward/gateway/features/fleet.py
+++ b/acaciaward/gateway/features/fleet.py
@@ -28,6 +28,9 @@
     "GapTargetMs": 500,
 }
 TIMEOUT_MS = 3000
+# The request that crashes endpoints, and its number of events.
+DEADLY_PATH = "/a/deadly"
+DEADLY_EVENTS = 1000
 EVENTS = 10
 BACK_AFTER_S = 1.0
 # Pause of a caller that finds no entry which takes connections.
@@ -86,6 +89,11 @@
         self.deadly_parts: frozenset[str] = frozenset()
         self.tainted_share = 0.0
         self._is_unframed = False
+        # Says how long after its answer began a request crashes an endpoint, or None.
+        self.crash_after = None
+        # When the request with ``DEADLY_PATH`` reached an endpoint and crashed one.
+        self.deadly_arrivals: list[float] = []
+        self.deadly_crashes: list[float] = []
         # Whether callers wait for entries that are listed, as all others have ended.
         self.waits_for_entries = False
         self._versions = versions
@@ -94,11 +102,14 @@
         self._count = endpoints
         self._random = random.Random(seed)
         self._numbers = itertools.count(1)
+        self._deadly_numbers = itertools.count(1)
         self._servers: dict[str, edgeserver.EdgeServer] = {}
         self._tasks: set[asyncio.Task] = set()
 
     def arrived(self, server, request):
         """Record a request at an endpoint."""
+        if request.path == DEADLY_PATH:
+            self.deadly_arrivals.append(time.monotonic())
         self.arrivals.append(
             Arrival(
                 time.monotonic(),
@@ -119,6 +130,8 @@
             edgeserver.shared_parts(request) if request else ()
         )
         self.crashes.append((time.monotonic(), next(iter(found), None)))
+        if request is not None and request.path == DEADLY_PATH:
+            self.deadly_crashes.append(time.monotonic())
         self._start_task(self._replace(server))
 
     async def _replace(self, server):
@@ -142,10 +155,14 @@
         server.deadly_parts = self.deadly_parts
         server.on_crash = self._crashed
         server.is_unframed = self._is_unframed
+        server.crash_after = self._crash_after
         await server.start()
         server.register(server.port)
         self._servers[server.name] = server
 
+    def _crash_after(self, server, request):
+        return self.crash_after(server, request) if self.crash_after else None
+
     async def start(self, rate):
         """Start everything, and callers that send ``rate`` requests a second."""
         await self.world.start()
@@ -174,6 +191,21 @@
         for server in self._servers.values():
             server.is_unframed = True
 
+    async def send_deadly(self, times, pause_s):
+        """Send the same request several times; its caller takes each up once."""
+        for _ in range(times):
+            await self._send_twice(f"deadly-{next(self._deadly_numbers)}")
+            await asyncio.sleep(pause_s)
+
+    async def _send_twice(self, name):
+        last_event = 0
+        for attempt in range(2):
+            last_event, is_over = await self._try(
+                name, attempt, [], last_event, DEADLY_PATH, DEADLY_EVENTS
+            )
+            if is_over:
+                return
+
     def crash_one(self):
         """Crash an endpoint that has done nothing wrong."""
         name = self._random.choice(sorted(self._servers))
@@ -265,7 +297,9 @@
             await asyncio.sleep(RECONNECT_S)
         return self.world.entries
 
-    async def _try(self, number, attempt, parts, last_event):
+    async def _try(
+        self, number, attempt, parts, last_event, path=None, events_count=None
+    ):
         """Make one try; return the last event and whether the request is over."""
         entries = await self._listed_entries()
         entry = self._random.choice(entries)
@@ -277,9 +311,11 @@
         except OSError:
             return last_event, False
         prefix = ",".join(f"{part}:100" for part in [*parts, f"own-{number}"])
-        lines = [f"POST /a/{number} HTTP/1.1", "Host: x.example"]
+        path = path or f"/a/{number}"
+        expected = events_count or self._events
+        lines = [f"POST {path} HTTP/1.1", "Host: x.example"]
         lines += [f"Attempt-Id: r-{number}-{attempt}", f"Deadline-Ms: {TIMEOUT_MS}"]
-        lines += [f"Token-Usage: 400,{self._events * edgeserver.TOKENS_PER_EVENT}"]
+        lines += [f"Token-Usage: 400,{expected * edgeserver.TOKENS_PER_EVENT}"]
         lines += [f"Prompt-Prefix: {prefix}", "Connection: close"]
         if last_event:
             lines += [f"Last-Event-Id: {last_event}", f"Resumes: r-{number}-0"]
--- /dev/null
+++ b/acaciaward/gateway/features/steps/crashing_steps.py
@@ -0,0 +1,107 @@
+"""Steps for a request that crashes endpoints again and again."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from acaciaward.catalogue.features import delivery
+from acaciaward.gateway.features import fleet
+
+WARM_UP_S = 3.0
+DEADLY_ID = "r-deadly-"
+# Reasons of refusals that name crashes.
+REASONS = (
+    "endpoints broke off under it",
+    "endpoints crashed under a part of its prompt",
+)
+RELEASED = "v2"
+
+
+@given(
+    "{data_centres:d} data centres of {count:d} entries with {endpoints:d} endpoints"
+    " and callers that stream {rate:d} a second, of {events:d} events"
+)
+def start_fleet(context, data_centres, count, endpoints, rate, events):
+    context.front = fleet.Fleet(data_centres, count, endpoints, events=events)
+    context.runner.run(context.front.start(rate))
+    context.runner.run(asyncio.sleep(WARM_UP_S))
+
+
+@given("an endpoint crashes by itself every {pause:g} s")
+def crash_often(context, pause):
+    async def crash():
+        while True:
+            await asyncio.sleep(pause)
+            context.front.crash_one()
+
+    async def begin():
+        context.front._start_task(crash())
+
+    context.runner.run(begin())
+
+
+def crash_at_deadly_path(after_s, version=None):
+    """Return a rule of endpoints: the request crashes those of a version, or all."""
+
+    def crash_after(server, request):
+        is_deadly = request.path == fleet.DEADLY_PATH
+        return after_s if is_deadly and version in (None, server.version) else None
+
+    return crash_after
+
+
+@when(
+    "a request that crashes endpoints {after:g} s into its answer is sent {times:d}"
+    " times, {pause:g} s apart"
+)
+def send_deadly(context, after, times, pause):
+    context.front.crash_after = crash_at_deadly_path(after)
+    context.runner.run(context.front.send_deadly(times, pause))
+
+
+async def replace_version(front):
+    old = front._versions[0]
+    await front.add_version(RELEASED)
+    await asyncio.sleep(1.0)
+    front.end_version(old)
+
+
+@when(
+    "all endpoints are released, and {percent:d} in 100 runs crash the new ones for"
+    " {seconds:g} s"
+)
+def release(context, percent, seconds):
+    front = context.front
+    rng = random.Random(1)
+
+    def crash_after(server, request):
+        is_hit = server.version == RELEASED and rng.random() < percent / 100
+        return rng.choice([0.0, 0.05]) if is_hit else None
+
+    front.crash_after = crash_after
+    context.runner.run(replace_version(front))
+    context.runner.run(asyncio.sleep(seconds))
+
+
+@then(
+    "it arrives no more than {most:d} times later than the contact time after its third"
+    " crash"
+)
+def check_arrivals(context, most):
+    front = context.front
+    assert len(front.deadly_crashes) >= 3, front.deadly_crashes
+    from_ = front.deadly_crashes[2] + delivery.CONTACT_S
+    late = [at for at in front.deadly_arrivals if at > from_]
+    assert len(late) <= most, (len(late), len(front.deadly_crashes))
+
+
+@then("no sound request is refused for crashes")
+def check_no_sound_refused(context):
+    refused = [
+        fields["request"]
+        for fields in context.lines.fields("refused")
+        if fields["reason"] in REASONS
+    ]
+    sound = [name for name in refused if not name.startswith(DEADLY_ID)]
+    assert not sound, (len(sound), len(context.front.tries), sound[:5])
--- a/acaciaward/gateway/retries.py
+++ b/acaciaward/gateway/retries.py
@@ -84,20 +84,24 @@
         """
         Suspect a call of a crash of the endpoint that was to answer it.
 
-        An endpoint that was leaving or unresponsive, or whose answer had gone on for
-        long, ended for another reason.
+        An endpoint that was leaving or unresponsive ended for another reason. Once the
+        answer had gone on for a while, only a lost connection is a crash.
         """
         known = self._deps.directory.get(work.endpoint.name)
         is_leaving = (
             known is not None and known.state is endpoints.EndpointState.LEAVING
         )
-        has_survived = work.answered_for_s >= attempts.SURVIVAL_S
-        if is_leaving or has_survived or isinstance(error, errors.SilentError):
+        is_early = work.answered_for_s < attempts.SURVIVAL_S
+        is_lost = isinstance(error, errors.ConnectionLostError)
+        is_silent = isinstance(error, errors.SilentError)
+        if is_leaving or is_silent or not (is_early or is_lost):
             return
         name, born = work.endpoint.incarnation
-        crashes = self._deps.suspects.record_crash(progress.digest, f"{name}/{born}")
+        crashes = self._deps.suspects.record_crash(
+            progress.digest, f"{name}/{born}", is_early=is_early
+        )
         part_crashes = 0
-        if isinstance(error, errors.ConnectionLostError):
+        if is_early and is_lost:
             part_crashes = self._deps.prompt_parts.record_crash(
                 progress.call.shared_parts, f"{name}/{born}"
             )
--- a/acaciaward/quarantine/features/suspects.feature
+++ b/acaciaward/quarantine/features/suspects.feature
@@ -58,3 +58,92 @@
     Given 3 entries that know of no crash
     When 10000 requests crash an endpoint at entry 1
     Then entry 1 knows at most 1000 requests and reports at most 32
+
+  # A crash later than half a second into an answer was never counted (BUDGET, review 5).
+  Scenario: Crashes later in an answer add up over entries, and it takes five of them
+    Given 3 entries that know of no crash
+    When request "a" runs for a while until endpoints 1 to 2 crash at entry 1
+    And request "a" runs for a while until endpoints 3 to 4 crash at entry 2
+    And the entries exchange reports
+    Then no entry suspects "a"
+    When request "a" runs for a while until endpoints 5 to 5 crash at entry 3
+    And the entries exchange reports
+    Then every entry suspects "a"
+
+  Scenario: Early and later crashes of a request count together
+    Given 3 entries that know of no crash
+    When request "a" crashes endpoint 1 at entry 1
+    And request "a" crashes endpoint 2 at entry 2
+    And request "a" runs for a while until endpoints 3 to 5 crash at entry 3
+    And the entries exchange reports
+    Then every entry suspects "a"
+
+  # Streams that ran beside requests which crashed three endpoints were refused (LOST).
+  Scenario: Requests that ran beside the cause at some of the crashes aren't suspected
+    Given 3 entries that know of no crash
+    When request "a" runs for a while until endpoints 1 to 5 crash at entry 1
+    And request "b" runs for a while until endpoints 1 to 4 crash at entry 2
+    And request "c" runs for a while until endpoints 2 to 3 crash at entry 3
+    And the entries exchange reports
+    Then every entry suspects "a"
+    And no entry suspects "b"
+    And no entry suspects "c"
+
+  Scenario: A request with later crashes isn't suspected where far more endpoints crash
+    Given 3 entries that know of no crash
+    When other requests crash endpoints 11 to 22 at entry 1
+    And request "a" runs for a while until endpoints 1 to 5 crash at entry 2
+    And the entries exchange reports
+    Then no entry suspects "a"
+
+  # Sound requests that met three crashes of a faulty release were refused.
+  Scenario: Where endpoints crash under other requests, too, it takes five early crashes
+    Given 3 entries that know of no crash
+    When other requests crash endpoints 11 to 22 at entry 1
+    And the entries exchange reports
+    And request "a" crashes endpoint 1 at entry 1
+    And request "a" crashes endpoint 2 at entry 2
+    And request "a" crashes endpoint 3 at entry 3
+    And the entries exchange reports
+    Then no entry suspects "a"
+    When request "a" crashes endpoint 4 at entry 1
+    And request "a" crashes endpoint 5 at entry 1
+    And the entries exchange reports
+    Then every entry suspects "a"
+
+  Scenario: Later crashes elsewhere don't end a suspicion
+    Given 3 entries that know of no crash
+    When request "a" crashes endpoint 1 at entry 1
+    And request "a" crashes endpoint 2 at entry 2
+    And request "a" crashes endpoint 3 at entry 3
+    And the entries exchange reports
+    And 1 s pass
+    And other requests crash endpoints 11 to 22 at entry 1
+    Then every entry suspects "a"
+
+  Scenario: A flood of requests beside a crash doesn't displace those that crash endpoints
+    Given 3 entries that know of no crash
+    When request "a" crashes endpoint 1 at entry 1
+    And 10000 requests run for a while until an endpoint crashes at entry 1
+    Then entry 1 knows at most 1 requests and reports at most 32
+    And entry 1 reports at most 48 requests that ran beside a crash, and "a"
+
+  Scenario: Reports of older builds name no requests that ran beside a crash
+    Given 3 entries that know of no crash
+    When entry 1 gets a report that names only "a" and 3 endpoints
+    Then entry 1 suspects "a"
+
+  Scenario Outline: An odd report of a crash is skipped, and nothing else is lost
+    Given 3 entries that know of no crash
+    When entry 1 gets a report of "a" and 3 endpoints, and of a request with <what>
+    Then entry 1 suspects "a"
+    And entry 1 knows at most 1 requests and reports at most 32
+    And one line says that 1 reported crash is invalid
+
+    Examples:
+      | what                 |
+      | a long name          |
+      | control characters   |
+      | a long endpoint      |
+      | too many endpoints   |
+      | odd company          |
--- a/acaciaward/quarantine/suspects.py
+++ b/acaciaward/quarantine/suspects.py
@@ -6,41 +6,104 @@
 served it: a request that crashes every endpoint that runs it is never served. Requests
 are identified by a digest of the parts that stay the same when a caller retries.
 
+A crash early in an answer points at its request. Later on, most of what an endpoint was
+running is sound, so that a request must have been there at more crashes, and at a large
+part of all that are known. See ``docs/design/quarantine.md``.
+
 Guards against a request that crashes each endpoint and is retried again and again.
 """
 
 import collections
 import hashlib
+import logging
 import typing
 from collections import abc
 
+from acaciaward import decoding
+from acaciaward.observability import logs
+
+log = logging.getLogger(__name__)
+
 # Crashed endpoints after which a request is suspected. Endpoints also crash on their
 # own; that a request meets three such crashes and no answer is unlikely.
 CRASHES_TO_SUSPECT = 3
+# The same if some crashes came later in an answer, or if as many endpoints have crashed
+# without the request.
+CRASHES_IF_DOUBTFUL = 5
+# With later crashes, a request must have been at this share of the crashes known.
+LEAST_SHARE_OF_CRASHES = 1 / 3
+# How long a crash counts as one of those that a request was at or wasn't.
+CRASH_MEMORY_S = 30.0
 # Suspicion ends this long after the last crash. A caller that still retries after that
 # costs three more crashes.
 SUSPICION_LIFETIME_S = 300.0
 # Crashes are reported for half of that time, so no peer reports one again to an entry
 # that has already forgotten it.
 REPORT_LIFETIME_S = SUSPICION_LIFETIME_S / 2
+# A request with only one crash, a later one, is reported for this long.
+COMPANY_REPORT_S = 10.0
 # Bounds on the remembered requests with crashes and on those served lately.
 MAX_KNOWN = 1000
 MAX_SERVED = 2048
-# Bound on the requests that one message reports, the newest first.
+MAX_CRASHED = 256
+# Bound on the requests that one message reports, the newest first, and on how often it
+# names an endpoint with them.
 MAX_REPORTED = 32
+MAX_CRASHES_REPORTED = 96
+# Bounds on the endpoints with company in a message, and on the requests of all of them.
+MAX_ENDPOINTS_REPORTED = 8
+MAX_COMPANY_REPORTED = 48
 DIGEST_BYTES = 8
+# More endpoints than an entry remembers of a request aren't reported by any.
+MAX_ENDPOINTS_EACH = 2 * CRASHES_IF_DOUBTFUL
 
 
 class CrashReport(typing.TypedDict):
-    """The endpoints that each request crashed, and the cleared requests."""
+    """
+    The endpoints that each request crashed, and the cleared requests.
+
+    ``company`` holds, by crashed endpoint, the requests whose answers had gone on there
+    for a while. It is missing in messages of older builds.
+    """
 
     crashes: dict[str, list[str]]
     cleared: list[str]
+    company: typing.NotRequired[dict[str, list[str]]]
 
 
 class _Crashes(typing.NamedTuple):
-    endpoints: frozenset[str]
-    last_at: float
+    """
+    The endpoints that crashed under a request, and when it was last told of a new one.
+
+    ``later`` are those whose answer had gone on for a while.
+    """
+
+    early: frozenset[str] = frozenset()
+    later: frozenset[str] = frozenset()
+    last_at: float = 0.0
+
+    @property
+    def endpoints(self) -> frozenset[str]:
+        return self.early | self.later
+
+    @property
+    def is_company(self) -> bool:
+        """Whether the request was just one of those that an endpoint ran."""
+        return not self.early and len(self.later) == 1
+
+    def adding(
+        self, early: abc.Iterable[str], later: abc.Iterable[str], now: float
+    ) -> "_Crashes":
+        """Return this with more crashed endpoints, itself if none is new."""
+        all_early = _kept(self.early.union(early))
+        all_later = _kept(self.later.union(later) - all_early)
+        if (all_early, all_later) == (self.early, self.later):
+            return self
+        return _Crashes(all_early, all_later, now)
+
+
+def _kept(endpoints: abc.Iterable[str]) -> frozenset[str]:
+    return frozenset(sorted(endpoints)[:CRASHES_IF_DOUBTFUL])
 
 
 def digest(*parts: bytes) -> str:
@@ -60,20 +123,36 @@
     """Merge the reports of several entries, those with most crashes first."""
     crashes: dict[str, set[str]] = {}
     cleared: dict[str, None] = {}
+    later: dict[str, set[str]] = {}
+    # Each report begins with what is most telling.
+    ranks: dict[str, int] = {}
     for report in reports:
         for name, endpoints in report["crashes"].items():
             crashes.setdefault(name, set()).update(endpoints)
+        for rank, (name, endpoints) in enumerate(_by_request(report).items()):
+            later.setdefault(name, set()).update(endpoints)
+            ranks[name] = min(rank, ranks.get(name, rank))
         cleared |= dict.fromkeys(report["cleared"])
     by_endpoints = sorted(crashes, key=lambda name: -len(crashes[name]))
+    by_later = sorted(later, key=lambda name: (-len(later[name]), ranks[name]))
     return {
-        "crashes": {
-            name: sorted(crashes[name])[:CRASHES_TO_SUSPECT]
-            for name in by_endpoints[:MAX_REPORTED]
-        },
+        "crashes": _first_of(
+            (name, crashes[name]) for name in by_endpoints[:MAX_REPORTED]
+        ),
         "cleared": list(cleared)[:MAX_REPORTED],
+        "company": _by_endpoint((name, _kept(later[name])) for name in by_later),
     }
 
 
+def is_valid(request: str, endpoints: abc.Collection[str]) -> bool:
+    """Return whether a request and endpoints that others name may be remembered."""
+    return (
+        decoding.is_name(request)
+        and all(map(decoding.is_name, endpoints))
+        and len(endpoints) <= MAX_ENDPOINTS_EACH
+    )
+
+
 class Suspects:
     """
     The crashes known to one entry, its own and those that peers report.
@@ -86,18 +165,35 @@
         self._crashes: collections.OrderedDict[str, _Crashes] = (
             collections.OrderedDict()
         )
+        # The requests that were company of one crash, which are many and mostly sound.
+        self._company: collections.OrderedDict[str, _Crashes] = (
+            collections.OrderedDict()
+        )
+        # When this entry first knew of the crash of each endpoint.
+        self._crashed_at: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
         self._served: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._cleared: collections.OrderedDict[str, None] = collections.OrderedDict()
 
     def __len__(self) -> int:
         return len(self._crashes)
 
-    def record_crash(self, request: str, endpoint: str) -> int:
-        """Record that a request crashed an endpoint; return how many it crashed."""
+    def record_crash(
+        self, request: str, endpoint: str, *, is_early: bool = True
+    ) -> int:
+        """
+        Record that an endpoint crashed under a request; return how many did.
+
+        Unless ``is_early``, the request's answer had gone on for a while.
+        """
         if request in self._served:
             return 0
-        self._add(request, {endpoint})
-        return len(self._crashes[request].endpoints)
+        if is_early:
+            self._add(request, early=[endpoint])
+        else:
+            self._add(request, later=[endpoint])
+        return len(self._known(request).endpoints)
 
     def record_served(self, request: str) -> bool:
         """Record that a request was served; return whether this cleared it."""
@@ -114,19 +210,30 @@
         if self._clock() - record.last_at > SUSPICION_LIFETIME_S:
             del self._crashes[request]
             return False
-        return len(record.endpoints) >= CRASHES_TO_SUSPECT
+        return self._is_guilty(record)
 
     def report(self) -> CrashReport:
         """Return the newest crashes and cleared requests, to report to peers."""
-        oldest = self._clock() - REPORT_LIFETIME_S
-        newest = list(reversed(self._crashes.items()))[:MAX_REPORTED]
+        now = self._clock()
+        for known in (self._crashes, self._company):
+            _evict_older(known, now - SUSPICION_LIFETIME_S)
+        newest = [
+            (name, record)
+            for name, record in reversed(self._crashes.items())
+            if now - record.last_at <= REPORT_LIFETIME_S
+        ]
+        early = [(name, record.early) for name, record in newest if record.early]
+        by_crashes = sorted(newest, key=lambda item: -len(item[1].endpoints))
+        later = [(name, record.later) for name, record in by_crashes if record.later]
+        later += [
+            (name, record.later)
+            for name, record in reversed(self._company.items())
+            if now - record.last_at <= COMPANY_REPORT_S
+        ]
         return {
-            "crashes": {
-                name: sorted(record.endpoints)
-                for name, record in newest
-                if record.last_at >= oldest
-            },
+            "crashes": _first_of(early[:MAX_REPORTED]),
             "cleared": list(reversed(self._cleared))[:MAX_REPORTED],
+            "company": _by_endpoint(later),
         }
 
     def receive(self, report: CrashReport) -> None:
@@ -135,26 +242,85 @@
 
         A reported request that was served here is reported as cleared from now on.
         """
+        skipped = 0
         for name in report["cleared"]:
             self._clear(name)
-        for name, endpoints in report["crashes"].items():
-            if name in self._served:
-                self._record_cleared(name)
+        found = {
+            name: _Crashes(early=frozenset(endpoints))
+            for name, endpoints in report["crashes"].items()
+        }
+        for name, endpoints in _by_request(report).items():
+            found[name] = found.get(name, _Crashes())._replace(
+                later=frozenset(endpoints)
+            )
+        for name, record in found.items():
+            if not is_valid(name, record.endpoints):
+                skipped += 1
+            elif name in self._served:
+                if not record.is_company:
+                    self._record_cleared(name)
             elif name not in self._cleared:
-                self._add(name, endpoints)
+                self._add(name, record.early, record.later)
+        if skipped:
+            log.warning(
+                "reported crashes are invalid", extra=logs.fields(count=skipped)
+            )
+
+    def _known(self, request: str) -> _Crashes:
+        return self._crashes.get(request) or self._company.get(request) or _Crashes()
 
-    def _add(self, request: str, endpoints: abc.Iterable[str]) -> None:
-        known = self._crashes.get(request)
-        known_endpoints = known.endpoints if known else frozenset()
-        all_endpoints = known_endpoints | set(endpoints)
-        if known is not None and all_endpoints == known_endpoints:
+    def _add(
+        self,
+        request: str,
+        early: abc.Iterable[str] = (),
+        later: abc.Iterable[str] = (),
+    ) -> None:
+        known = self._known(request)
+        now = self._clock()
+        record = known.adding(early, later, now)
+        if record is known:
             return
-        kept = frozenset(sorted(all_endpoints)[:CRASHES_TO_SUSPECT])
-        self._crashes[request] = _Crashes(kept, self._clock())
-        self._crashes.move_to_end(request)
-        _evict_oldest(self._crashes, MAX_KNOWN)
+        for endpoint in record.endpoints:
+            self._crashed_at.setdefault(endpoint, now)
+        _evict_oldest(self._crashed_at, MAX_CRASHED)
+        self._company.pop(request, None)
+        records = self._company if record.is_company else self._crashes
+        records[request] = record
+        records.move_to_end(request)
+        _evict_oldest(records, MAX_KNOWN)
+        if self._is_guilty(record) and not self._is_guilty(known):
+            log.warning(
+                "request crashes endpoints",
+                extra=logs.fields(
+                    digest=request,
+                    crashes=len(record.endpoints),
+                    later=len(record.later),
+                    elsewhere=self._crashes_elsewhere(record),
+                ),
+            )
+
+    def _is_guilty(self, record: _Crashes) -> bool:
+        """Return whether the crashes known suffice to suspect a request."""
+        early, total = len(record.early), len(record.endpoints)
+        if early < CRASHES_TO_SUSPECT and total < CRASHES_IF_DOUBTFUL:
+            return False
+        if early >= CRASHES_IF_DOUBTFUL:
+            return True
+        elsewhere = self._crashes_elsewhere(record)
+        if total >= CRASHES_IF_DOUBTFUL:
+            return total >= LEAST_SHARE_OF_CRASHES * (total + elsewhere)
+        return elsewhere < CRASHES_TO_SUSPECT
+
+    def _crashes_elsewhere(self, record: _Crashes) -> int:
+        """Return how many endpoints crashed without a request, until its last crash."""
+        since = record.last_at - CRASH_MEMORY_S
+        return sum(
+            since <= at <= record.last_at and endpoint not in record.endpoints
+            for endpoint, at in self._crashed_at.items()
+        )
 
     def _clear(self, request: str) -> bool:
+        self._company.pop(request, None)
         was_known = self._crashes.pop(request, None) is not None
         if was_known:
             self._record_cleared(request)
@@ -166,6 +332,52 @@
         _evict_oldest(self._cleared, MAX_REPORTED)
 
 
+def _first_of(
+    crashes: abc.Iterable[tuple[str, abc.Collection[str]]],
+) -> dict[str, list[str]]:
+    """Return the first requests' endpoints, within the bounds of a message."""
+    found: dict[str, list[str]] = {}
+    count = 0
+    for name, endpoints in crashes:
+        kept = sorted(endpoints)[:CRASHES_IF_DOUBTFUL]
+        count += len(kept)
+        if count > MAX_CRASHES_REPORTED:
+            break
+        found[name] = kept
+    return found
+
+
+def _by_endpoint(
+    later: abc.Iterable[tuple[str, abc.Collection[str]]],
+) -> dict[str, list[str]]:
+    """Return the first requests by endpoint, within the bounds of a message."""
+    company: dict[str, list[str]] = {}
+    count = 0
+    for name, endpoints in later:
+        for endpoint in sorted(endpoints):
+            has_room = endpoint in company or len(company) < MAX_ENDPOINTS_REPORTED
+            if has_room and count < MAX_COMPANY_REPORTED:
+                company.setdefault(endpoint, []).append(name)
+                count += 1
+    return company
+
+
+def _by_request(report: CrashReport) -> dict[str, set[str]]:
+    """Return the endpoints by request that a report names as company of crashes."""
+    later: dict[str, set[str]] = {}
+    for endpoint, names in report.get("company", {}).items():
+        for name in names:
+            later.setdefault(name, set()).add(endpoint)
+    return later
+
+
 def _evict_oldest(kept: collections.OrderedDict, max_count: int) -> None:
     while len(kept) > max_count:
         kept.popitem(last=False)
+
+
+def _evict_older(
+    kept: collections.OrderedDict[str, _Crashes], oldest_at: float
+) -> None:
+    while kept and next(iter(kept.values())).last_at < oldest_at:
+        kept.popitem(last=False)
--- a/acaciaward/relays/excerpts.py
+++ b/acaciaward/relays/excerpts.py
@@ -59,6 +59,7 @@
     def __init__(self):
         self._crashes = Selector()
         self._cleared = Selector()
+        self._company = Selector()
         self._parts = Selector()
 
     def abridge(self, figures: Figures) -> Figures:
@@ -74,6 +75,7 @@
         return {
             "crashes": self._crashes.select(report["crashes"], tuple),
             "cleared": list(self._cleared.select(cleared, bool)),
+            "company": self._company.select(report.get("company", {}), frozenset),
         }
 
     def _of_parts(self, report: promptparts.Report) -> promptparts.Report:
--- a/acaciaward/relays/features/steps/relaybytes_steps.py
+++ b/acaciaward/relays/features/steps/relaybytes_steps.py
@@ -21,6 +21,11 @@
         for number in range(suspects.MAX_REPORTED - 1)
     }
     cleared = [f"{number:016x}" for number in range(100, 100 + suspects.MAX_REPORTED)]
+    each = suspects.MAX_COMPANY_REPORTED // suspects.MAX_ENDPOINTS_REPORTED
+    company = {
+        f"i-{number:08x}01": [f"{number:08x}{at:08x}" for at in range(each)]
+        for number in range(suspects.MAX_ENDPOINTS_REPORTED)
+    }
     common = [f"{number:012x}" for number in range(COMMON_PARTS)]
     parts = {
         f"p{number:011x}": {
@@ -30,7 +35,7 @@
         for number in range(promptparts.MAX_REPORTED - 1)
     }
     served = {f"s{number:011x}": 2.5 for number in range(promptparts.MAX_REPORTED)}
-    return {"crashes": crashes, "cleared": cleared}, {
+    return {"crashes": crashes, "cleared": cleared, "company": company}, {
         "crashes": parts,
         "served": served,
     }
@@ -157,15 +162,21 @@
     return {
         *sums.crashes["crashes"],
         *sums.crashes["cleared"],
+        *company_of(sums.crashes),
         *sums.parts["crashes"],
         *sums.parts["served"],
     }
 
 
+def company_of(crashes):
+    return {name for names in crashes["company"].values() for name in names}
+
+
 def all_names(context):
     return {
         *context.crashes["crashes"],
         *context.crashes["cleared"],
+        *company_of(context.crashes),
         *context.parts["crashes"],
         *context.parts["served"],
     }
--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -17,6 +17,8 @@
 is then called with the headers that tell of the server.
 A request with one of ``deadly_parts`` in its prompt, other than as the last part,
 crashes the server inside the first event of its answer; ``on_crash`` is then called.
+``crash_after`` tells how long after the begin of its answer a request crashes the
+server, in seconds, None if it doesn't.
 Streams have chunks, or end with their connection if ``is_unframed``. ``version`` is
 that of the server's software; the events of another one than ``v1`` name it.
 ``watch`` is notified of each request that arrives, begins to run and ends.
@@ -123,6 +125,11 @@
             typing.Callable[[EdgeServer, edgewire.Request | None], None] | None
         )
         self.on_crash = None
+        self.crash_after: (
+            typing.Callable[[EdgeServer, edgewire.Request], float | None] | None
+        )
+        self.crash_after = None
+        self.has_crashed = False
         self.is_unframed = False
         self.version = FIRST_VERSION
         self.record_fields: dict[str, typing.Any] = {}
@@ -210,6 +217,9 @@
 
     def crash(self, request: edgewire.Request | None = None) -> None:
         """Reset every connection and accept no more, without a word to the store."""
+        if self.has_crashed:
+            return
+        self.has_crashed = True
         self._heartbeat_task.cancel()
         self._listener.close()
         if self.on_crash is not None:
@@ -319,6 +329,10 @@
                 writer.write(b"0\r\n\r\n")
             await writer.drain()
             return not self.is_unframed
+        if self.crash_after is not None:
+            after_s = self.crash_after(self, request)
+            if after_s is not None:
+                asyncio.get_running_loop().call_later(after_s, self.crash, request)
         aborted_event_id = self._random.randint(first_event_id, last_event_id + 1)
         for event_id in range(first_event_id, last_event_id + 1):
             data = event(attempt_id, event_id, self.version)
