Keep suspicions in the store, so that they outlive a loss of all entries

What entries know of crashes was kept in their memory alone.

One entry now writes the requests and parts with two or more crashes into one value of the store, when it has changed and once a second at most; each entry reads it at its start and adds it to what it knows. Records are checked one by one; odd ones, and odd parts that peers report, are skipped with one counted line.

--- a/acaciaward/gateway/features/crashing.feature
+++ b/acaciaward/gateway/features/crashing.feature
@@ -22,3 +22,24 @@
     Given 2 data centres of 3 entries with 8 endpoints and callers that stream 40 a second, of 10 events
     When all endpoints are released, and 5 in 100 runs crash the new ones for 12 s
     Then no sound request is refused for crashes
+
+  # After each loss of all entries, a request that all had refused crashed four more (BUDGET).
+  Scenario: A refused request stays refused after all entries were lost, twice
+    Given 2 data centres of 3 entries with 8 endpoints and callers that stream 10 a second, of 10 events
+    When a request that crashes endpoints 0 s into its answer is sent 4 times, 0.5 s apart
+    And all entries are lost, and the request is sent 4 times, 2 times over
+    Then it arrives no more than 3 times later than the contact time after its third crash
+    And no sound request is refused for crashes
+
+  Scenario: It is the same where it crashes endpoints a second into its answer
+    Given 2 data centres of 3 entries with 8 endpoints and callers that stream 10 a second, of 10 events
+    When a request that crashes endpoints 1 s into its answer is sent 4 times, 0.5 s apart
+    And all entries are lost, and the request is sent 4 times, 2 times over
+    Then it arrives no more than 3 times later than the contact time after its third crash
+    And no sound request is refused for crashes
+
+  Scenario: A refused part of prompts stays refused after all entries were lost, twice
+    Given 2 data centres of 3 entries with 8 endpoints and callers that stream 40 a second, of 10 events
+    When a part crashes endpoints, in 6% of the requests
+    And 8 s pass, and all entries are lost, 2 times over
+    Then no more than 3 such requests arrive later than the contact time after the fifth crash
--- a/acaciaward/gateway/features/steps/crashing_steps.py
+++ b/acaciaward/gateway/features/steps/crashing_steps.py
@@ -16,6 +16,9 @@
     "endpoints crashed under a part of its prompt",
 )
 RELEASED = "v2"
+# How long all entries are down, and what they then get to know each other.
+DOWN_S = 0.3
+SETTLE_S = 3.0
 
 
 @given(
@@ -60,6 +63,30 @@
     context.runner.run(context.front.send_deadly(times, pause))
 
 
+async def lose_all(front):
+    await front.end_all()
+    await asyncio.sleep(DOWN_S)
+    await front.start_all()
+    await asyncio.sleep(SETTLE_S)
+
+
+@when(
+    "all entries are lost, and the request is sent {times:d} times, {count:d} times"
+    " over"
+)
+def lose_and_send(context, times, count):
+    for _ in range(count):
+        context.runner.run(lose_all(context.front))
+        context.runner.run(context.front.send_deadly(times, 0.5))
+
+
+@when("{seconds:g} s pass, and all entries are lost, {count:d} times over")
+def lose_often(context, seconds, count):
+    for _ in range(count):
+        context.runner.run(asyncio.sleep(seconds))
+        context.runner.run(lose_all(context.front))
+
+
 async def replace_version(front):
     old = front._versions[0]
     await front.add_version(RELEASED)
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -29,7 +29,10 @@
     stateexchange,
     statushandlers,
 )
-from acaciaward.membership import interfaces as membership_interfaces
+from acaciaward.membership import (
+    interfaces as membership_interfaces,
+    rendezvous,
+)
 from acaciaward.observability import logs
 from acaciaward.platform import (
     calls as platform_calls,
@@ -39,7 +42,7 @@
     store,
     topics,
 )
-from acaciaward.quarantine import promptparts, suspects
+from acaciaward.quarantine import promptparts, suspects, suspicionstore
 from acaciaward.relays import relaying
 from acaciaward.resumption import origins, servingversions, streamlog
 from acaciaward.routing import demand, endpointlimits, occupancy
@@ -50,6 +53,7 @@
 
 State = membership_interfaces.PeerState
 QUOTAS_TOPIC = "keyed.acaciaward.quotas"
+SUSPICIONS_TOPIC = "keyed.acaciaward.suspicions"
 VERSIONS_TOPIC = "keyed.acaciaward.versions"
 STREAMS_TOPIC = "acaciaward.streams"
 # How often lapsed endpoints and entries not seen for long are removed.
@@ -168,6 +172,14 @@
         self._prompt_parts = promptparts.PromptParts(
             time.monotonic, self.name, self._serving_entries
         )
+        self._suspicions = suspicionstore.SuspicionStore(
+            topics.KeyedTopic(self._store, SUSPICIONS_TOPIC),
+            self._suspects,
+            self._prompt_parts,
+            is_writer=self._writes_suspicions,
+            now=self._duties.clock.now,
+            era=lambda: self._store.era,
+        )
         self._demand = demand.Demand(time.monotonic, self._occupancy.service_s)
         budget = repeatbudget.Budget(
             bounds["repeat_ratio"], bounds["repeat_burst"], bounds["repeat_window_s"]
@@ -331,6 +343,10 @@
             if peer.state in (State.LIVE, State.LEAVING)
         ]
 
+    def _writes_suspicions(self) -> bool:
+        names = {*self._serving_entries(), self.name}
+        return rendezvous.choose("suspicions", names, 1) == [self.name]
+
     def _entry_count(self) -> int:
         """Return the number of known entries, at first at least the assumed one."""
         is_starting = time.monotonic() - self._started < GOSSIP_SETTLE_S
@@ -403,6 +419,7 @@
             self._run_housekeeping,
             self._relaying.run,
             self._saver.run,
+            self._suspicions.run,
             self._links.prober.run,
             *self._origins.tasks,
             self._announce_when_ready,
--- a/acaciaward/quarantine/promptparts.py
+++ b/acaciaward/quarantine/promptparts.py
@@ -23,6 +23,7 @@
 import typing
 from collections import abc
 
+from acaciaward import decoding
 from acaciaward.membership import rendezvous
 from acaciaward.observability import logs
 
@@ -53,6 +54,8 @@
 # Bounds on the parts in one message, and on the common parts of each.
 MAX_REPORTED = 16
 MAX_COMMON = 16
+# Most endpoints, and common parts, in what others report of one part.
+MAX_REPORTED_EACH = 256
 # How long after a peer's last report of its crashes a part is reported as served.
 CONTESTED_S = 5.0
 
@@ -111,6 +114,18 @@
     }
 
 
+def is_valid(
+    part: str, ages: abc.Mapping[str, float], common: abc.Collection[str] = ()
+) -> bool:
+    """Return whether what others report of a part may be remembered."""
+    return (
+        all(map(decoding.is_name, (part, *ages, *common)))
+        and all(map(decoding.is_in_range, ages.values()))
+        and len(ages) <= MAX_REPORTED_EACH
+        and len(common) <= MAX_REPORTED_EACH
+    )
+
+
 class PromptParts:
     """
     What one entry knows of parts of prompts, by itself and from other entries.
@@ -219,19 +234,47 @@
             },
         }
 
+    def known(self, min_crashes: int) -> Report:
+        """Return the parts with as many crashes, and when these were last served."""
+        now = self._clock()
+        crashes = {
+            part: found
+            for part, found in self.report()["crashes"].items()
+            if len(found["ages"]) >= min_crashes
+        }
+        served_at = {part: self._last_served_at(part) for part in crashes}
+        return {
+            "crashes": crashes,
+            "served": {
+                part: now - at for part, at in served_at.items() if at > -math.inf
+            },
+        }
+
     def receive(self, report: Report) -> None:
-        """Receive what the entries know together."""
+        """Receive what the entries know together; what is invalid is left out."""
         now = self._clock()
+        skipped = 0
         for part, age_s in report["served"].items():
+            if not is_valid(part, {part: age_s}):
+                skipped += 1
+                continue
             _put(self._served_elsewhere_at, part, now - age_s, MAX_SERVED)
             self._clear(part, now - age_s)
         for part, found in report["crashes"].items():
+            if not found["ages"] or not is_valid(part, found["ages"], found["common"]):
+                skipped += 1
+                continue
             if part in self._served_at:
                 self._contest(part)
             crashed_at = {
                 endpoint: now - age_s for endpoint, age_s in found["ages"].items()
             }
             self._add(part, crashed_at, frozenset(found["common"]))
+        if skipped:
+            log.warning(
+                "reported parts of prompts are invalid",
+                extra=logs.fields(count=skipped),
+            )
 
     def _add(
         self, part: str, crashed_at: abc.Mapping[str, float], common: frozenset[str]
--- a/acaciaward/quarantine/suspects.py
+++ b/acaciaward/quarantine/suspects.py
@@ -71,6 +71,20 @@
     company: typing.NotRequired[dict[str, list[str]]]
 
 
+class Suspicion(typing.NamedTuple):
+    """
+    A request, how long ago its last crash became known, and the crashed endpoints.
+
+    Under ``early`` ones the answer had just begun or hadn't, under ``later`` ones it
+    had gone on for a while.
+    """
+
+    request: str
+    age_s: float
+    early: list[str]
+    later: list[str]
+
+
 class _Crashes(typing.NamedTuple):
     """
     The endpoints that crashed under a request, and when it was last told of a new one.
@@ -266,6 +280,26 @@
                 "reported crashes are invalid", extra=logs.fields(count=skipped)
             )
 
+    def suspicions(self, min_crashes: int) -> list[Suspicion]:
+        """Return the requests with as many crashes, those with most first."""
+        now = self._clock()
+        _evict_older(self._crashes, now - SUSPICION_LIFETIME_S)
+        found = [
+            Suspicion(
+                name, now - record.last_at, sorted(record.early), sorted(record.later)
+            )
+            for name, record in reversed(self._crashes.items())
+            if len(record.endpoints) >= min_crashes
+        ]
+        return sorted(found, key=lambda item: -len(item.early) - len(item.later))
+
+    def restore(self, suspicions: abc.Iterable[Suspicion]) -> None:
+        """Add what was known at an earlier time."""
+        now = self._clock()
+        for found in sorted(suspicions, key=lambda item: -item.age_s):
+            if found.age_s <= SUSPICION_LIFETIME_S:
+                self._add(found.request, found.early, found.later, at=now - found.age_s)
+
     def _known(self, request: str) -> _Crashes:
         return self._crashes.get(request) or self._company.get(request) or _Crashes()
 
@@ -274,9 +308,11 @@
         request: str,
         early: abc.Iterable[str] = (),
         later: abc.Iterable[str] = (),
+        at: float | None = None,
     ) -> None:
+        """Add crashes that this entry gets to know now, or that were known before."""
         known = self._known(request)
-        now = self._clock()
+        now = self._clock() if at is None else at
         record = known.adding(early, later, now)
         if record is known:
             return
