--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -39,6 +39,7 @@
     contacts,
     entrycount,
     interfaces as membership_interfaces,
+    rendezvous,
 )
 from acaciaward.observability import logs
 from acaciaward.platform import (
@@ -49,7 +50,7 @@
     store,
     topics,
 )
-from acaciaward.quarantine import promptparts, suspects
+from acaciaward.quarantine import promptparts, suspects, suspicionstore
 from acaciaward.relays import relaying
 from acaciaward.resumption import origins, servingversions, streamlog
 from acaciaward.routing import demand, endpointlimits, occupancy
@@ -60,6 +61,7 @@
 
 State = membership_interfaces.PeerState
 QUOTAS_TOPIC = "keyed.acaciaward.quotas"
+SUSPICIONS_TOPIC = "keyed.acaciaward.suspicions"
 VERSIONS_TOPIC = "keyed.acaciaward.versions"
 STREAMS_TOPIC = "acaciaward.streams"
 ENTRIES_TOPIC = "keyed.acaciaward.entries"
@@ -185,6 +187,14 @@
         self._prompt_parts = promptparts.PromptParts(
             time.monotonic, self.name, self._serving_entries
         )
+        self._suspicions = suspicionstore.SuspicionStore(
+            topics.KeyedTopic(self._store, SUSPICIONS_TOPIC),
+            self._suspects,
+            self._prompt_parts,
+            is_writer=self._writes_suspicions,
+            now=self._duties.clock.now,
+            era=lambda: self._store.era,
+        )
         self._demand = demand.Demand(time.monotonic, self._occupancy.service_s)
         budget = repeatbudget.Budget(
             bounds["repeat_ratio"], bounds["repeat_burst"], bounds["repeat_window_s"]
@@ -357,6 +367,10 @@
             if peer.state in (State.LIVE, State.LEAVING)
         ]
 
+    def _writes_suspicions(self) -> bool:
+        names = {*self._serving_entries(), self.name}
+        return rendezvous.choose("suspicions", names, 1) == [self.name]
+
     def _reporting_share(self) -> float:
         """Return the share of known entries that the newest sums include."""
         return min(1.0, self._relaying.entry_count / self._known_entries.count())
@@ -448,6 +462,7 @@
             self._run_housekeeping,
             self._relaying.run,
             self._saver.run,
+            self._suspicions.run,
             self._links.prober.run,
             *self._origins.tasks,
             self._announce_when_ready,
