Ask a peer before an endpoint that wasn't reached is tried again

Where no endpoint of a service was reached last, each call connected to one of them again before it asked a peer, so the scenario 'Calls are refused at once when no peer reaches the endpoints either' counted 7 connections to 6 endpoints, in each run.

--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -255,10 +255,14 @@
     ) -> placement.Candidate | None:
         """Return where to send a call, None if it may go through a peer."""
         version = progress.stream_version
-        is_unreached = self._deps.peers.is_unreached(
-            service.name,
-            version,
-            self._deps.occupancy.unreachable(service.name, version),
+        unreachable = self._deps.occupancy.unreachable(service.name, version)
+        is_unreached = self._deps.peers.is_unreached(service.name, version, unreachable)
+        may_ask_peer = not is_unreached and self._deps.peers.is_any_usable(
+            progress, service.name
+        )
+        # Where none was reached last, a peer is asked before one is tried again.
+        is_peer_due = progress.failed_connects > 0 or (
+            may_ask_peer and bool(unreachable)
         )
         candidate = None
         if not is_unreached:
@@ -268,19 +272,14 @@
                 excluded=progress.tried,
                 max_gap_s=progress.route.max_gap_s,
                 version=version,
-                has_failed_connect=progress.failed_connects > 0,
+                has_failed_connect=is_peer_due,
             )
         if candidate is not None:
             self._refuse_if_hopeless(service, progress, candidate)
             return candidate
         backoff_s = self._deps.occupancy.backoff_left_s(service.name, version)
         # A peer would only get round what the endpoints have asked for.
-        may_go_through_peer = (
-            progress.failed_connects and not is_unreached and not backoff_s
-        )
-        if may_go_through_peer and self._deps.peers.is_any_usable(
-            progress, service.name
-        ):
+        if may_ask_peer and is_peer_due and not backoff_s:
             return None
         if progress.may_have_run:
             raise callprogress.RefusedError(
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -165,8 +165,9 @@
 
         ``max_gap_s`` is the longest allowed pause between the events of its answer,
         ``version`` the only version of the endpoints' software that may get it. One
-        that wasn't reached and is paused gets calls only if no other is left, and no
-        call that has failed to reach one already.
+        that wasn't reached and is paused gets calls only if no other is left, and none
+        with ``has_failed_connect``: that have failed to reach one already, or that a
+        peer is asked to serve first.
         """
         now = self._clock()
         ready = [
