--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -20,6 +20,7 @@
     calls,
     decisions,
     detours,
+    endpointchoice,
     errors,
     hedging,
     interfaces,
@@ -67,6 +68,7 @@
         rng = rng or random.Random()
         self._refusals = refusals.Refusals(rng)
         self._services = servicechoice.ServiceChoice(dependencies, self._refusals, rng)
+        self._endpoints = endpointchoice.EndpointChoice(dependencies, self._refusals)
         self._retries = retries.Retries(dependencies, self._refusals)
         self._attempts = attempts.Attempts(dependencies)
         self._detours = detours.Detours(dependencies, self._refusals)
@@ -199,7 +201,7 @@
                 self._detours.attempt, service, progress, responder
             )
         else:
-            self._find_backup(service, progress)
+            self._endpoints.find_backup(service, progress)
             run_attempt = functools.partial(
                 self._attempt_backup, service, progress, responder
             )
@@ -215,30 +217,9 @@
     ) -> bool:
         """Send a call to an endpoint that seems well; return whether it is answered."""
         # Chosen again: other calls may have been sent there since.
-        candidate = self._find_backup(service, progress)
+        candidate = self._endpoints.find_backup(service, progress)
         return await self._attempt_at(candidate, progress, responder, contender)
 
-    def _find_backup(
-        self, service: routes.Service, progress: callprogress.Progress
-    ) -> placement.Candidate:
-        """Return an endpoint that seems well and isn't full; raise without one."""
-        version = progress.stream_version
-        has_alternative = self._deps.occupancy.has_alternative(
-            service.name, progress.tried, version
-        )
-        candidate = None
-        if has_alternative:
-            candidate = self._find_endpoint(
-                service, progress, is_peer_due=progress.failed_connects > 0
-            )
-        if candidate is None:
-            raise hedging.NoBackupError("no other endpoint seems well")
-        if placement.exceeds_wait_limit(
-            candidate, progress.call.prompt, progress.left_s
-        ):
-            raise hedging.NoBackupError("the other endpoints are full")
-        return candidate
-
     def _record_first_attempt(
         self, service: routes.Service, progress: callprogress.Progress
     ) -> None:
@@ -256,7 +237,7 @@
         contender: hedging.Contender,
     ) -> bool:
         """Choose an endpoint and send a call there; return whether it is answered."""
-        candidate = self._choose_endpoint(service, progress)
+        candidate = self._endpoints.choose(service, progress)
         if candidate is None:
             return await self._detours.attempt(service, progress, responder, contender)
         return await self._attempt_at(candidate, progress, responder, contender)
@@ -335,88 +316,6 @@
                 if not progress.route.may_repeat:
                     self._refusals.refuse(progress, responder, str(error))
 
-    def _choose_endpoint(
-        self, service: routes.Service, progress: callprogress.Progress
-    ) -> placement.Candidate | None:
-        """Return where to send a call, None if it may go through a peer."""
-        version = progress.stream_version
-        unreachable = self._deps.occupancy.unreachable(service.name, version)
-        is_unreached = self._deps.peers.is_unreached(service.name, version, unreachable)
-        may_ask_peer = not is_unreached and self._deps.peers.is_any_usable(
-            progress, service.name
-        )
-        # Where none was reached last, a peer is asked before one is tried again.
-        is_peer_due = progress.failed_connects > 0 or (
-            may_ask_peer and bool(unreachable)
-        )
-        candidate = None
-        if not is_unreached:
-            candidate = self._find_endpoint(service, progress, is_peer_due=is_peer_due)
-        if candidate is not None:
-            self._refuse_if_hopeless(service, progress, candidate)
-            return candidate
-        backoff_s = self._deps.occupancy.backoff_left_s(service.name, version)
-        # A peer would only get round what the endpoints have asked for.
-        if may_ask_peer and is_peer_due and not backoff_s:
-            return None
-        if progress.may_have_run:
-            raise callprogress.RefusedError(
-                refusals.BAD_GATEWAY,
-                "no other endpoint",
-                verdict=MAY_HAVE_RUN,
-                cause=callprogress.Cause.NO_ENDPOINT,
-            )
-        at_version = "" if version is None else f" at {version}"
-        if backoff_s:
-            raise callprogress.RefusedError(
-                refusals.UNAVAILABLE,
-                f"all endpoints of {service.name}{at_version} asked to back off",
-                retry_after_s=self._refusals.delay_after_backoff_s(progress, backoff_s),
-                cause=callprogress.Cause.NO_ENDPOINT,
-            )
-        raise callprogress.RefusedError(
-            refusals.UNAVAILABLE,
-            f"no endpoint of {service.name}{at_version}",
-            retry_after_s=self._refusals.retry_delay_s(progress),
-            is_cut_off=is_unreached or progress.failed_connects > 0,
-            cause=callprogress.Cause.NO_ENDPOINT,
-        )
-
-    def _find_endpoint(
-        self,
-        service: routes.Service,
-        progress: callprogress.Progress,
-        *,
-        is_peer_due: bool,
-    ) -> placement.Candidate | None:
-        return self._deps.occupancy.choose(
-            service,
-            progress.call,
-            excluded=progress.tried,
-            max_gap_s=progress.route.max_gap_s,
-            version=progress.stream_version,
-            has_failed_connect=is_peer_due,
-        )
-
-    def _refuse_if_hopeless(
-        self,
-        service: routes.Service,
-        progress: callprogress.Progress,
-        candidate: placement.Candidate,
-    ) -> None:
-        """Raise if the call would wait too long in a queue and has not run yet."""
-        prompt, left_s = progress.call.prompt, progress.left_s
-        if progress.may_have_run or not placement.exceeds_wait_limit(
-            candidate, prompt, left_s
-        ):
-            return
-        raise callprogress.RefusedError(
-            refusals.UNAVAILABLE,
-            f"all endpoints of {service.name} are full",
-            retry_after_s=self._refusals.retry_delay_s(progress),
-            cause=callprogress.Cause.NO_ENDPOINT,
-        )
-
     async def _answer_deadline(
         self, progress: callprogress.Progress, responder: callers.Responder
     ) -> None:
