Keep a live peer whose second attempt wasn't needed

Callers at a cut-off entry were refused for a second after streams through two peers had gone on by themselves: an attempt that another one supersedes ends with SilentError, which was taken for a lost peer. Scenario: 'Peers whose second attempts weren't needed get the next calls' failed before.

--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -366,7 +366,9 @@
                 self._record_unreached(service, progress)
         except errors.BrokenOffError as error:
             decisions.record_detour_end(progress, work, type(error).__name__, error)
-            if isinstance(error, PEER_LOST):
+            # A live peer whose attempt wasn't needed isn't lost.
+            is_well = contender.is_superseded and self._deps.peers.is_live(peer.name)
+            if isinstance(error, PEER_LOST) and not is_well:
                 self._deps.peers.avoid(peer.name, service.name)
             if not progress.route.may_repeat:
                 self._refusals.refuse(progress, responder, str(error))
