Count endpoints that have ended out of a silent stream's attempts

A stream whose second attempt had been refused waited until its deadline at an endpoint that had ended, beside a sound third one: retries allow one more attempt for each ended endpoint, second attempts did not. Scenario: 'An endpoint that has ended doesn't count among the attempts' failed before.

--- a/acaciaward/gateway/retries.py
+++ b/acaciaward/gateway/retries.py
@@ -65,7 +65,7 @@
             raise hedging.NoBackupError("endpoints crashed under a part of its prompt")
         if progress.has_used_attempts:
             raise hedging.NoBackupError("the peer's attempts used up")
-        if progress.sends >= progress.route.max_attempts:
+        if progress.sends >= self._allowed_sends(progress):
             raise hedging.NoBackupError("attempts used up")
         has_spent = progress.sends == progress.allowed_after_sends
         if not (has_spent or self._deps.repeats.may_repeat(service.name)):
@@ -97,8 +97,7 @@
                 "the peer's attempts used up",
                 cause=callprogress.Cause.ATTEMPTS,
             )
-        ended = sum(self._has_ended(incarnation) for incarnation in progress.tried)
-        if progress.sends >= progress.route.max_attempts + ended:
+        if progress.sends >= self._allowed_sends(progress):
             self._refusals.refuse(
                 progress,
                 responder,
@@ -113,6 +112,10 @@
                 cause=callprogress.Cause.BUDGET,
             )
 
+    def _allowed_sends(self, progress: callprogress.Progress) -> int:
+        ended = sum(self._has_ended(incarnation) for incarnation in progress.tried)
+        return progress.route.max_attempts + ended
+
     def _has_ended(self, incarnation: tuple[str, int]) -> bool:
         known = self._deps.directory.get(incarnation[0])
         return known is None or known.incarnation != incarnation
