Begin another run of event numbers only with an event that is accepted

A second attempt whose first event didn't fit ended what is learnt from a stream's numbers, so that the next uneven ones of the first attempt looked like a gap, and the stream was cut. Scenario: 'A second answer that doesn't fit changes nothing for the first one' failed before.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -275,11 +275,11 @@
         """Return the events that the caller doesn't have; raise if some are missing."""
         accepted = []
         for event in filter(progress.is_new, new_events):
+            progress.check_order(event, begins_run=not contender.has_event)
+            contender.claim()
             if not contender.has_event:
                 progress.begin_run()
-            progress.check_order(event)
-            contender.claim()
-            contender.has_event = True
+                contender.has_event = True
             progress.record_event(event)
             accepted.append(event.data)
         return b"".join(accepted)
--- a/acaciaward/gateway/callprogress.py
+++ b/acaciaward/gateway/callprogress.py
@@ -151,10 +151,14 @@
         """Whether an event has not been forwarded."""
         return event.number is None or self._event_numbers.is_new(event.number)
 
-    def check_order(self, event: events.Event) -> None:
-        """Raise ``errors.BrokenOffError`` if events are missing before a new one."""
+    def check_order(self, event: events.Event, *, begins_run: bool = False) -> None:
+        """
+        Raise ``errors.BrokenOffError`` if events are missing before a new one.
+
+        ``begins_run`` means that it would be the first of another answer.
+        """
         if event.number is not None:
-            self._event_numbers.check(event.number)
+            self._event_numbers.check(event.number, begins_run=begins_run)
 
     def record_event(self, event: events.Event) -> None:
         """Record that a new event is forwarded."""
--- a/acaciaward/gateway/eventnumbers.py
+++ b/acaciaward/gateway/eventnumbers.py
@@ -40,9 +40,14 @@
         """Whether an event has not been forwarded."""
         return self.last is None or number > self.last
 
-    def check(self, number: int) -> None:
-        """Raise ``errors.BrokenOffError`` if events are missing before a new one."""
-        if self._is_learning or self._step is None or self.last is None:
+    def check(self, number: int, *, begins_run: bool = False) -> None:
+        """
+        Raise ``errors.BrokenOffError`` if events are missing before a new one.
+
+        ``begins_run`` checks it as the first of another run, which hasn't begun yet.
+        """
+        is_learning = self._is_learning and not begins_run
+        if is_learning or self._step is None or self.last is None:
             return
         if number != self.last + self._step:
             raise errors.BrokenOffError(
