Let a refused first attempt wait for the second, and end superseded ones surely

A call whose first attempt, through a peer, was refused late ended with 502 while the second one was at work: only second attempts caught the refusal. And a sound endpoint whose second attempt wasn't needed counted as failed, and was paused; whether it did hung on how many events came at once, as an attempt that was no longer waiting for bytes was cancelled instead of interrupted. Interruptions now reach the next read, too.

--- a/acaciaward/gateway/features/silences.feature
+++ b/acaciaward/gateway/features/silences.feature
@@ -94,6 +94,61 @@
     When a caller with a timeout of 2.9 s asks
     Then the events are 1 to 6 and the answer is complete
 
+  # The caller got 502 as the first peer refused, though the second one's answer was coming.
+  Scenario: A call goes on at the second peer though the first one refuses it late
+    Given an entry for resumable streams that is cut off, and 2 peers
+    And a peer's endpoint refuses after 1.5 s, and the other's streams 1 to 3 after 0.9 s
+    When a caller with a timeout of 3.9 s asks
+    Then the events are 1 to 3 and the answer is complete
+
+  # Sound peers were left alone for a second, and new calls refused.
+  Scenario: Peers whose second attempts weren't needed get the next calls
+    Given an entry for resumable streams that is cut off, and 2 peers
+    And the peers' endpoints are silent after 3 events, and go on 1.6 s later
+    When 6 callers with a timeout of 3.9 s ask at once
+    Then each gets the events 1 to 6 and a complete answer
+    And the peers are not left alone
+
+  # A sound endpoint was paused since its answers weren't waited for.
+  Scenario: Endpoints whose second attempts weren't needed count as well
+    Given a front for streams with 2 endpoints and 2 attempts
+    And one endpoint is silent after 3 events and goes on 0.7 s later, the other is slow
+    When 4 callers with a timeout of 2.9 s ask at once
+    Then each gets the events 1 to 6 and a complete answer
+    And the slow endpoint has no failure
+
+  # A stream waited for an endpoint that had ended, as a refusal had used its attempts.
+  Scenario: An endpoint that has ended doesn't count among the attempts
+    Given a front for streams with 3 endpoints and 2 attempts
+    And a stream hangs after 3 events, the next is refused, and others go on after 3
+    When a caller with a timeout of 2.9 s asks, and the first endpoint ends after 0.9 s
+    Then the events are 1 to 6 and the answer is complete
+    And 3 endpoints were tried
+
+  # Guards against more sends than a route allows.
+  Scenario: A silent stream is sent to no more endpoints than its route allows
+    Given a front for streams with 3 endpoints and 2 attempts
+    And a stream is silent after 3 events and goes on a second later, and others refuse
+    When a caller with a timeout of 2.9 s asks
+    Then the events are 1 to 6 and the answer is complete
+    And 2 endpoints were tried
+
+  # Guards against second attempts beyond the retry budget: 12 calls add 0.14 each to it.
+  Scenario: Silent streams are sent to another endpoint while the budget allows it
+    Given a front for streams with 2 endpoints and 2 attempts
+    And the budget of repeats allows 3 more
+    And one endpoint is silent after 3 events and goes on 1 s later, the other comes later
+    When 12 callers with a timeout of 2.9 s ask at once
+    Then each gets the events 1 to 6 and a complete answer
+    And 4 calls were sent twice
+
+  # A second attempt that was rejected let the first one's next events look like a gap.
+  Scenario: A second answer that doesn't fit changes nothing for the first one
+    Given a front for resumable streams
+    And a stream sends 10, 20, 30, and a second later 45 and 60, and others send 45
+    When a caller with a timeout of 2.9 s asks
+    Then the ids of its events are 10, 20, 30, 45, 60
+
   # 15 to 16 of 60 streams that had begun were cut as the others were full (LOST).
   Scenario Outline: Streams go on while a part of the endpoints stands still
     Given 2 entries with 6 endpoints, and streams of 4 s
--- a/acaciaward/gateway/features/steps/silences_steps.py
+++ b/acaciaward/gateway/features/steps/silences_steps.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import re
 import time
 
 from behave import given, then, when
 
+from acaciaward.catalogue import routes
 from acaciaward.catalogue.features import delivery
 from acaciaward.gateway.features import fleet, scripted
+from acaciaward.gateway.features.steps import forwarding_steps
 from acaciaward.membership import interfaces
 
 STREAM_EVENTS = 80
@@ -310,3 +313,164 @@
         if 0 <= arrival.at - context.went_on_at <= limit_s
     }
     assert context.still_names <= reached, (context.still_names, reached)
+
+
+def numbered(numbers, pause_at=None, pause_s=0.0, end_s=0.0):
+    """Return a script that streams numbers, with pauses before one and the end."""
+
+    async def script(head, reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n" + scripted.echo(head) + scripted.SIGNATURE)
+        writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
+        for number in numbers:
+            if number == pause_at:
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+            scripted.write_chunk(writer, scripted.event(number))
+            await writer.drain()
+            # Each event comes by itself.
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(end_s)
+        await scripted.end(reader, writer, 0)
+
+    return script
+
+
+def after(seconds, script):
+    """Return a script that begins later."""
+
+    async def later(head, reader, writer):
+        await asyncio.sleep(seconds)
+        await script(head, reader, writer)
+
+    return later
+
+
+async def go_on(head, reader, writer):
+    """Stream the events up to 6 that the caller lacks."""
+    known = int(scripted.header(head, "last-event-id") or 0)
+    await numbered(range(known + 1, 7))(head, reader, writer)
+
+
+@given("a front for streams with {count:d} endpoints and {attempts:d} attempts")
+def start_front(context, count, attempts):
+    forwarding_steps.start(
+        context,
+        routes.RequestKind.STREAM,
+        resumable=True,
+        count=count,
+        attempts=attempts,
+        timeout_s=4,
+    )
+
+
+@given(
+    "a peer's endpoint refuses after {refused_s:g} s, and the other's streams 1 to 3"
+    " after {streamed_s:g} s"
+)
+def refuse_late(context, refused_s, streamed_s):
+    shared = [
+        after(refused_s, scripted.refuse()),
+        after(streamed_s, scripted.stream(1, 3)),
+    ]
+    for peer in context.group.peers:
+        for endpoint in peer.endpoints.values():
+            endpoint.scripts = shared
+
+
+@given("the peers' endpoints are silent after 3 events, and go on {seconds:g} s later")
+def fall_silent_at_peers(context, seconds):
+    for peer in context.group.peers:
+        peer.always(numbered(range(1, 7), pause_at=4, pause_s=seconds, end_s=0.2))
+
+
+@then("the peers are not left alone")
+def check_not_avoided(context):
+    came = sum(map(len, context.group.came.values()))
+    assert came > len(context.answers), came
+    peers = context.group.entry.forwarder._deps.peers
+    now = time.monotonic()
+    avoided = {key for key, until in peers._avoided_until.items() if until > now}
+    assert not avoided, avoided
+
+
+def hide(front, name):
+    """Take an endpoint out of the directory; return what lists it again."""
+    endpoint = front.directory.get(name)
+    front.directory.remove_now(name, "hidden")
+    return lambda: front.directory.update(endpoint)
+
+
+@given(
+    "one endpoint is silent after 3 events and goes on {seconds:g} s later, the other"
+    " {word}"
+)
+def pair_endpoints(context, seconds, word):
+    front = context.front
+    silent = numbered(range(1, 7), pause_at=4, pause_s=seconds, end_s=0.2)
+    front.endpoints["s-0"].default_script = silent
+    other = after(2.0, go_on) if word == "is slow" else go_on
+    front.endpoints["s-1"].default_script = other
+    # All calls begin at the first endpoint; the other one is listed before they fall
+    # silent for long.
+    show = hide(front, "s-1")
+
+    async def list_again():
+        asyncio.get_running_loop().call_later(0.2, show)
+
+    context.runner.run(list_again())
+
+
+@then("the slow endpoint has no failure")
+def check_well(context):
+    front = context.front
+    assert front.endpoints["s-1"].requests
+    health = front.occupancy._health_of(front.directory.get("s-1"))
+    assert not health.consecutive_failures, health
+    assert not health.failed_share, health
+
+
+@given("a stream hangs after 3 events, the next is refused, and others go on after 3")
+def hang_and_refuse(context):
+    context.front.always(go_on)
+    context.front.script(scripted.stream(1, 3, then="hang"), scripted.refuse())
+
+
+@when(
+    "a caller with a timeout of {timeout_s:g} s asks, and the first endpoint ends after"
+    " {seconds:g} s"
+)
+def ask_and_end(context, timeout_s, seconds):
+    front = context.front
+
+    def end_first():
+        first = min(
+            (name for name in front.endpoints if front.endpoints[name].arrived_at),
+            key=lambda name: front.endpoints[name].arrived_at[0],
+        )
+        front.directory.remove_now(first, "ended")
+
+    async def run():
+        asyncio.get_running_loop().call_later(seconds, end_first)
+        return await scripted.ask(front, caller_timeout_s=timeout_s)
+
+    context.data, _ = context.runner.run(run())
+
+
+@then("{count:d} calls were sent twice")
+def check_repeats(context, count):
+    repeats = len(context.front.requests) - len(context.answers)
+    assert repeats == count, repeats
+
+
+@given("a stream sends 10, 20, 30, and a second later 45 and 60, and others send 45")
+def send_unevenly(context):
+    context.front.always(numbered([45]))
+    context.front.script(numbered([10, 20, 30, 45, 60], pause_at=45, pause_s=1.0))
+
+
+@then("the ids of its events are {ids}")
+def check_ids(context, ids):
+    found = re.findall(rb"id: (\d+)", scripted.body_of(context.data))
+    assert [int(number) for number in found] == [
+        int(number) for number in ids.split(", ")
+    ], context.data
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -267,6 +267,8 @@
             self._record_error(error, progress, work, responder)
         except (asyncio.CancelledError, callers.CallerGoneError):
             outcome = self._outcome_of_cancelled(progress, work)
+            if contender.is_superseded:
+                outcome = self._outcome_of_superseded(work)
             raise
         finally:
             work.end(outcome)
@@ -283,10 +285,15 @@
             case errors.NotRunError(is_misdirected=False):
                 return Outcome.REFUSED
             case errors.SilentError():
-                if self._deps.occupancy.is_unresponsive(work.endpoint):
-                    return Outcome.UNREACHED
+                return self._outcome_of_superseded(work)
         return Outcome.FAILED
 
+    def _outcome_of_superseded(self, work: occupancy.ActiveCall) -> Outcome:
+        """Return the outcome if another endpoint goes on with the answer."""
+        if self._deps.occupancy.is_unresponsive(work.endpoint):
+            return Outcome.UNREACHED
+        return Outcome.UNDECIDED
+
     @staticmethod
     def _outcome_of_cancelled(
         progress: callprogress.Progress, work: occupancy.ActiveCall
--- a/acaciaward/gateway/hedging.py
+++ b/acaciaward/gateway/hedging.py
@@ -34,8 +34,8 @@
 class Source(typing.Protocol):
     """The connection that an attempt waits on for bytes of its answer."""
 
-    def interrupt(self, error: errors.BrokenOffError) -> bool:
-        """Raise an error in a call that waits for bytes; return whether one does."""
+    def interrupt(self, error: errors.BrokenOffError) -> None:
+        """Raise an error in the call that waits for bytes, or will next."""
 
 
 # Runs an attempt that is added to the hedge, and returns whether the call is answered.
@@ -111,10 +111,9 @@
     def supersede(self) -> None:
         """End the attempt, as another one goes on with the answer."""
         self.is_superseded = True
-        error = errors.SilentError(SUPERSEDED_REASON)
-        if self.source is not None and self.source.interrupt(error):
-            return
-        if self.task is not None:
+        if self.source is not None:
+            self.source.interrupt(errors.SilentError(SUPERSEDED_REASON))
+        elif self.task is not None:
             self.task.cancel()
 
 
@@ -160,15 +159,20 @@
         """
         contender = Contender(self, prepare_backup)
         self._running.append(contender)
+        refusal: callprogress.RefusedError | None = None
         try:
             if await run_attempt(contender):
                 return True
+        except callprogress.RefusedError as error:
+            refusal = error
         finally:
             self._running.remove(contender)
         while pending := [task for task in self._tasks if not task.done()]:
             await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         # One that was superseded before it began is cancelled.
         answered = [not task.cancelled() and task.result() for task in self._tasks]
+        if refusal is not None and not any(answered):
+            raise refusal
         return any(answered)
 
     def is_running(self, contender: Contender) -> bool:
--- a/acaciaward/gateway/upstreams.py
+++ b/acaciaward/gateway/upstreams.py
@@ -75,6 +75,7 @@
         self._error: Exception | None = None
         self._buffer = bytearray()
         self._waiter: asyncio.Future | None = None
+        self._interruption: Exception | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = typing.cast(asyncio.Transport, transport)
@@ -111,16 +112,18 @@
         """Whether a ``receive`` is pending."""
         return self._waiter is not None and not self._waiter.done()
 
-    def interrupt(self, error: Exception) -> bool:
-        """Raise an error in a pending ``receive``; return whether there was one."""
-        if not self.is_waiting:
-            return False
-        self._waiter.set_exception(error)
-        return True
+    def interrupt(self, error: Exception) -> None:
+        """Raise an error in the pending ``receive``, or in the next one."""
+        self._interruption = error
+        self._wake()
 
     async def receive(self) -> bytes:
         """Return bytes, empty at an orderly end; raise ``OSError`` after a reset."""
-        while not self._buffer:
+        while True:
+            if self._interruption is not None:
+                raise self._interruption
+            if self._buffer:
+                break
             if self._error is not None:
                 raise ConnectionResetError(str(self._error)) from self._error
             if self.has_ended:
@@ -174,9 +177,9 @@
         """Whether a call waits for bytes."""
         return self._protocol.is_waiting
 
-    def interrupt(self, error: errors.BrokenOffError) -> bool:
-        """Raise an error in the call that waits for bytes; return whether one does."""
-        return self._protocol.interrupt(error)
+    def interrupt(self, error: errors.BrokenOffError) -> None:
+        """Raise an error in the call that waits for bytes, or will next."""
+        self._protocol.interrupt(error)
 
     async def exchange(
         self,
