Ask the store before a stream goes on at endpoints without a version

What the store lists now decides here, too. Scenario 'A stream that no entry knows isn't taken up where a first version serves by now' failed before.

--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -281,6 +281,8 @@
         self.endpoints = {}
         self.ended = []
         self.ran = []
+        # Versions that the store lists and the directory doesn't know yet.
+        self.unseen_versions = set()
         route = routes.Route(
             "r1",
             HOST,
@@ -361,6 +363,7 @@
         now = time.monotonic()
         self.directory.record_read(now, is_continuous=True)
         versions = {one.version for one in self.directory.of_service("service")}
+        versions |= self.unseen_versions
         return storeview.ListedVersions(now, {"service": versions})
 
     async def start(self):
--- a/acaciaward/gateway/features/steps/forwarding_steps.py
+++ b/acaciaward/gateway/features/steps/forwarding_steps.py
@@ -257,6 +257,11 @@
         directory.update(endpoint._replace(version=version))
 
 
+@given("the store lists an endpoint of {version} by now")
+def list_unseen(context, version):
+    context.front.unseen_versions.add(version)
+
+
 @given("the endpoint of {version} has ended")
 def end_version(context, version):
     directory = context.front.directory
--- a/acaciaward/gateway/features/streams.feature
+++ b/acaciaward/gateway/features/streams.feature
@@ -179,6 +179,13 @@
     When a caller asks to go on after 12
     Then the answer is 503 with a retry delay
 
+  # The entry's own view was taken as proof that no endpoint reports a version (ORDER).
+  Scenario: A stream that no entry knows isn't taken up where a first version serves by now
+    Given a front for resumable streams
+    And the store lists an endpoint of v2 by now
+    When a caller asks to go on after 12
+    Then the answer is 503 and 0 requests arrived
+
   # A refusal wouldn't be needed here: the stream can have begun at this version only.
   Scenario: A stream that no entry knows is taken up where one version serves for long
     Given a front for resumable streams
--- a/acaciaward/gateway/servicechoice.py
+++ b/acaciaward/gateway/servicechoice.py
@@ -151,7 +151,7 @@
     ) -> tuple[str, origins.Origin | None]:
         """Find out which version of a service began a stream; raise if that fails."""
         if self._deps.directory.reports_no_version(service):
-            return "no version", origins.Origin(service, "")
+            return await self._check_no_version(service)
         stored = await self._deps.origins.look_up(
             progress.organisation_name, progress.call.resumed_attempt_id, service
         )
@@ -170,6 +170,15 @@
             return "nothing", None
         return "only version", origins.Origin(service, version)
 
+    async def _check_no_version(
+        self, service: str
+    ) -> tuple[str, origins.Origin | None]:
+        """Find out if a service still has no version; raise if that fails."""
+        listed = await self._deps.list_versions()
+        if listed.versions.get(service, frozenset()) - {""}:
+            return "nothing", None
+        return "no version", origins.Origin(service, "")
+
     def _record_take_up(
         self,
         progress: callprogress.Progress,
