--- a/acaciaward/gateway/hedging.py
+++ b/acaciaward/gateway/hedging.py
@@ -24,10 +24,9 @@
 log = logging.getLogger(__name__)
 
 # Both endpoints work on a call for at most this long after the later one has begun to
-# answer; the platform allows 0.4 s (RULES, TWICE).
+# answer; more than 0.4 s would count as running it twice.
 MAX_OVERLAP_S = 0.25
 
-
 SUPERSEDED_REASON = "silent, and another endpoint goes on with the answer"
 
 
--- a/features/soaksilences.feature
+++ b/features/soaksilences.feature
@@ -26,3 +26,18 @@
       | 1.5   | its server   | an end      | 1.0  | doesn't count |
       | 1.5   | the store    | a fault     | 1.0  | counts        |
       | 2.9   | nothing      | no fault    | 1.0  | doesn't count |
+
+  # A stream that went through a peer was judged lost by a stop, as the peer was killed.
+  Scenario Outline: A stream that is cut in a stop counts only if its peer was sound
+    Given a stream that was sent to a server 5 s ago and was cut after 1.5 s
+    And <what> that had <disturbance> 1 s after it was sent
+    When the soak judges a stop of its entry 0.5 s after it was sent
+    Then the stream <verdict> as lost
+
+    Examples:
+      | what         | disturbance | verdict       |
+      | nothing      | no fault    | counts        |
+      | the peer     | a fault     | doesn't count |
+      | the peer     | an end      | doesn't count |
+      | the peer     | a stop      | counts        |
+      | another peer | a fault     | counts        |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -108,6 +108,7 @@
 
 STREAM_TIMEOUT_S = 3.0
 DISTURBANCE_S = 0.2
+STOP_S = 2.0
 NAMES = {
     "its entry": "edge-0",
     "the peer": "edge-1",
@@ -152,9 +153,19 @@
 
 @when("the soak judges what callers got")
 def judge_cuts(context):
+    make_checker(context)._check_cuts()
+
+
+@when("the soak judges a stop of its entry {when_s:g} s after it was sent")
+def judge_stop(context, when_s):
+    began = context.attempt.sent_at + when_s
+    make_checker(context).check_stop("edge-0", began, began + STOP_S)
+
+
+def make_checker(context):
     recorder = context.recorder = ledger.Recorder()
     recorder.attempts["a-1"] = context.attempt
-    checker = judge.Checker(
+    return judge.Checker(
         recorder,
         store=None,
         disturbances=context.disturbances,
@@ -166,7 +177,6 @@
         signal_log=None,
         orderly_stops=[],
     )
-    checker._check_cuts()
 
 
 @then("the stream {verdict} as lost")
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -355,6 +355,12 @@
                 continue
             if not all(is_undisturbed(name, begin, ended) for name in servers):
                 continue
+            are_peers_sound = all(
+                is_undisturbed(name, begin, ended, kinds=BREAKING_OFF)
+                for name in attempt.senders - {entry}
+            )
+            if not are_peers_sound:
+                continue
             if attempt.status is None or not attempt.is_complete:
                 self._record_lost(attempt, began)
 
