Split the connections to endpoints from their pool

Callers saw: nothing; no behaviour changes. Change: one call on one connection is `gateway/upstreamconnections.py`; which connections are kept, and for which calls, stays in `gateway/upstreams.py`.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -23,6 +23,7 @@
     interfaces,
     refusals,
     responsiveness,
+    upstreamconnections,
     upstreams,
 )
 from acaciaward.resumption import origins
@@ -178,7 +179,7 @@
         self,
         progress: callprogress.Progress,
         work: Work,
-        reply: upstreams.Reply,
+        reply: upstreamconnections.Reply,
         responder: callers.Responder,
         contender: hedging.Contender,
     ) -> None:
@@ -228,7 +229,7 @@
         self,
         progress: callprogress.Progress,
         work: Work,
-        reply: upstreams.Reply,
+        reply: upstreamconnections.Reply,
         responder: callers.Responder,
         contender: hedging.Contender,
     ) -> None:
@@ -288,7 +289,7 @@
         self,
         progress: callprogress.Progress,
         work: Work,
-        reply: upstreams.Reply,
+        reply: upstreamconnections.Reply,
         responder: callers.Responder,
     ) -> None:
         detour_headers = self._detour_headers(progress, work, reply.head)
@@ -328,7 +329,7 @@
         self,
         progress: callprogress.Progress,
         work: Work,
-        upstream: upstreams.UpstreamConnection,
+        upstream: upstreamconnections.UpstreamConnection,
         contender: hedging.Contender,
     ) -> contextlib.AbstractContextManager:
         """Start a backup of a call that may be repeated if its endpoint is silent."""
