--- a/acaciaward/gateway/features/steps/detours_steps.py
+++ b/acaciaward/gateway/features/steps/detours_steps.py
@@ -7,8 +7,7 @@
 
 from acaciaward.admission import quotas
 from acaciaward.catalogue import routes
-from acaciaward.gateway.features import scripted
-from acaciaward.gateway.features.steps import forwarding_steps
+from acaciaward.gateway.features import forwardingscripts, scripted
 from acaciaward.membership import interfaces
 from standins import ports
 
@@ -261,7 +260,7 @@
     for front in context.group.peers:
         for endpoint in front.endpoints.values():
             endpoint.scripts = shared
-        front.always(forwarding_steps.NEXT_ANSWERS[error])
+        front.always(forwardingscripts.NEXT_ANSWERS[error])
 
 
 @given("the peers' endpoints stream 1 to 3 and reset, then 4 to 6 and end")
