Split what entries report of crashes from what they conclude

Callers saw: nothing; no behaviour changes. Change: the messages, their bounds and names are `quarantine/crashreports.py`. `CRASHES_IF_DOUBTFUL` is tied to the number of endpoints remembered, as it was.

--- a/acaciaward/gateway/retries.py
+++ b/acaciaward/gateway/retries.py
@@ -17,7 +17,7 @@
     metrics,
     refusals,
 )
-from acaciaward.quarantine import suspects
+from acaciaward.quarantine import crashreports, suspects
 from acaciaward.routing import occupancy
 
 FIRST_ERROR_STATUS = 400
@@ -145,7 +145,7 @@
         name, born = work.endpoint.incarnation
         crashes = self._deps.suspects.record_crash(
             progress.digest,
-            suspects.endpoint_key(name, born, work.endpoint.version),
+            crashreports.endpoint_key(name, born, work.endpoint.version),
             is_early=is_early,
         )
         part_crashes = 0
--- a/acaciaward/quarantine/features/steps/suspects_steps.py
+++ b/acaciaward/quarantine/features/steps/suspects_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from acaciaward.quarantine import suspects
+from acaciaward.quarantine import crashreports, suspects
 
 
 @given("{count:d} entries that know of no crash")
@@ -51,7 +51,7 @@
 )
 def crash_at_version(context, name, first, last, version, entry):
     for number in range(first, last + 1):
-        endpoint = suspects.endpoint_key(f"s-{number}", 1, version)
+        endpoint = crashreports.endpoint_key(f"s-{number}", 1, version)
         context.entries[entry].record_crash(name, endpoint)
 
 
@@ -117,7 +117,7 @@
 
 @when("the entries exchange reports")
 def exchange_reports(context):
-    report = suspects.merge(entry.report() for entry in context.entries.values())
+    report = crashreports.merge(entry.report() for entry in context.entries.values())
     for entry in context.entries.values():
         entry.receive(report)
 
--- a/acaciaward/quarantine/suspects.py
+++ b/acaciaward/quarantine/suspects.py
@@ -20,8 +20,8 @@
 import typing
 from collections import abc
 
-from acaciaward import decoding
 from acaciaward.observability import logs
+from acaciaward.quarantine import crashreports
 
 log = logging.getLogger(__name__)
 
@@ -30,7 +30,7 @@
 CRASHES_TO_SUSPECT = 3
 # The same if some crashes came later in an answer, or if as many endpoints have crashed
 # without the request.
-CRASHES_IF_DOUBTFUL = 5
+CRASHES_IF_DOUBTFUL = crashreports.MAX_ENDPOINTS
 # With later crashes, a request must have been at this share of the crashes known.
 LEAST_SHARE_OF_CRASHES = 1 / 3
 # How long a crash counts as one of those that a request was at or wasn't.
@@ -47,62 +47,7 @@
 MAX_KNOWN = 1000
 MAX_SERVED = 4096
 MAX_CRASHED = 256
-# Bound on the requests that one message reports, the newest first, and on how often it
-# names an endpoint with them.
-MAX_REPORTED = 32
-MAX_CRASHES_REPORTED = 96
-# Bounds on the endpoints with company in a message, and on the requests of all of them.
-MAX_ENDPOINTS_REPORTED = 8
-MAX_COMPANY_REPORTED = 48
 DIGEST_BYTES = 8
-VERSION_BYTES = 2
-VERSION_MARK = "@"
-# More endpoints than an entry remembers of a request aren't reported by any.
-MAX_ENDPOINTS_EACH = 2 * CRASHES_IF_DOUBTFUL
-
-
-class CrashReport(typing.TypedDict):
-    """
-    The endpoints that each request crashed, and the cleared requests.
-
-    Endpoints are named as by ``endpoint_key``. A request may be cleared of the crashes
-    of one version, see ``_subject``. ``company`` holds, by crashed endpoint, the
-    requests whose answers had gone on there for a while. It is missing in messages of
-    older builds.
-    """
-
-    crashes: dict[str, list[str]]
-    cleared: list[str]
-    company: typing.NotRequired[dict[str, list[str]]]
-
-
-def endpoint_key(name: str, born: int, version: str) -> str:
-    """
-    Return what identifies a run of an endpoint, with a hash of its version.
-
-        endpoint_key("i-1", 5, "v2")  # "i-1/5@0c1b"
-
-    Older builds leave the version out, as is done where there is none.
-    """
-    return _subject(f"{name}/{born}", _version_hash(version))
-
-
-def _version_hash(version: str) -> str:
-    if not version:
-        return ""
-    return hashlib.blake2b(version.encode(), digest_size=VERSION_BYTES).hexdigest()
-
-
-def _version_of(endpoint: str) -> str:
-    """Return the hash of an endpoint's version, empty if it isn't named."""
-    version = endpoint.rpartition(VERSION_MARK)[2]
-    has_version = VERSION_MARK in endpoint and len(version) == 2 * VERSION_BYTES
-    return version if has_version else ""
-
-
-def _subject(name: str, version: str) -> str:
-    """Return a name with the hash of a version, without one if that is empty."""
-    return f"{name}{VERSION_MARK}{version}" if version else name
 
 
 class Suspicion(typing.NamedTuple):
@@ -145,7 +90,7 @@
             frozenset(
                 endpoint
                 for endpoint in endpoints
-                if version and _version_of(endpoint) not in ("", version)
+                if version and crashreports.version_of(endpoint) not in ("", version)
             )
             for endpoints in (self.early, self.later)
         )
@@ -157,17 +102,13 @@
         self, early: abc.Iterable[str], later: abc.Iterable[str], now: float
     ) -> "_Crashes":
         """Return this with more crashed endpoints, itself if none is new."""
-        all_early = _kept(self.early.union(early))
-        all_later = _kept(self.later.union(later) - all_early)
+        all_early = crashreports.bounded(self.early.union(early))
+        all_later = crashreports.bounded(self.later.union(later) - all_early)
         if (all_early, all_later) == (self.early, self.later):
             return self
         return _Crashes(all_early, all_later, now)
 
 
-def _kept(endpoints: abc.Iterable[str]) -> frozenset[str]:
-    return frozenset(sorted(endpoints)[:CRASHES_IF_DOUBTFUL])
-
-
 def digest(*parts: bytes) -> str:
     """
     Return a digest that identifies a request, also when it is retried.
@@ -181,40 +122,6 @@
     return hasher.hexdigest()
 
 
-def merge(reports: abc.Iterable[CrashReport]) -> CrashReport:
-    """Merge the reports of several entries, those with most crashes first."""
-    crashes: dict[str, set[str]] = {}
-    cleared: dict[str, None] = {}
-    later: dict[str, set[str]] = {}
-    # Each report begins with what is most telling.
-    ranks: dict[str, int] = {}
-    for report in reports:
-        for name, endpoints in report["crashes"].items():
-            crashes.setdefault(name, set()).update(endpoints)
-        for rank, (name, endpoints) in enumerate(_by_request(report).items()):
-            later.setdefault(name, set()).update(endpoints)
-            ranks[name] = min(rank, ranks.get(name, rank))
-        cleared |= dict.fromkeys(report["cleared"])
-    by_endpoints = sorted(crashes, key=lambda name: -len(crashes[name]))
-    by_later = sorted(later, key=lambda name: (-len(later[name]), ranks[name]))
-    return {
-        "crashes": _first_of(
-            (name, crashes[name]) for name in by_endpoints[:MAX_REPORTED]
-        ),
-        "cleared": list(cleared)[:MAX_REPORTED],
-        "company": _by_endpoint((name, _kept(later[name])) for name in by_later),
-    }
-
-
-def is_valid(request: str, endpoints: abc.Collection[str]) -> bool:
-    """Return whether a request and endpoints that others name may be remembered."""
-    return (
-        decoding.is_name(request)
-        and all(map(decoding.is_name, endpoints))
-        and len(endpoints) <= MAX_ENDPOINTS_EACH
-    )
-
-
 class Suspects:
     """
     The crashes known to one entry, its own and those that peers report.
@@ -250,7 +157,8 @@
 
         Unless ``is_early``, the request's answer had gone on for a while.
         """
-        if _subject(request, _version_of(endpoint)) in self._served:
+        version = crashreports.version_of(endpoint)
+        if crashreports.subject_of(request, version) in self._served:
             return 0
         if is_early:
             self._add(request, early=[endpoint])
@@ -264,8 +172,8 @@
 
         Returns whether this cleared it of crashes; without a version, of all.
         """
-        version_hash = _version_hash(version)
-        for subject in {request, _subject(request, version_hash)}:
+        version_hash = crashreports.version_hash(version)
+        for subject in {request, crashreports.subject_of(request, version_hash)}:
             self._served[subject] = None
             self._served.move_to_end(subject)
         _evict_oldest(self._served, MAX_SERVED)
@@ -281,7 +189,7 @@
             return False
         return self._is_guilty(record)
 
-    def report(self) -> CrashReport:
+    def report(self) -> crashreports.CrashReport:
         """Return the newest crashes and cleared requests, to report to peers."""
         now = self._clock()
         for known in (self._crashes, self._company):
@@ -300,12 +208,12 @@
             if now - record.last_at <= COMPANY_REPORT_S
         ]
         return {
-            "crashes": _first_of(early[:MAX_REPORTED]),
-            "cleared": list(reversed(self._cleared))[:MAX_REPORTED],
-            "company": _by_endpoint(later),
+            "crashes": crashreports.first_of(early[: crashreports.MAX_REPORTED]),
+            "cleared": list(reversed(self._cleared))[: crashreports.MAX_REPORTED],
+            "company": crashreports.by_endpoint(later),
         }
 
-    def receive(self, report: CrashReport) -> None:
+    def receive(self, report: crashreports.CrashReport) -> None:
         """
         Receive a report of peers.
 
@@ -313,18 +221,18 @@
         """
         skipped = 0
         for subject in report["cleared"]:
-            name, _, version = subject.partition(VERSION_MARK)
+            name, _, version = subject.partition(crashreports.VERSION_MARK)
             self._clear(name, version)
         found = {
             name: _Crashes(early=frozenset(endpoints))
             for name, endpoints in report["crashes"].items()
         }
-        for name, endpoints in _by_request(report).items():
+        for name, endpoints in crashreports.by_request(report).items():
             found[name] = found.get(name, _Crashes())._replace(
                 later=frozenset(endpoints)
             )
         for name, record in found.items():
-            if not is_valid(name, record.endpoints):
+            if not crashreports.is_valid(name, record.endpoints):
                 skipped += 1
             else:
                 self._receive(name, record)
@@ -336,7 +244,9 @@
     def _receive(self, request: str, record: _Crashes) -> None:
         """Add reported crashes, but those of versions that served the request."""
         subjects = {
-            endpoint: _subject(request, _version_of(endpoint))
+            endpoint: crashreports.subject_of(
+                request, crashreports.version_of(endpoint)
+            )
             for endpoint in record.endpoints
         }
         for subject in set(subjects.values()) & self._served.keys():
@@ -438,52 +348,13 @@
         if not remaining.endpoints:
             del records[request]
         if not known.is_company:
-            self._record_cleared(_subject(request, version))
+            self._record_cleared(crashreports.subject_of(request, version))
         return not known.is_company
 
     def _record_cleared(self, request: str) -> None:
         self._cleared[request] = None
         self._cleared.move_to_end(request)
-        _evict_oldest(self._cleared, MAX_REPORTED)
-
-
-def _first_of(
-    crashes: abc.Iterable[tuple[str, abc.Collection[str]]],
-) -> dict[str, list[str]]:
-    """Return the first requests' endpoints, within the bounds of a message."""
-    found: dict[str, list[str]] = {}
-    count = 0
-    for name, endpoints in crashes:
-        kept = sorted(endpoints)[:CRASHES_IF_DOUBTFUL]
-        count += len(kept)
-        if count > MAX_CRASHES_REPORTED:
-            break
-        found[name] = kept
-    return found
-
-
-def _by_endpoint(
-    later: abc.Iterable[tuple[str, abc.Collection[str]]],
-) -> dict[str, list[str]]:
-    """Return the first requests by endpoint, within the bounds of a message."""
-    company: dict[str, list[str]] = {}
-    count = 0
-    for name, endpoints in later:
-        for endpoint in sorted(endpoints):
-            has_room = endpoint in company or len(company) < MAX_ENDPOINTS_REPORTED
-            if has_room and count < MAX_COMPANY_REPORTED:
-                company.setdefault(endpoint, []).append(name)
-                count += 1
-    return company
-
-
-def _by_request(report: CrashReport) -> dict[str, set[str]]:
-    """Return the endpoints by request that a report names as company of crashes."""
-    later: dict[str, set[str]] = {}
-    for endpoint, names in report.get("company", {}).items():
-        for name in names:
-            later.setdefault(name, set()).add(endpoint)
-    return later
+        _evict_oldest(self._cleared, crashreports.MAX_REPORTED)
 
 
 def _evict_oldest(kept: collections.OrderedDict, max_count: int) -> None:
--- a/acaciaward/quarantine/suspicionstore.py
+++ b/acaciaward/quarantine/suspicionstore.py
@@ -20,7 +20,7 @@
 from acaciaward import decoding, errors
 from acaciaward.catalogue import topicfollower
 from acaciaward.observability import logs
-from acaciaward.quarantine import promptparts, suspects
+from acaciaward.quarantine import crashreports, promptparts, suspects
 
 log = logging.getLogger(__name__)
 
@@ -146,7 +146,9 @@
 
 def _is_request_valid(record: RequestRecord) -> bool:
     endpoints = [*record.early, *record.later]
-    return decoding.is_in_range(record.at) and suspects.is_valid(record.name, endpoints)
+    return decoding.is_in_range(record.at) and crashreports.is_valid(
+        record.name, endpoints
+    )
 
 
 def _is_part_valid(record: PartRecord) -> bool:
--- a/acaciaward/relays/aggregation.py
+++ b/acaciaward/relays/aggregation.py
@@ -11,7 +11,7 @@
 from collections import abc
 
 from acaciaward.catalogue import endpoints
-from acaciaward.quarantine import promptparts, suspects
+from acaciaward.quarantine import crashreports, promptparts
 from acaciaward.relays import messages
 from acaciaward.routing import endpointlimits
 
@@ -52,7 +52,7 @@
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, ...]]
-    crashes: suspects.CrashReport
+    crashes: crashreports.CrashReport
     limits: endpointlimits.Report = {}
     parts: promptparts.Report = promptparts.empty_report()
     leaving: abc.Sequence[endpoints.Incarnation] = ()
@@ -155,7 +155,7 @@
             dict(self._own_use.total),
             _add_figures(message["load"] for message in reports),
             _add_figures(message["demand"] for message in reports),
-            suspects.merge(message["crashes"] for message in reports),
+            crashreports.merge(message["crashes"] for message in reports),
             self._merge_limits(self._reports),
             _merge_parts(reports),
             _merge_leaving(reports),
@@ -181,7 +181,7 @@
         entry_count = len(reports) + sum(message["heard"] for message in summaries)
         load = _add_figures(message["load"] for message in all_messages)
         demand = _add_figures(message["demand"] for message in all_messages)
-        crashes = suspects.merge(message["crashes"] for message in all_messages)
+        crashes = crashreports.merge(message["crashes"] for message in all_messages)
         limits = self._merge_limits(self._reports, self._summaries)
         parts = _merge_parts(all_messages)
         leaving = _merge_leaving(all_messages)
--- a/acaciaward/relays/excerpts.py
+++ b/acaciaward/relays/excerpts.py
@@ -9,7 +9,7 @@
 import typing
 from collections import abc
 
-from acaciaward.quarantine import promptparts, suspects
+from acaciaward.quarantine import crashreports, promptparts
 from acaciaward.relays import messages
 
 # Everything is repeated within this many messages.
@@ -70,7 +70,7 @@
             "parts": self._of_parts(figures["parts"]),
         }
 
-    def _of_crashes(self, report: suspects.CrashReport) -> suspects.CrashReport:
+    def _of_crashes(self, report: crashreports.CrashReport) -> crashreports.CrashReport:
         cleared = dict.fromkeys(report["cleared"])
         return {
             "crashes": self._crashes.select(report["crashes"], tuple),
--- a/acaciaward/relays/features/steps/relaybytes_steps.py
+++ b/acaciaward/relays/features/steps/relaybytes_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from acaciaward.quarantine import promptparts, suspects
+from acaciaward.quarantine import crashreports, promptparts
 from acaciaward.relays import relaying
 from acaciaward.relays.features import fakes
 
@@ -18,13 +18,15 @@
     """Return crashes and parts, of each one fewer than a message holds."""
     crashes = {
         f"{number:016x}": [f"i-{number:08x}{at:02x}" for at in range(3)]
-        for number in range(suspects.MAX_REPORTED - 1)
+        for number in range(crashreports.MAX_REPORTED - 1)
     }
-    cleared = [f"{number:016x}" for number in range(100, 100 + suspects.MAX_REPORTED)]
-    each = suspects.MAX_COMPANY_REPORTED // suspects.MAX_ENDPOINTS_REPORTED
+    cleared = [
+        f"{number:016x}" for number in range(100, 100 + crashreports.MAX_REPORTED)
+    ]
+    each = crashreports.MAX_COMPANY_REPORTED // crashreports.MAX_ENDPOINTS_REPORTED
     company = {
         f"i-{number:08x}01": [f"{number:08x}{at:08x}" for at in range(each)]
-        for number in range(suspects.MAX_ENDPOINTS_REPORTED)
+        for number in range(crashreports.MAX_ENDPOINTS_REPORTED)
     }
     common = [f"{number:012x}" for number in range(COMMON_PARTS)]
     parts = {
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -8,7 +8,7 @@
 
 import typing
 
-from acaciaward.quarantine import promptparts, suspects
+from acaciaward.quarantine import crashreports, promptparts
 
 
 class EndpointFields(typing.TypedDict):
@@ -49,7 +49,7 @@
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, ...]]
-    crashes: suspects.CrashReport
+    crashes: crashreports.CrashReport
     limits: typing.NotRequired[dict[str, tuple[float | None, float]]]
     parts: typing.NotRequired[promptparts.Report]
     leaving: typing.NotRequired[list[tuple[str, int]]]
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -22,7 +22,7 @@
     rendezvous,
 )
 from acaciaward.observability import logs
-from acaciaward.quarantine import promptparts, suspects
+from acaciaward.quarantine import crashreports, promptparts
 from acaciaward.relays import aggregation, excerpts, messages, relaysizes
 from acaciaward.routing import endpointlimits
 
@@ -58,7 +58,7 @@
     use: dict[str, float]
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, ...]]
-    crashes: suspects.CrashReport
+    crashes: crashreports.CrashReport
     windows: dict[int, dict[str, int]]
     levels: dict[str, float]
     limits: endpointlimits.Report = {}
