Split the soak's instances from its world

Callers saw: nothing; the soak plays as before. Change: `soak/instances.py` has an instance, its settings and its readiness.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,7 +35,7 @@
     """Run one soak and return its result."""
     system = world.SystemUnderTest(
         seed,
-        entries=entries,
+        entry_count=entries,
         caller_count=callers,
         plant=plant,
         other_build=other_build,
--- a/soak/disturber.py
+++ b/soak/disturber.py
@@ -6,7 +6,7 @@
 import time
 from collections import abc
 
-from soak import conditions, world
+from soak import conditions, instances, world
 from standins import faultproxy
 
 # Range of a fault's duration; some faults outlast every timeout of an entry.
@@ -39,18 +39,18 @@
             for name in names:
                 self._system.disturbances.end(name, time.monotonic(), kind)
 
-    def _choose_entry(self) -> world.Entry | None:
+    def _choose_entry(self) -> instances.Entry | None:
         running = self._running_entries()
         return self._random.choice(running) if running else None
 
-    def _running_entries(self) -> list[world.Entry]:
+    def _running_entries(self) -> list[instances.Entry]:
         return [
             entry
             for entry in self._system.entries
             if entry.is_expected_to_run and entry.process.poll() is None
         ]
 
-    async def _kill_entry(self, entry: world.Entry, downtime_s: float) -> None:
+    async def _kill_entry(self, entry: instances.Entry, downtime_s: float) -> None:
         with self._disturbing(entry.name):
             entry.is_expected_to_run = False
             entry.signal(signal.SIGKILL)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,15 @@
 import typing
 from collections import abc
 
-from soak import conditions, disturber, judge, standstills, storefaults, world
+from soak import (
+    conditions,
+    disturber,
+    instances,
+    judge,
+    standstills,
+    storefaults,
+    world,
+)
 from standins import edgeserver
 
 # Range of the time between the starts of two faults; short enough that they overlap.
@@ -201,7 +209,7 @@
             self._system.start_entry(entry)
             await asyncio.sleep(1.0)
 
-    async def _wait_for_end(self, entry: world.Entry, began: float) -> None:
+    async def _wait_for_end(self, entry: instances.Entry, began: float) -> None:
         try:
             stop_limit_s = self._system.bounds.stop_limit_s
             await asyncio.to_thread(entry.process.wait, stop_limit_s)
@@ -269,7 +277,7 @@
             if mode == "hang" and self._random.random() < 0.5:
                 self._cut_server_connections(entries)
 
-    def _cut_server_connections(self, entries: abc.Iterable[world.Entry]) -> None:
+    def _cut_server_connections(self, entries: abc.Iterable[instances.Entry]) -> None:
         for proxy in self._system.server_proxies.values():
             for entry in entries:
                 proxy.cut_connections(entry.source_address)
--- a/soak/storefaults.py
+++ b/soak/storefaults.py
@@ -4,7 +4,7 @@
 import signal
 from collections import abc
 
-from soak import disturber, world
+from soak import disturber, instances, world
 from standins import edgeserver, edgestore
 
 # How the store is before it goes away, and while it is away.
@@ -122,7 +122,7 @@
                 group.create_task(self._disturb_proxy(entry.store_proxy, entry.name))
             await self._restore_once()
 
-    def _find_holder(self) -> world.Entry | None:
+    def _find_holder(self) -> instances.Entry | None:
         """Return the entry that reported usage last, if it runs."""
         reports = self._system.store.reports
         holder_name = reports[-1].holder if reports else ""
--- a/soak/world.py
+++ b/soak/world.py
@@ -22,11 +22,12 @@
     callers,
     conditions,
     configurations,
+    instances,
     judge,
     ledger,
     signals,
 )
-from standins import edgeserver, edgestore, edgewire, faultproxy, ports
+from standins import edgeserver, edgestore, edgewire, faultproxy
 
 DATA_CENTRES = ("north", "south")
 # API keys by organisation; "hot" has a quota, "calm" has none.
@@ -47,41 +48,14 @@
 HOT_CALLER_COUNT = 4
 ENTRY_SCRIPT = builds.ROOT / "soak" / "entryprocess.py"
 VERSIONS = ("v1", "v2")
+# Number of entries that all entries have as seeds.
+SEED_COUNT = 3
 START_TIMEOUT_S = 15.0
 # Minimum delay before an entry that was killed or stopped is started again.
 RESTART_DELAY_S = 0.3
 POLL_INTERVAL_S = 0.05
 
 
-class Entry:
-    """One entry and its process."""
-
-    def __init__(self, name: str, data_centre: str, source_address: str):
-        self.name = name
-        # Its connections to servers come from this address.
-        self.source_address = source_address
-        self.data_centre = data_centre
-        self.ports = {
-            listener: ports.find_free_port()
-            for listener in ("Frontend", "Readiness", "Control", "Directory", "metrics")
-        }
-        self.start_count = 0
-        self.is_expected_to_run = False
-        self.process: subprocess.Popen | None = None
-        self.store_proxy: faultproxy.FaultProxy | None = None
-        self.caller_proxy: faultproxy.FaultProxy | None = None
-
-    @property
-    def address(self) -> str:
-        """The address that the entry publishes for its callers."""
-        return f"127.0.0.1:{self.ports['Frontend']}"
-
-    def signal(self, signal_number: int) -> None:
-        """Send the process a signal if it runs."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(signal_number)
-
-
 class SystemUnderTest:
     """Entries, stand-ins, proxies and callers of a soak."""
 
@@ -89,7 +63,7 @@
         self,
         seed: int,
         *,
-        entries: int,
+        entry_count: int,
         caller_count: int,
         plant: str,
         other_build: builds.Build | None = None,
@@ -104,12 +78,12 @@
         self.configuration_changes: list[judge.ConfigurationChange] = []
         self.store = edgestore.EdgeStore(self._new_rng())
         self.entries = [
-            Entry(
+            instances.Entry(
                 f"edge-{number}",
                 DATA_CENTRES[number % len(DATA_CENTRES)],
                 f"127.0.1.{number + 1}",
             )
-            for number in range(entries)
+            for number in range(entry_count)
         ]
         self.signals = signals.Signals(self._find_sender)
         self.recorder.on_arrival = self._record_arrival
@@ -157,7 +131,7 @@
             self.start_entry(entry)
         deadline = time.monotonic() + START_TIMEOUT_S
         for entry in self.entries:
-            while not await _is_ready(entry.ports["Readiness"]):
+            while not await instances.is_ready(entry.ports["Readiness"]):
                 if time.monotonic() > deadline:
                     raise RuntimeError(
                         f"{entry.name} not ready within {START_TIMEOUT_S} s; its log"
@@ -214,7 +188,7 @@
         if not task.cancelled() and task.exception() is not None:
             self.recorder.record_violation("SOAK", repr(task.exception()))
 
-    async def _start_proxies(self, entry: Entry) -> None:
+    async def _start_proxies(self, entry: instances.Entry) -> None:
         entry.store_proxy = faultproxy.FaultProxy(("127.0.0.1", self.store.port))
         entry.caller_proxy = faultproxy.FaultProxy(
             ("127.0.0.1", entry.ports["Frontend"])
@@ -222,10 +196,13 @@
         await entry.store_proxy.start()
         await entry.caller_proxy.start()
 
-    def start_entry(self, entry: Entry) -> None:
+    def start_entry(self, entry: instances.Entry) -> None:
         """Start an entry's process."""
         settings_path = self.folder / f"{entry.name}.conf"
-        settings_path.write_text(self._settings_text(entry))
+        seed_entries = self.entries[:SEED_COUNT]
+        settings_path.write_text(
+            instances.settings_text(entry, seed_entries, self.bounds)
+        )
         build = self._draw_build()
         # This script with the build's own program; older builds don't have the script.
         script = [str(ENTRY_SCRIPT), entry.source_address, self.plant]
@@ -249,41 +226,6 @@
             return builds.WORK_TREE
         return self.random.choice((builds.WORK_TREE, self._other_build))
 
-    def _settings_text(self, entry: Entry) -> str:
-        bounds = self.bounds
-        metrics_port = entry.ports["metrics"]
-        seeds = ",".join(
-            f"127.0.0.1:{seed_entry.ports['Control']}"
-            for seed_entry in self.entries[:3]
-        )
-        settings = {
-            "NodeName": entry.name,
-            "Zone": entry.data_centre,
-            "Region": "region",
-            "Ip": "127.0.0.1",
-            "Seeds": seeds,
-            "InternalPortRange": f"{metrics_port - 1},{metrics_port}",
-            "Platform.Address": f"127.0.0.1:{entry.store_proxy.port}",
-            "Cloud.Address": f"127.0.0.1:{entry.store_proxy.port}",
-            "Cloud.Duties": "usage_report,autoscale",
-            "Bounds.ContactMs": bounds.contact_s * 1000,
-            "Bounds.DrainMs": bounds.drain_s * 1000,
-            "Bounds.GraceS": bounds.stop_limit_s,
-            "Bounds.ConfigApplyMs": bounds.configuration_s * 1000,
-            "Bounds.RetryBudgetRatio": bounds.repeat_ratio,
-            "Bounds.BudgetWindowS": bounds.repeat_window_s,
-            "Bounds.RetryBurst": bounds.repeat_burst,
-            "Bounds.QuotaWindowS": bounds.quota_window_s,
-            "Bounds.QuotaOvershoot": bounds.quota_overshoot,
-            "Bounds.QuotaSlack": bounds.quota_slack,
-            "Bounds.LeaseMs": bounds.lease_s * 1000,
-            "Bounds.WindowS": bounds.usage_window_s,
-            "Bounds.UsageLateS": bounds.usage_late_s,
-        }
-        for name in ("Frontend", "Readiness", "Control", "Directory"):
-            settings[f"Listen.{name}"] = f"127.0.0.1:{entry.ports[name]}"
-        return "".join(f"{name}={value}\n" for name, value in settings.items())
-
     async def _restart_ended_entries(self) -> None:
         """Record and restart entries that end without having been told to."""
         while True:
@@ -406,7 +348,7 @@
             judge.ConfigurationChange(index, acknowledged_at)
         )
 
-    def log_tail(self, entry: Entry) -> str:
+    def log_tail(self, entry: instances.Entry) -> str:
         """Return the last 3000 characters of an entry's log."""
         path = self.folder / f"{entry.name}.log"
         return path.read_text(errors="replace")[-3000:] if path.exists() else ""
@@ -439,16 +381,3 @@
     def remove_folder(self) -> None:
         """Remove the folder of logs and settings."""
         self._temporary_folder.cleanup()
-
-
-async def _is_ready(port: int) -> bool:
-    """Whether the readiness check at a port answers 200."""
-    try:
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-            line = await reader.readline()
-            writer.close()
-    except (OSError, TimeoutError):
-        return False
-    return b" 200 " in line
