Split the durations that admission learns from its queues

Callers saw: nothing; no behaviour changes. Change: the estimates by deployment are `admission/durations.py`.

--- a/acaciaward/admission/queueing.py
+++ b/acaciaward/admission/queueing.py
@@ -15,7 +15,7 @@
 from acaciaward.admission import (
     decisions,
     deploymentqueue,
-    estimates,
+    durations,
     interfaces,
     limits,
     retrybudget,
@@ -33,8 +33,6 @@
     requests.ServiceClass.LONG: 2,
 }
 DEFAULT_SHARE = 1.0
-MAX_SLOWDOWN = 2.0
-DEFAULT_SERVICE_S = 0.02
 MINIMUM_QUEUED = 4
 
 
@@ -60,8 +58,7 @@
         self._queues: dict[str, deploymentqueue.DeploymentQueue] = {}
         self._deployment_of: dict[int, str] = {}
         self._numbers = itertools.count(1)
-        self._service_s: dict[str, estimates.DecayingEstimate] = {}
-        self._slowdowns: dict[str, estimates.DecayingEstimate] = {}
+        self._durations = durations.Durations(self._now)
 
     async def admit(self, request: requests.Request) -> interfaces.Ticket:
         """Wait until the request may start and return its ticket."""
@@ -79,7 +76,7 @@
             queue.counters.activate(organisation, queue.active())
         capacity = self._capacity.capacity(request.deployment)
         is_urgent = self._is_urgent(queue, request, capacity, estimated_cost)
-        service_s = self._predict_service_s(request, capacity)
+        service_s = self._durations.predict_s(request, capacity)
         number = next(self._numbers)
         latest_start_s = decisions.latest_start_s(
             service_s=service_s, left_s=request.deadline - self._now()
@@ -127,7 +124,7 @@
         token_s = capacity.step_s
         if token_s <= 0:
             # Services have no tokens: a call counts as one of its usual duration.
-            token_s, estimated_cost = self._service_estimate_s(request.deployment), 1.0
+            token_s, estimated_cost = self._durations.service_s(request.deployment), 1.0
         rate = share * capacity.slots / token_s
         is_allowed = self._allowance.consume(request.organisation, estimated_cost, rate)
         # Urgent requests that use few slots can't starve others.
@@ -218,7 +215,7 @@
         estimated_cost: float,
     ) -> interfaces.Ticket:
         organisation = request.organisation
-        modelled_s = service_s / self._slowdown(request.deployment)
+        modelled_s = service_s / self._durations.slowdown(request.deployment)
         queue.add_running(
             number,
             deploymentqueue.Running(
@@ -280,9 +277,9 @@
         if not running.is_charged:
             self._charge_interrupted(queue, running, elapsed_s)
         if running.request.kind is requests.DeploymentKind.SERVICE:
-            self._add_service_sample(deployment, elapsed_s)
+            self._durations.add_service_sample(deployment, elapsed_s)
         elif running.is_charged and running.grant is not decisions.Grant.BORROWED:
-            self._add_slowdown_sample(
+            self._durations.add_slowdown_sample(
                 deployment, elapsed_s / max(0.001, running.modelled_s)
             )
         self._start_waiting(deployment, queue)
@@ -381,34 +378,6 @@
         document = self._configuration.view.document
         return document.get("organisations", {}).get(name, {})
 
-    def _predict_service_s(
-        self, request: requests.Request, capacity: interfaces.Capacity
-    ) -> float:
-        if request.kind is requests.DeploymentKind.MODEL:
-            slowdown = self._slowdown(request.deployment)
-            return slowdown * decisions.service_s(request, capacity)
-        return self._service_estimate_s(request.deployment)
-
-    def _service_estimate_s(self, deployment: str) -> float:
-        estimate = self._service_s.get(deployment)
-        return estimate.value(self._now()) if estimate else DEFAULT_SERVICE_S
-
-    def _slowdown(self, deployment: str) -> float:
-        estimate = self._slowdowns.get(deployment)
-        return estimate.value(self._now()) if estimate else 1.0
-
-    def _add_service_sample(self, deployment: str, elapsed_s: float) -> None:
-        estimate = self._service_s.setdefault(
-            deployment, estimates.DecayingEstimate(DEFAULT_SERVICE_S)
-        )
-        estimate.add_sample(elapsed_s, now=self._now())
-
-    def _add_slowdown_sample(self, deployment: str, ratio: float) -> None:
-        estimate = self._slowdowns.setdefault(
-            deployment, estimates.DecayingEstimate(1.0)
-        )
-        estimate.add_sample(min(MAX_SLOWDOWN, max(1.0, ratio)), now=self._now())
-
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
