Split what an entry shares with others from its process

Callers saw: nothing; no behaviour changes. Change: `entryquotas.py` builds quotas, retry budgets and the count of entries, `entryquarantine.py` the suspicions, `streamorigins.py` the streams' origins; `housekeeping.py` does the periodic upkeep. joining.py reaches the quotas by their new name; its checks are as before.

--- a/acaciaward/gateway/features/joining.py
+++ b/acaciaward/gateway/features/joining.py
@@ -138,7 +138,7 @@
         share = gateway._reporting_share()
         for _ in range(int(units) + 1):
             amount = units / (int(units) + 1)
-            if gateway._quotas.admit(ORGANISATION, amount, share) is None:
+            if gateway._entry_quotas.quotas.admit(ORGANISATION, amount, share) is None:
                 self.taken.append(Taken(time.monotonic(), entry.name, amount))
 
     async def stop(self) -> None:
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -13,7 +13,6 @@
 from collections import abc
 
 from acaciaward import httpclient, tasks
-from acaciaward.admission import quotas, quotastore, repeatbudget
 from acaciaward.catalogue import (
     endpoints,
     peerfetching,
@@ -27,19 +26,20 @@
     callprogress,
     detours,
     duties,
+    entryquarantine,
+    entryquotas,
     forwarding,
+    housekeeping,
     interfaces,
     links,
     metrics,
     selfreports,
     stateexchange,
     statushandlers,
+    streamorigins,
 )
 from acaciaward.membership import (
-    contacts,
-    entrycount,
     interfaces as membership_interfaces,
-    rendezvous,
 )
 from acaciaward.observability import logs
 from acaciaward.platform import (
@@ -50,9 +50,7 @@
     store,
     topics,
 )
-from acaciaward.quarantine import promptparts, suspects, suspicionstore
 from acaciaward.relays import relaying
-from acaciaward.resumption import origins, servingversions, streamlog
 from acaciaward.routing import demand, endpointlimits, occupancy
 from acaciaward.settings import loader
 from acaciaward.usage import reporting
@@ -60,13 +58,6 @@
 log = logging.getLogger(__name__)
 
 State = membership_interfaces.PeerState
-QUOTAS_TOPIC = "keyed.acaciaward.quotas"
-SUSPICIONS_TOPIC = "keyed.acaciaward.suspicions"
-VERSIONS_TOPIC = "keyed.acaciaward.versions"
-STREAMS_TOPIC = "acaciaward.streams"
-ENTRIES_TOPIC = "keyed.acaciaward.entries"
-# How often lapsed endpoints and entries not seen for long are removed.
-HOUSEKEEPING_INTERVAL_S = 0.25
 # Callers may use a discovery answer for three times its stated lifetime.
 DISCOVERY_HOLD_FACTOR = 3.0
 # Part of the stop limit that is reserved for ending the process.
@@ -98,6 +89,19 @@
         self._build_store_view()
         self._build_forwarding()
         self._build_servers()
+        self._housekeeping = housekeeping.Housekeeping(
+            housekeeping.Components(
+                self._membership,
+                self._entry_quotas.known_entries,
+                self._directory,
+                self._relaying,
+                self._quarantine.suspects,
+                self._quarantine.prompt_parts,
+            ),
+            open_requests=lambda: self._busy_count,
+            endpoints_read_at=lambda: self._endpoints_read_at,
+            configuration_age_s=self._configuration_age_s,
+        )
 
     @property
     def name(self) -> str:
@@ -141,7 +145,6 @@
         )
 
     def _build_forwarding(self) -> None:
-        bounds = self._settings["bounds"]
         self._duties = duties.EntryDuties(
             self._settings,
             self._client,
@@ -161,44 +164,24 @@
             unix_time=self._duties.clock.now,
         )
         self._links = links.Links(self._directory, self._occupancy, self._membership)
-        self._known_entries = entrycount.EntryCount(
-            self.name, time.monotonic, saved=lambda: self._saver.saved_entry_count
-        )
-        self._contacts = contacts.Contacts(
-            topics.KeyedTopic(self._store, ENTRIES_TOPIC),
-            self._membership,
-            self._known_entries,
-            era=lambda: self._store.era,
-            now=self._duties.clock.now,
+        self._entry_quotas = entryquotas.EntryQuotas(
+            self._store, self._membership, self._duties, self._settings["bounds"]
         )
-        self._quotas = quotas.Quotas(time.monotonic, self._known_entries.count)
-        self._saver = quotastore.Saver(
-            topics.KeyedTopic(self._store, QUOTAS_TOPIC),
-            self._quotas,
-            is_duty_holder=lambda: self._duties.is_held,
+        self._quarantine = entryquarantine.EntryQuarantine(
+            self.name,
+            self._store,
+            self._serving_entries,
             now=self._duties.clock.now,
-            entry_count=self._known_entries.count,
-        )
-        self._tolerance = quotas.Tolerance(
-            bounds["quota_window_s"], bounds["quota_overshoot"], bounds["quota_slack"]
         )
-        self._suspects = suspects.Suspects(time.monotonic)
-        self._build_origins()
-        self._prompt_parts = promptparts.PromptParts(
-            time.monotonic, self.name, self._serving_entries
-        )
-        self._suspicions = suspicionstore.SuspicionStore(
-            topics.KeyedTopic(self._store, SUSPICIONS_TOPIC),
-            self._suspects,
-            self._prompt_parts,
-            is_writer=self._writes_suspicions,
-            now=self._duties.clock.now,
-            era=lambda: self._store.era,
+        self._streams = streamorigins.EntryStreams(
+            self._store,
+            self._membership,
+            self._directory,
+            self._store_view,
+            self._route_history,
+            process_run=self._duties.process_run,
         )
         self._demand = demand.Demand(time.monotonic, self._occupancy.service_s)
-        budget = repeatbudget.Budget(
-            bounds["repeat_ratio"], bounds["repeat_burst"], bounds["repeat_window_s"]
-        )
         self._forwarder = forwarding.Forwarder(
             interfaces.Dependencies(
                 index=lambda: self._store_view.index,
@@ -212,20 +195,15 @@
                     data_centre=self._settings["instance"]["data_centre"],
                 ),
                 peer_pool=self._links.peer_pool,
-                quotas=self._quotas,
+                quotas=self._entry_quotas.quotas,
                 reporting_share=self._reporting_share,
-                repeats=repeatbudget.RepeatBudgets(
-                    budget,
-                    time.monotonic,
-                    self._known_entries.count,
-                    has_predecessor=lambda: self._saver.saved_entry_count > 0,
-                ),
+                repeats=self._entry_quotas.repeats,
                 codec=headers,
                 detour_codec=platform_detours,
                 demand=self._demand,
-                suspects=self._suspects,
-                prompt_parts=self._prompt_parts,
-                origins=self._origins,
+                suspects=self._quarantine.suspects,
+                prompt_parts=self._quarantine.prompt_parts,
+                origins=self._streams.origins,
                 read_at=self._read_times,
                 route_history=self._route_history,
                 list_versions=self._store_view.list_versions,
@@ -236,63 +214,15 @@
         )
         self._build_state_exchange()
 
-    def _build_origins(self) -> None:
-        self._origins = origins.StreamOrigins(self._membership)
-        self._origins.use_store(
-            origins.Stored(
-                servingversions.ServingVersions(
-                    topics.KeyedTopic(self._store, VERSIONS_TOPIC),
-                    self._membership,
-                    listed=self._listed_versions,
-                    running=self._running_versions,
-                    shared=lambda: self._route_history.shared_services,
-                    recorder=lambda: self._origins.recorder,
-                    era=lambda: self._store.era,
-                    process_run=self._duties.process_run,
-                ),
-                streamlog.StreamLog(topics.LogTopic(self._store, STREAMS_TOPIC)),
-            )
-        )
-
-    def _listed_versions(self) -> set[origins.Origin]:
-        """Return the versions of the endpoints whose streams callers may take up."""
-        services = self._store_view.resumable_services
-        shared = {
-            origins.Origin(service, servingversions.SHARED)
-            for service in self._route_history.shared_services
-        }
-        return shared | {
-            origins.Origin(endpoint.service, endpoint.version)
-            for endpoint in self._directory.all()
-            if endpoint.service in services
-        }
-
-    def _running_versions(self) -> set[origins.Origin] | None:
-        """
-        Return the versions that began the streams which callers may take up now.
-
-        This is None if the endpoints haven't been known for as long as streams run.
-        """
-        index = self._store_view.index
-        if index is None or not self._directory.is_continuous_at(time.monotonic()):
-            return None
-        found = set()
-        for service in index.resumable_services:
-            versions = self._directory.versions_within(service, index.longest_stream_s)
-            if versions is None:
-                return None
-            found |= {origins.Origin(service, version) for version in versions}
-        return found
-
     def _build_state_exchange(self) -> None:
         self._state_exchange = stateexchange.GatewayStateExchange(
             stateexchange.Components(
-                self._quotas,
+                self._entry_quotas.quotas,
                 self._directory,
                 self._occupancy,
                 self._demand,
-                self._suspects,
-                self._prompt_parts,
+                self._quarantine.suspects,
+                self._quarantine.prompt_parts,
                 self._duties.counter,
                 self._duties.clock,
             ),
@@ -338,15 +268,7 @@
         }
 
     def _use_catalogue(self, catalogue: routes.Catalogue) -> None:
-        self._quotas.set_rules(
-            {
-                organisation.name: quotas.admission_rule(
-                    organisation.quota.rate, organisation.quota.burst, self._tolerance
-                )
-                for organisation in catalogue.organisations.values()
-                if organisation.quota is not None
-            }
-        )
+        self._entry_quotas.use_catalogue(catalogue)
         self._membership.set_configuration_version(catalogue.version)
         metrics.CONFIGURATION_VERSION.set(catalogue.version)
         self._in_force_since = time.monotonic()
@@ -367,13 +289,11 @@
             if peer.state in (State.LIVE, State.LEAVING)
         ]
 
-    def _writes_suspicions(self) -> bool:
-        names = {*self._serving_entries(), self.name}
-        return rendezvous.choose("suspicions", names, 1) == [self.name]
-
     def _reporting_share(self) -> float:
         """Return the share of known entries that the newest sums include."""
-        return min(1.0, self._relaying.entry_count / self._known_entries.count())
+        return min(
+            1.0, self._relaying.entry_count / self._entry_quotas.known_entries.count()
+        )
 
     @property
     def _endpoints_read_at(self) -> float:
@@ -389,39 +309,9 @@
             ),
         )
 
-    async def _run_housekeeping(self) -> None:
-        while True:
-            now = time.monotonic()
-            self._count_entries()
-            self._directory.remove_due()
-            metrics.ENTRIES_IN_SUMS.set(self._relaying.entry_count)
-            metrics.OPEN_REQUESTS.set(self._busy_count)
-            metrics.SUSPECTS.set(len(self._suspects))
-            metrics.BLAMED_PARTS.set(len(self._prompt_parts.blamed))
-            metrics.ENDPOINTS_AGE_SECONDS.set(now - self._endpoints_read_at)
-            metrics.CONFIGURATION_AGE_SECONDS.set(self._configuration_age_s())
-            due = time.monotonic() + HOUSEKEEPING_INTERVAL_S
-            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
-            metrics.LOOP_LAG_SECONDS.observe(max(0.0, time.monotonic() - due))
-
     def _configuration_age_s(self) -> float:
         return time.monotonic() - self._in_force_since
 
-    def _count_entries(self) -> None:
-        live = [
-            peer
-            for peer in self._membership.peers()
-            if peer.state in (State.LIVE, State.JOINING, State.LEAVING)
-        ]
-        self._known_entries.record_heard(
-            [peer.name for peer in live],
-            counted_by_peers=max(
-                (peer.counted for peer in live if peer.name != self.name), default=0
-            ),
-        )
-        self._membership.set_counted(self._known_entries.counted)
-        metrics.COUNTED_ENTRIES.set(self._known_entries.count())
-
     def _reported_usage(self) -> reporting.ReportedCounts | None:
         """Return other entries' usage counts, or None if the reader stores them."""
         if self._relaying.is_relayed:
@@ -429,7 +319,8 @@
         reports = self._relaying.reports().values()
         return {report["start"]: report["windows"] for report in reports}
 
-    def _record_end(self, progress: callprogress.Progress) -> None:
+    @staticmethod
+    def _record_end(progress: callprogress.Progress) -> None:
         kind = progress.route.kind.value
         metrics.REQUESTS.labels(kind, progress.outcome).inc()
         took_s = time.monotonic() - progress.call.received_at
@@ -456,15 +347,15 @@
         await self._transport.start()
         for run in (
             self._membership.run,
-            self._contacts.run,
+            self._entry_quotas.contacts.run,
             *self._store_view.tasks,
             self._peer_fetcher.run,
-            self._run_housekeeping,
+            self._housekeeping.run,
             self._relaying.run,
-            self._saver.run,
-            self._suspicions.run,
+            self._entry_quotas.saver.run,
+            self._quarantine.store.run,
             self._links.prober.run,
-            *self._origins.tasks,
+            *self._streams.origins.tasks,
             self._announce_when_ready,
             *self._duties.tasks,
         ):
