Let the experiment on reclaims read its patches

Callers saw: nothing; `python -m bench reclaim` ended at its start. Cause: the reader of shipped files moved out of `schemas`, and its patches are in folders of examples that are no packages. Evidence: features/experimentruns.feature, "reclaim": AttributeError. Change: it reads the file by its path.

--- a/bench/reclaim.py
+++ b/bench/reclaim.py
@@ -14,11 +14,12 @@
 
 import asyncio
 import collections
+import json
 import random
 import time
 import typing
 
-from acaciaward import httpclient, schemas
+from acaciaward import httpclient
 from acaciaward.client import caller
 from bench import cluster, options as bench_options, processes
 from standins import ports, tokens
@@ -91,7 +92,8 @@
     """One run of the system under one user's load, with or without KV moves."""
 
     def __init__(self, user: str, seed: int, duration_s: float, *, moves_kv: bool):
-        patch = schemas.read_shipped(f"examples.{user}", "first-patch.json")
+        path = processes.ROOT / "examples" / user / "first-patch.json"
+        patch = json.loads(path.read_text())
         self._deployments = patch["changes"]["deployments"]
         self._moves_kv = moves_kv
         self._duration_s = duration_s
