Read an entry's counters with a key in the experiment on control

Callers saw: nothing; `python -m bench control` reported 0 bytes and messages an entry, and slopes of 0, since `/metrics` asks for a key. Cause: the answer 401 had no counters in it, which was read as counters at 0. Evidence: features/experimentruns.feature, "control": peer_messages_per_s 0.0. Change: the operator's key is sent; an answer without counters ends the run.

--- a/bench/control.py
+++ b/bench/control.py
@@ -132,8 +132,15 @@
 
     async def _read_usage(self, name: str, process_id: int) -> Usage:
         address = (processes.ADDRESS, self._cluster.port(name))
-        async with self._client.send("GET", *address, "/metrics") as response:
+        headers = {"authorization": f"Bearer {self._cluster.operator_key}"}
+        async with self._client.send(
+            "GET", *address, "/metrics", headers=headers
+        ) as response:
             text = (await response.read()).decode()
+        if response.status != 200:
+            raise errors.AcaciawardError(
+                f"no counters of {name}: {response.status} {text}"
+            )
         counters: dict[str, float] = {}
         for counter, _, value in COUNTER_PATTERN.findall(text):
             counters[counter] = counters.get(counter, 0.0) + float(value)
