Add scenarios of a recorder that forgets versions while it reads

Its successor recorded v1 and v2 at once, 7 ms apart, stored the 7 streams that had begun by then, and none of the 33 after them, 150 to 350 ms before the entries ended; the store named both versions, and `asked the store where a stream began` found nothing for these 33 in 161 take-ups. No read was too old or too slow.

--- a/acaciaward/resumption/features/steps/storedorigins_steps.py
+++ b/acaciaward/resumption/features/steps/storedorigins_steps.py
@@ -8,7 +8,7 @@
 
 from acaciaward import errors
 from acaciaward.catalogue import topicfollower
-from acaciaward.membership import interfaces
+from acaciaward.membership import interfaces, rendezvous
 from acaciaward.resumption import origins, servingversions, streamlog
 
 SERVICE = "llm"
@@ -30,6 +30,8 @@
     def __init__(self):
         self.is_down = False
         self.fails_after_s = 0.0
+        # How long the next listings take to arrive; those after them take no time.
+        self.delays_s = []
         self.era = 1
         self.values = {}
         self.end = 0
@@ -52,6 +54,8 @@
         self.listings += 1
         listing = topicfollower.Listing(dict(self.values), self.end, self.era)
         self.after_listing()
+        if self.delays_s:
+            await asyncio.sleep(self.delays_s.pop(0))
         return listing
 
     async def set(self, key, value):
@@ -244,6 +248,39 @@
     context.took_s = time.monotonic() - began_at
 
 
+@when("the store takes {pause:g} s for its next answer, and less for the others")
+def delay_next(context, pause):
+    context.fleet.store.delays_s = [pause]
+
+
+@when('stored streams "{first}" and "{second}" begin at once, at {one} and {other}')
+def begin_both(context, first, second, one, other):
+    async def run():
+        name = context.fleet.recorder.name
+        await asyncio.gather(
+            context.fleet.begin(name, first, one),
+            context.fleet.begin(name, second, other),
+        )
+
+    context.runner.run(run())
+
+
+@when(
+    'stored stream "{stream}" begins at {version}, not listed yet, while the'
+    " recorder compares"
+)
+def begin_while_comparing(context, stream, version):
+    async def run():
+        fleet = context.fleet
+        fleet.store.delays_s = [0.05]
+        sweep = asyncio.create_task(fleet.recorder.versions.sweep(fleet.list_all()))
+        await asyncio.sleep(0.01)
+        await fleet.begin("e-1", stream, version)
+        await sweep
+
+    context.runner.run(run())
+
+
 @when('stored stream "{stream}" begins at each entry, at {version}')
 @when('stored stream "{stream}" begins at each other entry, at {version}')
 def begin_everywhere(context, stream, version):
@@ -276,6 +313,20 @@
         entry.origins._group_chosen_at = 0.0
 
 
+@when(
+    'stored stream "{stream}" begins at another entry, at {version}, and the recorder'
+    " ends for it"
+)
+def replace_recorder_after(context, stream, version):
+    fleet = context.fleet
+    names = [name for name in fleet.names if name != fleet.recorder.name]
+    (following,) = rendezvous.choose("stream recorder", names, 1)
+    fleet.ended.add(fleet.recorder.name)
+    context.runner.run(fleet.begin(following, stream, version))
+    replace_recorder(context)
+    assert fleet.recorder.name == following, (fleet.recorder.name, following)
+
+
 @when("version {version} is listed, too")
 def add_version(context, version):
     context.fleet.listed.add(origins.Origin(SERVICE, version))
--- a/acaciaward/resumption/features/storedorigins.feature
+++ b/acaciaward/resumption/features/storedorigins.feature
@@ -56,6 +56,44 @@
     And all entries start anew
     Then each entry finds v1 for "c" in the store
 
+  # The recorder forgot the second version for what it had read before, and stored no
+  # stream that began later: 7 of 40 went on after the other entries had ended.
+  Scenario: Streams are stored whatever the recorder reads while it records versions
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And the recorder compares
+    And the recorder ends and another one follows
+    And version v2 is listed, too
+    And the store takes 0.02 s for its next answer, and less for the others
+    And stored streams "a" and "b" begin at once, at v1 and v2
+    And stored stream "c" begins at entry 3, at v2
+    And 0.3 s pass by
+    And all entries start anew at once
+    Then each entry finds v2 for "c" in the store
+
+  Scenario: Streams are stored whatever the recorder reads while it compares
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And the recorder compares
+    And stored stream "b" begins at v2, not listed yet, while the recorder compares
+    And stored stream "c" begins at entry 3, at v2
+    And 0.3 s pass by
+    And all entries start anew at once
+    Then each entry finds v2 for "c" in the store
+
+  # A recorder that had just been chosen took the streams that it knew for stored.
+  Scenario: A new recorder that records a version stores the streams that it knows
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 3, at v2
+    And the recorder compares
+    And stored stream "d" begins at another entry, at v2, and the recorder ends for it
+    And version v3 is listed, too
+    And stored stream "c" begins at entry 3, at v3
+    And 0.3 s pass by
+    And all entries start anew at once
+    Then each entry finds v2 for "d" in the store
+
   # A stream ran on a version that the store didn't name, so the other one was guessed.
   Scenario: A stream begins only when the store names its version
     Given 9 entries with a store that lists versions v1 and v2
