Keep versions that are recorded while the recorder reads

What callers saw: after a release, an entry that had stood still took up 7 of 40 streams and refused the others (outofstep.feature, "A release while an entry stands still").

Cause: the recorder kept which versions have a record, and so whether to store streams, as what it had last read. A read that began before a version was recorded ended after it and took its place: two first streams of two versions at a new recorder each read the records, and a comparison did the same. No stream was stored from then on, up to the next comparison, while the store named two versions. A new recorder that recorded a version also took the streams that it knew for stored.

Change: what a read shows is added; a comparison forgets only versions that weren't written since its read began.

--- a/acaciaward/resumption/servingversions.py
+++ b/acaciaward/resumption/servingversions.py
@@ -150,8 +150,9 @@
         self._listing = sharedread.SharedRead(lambda: topic.read_all(), clock=clock)
         # The era in which the records are complete, as known to the recorder.
         self._complete_era: int | None = None
-        # The versions that have a record, as known to the recorder.
-        self._serving: frozenset[Origin] = frozenset()
+        # The versions that have a record, as known to the recorder, and when that was
+        # last known: in the future while it's being written.
+        self._serving: dict[Origin, float] = {}
         self.store_streams: abc.Callable[[str], abc.Awaitable[None]] = _store_nothing
         network.handle("version_serves", self._answer)
 
@@ -228,15 +229,21 @@
 
     async def _write(self, origin: Origin) -> None:
         if not self._serving:
-            self._serving = _serving(await self._topic.read_all())
-        await self._add_serving(origin)
+            await self._add_all(_serving(await self._topic.read_all()))
+        await self._add_serving(origin, until=math.inf)
         record = Record(
             origin.service,
             origin.version,
             self._era(),
             f"{self._process_run}/{next(self._writes)}",
         )
-        await self._topic.set(_key(origin), msgspec.json.encode(record))
+        try:
+            await self._topic.set(_key(origin), msgspec.json.encode(record))
+        finally:
+            # Whether a write that failed has been carried out isn't known. Another
+            # entry may have become the recorder meanwhile.
+            if origin in self._serving:
+                self._serving[origin] = self._clock()
         log.info(
             "version recorded in the store",
             extra=logs.fields(
@@ -260,7 +267,7 @@
             self._recorded &= listed
             if self._recorder() != self._network.name:
                 self._unlisted_since.clear()
-                self._serving = frozenset()
+                self._serving.clear()
                 compared_at = None
                 continue
             now = self._clock()
@@ -283,15 +290,20 @@
     def _has_new(self, listed: abc.Set[Origin]) -> bool:
         """Return whether a version lacks its record, or all can be called complete."""
         can_declare = self._complete_era != self._era() and self._running() is not None
-        return can_declare or not listed <= self._serving
+        return can_declare or not listed <= self._serving.keys()
 
     async def sweep(self, listed: abc.Set[Origin]) -> None:
         """Write the records that are missing, and remove one that is out of use."""
+        read_at = self._clock()
         listing = await self._topic.read_all()
         known = _serving(listing)
-        for origin in known:
-            await self._add_serving(origin)
-        self._serving = known
+        await self._add_all(known)
+        # The listing may lack versions that were written meanwhile.
+        self._serving = {
+            origin: known_at
+            for origin, known_at in self._serving.items()
+            if origin in known or known_at >= read_at
+        }
         running = self._running()
         missing = (listed | (running or frozenset())) - known
         for origin in missing:
@@ -312,10 +324,14 @@
         self._complete_era = era
         log.info("versions in the store are complete", extra=logs.fields(era=era))
 
-    async def _add_serving(self, origin: Origin) -> None:
+    async def _add_all(self, known: abc.Collection[Origin]) -> None:
+        for origin in known:
+            await self._add_serving(origin, until=self._clock())
+
+    async def _add_serving(self, origin: Origin, *, until: float) -> None:
         """Store the streams of a service that has several versions from now on."""
         had_several = self.has_several(origin.service)
-        self._serving |= {origin}
+        self._serving[origin] = max(until, self._serving.get(origin, -math.inf))
         if not had_several and self.has_several(origin.service):
             await self.store_streams(origin.service)
 
