Repeat a shared read of the store that fails or has no answer

What callers saw: after all entries had been lost, 26 take-ups in a row were refused, as the shared read of the store had failed or taken over 0.5 s (rejoined.feature, once).

Cause: all that asked waited for one read. One that failed refused all of them; one whose answer was lost took the store's time-out of 0.6 s, longer than the 0.5 s that a caller may wait, and no other began meanwhile. Reads of stored streams waited for each other behind a lock, and looked for a stream again only 0.5 s later.

Change: a read without an answer for 0.2 s gets another one beside it, and one that failed is repeated until 0.4 s after the caller asked; the limit of 0.5 s stays. A read still counts only for callers that asked before it began. Stored streams are read in the same way. A store that is down now refuses after 0.4 to 0.5 s instead of at once.

--- a/acaciaward/resumption/streamlog.py
+++ b/acaciaward/resumption/streamlog.py
@@ -12,7 +12,6 @@
 import asyncio
 import collections
 import logging
-import math
 import time
 import typing
 from collections import abc
@@ -20,6 +19,7 @@
 import msgspec
 
 from acaciaward import decoding, errors
+from acaciaward.catalogue import sharedread
 from acaciaward.observability import logs
 from acaciaward.resumption import servingversions
 
@@ -34,8 +34,6 @@
 MAX_PENDING = 20_000
 MAX_STREAMS = 20_000
 STREAMS_IN_RECORD = 4096
-# Streams that aren't found are looked for again after this long, at the earliest.
-READ_INTERVAL_S = 0.5
 MAX_PAGES = 64
 
 
@@ -76,13 +74,11 @@
         self, topic: Topic, *, clock: abc.Callable[[], float] = time.monotonic
     ):
         self._topic = topic
-        self._clock = clock
         self._pending: dict[str, Origin] = {}
         self._origins: collections.OrderedDict[str, Origin] = collections.OrderedDict()
         self._next_offset = 0
         self._era = 0
-        self._read_at = -math.inf
-        self._lock = asyncio.Lock()
+        self._reads = sharedread.SharedRead(self._read_on, clock=clock)
 
     def add(self, stream: str, origin: Origin) -> None:
         """Write a stream with the next batch; ``stream`` is 16 hexadecimal digits."""
@@ -114,33 +110,33 @@
 
     async def find(self, stream: str) -> Origin | None:
         """Return where a stream began, None if the store doesn't tell."""
-        async with self._lock:
-            is_due = self._clock() - self._read_at >= READ_INTERVAL_S
-            if stream not in self._origins and is_due:
-                await self._read_on()
-                self._read_at = self._clock()
+        if stream not in self._origins:
+            await self._reads.get()
         return self._origins.get(stream)
 
     async def _read_on(self) -> None:
+        """Take what has been appended; another read may run at the same time."""
+        era, offset = self._era, self._next_offset
         for _ in range(MAX_PAGES):
             try:
-                page = await self._topic.read(self._next_offset)
+                page = await self._topic.read(offset)
             except errors.RecordsExpiredError as error:
-                self._next_offset = error.first_offset
+                offset = error.first_offset
                 continue
-            if page.era > self._era and self._next_offset:
+            if page.era > era and offset:
                 # Offsets of an earlier era may belong to other records.
-                self._era, self._next_offset = page.era, 0
+                era, offset = page.era, 0
                 continue
-            self._era = max(self._era, page.era)
+            era, offset = max(era, page.era), page.next_offset
             for record in page.records:
                 self._take(record)
-            self._next_offset = page.next_offset
+            if era >= self._era:
+                self._era, self._next_offset = era, offset
             if page.next_offset >= page.end_offset:
                 return
         log.warning(
             "more streams in the store than are read at once",
-            extra=logs.fields(next=self._next_offset),
+            extra=logs.fields(next=offset),
         )
 
     def _take(self, record: bytes) -> None:
