Add scenarios of streams before the store's records are complete

"A record that can't be read makes nothing certain" let a stream begin before the recorder had compared. It is to show that an invalid record of a version forbids the conclusion from the others, and a stream that is in the store itself needs no such conclusion. The recorder compares before now, and the scenario checks that the stream isn't in the store.

--- a/acaciaward/resumption/features/steps/storedorigins_steps.py
+++ b/acaciaward/resumption/features/steps/storedorigins_steps.py
@@ -509,3 +509,8 @@
 @then("the store doesn't name {version}")
 def check_not_named(context, version):
     assert version not in context.fleet.store.versions, context.fleet.store.versions
+
+
+@then("the store has no stream")
+def check_no_stream(context):
+    assert not context.fleet.store.records, context.fleet.store.records
--- a/acaciaward/resumption/features/storedorigins.feature
+++ b/acaciaward/resumption/features/storedorigins.feature
@@ -155,6 +155,23 @@
     And stored stream "c" begins at entry 1, at v1
     Then each entry finds nothing for "b" in the store
 
+  # All take-ups were refused for as long as streams run, as no version counted yet.
+  Scenario: Streams are stored while the records aren't complete
+    Given 9 entries with a store that lists version v1
+    When all entries start anew at once
+    And stored stream "a" begins at entry 1, at v1
+    And 0.3 s pass by
+    And all entries start anew at once
+    Then each entry finds v1 for "a" in the store
+    And each entry finds nothing for "b" in the store
+
+  Scenario: Streams of a single version aren't stored once the records are complete
+    Given 9 entries with a store that lists version v1
+    When the recorder compares
+    And stored stream "a" begins at entry 1, at v1
+    And 0.3 s pass by
+    Then the store has no stream
+
   Scenario: Records are complete once the endpoints have been known for long
     Given 9 entries with a store that lists version v1
     When all entries start anew at once
@@ -267,8 +284,10 @@
 
   Scenario: A record that can't be read makes nothing certain
     Given 9 entries with a store that lists version v1
-    When stored stream "a" begins at entry 1, at v1
-    And an invalid record is in the store
+    When the recorder compares
+    And stored stream "a" begins at entry 1, at v1
+    Then the store has no stream
+    When an invalid record is in the store
     And all entries start anew
     Then each entry finds nothing for "a" in the store
 
