Store streams until the store's records of versions are complete

What callers saw: if all entries were lost within the time that streams run after a first start, or after a restore of the store that no entry outlived, no stream went on.

Cause: until an entry has known the endpoints for that long, nothing is concluded from the store's records of versions, and streams of a service with one version weren't stored.

Change: the recorder stores the streams of all services until it knows that the records are complete, and a stream that is in the store counts whether they are or not. Nothing is concluded from the records any earlier. A new recorder reads whether they are complete with the first version that it records.

--- a/acaciaward/resumption/origins.py
+++ b/acaciaward/resumption/origins.py
@@ -202,7 +202,7 @@
         try:
             versions = await self._stored.versions.read(service)
             origin = Origin(service, *versions) if len(versions) == 1 else None
-            if len(versions) > 1 and attempt_id is not None:
+            if origin is None and attempt_id is not None:
                 stream = _digest(organisation, attempt_id)
                 origin = await self._stored.streams.find(stream)
         except errors.PlatformError as error:
@@ -277,7 +277,7 @@
     def _store_if_needed(self, stream: str, origin: Origin) -> None:
         if self._stored is None or self.recorder != self._membership.name:
             return
-        if self._stored.versions.has_several(origin.service):
+        if self._stored.versions.needs_streams(origin.service):
             self._stored.streams.add(stream, origin)
 
     async def _store_streams(self, service: str) -> None:
--- a/acaciaward/resumption/servingversions.py
+++ b/acaciaward/resumption/servingversions.py
@@ -160,6 +160,11 @@
         """Return whether a service has several versions, as known to the recorder."""
         return sum(origin.service == service for origin in self._serving) > 1
 
+    def needs_streams(self, service: str) -> bool:
+        """Return whether only the store's record of a stream tells its version."""
+        is_known = self._serving and self._complete_era == self._era()
+        return not is_known or self.has_several(service)
+
     async def ensure(self, origin: Origin) -> None:
         """
         Wait until the store has a version's record, but not for long.
@@ -229,7 +234,7 @@
 
     async def _write(self, origin: Origin) -> None:
         if not self._serving:
-            await self._add_all(_serving(await self._topic.read_all()))
+            await self._add_known(await self._topic.read_all())
         await self._add_serving(origin, until=math.inf)
         record = Record(
             origin.service,
@@ -296,8 +301,7 @@
         """Write the records that are missing, and remove one that is out of use."""
         read_at = self._clock()
         listing = await self._topic.read_all()
-        known = _serving(listing)
-        await self._add_all(known)
+        known = await self._add_known(listing)
         # The listing may lack versions that were written meanwhile.
         self._serving = {
             origin: known_at
@@ -310,9 +314,7 @@
             await self._write(origin)
         self._recorded |= listed
         self._note_unlisted(listing, listed)
-        if _is_complete(listing):
-            self._complete_era = listing.era
-        elif running is not None:
+        if not _is_complete(listing) and running is not None:
             await self._declare_complete(listing.era)
             return
         if not missing:
@@ -324,9 +326,14 @@
         self._complete_era = era
         log.info("versions in the store are complete", extra=logs.fields(era=era))
 
-    async def _add_all(self, known: abc.Collection[Origin]) -> None:
+    async def _add_known(self, listing: topicfollower.Listing) -> frozenset[Origin]:
+        """Add the versions that have a record, and return them."""
+        if _is_complete(listing):
+            self._complete_era = listing.era
+        known = _serving(listing)
         for origin in known:
             await self._add_serving(origin, until=self._clock())
+        return known
 
     async def _add_serving(self, origin: Origin, *, until: float) -> None:
         """Store the streams of a service that has several versions from now on."""
