--- a/acaciaward/resumption/features/steps/storedorigins_steps.py
+++ b/acaciaward/resumption/features/steps/storedorigins_steps.py
@@ -8,7 +8,7 @@
 
 from acaciaward import errors
 from acaciaward.catalogue import topicfollower
-from acaciaward.membership import interfaces
+from acaciaward.membership import interfaces, rendezvous
 from acaciaward.resumption import origins, servingversions, streamlog
 
 SERVICE = "llm"
@@ -30,6 +30,11 @@
     def __init__(self):
         self.is_down = False
         self.fails_after_s = 0.0
+        # How long the next calls take that fail, after some that are answered.
+        self.failures_s = []
+        self.answered_first = 0
+        # How long the next listings take to arrive; those after them take no time.
+        self.delays_s = []
         self.era = 1
         self.values = {}
         self.end = 0
@@ -44,14 +49,24 @@
         if self.is_down:
             raise errors.PlatformUnknownError("the store is down")
 
+    async def fail_next(self):
+        if self.answered_first:
+            self.answered_first -= 1
+        elif self.failures_s:
+            await asyncio.sleep(self.failures_s.pop(0))
+            raise errors.PlatformUnknownError("no answer")
+
     async def read_all(self):
         if self.fails_after_s:
             await asyncio.sleep(self.fails_after_s)
             raise errors.PlatformUnknownError("no answer")
+        await self.fail_next()
         self.check()
         self.listings += 1
         listing = topicfollower.Listing(dict(self.values), self.end, self.era)
         self.after_listing()
+        if self.delays_s:
+            await asyncio.sleep(self.delays_s.pop(0))
         return listing
 
     async def set(self, key, value):
@@ -71,6 +86,7 @@
         self.end += 1
 
     async def read(self, start):
+        await self.fail_next()
         self.check()
         if start < self.first:
             raise errors.RecordsExpiredError("expired", first_offset=self.first)
@@ -205,21 +221,49 @@
     context.fleet.store.fails_after_s = pause
 
 
+@when("{answered:d} of its calls are answered, and the next fails after {pause:g} s")
+def fail_next(context, answered, pause):
+    context.fleet.store.answered_first = answered
+    context.fleet.store.failures_s = [pause]
+
+
 @when("{count:d} streams are looked for at entry {entry:d}, {pause:g} s apart")
 def look_for(context, count, entry, pause):
-    async def look(number):
+    look_for_all(context, [f"s-{number}" for number in range(count)], entry, pause)
+
+
+@when(
+    'stream "{stream}" is looked for {count:d} times at entry {entry:d},'
+    " {pause:g} s apart"
+)
+def look_for_one(context, stream, count, entry, pause):
+    look_for_all(context, [stream] * count, entry, pause)
+
+
+def look_for_all(context, streams, entry, pause):
+    async def look(number, stream):
         await asyncio.sleep(number * pause)
         began_at = time.monotonic()
         one = context.fleet.entries[f"e-{entry}"]
-        found = await one.origins.find_stored("org", f"s-{number}", SERVICE)
+        found = await one.origins.find_stored("org", stream, SERVICE)
         return found, time.monotonic() - began_at
 
     async def run():
-        return await asyncio.gather(*map(look, range(count)))
+        return await asyncio.gather(
+            *(look(number, stream) for number, stream in enumerate(streams))
+        )
 
     context.looked = context.runner.run(run())
 
 
+@then("{version} was found each time within {limit_s:g} s")
+def check_each_found(context, version, limit_s):
+    missed = [found for found, _ in context.looked if found != (SERVICE, version)]
+    assert not missed, (len(missed), len(context.looked))
+    longest_s = max(took_s for _, took_s in context.looked)
+    assert longest_s < limit_s, longest_s
+
+
 @then("each was known not to be found within {limit_s:g} s")
 def check_looked(context, limit_s):
     assert all(found is None for found, _ in context.looked)
@@ -244,6 +288,39 @@
     context.took_s = time.monotonic() - began_at
 
 
+@when("the store takes {pause:g} s for its next answer, and less for the others")
+def delay_next(context, pause):
+    context.fleet.store.delays_s = [pause]
+
+
+@when('stored streams "{first}" and "{second}" begin at once, at {one} and {other}')
+def begin_both(context, first, second, one, other):
+    async def run():
+        name = context.fleet.recorder.name
+        await asyncio.gather(
+            context.fleet.begin(name, first, one),
+            context.fleet.begin(name, second, other),
+        )
+
+    context.runner.run(run())
+
+
+@when(
+    'stored stream "{stream}" begins at {version}, not listed yet, while the'
+    " recorder compares"
+)
+def begin_while_comparing(context, stream, version):
+    async def run():
+        fleet = context.fleet
+        fleet.store.delays_s = [0.05]
+        sweep = asyncio.create_task(fleet.recorder.versions.sweep(fleet.list_all()))
+        await asyncio.sleep(0.01)
+        await fleet.begin("e-1", stream, version)
+        await sweep
+
+    context.runner.run(run())
+
+
 @when('stored stream "{stream}" begins at each entry, at {version}')
 @when('stored stream "{stream}" begins at each other entry, at {version}')
 def begin_everywhere(context, stream, version):
@@ -276,6 +353,20 @@
         entry.origins._group_chosen_at = 0.0
 
 
+@when(
+    'stored stream "{stream}" begins at another entry, at {version}, and the recorder'
+    " ends for it"
+)
+def replace_recorder_after(context, stream, version):
+    fleet = context.fleet
+    names = [name for name in fleet.names if name != fleet.recorder.name]
+    (following,) = rendezvous.choose("stream recorder", names, 1)
+    fleet.ended.add(fleet.recorder.name)
+    context.runner.run(fleet.begin(following, stream, version))
+    replace_recorder(context)
+    assert fleet.recorder.name == following, (fleet.recorder.name, following)
+
+
 @when("version {version} is listed, too")
 def add_version(context, version):
     context.fleet.listed.add(origins.Origin(SERVICE, version))
@@ -418,3 +509,8 @@
 @then("the store doesn't name {version}")
 def check_not_named(context, version):
     assert version not in context.fleet.store.versions, context.fleet.store.versions
+
+
+@then("the store has no stream")
+def check_no_stream(context):
+    assert not context.fleet.store.records, context.fleet.store.records
--- a/acaciaward/resumption/features/storedorigins.feature
+++ b/acaciaward/resumption/features/storedorigins.feature
@@ -56,6 +56,44 @@
     And all entries start anew
     Then each entry finds v1 for "c" in the store
 
+  # The recorder forgot the second version for what it had read before, and stored no
+  # stream that began later: 7 of 40 went on after the other entries had ended.
+  Scenario: Streams are stored whatever the recorder reads while it records versions
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And the recorder compares
+    And the recorder ends and another one follows
+    And version v2 is listed, too
+    And the store takes 0.02 s for its next answer, and less for the others
+    And stored streams "a" and "b" begin at once, at v1 and v2
+    And stored stream "c" begins at entry 3, at v2
+    And 0.3 s pass by
+    And all entries start anew at once
+    Then each entry finds v2 for "c" in the store
+
+  Scenario: Streams are stored whatever the recorder reads while it compares
+    Given 9 entries with a store that lists version v1
+    When stored stream "a" begins at entry 1, at v1
+    And the recorder compares
+    And stored stream "b" begins at v2, not listed yet, while the recorder compares
+    And stored stream "c" begins at entry 3, at v2
+    And 0.3 s pass by
+    And all entries start anew at once
+    Then each entry finds v2 for "c" in the store
+
+  # A recorder that had just been chosen took the streams that it knew for stored.
+  Scenario: A new recorder that records a version stores the streams that it knows
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 3, at v2
+    And the recorder compares
+    And stored stream "d" begins at another entry, at v2, and the recorder ends for it
+    And version v3 is listed, too
+    And stored stream "c" begins at entry 3, at v3
+    And 0.3 s pass by
+    And all entries start anew at once
+    Then each entry finds v2 for "d" in the store
+
   # A stream ran on a version that the store didn't name, so the other one was guessed.
   Scenario: A stream begins only when the store names its version
     Given 9 entries with a store that lists versions v1 and v2
@@ -117,6 +155,23 @@
     And stored stream "c" begins at entry 1, at v1
     Then each entry finds nothing for "b" in the store
 
+  # All take-ups were refused for as long as streams run, as no version counted yet.
+  Scenario: Streams are stored while the records aren't complete
+    Given 9 entries with a store that lists version v1
+    When all entries start anew at once
+    And stored stream "a" begins at entry 1, at v1
+    And 0.3 s pass by
+    And all entries start anew at once
+    Then each entry finds v1 for "a" in the store
+    And each entry finds nothing for "b" in the store
+
+  Scenario: Streams of a single version aren't stored once the records are complete
+    Given 9 entries with a store that lists version v1
+    When the recorder compares
+    And stored stream "a" begins at entry 1, at v1
+    And 0.3 s pass by
+    Then the store has no stream
+
   Scenario: Records are complete once the endpoints have been known for long
     Given 9 entries with a store that lists version v1
     When all entries start anew at once
@@ -199,6 +254,24 @@
     And 20 streams are looked for at entry 1, 0.01 s apart
     Then each was known not to be found within 0.8 s
 
+  # One lost answer, and all streams that were taken up within 0.5 s were refused.
+  Scenario Outline: A read that fails once refuses no stream
+    Given 9 entries with a store that lists versions v1 and v2
+    When stored stream "a" begins at entry 1, at v1
+    And stored stream "b" begins at entry 2, at v2
+    And 0.3 s pass by
+    And all entries start anew
+    And <answered> of its calls are answered, and the next fails after <pause> s
+    And stream "b" is looked for 30 times at entry 1, 0.02 s apart
+    Then v2 was found each time within 0.45 s
+
+    Examples:
+      | answered | pause |
+      | 0        | 0     |
+      | 0        | 0.6   |
+      | 1        | 0     |
+      | 1        | 0.6   |
+
   # The only version of the service to which the route leads now wasn't the stream's.
   Scenario: Streams of services that share a route are stored, and no version is the only one
     Given 9 entries with a store that lists version v1
@@ -211,8 +284,10 @@
 
   Scenario: A record that can't be read makes nothing certain
     Given 9 entries with a store that lists version v1
-    When stored stream "a" begins at entry 1, at v1
-    And an invalid record is in the store
+    When the recorder compares
+    And stored stream "a" begins at entry 1, at v1
+    Then the store has no stream
+    When an invalid record is in the store
     And all entries start anew
     Then each entry finds nothing for "a" in the store
 
