Let the soak's servers speak where entries would call them

Cause: `speak_while_record_changes` left it to chance whether its plant could show. Change: the fault takes the server of a service that got most lately and doesn't speak yet; it refuses all for 1 s, so that each entry is told, and then takes what it is sent (or says that it leaves, as before); from then on its record goes, is unreadable and lacks its start in turn, 0.8 to 1.2 s apart; three callers ask for its service all the while. What servers say moves to `soak/spokensignals.py`.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,7 @@
     disturber,
     instances,
     judge,
+    spokensignals,
     standstills,
     storefaults,
     world,
@@ -42,19 +43,7 @@
 # How much longer than its drain time a server that leaves keeps serving.
 AFTER_DRAIN_RANGE_S = (0.5, 4.0)
 
-# How much longer one goes on that says so only in its answers.
-SAID_LEAVING_RANGE_S = (3.0, 8.0)
-# How long servers ask to back off, and for how long they refuse requests.
-BACKOFF_RANGE_S = (1.0, 6.0)
-
-# How often a record changes in a row, for how long, and the time in between.
-RECORD_CHANGES_RANGE = (1, 5)
-RECORD_CHANGE_RANGE_S = (0.1, 2.0)
-RECORD_PAUSE_RANGE_S = (0.3, 2.0)
 MANY_DIGITS = 10**400
-# Servers that speak while their records change refuse few requests, so that they don't
-# soon tell again what they have told.
-FEW_REFUSED = 0.2
 
 # How long a part of prompts crashes servers.
 TAINTED_RANGE_S = (6.0, 15.0)
@@ -88,6 +77,7 @@
         """Inject the fault that is named ``favoured`` more often than others."""
         super().__init__(system)
         store_faults = storefaults.StoreFaults(system)
+        spoken_signals = spokensignals.SpokenSignals(system)
         self._standstills = standstills.Standstills(system)
         # What is done beside standstills, in turn.
         self._planned_work: abc.Iterator[Fault | None]
@@ -97,8 +87,6 @@
         self._tasks: set[asyncio.Task] = set()
         self._configured_at = time.monotonic()
         self.injected: list[str] = []
-        # Every other server that speaks while its record changes says that it leaves.
-        self._speaks_of_leaving = itertools.cycle((False, True))
         self._interval_factor = self._random.choice(
             INTERVAL_FACTORS_BESIDE_FAVOURED if favoured else INTERVAL_FACTORS
         )
@@ -123,10 +111,10 @@
             (8, self._make_server_misbehave),
             (1, self._reuse_address),
             (1, self._taint_part),
-            (2, self._let_server_say_leaving),
-            (2, self._ask_to_back_off),
-            (2, self._change_record),
-            (2, self._speak_while_record_changes),
+            (2, spoken_signals.let_server_say_leaving),
+            (2, spoken_signals.ask_to_back_off),
+            (2, spoken_signals.change_record),
+            (2, spoken_signals.speak_while_record_changes),
             (2, self._stand_still),
         ]
         faults = {
@@ -301,54 +289,6 @@
         record = {"Service": "app", "Address": "127.0.0.1:1234", "Zone": "north"}
         return record | {"State": "ready", "Slots": 4, "born": 1} | fields
 
-    async def _change_record(self) -> None:
-        """Let the record of a server go, be unreadable or name no start, in a row."""
-        servers = [
-            server for server in self._system.servers.values() if server.left_at is None
-        ]
-        if servers:
-            await self._change_record_of(self._random.choice(servers))
-
-    async def _change_record_of(self, server: edgeserver.EdgeServer) -> None:
-        store = self._system.store
-
-        def is_running() -> bool:
-            is_known = self._system.servers.get(server.name) is server
-            return is_known and server.left_at is None
-
-        for _ in range(self._random.randint(*RECORD_CHANGES_RANGE)):
-            if not is_running():
-                return
-            change = self._random.choice(("gone", "unreadable", "without start"))
-            server.renews_record = False
-            if change == "without start":
-                server.record_fields = {"born": None}
-                server.renew()
-            else:
-                value = b"" if change == "gone" else b"\xff"
-                store.put(edgeserver.SERVERS, server.name, value)
-            await asyncio.sleep(self._random.uniform(*RECORD_CHANGE_RANGE_S))
-            server.record_fields = {}
-            server.renews_record = True
-            if is_running():
-                server.renew()
-            await asyncio.sleep(self._random.uniform(*RECORD_PAUSE_RANGE_S))
-
-    async def _speak_while_record_changes(self) -> None:
-        """Let a server leave or ask to back off while its record changes."""
-        server = self._choose_server()
-        if server is None:
-            return
-        speaking = asyncio.create_task(
-            self._say_leaving(server)
-            if next(self._speaks_of_leaving)
-            else self._refuse_for_a_while(server, FEW_REFUSED, BACKOFF_RANGE_S[1])
-        )
-        while not speaking.done():
-            await self._change_record_of(server)
-            await asyncio.sleep(world.POLL_INTERVAL_S)
-        await speaking
-
     async def _crash_server(self) -> None:
         server = self._choose_server()
         if server is None:
@@ -370,39 +310,6 @@
         await asyncio.sleep(drain_s + self._random.uniform(*AFTER_DRAIN_RANGE_S))
         await self._system.stop_server(server)
 
-    async def _let_server_say_leaving(self) -> None:
-        """Let a server say in its answers that it leaves; its record says ready."""
-        server = self._choose_server()
-        if server is not None:
-            await self._say_leaving(server)
-
-    async def _say_leaving(self, server: edgeserver.EdgeServer) -> None:
-        await self._system.add_server(server.service, "south")
-        statuses = self._random.choice(({200, 500, 503}, {200}))
-        server.says_leaving = lambda request, status: status in statuses
-        drain_s = self._system.bounds.drain_s
-        await asyncio.sleep(drain_s + self._random.uniform(*SAID_LEAVING_RANGE_S))
-        await self._system.stop_server(server)
-
-    async def _ask_to_back_off(self) -> None:
-        """Let a server refuse some or all requests and name how long it wants none."""
-        server = self._choose_server()
-        if server is not None:
-            await self._refuse_for_a_while(server)
-
-    async def _refuse_for_a_while(
-        self,
-        server: edgeserver.EdgeServer,
-        share: float | None = None,
-        backoff_s: float | None = None,
-    ) -> None:
-        server.share = share or self._random.choice((0.2, 0.6, 1.0))
-        backoff_s = backoff_s or self._random.uniform(*BACKOFF_RANGE_S)
-        server.backoff = f"{backoff_s:.2f}"
-        server.behaviour = "refuse"
-        await asyncio.sleep(self._random.uniform(*BACKOFF_RANGE_S))
-        server.behaviour = "pass"
-
     async def _make_server_misbehave(self) -> None:
         server = self._choose_server()
         if server is None:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -173,6 +173,15 @@
             if attempt.runs and attempt.run_ended_at is None
         )
 
+    def count_arrivals(self, since: float) -> collections.Counter[str]:
+        """Return how many requests each server, by its name, got since a time."""
+        return collections.Counter(
+            arrival.server.name
+            for attempt in self.attempts.values()
+            for arrival in attempt.arrivals
+            if arrival.at >= since
+        )
+
     def _check_refusal(self, attempt: Attempt) -> None:
         is_refused = attempt.status in REFUSAL_STATUSES
         if is_refused and attempt.runs and not attempt.may_repeat:
--- a/soak/world.py
+++ b/soak/world.py
@@ -147,9 +147,17 @@
             kinds = [
                 kind for kind in REQUEST_KINDS if is_hot == (kind.organisation == "hot")
             ]
-            caller = self._new_caller(kinds)
-            self._callers.append(caller)
+            self.start_callers(kinds, 1)
+
+    def start_callers(
+        self, kinds: abc.Sequence[callers.RequestKind], count: int
+    ) -> list[callers.Caller]:
+        """Start so many callers, which send requests until they are to stop."""
+        started = [self._new_caller(kinds) for _ in range(count)]
+        for caller in started:
             self._start_task(caller.run())
+        self._callers += started
+        return started
 
     def _new_caller(self, kinds: abc.Sequence[callers.RequestKind]) -> callers.Caller:
         entry_ports = {
