Judge answers of servers only if their requests weren't held

Cause: edge-1 was cut off from all servers by connections that hung. A server answered a request that the cut had held, just after it had ended. By then the entry had given the request up; its log has no line that the server asked it to back off. The judge asked only whether the entry was undisturbed from the answer on. Change: the entry must have been undisturbed from when the caller sent the request. A request that was sent undisturbed is judged as before. Evidence: five new examples in `soaksignals.feature`; two of them fail with the rule as it was, all pass now. Three hold what must still count and what didn't before.

--- a/features/soaksignals.feature
+++ b/features/soaksignals.feature
@@ -19,3 +19,18 @@
   Scenario: A build that forgets what servers said as their records go is caught by its first seed
     When a soak with seed 1, 3 entries and the plant lapsing has the fault speak_while_record_changes often for 36 s
     Then the promise DRAIN was broken
+
+  # An answer to a request that a cut had held until its entry gave it up was judged.
+  Scenario Outline: What a server asks for binds an entry if its answer reached it
+    Given a request that was sent 9 s ago, and whose refusal 2 s later asks for 6 s of rest
+    And its entry was cut off from <from> to <until> s after it was sent
+    When 5 requests of the entry arrive 2 s after the refusal
+    Then the soak <verdict> them as too many
+
+    Examples:
+      | from | until | verdict       |
+      | -1.0 | -0.5  | counts        |
+      | -1.0 | 1.9   | doesn't count |
+      | 0.5  | 1.9   | doesn't count |
+      | 3.0  | 3.5   | doesn't count |
+      | 8.5  | 8.9   | counts        |
--- a/soak/signals.py
+++ b/soak/signals.py
@@ -30,10 +30,15 @@
 
 
 class Announcement(typing.NamedTuple):
-    """The headers of an answer that tell of its server, and when it was written."""
+    """
+    The headers of an answer that tell of its server, and when it was written.
+
+    Its request was ``sent_at`` by the caller.
+    """
 
     at: float
     headers: dict[str, str]
+    sent_at: float
 
 
 class Signals:
@@ -68,11 +73,14 @@
         request: edgewire.Request,
         headers: dict[str, str],
         at: float,
+        sent_at: float,
     ) -> None:
-        """Record what an answer tells of its server."""
+        """Record what an answer tells of its server, to a request sent at a time."""
         sender = self._find_sender(server, request.peer_port)
         if sender is not None:
-            self._announced[Link(*sender, server)].append(Announcement(at, headers))
+            self._announced[Link(*sender, server)].append(
+                Announcement(at, headers, sent_at)
+            )
 
     def check(
         self,
@@ -84,11 +92,12 @@
         """Record the promises that entries broke although an answer reached them."""
         for link, answers in self._announced.items():
 
-            def is_bound(begin: float, end: float, link=link) -> bool:
-                # An entry out of touch is bound, too, if the answer reached it.
-                delivery = (begin - DELIVERY_S, begin + DELIVERY_S)
+            def is_bound(answer: Announcement, end: float, link=link) -> bool:
+                # An entry out of touch is bound, too, if the answer reached it. It may
+                # have given a request up that a disturbance has held.
+                delivery = (answer.at - DELIVERY_S, answer.at + DELIVERY_S)
                 return disturbances.is_undisturbed(
-                    link.entry, begin, end
+                    link.entry, answer.sent_at, end
                 ) and disturbances.is_undisturbed(link.server.name, *delivery)
 
             sent = self._sent[link]
@@ -104,7 +113,7 @@
             late = [
                 at
                 for at, sent_at in sent
-                if sent_at > answer.at + limit_s and is_bound(answer.at, at)
+                if sent_at > answer.at + limit_s and is_bound(answer, at)
             ]
             if late:
                 detail = (
@@ -121,7 +130,7 @@
             begin = answer.at + UNDER_WAY_S + allowance_s
             end = answer.at + float(answer.headers["Retry-After"]) - allowance_s
             arrived = [at for at, _ in sent if begin < at < end]
-            if len(arrived) > MAX_REQUESTS_IN_BACKOFF and is_bound(answer.at, end):
+            if len(arrived) > MAX_REQUESTS_IN_BACKOFF and is_bound(answer, end):
                 detail = (
                     f"{len(arrived)} requests of {link.entry} to {link.server.name}"
                     f" in {answer.headers['Retry-After']} s of back-off"
--- a/soak/world.py
+++ b/soak/world.py
@@ -291,7 +291,11 @@
         request: edgewire.Request,
         headers: dict[str, str],
     ) -> None:
-        self.signals.answered(server, request, headers, time.monotonic())
+        attempt = self.recorder.attempts.get(request.headers.get("attempt-id", ""))
+        if attempt is not None:
+            self.signals.answered(
+                server, request, headers, time.monotonic(), attempt.sent_at
+            )
 
     def _find_sender(
         self, server: edgeserver.EdgeServer, port: int
