Split the parts of prompts that endpoints have cached from their occupancy

Callers saw: nothing; no behaviour changes. Change: `cachedparts.py` remembers the parts of prompts.

--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -12,13 +12,16 @@
 
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls
-from acaciaward.routing import backoffs, endpointlimits, health, placement
+from acaciaward.routing import (
+    backoffs,
+    cachedparts,
+    endpointlimits,
+    health,
+    placement,
+)
 
 # Other entries' reports older than this are ignored, in seconds.
 REPORT_LIFETIME_S = 3.0
-# Parts of prompts remembered for each endpoint, and for how long, in seconds.
-MAX_PARTS_PER_ENDPOINT = 4000
-PART_LIFETIME_S = 60.0
 # Weight of the newest sample in the prefill rate and in the services' durations.
 SMOOTHING = 0.1
 # Smaller prompts are too short to measure the prefill rate with.
@@ -119,7 +122,7 @@
         self._running: collections.Counter[Incarnation] = collections.Counter()
         self._backlog: collections.Counter[Incarnation] = collections.Counter()
         self._health: dict[Incarnation, health.Health] = {}
-        self._parts: dict[Incarnation, collections.OrderedDict[str, float]] = {}
+        self._cached_parts = cachedparts.CachedParts(clock)
         self._prefill_tokens_per_s = placement.DEFAULT_PREFILL_TOKENS_PER_S
         self._service_s: dict[str, float] = {}
         self._no_data_since: dict[Incarnation, float] = {}
@@ -144,7 +147,7 @@
             if now - gone_at >= GONE_MEMORY_S:
                 del self._gone_at[incarnation]
                 self._health.pop(incarnation, None)
-                self._parts.pop(incarnation, None)
+                self._cached_parts.forget(incarnation)
 
     def now(self) -> float:
         """Return the time of this object's clock, in seconds."""
@@ -334,14 +337,7 @@
             self._prefill_tokens_per_s += SMOOTHING * (
                 sample - self._prefill_tokens_per_s
             )
-        parts = self._parts.setdefault(
-            work.endpoint.incarnation, collections.OrderedDict()
-        )
-        for name, _ in prompt.parts:
-            parts[name] = self._clock()
-            parts.move_to_end(name)
-        while len(parts) > MAX_PARTS_PER_ENDPOINT:
-            parts.popitem(last=False)
+        self._cached_parts.record(work.endpoint.incarnation, prompt)
 
     def remove_backlog(self, work: ActiveCall) -> None:
         """Remove a call's prompt from the endpoint's backlog."""
@@ -408,9 +404,7 @@
             endpoint,
             running=self._running[incarnation] + reported[0],
             backlog_tokens=self._backlog[incarnation] + reported[1],
-            cached_tokens=self._cached_tokens(
-                endpoint, call.prompt, is_most_preferred, now
-            ),
+            cached_tokens=self._cached_tokens(endpoint, call.prompt, is_most_preferred),
             prefill_tokens_per_s=self._prefill_tokens_per_s,
             failed_share=self._health_of(endpoint).failed_share,
             service_s=self._service_s.get(service.name, 0.0),
@@ -423,7 +417,6 @@
         endpoint: endpoints.Endpoint,
         prompt: calls.Prompt | None,
         is_most_preferred: bool,
-        now: float,
     ) -> int:
         if prompt is None:
             return 0
@@ -431,13 +424,7 @@
         # cached all of them.
         if is_most_preferred:
             return sum(size for _, size in prompt.shared)
-        parts = self._parts.get(endpoint.incarnation, {})
-        total = 0
-        for name, size in prompt.shared:
-            if now - parts.get(name, -PART_LIFETIME_S) >= PART_LIFETIME_S:
-                break
-            total += size
-        return total
+        return self._cached_parts.tokens(endpoint.incarnation, prompt)
 
 
 def _of_version(
