Show that a model engine is given up before another one has agreed

Callers saw: streams of the product's own dialect end with `attempt_failed` though their engine goes on (LOST). Cause: a stream without a frame for `dispatch.token_timeout_s` ends with its connection, and is cancelled at its engine; only then is another endpoint chosen. If that one refuses, the attempts are used up; if there is none, the same engine computes the answer again. Evidence: an engine that is stopped for 1.2 s, with a limit of 0.5 s.

--- /dev/null
+++ b/acaciaward/dispatch/features/silences.feature
@@ -0,0 +1,35 @@
+Feature: A stream isn't given up because its engine is silent for a moment
+
+  A sound engine may send nothing for a while, as a process that is stopped and goes on.
+  Another engine may be asked meanwhile, but a refusal must not cost the caller the stream
+  that the first one still works on.
+
+  Silence is what lasts longer than `dispatch.token_timeout_s`, here 0.5 s.
+
+  # The stream ended with "4 attempts failed, the last one: endpoint answered 503" (LOST).
+  Scenario: A stream goes on after a silence though the other engine refuses it
+    Given an entry and 2 engines
+    When a stream's engine stands still for 1.2 s, and the others refuse
+    Then the stream is complete, each token once
+    And 1 streams were started
+
+  # A second stream was started at the engine, which computed the answer once more.
+  Scenario: A stream goes on after a silence though there is no other engine
+    Given an entry and 1 engines
+    When a stream's engine stands still for 1.2 s, and the others take streams
+    Then the stream is complete, each token once
+    And 1 streams were started
+
+  # Guards against streams that are cancelled at both.
+  Scenario: A stream goes on after a silence though all engines are silent
+    Given an entry and 2 engines
+    When a stream's engine stands still for 1.2 s, and the others do, too
+    Then the stream is complete, each token once
+
+  # Guards against callers that are held by an engine that is silent for good.
+  Scenario: A stream goes on elsewhere if its engine stays silent
+    Given an entry and 2 engines
+    When a stream's engine stands still for 6 s, and the others take streams
+    Then the stream is complete, each token once
+    And it was complete before the silence ended
+    And no engine works on it any more
