Let endpoints that stood still get calls again

Callers saw: endpoints that had stood still for a second got hardly any calls for long after, so that the others were fuller. Cause: each call that another endpoint went on with counted as a failure of the silent one. Calls of one silence come in bulk: nine paused an endpoint for 4 s and brought its share of failures to 0.87, which falls only with calls that are served, and with it all others were cheaper. One failure for a silence would leave the share at 0.2, with the same effect. Evidence: a trace of the scenario's two entries and six endpoints, two of which stand still for 1.3 s: nine `unreached` within 0.06 s; at two of four pairs of entry and endpoint no call ended in the 9 s after. Change: an outcome SILENT pauses once for a silence and leaves the share alone. After each pause, which doubles up to 4 s, a single call is sent until the endpoint sends something, to any call; then it is as good as before. FAILED and UNREACHED are as they were.

--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -291,7 +291,7 @@
     def _outcome_of_superseded(self, work: occupancy.ActiveCall) -> Outcome:
         """Return the outcome if another endpoint goes on with the answer."""
         if self._deps.occupancy.is_unresponsive(work.endpoint):
-            return Outcome.UNREACHED
+            return Outcome.SILENT
         return Outcome.UNDECIDED
 
     @staticmethod
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -178,12 +178,7 @@
             for endpoint in self._usable(service.name, version)
             if endpoint.incarnation not in excluded and self._may_send(endpoint)
         ]
-        healthy = [
-            endpoint
-            for endpoint in ready
-            if not self._health_of(endpoint).is_paused(now)
-            and not self.is_unresponsive(endpoint)
-        ]
+        healthy = [endpoint for endpoint in ready if self._seems_well(endpoint, now)]
         # When all are paused, the one whose pause ends first is the next probe.
         probes = [
             endpoint
@@ -212,6 +207,19 @@
             self._directory.lapsed(service), version
         )
 
+    def _seems_well(self, endpoint: endpoints.Endpoint, now: float) -> bool:
+        """
+        Return whether an endpoint is neither paused nor silent.
+
+        One that was silent is so until it sends something; after each pause a single
+        call probes that.
+        """
+        record = self._health_of(endpoint)
+        is_probed = record.is_silent and bool(self._running[endpoint.incarnation])
+        return not (
+            record.is_paused(now) or is_probed or self.is_unresponsive(endpoint)
+        )
+
     def _may_send(self, endpoint: endpoints.Endpoint) -> bool:
         return not self.backoffs.left_s(endpoint) and self.limits.may_send(endpoint)
 
@@ -254,8 +262,7 @@
         now = self._clock()
         return any(
             endpoint.incarnation not in tried
-            and not self._health_of(endpoint).is_paused(now)
-            and not self.is_unresponsive(endpoint)
+            and self._seems_well(endpoint, now)
             and self._may_send(endpoint)
             for endpoint in _of_version(self._directory.ready(service), version)
         )
@@ -296,8 +303,12 @@
 
     def record_data(self, endpoint: endpoints.Endpoint) -> None:
         """Record that an endpoint sent data, whichever call it is for."""
-        if self._running[endpoint.incarnation]:
-            self._no_data_since[endpoint.incarnation] = self._clock()
+        incarnation = endpoint.incarnation
+        if self._running[incarnation]:
+            self._no_data_since[incarnation] = self._clock()
+        record = self._health.get(incarnation)
+        if record is not None and record.is_silent:
+            self._health[incarnation] = record.after_data()
 
     def is_unresponsive(self, endpoint: endpoints.Endpoint) -> bool:
         """Return whether an endpoint has work but has sent no data for too long."""
