Ask another model engine beside a silent one, and leave neither first

Callers saw: streams of the product's own dialect end with `attempt_failed` though their engine goes on (LOST). The engine's client ended a stream that had no frame for `dispatch.token_timeout_s`, which cancelled it. Change: the client waits until the request's deadline. `races.py` reads each attempt by a task of its own; `streams.py` asks another engine beside one that is silent, and the one that brings the next token goes on alone. The attempt counts, and is taken from the organisation's retry budget in the step that finds it there; suspects and requests that may run only once get none. Not measured: an engine lost without a reset, overload, and what the tasks cost.

--- a/acaciaward/dispatch/attempts.py
+++ b/acaciaward/dispatch/attempts.py
@@ -42,11 +42,16 @@
 
 
 class RetryLimits(typing.NamedTuple):
-    """Limits of the attempts at one request; delays in seconds."""
+    """
+    Limits of the attempts at one request; delays in seconds.
+
+    Another endpoint is asked once one has sent nothing for ``silence_s``.
+    """
 
     max_attempts: int
     backoff_s: float
     backoff_max_s: float
+    silence_s: float = 3.0
 
 
 class Progress:
@@ -95,6 +100,11 @@
         """The attempts in flight."""
         return self._in_flight
 
+    @property
+    def silence_s(self) -> float:
+        """After how long without a frame another endpoint is asked, in seconds."""
+        return self._limits.silence_s
+
     def choose(self, progress: Progress) -> requests.Endpoint:
         """Return the endpoint of the next attempt, or raise the final error."""
         if self.time_left(progress.request) <= MIN_TIME_LEFT_S:
@@ -105,6 +115,51 @@
         reserved, progress.reserved = progress.reserved, None
         return reserved or self._route(progress, progress.excluded)
 
+    def choose_beside(
+        self, progress: Progress, silent: requests.Endpoint
+    ) -> requests.Endpoint | None:
+        """
+        Return where to send a request whose endpoint is silent, too, or None.
+
+        The attempt is taken from the retry budget at once. Suspects run alone, and what
+        may run only once isn't sent twice.
+        """
+        request = progress.request
+        may_send = (
+            retries.may_retry(
+                idempotent=request.idempotent, verdict=verdicts.Verdict.MAY_HAVE_RUN
+            )
+            and progress.attempts < self._limits.max_attempts
+            and not self._deps.quarantine.is_suspect(request)
+        )
+        if not may_send:
+            return None
+        try:
+            endpoint = self._route(progress, progress.excluded | {silent.name})
+        except errors.NoEndpointError:
+            return None
+        if not self._deps.admission.may_retry(request.organisation):
+            return None
+        progress.attempts += 1
+        log.info(
+            "endpoint is silent",
+            extra=logs.fields(
+                request=request.request_id,
+                organisation=request.organisation,
+                endpoint=silent.name,
+                decision=f"{endpoint.name} is asked",
+            ),
+        )
+        return endpoint
+
+    def check_deadline(self, progress: Progress) -> None:
+        """Raise ``DeadlineExceededError`` if the time of a request that runs is up."""
+        if self.time_left(progress.request) <= MIN_TIME_LEFT_S:
+            raise errors.DeadlineExceededError(
+                "the deadline has passed",
+                verdict=retries.worst(progress.verdict, verdicts.Verdict.MAY_HAVE_RUN),
+            )
+
     def _route(
         self,
         progress: Progress,
@@ -167,22 +222,29 @@
     ) -> None:
         """Wait for the retry delay, or raise the request's final error."""
         request = progress.request
+        self.record_failure(progress, endpoint, error)
+        try:
+            retry_delay_s = await self._evaluate_failure(progress, endpoint, error)
+        finally:
+            self._deps.quarantine.release_turn(request, endpoint, is_completed=False)
+        await asyncio.sleep(min(retry_delay_s, max(0.0, self.time_left(request))))
+
+    @staticmethod
+    def record_failure(
+        progress: Progress, endpoint: requests.Endpoint, error: errors.EndpointError
+    ) -> None:
+        """Record and log that an attempt failed."""
         progress.record_failure(endpoint, error)
         log.warning(
             "attempt failed",
             extra=logs.fields(
-                request=request.request_id,
-                organisation=request.organisation,
+                request=progress.request.request_id,
+                organisation=progress.request.organisation,
                 endpoint=endpoint.name,
                 verdict=error.verdict.value,
                 reason=error,
             ),
         )
-        try:
-            retry_delay_s = await self._evaluate_failure(progress, endpoint, error)
-        finally:
-            self._deps.quarantine.release_turn(request, endpoint, is_completed=False)
-        await asyncio.sleep(min(retry_delay_s, max(0.0, self.time_left(request))))
 
     async def _evaluate_failure(
         self,
--- a/acaciaward/dispatch/features/silences.feature
+++ b/acaciaward/dispatch/features/silences.feature
@@ -26,6 +26,21 @@
     When a stream's engine stands still for 1.2 s, and the others do, too
     Then the stream is complete, each token once
 
+  # Guards against an attempt that is left running at the engine that wasn't needed.
+  Scenario: A stream goes on after a silence though the other engine makes no progress
+    Given an entry and 2 engines
+    When a stream's engine stands still for 1.2 s, and the others stall
+    Then the stream is complete, each token once
+    And 2 streams were started
+    And no engine works on it any more
+
+  # Guards against more attempts than are allowed.
+  Scenario: A silent stream is sent to no more engines than the settings allow
+    Given an entry and 2 engines, and 1 attempt at each request
+    When a stream's engine stands still for 1.2 s, and the others take streams
+    Then the stream is complete, each token once
+    And 1 streams were started
+
   # Guards against callers that are held by an engine that is silent for good.
   Scenario: A stream goes on elsewhere if its engine stays silent
     Given an entry and 2 engines
@@ -33,3 +48,17 @@
     Then the stream is complete, each token once
     And it was complete before the silence ended
     And no engine works on it any more
+
+  Scenario Outline: Another engine is asked beside a silent one only if that is allowed
+    Given a request that <state>
+    When its engine is silent
+    Then <asked> other engine is asked, and <spent> of its organisation's repeats is spent
+
+    Examples:
+      | state                         | asked | spent |
+      | may run twice                 | 1     | 1     |
+      | may run only once             | 0     | 0     |
+      | is a suspect                  | 0     | 0     |
+      | has no attempt left           | 0     | 0     |
+      | no other engine can take      | 0     | 0     |
+      | its organisation can't repeat | 0     | 0     |
--- a/acaciaward/dispatch/streams.py
+++ b/acaciaward/dispatch/streams.py
@@ -14,12 +14,14 @@
 
 from acaciaward import errors, requests, verdicts
 from acaciaward.admission import interfaces as admission_interfaces
-from acaciaward.dispatch import assembler, attempts, recomputation
+from acaciaward.dispatch import assembler, attempts, races, recomputation
 from acaciaward.endpoints import interfaces as endpoints_interfaces
 from acaciaward.evacuation import interfaces as evacuation_interfaces
 
 NO_ENDPOINT_RETRY_S = 0.1
 MOVE_TIMEOUT_S = 8.0
+# How often another endpoint is looked for while one is silent.
+BACKUP_RETRY_S = 0.1
 
 
 class StreamOpened(typing.NamedTuple):
@@ -81,6 +83,7 @@
         self.move = evacuation_interfaces.Move()
         self.recompute_cause = evacuation_interfaces.RecomputeCause.LOSS
         self.running: evacuation_interfaces.RunningStream | None = None
+        self.failure: races.Failure | None = None
         self.is_complete = False
         control.tokens = self.tokens
 
@@ -99,19 +102,10 @@
         move, self.move = self.move, evacuation_interfaces.Move()
         return move
 
-
-class _Attempt(typing.NamedTuple):
-    """
-    One attempt at an answer.
-
-    ``computes`` is False if the attempt only reads a stream that its engine has already
-    begun, and ``is_import`` is True if the engine imports the KV cache of a move.
-    """
-
-    endpoint: requests.Endpoint
-    frames: abc.AsyncIterator[endpoints_interfaces.EngineFrame]
-    computes: bool = True
-    is_import: bool = False
+    def pop_failure(self) -> races.Failure | None:
+        """Return how the last attempt failed, if it did, and reset it."""
+        failure, self.failure = self.failure, None
+        return failure
 
 
 class StreamDispatcher:
@@ -172,20 +166,29 @@
             request=answer.request,
             from_index=answer.tokens.count,
         )
-        attempt = _Attempt(resumed.endpoint, frames, computes=False)
-        try:
-            async with contextlib.aclosing(self._read(answer, attempt)) as events:
-                async for event in events:
-                    yield event
-        except errors.EndpointError as error:
-            progress.record_failure(resumed.endpoint, error)
+        attempt = races.Attempt(resumed.endpoint, frames, computes=False)
+        async with contextlib.aclosing(self._read(answer, progress, attempt)) as events:
+            async for event in events:
+                yield event
+        failure = answer.pop_failure()
+        if failure is not None:
+            progress.record_failure(failure.endpoint, failure.error)
         await self._await_move(answer)
 
     async def _next_attempt(
         self, answer: _Answer, progress: attempts.Progress
-    ) -> _Attempt:
+    ) -> races.Attempt:
         move = answer.pop_move()
         endpoint = move.target or await self._choose(answer, progress)
+        return self._make_attempt(answer, endpoint, kv_handle=move.kv_handle)
+
+    def _make_attempt(
+        self,
+        answer: _Answer,
+        endpoint: requests.Endpoint,
+        *,
+        kv_handle: str | None = None,
+    ) -> races.Attempt:
         order = endpoints_interfaces.GenerateOrder(
             attempt=uuid.uuid4().hex,
             request=answer.request,
@@ -193,10 +196,10 @@
             priority=answer.ticket.priority,
             cache_salt=answer.request.organisation,
             deadline_s=self._runner.time_left(answer.request),
-            kv_handle=move.kv_handle,
+            kv_handle=kv_handle,
         )
         frames = self._deps.engine.generate(endpoint, order)
-        return _Attempt(endpoint, frames, is_import=move.kv_handle is not None)
+        return races.Attempt(endpoint, frames, is_import=kv_handle is not None)
 
     async def _choose(
         self, answer: _Answer, progress: attempts.Progress
@@ -215,23 +218,27 @@
             await asyncio.sleep(NO_ENDPOINT_RETRY_S)
 
     async def _run(
-        self, answer: _Answer, progress: attempts.Progress, attempt: _Attempt
+        self, answer: _Answer, progress: attempts.Progress, attempt: races.Attempt
     ) -> abc.AsyncIterator[StreamEvent]:
-        try:
-            async with contextlib.aclosing(self._read(answer, attempt)) as events:
-                async for event in events:
-                    yield event
-        except errors.EndpointError as error:
-            is_reclaim = self._deps.evacuation.is_leaving(attempt.endpoint.name)
-            answer.recompute_cause = (
-                evacuation_interfaces.RecomputeCause.RECLAIM
-                if is_reclaim
-                else evacuation_interfaces.RecomputeCause.LOSS
-            )
+        async with contextlib.aclosing(self._read(answer, progress, attempt)) as events:
+            async for event in events:
+                yield event
+        failure = answer.pop_failure()
+        if failure is not None:
+            answer.recompute_cause = self._cause_of_loss(failure.endpoint)
             if not answer.is_moving:
-                await self._runner.after_failure(progress, attempt.endpoint, error)
+                await self._runner.after_failure(
+                    progress, failure.endpoint, failure.error
+                )
         await self._await_move(answer)
 
+    def _cause_of_loss(
+        self, endpoint: requests.Endpoint
+    ) -> evacuation_interfaces.RecomputeCause:
+        if self._deps.evacuation.is_leaving(endpoint.name):
+            return evacuation_interfaces.RecomputeCause.RECLAIM
+        return evacuation_interfaces.RecomputeCause.LOSS
+
     async def _await_move(self, answer: _Answer) -> None:
         if answer.is_complete or not answer.is_moving:
             return
@@ -242,46 +249,137 @@
         answer.running = None
 
     async def _read(
-        self, answer: _Answer, attempt: _Attempt
+        self, answer: _Answer, progress: attempts.Progress, attempt: races.Attempt
     ) -> abc.AsyncIterator[StreamEvent]:
+        """
+        Read an attempt, and another one beside it while its engine is silent.
+
+        The one that brings the next token goes on alone. If all fail, the last failure
+        is that of the answer.
+        """
         answer.running = None
-        with self._runner.counted(attempt.endpoint, answer.request):
+        async with races.Race() as race:
+            race.start(attempt, self._runner.counted(attempt.endpoint, answer.request))
+            wait_s = self._runner.silence_s
             try:
-                async with contextlib.aclosing(attempt.frames) as frames:
-                    async for frame in frames:
-                        for event in self._process_frame(answer, attempt, frame):
-                            yield event
-                        if isinstance(frame, requests.Completion):
-                            return
-                raise errors.EndpointError(
-                    "stream ended without its final frame",
-                    verdict=verdicts.Verdict.MAY_HAVE_RUN,
-                )
+                while not answer.is_complete:
+                    left_s = self._runner.time_left(answer.request)
+                    arrival = await race.next_arrival(min(wait_s, left_s))
+                    arrival = arrival or self._ask_another(answer, progress, race)
+                    if arrival is None:
+                        wait_s = BACKUP_RETRY_S
+                        continue
+                    wait_s = self._runner.silence_s
+                    contender, result = arrival
+                    try:
+                        events = self._process(answer, progress, race, arrival)
+                    except errors.EndpointError as error:
+                        self._leave(answer, contender, error)
+                        if self._may_go_on(answer, race, error):
+                            answer.recompute_cause = self._cause_of_loss(
+                                contender.attempt.endpoint
+                            )
+                            self._runner.record_failure(
+                                progress, contender.attempt.endpoint, error
+                            )
+                            continue
+                        answer.failure = races.Failure(
+                            contender.attempt.endpoint, error
+                        )
+                        return
+                    for event in events:
+                        yield event
+                    if isinstance(result, requests.Completion):
+                        self._leave(answer, contender, None)
+                        return
             finally:
-                self._end_attempt(answer)
+                for contender in race.running:
+                    self._leave(answer, contender, asyncio.CancelledError())
+
+    def _ask_another(
+        self, answer: _Answer, progress: attempts.Progress, race: races.Race
+    ) -> races.Arrival | None:
+        """
+        Begin another attempt beside one that is silent, if that is allowed.
 
-    def _process_frame(
+        Returns the failure of the silent one if no other can ever take its place.
+        """
+        silent = race.running[0].attempt.endpoint
+        self._runner.check_deadline(progress)
+        if len(race.running) > 1 or answer.is_moving:
+            return None
+        if not answer.has_delivered_texts:
+            # The rest is known to this engine alone.
+            return races.Arrival(race.running[0], races.silence())
+        endpoint = self._runner.choose_beside(progress, silent)
+        if endpoint is not None:
+            attempt = self._make_attempt(answer, endpoint)
+            race.start(attempt, self._runner.counted(endpoint, answer.request))
+        return None
+
+    @staticmethod
+    def _may_go_on(
+        answer: _Answer, race: races.Race, error: errors.EndpointError
+    ) -> bool:
+        """
+        Return whether another attempt goes on after one has failed.
+
+        A request that an endpoint may have died of goes on by the rules for suspects.
+        """
+        is_free = not answer.is_moving and not error.may_endpoint_have_died
+        return is_free and bool(race.running)
+
+    def _process(
         self,
         answer: _Answer,
-        attempt: _Attempt,
-        frame: endpoints_interfaces.EngineFrame,
+        progress: attempts.Progress,
+        race: races.Race,
+        arrival: races.Arrival,
     ) -> list[StreamEvent]:
-        """Process a frame and return the event for the caller, if there is one."""
-        if isinstance(frame, endpoints_interfaces.StreamStarted):
-            return [self._process_start(answer, attempt, frame)]
-        if isinstance(frame, requests.TokenFrame):
-            is_new = answer.tokens.accept(frame) and frame.index > answer.last_index
-            return [frame] if is_new else []
-        if answer.is_moving and frame.finish_reason not in assembler.COMPLETE_REASONS:
+        """Process what came for an attempt and return the events for the caller."""
+        contender, result = arrival
+        if isinstance(result, Exception):
+            raise result
+        if isinstance(result, endpoints_interfaces.StreamStarted):
+            contender.started = result
+            # It isn't decided yet which of two attempts a caller could resume.
+            return [] if race.rivals_of(contender) else self._open(answer, contender)
+        if isinstance(result, requests.TokenFrame):
+            if not answer.tokens.accept(result):
+                return []
+            self._claim(answer, progress, race, contender)
+            is_new = result.index > answer.last_index
+            return self._open(answer, contender) + ([result] if is_new else [])
+        if answer.is_moving and result.finish_reason not in assembler.COMPLETE_REASONS:
             return []
-        return [self._process_completion(answer, frame)]
+        completion = self._process_completion(answer, result)
+        self._claim(answer, progress, race, contender)
+        return [*self._open(answer, contender), completion]
 
-    def _process_start(
+    def _claim(
         self,
         answer: _Answer,
-        attempt: _Attempt,
-        started: endpoints_interfaces.StreamStarted,
-    ) -> StreamOpened:
+        progress: attempts.Progress,
+        race: races.Race,
+        contender: races.Contender,
+    ) -> None:
+        """Let one attempt go on alone."""
+        if contender.running is not answer.running:
+            answer.running = None
+        for rival in race.rivals_of(contender):
+            if rival is race.running[0]:
+                silence = races.silence()
+                answer.recompute_cause = self._cause_of_loss(rival.attempt.endpoint)
+                self._leave(answer, rival, silence)
+                self._runner.record_failure(progress, rival.attempt.endpoint, silence)
+            else:
+                self._leave(answer, rival, asyncio.CancelledError())
+
+    def _open(self, answer: _Answer, contender: races.Contender) -> list[StreamEvent]:
+        """Tell where the stream runs, unless that is known."""
+        started, attempt = contender.started, contender.attempt
+        if started is None or contender.running is not None:
+            return []
         if attempt.computes:
             answer.work.record_start(
                 started,
@@ -289,7 +387,7 @@
                 answer.recompute_cause,
                 is_import=attempt.is_import,
             )
-        answer.running = evacuation_interfaces.RunningStream(
+        contender.running = answer.running = evacuation_interfaces.RunningStream(
             answer.request,
             attempt.endpoint,
             started.stream,
@@ -298,7 +396,7 @@
         )
         self._deps.evacuation.add(answer.running)
         answer.control.last_opened = StreamOpened(attempt.endpoint.name, started.stream)
-        return answer.control.last_opened
+        return [answer.control.last_opened]
 
     def _process_completion(
         self, answer: _Answer, frame: requests.Completion
@@ -317,17 +415,25 @@
         )
         return completion._replace(recomputed_tokens=answer.work.recomputed_tokens)
 
-    def _end_attempt(self, answer: _Answer) -> None:
-        running = answer.running
-        if running is None:
-            return
-        self._deps.evacuation.remove(running)
-        if answer.is_complete or answer.is_moving or answer.control.is_handed_over:
+    def _leave(
+        self, answer: _Answer, contender: races.Contender, reason: BaseException | None
+    ) -> None:
+        """End an attempt, and cancel its stream unless that goes on elsewhere."""
+        contender.end(reason)
+        if contender.running is not None:
+            self._deps.evacuation.remove(contender.running)
+        goes_on = (
+            answer.is_complete or answer.is_moving or answer.control.is_handed_over
+        )
+        is_current = contender.running is not None and (
+            contender.running is answer.running
+        )
+        if contender.started is None or (is_current and goes_on):
             return
         # The cancel isn't awaited: an unreachable endpoint would delay the next
         # attempt.
         cancel = asyncio.ensure_future(
-            self._cancel_quietly(running.endpoint, running.stream_id)
+            self._cancel_quietly(contender.attempt.endpoint, contender.started.stream)
         )
         self._cancels.add(cancel)
         cancel.add_done_callback(self._cancels.discard)
--- a/acaciaward/endpoints/engine.py
+++ b/acaciaward/endpoints/engine.py
@@ -5,6 +5,7 @@
 doesn't match is dropped, counted and logged, never forwarded.
 """
 
+import asyncio
 import contextlib
 import logging
 import typing
@@ -76,9 +77,8 @@
 class HttpModelEngine:
     """Implements ``interfaces.ModelEngine`` over HTTP."""
 
-    def __init__(self, client: httpclient.HttpClient, *, token_timeout_s: float):
+    def __init__(self, client: httpclient.HttpClient):
         self._client = client
-        self._token_timeout_s = token_timeout_s
 
     async def generate(
         self, endpoint: requests.Endpoint, order: interfaces.GenerateOrder
@@ -139,7 +139,8 @@
                 path,
                 headers={"content-type": "application/json"},
                 body=payload,
-                timeout_s=self._token_timeout_s,
+                # Whether silence matters is decided by who reads the frames.
+                timeout_s=request.deadline - asyncio.get_running_loop().time(),
             ) as response:
                 if response.status != 200:
                     answer = await response.read()
--- a/acaciaward/entry/process.py
+++ b/acaciaward/entry/process.py
@@ -154,10 +154,7 @@
         )
 
     def _build_evacuation(self) -> None:
-        self._engine = engine.HttpModelEngine(
-            self._client,
-            token_timeout_s=self._settings["dispatch"]["token_timeout_s"],
-        )
+        self._engine = engine.HttpModelEngine(self._client)
         self._build_routing(self._engine)
         self._departure_handling = departurehandling.DepartureHandling(
             self._settings["evacuation"],
@@ -209,7 +206,10 @@
             evacuation=self._departure_handling.evacuator,
         )
         limits = attempts.RetryLimits(
-            settings["max_attempts"], settings["backoff_s"], settings["backoff_max_s"]
+            settings["max_attempts"],
+            settings["backoff_s"],
+            settings["backoff_max_s"],
+            silence_s=settings["token_timeout_s"],
         )
         self._recorder = recorder.Recorder(self.name)
         self._configuration.subscribe(
