Blame parts of prompts by all crashes, and not for cuts

Callers saw: sound calls refused for a part of their prompt, in a release that crashes on some requests and while connections are cut by resets. Cause: entries blamed a part after three crashes whatever else had crashed, and a lost connection counted as a crash though the endpoint went on to answer others. Change: a part needs five crashes if three or more others happened without it that no other part explains. Reports tell crashed endpoints (`crashed`) and those that answered afterwards (`answered`), whose crashes are dropped. The reports' types move to partreports.py as promptparts.py grew.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -26,6 +26,7 @@
     upstreamconnections,
     upstreams,
 )
+from acaciaward.quarantine import crashreports
 from acaciaward.resumption import origins
 
 EVENT_STREAM = "text/event-stream"
@@ -249,7 +250,7 @@
             has_event = has_event or bool(new_events)
             if not has_survived and work.answered_for_s >= SURVIVAL_S:
                 has_survived = True
-                self._record_survived(progress)
+                self._record_survived(progress, work)
             new_data = self._accept(progress, new_events, contender)
             if new_data:
                 self._record_first_byte(progress, work)
@@ -309,8 +310,10 @@
             )
         )
 
-    def _record_survived(self, progress: callprogress.Progress) -> None:
-        self._deps.prompt_parts.record_served(progress.call.shared_parts)
+    def _record_survived(self, progress: callprogress.Progress, work: Work) -> None:
+        self._deps.prompt_parts.record_served(
+            progress.call.shared_parts, crashreports.run_key(*work.endpoint.incarnation)
+        )
 
     async def _bind_to_version(
         self, progress: callprogress.Progress, work: Work, head: calls.ReplyHead
--- a/acaciaward/gateway/features/crashing.feature
+++ b/acaciaward/gateway/features/crashing.feature
@@ -24,7 +24,7 @@
     When all endpoints are released, and 5 in 100 runs crash the new ones for 12 s
     Then no sound request is refused for its own crashes
 
-  # Entries that never served a part blame it after three crashes.
+  # Entries that never served a part blamed it after three crashes, whatever else crashed.
   Scenario: Nor is any refused for a part of its prompt
     Given 2 data centres of 3 entries with 8 endpoints and callers that stream 40 a second, of 10 events
     When all endpoints are released, and 5 in 100 runs crash the new ones for 12 s
--- a/acaciaward/gateway/retries.py
+++ b/acaciaward/gateway/retries.py
@@ -151,7 +151,7 @@
         part_crashes = 0
         if is_early and is_lost:
             part_crashes = self._deps.prompt_parts.record_crash(
-                progress.call.shared_parts, f"{name}/{born}"
+                progress.call.shared_parts, crashreports.run_key(name, born)
             )
         decisions.record_suspected_crash(progress, work, crashes, part_crashes)
 
@@ -163,7 +163,10 @@
     ) -> None:
         """Record that a call was answered, so that neither it nor its parts crash."""
         if responder.status < FIRST_ERROR_STATUS:
-            self._deps.prompt_parts.record_served(progress.call.shared_parts)
+            self._deps.prompt_parts.record_served(
+                progress.call.shared_parts,
+                crashreports.run_key(*work.endpoint.incarnation),
+            )
         version = work.endpoint.version
         if self._deps.suspects.record_served(progress.digest, version):
             decisions.record_cleared(progress)
--- a/acaciaward/quarantine/crashreports.py
+++ b/acaciaward/quarantine/crashreports.py
@@ -50,7 +50,12 @@
 
     Older builds leave the version out, as is done where there is none.
     """
-    return subject_of(f"{name}/{born}", version_hash(version))
+    return subject_of(run_key(name, born), version_hash(version))
+
+
+def run_key(name: str, born: int) -> str:
+    """Return what identifies a run of an endpoint, whatever its version."""
+    return f"{name}/{born}"
 
 
 def version_hash(version: str) -> str:
--- a/acaciaward/quarantine/features/cutmodel.py
+++ b/acaciaward/quarantine/features/cutmodel.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 
-from acaciaward.quarantine import promptparts
+from acaciaward.quarantine import partreports, promptparts
 
 CALLS_PER_S = 60
 CALL_S = 3.0
@@ -92,6 +92,6 @@
 
     def _exchange(self):
         self._at(self._now + REPORT_S, self._exchange)
-        report = promptparts.merge(entry.report() for entry in self._entries)
+        report = partreports.merge(entry.report() for entry in self._entries)
         for entry in self._entries:
             entry.receive(report)
--- a/acaciaward/quarantine/features/promptparts.feature
+++ b/acaciaward/quarantine/features/promptparts.feature
@@ -138,9 +138,9 @@
   # that crashes, sound parts are at three crashes by chance, beside others.
   Scenario: A part that was at a few of many crashes isn't blamed
     Given 3 entries that know of no part
-    When 8 endpoints crash under 7 calls, of which 3 have the same session
+    When 8 endpoints crash under calls, of which 3 have the same session
     And the entries tell each other once
-    Then every entry sends "a session"
+    Then every entry sends "session"
 
   # Chance crashes hide no part that is at most of the crashes.
   Scenario: A part is found beside endpoints that crash under other calls
--- a/acaciaward/quarantine/features/steps/promptparts_steps.py
+++ b/acaciaward/quarantine/features/steps/promptparts_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from hypothesis import strategies
 
-from acaciaward.quarantine import promptparts
+from acaciaward.quarantine import partreports, promptparts
 from acaciaward.quarantine.features import cutmodel
 
 # Of the random days: the pause between reports, and between two calls of a part.
@@ -64,21 +64,20 @@
 
 
 def exchange_reports(entries):
-    report = promptparts.merge(entry.report() for entry in entries)
+    report = partreports.merge(entry.report() for entry in entries)
     for entry in entries:
         entry.receive(report)
 
 
 @when(
-    "{endpoints:d} endpoints crash under {count:d} calls, of which {same:d} have the"
-    " same session"
+    "{endpoints:d} endpoints crash under calls, of which {same:d} have the same session"
 )
-def crash_in_release(context, endpoints, count, same):
+def crash_in_release(context, endpoints, same):
     for number in range(1, endpoints + 1):
         is_same = number <= same
-        session = "session" if is_same else f"session-{number % count}"
+        session = "session" if is_same else f"session-{number}"
         entry = 1 + number % len(context.entries)
-        crash(context, f"a {session}", number, entry)
+        crash(context, session, number, entry)
 
 
 @when("{count:d} endpoints crash under calls with a session each")
--- a/acaciaward/quarantine/promptparts.py
+++ b/acaciaward/quarantine/promptparts.py
@@ -18,14 +18,15 @@
 """
 
 import collections
+import itertools
 import logging
 import math
 import typing
 from collections import abc
 
-from acaciaward import decoding
 from acaciaward.membership import rendezvous
 from acaciaward.observability import logs
+from acaciaward.quarantine import crashedendpoints, cuts, partreports
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +34,12 @@
 # have met more of them: it is more likely that it met crashes by chance.
 CRASHES_TO_BLAME = 3
 CRASHES_TO_BLAME_SERVED = 5
+# The same if as many endpoints as ``CRASHES_TO_BLAME`` have crashed without the part,
+# and no other part explains that by this share of the crashes.
+CRASHES_IF_DOUBTFUL = 5
+EXPLAINING_SHARE = 1 / 3
+# Parts, the newest first, among which others are sought that explain crashes.
+MAX_COMPARED = 32
 # A part that was served this long before a crash didn't cause it.
 RECENTLY_SERVED_S = 2.0
 # A blamed part is tried this long after its last crash, and later by this factor with
@@ -51,29 +58,12 @@
 MAX_SUSPECTS = 1000
 MAX_CRASHES = 10
 MAX_SERVED = 4096
-# Bounds on the parts in one message, and on the common parts of each.
-MAX_REPORTED = 16
+# Bound on the common parts of each.
 MAX_COMMON = 16
-# Most endpoints, and common parts, in what others report of one part.
-MAX_REPORTED_EACH = 256
 # How long after a peer's last report of its crashes a part is reported as served.
 CONTESTED_S = 5.0
 
 
-class PartCrashes(typing.TypedDict):
-    """Ages of a part's crashes in seconds by endpoint, and what all calls had."""
-
-    ages: dict[str, float]
-    common: list[str]
-
-
-class Report(typing.TypedDict):
-    """Crashes by part, and how many seconds ago parts in question were last served."""
-
-    crashes: dict[str, PartCrashes]
-    served: dict[str, float]
-
-
 class _Suspect(typing.NamedTuple):
     """When endpoints crashed under a part, and the parts of all calls concerned."""
 
@@ -85,47 +75,6 @@
         return max(self.crashed_at.values())
 
 
-def empty_report() -> Report:
-    """Return a report of nothing."""
-    return {"crashes": {}, "served": {}}
-
-
-def merge(reports: abc.Iterable[Report]) -> Report:
-    """Merge the reports of several entries, parts with most crashes first."""
-    crashes: dict[str, PartCrashes] = {}
-    served: dict[str, float] = {}
-    for report in reports:
-        for part, found in report["crashes"].items():
-            known = crashes.get(part)
-            if known is None:
-                crashes[part] = {**found, "ages": dict(found["ages"])}
-                continue
-            for endpoint, age_s in found["ages"].items():
-                known["ages"][endpoint] = max(age_s, known["ages"].get(endpoint, 0.0))
-            known["common"] = [
-                name for name in known["common"] if name in found["common"]
-            ]
-        for part, age_s in report["served"].items():
-            served[part] = min(age_s, served.get(part, math.inf))
-    by_crashes = sorted(crashes, key=lambda part: -len(crashes[part]["ages"]))
-    return {
-        "crashes": {part: crashes[part] for part in by_crashes[:MAX_REPORTED]},
-        "served": dict(list(served.items())[:MAX_REPORTED]),
-    }
-
-
-def is_valid(
-    part: str, ages: abc.Mapping[str, float], common: abc.Collection[str] = ()
-) -> bool:
-    """Return whether what others report of a part may be remembered."""
-    return (
-        all(map(decoding.is_name, (part, *ages, *common)))
-        and all(map(decoding.is_in_range, ages.values()))
-        and len(ages) <= MAX_REPORTED_EACH
-        and len(common) <= MAX_REPORTED_EACH
-    )
-
-
 class PromptParts:
     """
     What one entry knows of parts of prompts, by itself and from other entries.
@@ -143,6 +92,8 @@
         self._clock = clock
         self._own_name = own_name
         self._entries = entries
+        self._crashed = crashedendpoints.CrashedEndpoints(clock)
+        self._cuts = cuts.Cuts()
         self._suspects: collections.OrderedDict[str, _Suspect]
         self._suspects = collections.OrderedDict()
         self._served_at: collections.OrderedDict[str, float] = collections.OrderedDict()
@@ -167,14 +118,24 @@
         Returns the most crashes that any of the call's parts has now.
         """
         now = self._clock()
-        for part in parts:
-            self._add(part, {endpoint: now}, frozenset(parts))
+        self._crashed.record_crash(endpoint, now)
+        causes = frozenset(
+            part
+            for part in parts
+            if self._last_served_at(part) + RECENTLY_SERVED_S < now
+        )
+        loss = cuts.Loss(endpoint, now, frozenset(parts), causes)
+        is_doubtful = self._crashed.is_doubtful(endpoint)
+        if self._cuts.record(loss, is_doubtful=is_doubtful):
+            self._add_losses([loss])
         suspects = [self._suspects[part] for part in parts if part in self._suspects]
         return max((len(suspect.crashed_at) for suspect in suspects), default=0)
 
     def record_served(self, parts: abc.Iterable[str], endpoint: str = "") -> None:
         """Record that an endpoint answers a call, or goes on with its answer."""
         now = self._clock()
+        if endpoint and self._crashed.record_answer(endpoint):
+            self._acquit(endpoint)
         for part in parts:
             _put(self._served_at, part, now, MAX_SERVED)
             if part in self._suspects:
@@ -205,9 +166,10 @@
             )
         return max(0.0, left_s)
 
-    def report(self) -> Report:
+    def report(self) -> partreports.Report:
         """Return what this entry knows, the parts with most crashes first."""
         now = self._clock()
+        self._add_losses(self._cuts.take_due(now))
         while self._suspects and (
             next(iter(self._suspects.values())).last_crash_at < now - RETENTION_S
         ):
@@ -225,16 +187,18 @@
                     },
                     "common": sorted(suspect.common),
                 }
-                for part, suspect in by_crashes[:MAX_REPORTED]
+                for part, suspect in by_crashes[: partreports.MAX_REPORTED]
             },
             "served": {
                 part: now - self._served_at[part]
                 for part, contested_at in self._contested_at.items()
                 if now - contested_at < CONTESTED_S and part in self._served_at
             },
+            "crashed": self._crashed.ages(),
+            "answered": self._crashed.answer_ages(),
         }
 
-    def known(self, min_crashes: int) -> Report:
+    def known(self, min_crashes: int) -> partreports.Report:
         """Return the parts with as many crashes, and when these were last served."""
         now = self._clock()
         crashes = {
@@ -250,18 +214,21 @@
             },
         }
 
-    def receive(self, report: Report) -> None:
+    def receive(self, report: partreports.Report) -> None:
         """Receive what the entries know together; what is invalid is left out."""
         now = self._clock()
         skipped = 0
         for part, age_s in report["served"].items():
-            if not is_valid(part, {part: age_s}):
+            if not partreports.is_valid(part, {part: age_s}):
                 skipped += 1
                 continue
             _put(self._served_elsewhere_at, part, now - age_s, MAX_SERVED)
             self._clear(part, now - age_s)
+        skipped += self._receive_endpoints(report)
         for part, found in report["crashes"].items():
-            if not found["ages"] or not is_valid(part, found["ages"], found["common"]):
+            if not found["ages"] or not partreports.is_valid(
+                part, found["ages"], found["common"]
+            ):
                 skipped += 1
                 continue
             if part in self._served_at:
@@ -276,13 +243,48 @@
                 extra=logs.fields(count=skipped),
             )
 
+    def _add_losses(self, losses: abc.Iterable[cuts.Loss]) -> None:
+        for loss in losses:
+            for part in loss.parts:
+                self._add(part, {loss.endpoint: loss.at}, loss.parts)
+
+    def _receive_endpoints(self, report: partreports.Report) -> int:
+        """Receive what is known of endpoints; return how many were skipped."""
+        now = self._clock()
+        skipped = 0
+        for endpoint, age_s in report.get("answered", {}).items():
+            if not partreports.is_valid(endpoint, {endpoint: age_s}):
+                skipped += 1
+            elif self._crashed.receive_answer(endpoint, now - age_s):
+                self._acquit(endpoint)
+        for endpoint, age_s in report.get("crashed", {}).items():
+            if partreports.is_valid(endpoint, {endpoint: age_s}):
+                self._crashed.record_crash(endpoint, now - age_s)
+            else:
+                skipped += 1
+        return skipped
+
+    def _acquit(self, endpoint: str) -> None:
+        """Drop the crashes of an endpoint that has gone on."""
+        concerned = [
+            part
+            for part, suspect in self._suspects.items()
+            if endpoint in suspect.crashed_at
+        ]
+        for part in concerned:
+            crashed_at = dict(self._suspects[part].crashed_at)
+            if self._crashed.has_gone_on(endpoint, crashed_at.pop(endpoint)):
+                self._keep(part, crashed_at)
+
     def _add(
         self, part: str, crashed_at: abc.Mapping[str, float], common: frozenset[str]
     ) -> None:
         """Add crashes, unless the part was served since or shortly before."""
         cleared_until = self._last_served_at(part) + RECENTLY_SERVED_S
         crashed_at = {
-            endpoint: at for endpoint, at in crashed_at.items() if at > cleared_until
+            endpoint: at
+            for endpoint, at in crashed_at.items()
+            if not self._crashed.has_gone_on(endpoint, at) and at > cleared_until
         }
         if not crashed_at:
             return
@@ -325,8 +327,12 @@
             for endpoint, at in suspect.crashed_at.items()
             if at > served_at + RECENTLY_SERVED_S
         }
-        if later:
-            self._suspects[part] = suspect._replace(crashed_at=later)
+        self._keep(part, later)
+
+    def _keep(self, part: str, crashed_at: abc.Mapping[str, float]) -> None:
+        """Leave a part only some of its crashes, and drop it if there are none."""
+        if crashed_at:
+            self._suspects[part] = self._suspects[part]._replace(crashed_at=crashed_at)
             return
         was_blamed = self._is_blamed(part)
         del self._suspects[part]
@@ -338,7 +344,7 @@
             log.info("part of prompts cleared", extra=logs.fields(part=part))
 
     def _contest(self, part: str) -> None:
-        _put(self._contested_at, part, self._clock(), MAX_REPORTED)
+        _put(self._contested_at, part, self._clock(), partreports.MAX_REPORTED)
 
     def _last_served_at(self, part: str) -> float:
         return max(
@@ -351,7 +357,39 @@
         return CRASHES_TO_BLAME_SERVED if was_served else CRASHES_TO_BLAME
 
     def _is_blamed(self, part: str) -> bool:
-        return len(self._suspects[part].crashed_at) >= self._needed_crashes(part)
+        suspect = self._suspects[part]
+        crashes = len(suspect.crashed_at)
+        if crashes < self._needed_crashes(part):
+            return False
+        return (
+            crashes >= CRASHES_IF_DOUBTFUL
+            or self._crashes_elsewhere(part, suspect) < CRASHES_TO_BLAME
+        )
+
+    def _crashes_elsewhere(self, part: str, suspect: _Suspect) -> int:
+        """
+        Return how many endpoints crashed without a part, until its last crash.
+
+        Those that another part explains don't count: one that was at a large part of
+        the crashes which are left without those that others explain.
+        """
+        until = suspect.last_crash_at
+        known = self._crashed.between(until - crashedendpoints.MEMORY_S, until)
+        elsewhere = known.difference(suspect.crashed_at)
+        if len(elsewhere) < CRASHES_TO_BLAME:
+            return len(elsewhere)
+        newest = itertools.islice(reversed(self._suspects.items()), MAX_COMPARED)
+        others = [
+            elsewhere.intersection(other.crashed_at)
+            for name, other in newest
+            if name != part
+        ]
+        for explained in sorted(others, key=len, reverse=True):
+            count = len(explained & elsewhere)
+            least = EXPLAINING_SHARE * (len(elsewhere) + len(suspect.crashed_at))
+            if count >= max(CRASHES_TO_BLAME, least):
+                elsewhere -= explained
+        return len(elsewhere)
 
     def _next_trial_at(self, part: str) -> float:
         """Return when this entry may try a blamed part next."""
--- a/acaciaward/quarantine/suspicionstore.py
+++ b/acaciaward/quarantine/suspicionstore.py
@@ -20,7 +20,7 @@
 from acaciaward import decoding, errors
 from acaciaward.catalogue import topicfollower
 from acaciaward.observability import logs
-from acaciaward.quarantine import crashreports, promptparts, suspects
+from acaciaward.quarantine import crashreports, partreports, promptparts, suspects
 
 log = logging.getLogger(__name__)
 
@@ -154,8 +154,8 @@
 def _is_part_valid(record: PartRecord) -> bool:
     times = [*record.crashed_at.values(), record.served_at or 0.0]
     return bool(record.crashed_at) and (
-        promptparts.is_valid(record.name, dict.fromkeys(record.crashed_at, 0.0))
-        and promptparts.is_valid(record.name, {}, record.common)
+        partreports.is_valid(record.name, dict.fromkeys(record.crashed_at, 0.0))
+        and partreports.is_valid(record.name, {}, record.common)
         and all(map(decoding.is_in_range, times))
     )
 
--- a/acaciaward/relays/aggregation.py
+++ b/acaciaward/relays/aggregation.py
@@ -11,7 +11,7 @@
 from collections import abc
 
 from acaciaward.catalogue import endpoints
-from acaciaward.quarantine import crashreports, promptparts
+from acaciaward.quarantine import crashreports, partreports
 from acaciaward.relays import messages
 from acaciaward.routing import endpointlimits
 
@@ -54,7 +54,7 @@
     demand: dict[str, tuple[float, ...]]
     crashes: crashreports.CrashReport
     limits: endpointlimits.Report = {}
-    parts: promptparts.Report = promptparts.empty_report()
+    parts: partreports.Report = partreports.empty_report()
     leaving: abc.Sequence[endpoints.Incarnation] = ()
 
 
@@ -254,8 +254,8 @@
         ]
 
 
-def _merge_parts(received: abc.Iterable[typing.Any]) -> promptparts.Report:
-    return promptparts.merge(
+def _merge_parts(received: abc.Iterable[typing.Any]) -> partreports.Report:
+    return partreports.merge(
         message["parts"] for message in received if "parts" in message
     )
 
--- a/acaciaward/relays/features/steps/relaybytes_steps.py
+++ b/acaciaward/relays/features/steps/relaybytes_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from acaciaward.quarantine import crashreports, promptparts
+from acaciaward.quarantine import crashedendpoints, crashreports, partreports
 from acaciaward.relays import relaying
 from acaciaward.relays.features import fakes
 
@@ -34,12 +34,17 @@
             "ages": {f"i-{number:08x}{at:02x}": 1.5 for at in range(CRASHES_OF_PART)},
             "common": common,
         }
-        for number in range(promptparts.MAX_REPORTED - 1)
+        for number in range(partreports.MAX_REPORTED - 1)
     }
-    served = {f"s{number:011x}": 2.5 for number in range(promptparts.MAX_REPORTED)}
+    served = {f"s{number:011x}": 2.5 for number in range(partreports.MAX_REPORTED)}
+    endpoints = [
+        f"i-{number:08x}01/5" for number in range(crashedendpoints.MAX_REPORTED)
+    ]
     return {"crashes": crashes, "cleared": cleared, "company": company}, {
         "crashes": parts,
         "served": served,
+        "crashed": dict.fromkeys(endpoints, 1.5),
+        "answered": dict.fromkeys(endpoints, 0.5),
     }
 
 
@@ -167,6 +172,8 @@
         *company_of(sums.crashes),
         *sums.parts["crashes"],
         *sums.parts["served"],
+        *sums.parts["crashed"],
+        *sums.parts["answered"],
     }
 
 
@@ -181,6 +188,8 @@
         *company_of(context.crashes),
         *context.parts["crashes"],
         *context.parts["served"],
+        *context.parts["crashed"],
+        *context.parts["answered"],
     }
 
 
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -8,7 +8,7 @@
 
 import typing
 
-from acaciaward.quarantine import crashreports, promptparts
+from acaciaward.quarantine import crashreports, partreports
 
 
 class EndpointFields(typing.TypedDict):
@@ -51,7 +51,7 @@
     demand: dict[str, tuple[float, ...]]
     crashes: crashreports.CrashReport
     limits: typing.NotRequired[dict[str, tuple[float | None, float]]]
-    parts: typing.NotRequired[promptparts.Report]
+    parts: typing.NotRequired[partreports.Report]
     leaving: typing.NotRequired[list[tuple[str, int]]]
 
 
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -22,7 +22,7 @@
     rendezvous,
 )
 from acaciaward.observability import logs
-from acaciaward.quarantine import crashreports, promptparts
+from acaciaward.quarantine import crashreports, partreports
 from acaciaward.relays import aggregation, excerpts, messages, relaysizes
 from acaciaward.routing import endpointlimits
 
@@ -62,7 +62,7 @@
     windows: dict[int, dict[str, int]]
     levels: dict[str, float]
     limits: endpointlimits.Report = {}
-    parts: promptparts.Report = promptparts.empty_report()
+    parts: partreports.Report = partreports.empty_report()
     leaving: abc.Sequence[endpoints.Incarnation] = ()
 
 
