--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -23,6 +23,9 @@
 that of the server's software; the events of another one than ``v1`` name it.
 ``stand_still`` lets a server do nothing for a while, as a process that is stopped by a
 signal: what it runs goes on afterwards, and no heartbeat is sent meanwhile.
+A server with a ``room`` runs and queues as many requests as that has place for, refuses
+others, and crashes if it is brittle and has refused too many. ``run_s`` is about how
+long a request runs.
 ``watch`` is notified of each request that arrives, begins to run and ends.
 """
 
@@ -32,7 +35,7 @@
 import typing
 import weakref
 
-from standins import edgestore, edgewire
+from standins import edgestore, edgewire, rooms
 
 SERVERS = "keyed.servers"
 HEARTBEAT_S = 0.4
@@ -132,6 +135,8 @@
         )
         self.crash_after = None
         self.has_crashed = False
+        self.room: rooms.Room | None = None
+        self.run_s = RUN_S
         self.is_unframed = False
         self.event_interval_s = EVENT_INTERVAL_S
         self.version = FIRST_VERSION
@@ -262,16 +267,39 @@
             writer.write(STALE_REFUSAL)
         self._used_connections.add(writer)
         if behaviour == "refuse":
-            refusal_headers = {"Attempt-Id": attempt_id, "Not-Executed": "1"}
-            refusal_headers |= self._tell(request, 503)
-            writer.write(edgewire.encode(503, b"", refusal_headers))
-            return True
+            return self._refuse(request, writer)
         if behaviour == "silent":
             await asyncio.get_running_loop().create_future()
+        if self.room is None:
+            return await self._run(request, writer, headers, behaviour)
+        if not await self.room.enter():
+            if self.room.has_rejected_too_many:
+                self.crash(request)
+                return False
+            return self._refuse(request, writer)
+        try:
+            return await self._run(request, writer, headers, behaviour)
+        finally:
+            self.room.leave()
+
+    def _refuse(self, request: edgewire.Request, writer: asyncio.StreamWriter) -> bool:
+        attempt_id = request.headers.get("attempt-id", "")
+        headers = {"Attempt-Id": attempt_id, "Not-Executed": "1"}
+        headers |= self._tell(request, 503)
+        writer.write(edgewire.encode(503, b"", headers))
+        return True
+
+    async def _run(
+        self,
+        request: edgewire.Request,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+        behaviour: str,
+    ) -> bool:
         self._observer.ran(self, request)
         try:
             if behaviour == "fail":
-                await self._work(RUN_S)
+                await self._work(self.run_s)
                 headers |= self._tell(request, 500)
                 writer.write(edgewire.encode(500, b"failed", headers))
                 return True
@@ -286,6 +314,8 @@
         headers = {}
         if self.limit_per_s is not None:
             headers["Server-Limit"] = f"{self.limit_per_s:g}"
+        if self.room is not None:
+            headers |= self.room.announce()
         if self.says_leaving is not None and self.says_leaving(request, status):
             headers["Server-Leaving"] = "1"
         if status == 503 and self.backoff is not None:
@@ -301,7 +331,7 @@
         headers: dict[str, str],
         behaviour: str,
     ) -> bool:
-        await self._work(self._random.uniform(RUN_S / 2, 2 * RUN_S))
+        await self._work(self._random.uniform(self.run_s / 2, 2 * self.run_s))
         body = body_of(headers["Attempt-Id"], request.path)
         if behaviour not in ("lose", "cut"):
             headers |= self._tell(request, 200)
@@ -335,7 +365,7 @@
             int(request.headers["token-usage"].split(",")[1]) // TOKENS_PER_EVENT
         )
         first_event_id = int(request.headers.get("last-event-id", 0)) + 1
-        await self._work(self._random.uniform(RUN_S / 2, 2 * RUN_S))
+        await self._work(self._random.uniform(self.run_s / 2, 2 * self.run_s))
         headers |= self._tell(request, 200)
         head_lines = ["HTTP/1.1 200 OK"]
         head_lines += [f"{name}: {value}" for name, value in headers.items()]
