Let all entries know which endpoints are brittle

Endpoints that are brittle say so in all their answers, with how many requests a second they bear to turn away. No entry read it.

The header is decoded in platform/headers.py; a value that isn't a whole number from 0 to 10^6, or is repeated, is ignored, logged and counted by the metric acaciaward_invalid_signals_total. What limits and brittleness have in common (how a number is learned from answers, shared by relays, and forgotten) is now routing/announcements.py; endpointlimits.py keeps the rates. Reports, summaries and relays get a field `brittle` that messages of older builds lack.

One fault that both had: the only entry that had heard an announcement took it along as it restarted. Entries now report what came by relays once relays bring it no longer, with the age of the answer.

One log line tells that an endpoint is brittle at an entry, and one that it isn't any more. What is turned away isn't bounded yet, so brittle.feature stays red.

--- a/acaciaward/gateway/calls.py
+++ b/acaciaward/gateway/calls.py
@@ -120,6 +120,8 @@
     ``limit_per_s`` is how many requests a second the endpoint takes from all entries
     together, None without a limit. ``retry_after_s`` of a 503 is how long it wants no
     requests from this entry, and ``says_leaving`` means that it is leaving.
+    ``bears_rejections`` is how many requests a brittle endpoint can turn away in a
+    second without falling over, None if it isn't brittle.
     ``media_type`` is that of the body without parameters. ``detour`` comes with the
     answers of peers.
     """
@@ -136,4 +138,5 @@
     limit_per_s: float | None = None
     media_type: str | None = None
     says_leaving: bool = False
+    bears_rejections: int | None = None
     detour: DetourReply | None = None
--- a/acaciaward/gateway/decisions.py
+++ b/acaciaward/gateway/decisions.py
@@ -14,7 +14,7 @@
 from acaciaward.gateway import callprogress, calls, errors, interfaces, metrics
 from acaciaward.observability import logs
 from acaciaward.resumption import origins
-from acaciaward.routing import occupancy
+from acaciaward.routing import activecalls
 
 log = logging.getLogger(__name__)
 
@@ -35,7 +35,7 @@
 
 def record_sent(
     progress: callprogress.Progress,
-    work: occupancy.ActiveCall,
+    work: activecalls.ActiveCall,
     *,
     is_new_connection: bool,
 ) -> None:
@@ -155,7 +155,7 @@
 
 def record_failed_attempt(
     progress: callprogress.Progress,
-    work: occupancy.ActiveCall,
+    work: activecalls.ActiveCall,
     error: errors.ForwardingError,
 ) -> None:
     """Log how an attempt at one endpoint failed."""
@@ -178,7 +178,7 @@
 
 def record_suspected_crash(
     progress: callprogress.Progress,
-    work: occupancy.ActiveCall,
+    work: activecalls.ActiveCall,
     crashes: int,
     part_crashes: int,
 ) -> None:
--- a/acaciaward/gateway/features/brittle.py
+++ b/acaciaward/gateway/features/brittle.py
@@ -48,6 +48,8 @@
         self._configuration = {}
         self.is_brittle = is_brittle
         self.rate = 0.0
+        # The entries that callers ask.
+        self.asked = self.entries
         self.answers: list[Answer] = []
         self.fallen_at: list[float] = []
         self.rejections = 0
@@ -83,8 +85,35 @@
     def make_brittle(self):
         """Let all endpoints say that they are brittle."""
         if self.is_brittle:
-            for server in self.servers.values():
-                server.room.rejections = REJECTIONS
+            self.announce(REJECTIONS)
+
+    def announce(self, rejections):
+        """Let all endpoints say how many rejections they bear, nothing if None."""
+        for server in self.servers.values():
+            server.room.rejections = rejections
+
+    def knowing(self):
+        """Return the names of the entries that know that all endpoints are brittle."""
+        return {
+            entry.name
+            for entry in self.entries
+            if entry.gateway is not None
+            and all(
+                entry.gateway._occupancy.brittle.announcements.find(endpoint)
+                for endpoint in entry.gateway._directory.ready("app")
+            )
+        }
+
+    def unaware(self):
+        """Return the names of the entries that know of no brittle endpoint."""
+        return {
+            entry.name
+            for entry in self.entries
+            if not any(
+                entry.gateway._occupancy.brittle.is_brittle(endpoint)
+                for endpoint in entry.gateway._directory.ready("app")
+            )
+        }
 
     async def restart(self, entry, down_s):
         """End an entry without draining, and start it again later."""
@@ -141,8 +170,8 @@
             await asyncio.sleep(max(0.0, due - time.monotonic()))
 
     async def _connect(self, number):
-        for turn in range(len(self.entries)):
-            entry = self.entries[(number + turn) % len(self.entries)]
+        for turn in range(len(self.asked)):
+            entry = self.asked[(number + turn) % len(self.asked)]
             with contextlib.suppress(OSError):
                 return await asyncio.open_connection(
                     "127.0.0.1", entry.ports["Frontend"]
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -30,7 +30,7 @@
     servicechoice,
     shutdown,
 )
-from acaciaward.routing import health, occupancy, placement
+from acaciaward.routing import activecalls, health, placement
 
 log = logging.getLogger(__name__)
 
@@ -275,7 +275,7 @@
         return False
 
     def _outcome_of(
-        self, error: errors.ForwardingError, work: occupancy.ActiveCall
+        self, error: errors.ForwardingError, work: activecalls.ActiveCall
     ) -> Outcome:
         match error:
             case errors.NotSentError():
@@ -288,7 +288,7 @@
                 return self._outcome_of_superseded(work)
         return Outcome.FAILED
 
-    def _outcome_of_superseded(self, work: occupancy.ActiveCall) -> Outcome:
+    def _outcome_of_superseded(self, work: activecalls.ActiveCall) -> Outcome:
         """Return the outcome if another endpoint goes on with the answer."""
         if self._deps.occupancy.is_unresponsive(work.endpoint):
             return Outcome.UNREACHED
@@ -296,7 +296,7 @@
 
     @staticmethod
     def _outcome_of_cancelled(
-        progress: callprogress.Progress, work: occupancy.ActiveCall
+        progress: callprogress.Progress, work: activecalls.ActiveCall
     ) -> Outcome:
         """Return the outcome if the caller left or the deadline was reached."""
         if work.has_first_byte:
@@ -309,7 +309,7 @@
         self,
         error: errors.ForwardingError,
         progress: callprogress.Progress,
-        work: occupancy.ActiveCall,
+        work: activecalls.ActiveCall,
         responder: callers.Responder,
     ) -> None:
         """Record what an attempt's end means for the call; raise if it's refused."""
--- a/acaciaward/gateway/housekeeping.py
+++ b/acaciaward/gateway/housekeeping.py
@@ -14,6 +14,7 @@
 from acaciaward.membership import entrycount, interfaces
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.relays import relaying
+from acaciaward.routing import brittleness
 
 INTERVAL_S = 0.25
 State = interfaces.PeerState
@@ -29,6 +30,7 @@
     relaying: relaying.Relaying
     suspects: suspects.Suspects
     prompt_parts: promptparts.PromptParts
+    brittle: brittleness.Brittleness
 
 
 class Housekeeping:
@@ -70,6 +72,7 @@
         metrics.OPEN_REQUESTS.set(self._open_requests())
         metrics.SUSPECTS.set(len(components.suspects))
         metrics.BLAMED_PARTS.set(len(components.prompt_parts.blamed))
+        metrics.BRITTLE_ENDPOINTS.set(components.brittle.update())
         metrics.ENDPOINTS_AGE_SECONDS.set(endpoints_age_s)
         metrics.CONFIGURATION_AGE_SECONDS.set(self._configuration_age_s())
 
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -81,6 +81,14 @@
     "acaciaward_gateway_limited_answers_total",
     "Answers of endpoints that named a limit on their requests",
 )
+BRITTLE_ENDPOINTS = prometheus_client.Gauge(
+    "acaciaward_gateway_brittle_endpoints",
+    "Endpoints that say that they fall over if they turn too many requests away",
+)
+BRITTLE_REJECTIONS = prometheus_client.Counter(
+    "acaciaward_gateway_brittle_rejections_total",
+    "Requests that brittle endpoints turned away",
+)
 LEAVING_ANSWERS = prometheus_client.Counter(
     "acaciaward_gateway_leaving_answers_total",
     "Answers of endpoints that said that they are leaving",
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -51,7 +51,7 @@
     topics,
 )
 from acaciaward.relays import relaying
-from acaciaward.routing import demand, endpointlimits, occupancy
+from acaciaward.routing import demand, occupancy
 from acaciaward.settings import loader
 from acaciaward.usage import reporting
 
@@ -97,6 +97,7 @@
                 self._relaying,
                 self._quarantine.suspects,
                 self._quarantine.prompt_parts,
+                self._occupancy.brittle,
             ),
             open_requests=lambda: self._busy_count,
             endpoints_read_at=lambda: self._endpoints_read_at,
@@ -158,9 +159,8 @@
         self._occupancy = occupancy.Occupancy(
             self._directory,
             data_centre=self._settings["instance"]["data_centre"],
-            limits=endpointlimits.EndpointLimits(
-                self.name, self._serving_entries, unix_time=self._duties.clock.now
-            ),
+            own_name=self.name,
+            entries=self._serving_entries,
             unix_time=self._duties.clock.now,
         )
         self._links = links.Links(self._directory, self._occupancy, self._membership)
--- a/acaciaward/gateway/retries.py
+++ b/acaciaward/gateway/retries.py
@@ -18,7 +18,7 @@
     refusals,
 )
 from acaciaward.quarantine import crashreports, suspects
-from acaciaward.routing import occupancy
+from acaciaward.routing import activecalls
 
 FIRST_ERROR_STATUS = 400
 NO_CRASHES = (errors.SilentError, errors.UnstatedRefusalError)
@@ -123,7 +123,7 @@
     def record_crash(
         self,
         progress: callprogress.Progress,
-        work: occupancy.ActiveCall,
+        work: activecalls.ActiveCall,
         error: errors.BrokenOffError,
     ) -> None:
         """
@@ -158,7 +158,7 @@
     def record_served(
         self,
         progress: callprogress.Progress,
-        work: occupancy.ActiveCall,
+        work: activecalls.ActiveCall,
         responder: callers.Responder,
     ) -> None:
         """Record that a call was answered, so that neither it nor its parts crash."""
--- a/acaciaward/gateway/selfreports.py
+++ b/acaciaward/gateway/selfreports.py
@@ -32,6 +32,7 @@
         self._occupancy = tracker
         self._recorders: tuple[Record, ...] = (
             self._record_limit,
+            self._record_brittle,
             self._record_leaving,
             self._record_backoff,
         )
@@ -49,7 +50,7 @@
         """
         Record the head of an answer to another request on the same connection.
 
-        That it names no limit proves nothing, as it may be an old one.
+        That it names no limit and isn't brittle proves nothing: it may be an old one.
         """
         if head.is_misdirected:
             return
@@ -66,6 +67,16 @@
             metrics.LIMITED_ANSWERS.inc()
         self._occupancy.limits.record(endpoint, head.limit_per_s, sent_at)
 
+    def _record_brittle(
+        self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
+    ) -> None:
+        if not (head.is_signed or head.is_refusal):
+            return
+        brittle = self._occupancy.brittle
+        brittle.announcements.record(endpoint, head.bears_rejections, sent_at)
+        if head.is_refusal and brittle.is_brittle(endpoint):
+            metrics.BRITTLE_REJECTIONS.inc()
+
     def _record_leaving(
         self, endpoint: endpoints.Endpoint, head: calls.ReplyHead, sent_at: float
     ) -> None:
--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -48,7 +48,8 @@
             crashes=components.suspects.report(),
             windows=components.counter.latest_counts(REPORTED_WINDOWS),
             levels=components.quotas.levels(),
-            limits=components.occupancy.limits.report(),
+            limits=components.occupancy.limits.announcements.report(),
+            brittle=components.occupancy.brittle.announcements.report(),
             parts=components.prompt_parts.report(),
             leaving=components.directory.announced_departures,
         )
@@ -63,7 +64,8 @@
         self._components.occupancy.receive_load(sums.load)
         self._components.suspects.receive(sums.crashes)
         self._components.prompt_parts.receive(sums.parts)
-        self._components.occupancy.limits.receive(sums.limits)
+        self._components.occupancy.limits.announcements.receive(sums.limits)
+        self._components.occupancy.brittle.announcements.receive(sums.brittle)
         for name, born in sums.leaving:
             self._components.directory.record_leaving((name, born), by_peer=True)
         self._demand = {
--- a/acaciaward/observability/metrics.py
+++ b/acaciaward/observability/metrics.py
@@ -12,6 +12,11 @@
 ENTRIES = prometheus_client.Gauge(
     "acaciaward_entries", "Entries that this one knows, by state", ["state"]
 )
+INVALID_SIGNALS = prometheus_client.Counter(
+    "acaciaward_invalid_signals_total",
+    "Headers by which endpoints tell of themselves that can't be read, by header",
+    ["header"],
+)
 
 
 def render() -> bytes:
--- a/acaciaward/platform/features/steps/decoders_steps.py
+++ b/acaciaward/platform/features/steps/decoders_steps.py
@@ -90,6 +90,7 @@
 HEADER_NAMES = strategies.sampled_from(
     [b"Token-Usage", b"Last-Event-Id", b"Deadline-Ms", b"Prompt-Prefix", b"Resumes"]
     + [b"Authorization", b"Acaciaward-Detour", b"Retry-After", b"Server-Limit"]
+    + [b"Server-Brittle"]
     + [b"Server-Leaving", b"Keep-Alive", b"Connection", b"Content-Type"]
 )
 HEADER_VALUES = JSON | strategies.sampled_from(
--- a/acaciaward/platform/headers.py
+++ b/acaciaward/platform/headers.py
@@ -7,11 +7,12 @@
 
 import logging
 import math
+import re
 import typing
 
 from acaciaward import decoding, verdicts
 from acaciaward.gateway import calls
-from acaciaward.observability import logs
+from acaciaward.observability import logs, metrics
 
 log = logging.getLogger(__name__)
 
@@ -25,11 +26,16 @@
 NOT_EXECUTED = b"not-executed"
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
+SERVER_BRITTLE = b"server-brittle"
 RETRY_AFTER = b"retry-after"
 SIGNATURE = b"server-signature"
 # Set by this project alone, between two entries.
 DETOUR = b"acaciaward-detour"
 
+# More rejections a second than this are no sensible bound.
+MAX_BRITTLE = 10**6
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,20}")
+
 MISDIRECTED_STATUS = 421
 REFUSAL_STATUSES = frozenset({408, 429, 503})
 
@@ -194,6 +200,7 @@
         limit_per_s=_parse_signal(values, SERVER_LIMIT),
         media_type=_parse_media_type(values.get(b"content-type")),
         says_leaving=values.get(SERVER_LEAVING, "0").strip() != "0",
+        bears_rejections=_parse_brittle(headers),
     )
 
 
@@ -202,6 +209,7 @@
     text = values.get(name)
     value = _parse_number(text)
     if text is not None and value is None:
+        metrics.INVALID_SIGNALS.labels(name.decode()).inc()
         log.warning(
             "endpoint's header is invalid",
             extra=logs.fields(header=name.decode(), value=text),
@@ -209,6 +217,27 @@
     return value
 
 
+def _parse_brittle(headers: calls.Headers) -> int | None:
+    """Return how many rejections a second a brittle endpoint says that it bears."""
+    values = [
+        value.decode("latin-1").strip()
+        for name, value in headers
+        if name.lower() == SERVER_BRITTLE
+    ]
+    if not values:
+        return None
+    if len(values) == 1 and _WHOLE_NUMBER.fullmatch(values[0]):
+        number = int(values[0])
+        if number <= MAX_BRITTLE:
+            return number
+    metrics.INVALID_SIGNALS.labels(SERVER_BRITTLE.decode()).inc()
+    log.warning(
+        "endpoint's header is invalid",
+        extra=logs.fields(header=SERVER_BRITTLE.decode(), value=", ".join(values)),
+    )
+    return None
+
+
 def _parse_media_type(text: str | None) -> str | None:
     return None if text is None else text.partition(";")[0].strip().lower()
 
--- a/acaciaward/relays/aggregation.py
+++ b/acaciaward/relays/aggregation.py
@@ -13,7 +13,7 @@
 from acaciaward.catalogue import endpoints
 from acaciaward.quarantine import crashreports, promptparts
 from acaciaward.relays import messages
-from acaciaward.routing import endpointlimits
+from acaciaward.routing import announcements
 
 # Messages received longer ago than this are ignored.
 MAX_AGE_S = 1.5
@@ -44,8 +44,9 @@
     Sums over several entries.
 
     ``heard`` counts the entries whose messages the sums are based on. ``crashes`` and
-    ``parts`` are those that any entry reports, ``limits`` the newest ones of endpoints,
-    and ``leaving`` names those that told any entry that they leave.
+    ``parts`` are those that any entry reports, ``limits`` and ``brittle`` the newest of
+    what endpoints announce, and ``leaving`` names those that told any entry that they
+    leave.
     """
 
     heard: int
@@ -53,9 +54,10 @@
     load: dict[str, tuple[float, float]]
     demand: dict[str, tuple[float, ...]]
     crashes: crashreports.CrashReport
-    limits: endpointlimits.Report = {}
+    limits: announcements.Report = {}
     parts: promptparts.Report = promptparts.empty_report()
     leaving: abc.Sequence[endpoints.Incarnation] = ()
+    brittle: announcements.Report = {}
 
 
 class _UseTotals:
@@ -156,9 +158,10 @@
             _add_figures(message["load"] for message in reports),
             _add_figures(message["demand"] for message in reports),
             crashreports.merge(message["crashes"] for message in reports),
-            self._merge_limits(self._reports),
+            self._merge_announced("limits", self._reports),
             _merge_parts(reports),
             _merge_leaving(reports),
+            self._merge_announced("brittle", self._reports),
         )
 
     def sums_for(self, entry: str) -> Sums:
@@ -182,7 +185,10 @@
         load = _add_figures(message["load"] for message in all_messages)
         demand = _add_figures(message["demand"] for message in all_messages)
         crashes = crashreports.merge(message["crashes"] for message in all_messages)
-        limits = self._merge_limits(self._reports, self._summaries)
+        limits, brittle = (
+            self._merge_announced(field, self._reports, self._summaries)
+            for field in ("limits", "brittle")
+        )
         parts = _merge_parts(all_messages)
         leaving = _merge_leaving(all_messages)
         own_loads = {message["sender"]: message["load"] for message in reports}
@@ -199,6 +205,7 @@
                 limits,
                 parts,
                 leaving,
+                brittle,
             )
         return sums
 
@@ -228,15 +235,15 @@
                 times += [time_there] * received.body["clock_count"]
         return statistics.median(times) if len(times) >= MIN_CLOCKS else None
 
-    def _merge_limits(
-        self, *sources: abc.Mapping[str, _Received]
-    ) -> endpointlimits.Report:
-        """Return the newest limits in recent messages, with their ages as of now."""
+    def _merge_announced(
+        self, field: str, *sources: abc.Mapping[str, _Received]
+    ) -> announcements.Report:
+        """Return the newest of what recent messages say, with its age as of now."""
         now = self._clock()
-        return endpointlimits.merge(
+        return announcements.merge(
             {
-                key: (per_s, age_s + now - received.received_at)
-                for key, (per_s, age_s) in received.body.get("limits", {}).items()
+                key: (value, age_s + now - received.received_at)
+                for key, (value, age_s) in received.body.get(field, {}).items()
             }
             for messages_by_source in sources
             for received in messages_by_source.values()
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -43,7 +43,9 @@
     requests a second from all entries, None for a limit that was lifted, and the age of
     that in seconds; ``parts`` holds the parts of prompts under which endpoints crashed.
     ``leaving`` names the endpoints, with their starts, that said in answers that they
-    leave. These three are missing in messages of older builds.
+    leave, and ``brittle`` holds how many requests brittle endpoints bear to turn away
+    in a second, None for one that isn't brittle any more, and the age of that. These
+    four are missing in messages of older builds.
     """
 
     use: dict[str, float]
@@ -53,6 +55,7 @@
     limits: typing.NotRequired[dict[str, tuple[float | None, float]]]
     parts: typing.NotRequired[promptparts.Report]
     leaving: typing.NotRequired[list[tuple[str, int]]]
+    brittle: typing.NotRequired[dict[str, tuple[float | None, float]]]
 
 
 class Report(Figures):
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -24,7 +24,7 @@
 from acaciaward.observability import logs
 from acaciaward.quarantine import crashreports, promptparts
 from acaciaward.relays import aggregation, excerpts, messages, relaysizes
-from acaciaward.routing import endpointlimits
+from acaciaward.routing import announcements
 
 log = logging.getLogger(__name__)
 
@@ -61,9 +61,10 @@
     crashes: crashreports.CrashReport
     windows: dict[int, dict[str, int]]
     levels: dict[str, float]
-    limits: endpointlimits.Report = {}
+    limits: announcements.Report = {}
     parts: promptparts.Report = promptparts.empty_report()
     leaving: abc.Sequence[endpoints.Incarnation] = ()
+    brittle: announcements.Report = {}
 
 
 class RelayedState(typing.NamedTuple):
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -12,7 +12,14 @@
 
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls
-from acaciaward.routing import backoffs, endpointlimits, health, placement
+from acaciaward.routing import (
+    activecalls,
+    backoffs,
+    brittleness,
+    endpointlimits,
+    health,
+    placement,
+)
 
 # Other entries' reports older than this are ignored, in seconds.
 REPORT_LIFETIME_S = 3.0
@@ -36,66 +43,14 @@
 Incarnation = tuple[str, int]
 
 
-class ActiveCall:
-    """
-    One call at one endpoint, from the choice to its end.
-
-    ``prefill_tokens`` counts the prompt tokens that the endpoint has to prefill for it.
-    """
-
-    def __init__(
-        self, occupancy: "Occupancy", candidate: placement.Candidate, call: calls.Call
-    ):
-        self.endpoint = candidate.endpoint
-        self.candidate = candidate
-        self._occupancy = occupancy
-        self.call = call
-        self.started_at = occupancy.now()
-        cached = candidate.cached_tokens
-        self.prefill_tokens = (
-            max(0, call.prompt.prompt_tokens - cached) if call.prompt else 0
-        )
-        self._tokens_ahead = candidate.backlog_tokens
-        self._is_prefilling = True
-        self._answered_at: float | None = None
-
-    @property
-    def has_first_byte(self) -> bool:
-        """Whether the endpoint has begun to answer."""
-        return not self._is_prefilling
-
-    @property
-    def answered_for_s(self) -> float:
-        """How long ago the endpoint began to answer, in seconds; 0 if it hasn't."""
-        if self._answered_at is None:
-            return 0.0
-        return self._occupancy.now() - self._answered_at
-
-    def record_first_byte(self) -> None:
-        """Record that the prefill is complete."""
-        if self._is_prefilling:
-            self._is_prefilling = False
-            self._answered_at = self._occupancy.now()
-            took_s = self._answered_at - self.started_at
-            self._occupancy.record_prefilled(
-                self, self._tokens_ahead + self.prefill_tokens, took_s
-            )
-
-    def end(self, outcome: health.Outcome) -> None:
-        """Remove the call from the endpoint and record its outcome."""
-        if self._is_prefilling:
-            self._is_prefilling = False
-            self._occupancy.remove_backlog(self)
-        took_s = self._occupancy.now() - self.started_at
-        self._occupancy.record_end(self, took_s, outcome)
-
-
 class Occupancy:
     """
     Counts the work at endpoints, tracks their health, and chooses by both.
 
-    ``limits`` are those that endpoints name, ``backoffs`` how long they want nothing
-    from this entry. One that has reached its limit or asked to back off isn't chosen.
+    ``limits`` are those that endpoints name, ``brittle`` those that may fall over, and
+    ``backoffs`` how long they want nothing from this entry. One that has reached its
+    limit or asked to back off isn't chosen. ``entries`` returns the names of the
+    entries that serve requests.
     """
 
     def __init__(
@@ -103,7 +58,8 @@
         directory: endpoints.Directory,
         *,
         data_centre: str,
-        limits: endpointlimits.EndpointLimits | None = None,
+        own_name: str = "",
+        entries: abc.Callable[[], abc.Collection[str]] = lambda: (),
         rng: random.Random | None = None,
         clock: abc.Callable[[], float] = time.monotonic,
         unix_time: abc.Callable[[], float] = time.time,
@@ -111,9 +67,10 @@
         self._clock = clock
         self._directory = directory
         self._data_centre = data_centre
-        self.limits = limits or endpointlimits.EndpointLimits(
-            clock=clock, unix_time=unix_time
+        self.limits = endpointlimits.EndpointLimits(
+            own_name, entries, clock=clock, unix_time=unix_time
         )
+        self.brittle = brittleness.Brittleness(clock=clock, unix_time=unix_time)
         self.backoffs = backoffs.EndpointBackoffs(clock=clock, unix_time=unix_time)
         self._random = rng or random.Random()
         self._running: collections.Counter[Incarnation] = collections.Counter()
@@ -129,7 +86,8 @@
         # When endpoints' records went.
         self._gone_at: dict[Incarnation, float] = {}
         directory.subscribe(self._follow)
-        directory.subscribe(self.limits.follow)
+        directory.subscribe(self.limits.announcements.follow)
+        directory.subscribe(self.brittle.follow)
 
     def _follow(
         self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
@@ -281,9 +239,11 @@
         is_long = self.is_long(prompt, max_gap_s)
         return [name for name in names if (name in reserved) is is_long] or names
 
-    def start(self, candidate: placement.Candidate, call: calls.Call) -> ActiveCall:
+    def start(
+        self, candidate: placement.Candidate, call: calls.Call
+    ) -> activecalls.ActiveCall:
         """Count a call at an endpoint until it ends."""
-        work = ActiveCall(self, candidate, call)
+        work = activecalls.ActiveCall(self, candidate, call)
         self.limits.spend(work.endpoint)
         incarnation = work.endpoint.incarnation
         self._running[incarnation] += 1
@@ -319,7 +279,9 @@
             tokens += self._backlog[endpoint.incarnation] + reported[1]
         return requests, tokens
 
-    def record_prefilled(self, work: ActiveCall, tokens: float, took_s: float) -> None:
+    def record_prefilled(
+        self, work: activecalls.ActiveCall, tokens: float, took_s: float
+    ) -> None:
         """
         Update the measured prefill rate and what the endpoint has cached.
 
@@ -343,12 +305,12 @@
         while len(parts) > MAX_PARTS_PER_ENDPOINT:
             parts.popitem(last=False)
 
-    def remove_backlog(self, work: ActiveCall) -> None:
+    def remove_backlog(self, work: activecalls.ActiveCall) -> None:
         """Remove a call's prompt from the endpoint's backlog."""
         self._subtract(self._backlog, work.endpoint.incarnation, work.prefill_tokens)
 
     def record_end(
-        self, work: ActiveCall, took_s: float, outcome: health.Outcome
+        self, work: activecalls.ActiveCall, took_s: float, outcome: health.Outcome
     ) -> None:
         """Remove a call from its endpoint and update the endpoint's health."""
         incarnation = work.endpoint.incarnation
