Let brittle stand-ins fall only from the contact time on

The stand-in counted what it had turned away before it said that it is brittle, and before any entry could know: at 1.5 of capacity its full queue made it fall at once.

--- a/acaciaward/gateway/features/brittle.feature
+++ b/acaciaward/gateway/features/brittle.feature
@@ -23,3 +23,11 @@
     Then the endpoints fell over 2 times and a tenth of their number at most
     And no refusal was held for longer than 0.5 s, and each had a time to retry
     And 0.9 times the share of before was served or more
+
+  # Places can't be divided among more entries than there are; the others ask peers.
+  Scenario: Entries without a place of their own serve their callers, too
+    Given brittle endpoints with 1 place each, and callers that ask for 0.5 of what they can do
+    When they are brittle for 12 s from the contact time on
+    Then the endpoints fell over 2 times and a tenth of their number at most
+    And no refusal was held for longer than 0.5 s, and each had a time to retry
+    And callers of each entry were served half as often as the mean or more
--- a/acaciaward/gateway/features/brittle.py
+++ b/acaciaward/gateway/features/brittle.py
@@ -21,7 +21,6 @@
 RUN_S = 0.32
 # Of requests that run for between half and twice that.
 MEAN_RUN_S = 1.25 * RUN_S
-CAPACITY_PER_S = ENDPOINTS * SLOTS / MEAN_RUN_S
 # How many rejections a second brittle endpoints bear.
 REJECTIONS = 2
 DOWN_S = 3.0
@@ -31,8 +30,9 @@
 
 
 class Answer(typing.NamedTuple):
-    """What a caller got, ``took_s`` after it had sent its request."""
+    """What a caller got of an entry, ``took_s`` after it had sent its request."""
 
+    entry: str
     sent_at: float
     took_s: float
     status: int
@@ -42,20 +42,32 @@
 class World(joining.ChangingWorld):
     """Entries, endpoints of one service, and callers that send ``rate`` a second."""
 
-    def __init__(self, *, is_brittle: bool):
+    def __init__(self, *, is_brittle: bool, slots: int = SLOTS):
         super().__init__(2, 3)
         self._route = {"MaxAttempts": 3}
         self._configuration = {}
         self.is_brittle = is_brittle
+        self.slots = slots
         self.rate = 0.0
         # The entries that callers ask.
         self.asked = self.entries
         self.answers: list[Answer] = []
         self.fallen_at: list[float] = []
-        self.rejections = 0
+        self.rooms: list[rooms.Room] = []
         self.servers: dict[str, edgeserver.EdgeServer] = {}
         self._tasks: set[asyncio.Task] = set()
 
+    @property
+    def capacity_per_s(self):
+        """The requests that the endpoints run in a second."""
+        return ENDPOINTS * self.slots / MEAN_RUN_S
+
+    def rejections_since(self, at):
+        """Return how many requests endpoints have turned away."""
+        return sum(
+            rejected_at >= at for room in self.rooms for rejected_at in room.rejected_at
+        )
+
     def arrived(self, server, request):
         """Nothing is recorded."""
 
@@ -135,8 +147,9 @@
             rng=random.Random(name),
         )
         server.run_s = RUN_S
-        server.room = rooms.Room(SLOTS, QUEUE)
-        server.record_fields = {"Slots": SLOTS}
+        server.room = rooms.Room(self.slots, QUEUE)
+        self.rooms.append(server.room)
+        server.record_fields = {"Slots": self.slots}
         server.on_crash = self._record_fall
         before = self.servers.get(name)
         if before is not None:
@@ -173,13 +186,14 @@
         for turn in range(len(self.asked)):
             entry = self.asked[(number + turn) % len(self.asked)]
             with contextlib.suppress(OSError):
-                return await asyncio.open_connection(
+                reader, writer = await asyncio.open_connection(
                     "127.0.0.1", entry.ports["Frontend"]
                 )
+                return entry.name, reader, writer
         raise ConnectionError("no entry accepts connections")
 
     async def _call(self, number):
-        reader, writer = await self._connect(number)
+        entry, reader, writer = await self._connect(number)
         sent_at = time.monotonic()
         lines = ["GET /a/x HTTP/1.1", "Host: x.example", f"Attempt-Id: r-{number}"]
         lines += [f"Deadline-Ms: {int(1000 * DEADLINE_S)}", "Connection: close"]
@@ -190,6 +204,7 @@
             head = f"HTTP/1.1 {NO_ANSWER}\r\n"
         self.answers.append(
             Answer(
+                entry,
                 sent_at,
                 time.monotonic() - sent_at,
                 int(head.split()[1]),
--- a/standins/rooms.py
+++ b/standins/rooms.py
@@ -1,9 +1,9 @@
 """
 Stand-in for the room of a server: how many requests run at a time, and how many wait.
 
-A server that is brittle says so in its answers, lets fewer requests wait from
-``SHRINK_AFTER_S`` after it said so first, and falls over if it turns more of them away
-in a second than it has named.
+A server that is brittle says so in its answers. From ``SHRINK_AFTER_S`` after it said
+so first, it lets fewer requests wait, and falls over if it turns more of them away in a
+second than it has named.
 
     room = Room(slots=8, queue=16)
     if await room.enter():
@@ -12,6 +12,7 @@
 
 import asyncio
 import collections
+import math
 import time
 
 # From when on after its first announcement a brittle server lets fewer requests wait.
@@ -37,12 +38,17 @@
         self._running = 0
         self._waiting: collections.deque[asyncio.Future] = collections.deque()
 
+    @property
+    def _shrinks_at(self) -> float:
+        """When the effects of being brittle begin, in seconds of the steady clock."""
+        if self.rejections is None or self._announced_at is None:
+            return math.inf
+        return self._announced_at + SHRINK_AFTER_S
+
     @property
     def queue(self) -> int:
         """How many requests may wait now."""
-        if self.rejections is None or self._announced_at is None:
-            return self._queue
-        is_shrunk = time.monotonic() - self._announced_at >= SHRINK_AFTER_S
+        is_shrunk = time.monotonic() >= self._shrinks_at
         return self._brittle_queue if is_shrunk else self._queue
 
     @property
@@ -50,7 +56,7 @@
         """Whether a brittle server has turned away too many in the last second."""
         if self.rejections is None:
             return False
-        begin = time.monotonic() - WINDOW_S
+        begin = max(time.monotonic() - WINDOW_S, self._shrinks_at)
         return sum(at > begin for at in self.rejected_at) > self.rejections
 
     def announce(self) -> dict[str, str]:
