Bound what brittle endpoints are made to turn away

Callers saw endpoints fall over, again and again: all entries sent what they liked, and after each fall the rest got more.

The places of a brittle endpoint (its record's slots; queues may shrink) are divided among the entries that may serve callers, as quotas are, so the bound holds over all entries together while one is cut off or restarted, without a message before a request. Each choice goes through it: first tries, retries, resumed streams, backups, calls of peers. A place isn't used if others' reports leave none, counts as taken for a while after a call was given up, and an entry that was turned away pauses so long that all together stay below the number that the endpoint bears.

--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -93,10 +93,18 @@
         ] = {}
 
     def choose(
-        self, progress: callprogress.Progress, service: str
+        self,
+        progress: callprogress.Progress,
+        service: str,
+        favoured: abc.Container[str] = (),
     ) -> membership_interfaces.Peer | None:
-        """Return a peer for a call, None if none can help or enough have been tried."""
+        """
+        Return a peer for a call, None if none can help or enough have been tried.
+
+        If peers are ``favoured``, by name, others aren't asked as long as one can help.
+        """
         usable = self._usable(progress, service)
+        usable = [peer for peer in usable if peer.name in favoured] or usable
         local = [peer for peer in usable if peer.data_centre == self._data_centre]
         entries = [
             peer
@@ -329,7 +337,9 @@
         contender: hedging.Contender,
     ) -> bool:
         """Send a call through a peer; return whether it is answered."""
-        peer = self._deps.peers.choose(progress, service.name)
+        room = self._deps.occupancy.room(service.name, progress.stream_version)
+        holders = () if room is None else room.holders
+        peer = self._deps.peers.choose(progress, service.name, holders)
         if peer is None:
             self._refusals.refuse(
                 progress,
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -27,6 +27,7 @@
     metrics,
     refusals,
     retries,
+    roomqueue,
     servicechoice,
     shutdown,
 )
@@ -69,6 +70,7 @@
         self._refusals = refusals.Refusals(rng)
         self._services = servicechoice.ServiceChoice(dependencies, self._refusals, rng)
         self._endpoints = endpointchoice.EndpointChoice(dependencies, self._refusals)
+        self._rooms = roomqueue.RoomQueue(dependencies, self._refusals)
         self._retries = retries.Retries(dependencies, self._refusals)
         self._attempts = attempts.Attempts(dependencies)
         self._detours = detours.Detours(dependencies, self._refusals)
@@ -237,11 +239,22 @@
         contender: hedging.Contender,
     ) -> bool:
         """Choose an endpoint and send a call there; return whether it is answered."""
-        candidate = self._endpoints.choose(service, progress)
+        candidate = None
+        if not self._is_without_place(service, progress):
+            await self._rooms.wait(service, progress, responder)
+            candidate = self._endpoints.choose(service, progress)
         if candidate is None:
             return await self._detours.attempt(service, progress, responder, contender)
         return await self._attempt_at(candidate, progress, responder, contender)
 
+    def _is_without_place(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> bool:
+        """Return whether only peers may send to a service's endpoints, and one can."""
+        return self._rooms.has_no_place(
+            service, progress
+        ) and self._deps.peers.is_any_usable(progress, service.name)
+
     async def _attempt_at(
         self,
         candidate: placement.Candidate,
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -56,9 +56,12 @@
     """Chooses the peers that calls go through."""
 
     def choose(
-        self, progress: callprogress.Progress, service: str
+        self,
+        progress: callprogress.Progress,
+        service: str,
+        favoured: abc.Container[str] = (),
     ) -> membership_interfaces.Peer | None:
-        """Return a peer for a call, None if none can help."""
+        """Return a peer for a call, rather a favoured one, None if none can help."""
 
     def is_any_usable(self, progress: callprogress.Progress, service: str) -> bool:
         """Return whether a call may go through a peer and there is one."""
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -156,17 +156,17 @@
             demand=lambda name: self._state_exchange.demand_of(name),
             usage_of_others=self._reported_usage,
         )
+        self._entry_quotas = entryquotas.EntryQuotas(
+            self._store, self._membership, self._duties, self._settings["bounds"]
+        )
         self._occupancy = occupancy.Occupancy(
             self._directory,
             data_centre=self._settings["instance"]["data_centre"],
-            own_name=self.name,
             entries=self._serving_entries,
+            known_entries=self._entry_quotas.known_entries,
             unix_time=self._duties.clock.now,
         )
         self._links = links.Links(self._directory, self._occupancy, self._membership)
-        self._entry_quotas = entryquotas.EntryQuotas(
-            self._store, self._membership, self._duties, self._settings["bounds"]
-        )
         self._quarantine = entryquarantine.EntryQuarantine(
             self.name,
             self._store,
--- a/acaciaward/membership/entrycount.py
+++ b/acaciaward/membership/entrycount.py
@@ -54,6 +54,16 @@
         # Whether the store has shown whom this entry knows to be all.
         self._is_confirmed = False
 
+    @property
+    def name(self) -> str:
+        """The name of this entry."""
+        return self._name
+
+    @property
+    def names(self) -> frozenset[str]:
+        """The names that are known of the entries that may serve callers."""
+        return self._live.union(self._heard_at)
+
     @property
     def needs_read(self) -> bool:
         """Whether a peer has been silent for so long that the store must be read."""
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -16,6 +16,7 @@
     activecalls,
     backoffs,
     brittleness,
+    cachedparts,
     endpointlimits,
     health,
     placement,
@@ -23,9 +24,6 @@
 
 # Other entries' reports older than this are ignored, in seconds.
 REPORT_LIFETIME_S = 3.0
-# Parts of prompts remembered for each endpoint, and for how long, in seconds.
-MAX_PARTS_PER_ENDPOINT = 4000
-PART_LIFETIME_S = 60.0
 # Weight of the newest sample in the prefill rate and in the services' durations.
 SMOOTHING = 0.1
 # Smaller prompts are too short to measure the prefill rate with.
@@ -49,8 +47,8 @@
 
     ``limits`` are those that endpoints name, ``brittle`` those that may fall over, and
     ``backoffs`` how long they want nothing from this entry. One that has reached its
-    limit or asked to back off isn't chosen. ``entries`` returns the names of the
-    entries that serve requests.
+    limit, has no room or asked to back off isn't chosen. ``entries`` returns the names
+    of the entries that serve requests, ``known_entries`` are those that may.
     """
 
     def __init__(
@@ -58,7 +56,7 @@
         directory: endpoints.Directory,
         *,
         data_centre: str,
-        own_name: str = "",
+        known_entries: brittleness.Entries | None = None,
         entries: abc.Callable[[], abc.Collection[str]] = lambda: (),
         rng: random.Random | None = None,
         clock: abc.Callable[[], float] = time.monotonic,
@@ -67,16 +65,19 @@
         self._clock = clock
         self._directory = directory
         self._data_centre = data_centre
+        self._random = rng or random.Random()
+        known_entries = known_entries or brittleness.Alone()
         self.limits = endpointlimits.EndpointLimits(
-            own_name, entries, clock=clock, unix_time=unix_time
+            known_entries.name, entries, clock=clock, unix_time=unix_time
+        )
+        self.brittle = brittleness.Brittleness(
+            known_entries, rng=self._random, clock=clock, unix_time=unix_time
         )
-        self.brittle = brittleness.Brittleness(clock=clock, unix_time=unix_time)
         self.backoffs = backoffs.EndpointBackoffs(clock=clock, unix_time=unix_time)
-        self._random = rng or random.Random()
         self._running: collections.Counter[Incarnation] = collections.Counter()
         self._backlog: collections.Counter[Incarnation] = collections.Counter()
         self._health: dict[Incarnation, health.Health] = {}
-        self._parts: dict[Incarnation, collections.OrderedDict[str, float]] = {}
+        self._cached_parts = cachedparts.CachedParts(clock)
         self._prefill_tokens_per_s = placement.DEFAULT_PREFILL_TOKENS_PER_S
         self._service_s: dict[str, float] = {}
         self._no_data_since: dict[Incarnation, float] = {}
@@ -102,7 +103,7 @@
             if now - gone_at >= GONE_MEMORY_S:
                 del self._gone_at[incarnation]
                 self._health.pop(incarnation, None)
-                self._parts.pop(incarnation, None)
+                self._cached_parts.forget(incarnation)
 
     def now(self) -> float:
         """Return the time of this object's clock, in seconds."""
@@ -168,8 +169,44 @@
         )
 
     def _may_send(self, endpoint: endpoints.Endpoint) -> bool:
+        return self._is_open(endpoint) and self._has_room(endpoint)
+
+    def _is_open(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether an endpoint takes requests from this entry, given room."""
         return not self.backoffs.left_s(endpoint) and self.limits.may_send(endpoint)
 
+    def _has_room(self, endpoint: endpoints.Endpoint) -> bool:
+        if not self.brittle.is_brittle(endpoint):
+            return True
+        others, _ = self._fresh_reports().get(endpoint.name, (0.0, 0.0))
+        return self.brittle.has_room(
+            endpoint, self._running[endpoint.incarnation], others
+        )
+
+    def room(
+        self,
+        service: str,
+        version: str | None,
+        excluded: abc.Container[Incarnation] = (),
+    ) -> brittleness.Room | None:
+        """
+        Return what brittle endpoints leave, None if a call needn't wait for it.
+
+        Those in ``excluded`` and those that don't seem well aren't counted.
+        """
+        if not self.brittle.is_any:
+            return None
+        now = self._clock()
+        well = [
+            endpoint
+            for endpoint in self._usable(service, version)
+            if endpoint.incarnation not in excluded
+            and self._is_open(endpoint)
+            and not self._health_of(endpoint).is_paused(now)
+            and not self.is_unresponsive(endpoint)
+        ]
+        return self.brittle.room(well, self._has_room)
+
     def backoff_left_s(self, service: str, version: str | None) -> float:
         """
         Return how long all endpoints that may get calls are still to be left alone.
@@ -296,14 +333,7 @@
             self._prefill_tokens_per_s += SMOOTHING * (
                 sample - self._prefill_tokens_per_s
             )
-        parts = self._parts.setdefault(
-            work.endpoint.incarnation, collections.OrderedDict()
-        )
-        for name, _ in prompt.parts:
-            parts[name] = self._clock()
-            parts.move_to_end(name)
-        while len(parts) > MAX_PARTS_PER_ENDPOINT:
-            parts.popitem(last=False)
+        self._cached_parts.record(work.endpoint.incarnation, prompt)
 
     def remove_backlog(self, work: activecalls.ActiveCall) -> None:
         """Remove a call's prompt from the endpoint's backlog."""
@@ -313,15 +343,15 @@
         self, work: activecalls.ActiveCall, took_s: float, outcome: health.Outcome
     ) -> None:
         """Remove a call from its endpoint and update the endpoint's health."""
-        incarnation = work.endpoint.incarnation
+        incarnation, service = work.endpoint.incarnation, work.endpoint.service
         self._subtract(self._running, incarnation, 1)
         if incarnation not in self._running:
             self._no_data_since.pop(incarnation, None)
+        self.brittle.record_end(work.endpoint, outcome, self.service_s(service))
         self._health[incarnation] = self._health_of(work.endpoint).after(
             outcome, self._clock()
         )
         if outcome is health.Outcome.SERVED:
-            service = work.endpoint.service
             average_s = self._service_s.get(service, took_s)
             self._service_s[service] = average_s + SMOOTHING * (took_s - average_s)
 
@@ -370,9 +400,7 @@
             endpoint,
             running=self._running[incarnation] + reported[0],
             backlog_tokens=self._backlog[incarnation] + reported[1],
-            cached_tokens=self._cached_tokens(
-                endpoint, call.prompt, is_most_preferred, now
-            ),
+            cached_tokens=self._cached_tokens(endpoint, call.prompt, is_most_preferred),
             prefill_tokens_per_s=self._prefill_tokens_per_s,
             failed_share=self._health_of(endpoint).failed_share,
             service_s=self._service_s.get(service.name, 0.0),
@@ -385,7 +413,6 @@
         endpoint: endpoints.Endpoint,
         prompt: calls.Prompt | None,
         is_most_preferred: bool,
-        now: float,
     ) -> int:
         if prompt is None:
             return 0
@@ -393,13 +420,7 @@
         # cached all of them.
         if is_most_preferred:
             return sum(size for _, size in prompt.shared)
-        parts = self._parts.get(endpoint.incarnation, {})
-        total = 0
-        for name, size in prompt.shared:
-            if now - parts.get(name, -PART_LIFETIME_S) >= PART_LIFETIME_S:
-                break
-            total += size
-        return total
+        return self._cached_parts.tokens(endpoint.incarnation, prompt)
 
 
 def _of_version(
