Merge the bound on what brittle endpoints turn away

An endpoint that was silent isn't taken for one with room, and a place stays taken for a while after another endpoint went on with a call, as after other calls that were given up.

--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -27,10 +27,11 @@
     metrics,
     refusals,
     retries,
+    roomqueue,
     servicechoice,
     shutdown,
 )
-from acaciaward.routing import health, occupancy, placement
+from acaciaward.routing import activecalls, health, placement
 
 log = logging.getLogger(__name__)
 
@@ -69,6 +70,7 @@
         self._refusals = refusals.Refusals(rng)
         self._services = servicechoice.ServiceChoice(dependencies, self._refusals, rng)
         self._endpoints = endpointchoice.EndpointChoice(dependencies, self._refusals)
+        self._rooms = roomqueue.RoomQueue(dependencies, self._refusals)
         self._retries = retries.Retries(dependencies, self._refusals)
         self._attempts = attempts.Attempts(dependencies)
         self._detours = detours.Detours(dependencies, self._refusals)
@@ -237,11 +239,22 @@
         contender: hedging.Contender,
     ) -> bool:
         """Choose an endpoint and send a call there; return whether it is answered."""
-        candidate = self._endpoints.choose(service, progress)
+        candidate = None
+        if not self._is_without_place(service, progress):
+            await self._rooms.wait(service, progress, responder)
+            candidate = self._endpoints.choose(service, progress)
         if candidate is None:
             return await self._detours.attempt(service, progress, responder, contender)
         return await self._attempt_at(candidate, progress, responder, contender)
 
+    def _is_without_place(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> bool:
+        """Return whether only peers may send to a service's endpoints, and one can."""
+        return self._rooms.has_no_place(
+            service, progress
+        ) and self._deps.peers.is_any_usable(progress, service.name)
+
     async def _attempt_at(
         self,
         candidate: placement.Candidate,
@@ -275,7 +288,7 @@
         return False
 
     def _outcome_of(
-        self, error: errors.ForwardingError, work: occupancy.ActiveCall
+        self, error: errors.ForwardingError, work: activecalls.ActiveCall
     ) -> Outcome:
         match error:
             case errors.NotSentError():
@@ -288,7 +301,7 @@
                 return self._outcome_of_superseded(work)
         return Outcome.FAILED
 
-    def _outcome_of_superseded(self, work: occupancy.ActiveCall) -> Outcome:
+    def _outcome_of_superseded(self, work: activecalls.ActiveCall) -> Outcome:
         """Return the outcome if another endpoint goes on with the answer."""
         if self._deps.occupancy.is_unresponsive(work.endpoint):
             return Outcome.SILENT
@@ -296,7 +309,7 @@
 
     @staticmethod
     def _outcome_of_cancelled(
-        progress: callprogress.Progress, work: occupancy.ActiveCall
+        progress: callprogress.Progress, work: activecalls.ActiveCall
     ) -> Outcome:
         """Return the outcome if the caller left or the deadline was reached."""
         if work.has_first_byte:
@@ -309,7 +322,7 @@
         self,
         error: errors.ForwardingError,
         progress: callprogress.Progress,
-        work: occupancy.ActiveCall,
+        work: activecalls.ActiveCall,
         responder: callers.Responder,
     ) -> None:
         """Record what an attempt's end means for the call; raise if it's refused."""
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -13,7 +13,9 @@
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import calls
 from acaciaward.routing import (
+    activecalls,
     backoffs,
+    brittleness,
     cachedparts,
     endpointlimits,
     health,
@@ -39,66 +41,14 @@
 Incarnation = tuple[str, int]
 
 
-class ActiveCall:
-    """
-    One call at one endpoint, from the choice to its end.
-
-    ``prefill_tokens`` counts the prompt tokens that the endpoint has to prefill for it.
-    """
-
-    def __init__(
-        self, occupancy: "Occupancy", candidate: placement.Candidate, call: calls.Call
-    ):
-        self.endpoint = candidate.endpoint
-        self.candidate = candidate
-        self._occupancy = occupancy
-        self.call = call
-        self.started_at = occupancy.now()
-        cached = candidate.cached_tokens
-        self.prefill_tokens = (
-            max(0, call.prompt.prompt_tokens - cached) if call.prompt else 0
-        )
-        self._tokens_ahead = candidate.backlog_tokens
-        self._is_prefilling = True
-        self._answered_at: float | None = None
-
-    @property
-    def has_first_byte(self) -> bool:
-        """Whether the endpoint has begun to answer."""
-        return not self._is_prefilling
-
-    @property
-    def answered_for_s(self) -> float:
-        """How long ago the endpoint began to answer, in seconds; 0 if it hasn't."""
-        if self._answered_at is None:
-            return 0.0
-        return self._occupancy.now() - self._answered_at
-
-    def record_first_byte(self) -> None:
-        """Record that the prefill is complete."""
-        if self._is_prefilling:
-            self._is_prefilling = False
-            self._answered_at = self._occupancy.now()
-            took_s = self._answered_at - self.started_at
-            self._occupancy.record_prefilled(
-                self, self._tokens_ahead + self.prefill_tokens, took_s
-            )
-
-    def end(self, outcome: health.Outcome) -> None:
-        """Remove the call from the endpoint and record its outcome."""
-        if self._is_prefilling:
-            self._is_prefilling = False
-            self._occupancy.remove_backlog(self)
-        took_s = self._occupancy.now() - self.started_at
-        self._occupancy.record_end(self, took_s, outcome)
-
-
 class Occupancy:
     """
     Counts the work at endpoints, tracks their health, and chooses by both.
 
-    ``limits`` are those that endpoints name, ``backoffs`` how long they want nothing
-    from this entry. One that has reached its limit or asked to back off isn't chosen.
+    ``limits`` are those that endpoints name, ``brittle`` those that may fall over, and
+    ``backoffs`` how long they want nothing from this entry. One that has reached its
+    limit, has no room or asked to back off isn't chosen. ``entries`` returns the names
+    of the entries that serve requests, ``known_entries`` are those that may.
     """
 
     def __init__(
@@ -106,7 +56,8 @@
         directory: endpoints.Directory,
         *,
         data_centre: str,
-        limits: endpointlimits.EndpointLimits | None = None,
+        known_entries: brittleness.Entries | None = None,
+        entries: abc.Callable[[], abc.Collection[str]] = lambda: (),
         rng: random.Random | None = None,
         clock: abc.Callable[[], float] = time.monotonic,
         unix_time: abc.Callable[[], float] = time.time,
@@ -114,11 +65,15 @@
         self._clock = clock
         self._directory = directory
         self._data_centre = data_centre
-        self.limits = limits or endpointlimits.EndpointLimits(
-            clock=clock, unix_time=unix_time
+        self._random = rng or random.Random()
+        known_entries = known_entries or brittleness.Alone()
+        self.limits = endpointlimits.EndpointLimits(
+            known_entries.name, entries, clock=clock, unix_time=unix_time
+        )
+        self.brittle = brittleness.Brittleness(
+            known_entries, rng=self._random, clock=clock, unix_time=unix_time
         )
         self.backoffs = backoffs.EndpointBackoffs(clock=clock, unix_time=unix_time)
-        self._random = rng or random.Random()
         self._running: collections.Counter[Incarnation] = collections.Counter()
         self._backlog: collections.Counter[Incarnation] = collections.Counter()
         self._health: dict[Incarnation, health.Health] = {}
@@ -132,7 +87,8 @@
         # When endpoints' records went.
         self._gone_at: dict[Incarnation, float] = {}
         directory.subscribe(self._follow)
-        directory.subscribe(self.limits.follow)
+        directory.subscribe(self.limits.announcements.follow)
+        directory.subscribe(self.brittle.follow)
 
     def _follow(
         self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
@@ -221,8 +177,43 @@
         )
 
     def _may_send(self, endpoint: endpoints.Endpoint) -> bool:
+        return self._is_open(endpoint) and self._has_room(endpoint)
+
+    def _is_open(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether an endpoint takes requests from this entry, given room."""
         return not self.backoffs.left_s(endpoint) and self.limits.may_send(endpoint)
 
+    def _has_room(self, endpoint: endpoints.Endpoint) -> bool:
+        if not self.brittle.is_brittle(endpoint):
+            return True
+        others, _ = self._fresh_reports().get(endpoint.name, (0.0, 0.0))
+        return self.brittle.has_room(
+            endpoint, self._running[endpoint.incarnation], others
+        )
+
+    def room(
+        self,
+        service: str,
+        version: str | None,
+        excluded: abc.Container[Incarnation] = (),
+    ) -> brittleness.Room | None:
+        """
+        Return what brittle endpoints leave, None if a call needn't wait for it.
+
+        Those in ``excluded`` and those that don't seem well aren't counted.
+        """
+        if not self.brittle.is_any:
+            return None
+        now = self._clock()
+        well = [
+            endpoint
+            for endpoint in self._usable(service, version)
+            if endpoint.incarnation not in excluded
+            and self._is_open(endpoint)
+            and self._seems_well(endpoint, now)
+        ]
+        return self.brittle.room(well, self._has_room)
+
     def backoff_left_s(self, service: str, version: str | None) -> float:
         """
         Return how long all endpoints that may get calls are still to be left alone.
@@ -291,9 +282,11 @@
         is_long = self.is_long(prompt, max_gap_s)
         return [name for name in names if (name in reserved) is is_long] or names
 
-    def start(self, candidate: placement.Candidate, call: calls.Call) -> ActiveCall:
+    def start(
+        self, candidate: placement.Candidate, call: calls.Call
+    ) -> activecalls.ActiveCall:
         """Count a call at an endpoint until it ends."""
-        work = ActiveCall(self, candidate, call)
+        work = activecalls.ActiveCall(self, candidate, call)
         self.limits.spend(work.endpoint)
         incarnation = work.endpoint.incarnation
         self._running[incarnation] += 1
@@ -333,7 +326,9 @@
             tokens += self._backlog[endpoint.incarnation] + reported[1]
         return requests, tokens
 
-    def record_prefilled(self, work: ActiveCall, tokens: float, took_s: float) -> None:
+    def record_prefilled(
+        self, work: activecalls.ActiveCall, tokens: float, took_s: float
+    ) -> None:
         """
         Update the measured prefill rate and what the endpoint has cached.
 
@@ -350,23 +345,23 @@
             )
         self._cached_parts.record(work.endpoint.incarnation, prompt)
 
-    def remove_backlog(self, work: ActiveCall) -> None:
+    def remove_backlog(self, work: activecalls.ActiveCall) -> None:
         """Remove a call's prompt from the endpoint's backlog."""
         self._subtract(self._backlog, work.endpoint.incarnation, work.prefill_tokens)
 
     def record_end(
-        self, work: ActiveCall, took_s: float, outcome: health.Outcome
+        self, work: activecalls.ActiveCall, took_s: float, outcome: health.Outcome
     ) -> None:
         """Remove a call from its endpoint and update the endpoint's health."""
-        incarnation = work.endpoint.incarnation
+        incarnation, service = work.endpoint.incarnation, work.endpoint.service
         self._subtract(self._running, incarnation, 1)
         if incarnation not in self._running:
             self._no_data_since.pop(incarnation, None)
+        self.brittle.record_end(work.endpoint, outcome, self.service_s(service))
         self._health[incarnation] = self._health_of(work.endpoint).after(
             outcome, self._clock()
         )
         if outcome is health.Outcome.SERVED:
-            service = work.endpoint.service
             average_s = self._service_s.get(service, took_s)
             self._service_s[service] = average_s + SMOOTHING * (took_s - average_s)
 
