Replace the machines of seeds in the soak

Change: `replace_seeds` (`soak/seedmachines.py`) ends the entries for good that the settings name as seeds, one by one, once around, and those that took their place the next time. Others start at new names, addresses and ports; all settings go on to name the first seeds. Eight callers ask for more than the quota meanwhile. Callers, proxies and the judge know entries that come and go. QUOTA names the window with most runs instead of the first with too many. The plant `seeds` finds others by the seeds of its start alone and counts whom it hears.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -56,7 +56,7 @@
             system.bounds,
             world.VERSION_SERVICE_COUNT,
             system.crashes,
-            [entry.name for entry in system.entries],
+            list(system.known_entries),
             system.signals,
             system.orderly_stops,
         )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -129,7 +129,11 @@
 
     async def _connect(self) -> tuple[_Connection, bool]:
         """Return a connection to some entry, and whether it was open already."""
-        address = self._random.choice(self._known_addresses or list(self._entries))
+        # Those of entries that have ended for good aren't among the entries.
+        known = [
+            address for address in self._known_addresses if address in self._entries
+        ]
+        address = self._random.choice(known or list(self._entries))
         idle = self._open_connections.pop(address, None)
         if idle is not None and not idle.reader.at_eof():
             if self._random.random() < REUSED_SHARE:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,7 @@
     disturber,
     instances,
     judge,
+    seedmachines,
     spokensignals,
     standstills,
     storefaults,
@@ -116,6 +117,7 @@
             (2, spoken_signals.change_record),
             (2, spoken_signals.speak_while_record_changes),
             (2, self._stand_still),
+            (1, seedmachines.SeedMachines(system).replace_seeds),
         ]
         faults = {
             fault.__name__.lstrip("_"): fault for _, fault in self._weighted_faults
@@ -250,8 +252,9 @@
         cuts = self._system.entry_cuts
         if cuts:
             return
-        count = self._random.choice((1, 2, len(self._system.entries)))
-        entries = self._random.sample(self._system.entries, count)
+        known = self._system.entries
+        count = self._random.choice((1, 2, len(known)))
+        entries = self._random.sample(known, min(count, len(known)))
         mode = self._random.choice(CUT_MODES)
         names = [entry.name for entry in entries]
         self._system.record_event(f"{mode} between {', '.join(names)} and all servers")
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -31,6 +31,11 @@
         """The address that the entry publishes for its callers."""
         return f"127.0.0.1:{self.ports['Frontend']}"
 
+    @property
+    def seed_address(self) -> str:
+        """The address by which other entries join it."""
+        return f"127.0.0.1:{self.ports['Control']}"
+
     def signal(self, signal_number: int) -> None:
         """Send the process a signal if it runs."""
         if self.process is not None and self.process.poll() is None:
@@ -38,19 +43,16 @@
 
 
 def settings_text(
-    entry: Entry, seed_entries: abc.Iterable[Entry], bounds: conditions.Bounds
+    entry: Entry, seeds: abc.Iterable[str], bounds: conditions.Bounds
 ) -> str:
     """Return the settings of an entry as its file holds them."""
     metrics_port = entry.ports["metrics"]
-    seeds = ",".join(
-        f"127.0.0.1:{seed_entry.ports['Control']}" for seed_entry in seed_entries
-    )
     settings = {
         "NodeName": entry.name,
         "Zone": entry.data_centre,
         "Region": "region",
         "Ip": "127.0.0.1",
-        "Seeds": seeds,
+        "Seeds": ",".join(seeds),
         "InternalPortRange": f"{metrics_port - 1},{metrics_port}",
         "Platform.Address": f"127.0.0.1:{entry.store_proxy.port}",
         "Cloud.Address": f"127.0.0.1:{entry.store_proxy.port}",
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -207,16 +207,21 @@
         )
         allowed = bounds.quota_rate * window_s + bounds.quota_burst
         allowed = allowed * (1 + bounds.quota_overshoot) + bounds.quota_slack
-        for start, _ in runs:
-            end = start + window_s
-            run_count = sum(
-                start <= sent_at and ran_at < end for sent_at, ran_at in runs
+        counts = [
+            (
+                sum(
+                    start <= sent_at and ran_at < start + window_s
+                    for sent_at, ran_at in runs
+                ),
+                start,
+            )
+            for start, _ in runs
+        ]
+        run_count, start = max(counts, default=(0, 0.0))
+        if run_count > allowed:
+            self._recorder.record_violation(
+                "QUOTA", f"{run_count} of {allowed:.0f}", start
             )
-            if run_count > allowed:
-                self._recorder.record_violation(
-                    "QUOTA", f"{run_count} of {allowed:.0f}", start
-                )
-                return
 
     def _check_deadly_parts(self) -> None:
         """Check that requests with a part that crashed servers stop reaching them."""
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -27,6 +27,7 @@
     refusals,
     upstreams,
 )
+from acaciaward.membership import contacts, entrycount
 from acaciaward.platform import duties, headers
 from acaciaward.quarantine import promptparts
 from acaciaward.resumption import servingversions
@@ -259,6 +260,22 @@
     process.Gateway._run_housekeeping = run_housekeeping
 
 
+def seeds() -> None:
+    """Find others by the seeds of the start alone, and take silence for their end."""
+
+    async def run(self):
+        await asyncio.get_running_loop().create_future()
+
+    contacts.Contacts.run = run
+
+    def count(self):
+        if self._clock() - self._started_at < entrycount.GOSSIP_SETTLE_S:
+            return max(entrycount.ASSUMED_ENTRIES, self._saved())
+        return len(self._live)
+
+    entrycount.EntryCount.count = count
+
+
 PLANTS: dict[str, abc.Callable[[], None]] = {
     plant.__name__: plant
     for plant in (
@@ -286,5 +303,6 @@
         hasty,
         recover,
         end,
+        seeds,
     )
 }
--- a/soak/world.py
+++ b/soak/world.py
@@ -77,14 +77,16 @@
         self.disturbances = conditions.Disturbances()
         self.configuration_changes: list[judge.ConfigurationChange] = []
         self.store = edgestore.EdgeStore(self._new_rng())
+        # By name, also those that have ended for good; ``entries`` lists the others.
+        self.known_entries: dict[str, instances.Entry] = {}
         self.entries = [
-            instances.Entry(
-                f"edge-{number}",
-                DATA_CENTRES[number % len(DATA_CENTRES)],
-                f"127.0.1.{number + 1}",
-            )
+            self._new_entry(DATA_CENTRES[number % len(DATA_CENTRES)])
             for number in range(entry_count)
         ]
+        # What every settings file says, also once these entries have ended for good.
+        self._seeds = [entry.seed_address for entry in self.entries[:SEED_COUNT]]
+        # Callers choose among these, by the addresses that entries publish.
+        self._entry_ports: dict[str, callers.EntryPorts] = {}
         self.signals = signals.Signals(self._find_sender)
         self.recorder.on_arrival = self._record_arrival
         self.servers: dict[str, edgeserver.EdgeServer] = {}
@@ -127,8 +129,7 @@
                 data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
                 await self.add_server(service, data_centre)
         for entry in self.entries:
-            await self._start_proxies(entry)
-            self.start_entry(entry)
+            await self._start_at_first(entry)
         deadline = time.monotonic() + START_TIMEOUT_S
         for entry in self.entries:
             while not await instances.is_ready(entry.ports["Readiness"]):
@@ -160,19 +161,12 @@
         return started
 
     def _new_caller(self, kinds: abc.Sequence[callers.RequestKind]) -> callers.Caller:
-        entry_ports = {
-            entry.address: callers.EntryPorts(
-                entry.name, entry.caller_proxy.port, entry.ports["Directory"]
-            )
-            for entry in self.entries
-        }
-        entries_by_name = {entry.name: entry for entry in self.entries}
         return callers.Caller(
             self.recorder,
             kinds,
             API_KEYS,
-            entry_ports,
-            lambda name: entries_by_name[name].start_count,
+            self._entry_ports,
+            lambda name: self.known_entries[name].start_count,
             self._new_rng(),
         )
 
@@ -196,6 +190,36 @@
         if not task.cancelled() and task.exception() is not None:
             self.recorder.record_violation("SOAK", repr(task.exception()))
 
+    def _new_entry(self, data_centre: str) -> instances.Entry:
+        number = len(self.known_entries)
+        entry = instances.Entry(f"edge-{number}", data_centre, f"127.0.1.{number + 1}")
+        self.known_entries[entry.name] = entry
+        return entry
+
+    async def add_entry(self, data_centre: str) -> instances.Entry:
+        """Start another entry, which callers get to know; its seeds are as ever."""
+        entry = self._new_entry(data_centre)
+        await self._start_at_first(entry)
+        self.entries.append(entry)
+        return entry
+
+    async def remove_entry(self, entry: instances.Entry) -> None:
+        """Kill an entry for good; nothing listens at its addresses from then on."""
+        entry.is_expected_to_run = False
+        self.entries.remove(entry)
+        del self._entry_ports[entry.address]
+        self.record_event(f"{entry.name} ends for good")
+        entry.signal(signal.SIGKILL)
+        await asyncio.to_thread(entry.process.wait)
+        await self._stop_proxies(entry)
+
+    async def _start_at_first(self, entry: instances.Entry) -> None:
+        await self._start_proxies(entry)
+        self.start_entry(entry)
+        self._entry_ports[entry.address] = callers.EntryPorts(
+            entry.name, entry.caller_proxy.port, entry.ports["Directory"]
+        )
+
     async def _start_proxies(self, entry: instances.Entry) -> None:
         entry.store_proxy = faultproxy.FaultProxy(("127.0.0.1", self.store.port))
         entry.caller_proxy = faultproxy.FaultProxy(
@@ -207,9 +231,8 @@
     def start_entry(self, entry: instances.Entry) -> None:
         """Start an entry's process."""
         settings_path = self.folder / f"{entry.name}.conf"
-        seed_entries = self.entries[:SEED_COUNT]
         settings_path.write_text(
-            instances.settings_text(entry, seed_entries, self.bounds)
+            instances.settings_text(entry, self._seeds, self.bounds)
         )
         build = self._draw_build()
         # This script with the build's own program; older builds don't have the script.
@@ -303,7 +326,7 @@
         """Return the entry that a server's proxy connects for, and its start."""
         proxy = self.server_proxies.get(server.name)
         address = proxy.peers_by_port.get(port) if proxy is not None else None
-        for entry in self.entries:
+        for entry in self.known_entries.values():
             if entry.source_address == address:
                 return entry.name, entry.start_count
         return None
@@ -373,19 +396,23 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.kill_entries()
-        for entry in self.entries:
+        for entry in self.known_entries.values():
             if entry.process is not None:
                 await asyncio.to_thread(entry.process.wait)
-            for proxy in (entry.store_proxy, entry.caller_proxy):
-                if proxy is not None:
-                    await proxy.stop()
+            await self._stop_proxies(entry)
         for server in list(self.servers.values()):
             await self.stop_server(server)
         await self.store.stop()
 
+    @staticmethod
+    async def _stop_proxies(entry: instances.Entry) -> None:
+        for proxy in (entry.store_proxy, entry.caller_proxy):
+            if proxy is not None:
+                await proxy.stop()
+
     def kill_entries(self) -> None:
         """Kill every entry that still runs, also if it is paused."""
-        for entry in self.entries:
+        for entry in self.known_entries.values():
             entry.is_expected_to_run = False
             entry.signal(signal.SIGCONT)
             entry.signal(signal.SIGKILL)
