Let a request crash the soak's servers well into its answer

Change: `crash_late` (`soak/latecrashes.py`) sends one request again and again for 13 s, each after the last has ended; it crashes each server 0.6 to 0.7 s into its answer. `soak/poison.py` judges it (BUDGET): three arrivals at most later than the contact time after the third crash, by entries in touch; and by the entries' logs, no other request is refused for crashes that was sent to fewer than three servers. The plant `early` counts only early crashes, `accused` suspects whatever ran at a crash.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -63,6 +63,12 @@
         checker.check_recovery(faults_ended_at, time.monotonic())
         await asyncio.sleep(_usage_check_s(system))
         checker.check()
+        system.poison.check(
+            system.disturbances,
+            system.bounds,
+            judge.MEASUREMENT_ALLOWANCE_S,
+            system.folder.glob("*.log"),
+        )
         for stop in system.orderly_stops:
             checker.check_stop(*stop)
     finally:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -104,6 +104,12 @@
         with contextlib.suppress(OSError, TimeoutError):
             await self._send(kind)
 
+    async def send_same(self, kind: RequestKind, path: str, body: bytes) -> None:
+        """Send a request that has been sent before, or will be again, once."""
+        await self._resolve()
+        with contextlib.suppress(OSError, TimeoutError):
+            await self._try(kind, same=(path, body))
+
     def close(self) -> None:
         """Close the connections that are open."""
         for connection in self._open_connections.values():
@@ -167,11 +173,21 @@
             await self._resolve()
 
     async def _try(
-        self, kind: RequestKind, *, origin: ledger.Attempt | None = None
+        self,
+        kind: RequestKind,
+        *,
+        origin: ledger.Attempt | None = None,
+        same: tuple[str, bytes] | None = None,
     ) -> ledger.Attempt:
-        """Make one attempt, which takes a stream up if it has an ``origin``."""
+        """
+        Make one attempt, which takes a stream up if it has an ``origin``.
+
+        ``same`` are its path and body, drawn unless they are given.
+        """
         connection, _ = await self._connect()
         attempt = self._new_attempt(kind, connection, origin)
+        if same is not None:
+            attempt.path, attempt.body = same
         connection.writer.write(self._encode(kind, attempt))
         timeout_s = kind.timeout_s
         is_early_close = self._random.random() < EARLY_CLOSE_SHARE
--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -48,6 +48,9 @@
     part_crashes: int = 5
     late_part_requests: int = 3
     gone_share: float = 0.25
+    # The same of a request that crashes servers.
+    request_crashes: int = 3
+    late_crashing_requests: int = 3
 
 
 class Kind(enum.Enum):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,7 @@
     disturber,
     instances,
     judge,
+    latecrashes,
     seedmachines,
     spokensignals,
     standstills,
@@ -117,6 +118,7 @@
             (2, spoken_signals.change_record),
             (2, spoken_signals.speak_while_record_changes),
             (2, self._stand_still),
+            (1, latecrashes.LateCrashes(system).crash_late),
             (1, seedmachines.SeedMachines(system).replace_seeds),
         ]
         faults = {
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -15,7 +15,8 @@
          that has said so in an answer, none from the entry that it has told.
 CONFIG   A configuration is in force in time, and no older one follows it.
 BUDGET   Repeats stay within the retry budget, and an entry backs off from a server
-         for as long as that asks for.
+         for as long as that asks for. A request that crashes servers soon reaches
+         none, and no other is refused for it.
 QUOTA    An organisation gets no more than its quota.
 ONE      One entry at a time carries out a duty.
 USAGE    Windows of usage are reported in time again after the store was restored.
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -29,7 +29,7 @@
 )
 from acaciaward.membership import contacts, entrycount
 from acaciaward.platform import duties, headers
-from acaciaward.quarantine import promptparts
+from acaciaward.quarantine import promptparts, suspects
 from acaciaward.resumption import servingversions
 from acaciaward.routing import backoffs, occupancy
 
@@ -276,6 +276,23 @@
     entrycount.EntryCount.count = count
 
 
+def early() -> None:
+    """Count only crashes that come as answers begin."""
+    original = suspects.Suspects.record_crash
+
+    def record_crash(self, request, endpoint, *, is_early=True):
+        return original(self, request, endpoint) if is_early else 0
+
+    suspects.Suspects.record_crash = record_crash
+
+
+def accused() -> None:
+    """Suspect each request that an endpoint ran as it crashed."""
+    suspects.Suspects.is_suspect = lambda self, request: bool(
+        self._known(request).endpoints
+    )
+
+
 PLANTS: dict[str, abc.Callable[[], None]] = {
     plant.__name__: plant
     for plant in (
@@ -304,5 +321,7 @@
         recover,
         end,
         seeds,
+        early,
+        accused,
     )
 }
--- a/soak/world.py
+++ b/soak/world.py
@@ -25,6 +25,7 @@
     instances,
     judge,
     ledger,
+    poison,
     signals,
 )
 from standins import edgeserver, edgestore, edgewire, faultproxy
@@ -98,6 +99,7 @@
         # Parts that crash servers, and when each has done so.
         self.deadly_parts: frozenset[str] = frozenset()
         self.crashes: dict[str, list[float]] = {}
+        self.poison = poison.Poison(self.recorder)
         self._tasks: list[asyncio.Task] = []
         self._temporary_folder = tempfile.TemporaryDirectory(prefix="acaciaward-soak-")
         self.orderly_stops: list[judge.OrderlyStop] = []
@@ -180,6 +182,12 @@
         await caller.send(RESUMABLE)
         caller.close()
 
+    async def send(self, kind: callers.RequestKind, *, path: str, body: bytes) -> None:
+        """Send a request with this path and body, by a caller of its own."""
+        caller = self._new_caller([kind])
+        await caller.send_same(kind, path, body)
+        caller.close()
+
     def _start_task(self, coroutine: abc.Coroutine) -> None:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self._record_task_failure)
@@ -288,6 +296,7 @@
         # Versions of software serve side by side; the pages give no order to them.
         server.version = VERSIONS[self._server_number % len(VERSIONS)]
         server.deadly_parts = self.deadly_parts
+        server.crash_after = self.poison.crash_after
         server.on_crash = self._record_crash
         server.on_answer = self._record_signals
         await server.start()
@@ -345,6 +354,8 @@
         parts = edgeserver.shared_parts(request) if request else []
         for part in self.deadly_parts.intersection(parts):
             self.crashes.setdefault(part, []).append(time.monotonic())
+        if request is not None:
+            self.poison.record_crash(server, request)
         self._start_task(self._replace_crashed(server))
 
     async def _replace_crashed(self, server: edgeserver.EdgeServer) -> None:
