--- a/soak/callers.py
+++ b/soak/callers.py
@@ -104,6 +104,12 @@
         with contextlib.suppress(OSError, TimeoutError):
             await self._send(kind)
 
+    async def send_same(self, kind: RequestKind, path: str, body: bytes) -> None:
+        """Send a request that has been sent before, or will be again, once."""
+        await self._resolve()
+        with contextlib.suppress(OSError, TimeoutError):
+            await self._try(kind, same=(path, body))
+
     def close(self) -> None:
         """Close the connections that are open."""
         for connection in self._open_connections.values():
@@ -129,7 +135,11 @@
 
     async def _connect(self) -> tuple[_Connection, bool]:
         """Return a connection to some entry, and whether it was open already."""
-        address = self._random.choice(self._known_addresses or list(self._entries))
+        # Those of entries that have ended for good aren't among the entries.
+        known = [
+            address for address in self._known_addresses if address in self._entries
+        ]
+        address = self._random.choice(known or list(self._entries))
         idle = self._open_connections.pop(address, None)
         if idle is not None and not idle.reader.at_eof():
             if self._random.random() < REUSED_SHARE:
@@ -163,11 +173,21 @@
             await self._resolve()
 
     async def _try(
-        self, kind: RequestKind, *, origin: ledger.Attempt | None = None
+        self,
+        kind: RequestKind,
+        *,
+        origin: ledger.Attempt | None = None,
+        same: tuple[str, bytes] | None = None,
     ) -> ledger.Attempt:
-        """Make one attempt, which takes a stream up if it has an ``origin``."""
+        """
+        Make one attempt, which takes a stream up if it has an ``origin``.
+
+        ``same`` are its path and body, drawn unless they are given.
+        """
         connection, _ = await self._connect()
         attempt = self._new_attempt(kind, connection, origin)
+        if same is not None:
+            attempt.path, attempt.body = same
         connection.writer.write(self._encode(kind, attempt))
         timeout_s = kind.timeout_s
         is_early_close = self._random.random() < EARLY_CLOSE_SHARE
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -27,8 +27,9 @@
     refusals,
     upstreams,
 )
+from acaciaward.membership import contacts, entrycount
 from acaciaward.platform import duties, headers
-from acaciaward.quarantine import promptparts
+from acaciaward.quarantine import promptparts, suspects
 from acaciaward.resumption import servingversions
 from acaciaward.routing import backoffs, occupancy
 
@@ -259,6 +260,39 @@
     process.Gateway._run_housekeeping = run_housekeeping
 
 
+def seeds() -> None:
+    """Find others by the seeds of the start alone, and take silence for their end."""
+
+    async def run(self):
+        await asyncio.get_running_loop().create_future()
+
+    contacts.Contacts.run = run
+
+    def count(self):
+        if self._clock() - self._started_at < entrycount.GOSSIP_SETTLE_S:
+            return max(entrycount.ASSUMED_ENTRIES, self._saved())
+        return len(self._live)
+
+    entrycount.EntryCount.count = count
+
+
+def early() -> None:
+    """Count only crashes that come as answers begin."""
+    original = suspects.Suspects.record_crash
+
+    def record_crash(self, request, endpoint, *, is_early=True):
+        return original(self, request, endpoint) if is_early else 0
+
+    suspects.Suspects.record_crash = record_crash
+
+
+def accused() -> None:
+    """Suspect each request that an endpoint ran as it crashed."""
+    suspects.Suspects.is_suspect = lambda self, request: bool(
+        self._known(request).endpoints
+    )
+
+
 PLANTS: dict[str, abc.Callable[[], None]] = {
     plant.__name__: plant
     for plant in (
@@ -286,5 +320,8 @@
         hasty,
         recover,
         end,
+        seeds,
+        early,
+        accused,
     )
 }
