Play a brittle endpoint whose record loses its start, which fails

Calls are counted by name and start, and so were pauses, held places and log lines. A record that names no start for a moment thus gave all places a second time, and each change logged that the endpoint is brittle once more.

--- a/acaciaward/routing/features/brittleness.feature
+++ b/acaciaward/routing/features/brittleness.feature
@@ -39,3 +39,10 @@
     Given an endpoint with 8 places that is brittle, and 6 entries
     When another endpoint of its service starts
     Then it counts as brittle, and one of another service doesn't
+
+  # A record that named no start for a moment gave its places a second time.
+  Scenario: Calls count and pauses hold whatever start the endpoint's record names
+    Given a service whose brittle endpoint has 2 places, and an entry with 2 calls there
+    When its record names no start for a moment
+    Then the entry has no room there
+    And it was logged once that the endpoint is brittle
--- a/acaciaward/routing/features/steps/brittleness_steps.py
+++ b/acaciaward/routing/features/steps/brittleness_steps.py
@@ -1,5 +1,7 @@
 """Steps for the places of brittle endpoints, with a clock of their own."""
 
+import collections
+import logging
 import random
 
 import hypothesis
@@ -7,7 +9,8 @@
 from hypothesis import strategies
 
 from acaciaward.catalogue import endpoints
-from acaciaward.routing import brittleness, health
+from acaciaward.gateway import calls
+from acaciaward.routing import brittleness, health, occupancy, placement
 
 RUN_S = 0.5
 STEP_S = 0.02
@@ -184,3 +187,61 @@
 def check_other(context):
     assert context.brittle.is_brittle(context.other)
     assert not context.brittle.is_brittle(make_endpoint("web-1", service="web"))
+
+
+class _Log(logging.Handler):
+    """Counts events."""
+
+    def __init__(self):
+        super().__init__()
+        self.events = collections.Counter()
+
+    def emit(self, record):
+        self.events[record.getMessage()] += 1
+
+
+@given(
+    "a service whose brittle endpoint has {slots:d} places, and an entry with {count:d}"
+    " calls there"
+)
+def make_busy(context, slots, count):
+    context.now = 1.0
+    context.log = _Log()
+    logger = logging.getLogger("acaciaward.routing.brittleness")
+    logger.setLevel(logging.INFO)
+    logger.addHandler(context.log)
+    context.add_cleanup(logger.removeHandler, context.log)
+    context.directory = endpoints.Directory(
+        lambda: context.now, unix_time=lambda: context.now
+    )
+    context.occupancy = occupancy.Occupancy(
+        context.directory,
+        data_centre="dc",
+        clock=lambda: context.now,
+        unix_time=lambda: context.now,
+    )
+    endpoint = make_endpoint(slots=slots)
+    context.directory.update(endpoint)
+    context.occupancy.brittle.announcements.record(endpoint, 2, context.now)
+    context.occupancy.brittle.update()
+    call = calls.Call(b"GET", b"/a", "h", [], b"", context.now)
+    for _ in range(count):
+        context.occupancy.start(placement.Candidate(endpoint), call)
+
+
+@when("its record names no start for a moment")
+def change_start(context):
+    endpoint = context.directory.get("app-1")
+    context.directory.update(endpoint._replace(born=0))
+    context.occupancy.brittle.update()
+
+
+@then("the entry has no room there")
+def check_no_room(context):
+    room = context.occupancy.room("app", None)
+    assert room is not None and not room.is_free, room
+
+
+@then("it was logged once that the endpoint is brittle")
+def check_logged(context):
+    assert context.log.events == {"endpoint is brittle": 1}, context.log.events
