Count places at brittle endpoints whatever start their record names

Counted by name and start, the calls of a brittle endpoint were none from one moment to the next as its record named no start, so that its places were used twice. Calls, held places, pauses and log lines now go by name. A server that starts anew under its name is thus spared for what its former start still owes, for ten seconds at most.

--- a/acaciaward/routing/brittleness.py
+++ b/acaciaward/routing/brittleness.py
@@ -108,14 +108,14 @@
             clock=clock, unix_time=unix_time
         )
         self._listed: dict[str, endpoints.Endpoint] = {}
-        # What was logged of the endpoints that are brittle.
-        self._logged: dict[endpoints.Incarnation, float] = {}
+        # The names of the endpoints that were logged to be brittle.
+        self._logged: frozenset[str] = frozenset()
         self._brittle_services: frozenset[str] = frozenset()
         self._shares: dict[str, _Share] = {}
         # Until when this entry sends nothing, since it was turned away.
-        self._paused_until: dict[endpoints.Incarnation, float] = {}
+        self._paused_until: dict[str, float] = {}
         # Until when places count as taken by requests that were given up.
-        self._held_until: dict[endpoints.Incarnation, list[float]] = {}
+        self._held_until: dict[str, list[float]] = {}
 
     @property
     def is_any(self) -> bool:
@@ -138,10 +138,10 @@
         ``running`` counts its own there, ``others`` those that other entries report.
         """
         now = self._clock()
-        incarnation = endpoint.incarnation
-        if now < self._paused_until.get(incarnation, 0.0):
+        name = endpoint.name
+        if now < self._paused_until.get(name, 0.0):
             return False
-        held = sum(until > now for until in self._held_until.get(incarnation, ()))
+        held = sum(until > now for until in self._held_until.get(name, ()))
         taken = running + held
         return taken < self.places(endpoint) and taken + others < _slots(endpoint)
 
@@ -195,15 +195,13 @@
         if not self.is_brittle(endpoint):
             return
         now = self._clock()
-        incarnation = endpoint.incarnation
+        name = endpoint.name
         if outcome in GIVEN_UP:
-            held = [
-                until for until in self._held_until.get(incarnation, ()) if until > now
-            ]
+            held = [until for until in self._held_until.get(name, ()) if until > now]
             held.append(now + min(service_s, MAX_HOLD_S))
-            self._held_until[incarnation] = held
+            self._held_until[name] = held
         if outcome is health.Outcome.REFUSED:
-            self._paused_until[incarnation] = now + self._pause_s(endpoint)
+            self._paused_until[name] = now + self._pause_s(endpoint)
 
     def _pause_s(self, endpoint: endpoints.Endpoint) -> float:
         """
@@ -236,23 +234,15 @@
         for endpoint in self._listed.values():
             rejections = self.announcements.find(endpoint)
             if rejections is not None:
-                brittle[endpoint.incarnation] = rejections
-        for incarnation in brittle.keys() - self._logged.keys():
-            name, born = incarnation
+                brittle[endpoint.name] = rejections
+        for name in brittle.keys() - self._logged:
             log.info(
                 "endpoint is brittle",
-                extra=logs.fields(
-                    endpoint=name,
-                    born=born,
-                    bears_rejections_per_s=brittle[incarnation],
-                ),
+                extra=logs.fields(endpoint=name, bears_rejections_per_s=brittle[name]),
             )
-        for name, born in self._logged.keys() - brittle.keys():
-            log.info(
-                "endpoint is brittle no longer",
-                extra=logs.fields(endpoint=name, born=born),
-            )
-        self._logged = brittle
+        for name in self._logged - brittle.keys():
+            log.info("endpoint is brittle no longer", extra=logs.fields(endpoint=name))
+        self._logged = frozenset(brittle)
         self._brittle_services = frozenset(
             endpoint.service
             for endpoint in self._listed.values()
@@ -268,14 +258,10 @@
             name: share for name, share in self._shares.items() if name in self._listed
         }
         self._paused_until = {
-            incarnation: until
-            for incarnation, until in self._paused_until.items()
-            if until > now
+            name: until for name, until in self._paused_until.items() if until > now
         }
         self._held_until = {
-            incarnation: held
-            for incarnation, held in self._held_until.items()
-            if max(held) > now
+            name: held for name, held in self._held_until.items() if max(held) > now
         }
 
 
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -179,9 +179,11 @@
         if not self.brittle.is_brittle(endpoint):
             return True
         others, _ = self._fresh_reports().get(endpoint.name, (0.0, 0.0))
-        return self.brittle.has_room(
-            endpoint, self._running[endpoint.incarnation], others
+        # A record that loses its start for a moment frees no place.
+        running = sum(
+            count for (name, _), count in self._running.items() if name == endpoint.name
         )
+        return self.brittle.has_room(endpoint, running, others)
 
     def room(
         self,
