Let the soak's servers be brittle, where that is asked for

No soak played brittle servers, so an entry that passed over the header was noticed by nothing but two features in one process.

`be_brittle` gives all servers of a service one place each, which their records say, and lets them name 0 to 2 rejections a second. A server that turns more away has fallen, on paper: it goes on, so that falls disturb nothing else. LIMIT counts falls that are mostly due to entries and servers that were undisturbed for the contact time. The fault has no weight among those that are drawn, so other soaks draw as before. The plant `brittle` passes over the header.

Longer soaks and two builds were not run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -63,6 +63,9 @@
         checker.check_recovery(faults_ended_at, time.monotonic())
         await asyncio.sleep(_usage_check_s(system))
         checker.check()
+        injector.brittle_servers.check(
+            system.recorder, system.disturbances, system.bounds.contact_s
+        )
         for stop in system.orderly_stops:
             checker.check_stop(*stop)
     finally:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,7 @@
 from collections import abc
 
 from soak import (
+    brittleservers,
     conditions,
     disturber,
     instances,
@@ -88,6 +89,7 @@
         """Inject the fault that is named ``favoured`` more often than others."""
         super().__init__(system)
         store_faults = storefaults.StoreFaults(system)
+        self.brittle_servers = brittleservers.BrittleServers(system)
         self._standstills = standstills.Standstills(system)
         # What is done beside standstills, in turn.
         self._planned_work: abc.Iterator[Fault | None]
@@ -128,6 +130,8 @@
             (2, self._change_record),
             (2, self._speak_while_record_changes),
             (2, self._stand_still),
+            # Only if it is favoured, so that other soaks draw as before.
+            (0, self.brittle_servers.be_brittle),
         ]
         faults = {
             fault.__name__.lstrip("_"): fault for _, fault in self._weighted_faults
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -22,12 +22,13 @@
 GONE     Requests of callers that left are neither sent to servers nor kept running.
 LOST     An orderly stop of an entry loses no requests, and no stream that has begun
          is cut while its servers are sound, though they may be silent for a while.
+LIMIT    Brittle servers aren't made to turn away more than they bear.
 RECOVER  Requests are served again once faults are over.
 =======  ==========================================================================
 
-Those from DRAIN on concern spans of time and are checked in ``judge``, ``signals`` and
-``dutyrules``; END is checked where entries are started and stopped, in ``world`` and
-``faults``.
+Those from DRAIN on concern spans of time and are checked in ``judge``, ``signals``,
+``brittleservers`` and ``dutyrules``; END is checked where entries are started and
+stopped, in ``world`` and ``faults``.
 """
 
 import collections
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -30,7 +30,7 @@
 from acaciaward.platform import duties, headers
 from acaciaward.quarantine import promptparts
 from acaciaward.resumption import servingversions
-from acaciaward.routing import backoffs, occupancy
+from acaciaward.routing import backoffs, brittleness, occupancy
 
 STARTED_AT = time.monotonic()
 # Delay after the start of the process with which some plants take effect.
@@ -126,6 +126,11 @@
     backoffs.EndpointBackoffs.left_s = lambda known, endpoint: 0.0
 
 
+def brittle() -> None:
+    """Pass over that endpoints say in their answers that they are brittle."""
+    brittleness.Brittleness.is_brittle = lambda known, endpoint: False
+
+
 def lapsing() -> None:
     """Forget what endpoints said as their records go."""
     original = occupancy.Occupancy._follow
@@ -273,6 +278,7 @@
         drain,
         leaving,
         backoff,
+        brittle,
         lapsing,
         joined,
         config,
--- a/soak/world.py
+++ b/soak/world.py
@@ -85,7 +85,7 @@
             )
             for number in range(entry_count)
         ]
-        self.signals = signals.Signals(self._find_sender)
+        self.signals = signals.Signals(self.find_sender)
         self.recorder.on_arrival = self._record_arrival
         self.servers: dict[str, edgeserver.EdgeServer] = {}
         self.server_proxies: dict[str, faultproxy.FaultProxy] = {}
@@ -271,7 +271,7 @@
     def _record_arrival(
         self, attempt: ledger.Attempt, server: edgeserver.EdgeServer, port: int
     ) -> None:
-        sender = self._find_sender(server, port)
+        sender = self.find_sender(server, port)
         if sender is not None:
             attempt.senders.add(sender[0])
         arrived_at, _ = attempt.arrivals[-1]
@@ -285,7 +285,7 @@
     ) -> None:
         self.signals.answered(server, request, headers, time.monotonic())
 
-    def _find_sender(
+    def find_sender(
         self, server: edgeserver.EdgeServer, port: int
     ) -> tuple[str, int] | None:
         """Return the entry that a server's proxy connects for, and its start."""
--- a/standins/edgeserver.py
+++ b/standins/edgeserver.py
@@ -24,7 +24,8 @@
 ``stand_still`` lets a server do nothing for a while, as a process that is stopped by a
 signal: what it runs goes on afterwards, and no heartbeat is sent meanwhile.
 A server with a ``room`` runs and queues as many requests as that has place for, refuses
-others, and crashes if it is brittle and has refused too many. ``run_s`` is about how
+others, and crashes if it is brittle and has refused too many; with ``on_rejection``,
+that is called instead. ``run_s`` is about how
 long a request runs.
 ``watch`` is notified of each request that arrives, begins to run and ends.
 """
@@ -136,7 +137,10 @@
         self.crash_after = None
         self.has_crashed = False
         self.room: rooms.Room | None = None
+        self.on_rejection: typing.Callable[[EdgeServer, edgewire.Request], None] | None
+        self.on_rejection = None
         self.run_s = RUN_S
+        self.slots = SLOTS
         self.is_unframed = False
         self.event_interval_s = EVENT_INTERVAL_S
         self.version = FIRST_VERSION
@@ -202,7 +206,7 @@
             "Address": f"127.0.0.1:{self.public_port}",
             "Zone": self._data_centre,
             "Version": self.version,
-            "Slots": SLOTS,
+            "Slots": self.slots,
             "State": state,
             "ColdRemainingMs": 0,
             "Sequence": self._sequence,
@@ -270,17 +274,29 @@
             return self._refuse(request, writer)
         if behaviour == "silent":
             await asyncio.get_running_loop().create_future()
-        if self.room is None:
+        return await self._run_if_room(request, writer, headers, behaviour)
+
+    async def _run_if_room(
+        self,
+        request: edgewire.Request,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+        behaviour: str,
+    ) -> bool:
+        room = self.room
+        if room is None:
             return await self._run(request, writer, headers, behaviour)
-        if not await self.room.enter():
-            if self.room.has_rejected_too_many:
+        if not await room.enter():
+            if self.on_rejection is not None:
+                self.on_rejection(self, request)
+            elif room.has_rejected_too_many:
                 self.crash(request)
                 return False
             return self._refuse(request, writer)
         try:
             return await self._run(request, writer, headers, behaviour)
         finally:
-            self.room.leave()
+            room.leave()
 
     def _refuse(self, request: edgewire.Request, writer: asyncio.StreamWriter) -> bool:
         attempt_id = request.headers.get("attempt-id", "")
