--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -69,6 +69,9 @@
             judge.MEASUREMENT_ALLOWANCE_S,
             system.folder.glob("*.log"),
         )
+        injector.brittle_servers.check(
+            system.recorder, system.disturbances, system.bounds.contact_s
+        )
         for stop in system.orderly_stops:
             checker.check_stop(*stop)
     finally:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,7 @@
 from collections import abc
 
 from soak import (
+    brittleservers,
     conditions,
     disturber,
     instances,
@@ -80,6 +81,7 @@
         super().__init__(system)
         store_faults = storefaults.StoreFaults(system)
         spoken_signals = spokensignals.SpokenSignals(system)
+        self.brittle_servers = brittleservers.BrittleServers(system)
         self._standstills = standstills.Standstills(system)
         # What is done beside standstills, in turn.
         self._planned_work: abc.Iterator[Fault | None]
@@ -120,6 +122,8 @@
             (2, self._stand_still),
             (1, latecrashes.LateCrashes(system).crash_late),
             (1, seedmachines.SeedMachines(system).replace_seeds),
+            # Only if it is favoured, so that other soaks draw as before.
+            (0, self.brittle_servers.be_brittle),
         ]
         faults = {
             fault.__name__.lstrip("_"): fault for _, fault in self._weighted_faults
--- a/soak/world.py
+++ b/soak/world.py
@@ -88,7 +88,7 @@
         self._seeds = [entry.seed_address for entry in self.entries[:SEED_COUNT]]
         # Callers choose among these, by the addresses that entries publish.
         self._entry_ports: dict[str, callers.EntryPorts] = {}
-        self.signals = signals.Signals(self._find_sender)
+        self.signals = signals.Signals(self.find_sender)
         self.recorder.on_arrival = self._record_arrival
         self.servers: dict[str, edgeserver.EdgeServer] = {}
         self.server_proxies: dict[str, faultproxy.FaultProxy] = {}
@@ -311,7 +311,7 @@
     def _record_arrival(
         self, attempt: ledger.Attempt, server: edgeserver.EdgeServer, port: int
     ) -> None:
-        sender = self._find_sender(server, port)
+        sender = self.find_sender(server, port)
         if sender is not None:
             attempt.senders.add(sender[0])
         arrived_at, _ = attempt.arrivals[-1]
@@ -329,7 +329,7 @@
                 server, request, headers, time.monotonic(), attempt.sent_at
             )
 
-    def _find_sender(
+    def find_sender(
         self, server: edgeserver.EdgeServer, port: int
     ) -> tuple[str, int] | None:
         """Return the entry that a server's proxy connects for, and its start."""
