Suspect a request by all endpoints that crash under it, not by five

Callers saw: endpoints crash, one after another, under a request that is sent again and again (BUDGET). Change: 64 endpoints are remembered. Reports and the store carry ten of a request at most, five early ones among them, since older builds take more for invalid.

--- a/acaciaward/quarantine/crashreports.py
+++ b/acaciaward/quarantine/crashreports.py
@@ -18,11 +18,10 @@
 # Bounds on the endpoints with company in a message, and on the requests of all of them.
 MAX_ENDPOINTS_REPORTED = 8
 MAX_COMPANY_REPORTED = 48
-# Bound on the endpoints, early or later ones, that are remembered of one request.
-MAX_ENDPOINTS = 5
-# More endpoints than an entry remembers of a request, early and later ones, aren't
-# reported by any.
-MAX_ENDPOINTS_EACH = 2 * MAX_ENDPOINTS
+# Bound on the endpoints that crashed early under one request, and on all that did, in
+# what is reported or stored of it. A report of more is invalid, also to older builds.
+MAX_EARLY_EACH = 5
+MAX_ENDPOINTS_EACH = 10
 VERSION_BYTES = 2
 VERSION_MARK = "@"
 
@@ -77,9 +76,12 @@
     return f"{name}{VERSION_MARK}{version}" if version else name
 
 
-def bounded(endpoints: abc.Iterable[str]) -> frozenset[str]:
-    """Return as many of the endpoints as are remembered of one request."""
-    return frozenset(sorted(endpoints)[:MAX_ENDPOINTS])
+def bounded(
+    early: abc.Iterable[str], later: abc.Iterable[str]
+) -> tuple[list[str], list[str]]:
+    """Return as many endpoints as are reported of a request, early and later ones."""
+    kept_early = sorted(early)[:MAX_EARLY_EACH]
+    return kept_early, sorted(later)[: MAX_ENDPOINTS_EACH - len(kept_early)]
 
 
 def merge(reports: abc.Iterable[CrashReport]) -> CrashReport:
@@ -103,7 +105,9 @@
             (name, crashes[name]) for name in by_endpoints[:MAX_REPORTED]
         ),
         "cleared": list(cleared)[:MAX_REPORTED],
-        "company": by_endpoint((name, bounded(later[name])) for name in by_later),
+        "company": by_endpoint(
+            (name, bounded(crashes.get(name, ()), later[name])[1]) for name in by_later
+        ),
     }
 
 
@@ -123,7 +127,7 @@
     found: dict[str, list[str]] = {}
     count = 0
     for name, endpoints in crashes:
-        kept = sorted(endpoints)[:MAX_ENDPOINTS]
+        kept = sorted(endpoints)[:MAX_EARLY_EACH]
         count += len(kept)
         if count > MAX_CRASHES_REPORTED:
             break
--- a/acaciaward/quarantine/suspects.py
+++ b/acaciaward/quarantine/suspects.py
@@ -30,7 +30,7 @@
 CRASHES_TO_SUSPECT = 3
 # The same if some crashes came later in an answer, or if as many endpoints have crashed
 # without the request.
-CRASHES_IF_DOUBTFUL = crashreports.MAX_ENDPOINTS
+CRASHES_IF_DOUBTFUL = 5
 # With later crashes, a request must have been at this share of the crashes known.
 LEAST_SHARE_OF_CRASHES = 1 / 3
 # How long a crash counts as one of those that a request was at or wasn't.
@@ -47,6 +47,8 @@
 MAX_KNOWN = 1000
 MAX_SERVED = 4096
 MAX_CRASHED = 256
+# Bound on the endpoints, early or later ones, that are remembered of one request.
+MAX_ENDPOINTS = 64
 DIGEST_BYTES = 8
 
 
@@ -102,8 +104,8 @@
         self, early: abc.Iterable[str], later: abc.Iterable[str], now: float
     ) -> "_Crashes":
         """Return this with more crashed endpoints, itself if none is new."""
-        all_early = crashreports.bounded(self.early.union(early))
-        all_later = crashreports.bounded(self.later.union(later) - all_early)
+        all_early = _kept(self.early.union(early))
+        all_later = _kept(self.later.union(later) - all_early)
         if (all_early, all_later) == (self.early, self.later):
             return self
         return _Crashes(all_early, all_later, now)
@@ -122,6 +124,10 @@
     return hasher.hexdigest()
 
 
+def _kept(endpoints: abc.Iterable[str]) -> frozenset[str]:
+    return frozenset(sorted(endpoints)[:MAX_ENDPOINTS])
+
+
 class Suspects:
     """
     The crashes known to one entry, its own and those that peers report.
@@ -201,16 +207,19 @@
         ]
         early = [(name, record.early) for name, record in newest if record.early]
         by_crashes = sorted(newest, key=lambda item: -len(item[1].endpoints))
-        later = [(name, record.later) for name, record in by_crashes if record.later]
+        later = [(name, record) for name, record in by_crashes if record.later]
         later += [
-            (name, record.later)
+            (name, record)
             for name, record in reversed(self._company.items())
             if now - record.last_at <= COMPANY_REPORT_S
         ]
         return {
             "crashes": crashreports.first_of(early[: crashreports.MAX_REPORTED]),
             "cleared": list(reversed(self._cleared))[: crashreports.MAX_REPORTED],
-            "company": crashreports.by_endpoint(later),
+            "company": crashreports.by_endpoint(
+                (name, crashreports.bounded(record.early, record.later)[1])
+                for name, record in later
+            ),
         }
 
     def receive(self, report: crashreports.CrashReport) -> None:
@@ -268,7 +277,9 @@
         _evict_older(self._crashes, now - SUSPICION_LIFETIME_S)
         found = [
             Suspicion(
-                name, now - record.last_at, sorted(record.early), sorted(record.later)
+                name,
+                now - record.last_at,
+                *crashreports.bounded(record.early, record.later),
             )
             for name, record in reversed(self._crashes.items())
             if len(record.endpoints) >= min_crashes
