Add a failing test: streams through peers are cut after half a second

Callers saw: a stream that goes through a peer is cut as soon as it has data half a second after its answer began (LOST). Cause: the blame of parts by all crashes passes the endpoint that survived; the attempts through peers don't take it. No scenario had such a stream go on for that long.

--- a/acaciaward/gateway/features/detours.feature
+++ b/acaciaward/gateway/features/detours.feature
@@ -190,3 +190,10 @@
     And the peers' endpoints hang
     When a caller leaves the entry after 0.2 s
     Then the connection to the peer's endpoint closes within 0.3 s
+
+  # Each of them was broken off once it had data half a second after its answer began.
+  Scenario: A stream through a peer goes on for longer than a crash early in it takes
+    Given an entry for resumable streams that is cut off, and 2 peers
+    And the peers' endpoints stream 1 to 5 and end a second later
+    When a caller asks
+    Then the events are 1 to 6 and the answer is complete
--- a/acaciaward/gateway/features/steps/detours_steps.py
+++ b/acaciaward/gateway/features/steps/detours_steps.py
@@ -263,6 +263,12 @@
         front.always(forwardingscripts.NEXT_ANSWERS[error])
 
 
+@given("the peers' endpoints stream 1 to 5 and end a second later")
+def stream_for_long(context):
+    for front in context.group.peers:
+        front.always(scripted.stream(1, 5, then="end a second later"))
+
+
 @given("the peers' endpoints stream 1 to 3 and reset, then 4 to 6 and end")
 def stream_on(context):
     shared = [scripted.stream(1, 3, then="reset"), scripted.stream(4, 6)]
