Let streams through peers go on after half a second

Callers saw: such streams were cut as soon as they had data half a second after their answer began. Change: attempts through peers take the endpoint that survived, and do nothing with it, as the peer has recorded that.

--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -273,7 +273,7 @@
     def _record_data(self, work: PeerWork) -> None:
         work.data_at = time.monotonic()
 
-    def _record_survived(self, progress: callprogress.Progress) -> None:
+    def _record_survived(self, progress: callprogress.Progress, work: PeerWork) -> None:
         """Do nothing: the peer has recorded it."""
 
     def _check_wanted(self, work: attempts.Work) -> None:
