Add failing tests: streams of silent engines that wait for nothing

Callers saw: with the product's own dialect, a stream ends at its deadline with nothing more, though another engine could go on: if the second engine that is asked stays silent, too, or if its engine falls silent while the stream is moved away. Cause: once two attempts run, or the stream is moving, silence has no consequence any more.

--- a/acaciaward/dispatch/features/silences.feature
+++ b/acaciaward/dispatch/features/silences.feature
@@ -49,6 +49,19 @@
     And it was complete before the silence ended
     And no engine works on it any more
 
+  # The caller got nothing more by its deadline: two engines were asked, and no third.
+  Scenario: A third engine is asked if two stay silent
+    Given an entry and 3 engines
+    When a stream's engine stands still for 6 s, and the first of the others stalls
+    Then the stream is complete, each token once
+    And it was complete before the silence ended
+
+  # The caller was held up to its deadline, though another engine was ready to go on.
+  Scenario: A stream that is moved goes on though its engine falls silent
+    Given a stream whose engine leaves, and is silent from its fifth token on
+    When the move is settled without its engine
+    Then the stream is complete at the other engine within 2 s
+
   Scenario Outline: Another engine is asked beside a silent one only if that is allowed
     Given a request that <state>
     When its engine is silent
--- a/acaciaward/dispatch/features/steps/silences_steps.py
+++ b/acaciaward/dispatch/features/steps/silences_steps.py
@@ -116,6 +116,45 @@
     context.runner.run(run())
 
 
+@when(
+    "a stream's engine stands still for {seconds:g} s, and the first of the others"
+    " stalls"
+)
+def stand_still_twice(context, seconds):
+    running = context.cluster
+    tasks = []
+
+    async def freeze():
+        busy = await find_busy(running)
+        others = [name for name in running.engines if name != busy]
+        for name in others:
+            await running.set_faults(name, stall=True)
+        running.processes.freeze(busy)
+        tasks.append(asyncio.create_task(release_idle(others)))
+        tasks.append(asyncio.create_task(thaw(busy)))
+
+    async def release_idle(others):
+        """Let all but the engine that got the stream work, before another is asked."""
+        await asyncio.sleep(SILENCE_S + 0.3)
+        for name in others:
+            if not (await running.stats(name)).get("running"):
+                await running.set_faults(name, stall=False)
+
+    async def thaw(name):
+        await asyncio.sleep(seconds)
+        context.went_on_at = time.monotonic()
+        running.processes.thaw(name)
+
+    async def run():
+        try:
+            context.texts = await stream(running, freeze)
+            context.ended_at = time.monotonic()
+        finally:
+            await asyncio.gather(*tasks)
+
+    context.runner.run(run())
+
+
 @then("the stream is complete, each token once")
 def check_complete(context):
     assert context.texts == tokens.expected_tokens(PROMPT, COUNT), context.texts
