Go on with a third engine, or with a settled move, if engines stay silent

Callers saw: with the product's own dialect, streams ended at their deadline with nothing more, though another engine could go on. If the second of two engines has been silent for as long as the first one was, a third is asked if that is allowed, and the first is left.

--- a/acaciaward/dispatch/attempts.py
+++ b/acaciaward/dispatch/attempts.py
@@ -116,10 +116,10 @@
         return reserved or self._route(progress, progress.excluded)
 
     def choose_beside(
-        self, progress: Progress, silent: requests.Endpoint
+        self, progress: Progress, silent: abc.Sequence[requests.Endpoint]
     ) -> requests.Endpoint | None:
         """
-        Return where to send a request whose endpoint is silent, too, or None.
+        Return where to send a request whose endpoints are silent, too, or None.
 
         The attempt is taken from the retry budget at once. Suspects run alone, and what
         may run only once isn't sent twice.
@@ -135,7 +135,8 @@
         if not may_send:
             return None
         try:
-            endpoint = self._route(progress, progress.excluded | {silent.name})
+            excluded = progress.excluded.union(one.name for one in silent)
+            endpoint = self._route(progress, excluded)
         except errors.NoEndpointError:
             return None
         if not self._deps.admission.may_retry(request.organisation):
@@ -146,7 +147,7 @@
             extra=logs.fields(
                 request=request.request_id,
                 organisation=request.organisation,
-                endpoint=silent.name,
+                endpoint=silent[-1].name,
                 decision=f"{endpoint.name} is asked",
             ),
         )
--- a/acaciaward/dispatch/features/steps/silentchoice_steps.py
+++ b/acaciaward/dispatch/features/steps/silentchoice_steps.py
@@ -80,7 +80,7 @@
         runner = attempts.AttemptRunner(dependencies, limits)
         progress = attempts.Progress(request)
         progress.attempts = 1 + (fakes.state == "has no attempt left")
-        return runner.choose_beside(progress, SILENT)
+        return runner.choose_beside(progress, [SILENT])
 
     context.chosen = context.runner.run(run())
 
--- a/acaciaward/dispatch/races.py
+++ b/acaciaward/dispatch/races.py
@@ -59,9 +59,15 @@
         self.running: evacuation_interfaces.RunningStream | None = None
         self.is_over = False
         self.reading: asyncio.Task | None = None
+        self._began_at = asyncio.get_running_loop().time()
         self._counted = counted
         self._counted.__enter__()
 
+    @property
+    def age_s(self) -> float:
+        """How long ago the attempt began, in seconds."""
+        return asyncio.get_running_loop().time() - self._began_at
+
     def end(self, reason: BaseException | None) -> None:
         """Stop reading; the attempt is answered if there is no ``reason``."""
         if self.is_over:
--- a/acaciaward/dispatch/streams.py
+++ b/acaciaward/dispatch/streams.py
@@ -302,20 +302,23 @@
         """
         Begin another attempt beside one that is silent, if that is allowed.
 
-        Returns the failure of the silent one if no other can ever take its place.
+        Returns the failure of the oldest one if it isn't waited for any more: another
+        engine has been told to go on, none can ever take its place, or two others run.
         """
-        silent = race.running[0].attempt.endpoint
+        running = race.running
         self._runner.check_deadline(progress)
-        if len(race.running) > 1 or answer.is_moving:
+        if answer.is_moving or not answer.has_delivered_texts:
+            return races.Arrival(running[0], races.silence())
+        if len(running) > 1 and running[-1].age_s < self._runner.silence_s:
             return None
-        if not answer.has_delivered_texts:
-            # The rest is known to this engine alone.
-            return races.Arrival(race.running[0], races.silence())
-        endpoint = self._runner.choose_beside(progress, silent)
-        if endpoint is not None:
-            attempt = self._make_attempt(answer, endpoint)
-            race.start(attempt, self._runner.counted(endpoint, answer.request))
-        return None
+        endpoint = self._runner.choose_beside(
+            progress, [one.attempt.endpoint for one in running]
+        )
+        if endpoint is None:
+            return None
+        attempt = self._make_attempt(answer, endpoint)
+        race.start(attempt, self._runner.counted(endpoint, answer.request))
+        return races.Arrival(running[0], races.silence()) if len(running) > 1 else None
 
     @staticmethod
     def _may_go_on(
