Take an endpoint for alive as of when the call that it answers was sent

Cause: an answer was dated by its end. A caller that reads slowly gets the end of an answer whose endpoint has crashed since, and all entries then dropped the crash. Evidence: a new scenario of promptparts.feature, which fails without the change: entry 2 sends the part again. Change: what is recorded is when the call was sent.

--- a/acaciaward/gateway/attempts.py
+++ b/acaciaward/gateway/attempts.py
@@ -312,7 +312,9 @@
 
     def _record_survived(self, progress: callprogress.Progress, work: Work) -> None:
         self._deps.prompt_parts.record_served(
-            progress.call.shared_parts, crashreports.run_key(*work.endpoint.incarnation)
+            progress.call.shared_parts,
+            crashreports.run_key(*work.endpoint.incarnation),
+            sent_at=work.started_at,
         )
 
     async def _bind_to_version(
--- a/acaciaward/gateway/retries.py
+++ b/acaciaward/gateway/retries.py
@@ -166,6 +166,7 @@
             self._deps.prompt_parts.record_served(
                 progress.call.shared_parts,
                 crashreports.run_key(*work.endpoint.incarnation),
+                sent_at=work.started_at,
             )
         version = work.endpoint.version
         if self._deps.suspects.record_served(progress.digest, version):
--- a/acaciaward/quarantine/crashedendpoints.py
+++ b/acaciaward/quarantine/crashedendpoints.py
@@ -6,7 +6,7 @@
 
     crashed = CrashedEndpoints(time.monotonic)
     crashed.record_crash("i-1/5", time.monotonic())
-    crashed.record_answer("i-1/5")  # more than a second later
+    crashed.record_answer("i-1/5", sent_at)  # more than a second later
     crashed.has_gone_on("i-1/5", crashed_at)  # True
 
 See ``docs/design/tainted-parts.md``.
@@ -56,14 +56,14 @@
         else:
             self._crashed_at[endpoint] = min(at, known_at)
 
-    def record_answer(self, endpoint: str) -> bool:
+    def record_answer(self, endpoint: str, at: float) -> bool:
         """
-        Record that an endpoint answers this entry.
+        Record that an endpoint answers a call that this entry sent at a time.
 
         Returns whether this shows that it hasn't crashed, as was known until now.
         """
-        now = self._clock()
-        _put(self._answered_at, endpoint, now)
+        latest = max(at, self._answered_at.get(endpoint, -math.inf))
+        _put(self._answered_at, endpoint, latest)
         return self._drop(endpoint)
 
     def receive_answer(self, endpoint: str, at: float) -> bool:
--- a/acaciaward/quarantine/features/promptparts.feature
+++ b/acaciaward/quarantine/features/promptparts.feature
@@ -158,6 +158,16 @@
     And the entries tell each other, 0.2 s later
     Then every entry sends "a x"
 
+  # A crashing part was never found: callers that read slowly got ends of answers later.
+  Scenario: The end of an answer to an earlier call doesn't show that its endpoint goes on
+    Given 3 entries that know of no part
+    When a call with "a x" crashes 3 endpoints at entry 1
+    And 1.5 s pass at all entries
+    And endpoint 1 ends an answer to a call with "b" that entry 2 sent 3 s ago
+    And the entries tell each other, 0.2 s later
+    Then entry 2 doesn't send "a x"
+    And entry 3 doesn't send "a x"
+
   # The reviewer's model: 5 of 450 answers and 62 of 455 were refused for a part.
   Scenario Outline: A cut that resets connections accuses no part
     Then with <cut> of 9 entries cut off by resets for 6 s, no call is refused for a part
--- a/acaciaward/quarantine/features/steps/promptparts_steps.py
+++ b/acaciaward/quarantine/features/steps/promptparts_steps.py
@@ -96,6 +96,17 @@
     context.entries[entry].record_served(parts.split(), f"s-{endpoint}")
 
 
+@when(
+    'endpoint {endpoint:d} ends an answer to a call with "{parts}" that entry {entry:d}'
+    " sent {ago_s:g} s ago"
+)
+def end_answer(context, endpoint, parts, entry, ago_s):
+    sent_at = context.now - ago_s
+    context.entries[entry].record_served(
+        parts.split(), f"s-{endpoint}", sent_at=sent_at
+    )
+
+
 @when("the entries tell each other once")
 def tell_once(context):
     exchange_reports(context.entries.values())
--- a/acaciaward/quarantine/promptparts.py
+++ b/acaciaward/quarantine/promptparts.py
@@ -131,10 +131,22 @@
         suspects = [self._suspects[part] for part in parts if part in self._suspects]
         return max((len(suspect.crashed_at) for suspect in suspects), default=0)
 
-    def record_served(self, parts: abc.Iterable[str], endpoint: str = "") -> None:
-        """Record that an endpoint answers a call, or goes on with its answer."""
+    def record_served(
+        self,
+        parts: abc.Iterable[str],
+        endpoint: str = "",
+        *,
+        sent_at: float | None = None,
+    ) -> None:
+        """
+        Record that an endpoint answers a call, or goes on with its answer.
+
+        The endpoint was there when the call was sent, by default now: a caller that
+        reads slowly gets the end of an answer that its endpoint finished long before.
+        """
         now = self._clock()
-        if endpoint and self._crashed.record_answer(endpoint):
+        alive_at = now if sent_at is None else sent_at
+        if endpoint and self._crashed.record_answer(endpoint, alive_at):
             self._acquit(endpoint)
         for part in parts:
             _put(self._served_at, part, now, MAX_SERVED)
