--- a/acaciaward/dispatch/streams.py
+++ b/acaciaward/dispatch/streams.py
@@ -302,8 +302,7 @@
         """
         Begin another attempt beside one that is silent, if that is allowed.
 
-        Returns the failure of the oldest one if it isn't waited for any more: another
-        engine has been told to go on, none can ever take its place, or two others run.
+        Returns the failure of the oldest one if it isn't waited for any more.
         """
         running = race.running
         self._runner.check_deadline(progress)
