--- a/acaciaward/catalogue/routes.py
+++ b/acaciaward/catalogue/routes.py
@@ -169,6 +169,20 @@
             default=0.0,
         )
 
+    def shortest_gap_s(self, service: str) -> float | None:
+        """Return the shortest pause allowed between a service's events, if any is."""
+        return self._shortest_gaps.get(service)
+
+    @functools.cached_property
+    def _shortest_gaps(self) -> dict[str, float]:
+        gaps: dict[str, float] = {}
+        for route in self.catalogue.routes:
+            if not route.max_gap_s:
+                continue
+            for name, _ in route.shares:
+                gaps[name] = min(route.max_gap_s, gaps.get(name, route.max_gap_s))
+        return gaps
+
     @functools.cached_property
     def scaled_services(self) -> list[Service]:
         """The services whose endpoints are rented."""
--- a/acaciaward/fleet/datacentreplan.py
+++ b/acaciaward/fleet/datacentreplan.py
@@ -9,6 +9,10 @@
 
 The failures that this covers: a data centre is reclaimed and no reclaimable endpoints
 are available, two reclaims in a row, and demand that rises faster than endpoints boot.
+
+While an engine prefills prompts, the events of its streams are delayed. Where callers
+allow only short pauses, an engine may therefore prefill for a smaller share of its
+time, and the same demand needs more engines.
 """
 
 import math
@@ -23,6 +27,15 @@
 # more than seven tenths of its time, the gaps between the tokens of a stream and the
 # queueing times grow fast.
 ENGINE_TOKENS_PER_S = 45_000.0
+# Shortest allowed pause between events with which ``ENGINE_TOKENS_PER_S`` holds, in
+# seconds; measured with pauses of 0.5 and 0.6 s.
+UNHURRIED_GAP_S = 0.5
+# Prompt tokens to plan for, as a share of those that an engine prefills in that time
+# beside its streams: ``ENGINE_TOKENS_PER_S`` is this share of 75,000.
+PREFILL_SHARE = 0.6
+# A prefill rate outside of these bounds is a wrong measurement, in tokens a second.
+MIN_PREFILL_TOKENS_PER_S = 15_000.0
+MAX_PREFILL_TOKENS_PER_S = 400_000.0
 # Share of an engine's slots to fill with streams. The rest is for bursts, and each
 # stream lengthens the gaps between the tokens of all others.
 TARGET_SLOT_SHARE = 0.6
@@ -30,7 +43,7 @@
 # out the headroom that is part of the need.
 GUARDED_SHARE = 0.8
 # Before there is any demand, the need is this share of the endpoints that existed at
-# the start.
+# the start, and more of them where callers allow only short pauses.
 INITIAL_SHARE = 0.6
 # Demand to plan for, as a multiple of the current one: bursts rise faster than
 # endpoints boot.
@@ -62,13 +75,48 @@
     needed: int
 
 
-def engines_needed(tokens_per_s: float, streams: float, slots: int) -> int:
+def engine_tokens_per_s(prefill_tokens_per_s: float, max_gap_s: float | None) -> float:
+    """
+    Return the prompt tokens a second to plan for each engine of a service.
+
+    ``prefill_tokens_per_s`` is what an engine prefills beside its streams, as measured,
+    and ``max_gap_s`` the shortest pause between events that callers of the service
+    allow, None if they allow any.
+
+        engine_tokens_per_s(64_000, 0.3)  # 23,040
+    """
+    if gap_share(max_gap_s) == 1.0:
+        return ENGINE_TOKENS_PER_S
+    measured = min(
+        MAX_PREFILL_TOKENS_PER_S, max(MIN_PREFILL_TOKENS_PER_S, prefill_tokens_per_s)
+    )
+    return PREFILL_SHARE * measured * gap_share(max_gap_s)
+
+
+def gap_share(max_gap_s: float | None) -> float:
+    """Return an allowed pause as a share of one that needs no further engines."""
+    return min(1.0, max_gap_s / UNHURRIED_GAP_S) if max_gap_s else 1.0
+
+
+def initial_need(initial_count: int, max_gap_s: float | None) -> int:
+    """Return how many of the endpoints that existed at the start to keep."""
+    return math.ceil(min(1.0, INITIAL_SHARE / gap_share(max_gap_s)) * initial_count)
+
+
+def engines_needed(
+    tokens_per_s: float,
+    streams: float,
+    slots: int,
+    tokens_per_engine: float = ENGINE_TOKENS_PER_S,
+) -> int:
     """
     Return how many engines with ``slots`` slots each a demand needs, with headroom.
 
+    ``tokens_per_engine`` are the prompt tokens a second to plan for each.
+
         engines_needed(70_000, 12, 64)  # 2
     """
-    by_tokens = tokens_per_s / ENGINE_TOKENS_PER_S
+    by_tokens = tokens_per_s / tokens_per_engine
     by_streams = streams / max(1.0, TARGET_SLOT_SHARE * slots)
     return max(MIN_ENGINES, math.ceil(HEADROOM_FACTOR * max(by_tokens, by_streams)))
 
--- a/acaciaward/fleet/endpointscaling.py
+++ b/acaciaward/fleet/endpointscaling.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import math
 import time
 import typing
 from collections import abc
@@ -29,9 +28,12 @@
 SHRINK_HOLD_S = 8.0
 # An order is sent only if the lease lasts at least this much longer.
 SEND_MARGIN_S = 0.8
-# Endpoints that existed at the start have all been discovered this long after the first
-# one, since they write their records about once a second.
+# Endpoints that existed at the start have not all been discovered sooner than this
+# after the first one, since they write their records about once a second.
 INITIAL_DISCOVERY_S = 2.5
+# Nor have they while further ones appeared within this time. The records of 45
+# endpoints took 4 s to appear.
+INITIAL_SETTLE_S = 1.5
 # Slots of an endpoint whose service doesn't configure them.
 DEFAULT_SLOTS = 16
 
@@ -70,6 +72,25 @@
 SendOrder = abc.Callable[[ScaleOrder, int], abc.Awaitable[None]]
 
 
+class Load(typing.NamedTuple):
+    """
+    What a service's endpoints have to serve and how they do it.
+
+    ``prefill_tokens_per_s`` is the rate at which an engine prefills beside its streams,
+    ``max_gap_s`` the shortest pause between events that callers allow, None if any.
+    """
+
+    tokens_per_s: float = 0.0
+    at_once: float = 0.0
+    prefill_tokens_per_s: float = 0.0
+    max_gap_s: float | None = None
+
+    @property
+    def has_demand(self) -> bool:
+        """Whether callers request anything of the service."""
+        return self.tokens_per_s > 0 or self.at_once > 0
+
+
 class EndpointScaler:
     """Orders the endpoints that the demand of each service needs."""
 
@@ -78,7 +99,7 @@
         lease: conditionallease.ConditionalLease,
         directory: endpoints.Directory,
         services: abc.Callable[[], abc.Sequence[routes.Service]],
-        demand: abc.Callable[[str], tuple[float, float]],
+        load: abc.Callable[[str], Load],
         send: SendOrder,
         *,
         clock: abc.Callable[[], float] = time.monotonic,
@@ -86,13 +107,14 @@
         self._lease = lease
         self._directory = directory
         self._services = services
-        self._demand = demand
+        self._load = load
         self._send = send
         self._clock = clock
         self._sent_orders: dict[tuple[str, datacentreplan.Kind], _SentOrder] = {}
         self._reclaimable_retry_at: dict[tuple[str, str], float] = {}
         self._smoothed_needs: dict[str, tuple[int, float]] = {}
-        self._initial_endpoints: dict[str, int] = {}
+        # How many endpoints existed at the start, as far as discovered, and since when.
+        self._initial_endpoints: dict[str, tuple[int, float]] = {}
         self._first_seen: dict[str, float] = {}
         self._fence: int | None = None
 
@@ -142,12 +164,17 @@
         Until then reclaimable endpoints are already ordered as their replacement,
         but orders for safe endpoints, which could release some, are withheld.
         """
-        if any(self._demand(service.name)):
+        if self._load(service.name).has_demand:
             return True
         if not self._directory.ready(service.name):
             return False
-        first_seen_at = self._first_seen.setdefault(service.name, self._clock())
-        return self._clock() - first_seen_at >= INITIAL_DISCOVERY_S
+        now = self._clock()
+        first_seen_at = self._first_seen.setdefault(service.name, now)
+        _, discovered_at = self._find_initial(service)
+        return (
+            now - first_seen_at >= INITIAL_DISCOVERY_S
+            and now - discovered_at >= INITIAL_SETTLE_S
+        )
 
     async def _order(
         self,
@@ -237,16 +264,41 @@
             self._update_need(service, sum(ready.values()) if is_initialised else 0),
         )
 
+    def _find_initial(self, service: routes.Service) -> tuple[int, float]:
+        """
+        Return how many endpoints existed at the start, and when the last one appeared.
+
+        Their records appear over some seconds, so the most that were ready at once
+        count. Those that this entry ordered in their place don't.
+        """
+        ready = sum(
+            not endpoint.is_reclaimable
+            for endpoint in self._directory.ready(service.name)
+        )
+        known = self._initial_endpoints.get(service.name)
+        if known is None or ready > known[0]:
+            known = self._initial_endpoints[service.name] = (ready, self._clock())
+        return known
+
     def _update_need(self, service: routes.Service, ready: int) -> int:
         """Return how many engines are needed; the number falls only after a hold."""
-        tokens_per_s, streams = self._demand(service.name)
+        load = self._load(service.name)
         slots = service.engine.slots if service.engine else DEFAULT_SLOTS
-        needed = datacentreplan.engines_needed(tokens_per_s, streams, slots)
-        if ready and not tokens_per_s and not streams:
+        needed = datacentreplan.engines_needed(
+            load.tokens_per_s,
+            load.at_once,
+            slots,
+            datacentreplan.engine_tokens_per_s(
+                load.prefill_tokens_per_s, load.max_gap_s
+            ),
+        )
+        if ready and not load.has_demand:
             # Without requests yet, the initial endpoints indicate the expected demand.
-            initial_count = self._initial_endpoints.setdefault(service.name, ready)
             needed = max(
-                needed, math.ceil(datacentreplan.INITIAL_SHARE * initial_count)
+                needed,
+                datacentreplan.initial_need(
+                    self._find_initial(service)[0], load.max_gap_s
+                ),
             )
         now = self._clock()
         smoothed, since = self._smoothed_needs.get(service.name, (needed, now))
--- a/acaciaward/fleet/features/steps/datacentreplan_steps.py
+++ b/acaciaward/fleet/features/steps/datacentreplan_steps.py
@@ -183,7 +183,7 @@
             types.SimpleNamespace(held=lambda for_s: types.SimpleNamespace(fence=1)),
             self.directory,
             lambda: [service],
-            lambda name: self.demand,
+            lambda name: endpointscaling.Load(*self.demand),
             self.send,
             clock=lambda: self.now,
         )
--- a/acaciaward/gateway/duties.py
+++ b/acaciaward/gateway/duties.py
@@ -49,7 +49,7 @@
         directory: endpoints.Directory,
         *,
         services: abc.Callable[[], abc.Sequence[routes.Service]],
-        demand: abc.Callable[[str], tuple[float, float]],
+        load: abc.Callable[[str], endpointscaling.Load],
         usage_of_others: abc.Callable[[], reporting.ReportedCounts | None],
     ):
         self._name = settings["instance"]["name"]
@@ -97,7 +97,7 @@
             self._task_factories.append(reporter.run)
         if platform_duties.SCALING_DUTY in names:
             scaler = endpointscaling.EndpointScaler(
-                lease, directory, services, demand, cloud.scale
+                lease, directory, services, load, cloud.scale
             )
             self._task_factories.append(scaler.run)
 
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -21,6 +21,7 @@
     storeview,
 )
 from acaciaward.entry import peerservices
+from acaciaward.fleet import endpointscaling
 from acaciaward.gateway import (
     callers,
     callprogress,
@@ -153,7 +154,7 @@
             self._membership,
             self._directory,
             services=lambda: self._store_view.scaled_services,
-            demand=lambda name: self._state_exchange.demand_of(name),
+            load=self._load_of,
             usage_of_others=self._reported_usage,
         )
         self._entry_quotas = entryquotas.EntryQuotas(
@@ -328,6 +329,15 @@
         if progress.first_byte_s is not None:
             metrics.FIRST_BYTE_SECONDS.labels(kind).observe(progress.first_byte_s)
 
+    def _load_of(self, service: str) -> endpointscaling.Load:
+        """Return what the endpoints of a service have to serve, over all entries."""
+        index = self._store_view.index
+        return endpointscaling.Load(
+            *self._state_exchange.demand_of(service),
+            prefill_tokens_per_s=self._occupancy.prefill_tokens_per_s,
+            max_gap_s=index.shortest_gap_s(service) if index else None,
+        )
+
     @property
     def _busy_count(self) -> int:
         return self._callers.busy_count + self._detours.busy_count
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -367,6 +367,11 @@
             average_s = self._service_s.get(service, took_s)
             self._service_s[service] = average_s + SMOOTHING * (took_s - average_s)
 
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """The rate at which engines prefill beside their streams, as measured here."""
+        return self._prefill_tokens_per_s
+
     def service_s(self, service: str) -> float:
         """Return how long a request at a service takes, as measured here, or 0."""
         return self._service_s.get(service, 0.0)
