Let only readers read the configuration while nothing changes

What callers saw: nothing; the platform saw up to 3,139 reads of `keyed.op` and 538 listings of it from 74 entries within 18 s, growing with the entries.

Cause: a long poll that ended without a change counted as old as its beginning, so a reader's knowledge was 0.8 to 1.6 s old while its entries allow 1.3 s (MAX_STORE_AGE_S) and then read by themselves. The pause between two reads of the endpoints came on top of how long a read took, with the same effect at a slow store.

Change: an empty answer after the whole wait shows the topic's state at the end of that wait. A poll waits until what was read is `store.wait_s` old, and endpoints are read again 0.6 s after the last read began. So what a reader knows is at most one interval and one round trip old. An answer before the end of its wait, or with a change, still counts from its request. MAX_STORE_AGE_S is unchanged.

--- a/acaciaward/catalogue/features/delivery.py
+++ b/acaciaward/catalogue/features/delivery.py
@@ -42,6 +42,8 @@
         self.ports = {listener: ports.find_free_port() for listener in LISTENERS}
         self.proxy: faultproxy.FaultProxy | None = None
         self.gateway: process.Gateway | None = None
+        # The calls to the store, by the name of the call and the topic.
+        self.calls: collections.Counter[tuple[str, str]] = collections.Counter()
         # Monotonic time at which each version came into force.
         self.in_force_at: dict[int, float] = {}
         self.versions: list[int] = []
@@ -56,6 +58,21 @@
         """The names of the endpoints that the gateway would send work to."""
         return {endpoint.name for endpoint in self.gateway._directory.ready("app")}
 
+    def count_calls(self) -> None:
+        """Count the gateway's calls to the store from now on."""
+        client = self.gateway._store
+        call = client._call
+
+        def count_and_call(method, name, query, **options):
+            self.calls[name, query["Topic"]] += 1
+            return call(method, name, query, **options)
+
+        client._call = count_and_call
+
+    def calls_of(self, topic: str) -> int:
+        """Return how many calls concerned a topic."""
+        return sum(count for (_, name), count in self.calls.items() if name == topic)
+
     def record(self, catalogue) -> None:
         """Record that a version came into force."""
         self.in_force_at.setdefault(catalogue.version, time.monotonic())
@@ -125,6 +142,7 @@
     async def start_gateway(self, entry: Entry) -> None:
         """Start an entry's gateway in this process."""
         entry.gateway = process.Gateway(self._settings(entry))
+        entry.count_calls()
         self.prepare(entry)
         entry.view.subscribe(entry.record)
         context = contextvars.copy_context()
--- a/acaciaward/catalogue/topicfollower.py
+++ b/acaciaward/catalogue/topicfollower.py
@@ -73,12 +73,13 @@
     """
     Reads one topic until cancelled and calls back with listings and changes.
 
-    ``wait_s`` is the long-poll timeout: the store may hold a call that long until
-    there is a change. ``pause_s`` is a pause between calls, for topics that change all
-    the time. While ``is_relayed`` returns True, updates arrive another way and nothing
-    is read; afterwards, a listing is read first. ``on_read`` is called after each read
-    with the monotonic time at which it began, and whether every change since the read
-    before was among its changes.
+    ``wait_s`` is the long-poll timeout: the store may hold a call until there is a
+    change, or until what was read is that old. ``pause_s`` is the time between the
+    beginnings of two calls, for topics that change all the time. Both bound the age of
+    what was read to that time and one round trip more. While ``is_relayed`` returns
+    True, updates arrive another way and nothing is read; afterwards, a listing is read
+    first. ``on_read`` is called after each read with the monotonic time whose state it
+    showed, and whether every change since the read before was among its changes.
     """
 
     def __init__(
@@ -110,8 +111,13 @@
         self._era = 0
         self._failures = 0
         self.listed = asyncio.Event()
+        # The monotonic time whose state of the topic was read last.
         self.read_at = -math.inf
 
+    @property
+    def _age_s(self) -> float:
+        return time.monotonic() - self.read_at
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -142,7 +148,7 @@
                 await self._back_off()
             else:
                 self._record_success()
-                await asyncio.sleep(self._pause_s)
+                await asyncio.sleep(max(0.0, self._pause_s - self._age_s))
 
     async def _read_once(self) -> None:
         if self._next_offset is None:
@@ -158,7 +164,7 @@
             self.listed.set()
         requested_at = time.monotonic()
         # After a failure the first answer is needed at once, also if nothing changed.
-        wait_s = 0.0 if self._failures else self._wait_s
+        wait_s = 0.0 if self._failures else max(0.0, self._wait_s - self._age_s)
         page = await self._source.read_changes(self._next_offset, wait_s=wait_s)
         if page.era > self._era or page.end_offset < self._next_offset:
             log.warning(
@@ -175,7 +181,11 @@
             return
         for change in page.changes:
             self._on_change(change)
+        is_empty = page.end_offset == page.next_offset == self._next_offset
         self._next_offset = page.next_offset
+        if is_empty and time.monotonic() - requested_at >= wait_s:
+            # The store answers an unchanged topic when the wait ends, not before.
+            requested_at += wait_s
         self._record_read(requested_at, is_continuous=True)
 
     def _record_read(self, began_at: float, *, is_continuous: bool) -> None:
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -38,6 +38,8 @@
 TICK_INTERVAL_S = 0.25
 # An entry reads the store itself if the reader read it longer ago than this: all
 # entries must know of a leaving endpoint or a configuration in less than two seconds.
+# In calm, what the reader has read is at most ``store.wait_s`` (0.6 s) and a round trip
+# to the store old, and a tick older at its entries: 1.1 s at a round trip of 0.25 s.
 MAX_STORE_AGE_S = 1.3
 # Without a relay for this long, an entry counts itself only.
 RELAY_TIMEOUT_S = 1.2
--- a/standins/edgestore.py
+++ b/standins/edgestore.py
@@ -6,9 +6,9 @@
 key has a newest value. ``mode`` injects a fault: ``silent`` never answers, ``busy``
 refuses with 503, ``reset`` resets the connection, ``lost`` carries out the call but
 withholds some of the answers to writes, ``late`` leaves some appends unanswered and
-carries them out seconds later, ``slow`` delays. ``restore`` brings the store back from
-an older copy, with the next era; ``expire`` drops old records. ``reports`` and
-``orders`` record the calls of the duties' holders.
+carries them out seconds later, ``slow`` delays. ``delay_range_s`` delays all calls.
+``restore`` brings the store back from an older copy, with the next era; ``expire``
+drops old records. ``reports`` and ``orders`` record the calls of the duties' holders.
 """
 
 import asyncio
@@ -120,6 +120,8 @@
         self._topics: dict[str, Topic] = collections.defaultdict(Topic)
         self._listener = edgewire.Listener(self._handle)
         self.mode = "pass"
+        # The least and the longest time before a call is carried out, in seconds.
+        self.delay_range_s = (0.0, 0.0)
         self.era = 1
         self.reports: list[DutyCall] = []
         self.orders: list[DutyCall] = []
@@ -236,6 +238,7 @@
             return True
         if mode == "slow":
             await asyncio.sleep(self._random.uniform(0, 2 * MEAN_DELAY_S))
+        await asyncio.sleep(self._random.uniform(*self.delay_range_s))
         is_append = request.path == APPEND_PATH
         if mode == "late" and is_append and self._is_left_unanswered():
             self._append_later(request)
