--- a/acaciaward/fleet/datacentreplan.py
+++ b/acaciaward/fleet/datacentreplan.py
@@ -49,6 +49,8 @@
 # endpoints boot.
 HEADROOM_FACTOR = 1.25
 MIN_ENGINES = 2
+# Data centres whose reclaim in a row is covered where callers allow only short pauses.
+MAX_COVERED_LOSSES = 2
 
 
 class Kind(typing.NamedTuple):
@@ -65,7 +67,8 @@
     ``ready`` counts endpoints that get new work, ``booting`` those whose order was
     accepted and that aren't ready yet. ``without_reclaimable`` are data centres that
     recently refused an order for reclaimable endpoints. ``needed`` is how many engines
-    the demand needs.
+    the demand needs, and ``covered_losses`` how many data centres may be reclaimed one
+    after the other while the reclaimable endpoints of the rest are enough.
     """
 
     scaling: routes.Scaling
@@ -73,6 +76,7 @@
     booting: abc.Mapping[Kind, int]
     without_reclaimable: abc.Set[str]
     needed: int
+    covered_losses: int = 1
 
 
 def engine_tokens_per_s(prefill_tokens_per_s: float, max_gap_s: float | None) -> float:
@@ -98,6 +102,36 @@
     return min(1.0, max_gap_s / UNHURRIED_GAP_S) if max_gap_s else 1.0
 
 
+def covered_losses(scaling: routes.Scaling, max_gap_s: float | None) -> int:
+    """
+    Return how many reclaims in a row the reclaimable endpoints have to cover.
+
+    Where callers allow only short pauses, those that are left can't take on more, and
+    new ones boot too late when a second data centre is reclaimed. Then two reclaims are
+    covered, provided that this costs less than safe endpoints.
+
+        covered_losses(scaling, 0.3)  # 2 of 3 data centres, at 0.18 of the price
+    """
+    data_centres = len(scaling.prices)
+    if gap_share(max_gap_s) == 1.0 or data_centres <= MAX_COVERED_LOSSES:
+        return 1
+    factor = data_centres / (data_centres - MAX_COVERED_LOSSES)
+    price = scaling.reclaimable_price
+    if price is None or price * factor >= 1.0:
+        return 1
+    return MAX_COVERED_LOSSES
+
+
+def covered_need(ready: abc.Mapping[Kind, int], losses: int) -> int:
+    """Return the need that endpoints cover after so many losses of data centres."""
+    counts: dict[str, int] = {}
+    for kind, count in ready.items():
+        counts[kind.data_centre] = counts.get(kind.data_centre, 0) + count
+    remaining = sorted(counts.values())[: max(0, len(counts) - losses)]
+    # The plan adds one to the share of each data centre.
+    return max(0, sum(remaining) - len(remaining))
+
+
 def initial_need(initial_count: int, max_gap_s: float | None) -> int:
     """Return how many of the endpoints that existed at the start to keep."""
     return math.ceil(min(1.0, INITIAL_SHARE / gap_share(max_gap_s)) * initial_count)
@@ -154,7 +188,9 @@
     plan = {}
     for data_centre in data_centres:
         kept = _ready_and_booting(snapshot, Kind(data_centre, False))
-        if sum(ready.values()) >= snapshot.needed:
+        # Where two losses are covered, safe endpoints may fill the maximum of a data
+        # centre. Those that aren't needed leave room for reclaimable ones.
+        if sum(ready.values()) >= snapshot.needed or snapshot.covered_losses > 1:
             kept = min(kept, max(0, missing_now))
         # Each data centre has at least its minimum, counting both kinds.
         floor = max(0, bounds.minimum - expected[data_centre])
@@ -188,8 +224,9 @@
     bounds = snapshot.scaling
     if bounds.reclaimable_price is None:
         return {}
-    # After the loss of one data centre the others must carry the demand.
-    share = math.ceil(snapshot.needed / max(1, len(data_centres) - 1))
+    # After the covered losses the other data centres must carry the demand.
+    remaining = max(1, len(data_centres) - snapshot.covered_losses)
+    share = math.ceil(snapshot.needed / remaining)
     target = max(bounds.minimum, min(share + 1, snapshot.needed))
     plan = {}
     for data_centre in data_centres:
--- a/acaciaward/fleet/endpointscaling.py
+++ b/acaciaward/fleet/endpointscaling.py
@@ -140,6 +140,7 @@
             # Another holder may have ordered since, so the whole plan is sent again.
             self._fence = tenure.fence
             self._sent_orders.clear()
+            self._smoothed_needs.clear()
         is_initialised = self._is_initialised(service)
         # Reclaimable endpoints are ordered first, because the number of safe ones
         # depends on which reclaimable ones are available.
@@ -256,12 +257,17 @@
             for (name, data_centre), retry_at in self._reclaimable_retry_at.items()
             if name == service.name and retry_at > now
         }
+        load = self._load(service.name)
+        losses = datacentreplan.covered_losses(service.scaling, load.max_gap_s)
+        need = self._find_need(service, load, is_initialised=is_initialised)
+        covered = datacentreplan.covered_need(ready, losses) if load.has_demand else 0
         return datacentreplan.Snapshot(
             service.scaling,
             ready,
             booting,
             without_reclaimable,
-            self._update_need(service, sum(ready.values()) if is_initialised else 0),
+            self._smooth_need(service.name, need, covered),
+            losses,
         )
 
     def _find_initial(self, service: routes.Service) -> tuple[int, float]:
@@ -280,34 +286,37 @@
             known = self._initial_endpoints[service.name] = (ready, self._clock())
         return known
 
-    def _update_need(self, service: routes.Service, ready: int) -> int:
-        """Return how many engines are needed; the number falls only after a hold."""
-        load = self._load(service.name)
-        slots = service.engine.slots if service.engine else DEFAULT_SLOTS
+    def _find_need(
+        self, service: routes.Service, load: Load, *, is_initialised: bool
+    ) -> int:
+        """Return how many engines are needed now."""
         needed = datacentreplan.engines_needed(
             load.tokens_per_s,
             load.at_once,
-            slots,
+            service.engine.slots if service.engine else DEFAULT_SLOTS,
             datacentreplan.engine_tokens_per_s(
                 load.prefill_tokens_per_s, load.max_gap_s
             ),
         )
-        if ready and not load.has_demand:
-            # Without requests yet, the initial endpoints indicate the expected demand.
-            needed = max(
-                needed,
-                datacentreplan.initial_need(
-                    self._find_initial(service)[0], load.max_gap_s
-                ),
-            )
+        if load.has_demand or not is_initialised:
+            return needed
+        # Without requests yet, the initial endpoints indicate the expected demand.
+        initial_count, _ = self._find_initial(service)
+        return max(needed, datacentreplan.initial_need(initial_count, load.max_gap_s))
+
+    def _smooth_need(self, service: str, needed: int, covered: int) -> int:
+        """
+        Return how many engines are needed; the number falls only after a hold.
+
+        A new holder doesn't know what was needed before. ``covered``, the need that the
+        present endpoints cover, stands in for it.
+        """
         now = self._clock()
-        smoothed, since = self._smoothed_needs.get(service.name, (needed, now))
+        smoothed, since = self._smoothed_needs.get(service, (max(needed, covered), now))
         if needed >= smoothed:
-            self._smoothed_needs[service.name] = (needed, now)
+            smoothed, since = needed, now
         elif now - since > SHRINK_HOLD_S:
             # A large fleet shrinks in larger steps than a small one.
-            step = max(1, (smoothed - needed) // 4)
-            self._smoothed_needs[service.name] = (smoothed - step, now)
-        else:
-            self._smoothed_needs[service.name] = (smoothed, since)
-        return self._smoothed_needs[service.name][0]
+            smoothed, since = smoothed - max(1, (smoothed - needed) // 4), now
+        self._smoothed_needs[service] = (smoothed, since)
+        return smoothed
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -21,7 +21,6 @@
     storeview,
 )
 from acaciaward.entry import peerservices
-from acaciaward.fleet import endpointscaling
 from acaciaward.gateway import (
     callers,
     callprogress,
@@ -29,6 +28,7 @@
     duties,
     entryquarantine,
     entryquotas,
+    fleetload,
     forwarding,
     housekeeping,
     interfaces,
@@ -154,7 +154,7 @@
             self._membership,
             self._directory,
             services=lambda: self._store_view.scaled_services,
-            load=self._load_of,
+            load=lambda name: self._fleet_load.load_of(name),
             usage_of_others=self._reported_usage,
         )
         self._entry_quotas = entryquotas.EntryQuotas(
@@ -182,7 +182,15 @@
             self._route_history,
             process_run=self._duties.process_run,
         )
-        self._demand = demand.Demand(time.monotonic, self._occupancy.service_s)
+        self._fleet_load = fleetload.FleetLoad(
+            lambda: self._store_view.index,
+            demand_of=lambda name: self._state_exchange.demand_of(name),
+            requests_of=lambda name: self._occupancy.service_load(name)[0],
+            duration_s=self._occupancy.service_s,
+            prefill_tokens_per_s=lambda name: self._occupancy.prefill_tokens_per_s,
+            clock=time.monotonic,
+        )
+        self._demand = demand.Demand(time.monotonic, self._fleet_load.duration_s)
         self._forwarder = forwarding.Forwarder(
             interfaces.Dependencies(
                 index=lambda: self._store_view.index,
@@ -329,15 +337,6 @@
         if progress.first_byte_s is not None:
             metrics.FIRST_BYTE_SECONDS.labels(kind).observe(progress.first_byte_s)
 
-    def _load_of(self, service: str) -> endpointscaling.Load:
-        """Return what the endpoints of a service have to serve, over all entries."""
-        index = self._store_view.index
-        return endpointscaling.Load(
-            *self._state_exchange.demand_of(service),
-            prefill_tokens_per_s=self._occupancy.prefill_tokens_per_s,
-            max_gap_s=index.shortest_gap_s(service) if index else None,
-        )
-
     @property
     def _busy_count(self) -> int:
         return self._callers.busy_count + self._detours.busy_count
--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -83,11 +83,9 @@
         """Adjust the clock to the Unix time of the majority of entries."""
         self._components.clock.correct(now)
 
-    def demand_of(self, service: str) -> tuple[float, float]:
-        """Return a service's demand over all entries: tokens/s, concurrent requests."""
+    def demand_of(self, service: str) -> demand.ServiceDemand:
+        """Return a service's demand over all entries."""
         service_demand = self._demand.get(
             service
         ) or self._components.demand.by_service().get(service)
-        service_demand = service_demand or demand.ServiceDemand()
-        running = self._components.occupancy.service_load(service)[0]
-        return service_demand.tokens_per_s, max(service_demand.at_once, running)
+        return service_demand or demand.ServiceDemand()
