Store usage that readers were told late, or by runs that ended

Causes, each shown by a test that failed: a reader stored only windows from the one in which its clock was confirmed, so that after a start late in a window everything that its data centre had counted in it was left out (51 of 51 in the test). Counts that came after a reader had stored a window weren't stored any more (10 of 51). The report of a run that had ended was replaced by that of the next run under the same name (5 of 51). A holder that had just started took a window for complete as soon as the few entries that it knew had stored it.

Change: a reader keeps what any run reported of the last two finished windows, and stores what changed of it, at most once a second. That a run counted nothing is said only of windows that ended since the reader began. Entries count what their readers store as stored, so a lost reader causes no appends by others. A holder judges whether a window is complete only 3 s after its start; until then the bounded wait applies. What was counted by a clock that was wrong at its start is forgotten when the clock is corrected.

Counts that no reader had stored when all entries end stay lost.

--- a/acaciaward/gateway/duties.py
+++ b/acaciaward/gateway/duties.py
@@ -58,6 +58,8 @@
         self.process_run = f"{self._name}/{uuid.uuid4().hex[:8]}"
         self.clock = counting.CorrectedClock()
         self.counter = counting.UsageCounter(bounds["usage_window_s"], self.clock.now)
+        # What was counted by a wrong clock is in the wrong windows.
+        self.clock.on_first_step = self.counter.clear
         self._task_factories: list[abc.Callable[[], typing.Coroutine]] = []
         self._lease: conditionallease.ConditionalLease | None = None
         cloud_settings = settings["cloud"]
--- a/acaciaward/usage/counting.py
+++ b/acaciaward/usage/counting.py
@@ -51,6 +51,8 @@
         # Since when this clock has seemed to be ahead, and by how much, negative.
         self._ahead_since: float | None = None
         self._ahead_errors_s: list[float] = []
+        # Called when the clock was wrong at its start and has been corrected.
+        self.on_first_step: abc.Callable[[], None] = lambda: None
 
     @property
     def is_confirmed(self) -> bool:
@@ -85,10 +87,12 @@
             error_s = max(self._ahead_errors_s)
         self._ahead_since = None
         self._ahead_errors_s.clear()
-        self._is_confirmed = True
+        is_first, self._is_confirmed = not self._is_confirmed, True
         if abs(error_s) > CLOCK_STEP_THRESHOLD_S:
             log.warning("clock corrected", extra=logs.fields(by_s=round(error_s, 3)))
             self._offset_s += error_s
+            if is_first:
+                self.on_first_step()
 
 
 class UsageCounter:
@@ -99,6 +103,10 @@
         self._clock = clock
         self._counts: dict[int, collections.Counter[str]] = {}
 
+    def now(self) -> float:
+        """Return the Unix seconds of the clock that the windows are counted by."""
+        return self._clock()
+
     def current_window(self) -> int:
         """Return the number of the current window."""
         return int(self._clock() // self.window_s)
@@ -128,6 +136,10 @@
         """Return the counts of a window by organisation."""
         return dict(self._counts.get(window, {}))
 
+    def clear(self) -> None:
+        """Forget all counts: they were counted by a wrong clock."""
+        self._counts.clear()
+
 
 class Ledger:
     """
@@ -153,6 +165,13 @@
             total.update(counts)
         return dict(total)
 
+    def by_start(self, window: int) -> dict[str, Counts]:
+        """Return copies of the counts of a window by run of an entry's process."""
+        return {
+            start: dict(counts)
+            for start, counts in self._counts.get(window, {}).items()
+        }
+
     def is_complete(self, window: int, names: abc.Iterable[str]) -> bool:
         """Return whether the window has counts of each of the named entries."""
         starts = self._counts.get(window, {})
--- a/acaciaward/usage/features/reporters.py
+++ b/acaciaward/usage/features/reporters.py
@@ -4,6 +4,7 @@
 Time is simulated. One entry at a time holds a lease; which one is up to the test.
 """
 
+import collections
 import itertools
 import random
 import types
@@ -16,6 +17,7 @@
 
 WINDOW_S = 5.0
 STEP_S = 0.25
+REPORTED_WINDOWS = 2
 DEADLINE_S = 10.0
 # Start of the time that the tests use, and the window that begins there.
 START_S = 1000.0
@@ -116,14 +118,19 @@
     """
     One run of an entry's process: its counter, its reporter and its lease.
 
-    Its clock is ``clock_error_s`` ahead until ``correct_clock``.
+    Its clock is ``clock_error_s`` ahead until ``correct_clock``, and it knows whether
+    its clock is right if ``is_confirmed``.
     """
 
     def __init__(self, world: "World", name: str, clock_error_s: float = 0.0):
         self.name = name
         self.clock_error_s = clock_error_s
+        self.is_confirmed = not clock_error_s
         self.is_suspended = False
         self.tenure = None
+        # The last reports of entries that this one reads the store for, by name.
+        self.received: dict[str, tuple[str, dict[int, dict[str, int]]]] = {}
+        self.process_run = f"{name}/{next(world.numbers)}"
         self._world = world
         self.counter = counting.UsageCounter(
             WINDOW_S, lambda: world.now + self.clock_error_s
@@ -133,17 +140,29 @@
             typing.cast(typing.Any, self),
             self.counter,
             counting.Ledger(),
-            process_run=f"{name}/{next(world.numbers)}",
+            process_run=self.process_run,
             report_deadline_s=DEADLINE_S,
-            live_names=lambda: world.entries,
-            peer_counts=lambda: {},
+            live_names=lambda: world.known_names or world.entries,
+            peer_counts=self._peer_counts,
             send=self._send,
-            is_clock_confirmed=lambda: not self.clock_error_s,
+            is_clock_confirmed=lambda: self.is_confirmed,
         )
 
     def correct_clock(self) -> None:
         """Correct the clock as a majority of entries does."""
         self.clock_error_s = 0.0
+        self.is_confirmed = True
+        self.counter.clear()
+
+    def report(self, reader: "Entry") -> None:
+        """Report to the reader, as relays do."""
+        counts = self.counter.latest_counts(REPORTED_WINDOWS)
+        reader.received[self.name] = (self.process_run, counts)
+
+    def _peer_counts(self):
+        if self._world.readers.get(self.name, self.name) != self.name:
+            return None
+        return dict(self.received.values())
 
     def held(self, *, for_s=0.0):
         """Return the tenure of this entry, as the duties' lease does."""
@@ -169,6 +188,14 @@
         self.numbers = itertools.count(1)
         self.topic = Topic(lambda: self.now)
         self.entries: dict[str, Entry] = {}
+        # The reader of each entry that isn't its own.
+        self.readers: dict[str, str] = {}
+        # Entries whose reports don't arrive.
+        self.silent: set[str] = set()
+        # The names that entries know, if not all.
+        self.known_names: set[str] = set()
+        # How many requests started to run in each window.
+        self.truth: collections.Counter[int] = collections.Counter()
         # Distinct reports of each window, in the order of their arrival.
         self.reports: dict[int, list[dict[str, int]]] = {}
         self.first_sent_at: dict[int, float] = {}
@@ -202,6 +229,10 @@
                     continue
                 if self.random.random() < 0.5:
                     entry.counter.record_request("org")
+                    self.truth[int(self.now // WINDOW_S)] += 1
+                reader = self.entries.get(self.readers.get(entry.name, ""))
+                if reader is not None and entry.name not in self.silent:
+                    entry.report(reader)
                 await entry.step()
             self.now += STEP_S
 
--- a/acaciaward/usage/reporting.py
+++ b/acaciaward/usage/reporting.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from collections import abc
 
 from acaciaward import errors
@@ -28,6 +29,15 @@
 MIN_LEASE_TO_SEND_S = 0.8
 
 
+# An entry that began more recently may not know all others yet, so that a window whose
+# counts are missing would seem complete.
+JOIN_S = 3.0
+# Readers store what changed of finished windows no more often than this.
+STORE_INTERVAL_S = 1.0
+# Finished windows whose counts readers store.
+STORED_WINDOWS = 2
+
+
 # Counts that other entries reported, by their start and window.
 ReportedCounts = abc.Mapping[str, abc.Mapping[int, counting.Counts]]
 SendReport = abc.Callable[[int, counting.Counts, int], abc.Awaitable[None]]
@@ -69,7 +79,12 @@
         self._send = send
         self._is_clock_confirmed = is_clock_confirmed
         self._first_window: int | None = None
-        self._last_stored_window = 0
+        self._began_at = math.inf
+        # What was reported here, by all runs of entries.
+        self._received = counting.Ledger()
+        # What this entry has stored, by window and run, and when it did so last.
+        self._stored: dict[tuple[int, str], counting.Counts] = {}
+        self._stored_at = -math.inf
         self._reported_windows: set[int] = set()
         self._unknown_windows: set[int] = set()
         self._decisions = decisions.Decisions(topic, ledger, counter.current_window)
@@ -91,12 +106,10 @@
             if not self._is_clock_confirmed():
                 return
             self._first_window = self._counter.current_window()
-            self._last_stored_window = self._first_window - 1
+            self._began_at = self._counter.now()
         await self._begin_to_read()
         current = self._counter.current_window()
-        is_due = self._counter.time_since_end_s(current - 1) >= STORE_DELAY_S
-        if is_due and self._last_stored_window < current - 1:
-            await self._store(current - 1)
+        await self._store(current - 1)
         if self._lease.held(for_s=MIN_LEASE_TO_SEND_S) is None:
             return
         oldest_window = (
@@ -126,26 +139,60 @@
             await self._decisions.read()
 
     async def _store(self, last_window: int) -> None:
+        """Store what changed of the finished windows, if this entry is a reader."""
+        oldest_window = last_window - STORED_WINDOWS + 1
         peer_counts = self._peer_counts()
+        is_due = self._counter.time_since_end_s(last_window) >= STORE_DELAY_S
         if peer_counts is None:
-            self._last_stored_window = last_window
+            if is_due:
+                # The reader has heard these counts by now.
+                self._stored |= {
+                    (window, self._process_run): self._counter.counts_of(window)
+                    for window in range(oldest_window, last_window + 1)
+                }
+            return
+        self._receive(peer_counts, oldest_window)
+        if not is_due or not self._may_store(last_window):
+            return
+        changed = {
+            (window, start): counts
+            for window in range(oldest_window, last_window + 1)
+            for start, counts in self._received.by_start(window).items()
+            # That a run counted nothing is said only of windows that ended since this
+            # entry began: of others, it would seem that all is known.
+            if (counts or window >= self._first_window)
+            and self._stored.get((window, start)) != counts
+        }
+        if not changed:
             return
-        records = []
-        for window in range(
-            max(self._last_stored_window + 1, last_window - 1), last_window + 1
-        ):
-            counts_by_start = {
-                start: counts[window]
-                for start, counts in peer_counts.items()
-                if window in counts
-            }
-            counts_by_start[self._process_run] = self._counter.counts_of(window)
-            records += [
+        await self._decisions.store(
+            [
                 decisions.Record(window, start, counts)
-                for start, counts in counts_by_start.items()
+                for (window, start), counts in changed.items()
             ]
-        await self._decisions.store(records)
-        self._last_stored_window = last_window
+        )
+        self._stored |= changed
+        self._stored_at = self._counter.now()
+
+    def _receive(self, peer_counts: ReportedCounts, oldest_window: int) -> None:
+        # Later windows are those of wrong clocks.
+        windows = range(oldest_window, self._counter.current_window() + 1)
+        own_counts = {window: self._counter.counts_of(window) for window in windows}
+        all_counts = {**peer_counts, self._process_run: own_counts}
+        for start, counts_by_window in all_counts.items():
+            for window, counts in counts_by_window.items():
+                if window in windows:
+                    self._received.merge(start, window, counts)
+        self._received.drop_before(oldest_window)
+        self._stored = {
+            key: counts
+            for key, counts in self._stored.items()
+            if key[0] >= oldest_window
+        }
+
+    def _may_store(self, last_window: int) -> bool:
+        is_first = not any(window == last_window for window, _ in self._stored)
+        return is_first or self._counter.now() >= self._stored_at + STORE_INTERVAL_S
 
     async def _report(self, due_windows: abc.Sequence[int]) -> None:
         await self._decisions.read()
@@ -177,7 +224,9 @@
             >= REPORT_ANYWAY_FRACTION * self._report_deadline_s
         )
         if self._decisions.may_decide(window):
-            return has_waited or self._ledger.is_complete(window, self._live_names())
+            knows_entries = self._counter.now() - self._began_at >= JOIN_S
+            is_complete = self._ledger.is_complete(window, self._live_names())
+            return has_waited or (knows_entries and is_complete)
         if has_waited:
             self._unknown_windows.add(window)
             log.warning(
