Learn over all entries how fast each endpoint answers

All entries assumed that the endpoints of a service are equally fast, and each measured the prefill rate on its own. Endpoints with work times of 0.7, 0.7 and 1.7 got loads as if they were alike, so callers waited at the slow one.

Entries compare the time to an answer's first byte (of plain calls: to the end) with what the load explains, and report decaying sums by endpoint incarnation once a second. The reader derives the factors of endpoints that differ significantly from the median of their service and relays these, at most 32; entries use them in the candidates' prefill rate and service time. A plain call's cost includes its own time, so that the faster of two idle endpoints is cheaper. The typical prefill rate of a service is a quantile over all entries.

--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -6,7 +6,7 @@
 from acaciaward.admission import quotas
 from acaciaward.catalogue import endpoints
 from acaciaward.quarantine import promptparts, suspects
-from acaciaward.relays import relaying
+from acaciaward.relays import raterelays, relaying
 from acaciaward.routing import demand, occupancy
 from acaciaward.usage import counting
 
@@ -52,8 +52,17 @@
             brittle=components.occupancy.brittle.announcements.report(),
             parts=components.prompt_parts.report(),
             leaving=components.directory.announced_departures,
+            rates=components.occupancy.rates.report(),
+            prefill_rates=components.occupancy.rates.prefill_rates.report(),
         )
 
+    def summarize_rates(self, others: raterelays.RateFigures) -> raterelays.Speeds:
+        """Return how fast endpoints are, from all entries' samples."""
+        rates = self._components.occupancy.rates
+        rates.receive(others["rates"], others["prefill_rates"])
+        services = {endpoint.service for endpoint in self._components.directory.all()}
+        return raterelays.Speeds(*rates.summarize(services))
+
     def receive_state(self, state: relaying.RelayedState) -> None:
         """Apply the sums over all other entries."""
         sums = state.sums
@@ -66,6 +75,8 @@
         self._components.prompt_parts.receive(sums.parts)
         self._components.occupancy.limits.announcements.receive(sums.limits)
         self._components.occupancy.brittle.announcements.receive(sums.brittle)
+        if state.speeds is not None:
+            self._components.occupancy.rates.adopt(*state.speeds)
         for name, born in sums.leaving:
             self._components.directory.record_leaving((name, born), by_peer=True)
         self._demand = {
--- a/acaciaward/relays/aggregation.py
+++ b/acaciaward/relays/aggregation.py
@@ -155,8 +155,8 @@
         return Sums(
             len(reports),
             dict(self._own_use.total),
-            _add_figures(message["load"] for message in reports),
-            _add_figures(message["demand"] for message in reports),
+            add_figures(message["load"] for message in reports),
+            add_figures(message["demand"] for message in reports),
             crashreports.merge(message["crashes"] for message in reports),
             self._merge_announced("limits", self._reports),
             _merge_parts(reports),
@@ -182,8 +182,8 @@
         summaries = self._recent(self._summaries)
         all_messages = [*reports, *summaries]
         entry_count = len(reports) + sum(message["heard"] for message in summaries)
-        load = _add_figures(message["load"] for message in all_messages)
-        demand = _add_figures(message["demand"] for message in all_messages)
+        load = add_figures(message["load"] for message in all_messages)
+        demand = add_figures(message["demand"] for message in all_messages)
         crashes = crashreports.merge(message["crashes"] for message in all_messages)
         limits, brittle = (
             self._merge_announced(field, self._reports, self._summaries)
@@ -199,7 +199,7 @@
             sums[entry] = Sums(
                 entry_count,
                 self._all_use.total_excluding(start),
-                _subtract_figures(load, own_loads.get(entry, {})),
+                subtract_figures(load, own_loads.get(entry, {})),
                 demand,
                 crashes,
                 limits,
@@ -275,7 +275,7 @@
     )
 
 
-def _add_figures(
+def add_figures(
     parts: abc.Iterable[abc.Mapping[str, tuple[float, ...]]],
 ) -> dict[str, tuple[float, ...]]:
     """Add up tuples of the same length, name by name."""
@@ -291,7 +291,7 @@
     return total
 
 
-def _subtract_figures(
+def subtract_figures(
     total: abc.Mapping[str, tuple[float, ...]],
     part: abc.Mapping[str, tuple[float, ...]],
 ) -> dict[str, tuple[float, ...]]:
--- a/acaciaward/relays/features/fakes.py
+++ b/acaciaward/relays/features/fakes.py
@@ -8,7 +8,7 @@
 
 from acaciaward.catalogue import endpoints
 from acaciaward.membership import interfaces
-from acaciaward.relays import relaying
+from acaciaward.relays import raterelays, relaying
 
 
 class DirectMembership:
@@ -57,11 +57,17 @@
             1000.0, {}, {}, {}, {"crashes": {}, "cleared": []}, {}, {}
         )
         self.received = []
+        # What it relays of endpoints as the reader.
+        self.speeds = raterelays.Speeds({}, {})
+        # The sums over all others that it got as the reader.
+        self.summarized = []
+        self.heard_speeds = 0
         # Times that the entry was told to be those of the majority.
         self.received_times = []
         state_exchange = types.SimpleNamespace(
             collect_state=lambda: self.state,
-            receive_state=self.received.append,
+            summarize_rates=self.summarize_rates,
+            receive_state=self.receive_state,
             receive_time=self.received_times.append,
             receive_version=lambda version: None,
         )
@@ -76,3 +82,11 @@
             configuration_read_at=lambda: time.monotonic() - self.age_s,
             configuration_version=lambda: 1,
         )
+
+    def summarize_rates(self, others):
+        self.summarized.append(others)
+        return self.speeds
+
+    def receive_state(self, state):
+        self.received.append(state)
+        self.heard_speeds += state.speeds is not None
--- a/acaciaward/relays/features/relaybytes.feature
+++ b/acaciaward/relays/features/relaybytes.feature
@@ -41,3 +41,12 @@
     And each takes the readers of the others for suspect
     When nothing new happens for 4 relays
     Then each entry has got sums over 12 entries
+
+  # Guards against knowledge of slow endpoints that stays in one data centre or is lost.
+  Scenario: Readers sum what all entries know of the speed of endpoints, once a second
+    Given 3 data centres of 4 entries each
+    And each entry has calls at 8 endpoints
+    When nothing new happens for 4 relays
+    And nothing new happens for 12 relays
+    Then each reader has summed the samples of all 11 other entries
+    And each entry has heard 3 times how fast endpoints are
--- a/acaciaward/relays/features/steps/relaybytes_steps.py
+++ b/acaciaward/relays/features/steps/relaybytes_steps.py
@@ -5,12 +5,14 @@
 from behave import given, then, when
 
 from acaciaward.quarantine import crashedendpoints, crashreports, partreports
-from acaciaward.relays import relaying
+from acaciaward.relays import raterelays, relaying
 from acaciaward.relays.features import fakes
+from acaciaward.routing import endpointrates, ratesums
 
 ORGANISATIONS = 16
 UPTIME_S = 60.0
 COMMON_PARTS = 8
+SERVICES = 4
 CRASHES_OF_PART = 6
 
 
@@ -79,7 +81,20 @@
         }
         # Only some of them, as an entry sends few of its calls at a time.
         own = dict(list(load.items())[number % 6 :: 6])
-        entry.state = entry.state._replace(load=own)
+        # Over some seconds it has sent some to all.
+        rates = {
+            ratesums.key_of((name, 1700000000000)): (40 + at, 12 - at, 15, -8)
+            for at, name in enumerate(load)
+        }
+        histogram = (0,) * 6 + (12, 30, 55, 160, 70, 24) + (0,) * 12
+        prefill_rates = {f"service-{at}": histogram for at in range(SERVICES)}
+        entry.state = entry.state._replace(
+            load=own, rates=rates, prefill_rates=prefill_rates
+        )
+        entry.speeds = raterelays.Speeds(
+            dict.fromkeys(list(rates)[: endpointrates.MAX_RELAYED], -150),
+            dict.fromkeys(prefill_rates, 64_000),
+        )
 
 
 def tick(context):
@@ -96,7 +111,7 @@
 @when("nothing new happens for {count:d} relays")
 def run(context, count):
     for entry in context.entries:
-        entry.membership.sent_bytes = 0
+        entry.membership.sent_bytes = entry.heard_speeds = 0
     context.relays = count
     context.sources = {entry.membership.name: [] for entry in context.entries}
     previous = getattr(context, "all_sources", context.sources)
@@ -265,3 +280,25 @@
 def check_replaced(context):
     readers = {entry.relaying._reader for entry in context.others}
     assert len(readers) == 1 and context.reader.membership.name not in readers
+
+
+@then("each reader has summed the samples of all {count:d} other entries")
+def check_summed(context, count):
+    readers = {entry.relaying._reader for entry in context.entries}
+    summed = [
+        entry.summarized[-1]["rates"]
+        for entry in context.entries
+        if entry.membership.name in readers
+    ]
+    assert len(summed) == len(readers)
+    for rates in summed:
+        assert len(rates) == 8, rates
+        # Each entry has 40 hundredths of a sample of the first endpoint.
+        assert max(row[0] for row in rates.values()) == count * 47, rates
+        assert min(row[0] for row in rates.values()) == count * 40, rates
+
+
+@then("each entry has heard {count:d} times how fast endpoints are")
+def check_heard_speeds(context, count):
+    for entry in context.entries:
+        assert entry.heard_speeds == count, entry.heard_speeds
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -44,8 +44,8 @@
     that in seconds; ``parts`` holds the parts of prompts under which endpoints crashed.
     ``leaving`` names the endpoints, with their starts, that said in answers that they
     leave, and ``brittle`` holds how many requests brittle endpoints bear to turn away
-    in a second, None for one that isn't brittle any more, and the age of that. These
-    four are missing in messages of older builds.
+    in a second, None for one that isn't brittle any more, and the age of that.
+    These four are missing in messages of older builds.
     """
 
     use: dict[str, float]
@@ -64,6 +64,9 @@
 
     ``start`` identifies the entry's current run, which began ``uptime_s`` ago; ``use``
     counts from then. ``windows`` are its usage counts by window, ``now`` its Unix time.
+    ``rates`` holds the sums of ``routing.ratesums`` by endpoint, ``prefill_rates`` the
+    histograms of ``routing.prefillrates`` by service. Most reports leave both out, and
+    those of older builds always.
     """
 
     sender: str
@@ -71,6 +74,8 @@
     uptime_s: float
     now: float
     windows: dict[int, dict[str, int]]
+    rates: typing.NotRequired[dict[int, tuple[float, ...]]]
+    prefill_rates: typing.NotRequired[dict[str, tuple[float, ...]]]
 
 
 class Summary(Figures):
@@ -78,7 +83,8 @@
     What a reader sends other data centres' readers: the sums over its entries.
 
     ``now`` is the median Unix time of its entries, whose number is ``clock_count``;
-    both are missing in messages of older builds.
+    both are missing in messages of older builds. ``rates`` and ``prefill_rates`` are
+    those of reports, in some of the summaries.
     """
 
     sender: str
@@ -87,6 +93,8 @@
     heard: int
     now: typing.NotRequired[float]
     clock_count: typing.NotRequired[int]
+    rates: typing.NotRequired[dict[int, tuple[float, ...]]]
+    prefill_rates: typing.NotRequired[dict[str, tuple[float, ...]]]
 
 
 class Relay(Figures):
@@ -103,6 +111,10 @@
     relay, ``lapsed`` names the endpoints whose removal it defers, and ``digest`` is
     that of all endpoints it knows.
     ``levels`` are the levels of its quotas, for entries that have just started.
+    ``speeds`` holds the logarithms in hundredths of how many times as long endpoints
+    take that differ from others, and ``prefill_tokens_per_s`` the typical rate at which
+    a service's engines read prompts; most relays leave both out, and those of older
+    builds always.
     """
 
     sender: str
@@ -119,6 +131,8 @@
     lapsed: list[str]
     digest: int
     levels: dict[str, float]
+    speeds: typing.NotRequired[dict[int, float]]
+    prefill_tokens_per_s: typing.NotRequired[dict[str, float]]
 
 
 MESSAGE_TYPES: dict[str, type] = {"report": Report, "summary": Summary, "relay": Relay}
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -23,8 +23,14 @@
 )
 from acaciaward.observability import logs
 from acaciaward.quarantine import crashreports, partreports
-from acaciaward.relays import aggregation, excerpts, messages, relaysizes
-from acaciaward.routing import announcements
+from acaciaward.relays import (
+    aggregation,
+    excerpts,
+    messages,
+    raterelays,
+    relaysizes,
+)
+from acaciaward.routing import announcements, prefillrates, ratesums
 
 log = logging.getLogger(__name__)
 
@@ -43,6 +49,8 @@
 RELAY_TIMEOUT_S = 1.2
 # A suspect peer remains the reader while its last relay is newer than this.
 SUSPECT_RELAY_AGE_S = 0.6
+# Of levels from this on, an entry that starts can do without the part of a unit.
+MIN_ROUNDED_LEVEL = 1000.0
 # After this many consecutive relays with a different digest, an entry reads the store.
 MAX_DIGEST_MISMATCHES = 3
 
@@ -65,6 +73,8 @@
     parts: partreports.Report = partreports.empty_report()
     leaving: abc.Sequence[endpoints.Incarnation] = ()
     brittle: announcements.Report = {}
+    rates: ratesums.Report = {}
+    prefill_rates: prefillrates.Report = {}
 
 
 class RelayedState(typing.NamedTuple):
@@ -72,13 +82,15 @@
     The content of a relay: the sums for this entry, and the reader's quota levels.
 
     ``source`` identifies the reader's current run; ``is_recent_start`` is true if it
-    began less than ``aggregation.RECENT_START_S`` ago.
+    began less than ``aggregation.RECENT_START_S`` ago. ``speeds`` are those of
+    endpoints, None in most relays.
     """
 
     source: str
     is_recent_start: bool
     sums: aggregation.Sums
     levels: dict[str, float]
+    speeds: raterelays.Speeds | None = None
 
 
 class StateExchange(typing.Protocol):
@@ -87,6 +99,9 @@
     def collect_state(self) -> LocalState:
         """Return the state to report."""
 
+    def summarize_rates(self, others: raterelays.RateFigures) -> raterelays.Speeds:
+        """Return what follows from the sums of all others and this entry's own."""
+
     def receive_state(self, state: RelayedState) -> None:
         """Receive the sums and quota levels of a relay."""
 
@@ -122,6 +137,7 @@
         self._get_configuration_read_at = configuration_read_at
         self._configuration_version = configuration_version
         self._aggregator = aggregation.Aggregator(time.monotonic)
+        self._rate_relays = raterelays.RateRelays(time.monotonic)
         self._sizes = relaysizes.RelaySizes()
         self._report_excerpts = excerpts.Excerpts()
         self._relay_excerpts = excerpts.Excerpts()
@@ -189,9 +205,9 @@
         self._sizes.record_tick()
         self._choose_reader()
         own_state = self._state_exchange.collect_state()
-        report = self._make_report(own_state)
+        report = self._rate_relays.thin(self._make_report(own_state))
         if self._reader == self._membership.name:
-            self._aggregator.receive_report(report)
+            self._add_report(report)
             self._send_relays(own_state)
         else:
             # The reader's own report is whole, so it knows what others leave out.
@@ -263,6 +279,7 @@
             "data_centre": self._data_centre,
             **summary._asdict(),
             **self._aggregator.clocks()._asdict(),
+            **(self._rate_relays.summary() if self._rate_relays.is_due else {}),
         }
         for reader in self._readers_elsewhere():
             self._membership.notify(reader, "summary", own_summary)
@@ -272,8 +289,10 @@
         started = self._aggregator.recently_started()
         majority_time = self._aggregator.majority_time()
         excerpt = None
+        speeds = self._summarize_rates()
         for name, sums in self._aggregator.sums_for_each(names).items():
             relay = self._make_relay(sums, changes, digest, own_state, majority_time)
+            relay |= speeds
             if name == self._membership.name:
                 self._apply_relay(relay)
                 continue
@@ -285,6 +304,13 @@
             self._membership.notify(name, "relay", relay)
             self._sizes.record(relay)
 
+    def _summarize_rates(self) -> dict[str, abc.Mapping]:
+        """Return the fields of relays that tell of the speed of endpoints, if due."""
+        if not self._rate_relays.is_due:
+            return {}
+        others = self._rate_relays.sums_excluding(self._membership.name)
+        return self._state_exchange.summarize_rates(others)._asdict()
+
     def _collect_changes(self) -> tuple[list[messages.EndpointFields], list[str]]:
         changed, self._changed = self._changed, {}
         present = [
@@ -318,16 +344,21 @@
             "removed": changes[1],
             "lapsed": self._directory.deferred_removals,
             "digest": digest,
-            "levels": own_state.levels,
+            "levels": _rounded_down(own_state.levels),
             **sums._asdict(),
             "load": _rounded(sums.load),
         }
 
     async def _receive_report(self, sender: str, report: messages.Report) -> None:
+        self._add_report(report)
+
+    def _add_report(self, report: messages.Report) -> None:
         self._aggregator.receive_report(report)
+        self._rate_relays.receive_report(report)
 
     async def _receive_summary(self, sender: str, summary: messages.Summary) -> None:
         self._aggregator.receive_summary(summary)
+        self._rate_relays.receive_summary(summary)
 
     async def _receive_relay(self, sender: str, relay: messages.Relay) -> None:
         if relay["sender"] != self._reader:
@@ -376,7 +407,13 @@
         )
         is_recent_start = relay["uptime_s"] < aggregation.RECENT_START_S
         self._state_exchange.receive_state(
-            RelayedState(relay["start"], is_recent_start, sums, relay["levels"])
+            RelayedState(
+                relay["start"],
+                is_recent_start,
+                sums,
+                relay["levels"],
+                raterelays.speeds_of(relay),
+            )
         )
         # A reader that has just started hears few clocks, and its own may be wrong.
         if relay.get("has_majority", True):
@@ -418,6 +455,14 @@
     }
 
 
+def _rounded_down(levels: abc.Mapping[str, float]) -> dict[str, float]:
+    """Return large levels as integers, which are encoded in a third of the bytes."""
+    return {
+        name: math.floor(level) if MIN_ROUNDED_LEVEL <= level < math.inf else level
+        for name, level in levels.items()
+    }
+
+
 def _to_fields(endpoint: endpoints.Endpoint) -> messages.EndpointFields:
     return {**endpoint._asdict(), "state": endpoint.state.value}
 
--- a/acaciaward/relays/relaysizes.py
+++ b/acaciaward/relays/relaysizes.py
@@ -23,6 +23,7 @@
     "leaving",
     "endpoints",
     "levels",
+    "speeds",
 )
 
 RELAY_BYTES = prometheus_client.Gauge(
--- a/acaciaward/routing/activecalls.py
+++ b/acaciaward/routing/activecalls.py
@@ -54,12 +54,19 @@
         self._tokens_ahead = candidate.backlog_tokens
         self._is_prefilling = True
         self._answered_at: float | None = None
+        # What its time to the first byte said of the endpoint's speed.
+        self.speed_sample = 0.0
 
     @property
     def has_first_byte(self) -> bool:
         """Whether the endpoint has begun to answer."""
         return not self._is_prefilling
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether a first byte was recorded, also once the call has ended."""
+        return self._answered_at is not None
+
     @property
     def answered_for_s(self) -> float:
         """How long ago the endpoint began to answer, in seconds; 0 if it hasn't."""
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -18,16 +18,13 @@
     brittleness,
     cachedparts,
     endpointlimits,
+    endpointrates,
     health,
     placement,
 )
 
 # Other entries' reports older than this are ignored, in seconds.
 REPORT_LIFETIME_S = 3.0
-# Weight of the newest sample in the prefill rate and in the services' durations.
-SMOOTHING = 0.1
-# Smaller prompts are too short to measure the prefill rate with.
-MIN_SAMPLE_TOKENS = 3000
 # An endpoint with work that sends no data for this long is considered failed, in
 # seconds: an engine completes many batches a second, and the first token of a short
 # prompt arrives within a quarter of that time.
@@ -78,8 +75,7 @@
         self._backlog: collections.Counter[Incarnation] = collections.Counter()
         self._health: dict[Incarnation, health.Health] = {}
         self._cached_parts = cachedparts.CachedParts(clock)
-        self._prefill_tokens_per_s = placement.DEFAULT_PREFILL_TOKENS_PER_S
-        self._service_s: dict[str, float] = {}
+        self.rates = endpointrates.EndpointRates(self._members, clock=clock)
         self._no_data_since: dict[Incarnation, float] = {}
         self._long_shares: abc.Mapping[str, float] = {}
         self._reported_load: abc.Mapping[str, tuple[float, float]] = {}
@@ -105,6 +101,11 @@
                 self._health.pop(incarnation, None)
                 self._cached_parts.forget(incarnation)
 
+    def _members(self, service: str) -> list[Incarnation]:
+        return [
+            endpoint.incarnation for endpoint in self._directory.of_service(service)
+        ]
+
     def now(self) -> float:
         """Return the time of this object's clock, in seconds."""
         return self._clock()
@@ -262,7 +263,7 @@
 
     def is_long(self, prompt: calls.Prompt | None, max_gap_s: float | None) -> bool:
         """Return whether a prompt's prefill delays other streams for too long."""
-        return placement.is_long(prompt, self._prefill_tokens_per_s, max_gap_s)
+        return placement.is_long(prompt, self.rates.prefill_tokens_per_s, max_gap_s)
 
     def receive_long_shares(self, shares: abc.Mapping[str, float]) -> None:
         """Receive each service's share of tokens in long prompts, over all entries."""
@@ -314,7 +315,7 @@
         backlog_tokens = self._backlog[endpoint.incarnation] + reported[1]
         limit_s = (
             UNRESPONSIVE_S
-            + PREFILL_DELAY_FACTOR * backlog_tokens / self._prefill_tokens_per_s
+            + PREFILL_DELAY_FACTOR * backlog_tokens / self.rates.prefill_tokens_per_s
         )
         return self._clock() - since > limit_s
 
@@ -337,15 +338,9 @@
         ``tokens`` were prefilled in ``took_s``: the call's own and those ahead of it.
         """
         self.remove_backlog(work)
-        prompt = work.call.prompt
-        if prompt is None:
-            return
-        if tokens > MIN_SAMPLE_TOKENS and took_s > 0:
-            sample = tokens / took_s
-            self._prefill_tokens_per_s += SMOOTHING * (
-                sample - self._prefill_tokens_per_s
-            )
-        self._cached_parts.record(work.endpoint.incarnation, prompt)
+        if work.call.prompt is not None:
+            self.rates.record_first_byte(work, tokens, took_s)
+            self._cached_parts.record(work.endpoint.incarnation, work.call.prompt)
 
     def remove_backlog(self, work: activecalls.ActiveCall) -> None:
         """Remove a call's prompt from the endpoint's backlog."""
@@ -355,21 +350,20 @@
         self, work: activecalls.ActiveCall, took_s: float, outcome: health.Outcome
     ) -> None:
         """Remove a call from its endpoint and update the endpoint's health."""
-        incarnation, service = work.endpoint.incarnation, work.endpoint.service
+        incarnation = work.endpoint.incarnation
         self._subtract(self._running, incarnation, 1)
         if incarnation not in self._running:
             self._no_data_since.pop(incarnation, None)
-        self.brittle.record_end(work.endpoint, outcome, self.service_s(service))
+        service_s = self.service_s(work.endpoint.service)
+        self.brittle.record_end(work.endpoint, outcome, service_s)
         self._health[incarnation] = self._health_of(work.endpoint).after(
             outcome, self._clock()
         )
-        if outcome is health.Outcome.SERVED:
-            average_s = self._service_s.get(service, took_s)
-            self._service_s[service] = average_s + SMOOTHING * (took_s - average_s)
+        self.rates.record_end(work, took_s, outcome)
 
     def service_s(self, service: str) -> float:
         """Return how long a request at a service takes, as measured here, or 0."""
-        return self._service_s.get(service, 0.0)
+        return self.rates.service_s(service)
 
     def load(self) -> dict[str, tuple[float, float]]:
         """Return this entry's number of requests and backlog tokens by endpoint."""
@@ -408,14 +402,15 @@
     ) -> placement.Candidate:
         reported = reports.get(endpoint.name, (0.0, 0.0))
         incarnation = endpoint.incarnation
+        time_factor = self.rates.time_factor(service.name, incarnation)
         return placement.Candidate(
             endpoint,
             running=self._running[incarnation] + reported[0],
             backlog_tokens=self._backlog[incarnation] + reported[1],
             cached_tokens=self._cached_tokens(endpoint, call.prompt, is_most_preferred),
-            prefill_tokens_per_s=self._prefill_tokens_per_s,
+            prefill_tokens_per_s=self.rates.prefill_tokens_per_s / time_factor,
             failed_share=self._health_of(endpoint).failed_share,
-            service_s=self._service_s.get(service.name, 0.0),
+            service_s=self.rates.service_s(service.name) * time_factor,
             is_local=endpoint.data_centre == self._data_centre,
             report_age_ms=int(1000 * (now - self._reported_at)),
         )
--- a/acaciaward/routing/placement.py
+++ b/acaciaward/routing/placement.py
@@ -102,7 +102,8 @@
 
 def cost_s(candidate: Candidate, prompt: calls.Prompt | None) -> float:
     """Return the expected wait, the delay it causes others and the cost of failures."""
-    interference_s = 0.0
+    # Of two idle endpoints, the faster one is cheaper for a plain call, too.
+    interference_s = candidate.service_s
     if prompt is not None:
         uncached_tokens = max(0, prompt.prompt_tokens - candidate.cached_tokens)
         interference_s = (
