Let patient prompts wait, so that urgent ones don't wait behind them

Cause: an engine reads prompts in the order of admission, and both kinds were sent to the same engines.

Where a service has routes with objectives of at least three times that of its most urgent route, these get endpoints by their share of prompt tokens over all entries, and wait at the entry while those take longer than 0.6 of the objective to read what they have. Entries share the room that they all see. A call whose turn comes too late is refused at once, with a Retry-After at which its turn is expected. Services without such routes are served as before.

--- a/acaciaward/gateway/endpointchoice.py
+++ b/acaciaward/gateway/endpointchoice.py
@@ -6,7 +6,13 @@
 
 from acaciaward import verdicts
 from acaciaward.catalogue import routes
-from acaciaward.gateway import callprogress, hedging, interfaces, refusals
+from acaciaward.gateway import (
+    callprogress,
+    hedging,
+    interfaces,
+    prefillqueue,
+    refusals,
+)
 from acaciaward.routing import placement
 
 
@@ -14,10 +20,14 @@
     """Chooses the endpoints of all calls."""
 
     def __init__(
-        self, dependencies: interfaces.Dependencies, refuser: refusals.Refusals
+        self,
+        dependencies: interfaces.Dependencies,
+        refuser: refusals.Refusals,
+        prefill_queue: prefillqueue.PrefillQueue,
     ):
         self._deps = dependencies
         self._refusals = refuser
+        self._prefill_queue = prefill_queue
 
     def choose(
         self, service: routes.Service, progress: callprogress.Progress
@@ -82,6 +92,7 @@
             max_gap_s=progress.route.max_gap_s,
             version=progress.stream_version,
             has_failed_connect=is_peer_due,
+            patience=self._prefill_queue.patience(service.name, progress.route),
         )
 
     def _refuse_if_hopeless(
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -25,6 +25,7 @@
     hedging,
     interfaces,
     metrics,
+    prefillqueue,
     refusals,
     retries,
     roomqueue,
@@ -45,10 +46,6 @@
 DEFAULT_TIMEOUT_S = 30.0
 # The gateway gives up this long before the caller's own timeout.
 DEADLINE_MARGIN_S = 0.02
-# When callers that a closed entry refuses may ask another one.
-CLOSED_RETRY_S = 0.05
-
-CLOSED_REASON = "the entry is stopping"
 ENDED_REASON = "the entry's process ends"
 
 Outcome = health.Outcome
@@ -69,12 +66,17 @@
         rng = rng or random.Random()
         self._refusals = refusals.Refusals(rng)
         self._services = servicechoice.ServiceChoice(dependencies, self._refusals, rng)
-        self._endpoints = endpointchoice.EndpointChoice(dependencies, self._refusals)
+        self.shutdown = shutdown.Shutdown()
+        self._prefill_queue = prefillqueue.PrefillQueue(
+            dependencies, self._refusals, is_closed=lambda: self.shutdown.is_closed
+        )
+        self._endpoints = endpointchoice.EndpointChoice(
+            dependencies, self._refusals, self._prefill_queue
+        )
         self._rooms = roomqueue.RoomQueue(dependencies, self._refusals)
         self._retries = retries.Retries(dependencies, self._refusals)
         self._attempts = attempts.Attempts(dependencies)
         self._detours = detours.Detours(dependencies, self._refusals)
-        self.shutdown = shutdown.Shutdown()
 
     async def handle(self, call: calls.Call, responder: callers.Responder) -> None:
         """Answer one call."""
@@ -112,8 +114,8 @@
         if self.shutdown.is_closed:
             raise callprogress.RefusedError(
                 refusals.UNAVAILABLE,
-                CLOSED_REASON,
-                retry_after_s=CLOSED_RETRY_S,
+                refusals.CLOSED_REASON,
+                retry_after_s=refusals.CLOSED_RETRY_S,
                 cause=callprogress.Cause.STOP,
             )
         index = self._deps.index()
@@ -226,6 +228,7 @@
         self, service: routes.Service, progress: callprogress.Progress
     ) -> None:
         self._deps.repeats.record_first_attempt(service.name)
+        self._prefill_queue.record_demand(service.name, progress)
         prompt = progress.call.prompt
         if prompt is not None:
             is_long = self._deps.occupancy.is_long(prompt, progress.route.max_gap_s)
@@ -242,6 +245,7 @@
         candidate = None
         if not self._is_without_place(service, progress):
             await self._rooms.wait(service, progress, responder)
+            await self._prefill_queue.wait(service, progress, responder)
             candidate = self._endpoints.choose(service, progress)
         if candidate is None:
             return await self._detours.attempt(service, progress, responder, contender)
@@ -342,7 +346,7 @@
         """Answer a call whose time is up, or which the entry's stop has ended."""
         progress.outcome = "timed out"
         is_stopped = self.shutdown.has_given_up and progress.left_s > 0
-        reason = CLOSED_REASON if is_stopped else "deadline"
+        reason = refusals.CLOSED_REASON if is_stopped else "deadline"
         cause = callprogress.Cause.DEADLINE
         if is_stopped:
             cause = callprogress.Cause.STOP
@@ -353,7 +357,7 @@
             refusal = callprogress.RefusedError(
                 refusals.UNAVAILABLE,
                 f"{reason} before a send",
-                retry_after_s=CLOSED_RETRY_S if is_stopped else None,
+                retry_after_s=refusals.CLOSED_RETRY_S if is_stopped else None,
                 cause=cause,
             )
         await self._refuse(progress.call, progress, responder, refusal)
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -77,6 +77,16 @@
     "acaciaward_gateway_reread_tokens_total",
     "Prompt tokens sent to a further endpoint because the one before failed",
 )
+PREFILL_WAITING = prometheus_client.Gauge(
+    "acaciaward_gateway_prefill_waiting",
+    "Patient requests that wait here until engines have read what they have",
+)
+PREFILL_WAIT_SECONDS = prometheus_client.Histogram(
+    "acaciaward_gateway_prefill_wait_seconds",
+    "How long patient requests waited here, in seconds, by how that ended",
+    ["result"],
+    buckets=(0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8),
+)
 LIMITED_ANSWERS = prometheus_client.Counter(
     "acaciaward_gateway_limited_answers_total",
     "Answers of endpoints that named a limit on their requests",
--- a/acaciaward/gateway/refusals.py
+++ b/acaciaward/gateway/refusals.py
@@ -15,6 +15,15 @@
 # not less than the floor. The delay is drawn from the upper half of that range.
 MAX_RETRY_DELAY_SHARE = 0.25
 MAX_RETRY_DELAY_FLOOR_S = 0.05
+# A caller whose turn is expected at a known time returns then, but not later than this
+# share of the time until the deadline, plus a random part of the second share: callers
+# that are to stay away for more than a third of that time don't return.
+MAX_TURN_SHARE = 0.2
+TURN_SPREAD_SHARE = 0.1
+
+# What callers are told that a closed entry refuses, and when they may ask another one.
+CLOSED_REASON = "the entry is stopping"
+CLOSED_RETRY_S = 0.05
 
 
 class Refusals:
@@ -59,6 +68,15 @@
         """Return a random retry delay that is longer than endpoints' back-off."""
         return backoff_s + self.retry_delay_s(progress)
 
+    def delay_until_s(
+        self, progress: callprogress.Progress, expected_s: float
+    ) -> float:
+        """Return a random retry delay that ends when a turn is expected, or later."""
+        first_s = min(
+            max(expected_s, MAX_RETRY_DELAY_FLOOR_S), MAX_TURN_SHARE * progress.left_s
+        )
+        return first_s + self._random.uniform(0, TURN_SPREAD_SHARE * progress.left_s)
+
     def retry_delay_s(self, progress: callprogress.Progress) -> float:
         """Return a random retry delay that leaves time for the call to be served."""
         max_delay_s = max(
--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -44,7 +44,10 @@
             now=components.clock.now(),
             use=components.quotas.admitted_totals(),
             load=components.occupancy.load(),
-            demand=components.demand.by_service(),
+            demand={
+                **components.demand.by_service(),
+                **components.occupancy.pools.patients.report(),
+            },
             crashes=components.suspects.report(),
             windows=components.counter.latest_counts(REPORTED_WINDOWS),
             levels=components.quotas.levels(),
@@ -68,11 +71,12 @@
         self._components.occupancy.brittle.announcements.receive(sums.brittle)
         for name, born in sums.leaving:
             self._components.directory.record_leaving((name, born), by_peer=True)
+        pools = self._components.occupancy.pools
         self._demand = {
             service: demand.ServiceDemand(*service_demand)
-            for service, service_demand in sums.demand.items()
+            for service, service_demand in pools.patients.receive(sums.demand).items()
         }
-        self._components.occupancy.receive_long_shares(
+        pools.receive_long_shares(
             {
                 service: service_demand.long_share
                 for service, service_demand in self._demand.items()
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -20,6 +20,7 @@
     endpointlimits,
     health,
     placement,
+    pools,
 )
 
 # Other entries' reports older than this are ignored, in seconds.
@@ -73,6 +74,7 @@
         self.brittle = brittleness.Brittleness(
             known_entries, rng=self._random, clock=clock, unix_time=unix_time
         )
+        self.pools = pools.Pools(self._random, clock)
         self.backoffs = backoffs.EndpointBackoffs(clock=clock, unix_time=unix_time)
         self._running: collections.Counter[Incarnation] = collections.Counter()
         self._backlog: collections.Counter[Incarnation] = collections.Counter()
@@ -81,7 +83,6 @@
         self._prefill_tokens_per_s = placement.DEFAULT_PREFILL_TOKENS_PER_S
         self._service_s: dict[str, float] = {}
         self._no_data_since: dict[Incarnation, float] = {}
-        self._long_shares: abc.Mapping[str, float] = {}
         self._reported_load: abc.Mapping[str, tuple[float, float]] = {}
         self._reported_at = 0.0
         # When endpoints' records went.
@@ -118,12 +119,40 @@
         max_gap_s: float | None = None,
         version: str | None = None,
         has_failed_connect: bool = False,
+        patience: pools.Patience | None = None,
     ) -> placement.Candidate | None:
         """
         Return where to send a call, or None if no endpoint may get it.
 
+        ``survey`` explains the arguments.
+        """
+        return self.survey(
+            service,
+            call,
+            excluded=excluded,
+            max_gap_s=max_gap_s,
+            version=version,
+            has_failed_connect=has_failed_connect,
+            patience=patience,
+        ).choose()
+
+    def survey(
+        self,
+        service: routes.Service,
+        call: calls.Call,
+        *,
+        excluded: abc.Container[Incarnation] = (),
+        max_gap_s: float | None = None,
+        version: str | None = None,
+        has_failed_connect: bool = False,
+        patience: pools.Patience | None = None,
+    ) -> pools.Survey:
+        """
+        Return what is known of the endpoints that may get a call.
+
         ``max_gap_s`` is the longest allowed pause between the events of its answer,
-        ``version`` the only version of the endpoints' software that may get it. One
+        ``version`` the only version of the endpoints' software that may get it, and
+        ``patience`` is that of its route, None if its service has no patient ones. One
         that wasn't reached and is paused gets calls only if no other is left, and none
         with ``has_failed_connect``: that have failed to reach one already, or that a
         peer is asked to serve first.
@@ -147,15 +176,21 @@
             ]
         reports = self._fresh_reports()
         names = [endpoint.name for endpoint in healthy]
-        pool = self._pool_for(service.name, call.prompt, max_gap_s, names)
-        preferred = placement.preferred_endpoints(call.prompt, pool)
+        pool = self.pools.find(
+            service.name,
+            call.prompt,
+            names,
+            is_long=self.is_long(call.prompt, max_gap_s),
+            patience=patience,
+        )
+        preferred = placement.preferred_endpoints(call.prompt, pool.names)
         candidates = [
             self._candidate(
                 service, endpoint, call, reports, endpoint.name in preferred[:1], now
             )
             for endpoint in healthy
         ]
-        return placement.choose(candidates, call.prompt, self._random, pool=set(pool))
+        return pools.Survey(candidates, pool, call.prompt, patience, self._random)
 
     def _usable(self, service: str, version: str | None) -> list[endpoints.Endpoint]:
         """Return the endpoints that are ready, if there are none those that lapsed."""
@@ -264,26 +299,6 @@
         """Return whether a prompt's prefill delays other streams for too long."""
         return placement.is_long(prompt, self._prefill_tokens_per_s, max_gap_s)
 
-    def receive_long_shares(self, shares: abc.Mapping[str, float]) -> None:
-        """Receive each service's share of tokens in long prompts, over all entries."""
-        self._long_shares = shares
-
-    def _pool_for(
-        self,
-        service: str,
-        prompt: calls.Prompt | None,
-        max_gap_s: float | None,
-        names: list[str],
-    ) -> list[str]:
-        """Return the endpoints for prompts like this one, long or short."""
-        if prompt is None:
-            return names
-        reserved = placement.reserved_for_long(
-            names, self._long_shares.get(service, 0.0)
-        )
-        is_long = self.is_long(prompt, max_gap_s)
-        return [name for name in names if (name in reserved) is is_long] or names
-
     def start(
         self, candidate: placement.Candidate, call: calls.Call
     ) -> activecalls.ActiveCall:
