--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -187,7 +187,7 @@
             demand_of=lambda name: self._state_exchange.demand_of(name),
             requests_of=lambda name: self._occupancy.service_load(name)[0],
             duration_s=self._occupancy.service_s,
-            prefill_tokens_per_s=lambda name: self._occupancy.prefill_tokens_per_s,
+            prefill_tokens_per_s=self._occupancy.rates.typical_prefill_tokens_per_s,
             clock=time.monotonic,
         )
         self._demand = demand.Demand(time.monotonic, self._fleet_load.duration_s)
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -376,11 +376,6 @@
         )
         self.rates.record_end(work, took_s, outcome)
 
-    @property
-    def prefill_tokens_per_s(self) -> float:
-        """The rate at which engines prefill beside their streams, as measured here."""
-        return self._prefill_tokens_per_s
-
     def service_s(self, service: str) -> float:
         """Return how long a request at a service takes, as measured here, or 0."""
         return self.rates.service_s(service)
