--- a/acaciaward/gateway/features/steps/prefillqueue_steps.py
+++ b/acaciaward/gateway/features/steps/prefillqueue_steps.py
@@ -60,6 +60,10 @@
         """Return no endpoints."""
         return []
 
+    def of_service(self, service):
+        """Return all endpoints."""
+        return self.known
+
 
 class LineCounter(logging.Handler):
     """Counts lines."""
--- a/acaciaward/routing/features/steps/urgency_steps.py
+++ b/acaciaward/routing/features/steps/urgency_steps.py
@@ -167,6 +167,10 @@
         """Return no endpoints."""
         return []
 
+    def of_service(self, service):
+        """Return all endpoints."""
+        return self._known
+
 
 def make_occupancy(loads):
     known = [
