Store usage within a window, so that a loss of all entries loses little

What callers saw: after a loss of all entries the window of the loss was reported with what was counted after it, often 0, and so was the window before if its end was less than 0.6 s ago.

Cause: counts were stored 0.6 s after the end of their window only.

Change: each reader writes the counts of the running window (and of the one before, until they are stored for good) to the keyed topic `keyed.acaciaward.usage`, under its run's name, once a second if they have changed. The entry that decides on a window adds what only that topic has, in one listing a window. What makes a window complete, the decisions and what is sent stay as they were, so no window is sent with two counts.

--- a/acaciaward/gateway/duties.py
+++ b/acaciaward/gateway/duties.py
@@ -26,6 +26,7 @@
 
 LEASE_TOPIC = "acaciaward.duties"
 USAGE_TOPIC = "acaciaward.usage"
+RUNNING_USAGE_TOPIC = "keyed.acaciaward.usage"
 # Entries that compete for the lease; the others don't read its topic.
 MAX_CANDIDATES = 3
 # Length of a lease as a share of ``bounds.lease_s``, the time within which duties may
@@ -94,9 +95,10 @@
                 live_names=self._live_names,
                 peer_counts=usage_of_others,
                 send=cloud.report_usage,
+                running_topic=topics.KeyedTopic(platform_store, RUNNING_USAGE_TOPIC),
                 is_clock_confirmed=lambda: self.clock.is_confirmed,
             )
-            self._task_factories.append(reporter.run)
+            self._task_factories += reporter.tasks
         if platform_duties.SCALING_DUTY in names:
             scaler = endpointscaling.EndpointScaler(
                 lease, directory, services, demand, cloud.scale
--- a/acaciaward/usage/features/reporters.py
+++ b/acaciaward/usage/features/reporters.py
@@ -12,6 +12,7 @@
 from collections import abc
 
 from acaciaward import errors
+from acaciaward.catalogue import topicfollower
 from acaciaward.platform import store
 from acaciaward.usage import counting, reporting
 
@@ -114,6 +115,32 @@
         self._appended_at += [self._now()] * len(records)
 
 
+class KeyedTopic:
+    """A keyed topic in memory that counts its calls."""
+
+    def __init__(self):
+        self.values: dict[str, bytes] = {}
+        self.sets = 0
+        self.is_away = False
+
+    async def read_all(self):
+        """Return all values."""
+        if self.is_away:
+            raise errors.PlatformUnknownError("no answer")
+        return topicfollower.Listing(dict(self.values), self.sets)
+
+    async def set(self, key, value):
+        """Set a value."""
+        if self.is_away:
+            raise errors.PlatformUnknownError("no answer")
+        self.sets += 1
+        self.values[key] = value
+
+    async def remove(self, key, *, expected_end):
+        """Remove a key."""
+        del self.values[key]
+
+
 class Entry:
     """
     One run of an entry's process: its counter, its reporter and its lease.
@@ -145,6 +172,7 @@
             live_names=lambda: world.known_names or world.entries,
             peer_counts=self._peer_counts,
             send=self._send,
+            running_topic=world.running_topic,
             is_clock_confirmed=lambda: self.is_confirmed,
         )
 
@@ -173,10 +201,11 @@
 
     async def step(self):
         """Step the reporter; what the topic refuses is tried again later."""
-        try:
-            await self.reporter.step()
-        except errors.PlatformError:
-            pass
+        for step in (self.reporter.step, self.reporter._running.store):
+            try:
+                await step()
+            except errors.PlatformError:
+                pass
 
 
 class World:
@@ -187,6 +216,9 @@
         self.random = random.Random(seed)
         self.numbers = itertools.count(1)
         self.topic = Topic(lambda: self.now)
+        self.running_topic = KeyedTopic()
+        # Whether requests come in.
+        self.is_busy = True
         self.entries: dict[str, Entry] = {}
         # The reader of each entry that isn't its own.
         self.readers: dict[str, str] = {}
@@ -227,7 +259,7 @@
             for entry in list(self.entries.values()):
                 if entry.is_suspended:
                     continue
-                if self.random.random() < 0.5:
+                if self.is_busy and self.random.random() < 0.5:
                     entry.counter.record_request("org")
                     self.truth[int(self.now // WINDOW_S)] += 1
                 reader = self.entries.get(self.readers.get(entry.name, ""))
--- a/acaciaward/usage/reporting.py
+++ b/acaciaward/usage/reporting.py
@@ -13,7 +13,7 @@
 from acaciaward import errors
 from acaciaward.leases import conditionallease
 from acaciaward.observability import logs
-from acaciaward.usage import counting, decisions
+from acaciaward.usage import counting, decisions, runningcounts
 
 log = logging.getLogger(__name__)
 
@@ -52,7 +52,8 @@
     reported. For an entry that isn't a reader, ``peer_counts`` returns None and it
     stores nothing. ``report_deadline_s`` is the time after a window's end at which
     its report is late. Nothing is stored or reported before ``is_clock_confirmed``:
-    what an entry says of windows by a wrong clock can't be taken back.
+    what an entry says of windows by a wrong clock can't be taken back. With a
+    ``running_topic``, counts are stored within a window, too (see ``runningcounts``).
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         live_names: abc.Callable[[], abc.Collection[str]],
         peer_counts: abc.Callable[[], ReportedCounts | None],
         send: SendReport,
+        running_topic: runningcounts.Topic | None = None,
         is_clock_confirmed: abc.Callable[[], bool] = lambda: True,
     ):
         self._lease = lease
@@ -88,6 +90,19 @@
         self._reported_windows: set[int] = set()
         self._unknown_windows: set[int] = set()
         self._decisions = decisions.Decisions(topic, ledger, counter.current_window)
+        self._running: runningcounts.RunningCounts | None = None
+        if running_topic is not None:
+            self._running = runningcounts.RunningCounts(
+                running_topic,
+                counter,
+                process_run=process_run,
+                received=self._received_counts,
+            )
+
+    @property
+    def tasks(self) -> list[abc.Callable[[], abc.Coroutine]]:
+        """The coroutine functions to run as tasks."""
+        return [self.run] if self._running is None else [self.run, self._running.run]
 
     async def run(self) -> None:
         """Store and report until cancelled."""
@@ -194,11 +209,36 @@
         is_first = not any(window == last_window for window, _ in self._stored)
         return is_first or self._counter.now() >= self._stored_at + STORE_INTERVAL_S
 
+    def _received_counts(self, window: int) -> runningcounts.CountsByStart | None:
+        """Return the counts of a window by run, None if this entry stores none."""
+        if self._first_window is None or self._peer_counts() is None:
+            return None
+        return self._received.by_start(window)
+
+    async def _total(self, window: int) -> counting.Counts:
+        """Return all counts of a window, also of entries that were lost meanwhile."""
+        total = counting.Ledger()
+        ledgers = [self._ledger]
+        if self._running is not None:
+            try:
+                ledgers.append(await self._running.read())
+            except errors.PlatformError as error:
+                if not self._has_waited(window):
+                    raise
+                log.warning(
+                    "usage decided without running counts",
+                    extra=logs.fields(window=window, reason=error),
+                )
+        for ledger in ledgers:
+            for start, counts in ledger.by_start(window).items():
+                total.merge(start, window, counts)
+        return total.total(window)
+
     async def _report(self, due_windows: abc.Sequence[int]) -> None:
         await self._decisions.read()
         for window in due_windows:
             if self._decisions.get(window) is None and self._may_decide(window):
-                await self._decisions.decide(window, self._ledger.total(window))
+                await self._decisions.decide(window, await self._total(window))
             decision = self._decisions.get(window)
             if decision is None:
                 continue
@@ -218,11 +258,14 @@
                 ),
             )
 
-    def _may_decide(self, window: int) -> bool:
-        has_waited = (
+    def _has_waited(self, window: int) -> bool:
+        return (
             self._counter.time_since_end_s(window)
             >= REPORT_ANYWAY_FRACTION * self._report_deadline_s
         )
+
+    def _may_decide(self, window: int) -> bool:
+        has_waited = self._has_waited(window)
         if self._decisions.may_decide(window):
             knows_entries = self._counter.now() - self._began_at >= JOIN_S
             is_complete = self._ledger.is_complete(window, self._live_names())
