End what is known of an endpoint's former start with that start

An endpoint that started again under its name within a second of its last answer was avoided for up to ten minutes: what it had said bound each start up to one second later, the assumed error of clocks. Calls that other entries had at the former start counted at the new one, a report named only one of two starts, and places and pauses of brittle endpoints and saved-up shares of limits went by name.

A statement binds a start that can have made it only with a wrong clock for five seconds, and endpoints that count as leaving for what was said are used again when that ends; before, nothing brought them back until their record changed. Reported load is ignored for a second after a proven restart, an entry reports its calls at the present start, over records that lose their start, and places, pauses and buckets end with the start.

--- a/acaciaward/catalogue/endpoints.py
+++ b/acaciaward/catalogue/endpoints.py
@@ -241,13 +241,29 @@
         }
 
     def remove_due(self) -> None:
-        """Carry out the deferred removals that are due."""
+        """Carry out what is due: deferred removals, and ends of what was said."""
+        self._end_departures()
         now = self._clock()
         for name, due_at in list(self._deferred_removals.items()):
             if due_at <= now:
                 del self._deferred_removals[name]
                 self._drop(name, "lapsed and not back")
 
+    def _end_departures(self) -> None:
+        """
+        Use endpoints again that are listed as ready and no longer count as leaving.
+
+        Their records don't change, so nothing else would bring them back.
+        """
+        for endpoint in self.all():
+            is_ended = (
+                endpoint.state is EndpointState.LEAVING
+                and self._recorded_states[endpoint.name] is EndpointState.READY
+                and not self.is_leaving(endpoint.incarnation)
+            )
+            if is_ended:
+                self._set(endpoint._replace(state=EndpointState.READY))
+
     def record_mismatch(self, endpoint: Endpoint) -> None:
         """Record that another server answers at the endpoint's address."""
         self._mismatched.add(endpoint.incarnation)
--- a/acaciaward/catalogue/statements.py
+++ b/acaciaward/catalogue/statements.py
@@ -29,6 +29,9 @@
 UNPROVEN_MEMORY_S = 600.0
 # By how much the clocks of entries and endpoints may differ.
 CLOCK_ERROR_S = 1.0
+# How long it binds a start that can have made it only if its clock differs so much. An
+# endpoint that starts again within a second of its last answer is avoided no longer.
+UNLIKELY_MEMORY_S = 5.0
 MAX_ENDPOINTS = 4096
 MAX_STARTS_PER_ENDPOINT = 4
 
@@ -40,13 +43,21 @@
     A value, and when it was heard and last needed, by the steady clock.
 
     ``latest_start_ms`` is the latest start that may have made the statement, in Unix
-    milliseconds.
+    milliseconds, and ``likely_start_ms`` the latest one if all clocks agree.
     """
 
     value: typing.Any
     heard_at: float
     needed_at: float
     latest_start_ms: float
+    likely_start_ms: float
+
+    def memory_s(self, born: int) -> float:
+        """Return for how long the statement binds a start that isn't proven."""
+        if born > self.latest_start_ms:
+            return 0.0
+        is_likely = born <= self.likely_start_ms
+        return UNPROVEN_MEMORY_S if is_likely else UNLIKELY_MEMORY_S
 
 
 class Statements(typing.Generic[Value]):
@@ -81,13 +92,14 @@
         The start is the one that is listed. A later one, whose record hasn't arrived
         yet, may have given the answer.
         """
-        self._add(incarnation, value, 1000 * (self._unix_time() + CLOCK_ERROR_S))
+        now_ms = 1000 * self._unix_time()
+        self._add(incarnation, value, now_ms + 1000 * CLOCK_ERROR_S, now_ms)
 
     def record_of_start(self, incarnation: Incarnation, value: Value) -> None:
         """Record what is known of exactly this start, as from its record."""
         _, born = incarnation
         if born:
-            self._add(incarnation, value, born)
+            self._add(incarnation, value, born, born)
         else:
             self.record_answer(incarnation, value)
 
@@ -104,26 +116,29 @@
                 if now - statement.needed_at < MEMORY_S:
                     by_start[start] = statement._replace(needed_at=now)
                     found.append(statement.value)
-            elif (
-                born <= statement.latest_start_ms
-                and now - statement.heard_at < UNPROVEN_MEMORY_S
-            ):
+            elif now - statement.heard_at < statement.memory_s(born):
                 found.append(statement.value)
         return found
 
     def _add(
-        self, incarnation: Incarnation, value: Value, latest_start_ms: float
+        self,
+        incarnation: Incarnation,
+        value: Value,
+        latest_start_ms: float,
+        likely_start_ms: float,
     ) -> None:
         name, born = incarnation
         now = self._clock()
         by_start = self._by_name.setdefault(name, {})
-        statement = _Statement(value, now, now, latest_start_ms)
+        statement = _Statement(value, now, now, latest_start_ms, likely_start_ms)
         known = by_start.pop(born, None)
         # What is known of exactly this start takes nothing back of what an answer,
         # perhaps of a later start, has said.
         if known is not None and known.latest_start_ms > latest_start_ms:
             statement = statement._replace(
-                heard_at=known.heard_at, latest_start_ms=known.latest_start_ms
+                heard_at=known.heard_at,
+                latest_start_ms=known.latest_start_ms,
+                likely_start_ms=known.likely_start_ms,
             )
         by_start[born] = statement
         if len(by_start) > MAX_STARTS_PER_ENDPOINT:
--- a/acaciaward/routing/brittleness.py
+++ b/acaciaward/routing/brittleness.py
@@ -216,6 +216,11 @@
         windows = max(1.0, 2 * self._known_entries.count() / (1 + bearable))
         return min(MAX_PAUSE_S, WINDOW_S * windows * self._random.uniform(0.75, 1.25))
 
+    def record_restart(self, name: str) -> None:
+        """Drop what requests at the former start of an endpoint have brought about."""
+        self._paused_until.pop(name, None)
+        self._held_until.pop(name, None)
+
     def follow(
         self, before: endpoints.Endpoint | None, after: endpoints.Endpoint | None
     ) -> None:
--- a/acaciaward/routing/endpointlimits.py
+++ b/acaciaward/routing/endpointlimits.py
@@ -91,6 +91,10 @@
         if per_s is not None:
             self._refilled_bucket(endpoint, per_s).tokens -= 1.0
 
+    def record_restart(self, name: str) -> None:
+        """Drop what was saved up for the former start of an endpoint."""
+        self._buckets.pop(name, None)
+
     def _refilled_bucket(self, endpoint: endpoints.Endpoint, per_s: float) -> _Bucket:
         now = self._clock()
         # A bucket outlives the endpoint's record, or it would be full anew.
--- a/acaciaward/routing/features/steps/endpointrates_steps.py
+++ b/acaciaward/routing/features/steps/endpointrates_steps.py
@@ -61,7 +61,7 @@
         return routes.Service("s", 64)
 
     def candidate(self, entry, endpoint, call):
-        return entry._candidate(self.service, endpoint, call, {}, False, self.now)
+        return entry._candidate(self.service, endpoint, call, False)
 
     def send(self, entry, kind, endpoint, *, ahead=0.0, outcome="served"):
         """Send one call, and advance the clock by its time and back."""
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -21,10 +21,9 @@
     endpointrates,
     health,
     placement,
+    reportedload,
 )
 
-# Other entries' reports older than this are ignored, in seconds.
-REPORT_LIFETIME_S = 3.0
 # An endpoint with work that sends no data for this long is considered failed, in
 # seconds: an engine completes many batches a second, and the first token of a short
 # prompt arrives within a quarter of that time.
@@ -32,6 +31,8 @@
 # Prompts waiting for prefill may delay everything by this multiple of the time that
 # their prefill takes.
 PREFILL_DELAY_FACTOR = 1.5
+# The largest age of load reports that is logged, in seconds.
+MAX_REPORT_AGE_S = 1e6
 # How long the health of an endpoint is kept after its record has gone, in seconds.
 GONE_MEMORY_S = 60.0
 
@@ -78,8 +79,7 @@
         self.rates = endpointrates.EndpointRates(self._members, clock=clock)
         self._no_data_since: dict[Incarnation, float] = {}
         self._long_shares: abc.Mapping[str, float] = {}
-        self._reported_load: abc.Mapping[str, tuple[float, float]] = {}
-        self._reported_at = 0.0
+        self._reported = reportedload.ReportedLoad(clock)
         # When endpoints' records went.
         self._gone_at: dict[Incarnation, float] = {}
         directory.subscribe(self._follow)
@@ -95,12 +95,24 @@
             self._gone_at[before.incarnation] = now
         if after is not None:
             self._gone_at.pop(after.incarnation, None)
+            if before is None or before.born != after.born:
+                self._record_start(after.incarnation)
         for incarnation, gone_at in list(self._gone_at.items()):
             if now - gone_at >= GONE_MEMORY_S:
                 del self._gone_at[incarnation]
                 self._health.pop(incarnation, None)
                 self._cached_parts.forget(incarnation)
 
+    def _record_start(self, incarnation: Incarnation) -> None:
+        """Drop what is known by name if another start had that name."""
+        if any(
+            reportedload.is_later_start(incarnation, gone) for gone in self._gone_at
+        ):
+            name, _ = incarnation
+            self._reported.record_restart(name)
+            self.limits.record_restart(name)
+            self.brittle.record_restart(name)
+
     def _members(self, service: str) -> list[Incarnation]:
         return [
             endpoint.incarnation for endpoint in self._directory.of_service(service)
@@ -146,14 +158,11 @@
             healthy = [
                 min(probes, key=lambda endpoint: self._health_of(endpoint).paused_until)
             ]
-        reports = self._fresh_reports()
         names = [endpoint.name for endpoint in healthy]
         pool = self._pool_for(service.name, call.prompt, max_gap_s, names)
         preferred = placement.preferred_endpoints(call.prompt, pool)
         candidates = [
-            self._candidate(
-                service, endpoint, call, reports, endpoint.name in preferred[:1], now
-            )
+            self._candidate(service, endpoint, call, endpoint.name in preferred[:1])
             for endpoint in healthy
         ]
         return placement.choose(candidates, call.prompt, self._random, pool=set(pool))
@@ -187,13 +196,22 @@
     def _has_room(self, endpoint: endpoints.Endpoint) -> bool:
         if not self.brittle.is_brittle(endpoint):
             return True
-        others, _ = self._fresh_reports().get(endpoint.name, (0.0, 0.0))
+        others, _ = self._reported.of(endpoint.name)
         # A record that loses its start for a moment frees no place.
         running = sum(
-            count for (name, _), count in self._running.items() if name == endpoint.name
+            count
+            for incarnation, count in self._running.items()
+            if incarnation[0] == endpoint.name and self._may_be_running(incarnation)
         )
         return self.brittle.has_room(endpoint, running, others)
 
+    def _may_be_running(self, incarnation: Incarnation) -> bool:
+        """Return whether no later start of an endpoint is listed."""
+        listed = self._directory.get(incarnation[0])
+        return listed is None or not reportedload.is_later_start(
+            listed.incarnation, incarnation
+        )
+
     def room(
         self,
         service: str,
@@ -311,7 +329,7 @@
         since = self._no_data_since.get(endpoint.incarnation)
         if since is None:
             return False
-        reported = self._fresh_reports().get(endpoint.name, (0.0, 0.0))
+        reported = self._reported.of(endpoint.name)
         backlog_tokens = self._backlog[endpoint.incarnation] + reported[1]
         limit_s = (
             UNRESPONSIVE_S
@@ -321,10 +339,9 @@
 
     def service_load(self, service: str) -> tuple[float, float]:
         """Return requests and backlog tokens at a service, from all entries."""
-        reports = self._fresh_reports()
         requests = tokens = 0.0
         for endpoint in self._directory.of_service(service):
-            reported = reports.get(endpoint.name, (0, 0))
+            reported = self._reported.of(endpoint.name)
             requests += self._running[endpoint.incarnation] + reported[0]
             tokens += self._backlog[endpoint.incarnation] + reported[1]
         return requests, tokens
@@ -367,16 +384,17 @@
 
     def load(self) -> dict[str, tuple[float, float]]:
         """Return this entry's number of requests and backlog tokens by endpoint."""
-        return {
-            name: (count, self._backlog[(name, born)])
-            for (name, born), count in self._running.items()
-            if count
-        }
+        load: dict[str, tuple[float, float]] = {}
+        for incarnation, count in self._running.items():
+            if count and self._may_be_running(incarnation):
+                name, _ = incarnation
+                requests, tokens = load.get(name, (0, 0))
+                load[name] = (requests + count, tokens + self._backlog[incarnation])
+        return load
 
     def receive_load(self, load: abc.Mapping[str, tuple[float, float]]) -> None:
         """Receive the sums of what all other entries return from ``load``."""
-        self._reported_load = load
-        self._reported_at = self._clock()
+        self._reported.receive(load)
 
     @staticmethod
     def _subtract(counter: collections.Counter, key: Incarnation, amount: int) -> None:
@@ -387,20 +405,14 @@
     def _health_of(self, endpoint: endpoints.Endpoint) -> health.Health:
         return self._health.get(endpoint.incarnation, health.Health())
 
-    def _fresh_reports(self) -> abc.Mapping[str, tuple[float, float]]:
-        is_fresh = self._clock() - self._reported_at < REPORT_LIFETIME_S
-        return self._reported_load if is_fresh else {}
-
     def _candidate(
         self,
         service: routes.Service,
         endpoint: endpoints.Endpoint,
         call: calls.Call,
-        reports: abc.Mapping[str, tuple[float, float]],
         is_most_preferred: bool,
-        now: float,
     ) -> placement.Candidate:
-        reported = reports.get(endpoint.name, (0.0, 0.0))
+        reported = self._reported.of(endpoint.name)
         incarnation = endpoint.incarnation
         time_factor = self.rates.time_factor(service.name, incarnation)
         return placement.Candidate(
@@ -412,7 +424,7 @@
             failed_share=self._health_of(endpoint).failed_share,
             service_s=self.rates.service_s(service.name) * time_factor,
             is_local=endpoint.data_centre == self._data_centre,
-            report_age_ms=int(1000 * (now - self._reported_at)),
+            report_age_ms=int(1000 * min(self._reported.age_s, MAX_REPORT_AGE_S)),
         )
 
     def _cached_tokens(
