Free the places of a brittle endpoint whose former start's requests end late

Requests at the former start whose loss was noticed after the restart took places at the later one. The scenario failed before the change.

--- a/acaciaward/routing/features/restarts.feature
+++ b/acaciaward/routing/features/restarts.feature
@@ -77,3 +77,12 @@
       | outcome   |
       | undecided |
       | refused   |
+
+  # Guards against places held by requests whose loss is noticed after the restart.
+  Scenario: Requests that end with the former start hold no places at the later one
+    Given e-1 says that it is brittle
+    And 4 calls run at e-1
+    When e-1 is listed as started at 203 s
+    And e-1 says that it is brittle
+    And its calls end as failed
+    Then e-1 has room
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -372,7 +372,9 @@
         if incarnation not in self._running:
             self._no_data_since.pop(incarnation, None)
         service_s = self.service_s(work.endpoint.service)
-        self.brittle.record_end(work.endpoint, outcome, service_s)
+        # What ends with its former start holds no place at an endpoint.
+        if self._may_be_running(incarnation):
+            self.brittle.record_end(work.endpoint, outcome, service_s)
         self._health[incarnation] = self._health_of(work.endpoint).after(
             outcome, self._clock()
         )
