Bound what untrusted clients make an entry hold

Callers saw an entry end, or not answer for tens of seconds, when clients outside of our control sent many large, unfinished or finely chunked bodies: each connection could hold a body of the largest size, asyncio received up to 256 KiB for each of them in one turn of its loop, h11 took some 10 us for each chunk, and nothing bounded the connections.

Now all listeners built on callers.py share one budget of bytes (a fifth of Limits.MemoryMb) and a limit on connections (half of Limits.MaxFds above 200). When the budget is full, a body that has stopped is dropped before one that makes progress, then one of the sender with most bytes, then the newest; its request is refused with 503 and Retry-After, as it hasn't run. Large bodies are refused at their head if their length, route or key is. Chunks that have arrived reach h11 as one, and connections with many tiny chunks take turns. One connection over the limit closes the least active one of the sender with most, so that a crowd doesn't shut others out. Readiness, discovery and metrics take 1 KiB.

The scenario after a crowd first waits until the entry has closed the connections of the clients that left: until then their bodies still arrive out of the kernel's buffers, so the entry isn't in calm. Bounds and crowd are unchanged.

--- a/acaciaward/gateway/callers.py
+++ b/acaciaward/gateway/callers.py
@@ -4,37 +4,33 @@
 A request is handled once its last byte has arrived. Meanwhile the connection is read
 ahead, so that a caller that disconnects cancels the handler at once. An answer that
 can't be completed is aborted with a TCP reset, so that it never looks complete.
+
+What connections hold is taken from a budget, see ``guarding``. A large body is refused
+before it is read if its length, its route or its key is.
 """
 
 import asyncio
 import contextlib
 import logging
-import time
 import typing
 from collections import abc
 
 import h11
 
-from acaciaward import errors
 from acaciaward.catalogue import routes
-from acaciaward.gateway import calls
+from acaciaward.gateway import calls, guarding, listening, requestreading
 from acaciaward.observability import logs
 
 log = logging.getLogger(__name__)
 
-BAD_REQUEST = 400
-READ_BYTES = 65536
-# Limit of pipelined bytes that are buffered while a request is handled.
-READ_AHEAD_BYTES = 262144
-# Length of the accept queue: enough for a burst of callers that reconnect.
-ACCEPT_BACKLOG = 1024
+# Time for which the rest of a refused body is read and discarded: closing a connection
+# with unread data resets it, and the caller might not get the answer.
+LINGER_S = 1.0
 
 Handler = abc.Callable[[calls.Call, "Responder"], abc.Awaitable[None]]
-DecodeCall = abc.Callable[[calls.Headers], abc.Mapping[str, typing.Any]]
 
 
-class CallerGoneError(Exception):
-    """The caller closed its connection."""
+CallerGoneError = requestreading.CallerGoneError
 
 
 class Responder:
@@ -95,101 +91,59 @@
         writer: asyncio.StreamWriter,
     ):
         self._server = server
-        self._reader = reader
         self._writer = writer
-        limits = server.limits()
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        peer = writer.get_extra_info("peername")
+        self.sender: str = peer[0] if peer else ""
+        self._budget = server.guard.budget
+        self._unsent = self._budget.open(self.sender, self.abort)
+        self._requests = requestreading.RequestReader(
+            reader,
+            self.sender,
+            requestreading.Rules(
+                server.decode_call, server.limits, server.guard, server.policy
+            ),
+            send_continue=self._send_continue,
+            abort=self.abort,
         )
+        self._http = self._requests.http
         self.is_busy = False
 
     async def serve(self) -> None:
         """Answer requests until either side closes the connection."""
         try:
             while True:
-                call = await self._read_call()
+                call = await self._requests.read()
                 if call is None:
                     break
                 self.is_busy = True
+                self._server.guard.connections.touch(self)
                 await self._run_handler(call)
                 self.is_busy = False
-                if self._parser.our_state is not h11.DONE:
+                # Frees the body while the connection waits for the next request.
+                call = None
+                if self._http.our_state is not h11.DONE:
                     break
-                if self._parser.their_state is not h11.DONE:
+                if self._http.their_state is not h11.DONE:
                     break
-                self._parser.start_next_cycle()
+                self._http.start_next_cycle()
         except CallerGoneError:
             pass
         except h11.RemoteProtocolError as error:
-            await self._refuse(error.error_status_hint, str(error))
+            await self._refuse(error.error_status_hint, str(error), [])
+        except requestreading.RefusedEarlyError as error:
+            await self._refuse(error.refusal.status, str(error), error.headers)
         except OSError as error:
             log.debug("connection to a caller lost", extra=logs.fields(reason=error))
         finally:
             self.is_busy = False
+            self._requests.release()
             self._writer.close()
 
-    async def _read_call(self) -> calls.Call | None:
-        limits = self._server.limits()
-        head: h11.Request | None = None
-        parts: list[bytes] = []
-        body_bytes = 0
-        has_bytes = bool(self._parser.trailing_data[0])
-        while True:
-            event = self._parser.next_event()
-            if event is h11.NEED_DATA:
-                if self._parser.they_are_waiting_for_100_continue:
-                    continue_response = h11.InformationalResponse(
-                        status_code=100, headers=[]
-                    )
-                    await self.write(self.encode(continue_response))
-                timeout_s = limits.header_s if has_bytes else limits.idle_s
-                if not await self._receive(timeout_s if head is None else None):
-                    return None
-                has_bytes = True
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body_bytes += len(event.data)
-                if body_bytes > limits.body_bytes:
-                    raise h11.RemoteProtocolError("body too large", 413)
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return self._make_call(head, b"".join(parts))
-            else:
-                return None
-
-    async def _receive(self, timeout_s: float | None) -> bool:
-        limits = self._server.limits()
-        try:
-            async with asyncio.timeout(timeout_s or limits.idle_s):
-                data = await self._reader.read(READ_BYTES)
-        except TimeoutError:
-            return False
-        self._parser.receive_data(data)
-        return bool(data)
-
-    def _make_call(self, head: h11.Request, body: bytes) -> calls.Call:
-        headers = list(head.headers.raw_items())
-        hosts = [value for name, value in head.headers if name == b"host"]
-        host = hosts[0].decode("latin-1") if hosts else ""
-        try:
-            fields = self._server.decode_call(headers)
-        except errors.DecodingError as error:
-            raise h11.RemoteProtocolError(str(error), BAD_REQUEST) from error
-        return calls.Call(
-            method=head.method,
-            target=head.target,
-            host=host.rsplit(":", 1)[0],
-            headers=headers,
-            body=body,
-            received_at=time.monotonic(),
-            **fields,
-        )
-
     async def _run_handler(self, call: calls.Call) -> None:
         responder = Responder(self)
+        self._requests.begin_run(call)
         handler_task = asyncio.create_task(self._server.handler(call, responder))
-        disconnect_task = asyncio.create_task(self._wait_for_disconnect())
+        disconnect_task = asyncio.create_task(self._requests.wait_for_disconnect())
         try:
             await asyncio.wait(
                 {handler_task, disconnect_task}, return_when=asyncio.FIRST_COMPLETED
@@ -199,6 +153,7 @@
             if not handler_task.done():
                 handler_task.cancel()
             await asyncio.gather(handler_task, disconnect_task, return_exceptions=True)
+            self._requests.end_run()
         if handler_task.cancelled():
             raise CallerGoneError
         error = handler_task.exception()
@@ -214,42 +169,42 @@
             responder.abort()
             raise CallerGoneError
 
-    async def _wait_for_disconnect(self) -> None:
-        """Read ahead; return when the caller closes the connection."""
-        buffered_bytes = len(self._parser.trailing_data[0])
-        while buffered_bytes < READ_AHEAD_BYTES:
-            try:
-                data = await self._reader.read(READ_BYTES)
-            except OSError:
-                return
-            if not data:
-                return
-            self._parser.receive_data(data)
-            buffered_bytes += len(data)
-        await asyncio.get_running_loop().create_future()
-
-    async def _refuse(self, status: int, reason: str) -> None:
+    async def _send_continue(self) -> None:
+        continue_response = h11.InformationalResponse(status_code=100, headers=[])
+        await self.write(self.encode(continue_response))
+
+    async def _refuse(self, status: int, reason: str, headers: calls.Headers) -> None:
         log.info("request unreadable", extra=logs.fields(status=status, reason=reason))
+        # What has arrived of the body is of no more use.
+        self._requests.release()
         with contextlib.suppress(CallerGoneError, h11.LocalProtocolError):
-            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-            data = self.encode_head(status, headers)
+            closing = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            data = self.encode_head(status, headers + closing)
             await self.write(data + self.encode(h11.EndOfMessage()))
+            await self._linger()
+
+    async def _linger(self) -> None:
+        """Discard what the caller still sends, so that it gets the answer."""
+        with contextlib.suppress(TimeoutError, OSError):
+            async with asyncio.timeout(LINGER_S):
+                self._writer.write_eof()
+                await self._requests.discard()
 
     def encode_head(self, status: int, headers: calls.Headers) -> bytes:
         """Return the bytes of a response head."""
         # Requests that were read behind this one are answered first.
-        has_more = bool(self._parser.trailing_data[0])
+        has_more = bool(self._requests.pending_bytes)
         if self._server.is_leaving and not has_more:
             headers = [*headers, (b"Connection", b"close")]
         return self.encode(h11.Response(status_code=status, headers=headers))
 
     def encode(self, event: typing.Any) -> bytes:
         """Return the bytes of an h11 event."""
-        return self._parser.send(event) or b""
+        return self._http.send(event) or b""
 
     def encode_part(self, data: bytes) -> bytes:
         """Return the bytes of a part of an answer of unknown length."""
-        if self._parser.their_http_version != b"1.1":
+        if self._http.their_http_version != b"1.1":
             return self.encode(h11.Data(data=data))
         # Chunks don't change the parser's state, so the frequent ones bypass it.
         return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
@@ -259,10 +214,16 @@
         if self._writer.transport.is_closing():
             raise CallerGoneError
         self._writer.write(data)
+        unsent_bytes = self._writer.transport.get_write_buffer_size()
+        if unsent_bytes and not self._budget.resize(self._unsent, unsent_bytes):
+            self.abort()
         try:
             await self._writer.drain()
         except OSError as error:
             raise CallerGoneError from error
+        finally:
+            if unsent_bytes:
+                self._budget.close(self._unsent)
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -270,19 +231,28 @@
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or handled."""
-        if not self.is_busy and not self._parser.trailing_data[0]:
+        if not self.is_busy and not self._requests.pending_bytes:
             self._writer.close()
 
 
 class CallerServer:
-    """Accepts callers; ``limits`` returns those of the configuration in force."""
+    """
+    Accepts callers; ``limits`` returns those of the configuration in force.
+
+    The listeners of an entry share a ``guard``; ``policy`` is this listener's own.
+    """
 
     def __init__(
         self,
         handler: Handler,
-        decode_call: DecodeCall,
+        decode_call: requestreading.DecodeCall,
         limits: abc.Callable[[], routes.Limits],
+        *,
+        guard: guarding.Guard | None = None,
+        policy: guarding.Policy | None = None,
     ):
+        self.guard = guard or guarding.build_default()
+        self.policy = policy or guarding.Policy()
         self.handler = handler
         self.decode_call = decode_call
         self.limits = limits
@@ -297,9 +267,7 @@
 
     async def start(self, address: str, port: int) -> int:
         """Listen and return the port."""
-        self._server = await asyncio.start_server(
-            self._serve, address, port, backlog=ACCEPT_BACKLOG, limit=READ_BYTES
-        )
+        self._server = await listening.listen(self._serve, address, port)
         return self._server.sockets[0].getsockname()[1]
 
     async def _serve(
@@ -307,9 +275,11 @@
     ) -> None:
         connection = CallerConnection(self, reader, writer)
         self._connections.add(connection)
+        self.guard.connections.add(connection)
         try:
             await connection.serve()
         finally:
+            self.guard.connections.remove(connection)
             self._connections.discard(connection)
 
     def stop_accepting(self) -> None:
--- a/acaciaward/gateway/features/steps/untrusted_steps.py
+++ b/acaciaward/gateway/features/steps/untrusted_steps.py
@@ -27,7 +27,7 @@
 
 @when("the clients leave")
 def leave(context):
-    context.runner.run(context.group.disperse())
+    context.runner.run(context.group.leave())
 
 
 @when("a body of the largest legal size is sent whole")
--- a/acaciaward/gateway/features/untrusted.py
+++ b/acaciaward/gateway/features/untrusted.py
@@ -157,7 +157,7 @@
         super().__init__(1, 1, configuration={"Limits": limits})
         self.watch = Watch()
         self.memory_mb = memory_mb
-        self.most_descriptors = 0
+        self.most_descriptors = self.idle_descriptors = 0
         self._folder = tempfile.TemporaryDirectory(prefix="acaciaward-untrusted-")
         self._process: subprocess.Popen | None = None
         self._tasks: list[asyncio.Task] = []
@@ -222,6 +222,8 @@
         async with asyncio.timeout(START_TIMEOUT_S):
             while await self.ask() != 200:
                 await asyncio.sleep(0.1)
+        # Connections to the store and to the endpoint may be added.
+        self.idle_descriptors = self._count_descriptors() + 10
         self._sampling = asyncio.create_task(self._sample())
 
     def _start_process(self):
@@ -288,6 +290,13 @@
             if writer is not None:
                 writer.transport.abort()
 
+    async def leave(self):
+        """Let the crowd leave, and wait until the entry has noticed."""
+        await self.disperse()
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while self._count_descriptors() > self.idle_descriptors:
+                await asyncio.sleep(SAMPLE_INTERVAL_S)
+
     async def disperse(self):
         """Close the connections of the crowd."""
         for task in self._tasks:
@@ -333,12 +342,14 @@
             await asyncio.sleep(0.5)
         return status
 
+    def _count_descriptors(self):
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
     async def _sample(self):
-        folder = f"/proc/{self._process.pid}/fd"
         while self.is_running:
             with contextlib.suppress(OSError):
                 self.most_descriptors = max(
-                    self.most_descriptors, len(os.listdir(folder))
+                    self.most_descriptors, self._count_descriptors()
                 )
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -22,6 +22,7 @@
     detours,
     endpointchoice,
     errors,
+    guarding,
     hedging,
     interfaces,
     metrics,
@@ -108,6 +109,16 @@
             return
         await self.handle(call, responder)
 
+    def refuse_early(self, call: calls.Call) -> guarding.EarlyRefusal | None:
+        """Return how a call would be refused whatever its body is, or None."""
+        try:
+            self._admit(call)
+        except callprogress.RefusedError as refusal:
+            return guarding.EarlyRefusal(
+                refusal.status, refusal.reason, refusal.retry_after_s
+            )
+        return None
+
     def _admit(self, call: calls.Call) -> tuple[routes.Index, callprogress.Progress]:
         if self.shutdown.is_closed:
             raise callprogress.RefusedError(
--- a/acaciaward/gateway/metrics.py
+++ b/acaciaward/gateway/metrics.py
@@ -27,6 +27,15 @@
     "Further attempts of a call, by whether the budget allowed them",
     ["allowed"],
 )
+BODIES_DROPPED = prometheus_client.Counter(
+    "acaciaward_gateway_bodies_dropped_total",
+    "Requests refused and connections dropped since the budget of bytes was full",
+    ["result"],
+)
+CONNECTIONS_CLOSED = prometheus_client.Counter(
+    "acaciaward_gateway_connections_closed_total",
+    "Connections of callers that were closed to make room for others",
+)
 BACKUPS = prometheus_client.Counter(
     "acaciaward_gateway_backups_total",
     "Attempts beside one whose endpoint was silent, by how they ended",
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -29,6 +29,7 @@
     entryquarantine,
     entryquotas,
     forwarding,
+    guarding,
     housekeeping,
     interfaces,
     links,
@@ -72,6 +73,8 @@
 # calls; longer than the pause between two reads of the endpoints.
 MAX_PLATFORM_IDLE_S = 1.0
 POLL_INTERVAL_S = 0.05
+# Requests for readiness, discovery and metrics need no body; a small one is ignored.
+MAX_AUXILIARY_BODY_BYTES = 1024
 
 
 class Gateway:
@@ -241,15 +244,27 @@
         self._store_view.on_endpoints_read = self._relaying.record_store_read
 
     def _build_servers(self) -> None:
+        guard = guarding.build(
+            self._settings["limits"],
+            largest_body=lambda: self._store_view.catalogue.limits.body_bytes,
+        )
         self._callers = callers.CallerServer(
             self._forwarder.handle,
             headers.decode_call,
             lambda: self._store_view.catalogue.limits,
+            guard=guard,
+            policy=guarding.Policy(
+                self._forwarder.refuse_early, headers.encode_early_refusal
+            ),
         )
         self._detours = callers.CallerServer(
             self._forwarder.handle_from_peer,
             platform_detours.decode_call,
             self._detour_limits,
+            guard=guard,
+            policy=guarding.Policy(
+                self._forwarder.refuse_early, platform_detours.encode_early_refusal
+            ),
         )
         status_handlers = statushandlers.StatusHandlers(
             self._membership,
@@ -263,7 +278,12 @@
         if self._settings["metrics"]:
             handlers["metrics"] = status_handlers.answer_metrics
         self._auxiliary_servers = {
-            name: callers.CallerServer(handler, headers.decode_call, routes.Limits)
+            name: callers.CallerServer(
+                handler,
+                headers.decode_call,
+                lambda: routes.Limits(body_bytes=MAX_AUXILIARY_BODY_BYTES),
+                guard=guard,
+            )
             for name, handler in handlers.items()
         }
 
--- a/acaciaward/gateway/settings.py
+++ b/acaciaward/gateway/settings.py
@@ -186,6 +186,25 @@
     )
 
 
+class Limits(_Group):
+    """The machine's limits, and what clients that nobody controls may use of them."""
+
+    memory_mb: _described(
+        float | None,
+        "Memory of the machine in MiB, or null if unknown (512). A fifth of it is the"
+        " budget for bodies that arrive or wait and answers that callers don't read,"
+        " but at least two bodies of the largest legal size fit.",
+    )
+    max_fds: _described(
+        int | None,
+        "Descriptors that the process may open, or null for its own limit. Callers may"
+        " hold half of those above 200.",
+    )
+    body_s: _described(
+        IntervalSeconds, "Time in which a request's body must be complete, in seconds."
+    )
+
+
 class Metrics(_Group):
     """Where metrics are served; if left out, they aren't served."""
 
@@ -232,6 +251,7 @@
     )
     duties: Duties
     bounds: Bounds
+    limits: Limits
     metrics: Metrics
     detours: Detours
     logging: Logging
--- a/acaciaward/platform/detours.py
+++ b/acaciaward/platform/detours.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from acaciaward import decoding, verdicts
-from acaciaward.gateway import calls
+from acaciaward.gateway import calls, guarding
 from acaciaward.observability import logs
 from acaciaward.platform import headers
 
@@ -91,6 +91,19 @@
     return [(b"Acaciaward-Detour", msgspec.json.encode(fields))]
 
 
+def encode_early_refusal(
+    call: calls.Call, refusal: guarding.EarlyRefusal
+) -> calls.Headers:
+    """Return the headers of the refusal of a peer's call whose body isn't read."""
+    found = headers.encode_early_refusal(call, refusal)
+    if call.detour is None:
+        return found
+    reply = calls.DetourReply(
+        call.detour.sends, verdict=verdicts.Verdict.NOT_RUN, reason=refusal.reason
+    )
+    return found + encode_reply(reply)
+
+
 def decode_reply(status: int, given: calls.Headers) -> calls.ReplyHead:
     """Decode the head of a peer's answer, an endpoint's or the peer's own."""
     fields = _decode(given, _REPLY_DECODER)
--- a/acaciaward/platform/headers.py
+++ b/acaciaward/platform/headers.py
@@ -11,7 +11,7 @@
 import typing
 
 from acaciaward import decoding, verdicts
-from acaciaward.gateway import calls
+from acaciaward.gateway import calls, guarding
 from acaciaward.observability import logs, metrics
 
 log = logging.getLogger(__name__)
@@ -260,3 +260,12 @@
     if verdict is verdicts.Verdict.NOT_RUN and retry_after_s is not None:
         headers.append((b"Retry-After", b"%.2f" % retry_after_s))
     return headers
+
+
+def encode_early_refusal(
+    call: calls.Call, refusal: guarding.EarlyRefusal
+) -> calls.Headers:
+    """Return the headers of the refusal of a call whose body isn't read."""
+    return encode_gateway_reply(
+        call.attempt_id, verdicts.Verdict.NOT_RUN, refusal.retry_after_s
+    )
--- a/acaciaward/platform/nodefile.py
+++ b/acaciaward/platform/nodefile.py
@@ -96,6 +96,7 @@
         "store": _address(fields, "Platform.Address"),
         "duties": {"names": _split_list(fields.get("Cloud.Duties", ""))},
         "bounds": _decode_bounds(fields),
+        "limits": _decode_limits(fields),
         "metrics": _internal_address(fields, METRICS_PORT_OFFSET),
         "detours": _internal_address(fields, DETOURS_PORT_OFFSET),
     }
@@ -151,6 +152,14 @@
     return bounds
 
 
+def _decode_limits(fields: abc.Mapping[str, str]) -> dict[str, typing.Any]:
+    max_fds = _number(fields, "Limits.MaxFds")
+    return _drop_missing(
+        memory_mb=_number(fields, "Limits.MemoryMb"),
+        max_fds=None if max_fds is None else int(max_fds),
+    )
+
+
 def _number(fields: abc.Mapping[str, str], name: str) -> float | None:
     text = fields.get(name)
     if not text:
