Follow the operator's orders of roll-outs

Callers saw nothing of an order: requests went to endpoints of any version, so a bad version got half of them, and nobody told the operator when old endpoints were free.

Entries find orders in what they read of keyed.op, and count their attempts by service, version and route. Reports, summaries and relays carry orders, plans and sums in the field rollouts, which is missing without an order. The holder of the duties' lease records each plan in keyed.acaciaward.rollouts before entries follow it, and writes the state to keyed.status. New requests draw their version from the plan; an entry that sees bad answers in the sums stops sending to the target by itself. The servers of readiness, discovery and metrics are now built in gateway/listeners.py.

--- a/acaciaward/catalogue/features/delivery.py
+++ b/acaciaward/catalogue/features/delivery.py
@@ -93,6 +93,8 @@
         self.version = 0
         # Overrides fields of the records of endpoints.
         self.endpoint_fields: dict[str, typing.Any] = {}
+        # Whether entries take part in the duties.
+        self.has_duties = False
         # Monotonic time at which the store acknowledged each version first.
         self.acknowledged_at: dict[int, float] = {}
 
@@ -155,6 +157,9 @@
             "Bounds.ContactMs": CONTACT_S * 1000,
             "Bounds.ConfigApplyMs": CONFIGURATION_S * 1000,
         }
+        if self.has_duties:
+            fields["Cloud.Address"] = fields["Platform.Address"]
+            fields["Cloud.Duties"] = "usage_report"
         for name, port in entry.ports.items():
             fields[f"Listen.{name}"] = f"127.0.0.1:{port}"
         return "".join(f"{name}={value}\n" for name, value in fields.items())
--- a/acaciaward/gateway/callprogress.py
+++ b/acaciaward/gateway/callprogress.py
@@ -9,6 +9,7 @@
 from acaciaward.catalogue import routes
 from acaciaward.gateway import calls, eventnumbers, events, metrics
 from acaciaward.quarantine import suspects
+from acaciaward.routing import versionchoice
 
 
 class Cause(enum.Enum):
@@ -63,7 +64,7 @@
     counts requests written. ``has_run`` is set by the first byte of an answer.
     ``charged`` is the amount taken from the organisation's quota. ``stream_version`` is
     the version of the endpoint's software that began its stream, to which the stream is
-    bound from its first event on.
+    bound from its first event on; before that, ``version_choice`` applies.
     ``failed_connects`` counts endpoints that couldn't be connected to, ``tried_peers``
     names the peers that the call was to go through. With ``has_no_detour`` peers don't
     reach the endpoints either. ``failed_attempts`` are the attempts that have failed.
@@ -90,6 +91,7 @@
         self.outcome = "cut"
         self.version = -1
         self.stream_version: str | None = None
+        self.version_choice: versionchoice.Choice = None
         self.first_byte_s: float | None = None
         self.last_event_at: float | None = None
         self.longest_gap_s = 0.0
@@ -108,6 +110,13 @@
         """Record that where the call was written to it won't run."""
         self._unrefused_sends -= 1
 
+    @property
+    def endpoint_version(self) -> versionchoice.Choice:
+        """Which versions may get the call: its stream's, or those of a roll-out."""
+        if self.stream_version is not None:
+            return self.stream_version
+        return self.version_choice
+
     @property
     def left_s(self) -> float:
         """Seconds until the call must be answered."""
--- a/acaciaward/gateway/detours.py
+++ b/acaciaward/gateway/detours.py
@@ -30,6 +30,7 @@
 )
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.observability import logs
+from acaciaward.routing import versionchoice
 
 log = logging.getLogger(__name__)
 
@@ -89,7 +90,7 @@
         )
         # The endpoints of a service, and of a version, that nobody reaches, until when.
         self._unreached: dict[
-            tuple[str, str | None], tuple[frozenset[tuple[str, int]], float]
+            tuple[str, versionchoice.Choice], tuple[frozenset[tuple[str, int]], float]
         ] = {}
 
     def choose(
@@ -133,7 +134,7 @@
     def record_unreached(
         self,
         service: str,
-        version: str | None,
+        version: versionchoice.Choice,
         incarnations: frozenset[tuple[str, int]],
     ) -> None:
         """Record that neither this entry nor a peer reaches any of the endpoints."""
@@ -145,7 +146,7 @@
     def is_unreached(
         self,
         service: str,
-        version: str | None,
+        version: versionchoice.Choice,
         incarnations: frozenset[tuple[str, int]],
     ) -> bool:
         """Return whether all of the endpoints were found unreached a moment ago."""
@@ -337,7 +338,7 @@
         contender: hedging.Contender,
     ) -> bool:
         """Send a call through a peer; return whether it is answered."""
-        room = self._deps.occupancy.room(service.name, progress.stream_version)
+        room = self._deps.occupancy.room(service.name, progress.endpoint_version)
         holders = () if room is None else room.holders
         peer = self._deps.peers.choose(progress, service.name, holders)
         if peer is None:
@@ -387,7 +388,7 @@
     def _record_unreached(
         self, service: routes.Service, progress: callprogress.Progress
     ) -> None:
-        version = progress.stream_version
+        version = progress.endpoint_version
         incarnations = self._deps.occupancy.unreachable(service.name, version)
         if not incarnations:
             return
@@ -396,7 +397,7 @@
             "endpoints reached by nobody",
             extra=logs.fields(
                 service=service.name,
-                endpoint_version=version,
+                endpoint_version=progress.stream_version,
                 count=len(incarnations),
                 for_s=UNREACHED_S,
             ),
--- a/acaciaward/gateway/duties.py
+++ b/acaciaward/gateway/duties.py
@@ -101,6 +101,11 @@
             )
             self._task_factories.append(scaler.run)
 
+    @property
+    def lease(self) -> conditionallease.ConditionalLease | None:
+        """The lease of the duties, None if this entry takes no part in them."""
+        return self._lease
+
     @property
     def is_held(self) -> bool:
         """Whether this entry holds the duties."""
--- a/acaciaward/gateway/endpointchoice.py
+++ b/acaciaward/gateway/endpointchoice.py
@@ -23,7 +23,7 @@
         self, service: routes.Service, progress: callprogress.Progress
     ) -> placement.Candidate | None:
         """Return where to send a call, None if it may go through a peer."""
-        version = progress.stream_version
+        version = progress.endpoint_version
         unreachable = self._deps.occupancy.unreachable(service.name, version)
         is_unreached = self._deps.peers.is_unreached(service.name, version, unreachable)
         has_failed_connect = progress.failed_connects > 0
@@ -52,7 +52,7 @@
                 verdict=verdicts.Verdict.MAY_HAVE_RUN,
                 cause=callprogress.Cause.NO_ENDPOINT,
             )
-        at_version = "" if version is None else f" at {version}"
+        at_version = f" at {version}" if isinstance(version, str) else ""
         if backoff_s:
             raise callprogress.RefusedError(
                 refusals.UNAVAILABLE,
@@ -80,7 +80,7 @@
             progress.call,
             excluded=progress.tried,
             max_gap_s=progress.route.max_gap_s,
-            version=progress.stream_version,
+            version=progress.endpoint_version,
             has_failed_connect=is_peer_due,
         )
 
@@ -107,7 +107,7 @@
         self, service: routes.Service, progress: callprogress.Progress
     ) -> placement.Candidate:
         """Return an endpoint that seems well and isn't full; raise without one."""
-        version = progress.stream_version
+        version = progress.endpoint_version
         has_alternative = self._deps.occupancy.has_alternative(
             service.name, progress.tried, version
         )
--- a/acaciaward/gateway/features/scripted.py
+++ b/acaciaward/gateway/features/scripted.py
@@ -19,6 +19,7 @@
 from acaciaward.platform import detours as platform_detours, headers
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.resumption import origins
+from acaciaward.rollouts import entryrollouts
 from acaciaward.routing import demand, occupancy, reachability
 
 # How long an endpoint that answers early waits before it reads the body.
@@ -346,6 +347,7 @@
                 list_versions=self._list_versions,
                 record_run=self.ran.append,
                 record_end=self.ended.append,
+                rollouts=entryrollouts.EntryRollouts(self.directory),
             ),
             rng=random.Random(1),
         )
--- a/acaciaward/gateway/forwarding.py
+++ b/acaciaward/gateway/forwarding.py
@@ -173,6 +173,7 @@
         async with hedging.Hedge(progress) as hedge:
             while True:
                 self._retries.refuse_suspect(progress, responder)
+                self._choose_version(service, progress)
                 make_attempt = self._attempt_at_endpoint
                 if self._detours.is_needed(service, progress):
                     make_attempt = self._detours.attempt
@@ -196,6 +197,7 @@
         it wouldn't help or isn't allowed.
         """
         self._retries.check_backup(service, progress)
+        self._choose_version(service, progress)
         if self._detours.is_needed(service, progress):
             if not self._deps.peers.is_any_usable(progress, service.name):
                 raise hedging.NoBackupError("no peer")
@@ -210,6 +212,13 @@
         self._retries.spend(service, progress)
         return run_attempt
 
+    def _choose_version(
+        self, service: routes.Service, progress: callprogress.Progress
+    ) -> None:
+        progress.version_choice = self._deps.rollouts.choose_version(
+            service.name, is_repeat=bool(progress.tried)
+        )
+
     async def _attempt_backup(
         self,
         service: routes.Service,
@@ -264,6 +273,12 @@
     ) -> bool:
         """Send a call to an endpoint; return whether it is answered."""
         work = self._deps.occupancy.start(candidate, progress.call)
+        attempt = self._deps.rollouts.begin_attempt(
+            work.endpoint,
+            progress.route.name,
+            is_first=not (progress.tried or progress.last_delivered_id),
+        )
+        work.on_first_byte = attempt.record_first_byte
         progress.tried.add(work.endpoint.incarnation)
         outcome = Outcome.FAILED
         try:
@@ -285,6 +300,7 @@
             raise
         finally:
             work.end(outcome)
+            attempt.end(outcome)
         return False
 
     def _outcome_of(
--- a/acaciaward/gateway/interfaces.py
+++ b/acaciaward/gateway/interfaces.py
@@ -10,7 +10,13 @@
 from acaciaward.membership import interfaces as membership_interfaces
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.resumption import origins
-from acaciaward.routing import demand, occupancy, reachability
+from acaciaward.routing import (
+    demand,
+    health,
+    occupancy,
+    reachability,
+    versionchoice,
+)
 
 
 class Codec(typing.Protocol):
@@ -75,7 +81,7 @@
     def record_unreached(
         self,
         service: str,
-        version: str | None,
+        version: versionchoice.Choice,
         incarnations: frozenset[tuple[str, int]],
     ) -> None:
         """Record that neither this entry nor a peer reaches any of the endpoints."""
@@ -83,7 +89,7 @@
     def is_unreached(
         self,
         service: str,
-        version: str | None,
+        version: versionchoice.Choice,
         incarnations: frozenset[tuple[str, int]],
     ) -> bool:
         """Return whether all of the endpoints were found unreached a moment ago."""
@@ -116,6 +122,28 @@
         """Return where the store says that this very stream began."""
 
 
+class CountedAttempt(typing.Protocol):
+    """One attempt that is counted by version and route."""
+
+    def record_first_byte(self, took_s: float) -> None:
+        """Record how long after its start the answer began."""
+
+    def end(self, outcome: health.Outcome) -> None:
+        """Record the end."""
+
+
+class Rollouts(typing.Protocol):
+    """Chooses which versions of a service's software get new requests."""
+
+    def choose_version(self, service: str, *, is_repeat: bool) -> versionchoice.Choice:
+        """Return which versions may get a request whose stream has not begun."""
+
+    def begin_attempt(
+        self, endpoint: endpoints.Endpoint, route: str, *, is_first: bool
+    ) -> CountedAttempt:
+        """Count an attempt at an endpoint until it ends."""
+
+
 class ReadTimes(typing.NamedTuple):
     """When the last reads of the store began, in monotonic seconds."""
 
@@ -158,4 +186,5 @@
     list_versions: abc.Callable[[], abc.Awaitable[storeview.ListedVersions]]
     record_run: abc.Callable[[str], None]
     record_end: abc.Callable[[callprogress.Progress], None]
+    rollouts: Rollouts
     configuration_age_s: abc.Callable[[], float] = lambda: 0.0
--- a/acaciaward/gateway/process.py
+++ b/acaciaward/gateway/process.py
@@ -32,10 +32,11 @@
     housekeeping,
     interfaces,
     links,
+    listeners,
     metrics,
+    rollouts,
     selfreports,
     stateexchange,
-    statushandlers,
     streamorigins,
 )
 from acaciaward.membership import (
@@ -51,6 +52,7 @@
     topics,
 )
 from acaciaward.relays import relaying
+from acaciaward.rollouts import entryrollouts
 from acaciaward.routing import demand, occupancy
 from acaciaward.settings import loader
 from acaciaward.usage import reporting
@@ -64,10 +66,6 @@
 EXIT_MARGIN_S = 0.8
 # How long before its end a stop answers the calls that still run.
 GIVE_UP_MARGIN_S = 0.3
-# Room for the headers that peers add to a caller's.
-DETOUR_HEADER_BYTES = 2048
-# Peers keep idle connections for less time.
-DETOUR_IDLE_S = 15.0
 # Longest time for which a connection to the platform's services may be idle between two
 # calls; longer than the pause between two reads of the endpoints.
 MAX_PLATFORM_IDLE_S = 1.0
@@ -126,9 +124,12 @@
         self._directory = endpoints.Directory(
             time.monotonic, unix_time=lambda: self._duties.clock.now()
         )
+        self._rollouts = entryrollouts.EntryRollouts(self._directory)
         self._store_view = storeview.StoreView(
             self._directory,
-            topics.KeyedTopic(self._store, store.CONFIGURATION_TOPIC),
+            rollouts.build_order_reader(
+                self._store, self._rollouts, lambda: self._duties.clock.now()
+            ),
             topics.KeyedTopic(self._store, store.ENDPOINTS_TOPIC),
             documents,
             wait_s=store_settings["wait_s"],
@@ -159,6 +160,17 @@
         self._entry_quotas = entryquotas.EntryQuotas(
             self._store, self._membership, self._duties, self._settings["bounds"]
         )
+        rollouts.add_duty(
+            self._rollouts,
+            self._duties,
+            self._settings,
+            self._store,
+            self._membership,
+            self._directory,
+            self._store_view,
+            known_entries=self._entry_quotas.known_entries,
+            is_reading=lambda: not self._relaying.is_relayed,
+        )
         self._occupancy = occupancy.Occupancy(
             self._directory,
             data_centre=self._settings["instance"]["data_centre"],
@@ -209,6 +221,7 @@
                 list_versions=self._store_view.list_versions,
                 record_run=self._duties.counter.record_request,
                 record_end=self._record_end,
+                rollouts=self._rollouts,
                 configuration_age_s=self._configuration_age_s,
             )
         )
@@ -225,6 +238,7 @@
                 self._quarantine.prompt_parts,
                 self._duties.counter,
                 self._duties.clock,
+                self._rollouts,
             ),
             self._store_view.receive_version,
         )
@@ -249,23 +263,11 @@
         self._detours = callers.CallerServer(
             self._forwarder.handle_from_peer,
             platform_detours.decode_call,
-            self._detour_limits,
+            lambda: listeners.detour_limits(self._store_view.catalogue.limits),
         )
-        status_handlers = statushandlers.StatusHandlers(
-            self._membership,
-            is_ready=lambda: self.is_ready,
-            lifetime_s=self._settings["discovery"]["lifetime_s"],
+        self._auxiliary_servers = listeners.build_auxiliary(
+            self._settings, self._membership, lambda: self.is_ready
         )
-        handlers = {
-            "readiness": status_handlers.answer,
-            "discovery": status_handlers.answer,
-        }
-        if self._settings["metrics"]:
-            handlers["metrics"] = status_handlers.answer_metrics
-        self._auxiliary_servers = {
-            name: callers.CallerServer(handler, headers.decode_call, routes.Limits)
-            for name, handler in handlers.items()
-        }
 
     def _use_catalogue(self, catalogue: routes.Catalogue) -> None:
         self._entry_quotas.use_catalogue(catalogue)
@@ -273,14 +275,6 @@
         metrics.CONFIGURATION_VERSION.set(catalogue.version)
         self._in_force_since = time.monotonic()
 
-    def _detour_limits(self) -> routes.Limits:
-        """Return the callers' limits with room for what peers add."""
-        limits = self._store_view.catalogue.limits
-        return limits._replace(
-            header_bytes=limits.header_bytes + DETOUR_HEADER_BYTES,
-            idle_s=DETOUR_IDLE_S,
-        )
-
     def _serving_entries(self) -> list[str]:
         """Return the names of the entries that serve callers, as far as known."""
         return [
--- a/acaciaward/gateway/roomqueue.py
+++ b/acaciaward/gateway/roomqueue.py
@@ -16,7 +16,7 @@
 
 from acaciaward.catalogue import endpoints, routes
 from acaciaward.gateway import callers, callprogress, interfaces, refusals
-from acaciaward.routing import brittleness, placement
+from acaciaward.routing import brittleness, placement, versionchoice
 
 # The longest time that a call waits that can be refused.
 MAX_WAIT_S = 0.3
@@ -28,7 +28,7 @@
 
 # Name of a service, the only version of its endpoints that may get a call, and the
 # endpoints that it has tried.
-_Key = tuple[str, str | None, frozenset[endpoints.Incarnation]]
+_Key = tuple[str, versionchoice.Choice, frozenset[endpoints.Incarnation]]
 
 
 class RoomQueue:
@@ -63,7 +63,7 @@
         room = self._room(service, progress)
         if room is None:
             return
-        key = (service.name, progress.stream_version, frozenset(progress.tried))
+        key = (service.name, progress.endpoint_version, frozenset(progress.tried))
         queue = self._queues.setdefault(key, collections.deque())
         if room.is_free and not queue:
             del self._queues[key]
@@ -114,7 +114,7 @@
         self, service: routes.Service, progress: callprogress.Progress
     ) -> brittleness.Room | None:
         return self._deps.occupancy.room(
-            service.name, progress.stream_version, progress.tried
+            service.name, progress.endpoint_version, progress.tried
         )
 
     def _expected_wait_s(
--- a/acaciaward/gateway/settings.py
+++ b/acaciaward/gateway/settings.py
@@ -184,6 +184,21 @@
     discovery_longest_s: _described(
         IntervalSeconds, "Longest lifetime of discovery answers, in seconds."
     )
+    exposure_share: typing.Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=1,
+            description="Share of a service's requests, from an order to its deadline,"
+            " that a bad version may get.",
+        ),
+    ]
+    exposure_slack: _described(Seconds, "Requests that it may get beyond that share.")
+    rollback_s: _described(
+        Seconds,
+        "Time after its 50th bad answer within which it must get no more requests, in"
+        " seconds.",
+    )
 
 
 class Metrics(_Group):
--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -7,6 +7,7 @@
 from acaciaward.catalogue import endpoints
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.relays import relaying
+from acaciaward.rollouts import entryrollouts
 from acaciaward.routing import demand, occupancy
 from acaciaward.usage import counting
 
@@ -25,6 +26,7 @@
     prompt_parts: promptparts.PromptParts
     counter: counting.UsageCounter
     clock: counting.CorrectedClock
+    rollouts: entryrollouts.EntryRollouts
 
 
 class GatewayStateExchange:
@@ -52,6 +54,7 @@
             brittle=components.occupancy.brittle.announcements.report(),
             parts=components.prompt_parts.report(),
             leaving=components.directory.announced_departures,
+            rollouts=components.rollouts.report(),
         )
 
     def receive_state(self, state: relaying.RelayedState) -> None:
@@ -68,6 +71,7 @@
         self._components.occupancy.brittle.announcements.receive(sums.brittle)
         for name, born in sums.leaving:
             self._components.directory.record_leaving((name, born), by_peer=True)
+        self._components.rollouts.receive(sums.rollouts)
         self._demand = {
             service: demand.ServiceDemand(*service_demand)
             for service, service_demand in sums.demand.items()
--- a/acaciaward/platform/documents.py
+++ b/acaciaward/platform/documents.py
@@ -35,7 +35,8 @@
 _Meaning = typing.TypeVar("_Meaning")
 
 
-def _decode(data: bytes) -> Fields:
+def decode_object(data: bytes) -> Fields:
+    """Return the fields of a record that holds a JSON object, or raise."""
     try:
         fields = decoding.from_json(data, object)
     except errors.DecodingError as error:
@@ -54,7 +55,8 @@
     return value
 
 
-def _read_name(fields: Fields, name: str) -> str:
+def read_name(fields: Fields, name: str) -> str:
+    """Return a name that can be sent in a header, or raise."""
     return _check_name(name, _read_text(fields, name))
 
 
@@ -88,7 +90,8 @@
     return choices[value]
 
 
-def _read_number(fields: Fields, name: str, default: float | None = None) -> float:
+def read_number(fields: Fields, name: str, default: float | None = None) -> float:
+    """Return a number that isn't negative, or raise."""
     value = fields.get(name, default)
     if not decoding.is_in_range(value):
         raise storeview.UnreadableError(
@@ -131,7 +134,7 @@
 
 def decode_catalogue(data: bytes) -> routes.Catalogue:
     """Decode the operator's configuration; every record holds all of it."""
-    fields = _decode(data)
+    fields = decode_object(data)
     limits = _read_object(fields, "Limits")
     defaults = routes.Limits()
     services = [_decode_service(row) for row in _read_objects(fields, "Services")]
@@ -139,17 +142,17 @@
         _decode_organisation(row) for row in _read_objects(fields, "Tenants")
     ]
     return routes.Catalogue(
-        version=int(_read_number(fields, "Version")),
+        version=int(read_number(fields, "Version")),
         routes=tuple(_decode_route(row) for row in _read_objects(fields, "Routes")),
         services={service.name: service for service in services},
         organisations={
             organisation.name: organisation for organisation in organisations
         },
         limits=routes.Limits(
-            int(_read_number(limits, "MaxHeaderBytes", defaults.header_bytes)),
-            int(_read_number(limits, "MaxBodyBytes", defaults.body_bytes)),
-            _read_number(limits, "HeaderTimeoutMs", defaults.header_s * 1000) / 1000,
-            _read_number(limits, "IdleTimeoutMs", defaults.idle_s * 1000) / 1000,
+            int(read_number(limits, "MaxHeaderBytes", defaults.header_bytes)),
+            int(read_number(limits, "MaxBodyBytes", defaults.body_bytes)),
+            read_number(limits, "HeaderTimeoutMs", defaults.header_s * 1000) / 1000,
+            read_number(limits, "IdleTimeoutMs", defaults.idle_s * 1000) / 1000,
         ),
     )
 
@@ -160,7 +163,7 @@
     backends = _read_objects(row, "Backends")
     if backends:
         shares = tuple(
-            (_read_text(backend, "Service"), _read_number(backend, "Weight", 1.0))
+            (_read_text(backend, "Service"), read_number(backend, "Weight", 1.0))
             for backend in backends
         )
     else:
@@ -171,17 +174,17 @@
         host=_read_text(row, "Host"),
         prefix=_read_text(row, "PathPrefix"),
         kind=kind,
-        timeout_s=_read_number(row, "TimeoutMs", DEFAULT_TIMEOUT_MS) / 1000,
-        target_s=_read_number(row, "TargetLatencyMs", DEFAULT_TIMEOUT_MS) / 1000,
+        timeout_s=read_number(row, "TimeoutMs", DEFAULT_TIMEOUT_MS) / 1000,
+        target_s=read_number(row, "TargetLatencyMs", DEFAULT_TIMEOUT_MS) / 1000,
         # The platform's Priority is a rank: 0 is the most urgent.
-        rank=int(_read_number(row, "Priority", 5)),
+        rank=int(read_number(row, "Priority", 5)),
         shares=shares,
-        max_attempts=max(1, int(_read_number(row, "MaxAttempts", 1))),
+        max_attempts=max(1, int(read_number(row, "MaxAttempts", 1))),
         is_anonymous=row.get("Anonymous") is True,
         is_resumable=row.get("Resumable") is True,
         # Sticky marks the routes whose requests carry a prompt.
         has_prompt=row.get("Sticky") is True,
-        max_gap_s=None if gap_ms is None else _read_number(row, "GapTargetMs") / 1000,
+        max_gap_s=None if gap_ms is None else read_number(row, "GapTargetMs") / 1000,
     )
 
 
@@ -190,7 +193,7 @@
     scaling = _read_object(row, "Scaling")
     return routes.Service(
         name=_read_text(row, "Name"),
-        max_connections=int(_read_number(row, "MaxConnections", DEFAULT_CONNECTIONS)),
+        max_connections=int(read_number(row, "MaxConnections", DEFAULT_CONNECTIONS)),
         engine=_decode_engine(engine) if engine else None,
         scaling=_decode_scaling(scaling) if scaling else None,
     )
@@ -198,8 +201,8 @@
 
 def _decode_engine(fields: Fields) -> routes.Engine:
     return routes.Engine(
-        int(_read_number(fields, "Slots", DEFAULT_SLOTS)),
-        int(_read_number(fields, "KvCapacity", 0)),
+        int(read_number(fields, "Slots", DEFAULT_SLOTS)),
+        int(read_number(fields, "KvCapacity", 0)),
     )
 
 
@@ -207,13 +210,13 @@
     prices = _read_object(fields, "ZonePrices")
     spot_price = fields.get("SpotPrice")
     return routes.Scaling(
-        minimum=int(_read_number(fields, "Min", 0)),
-        maximum=int(_read_number(fields, "Max", 0)),
-        boot_s=_read_number(fields, "BootTimeS", 0.0),
+        minimum=int(read_number(fields, "Min", 0)),
+        maximum=int(read_number(fields, "Max", 0)),
+        boot_s=read_number(fields, "BootTimeS", 0.0),
         reclaimable_price=None
         if spot_price is None
-        else _read_number(fields, "SpotPrice"),
-        prices={name: _read_number(prices, name) for name in prices},
+        else read_number(fields, "SpotPrice"),
+        prices={name: read_number(prices, name) for name in prices},
     )
 
 
@@ -221,18 +224,18 @@
     keys = row.get("ApiKeys") or []
     if not isinstance(keys, list):
         raise storeview.UnreadableError("ApiKeys: expected a list")
-    rate = _read_number(row, "RatePerS", 0)
+    rate = read_number(row, "RatePerS", 0)
     quota = routes.Quota(
         rate,
-        _read_number(row, "Burst", 0),
+        read_number(row, "Burst", 0),
         row.get("Unit") == "tokens",
-        _read_number(row, "UncachedTokens", 1),
+        read_number(row, "UncachedTokens", 1),
     )
     rank = row.get("Priority")
     return routes.Organisation(
         name=_read_text(row, "Name"),
         keys=frozenset(key for key in keys if isinstance(key, str)),
-        rank=None if rank is None else int(_read_number(row, "Priority")),
+        rank=None if rank is None else int(read_number(row, "Priority")),
         quota=quota if rate > 0 else None,
     )
 
@@ -240,7 +243,7 @@
 def decode_endpoint(name: str, data: bytes) -> endpoints.Endpoint:
     """Decode the record that an endpoint publishes about itself."""
     _check_name("key", name)
-    fields = _decode(data)
+    fields = decode_object(data)
     state = _read_choice(fields, "State", ENDPOINT_STATES)
     born_ms = fields.get("born", 0)
     if not isinstance(born_ms, int) or not decoding.is_in_range(born_ms):
@@ -259,17 +262,15 @@
     return endpoints.Endpoint(
         name=name,
         born=born_ms,
-        service=_read_name(fields, "Service"),
+        service=read_name(fields, "Service"),
         address=address,
         port=port,
-        data_centre=_read_name(fields, "Zone"),
-        slots=int(_read_number(fields, "Slots", DEFAULT_SLOTS)),
+        data_centre=read_name(fields, "Zone"),
+        slots=int(read_number(fields, "Slots", DEFAULT_SLOTS)),
         state=state,
-        cold_s=_read_number(fields, "ColdRemainingMs", 0) / 1000,
+        cold_s=read_number(fields, "ColdRemainingMs", 0) / 1000,
         is_reclaimable=fields.get("Spot") is True,
         # A remaining duration, not a point in time.
-        leaves_s=None
-        if leaves_ms is None
-        else _read_number(fields, "leaves_ms") / 1000,
+        leaves_s=None if leaves_ms is None else read_number(fields, "leaves_ms") / 1000,
         version=_check_name("Version", str(version)),
     )
--- a/acaciaward/platform/nodefile.py
+++ b/acaciaward/platform/nodefile.py
@@ -53,6 +53,9 @@
     "ThawMs": ("thaw_s", 0.001),
     "WindowS": ("usage_window_s", 1.0),
     "UsageLateS": ("usage_late_s", 1.0),
+    "ExposureShare": ("exposure_share", 1.0),
+    "ExposureSlack": ("exposure_slack", 1.0),
+    "RollbackMs": ("rollback_s", 0.001),
     "ttl_max_s": ("discovery_longest_s", 1.0),
 }
 
--- a/acaciaward/relays/aggregation.py
+++ b/acaciaward/relays/aggregation.py
@@ -13,6 +13,7 @@
 from acaciaward.catalogue import endpoints
 from acaciaward.quarantine import crashreports, partreports
 from acaciaward.relays import messages
+from acaciaward.rollouts import messages as rollout_messages, newsmerge
 from acaciaward.routing import announcements
 
 # Messages received longer ago than this are ignored.
@@ -58,6 +59,15 @@
     parts: partreports.Report = partreports.empty_report()
     leaving: abc.Sequence[endpoints.Incarnation] = ()
     brittle: announcements.Report = {}
+    rollouts: rollout_messages.News | None = None
+
+
+def without_missing(figures: typing.NamedTuple) -> dict[str, typing.Any]:
+    """Return the fields for a message; ``rollouts`` only if there is an order."""
+    fields = figures._asdict()
+    if fields["rollouts"] is None:
+        del fields["rollouts"]
+    return fields
 
 
 class _UseTotals:
@@ -162,6 +172,7 @@
             _merge_parts(reports),
             _merge_leaving(reports),
             self._merge_announced("brittle", self._reports),
+            self._merge_rollouts(self._reports),
         )
 
     def sums_for(self, entry: str) -> Sums:
@@ -191,6 +202,7 @@
         )
         parts = _merge_parts(all_messages)
         leaving = _merge_leaving(all_messages)
+        rollouts = self._merge_rollouts(self._reports, self._summaries)
         own_loads = {message["sender"]: message["load"] for message in reports}
         sums = {}
         for entry in entries:
@@ -206,6 +218,7 @@
                 parts,
                 leaving,
                 brittle,
+                rollouts,
             )
         return sums
 
@@ -250,6 +263,18 @@
             if now - received.received_at <= MAX_AGE_S
         )
 
+    def _merge_rollouts(
+        self, *sources: abc.Mapping[str, _Received]
+    ) -> rollout_messages.News | None:
+        """Return what recent messages say of roll-outs, None without an order."""
+        now = self._clock()
+        return newsmerge.merge(
+            (received.body.get("rollouts"), now - received.received_at)
+            for messages_by_source in sources
+            for received in messages_by_source.values()
+            if now - received.received_at <= MAX_AGE_S
+        )
+
     def _recent(
         self, messages_by_source: abc.Mapping[str, _Received]
     ) -> list[typing.Any]:
--- a/acaciaward/relays/messages.py
+++ b/acaciaward/relays/messages.py
@@ -9,6 +9,7 @@
 import typing
 
 from acaciaward.quarantine import crashreports, partreports
+from acaciaward.rollouts import messages as rollout_messages
 
 
 class EndpointFields(typing.TypedDict):
@@ -45,7 +46,8 @@
     ``leaving`` names the endpoints, with their starts, that said in answers that they
     leave, and ``brittle`` holds how many requests brittle endpoints bear to turn away
     in a second, None for one that isn't brittle any more, and the age of that. These
-    four are missing in messages of older builds.
+    four are missing in messages of older builds. ``rollouts`` is what is known of
+    roll-outs, in a relay over all entries; it is missing without an order.
     """
 
     use: dict[str, float]
@@ -56,6 +58,7 @@
     parts: typing.NotRequired[partreports.Report]
     leaving: typing.NotRequired[list[tuple[str, int]]]
     brittle: typing.NotRequired[dict[str, tuple[float | None, float]]]
+    rollouts: typing.NotRequired[rollout_messages.News]
 
 
 class Report(Figures):
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -24,6 +24,7 @@
 from acaciaward.observability import logs
 from acaciaward.quarantine import crashreports, partreports
 from acaciaward.relays import aggregation, excerpts, messages, relaysizes
+from acaciaward.rollouts import messages as rollout_messages
 from acaciaward.routing import announcements
 
 log = logging.getLogger(__name__)
@@ -65,6 +66,7 @@
     parts: partreports.Report = partreports.empty_report()
     leaving: abc.Sequence[endpoints.Incarnation] = ()
     brittle: announcements.Report = {}
+    rollouts: rollout_messages.News | None = None
 
 
 class RelayedState(typing.NamedTuple):
@@ -242,7 +244,7 @@
         return names
 
     def _make_report(self, own_state: LocalState) -> messages.Report:
-        fields = own_state._asdict()
+        fields = aggregation.without_missing(own_state)
         del fields["levels"]
         return {
             "sender": self._membership.name,
@@ -261,7 +263,7 @@
             "sender": self._process_run,
             "uptime_s": self._uptime_s,
             "data_centre": self._data_centre,
-            **summary._asdict(),
+            **aggregation.without_missing(summary),
             **self._aggregator.clocks()._asdict(),
         }
         for reader in self._readers_elsewhere():
@@ -319,7 +321,7 @@
             "lapsed": self._directory.deferred_removals,
             "digest": digest,
             "levels": own_state.levels,
-            **sums._asdict(),
+            **aggregation.without_missing(sums),
             "load": _rounded(sums.load),
         }
 
--- a/acaciaward/routing/activecalls.py
+++ b/acaciaward/routing/activecalls.py
@@ -7,6 +7,7 @@
 """
 
 import typing
+from collections import abc
 
 from acaciaward.gateway import calls
 from acaciaward.routing import health, placement
@@ -54,6 +55,8 @@
         self._tokens_ahead = candidate.backlog_tokens
         self._is_prefilling = True
         self._answered_at: float | None = None
+        # Called with the time to the first byte.
+        self.on_first_byte: abc.Callable[[float], None] = lambda took_s: None
 
     @property
     def has_first_byte(self) -> bool:
@@ -73,6 +76,7 @@
             self._is_prefilling = False
             self._answered_at = self._occupancy.now()
             took_s = self._answered_at - self.started_at
+            self.on_first_byte(took_s)
             self._occupancy.record_prefilled(
                 self, self._tokens_ahead + self.prefill_tokens, took_s
             )
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -20,6 +20,7 @@
     endpointlimits,
     health,
     placement,
+    versionchoice,
 )
 
 # Other entries' reports older than this are ignored, in seconds.
@@ -116,14 +117,14 @@
         *,
         excluded: abc.Container[Incarnation] = (),
         max_gap_s: float | None = None,
-        version: str | None = None,
+        version: versionchoice.Choice = None,
         has_failed_connect: bool = False,
     ) -> placement.Candidate | None:
         """
         Return where to send a call, or None if no endpoint may get it.
 
         ``max_gap_s`` is the longest allowed pause between the events of its answer,
-        ``version`` the only version of the endpoints' software that may get it. One
+        ``version`` the versions of the endpoints' software that may get it. One
         that wasn't reached and is paused gets calls only if no other is left, and none
         with ``has_failed_connect``: that have failed to reach one already, or that a
         peer is asked to serve first.
@@ -157,7 +158,9 @@
         ]
         return placement.choose(candidates, call.prompt, self._random, pool=set(pool))
 
-    def _usable(self, service: str, version: str | None) -> list[endpoints.Endpoint]:
+    def _usable(
+        self, service: str, version: versionchoice.Choice
+    ) -> list[endpoints.Endpoint]:
         """Return the endpoints that are ready, if there are none those that lapsed."""
         return _of_version(self._directory.ready(service), version) or _of_version(
             self._directory.lapsed(service), version
@@ -196,7 +199,7 @@
     def room(
         self,
         service: str,
-        version: str | None,
+        version: versionchoice.Choice,
         excluded: abc.Container[Incarnation] = (),
     ) -> brittleness.Room | None:
         """
@@ -216,7 +219,7 @@
         ]
         return self.brittle.room(well, self._has_room)
 
-    def backoff_left_s(self, service: str, version: str | None) -> float:
+    def backoff_left_s(self, service: str, version: versionchoice.Choice) -> float:
         """
         Return how long all endpoints that may get calls are still to be left alone.
 
@@ -230,7 +233,9 @@
             default=0.0,
         )
 
-    def unreachable(self, service: str, version: str | None) -> frozenset[Incarnation]:
+    def unreachable(
+        self, service: str, version: versionchoice.Choice
+    ) -> frozenset[Incarnation]:
         """
         Return the endpoints that may get calls if none of them was reached last.
 
@@ -245,7 +250,7 @@
         self,
         service: str,
         tried: abc.Container[Incarnation],
-        version: str | None = None,
+        version: versionchoice.Choice = None,
     ) -> bool:
         """
         Return whether an untried endpoint that seems healthy could get a call.
@@ -436,9 +441,13 @@
 
 
 def _of_version(
-    known: list[endpoints.Endpoint], version: str | None
+    known: list[endpoints.Endpoint], version: versionchoice.Choice
 ) -> list[endpoints.Endpoint]:
     """Return the endpoints with a version of their software, all without one."""
     if version is None:
         return known
-    return [endpoint for endpoint in known if endpoint.version == version]
+    return [
+        endpoint
+        for endpoint in known
+        if versionchoice.allows(version, endpoint.version)
+    ]
