--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -7,6 +7,7 @@
 from acaciaward.catalogue import endpoints
 from acaciaward.quarantine import promptparts, suspects
 from acaciaward.relays import raterelays, relaying
+from acaciaward.rollouts import entryrollouts
 from acaciaward.routing import demand, occupancy
 from acaciaward.usage import counting
 
@@ -25,6 +26,7 @@
     prompt_parts: promptparts.PromptParts
     counter: counting.UsageCounter
     clock: counting.CorrectedClock
+    rollouts: entryrollouts.EntryRollouts
 
 
 class GatewayStateExchange:
@@ -57,6 +59,7 @@
             leaving=components.directory.announced_departures,
             rates=components.occupancy.rates.report(),
             prefill_rates=components.occupancy.rates.prefill_rates.report(),
+            rollouts=components.rollouts.report(),
         )
 
     def summarize_rates(self, others: raterelays.RateFigures) -> raterelays.Speeds:
@@ -82,6 +85,7 @@
             self._components.occupancy.rates.adopt(*state.speeds)
         for name, born in sums.leaving:
             self._components.directory.record_leaving((name, born), by_peer=True)
+        self._components.rollouts.receive(sums.rollouts)
         pools = self._components.occupancy.pools
         self._demand = {
             service: demand.ServiceDemand(*service_demand)
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -31,6 +31,7 @@
     readerconfiguration,
     relaysizes,
 )
+from acaciaward.rollouts import messages as rollout_messages
 from acaciaward.routing import announcements, prefillrates, ratesums
 
 log = logging.getLogger(__name__)
@@ -78,6 +79,7 @@
     brittle: announcements.Report = {}
     rates: ratesums.Report = {}
     prefill_rates: prefillrates.Report = {}
+    rollouts: rollout_messages.News | None = None
 
 
 class RelayedState(typing.NamedTuple):
@@ -262,7 +264,7 @@
         return names
 
     def _make_report(self, own_state: LocalState) -> messages.Report:
-        fields = own_state._asdict()
+        fields = aggregation.without_missing(own_state)
         del fields["levels"]
         return {
             "sender": self._membership.name,
@@ -281,7 +283,7 @@
             "sender": self._process_run,
             "uptime_s": self._uptime_s,
             "data_centre": self._data_centre,
-            **summary._asdict(),
+            **aggregation.without_missing(summary),
             **self._aggregator.clocks()._asdict(),
             **(self._rate_relays.summary() if self._rate_relays.is_due else {}),
         }
@@ -349,7 +351,7 @@
             "lapsed": self._directory.deferred_removals,
             "digest": digest,
             "levels": _rounded_down(own_state.levels),
-            **sums._asdict(),
+            **aggregation.without_missing(sums),
             "load": _rounded(sums.load),
         }
 
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -23,6 +23,7 @@
     placement,
     pools,
     reportedload,
+    versionchoice,
 )
 
 # An endpoint with work that sends no data for this long is considered failed, in
@@ -130,7 +131,7 @@
         *,
         excluded: abc.Container[Incarnation] = (),
         max_gap_s: float | None = None,
-        version: str | None = None,
+        version: versionchoice.Choice = None,
         has_failed_connect: bool = False,
         patience: pools.Patience | None = None,
     ) -> placement.Candidate | None:
@@ -156,7 +157,7 @@
         *,
         excluded: abc.Container[Incarnation] = (),
         max_gap_s: float | None = None,
-        version: str | None = None,
+        version: versionchoice.Choice = None,
         has_failed_connect: bool = False,
         patience: pools.Patience | None = None,
     ) -> pools.Survey:
@@ -164,7 +165,7 @@
         Return what is known of the endpoints that may get a call.
 
         ``max_gap_s`` is the longest allowed pause between the events of its answer,
-        ``version`` the only version of the endpoints' software that may get it, and
+        ``version`` the versions of the endpoints' software that may get it, and
         ``patience`` is that of its route, None if its service has no patient ones. One
         that wasn't reached and is paused gets calls only if no other is left, and none
         with ``has_failed_connect``: that have failed to reach one already, or that a
@@ -202,7 +203,9 @@
         ]
         return pools.Survey(candidates, pool, call.prompt, patience, self._random)
 
-    def _usable(self, service: str, version: str | None) -> list[endpoints.Endpoint]:
+    def _usable(
+        self, service: str, version: versionchoice.Choice
+    ) -> list[endpoints.Endpoint]:
         """Return the endpoints that are ready, if there are none those that lapsed."""
         return _of_version(self._directory.ready(service), version) or _of_version(
             self._directory.lapsed(service), version
@@ -250,7 +253,7 @@
     def room(
         self,
         service: str,
-        version: str | None,
+        version: versionchoice.Choice,
         excluded: abc.Container[Incarnation] = (),
     ) -> brittleness.Room | None:
         """
@@ -270,7 +273,7 @@
         ]
         return self.brittle.room(well, self._has_room)
 
-    def backoff_left_s(self, service: str, version: str | None) -> float:
+    def backoff_left_s(self, service: str, version: versionchoice.Choice) -> float:
         """
         Return how long all endpoints that may get calls are still to be left alone.
 
@@ -284,7 +287,9 @@
             default=0.0,
         )
 
-    def unreachable(self, service: str, version: str | None) -> frozenset[Incarnation]:
+    def unreachable(
+        self, service: str, version: versionchoice.Choice
+    ) -> frozenset[Incarnation]:
         """
         Return the endpoints that may get calls if none of them was reached last.
 
@@ -299,7 +304,7 @@
         self,
         service: str,
         tried: abc.Container[Incarnation],
-        version: str | None = None,
+        version: versionchoice.Choice = None,
     ) -> bool:
         """
         Return whether an untried endpoint that seems healthy could get a call.
@@ -460,9 +465,13 @@
 
 
 def _of_version(
-    known: list[endpoints.Endpoint], version: str | None
+    known: list[endpoints.Endpoint], version: versionchoice.Choice
 ) -> list[endpoints.Endpoint]:
     """Return the endpoints with a version of their software, all without one."""
     if version is None:
         return known
-    return [endpoint for endpoint in known if endpoint.version == version]
+    return [
+        endpoint
+        for endpoint in known
+        if versionchoice.allows(version, endpoint.version)
+    ]
