--- a/acaciaward/routing/prefillrates.py
+++ b/acaciaward/routing/prefillrates.py
@@ -85,9 +85,7 @@
         rate = self._measure(service)
         if self._clock() - self._adopted_at < RECEIVED_LIFETIME_S:
             rate = self._adopted.get(service, rate)
-        rate = rate or placement.DEFAULT_PREFILL_TOKENS_PER_S
-        TYPICAL.labels(service).set(rate)
-        return rate
+        return rate or placement.DEFAULT_PREFILL_TOKENS_PER_S
 
     def measured(self) -> dict[str, int]:
         """Return the typical rates that are known from enough samples."""
@@ -118,6 +116,8 @@
             if FIRST_TOKENS_PER_S <= rate <= most
         }
         self._adopted_at = self._clock()
+        for service, rate in self._adopted.items():
+            TYPICAL.labels(service).set(rate)
 
     def report(self) -> Report:
         """Return the counts of this entry."""
