--- a/acaciaward/gateway/features/steps/untrusted_steps.py
+++ b/acaciaward/gateway/features/steps/untrusted_steps.py
@@ -1,5 +1,7 @@
 """Steps for crowds of clients that nobody controls."""
 
+import signal
+
 from behave import given, then, when
 
 from acaciaward.gateway.features import untrusted
@@ -25,6 +27,37 @@
     context.runner.run(crowd)
 
 
+@when("the settings are read again")
+def reload_settings(context):
+    context.group.signal(signal.SIGHUP)
+
+
+@when("a configuration lowers the largest legal size")
+def lower_limit(context):
+    context.runner.run(context.group.lower_limit())
+
+
+@when("the store is away")
+def cut_store(context):
+    context.group.turn_away(context.group.entries)
+
+
+@when("ordinary callers send {count:d} requests")
+def send_ordinary(context, count):
+    context.runner.run(context.group.send_ordinary(count))
+
+
+@when("the entry is told to stop")
+def stop_entry(context):
+    context.group.signal(signal.SIGTERM)
+
+
+@then("it ends by itself with {code:d}")
+def check_end(context, code):
+    found = context.runner.run(context.group.wait_for_end())
+    assert found == code, found
+
+
 @when("the clients leave")
 def leave(context):
     context.runner.run(context.group.leave())
--- a/acaciaward/gateway/features/untrusted.feature
+++ b/acaciaward/gateway/features/untrusted.feature
@@ -34,6 +34,29 @@
     Then an ordinary request is answered
     And the entry lives, with at most 96 MB resident and 400 descriptors open
 
+  # What changes while a crowd is served must not free its budget, or hang.
+  Scenario Outline: A crowd stays while <what happens>
+    Given an entry on a small machine
+    When 120 clients send bodies that stop one byte short to Frontend and stay
+    And <what happens>
+    And 120 clients send bodies of large chunks that don't end to Frontend and stay
+    Then an ordinary request is answered
+    And the entry lives, with at most 96 MB resident and 400 descriptors open
+
+    Examples:
+      | what happens                                  |
+      | the settings are read again                   |
+      | a configuration lowers the largest legal size |
+      | the store is away                             |
+      | ordinary callers send 200 requests            |
+
+  # A stop that waits for the crowd would be ended by a kill, with requests lost.
+  Scenario: An entry stops while a crowd stays
+    Given an entry on a small machine
+    When 120 clients send bodies that stop one byte short to Frontend and stay
+    And the entry is told to stop
+    Then it ends by itself with 0
+
   # A budget that is too small, or a pace that is too fast, would refuse legal requests.
   Scenario: The largest legal body is served, whole and slowly
     Given an entry on a small machine
--- a/acaciaward/gateway/features/untrusted.py
+++ b/acaciaward/gateway/features/untrusted.py
@@ -25,6 +25,7 @@
 MEMORY_MB = 96
 MAX_FDS = 400
 BODY_BYTES = MEBIBYTE
+LOWERED_BODY_BYTES = 65_536
 IDLE_MS = 15_000
 START_TIMEOUT_S = 15.0
 # Only ends a test that would never end; an entry that answers at all does so before.
@@ -290,6 +291,31 @@
             if writer is not None:
                 writer.transport.abort()
 
+    def signal(self, number: int):
+        """Send the entry's process a signal."""
+        self._process.send_signal(number)
+
+    async def wait_for_end(self):
+        """Return the exit code of the entry, None if it doesn't end."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HANG_TIMEOUT_S):
+                while self.is_running:
+                    await asyncio.sleep(SAMPLE_INTERVAL_S)
+        return self._process.poll()
+
+    async def lower_limit(self):
+        """Lower the largest legal size, and wait until that is in force."""
+        self._configuration = {"Limits": {"MaxBodyBytes": LOWERED_BODY_BYTES}}
+        self.change()
+        async with asyncio.timeout(HANG_TIMEOUT_S):
+            while await self.ask(b"x" * (LOWERED_BODY_BYTES + 1)) != 413:
+                await asyncio.sleep(0.1)
+
+    async def send_ordinary(self, count: int):
+        """Send ordinary requests, a few at a time."""
+        for _ in range(0, count, 10):
+            await asyncio.gather(*(self.ask(b"x" * 100) for _ in range(10)))
+
     async def leave(self):
         """Let the crowd leave, and wait until the entry has noticed."""
         await self.disperse()
