Request a configuration that can't be applied less and less often

An entry that couldn't apply its reader's record would have requested it four times a second from a peer. The pause doubles up to 2 s.

--- a/acaciaward/catalogue/peerfetching.py
+++ b/acaciaward/catalogue/peerfetching.py
@@ -27,6 +27,8 @@
 State = interfaces.PeerState
 
 CHECK_INTERVAL_S = 0.25
+# The longest pause between two requests for the same version.
+MAX_PAUSE_S = 2.0
 # A configuration that is newer elsewhere for this long isn't expected from the store.
 FETCH_DELAY_S = 0.75
 REQUEST_TIMEOUT_S = 0.5
@@ -72,6 +74,7 @@
 
     async def run_relayed(self) -> None:
         """Request what the reader has newer, whenever a relay says so."""
+        pause_s = CHECK_INTERVAL_S
         while True:
             await self._store_view.outdated.wait()
             try:
@@ -79,7 +82,10 @@
             except Exception as error:
                 # Whatever one peer answers, the next version is needed.
                 log.error("getting a configuration failed", exc_info=error)
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.sleep(pause_s)
+            # A record that can't be applied here must not fill the peers' links.
+            is_failing = self._store_view.outdated.is_set()
+            pause_s = min(2 * pause_s, MAX_PAUSE_S) if is_failing else CHECK_INTERVAL_S
 
     async def fetch_relayed(self) -> None:
         """Request the configuration from this entry's parent, then from the reader."""
