--- a/acaciaward/gateway/duties.py
+++ b/acaciaward/gateway/duties.py
@@ -26,6 +26,7 @@
 
 LEASE_TOPIC = "acaciaward.duties"
 USAGE_TOPIC = "acaciaward.usage"
+RUNNING_USAGE_TOPIC = "keyed.acaciaward.usage"
 # Entries that compete for the lease; the others don't read its topic.
 MAX_CANDIDATES = 3
 # Length of a lease as a share of ``bounds.lease_s``, the time within which duties may
@@ -49,7 +50,7 @@
         directory: endpoints.Directory,
         *,
         services: abc.Callable[[], abc.Sequence[routes.Service]],
-        demand: abc.Callable[[str], tuple[float, float]],
+        load: abc.Callable[[str], endpointscaling.Load],
         usage_of_others: abc.Callable[[], reporting.ReportedCounts | None],
     ):
         self._name = settings["instance"]["name"]
@@ -58,6 +59,8 @@
         self.process_run = f"{self._name}/{uuid.uuid4().hex[:8]}"
         self.clock = counting.CorrectedClock()
         self.counter = counting.UsageCounter(bounds["usage_window_s"], self.clock.now)
+        # What was counted by a wrong clock is in the wrong windows.
+        self.clock.on_first_step = self.counter.clear
         self._task_factories: list[abc.Callable[[], typing.Coroutine]] = []
         self._lease: conditionallease.ConditionalLease | None = None
         cloud_settings = settings["cloud"]
@@ -92,15 +95,21 @@
                 live_names=self._live_names,
                 peer_counts=usage_of_others,
                 send=cloud.report_usage,
+                running_topic=topics.KeyedTopic(platform_store, RUNNING_USAGE_TOPIC),
                 is_clock_confirmed=lambda: self.clock.is_confirmed,
             )
-            self._task_factories.append(reporter.run)
+            self._task_factories += reporter.tasks
         if platform_duties.SCALING_DUTY in names:
             scaler = endpointscaling.EndpointScaler(
-                lease, directory, services, demand, cloud.scale
+                lease, directory, services, load, cloud.scale
             )
             self._task_factories.append(scaler.run)
 
+    @property
+    def lease(self) -> conditionallease.ConditionalLease | None:
+        """The lease of the duties, None if this entry takes no part in them."""
+        return self._lease
+
     @property
     def is_held(self) -> bool:
         """Whether this entry holds the duties."""
--- a/acaciaward/gateway/settings.py
+++ b/acaciaward/gateway/settings.py
@@ -184,6 +184,40 @@
     discovery_longest_s: _described(
         IntervalSeconds, "Longest lifetime of discovery answers, in seconds."
     )
+    exposure_share: typing.Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=1,
+            description="Share of a service's requests, from an order to its deadline,"
+            " that a bad version may get.",
+        ),
+    ]
+    exposure_slack: _described(Seconds, "Requests that it may get beyond that share.")
+    rollback_s: _described(
+        Seconds,
+        "Time after its 50th bad answer within which it must get no more requests, in"
+        " seconds.",
+    )
+
+
+class Limits(_Group):
+    """The machine's limits, and what clients that nobody controls may use of them."""
+
+    memory_mb: _described(
+        float | None,
+        "Memory of the machine in MiB, or null if unknown (512). A fifth of it is the"
+        " budget for bodies that arrive or wait and answers that callers don't read,"
+        " but at least two bodies of the largest legal size fit.",
+    )
+    max_fds: _described(
+        int | None,
+        "Descriptors that the process may open, or null for its own limit. Callers may"
+        " hold half of those above 200.",
+    )
+    body_s: _described(
+        IntervalSeconds, "Time in which a request's body must be complete, in seconds."
+    )
 
 
 class Metrics(_Group):
@@ -232,6 +266,7 @@
     )
     duties: Duties
     bounds: Bounds
+    limits: Limits
     metrics: Metrics
     detours: Detours
     logging: Logging
--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -6,7 +6,8 @@
 from acaciaward.admission import quotas
 from acaciaward.catalogue import endpoints
 from acaciaward.quarantine import promptparts, suspects
-from acaciaward.relays import relaying
+from acaciaward.relays import raterelays, relaying
+from acaciaward.rollouts import entryrollouts
 from acaciaward.routing import demand, occupancy
 from acaciaward.usage import counting
 
@@ -25,6 +26,7 @@
     prompt_parts: promptparts.PromptParts
     counter: counting.UsageCounter
     clock: counting.CorrectedClock
+    rollouts: entryrollouts.EntryRollouts
 
 
 class GatewayStateExchange:
@@ -55,8 +57,18 @@
             brittle=components.occupancy.brittle.announcements.report(),
             parts=components.prompt_parts.report(),
             leaving=components.directory.announced_departures,
+            rates=components.occupancy.rates.report(),
+            prefill_rates=components.occupancy.rates.prefill_rates.report(),
+            rollouts=components.rollouts.report(),
         )
 
+    def summarize_rates(self, others: raterelays.RateFigures) -> raterelays.Speeds:
+        """Return how fast endpoints are, from all entries' samples."""
+        rates = self._components.occupancy.rates
+        rates.receive(others["rates"], others["prefill_rates"])
+        services = {endpoint.service for endpoint in self._components.directory.all()}
+        return raterelays.Speeds(*rates.summarize(services))
+
     def receive_state(self, state: relaying.RelayedState) -> None:
         """Apply the sums over all other entries."""
         sums = state.sums
@@ -69,8 +81,11 @@
         self._components.prompt_parts.receive(sums.parts)
         self._components.occupancy.limits.announcements.receive(sums.limits)
         self._components.occupancy.brittle.announcements.receive(sums.brittle)
+        if state.speeds is not None:
+            self._components.occupancy.rates.adopt(*state.speeds)
         for name, born in sums.leaving:
             self._components.directory.record_leaving((name, born), by_peer=True)
+        self._components.rollouts.receive(sums.rollouts)
         pools = self._components.occupancy.pools
         self._demand = {
             service: demand.ServiceDemand(*service_demand)
@@ -87,11 +102,9 @@
         """Adjust the clock to the Unix time of the majority of entries."""
         self._components.clock.correct(now)
 
-    def demand_of(self, service: str) -> tuple[float, float]:
-        """Return a service's demand over all entries: tokens/s, concurrent requests."""
+    def demand_of(self, service: str) -> demand.ServiceDemand:
+        """Return a service's demand over all entries."""
         service_demand = self._demand.get(
             service
         ) or self._components.demand.by_service().get(service)
-        service_demand = service_demand or demand.ServiceDemand()
-        running = self._components.occupancy.service_load(service)[0]
-        return service_demand.tokens_per_s, max(service_demand.at_once, running)
+        return service_demand or demand.ServiceDemand()
--- a/acaciaward/routing/activecalls.py
+++ b/acaciaward/routing/activecalls.py
@@ -7,6 +7,7 @@
 """
 
 import typing
+from collections import abc
 
 from acaciaward.gateway import calls
 from acaciaward.routing import health, placement
@@ -54,12 +55,21 @@
         self._tokens_ahead = candidate.backlog_tokens
         self._is_prefilling = True
         self._answered_at: float | None = None
+        # What its time to the first byte said of the endpoint's speed.
+        self.speed_sample = 0.0
+        # Called with the time to the first byte.
+        self.on_first_byte: abc.Callable[[float], None] = lambda took_s: None
 
     @property
     def has_first_byte(self) -> bool:
         """Whether the endpoint has begun to answer."""
         return not self._is_prefilling
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether a first byte was recorded, also once the call has ended."""
+        return self._answered_at is not None
+
     @property
     def answered_for_s(self) -> float:
         """How long ago the endpoint began to answer, in seconds; 0 if it hasn't."""
@@ -73,6 +83,7 @@
             self._is_prefilling = False
             self._answered_at = self._occupancy.now()
             took_s = self._answered_at - self.started_at
+            self.on_first_byte(took_s)
             self._occupancy.record_prefilled(
                 self, self._tokens_ahead + self.prefill_tokens, took_s
             )
--- a/acaciaward/routing/occupancy.py
+++ b/acaciaward/routing/occupancy.py
@@ -18,17 +18,14 @@
     brittleness,
     cachedparts,
     endpointlimits,
+    endpointrates,
     health,
     placement,
     pools,
+    reportedload,
+    versionchoice,
 )
 
-# Other entries' reports older than this are ignored, in seconds.
-REPORT_LIFETIME_S = 3.0
-# Weight of the newest sample in the prefill rate and in the services' durations.
-SMOOTHING = 0.1
-# Smaller prompts are too short to measure the prefill rate with.
-MIN_SAMPLE_TOKENS = 3000
 # An endpoint with work that sends no data for this long is considered failed, in
 # seconds: an engine completes many batches a second, and the first token of a short
 # prompt arrives within a quarter of that time.
@@ -36,6 +33,8 @@
 # Prompts waiting for prefill may delay everything by this multiple of the time that
 # their prefill takes.
 PREFILL_DELAY_FACTOR = 1.5
+# The largest age of load reports that is logged, in seconds.
+MAX_REPORT_AGE_S = 1e6
 # How long the health of an endpoint is kept after its record has gone, in seconds.
 GONE_MEMORY_S = 60.0
 
@@ -80,11 +79,9 @@
         self._backlog: collections.Counter[Incarnation] = collections.Counter()
         self._health: dict[Incarnation, health.Health] = {}
         self._cached_parts = cachedparts.CachedParts(clock)
-        self._prefill_tokens_per_s = placement.DEFAULT_PREFILL_TOKENS_PER_S
-        self._service_s: dict[str, float] = {}
+        self.rates = endpointrates.EndpointRates(self._members, clock=clock)
         self._no_data_since: dict[Incarnation, float] = {}
-        self._reported_load: abc.Mapping[str, tuple[float, float]] = {}
-        self._reported_at = 0.0
+        self._reported = reportedload.ReportedLoad(clock)
         # When endpoints' records went.
         self._gone_at: dict[Incarnation, float] = {}
         directory.subscribe(self._follow)
@@ -100,12 +97,29 @@
             self._gone_at[before.incarnation] = now
         if after is not None:
             self._gone_at.pop(after.incarnation, None)
+            if before is None or before.born != after.born:
+                self._record_start(after.incarnation)
         for incarnation, gone_at in list(self._gone_at.items()):
             if now - gone_at >= GONE_MEMORY_S:
                 del self._gone_at[incarnation]
                 self._health.pop(incarnation, None)
                 self._cached_parts.forget(incarnation)
 
+    def _record_start(self, incarnation: Incarnation) -> None:
+        """Drop what is known by name if another start had that name."""
+        if any(
+            reportedload.is_later_start(incarnation, gone) for gone in self._gone_at
+        ):
+            name, _ = incarnation
+            self._reported.record_restart(name)
+            self.limits.record_restart(name)
+            self.brittle.record_restart(name)
+
+    def _members(self, service: str) -> list[Incarnation]:
+        return [
+            endpoint.incarnation for endpoint in self._directory.of_service(service)
+        ]
+
     def now(self) -> float:
         """Return the time of this object's clock, in seconds."""
         return self._clock()
@@ -117,7 +131,7 @@
         *,
         excluded: abc.Container[Incarnation] = (),
         max_gap_s: float | None = None,
-        version: str | None = None,
+        version: versionchoice.Choice = None,
         has_failed_connect: bool = False,
         patience: pools.Patience | None = None,
     ) -> placement.Candidate | None:
@@ -143,7 +157,7 @@
         *,
         excluded: abc.Container[Incarnation] = (),
         max_gap_s: float | None = None,
-        version: str | None = None,
+        version: versionchoice.Choice = None,
         has_failed_connect: bool = False,
         patience: pools.Patience | None = None,
     ) -> pools.Survey:
@@ -151,7 +165,7 @@
         Return what is known of the endpoints that may get a call.
 
         ``max_gap_s`` is the longest allowed pause between the events of its answer,
-        ``version`` the only version of the endpoints' software that may get it, and
+        ``version`` the versions of the endpoints' software that may get it, and
         ``patience`` is that of its route, None if its service has no patient ones. One
         that wasn't reached and is paused gets calls only if no other is left, and none
         with ``has_failed_connect``: that have failed to reach one already, or that a
@@ -174,7 +188,6 @@
             healthy = [
                 min(probes, key=lambda endpoint: self._health_of(endpoint).paused_until)
             ]
-        reports = self._fresh_reports()
         names = [endpoint.name for endpoint in healthy]
         pool = self.pools.find(
             service.name,
@@ -185,14 +198,14 @@
         )
         preferred = placement.preferred_endpoints(call.prompt, pool.names)
         candidates = [
-            self._candidate(
-                service, endpoint, call, reports, endpoint.name in preferred[:1], now
-            )
+            self._candidate(service, endpoint, call, endpoint.name in preferred[:1])
             for endpoint in healthy
         ]
         return pools.Survey(candidates, pool, call.prompt, patience, self._random)
 
-    def _usable(self, service: str, version: str | None) -> list[endpoints.Endpoint]:
+    def _usable(
+        self, service: str, version: versionchoice.Choice
+    ) -> list[endpoints.Endpoint]:
         """Return the endpoints that are ready, if there are none those that lapsed."""
         return _of_version(self._directory.ready(service), version) or _of_version(
             self._directory.lapsed(service), version
@@ -221,17 +234,26 @@
     def _has_room(self, endpoint: endpoints.Endpoint) -> bool:
         if not self.brittle.is_brittle(endpoint):
             return True
-        others, _ = self._fresh_reports().get(endpoint.name, (0.0, 0.0))
+        others, _ = self._reported.of(endpoint.name)
         # A record that loses its start for a moment frees no place.
         running = sum(
-            count for (name, _), count in self._running.items() if name == endpoint.name
+            count
+            for incarnation, count in self._running.items()
+            if incarnation[0] == endpoint.name and self._may_be_running(incarnation)
         )
         return self.brittle.has_room(endpoint, running, others)
 
+    def _may_be_running(self, incarnation: Incarnation) -> bool:
+        """Return whether no later start of an endpoint is listed."""
+        listed = self._directory.get(incarnation[0])
+        return listed is None or not reportedload.is_later_start(
+            listed.incarnation, incarnation
+        )
+
     def room(
         self,
         service: str,
-        version: str | None,
+        version: versionchoice.Choice,
         excluded: abc.Container[Incarnation] = (),
     ) -> brittleness.Room | None:
         """
@@ -251,7 +273,7 @@
         ]
         return self.brittle.room(well, self._has_room)
 
-    def backoff_left_s(self, service: str, version: str | None) -> float:
+    def backoff_left_s(self, service: str, version: versionchoice.Choice) -> float:
         """
         Return how long all endpoints that may get calls are still to be left alone.
 
@@ -265,7 +287,9 @@
             default=0.0,
         )
 
-    def unreachable(self, service: str, version: str | None) -> frozenset[Incarnation]:
+    def unreachable(
+        self, service: str, version: versionchoice.Choice
+    ) -> frozenset[Incarnation]:
         """
         Return the endpoints that may get calls if none of them was reached last.
 
@@ -280,7 +304,7 @@
         self,
         service: str,
         tried: abc.Container[Incarnation],
-        version: str | None = None,
+        version: versionchoice.Choice = None,
     ) -> bool:
         """
         Return whether an untried endpoint that seems healthy could get a call.
@@ -297,7 +321,7 @@
 
     def is_long(self, prompt: calls.Prompt | None, max_gap_s: float | None) -> bool:
         """Return whether a prompt's prefill delays other streams for too long."""
-        return placement.is_long(prompt, self._prefill_tokens_per_s, max_gap_s)
+        return placement.is_long(prompt, self.rates.prefill_tokens_per_s, max_gap_s)
 
     def start(
         self, candidate: placement.Candidate, call: calls.Call
@@ -325,20 +349,19 @@
         since = self._no_data_since.get(endpoint.incarnation)
         if since is None:
             return False
-        reported = self._fresh_reports().get(endpoint.name, (0.0, 0.0))
+        reported = self._reported.of(endpoint.name)
         backlog_tokens = self._backlog[endpoint.incarnation] + reported[1]
         limit_s = (
             UNRESPONSIVE_S
-            + PREFILL_DELAY_FACTOR * backlog_tokens / self._prefill_tokens_per_s
+            + PREFILL_DELAY_FACTOR * backlog_tokens / self.rates.prefill_tokens_per_s
         )
         return self._clock() - since > limit_s
 
     def service_load(self, service: str) -> tuple[float, float]:
         """Return requests and backlog tokens at a service, from all entries."""
-        reports = self._fresh_reports()
         requests = tokens = 0.0
         for endpoint in self._directory.of_service(service):
-            reported = reports.get(endpoint.name, (0, 0))
+            reported = self._reported.of(endpoint.name)
             requests += self._running[endpoint.incarnation] + reported[0]
             tokens += self._backlog[endpoint.incarnation] + reported[1]
         return requests, tokens
@@ -352,15 +375,9 @@
         ``tokens`` were prefilled in ``took_s``: the call's own and those ahead of it.
         """
         self.remove_backlog(work)
-        prompt = work.call.prompt
-        if prompt is None:
-            return
-        if tokens > MIN_SAMPLE_TOKENS and took_s > 0:
-            sample = tokens / took_s
-            self._prefill_tokens_per_s += SMOOTHING * (
-                sample - self._prefill_tokens_per_s
-            )
-        self._cached_parts.record(work.endpoint.incarnation, prompt)
+        if work.call.prompt is not None:
+            self.rates.record_first_byte(work, tokens, took_s)
+            self._cached_parts.record(work.endpoint.incarnation, work.call.prompt)
 
     def remove_backlog(self, work: activecalls.ActiveCall) -> None:
         """Remove a call's prompt from the endpoint's backlog."""
@@ -370,34 +387,36 @@
         self, work: activecalls.ActiveCall, took_s: float, outcome: health.Outcome
     ) -> None:
         """Remove a call from its endpoint and update the endpoint's health."""
-        incarnation, service = work.endpoint.incarnation, work.endpoint.service
+        incarnation = work.endpoint.incarnation
         self._subtract(self._running, incarnation, 1)
         if incarnation not in self._running:
             self._no_data_since.pop(incarnation, None)
-        self.brittle.record_end(work.endpoint, outcome, self.service_s(service))
+        service_s = self.service_s(work.endpoint.service)
+        # What ends with its former start holds no place at an endpoint.
+        if self._may_be_running(incarnation):
+            self.brittle.record_end(work.endpoint, outcome, service_s)
         self._health[incarnation] = self._health_of(work.endpoint).after(
             outcome, self._clock()
         )
-        if outcome is health.Outcome.SERVED:
-            average_s = self._service_s.get(service, took_s)
-            self._service_s[service] = average_s + SMOOTHING * (took_s - average_s)
+        self.rates.record_end(work, took_s, outcome)
 
     def service_s(self, service: str) -> float:
         """Return how long a request at a service takes, as measured here, or 0."""
-        return self._service_s.get(service, 0.0)
+        return self.rates.service_s(service)
 
     def load(self) -> dict[str, tuple[float, float]]:
         """Return this entry's number of requests and backlog tokens by endpoint."""
-        return {
-            name: (count, self._backlog[(name, born)])
-            for (name, born), count in self._running.items()
-            if count
-        }
+        load: dict[str, tuple[float, float]] = {}
+        for incarnation, count in self._running.items():
+            if count and self._may_be_running(incarnation):
+                name, _ = incarnation
+                requests, tokens = load.get(name, (0, 0))
+                load[name] = (requests + count, tokens + self._backlog[incarnation])
+        return load
 
     def receive_load(self, load: abc.Mapping[str, tuple[float, float]]) -> None:
         """Receive the sums of what all other entries return from ``load``."""
-        self._reported_load = load
-        self._reported_at = self._clock()
+        self._reported.receive(load)
 
     @staticmethod
     def _subtract(counter: collections.Counter, key: Incarnation, amount: int) -> None:
@@ -408,31 +427,26 @@
     def _health_of(self, endpoint: endpoints.Endpoint) -> health.Health:
         return self._health.get(endpoint.incarnation, health.Health())
 
-    def _fresh_reports(self) -> abc.Mapping[str, tuple[float, float]]:
-        is_fresh = self._clock() - self._reported_at < REPORT_LIFETIME_S
-        return self._reported_load if is_fresh else {}
-
     def _candidate(
         self,
         service: routes.Service,
         endpoint: endpoints.Endpoint,
         call: calls.Call,
-        reports: abc.Mapping[str, tuple[float, float]],
         is_most_preferred: bool,
-        now: float,
     ) -> placement.Candidate:
-        reported = reports.get(endpoint.name, (0.0, 0.0))
+        reported = self._reported.of(endpoint.name)
         incarnation = endpoint.incarnation
+        time_factor = self.rates.time_factor(service.name, incarnation)
         return placement.Candidate(
             endpoint,
             running=self._running[incarnation] + reported[0],
             backlog_tokens=self._backlog[incarnation] + reported[1],
             cached_tokens=self._cached_tokens(endpoint, call.prompt, is_most_preferred),
-            prefill_tokens_per_s=self._prefill_tokens_per_s,
+            prefill_tokens_per_s=self.rates.prefill_tokens_per_s / time_factor,
             failed_share=self._health_of(endpoint).failed_share,
-            service_s=self._service_s.get(service.name, 0.0),
+            service_s=self.rates.service_s(service.name) * time_factor,
             is_local=endpoint.data_centre == self._data_centre,
-            report_age_ms=int(1000 * (now - self._reported_at)),
+            report_age_ms=int(1000 * min(self._reported.age_s, MAX_REPORT_AGE_S)),
         )
 
     def _cached_tokens(
@@ -451,9 +465,13 @@
 
 
 def _of_version(
-    known: list[endpoints.Endpoint], version: str | None
+    known: list[endpoints.Endpoint], version: versionchoice.Choice
 ) -> list[endpoints.Endpoint]:
     """Return the endpoints with a version of their software, all without one."""
     if version is None:
         return known
-    return [endpoint for endpoint in known if endpoint.version == version]
+    return [
+        endpoint
+        for endpoint in known
+        if versionchoice.allows(version, endpoint.version)
+    ]
