Don't refuse calls of one version for prompts that wait for others

Callers whose call a roll-out sends to its target would have been refused at once when patient prompts wait that may go to other versions, and callers of services with fewer than four endpoints, which aren't divided, for the same sum.

--- a/acaciaward/gateway/features/prefillqueue.feature
+++ b/acaciaward/gateway/features/prefillqueue.feature
@@ -47,6 +47,19 @@
     And callers that come back then have more than two thirds of their time left
     And at most 1 line is logged about them
 
+  Scenario: With too few endpoints to divide, calls neither wait nor are refused here
+    When 3 of the engines are left
+    And engines have 900000 tokens each to read
+    Then a patient call goes on at once
+
+  Scenario: In a roll-out, what waits for other versions refuses no call
+    When prompts of 40000000 tokens wait at other entries
+    And engines have 120000 tokens each to read
+    And a patient call waits that may go to one version only
+    And engines have 0 tokens each to read
+    And the other entries' prompts are sent
+    Then the call goes on within 0.2 s
+
   Scenario: After half of its time a call goes on, to be sent or refused
     Then a patient call with 0.6 s left and an objective of 0.3 s goes on after 0.2 to 0.45 s
 
--- a/acaciaward/gateway/features/steps/prefillqueue_steps.py
+++ b/acaciaward/gateway/features/steps/prefillqueue_steps.py
@@ -196,10 +196,12 @@
     return [float(text) for text in texts.replace(" and ", ", ").split(", ")]
 
 
-def start_waiting(context, came_s):
+def start_waiting(context, came_s, *, version=None):
     async def begin():
         context.came_s = came_s
         context.waiting = [make_progress(came_s=age_s) for age_s in came_s]
+        for progress in context.waiting:
+            progress.version_choice = version
         context.tasks = [
             asyncio.create_task(wait(context, progress)) for progress in context.waiting
         ]
@@ -316,6 +318,26 @@
     assert context.refusals[0].retry_after_s == delay_s, context.refusals
 
 
+@when("{count:d} of the engines are left")
+def keep(context, count):
+    context.directory.known = context.directory.known[:count]
+
+
+@when("prompts of {tokens:d} tokens wait at other entries")
+def wait_elsewhere(context, tokens):
+    context.occupancy.pools.patients.receive({"chat patient": (1.0, 1.0, tokens)})
+
+
+@when("the other entries' prompts are sent")
+def send_elsewhere(context):
+    wait_elsewhere(context, 0.0)
+
+
+@when("a patient call waits that may go to one version only")
+def wait_at_version(context):
+    start_waiting(context, [0.0], version="")
+
+
 @when("all endpoints are lost")
 def lose(context):
     context.directory.known = []
--- a/acaciaward/gateway/prefillqueue.py
+++ b/acaciaward/gateway/prefillqueue.py
@@ -153,20 +153,19 @@
         responder: callers.Responder,
     ) -> None:
         """Raise if a call's turn is expected too late."""
-        expected_s = self._expected_wait_s(service, progress)
+        survey = self._survey(service, progress)
+        # Most calls that wait aren't bound to the version that this one is bound to, so
+        # its endpoints needn't read all that waits.
+        is_bound = isinstance(progress.endpoint_version, str)
+        if is_bound or not survey.pool.is_divided:
+            return
+        own, _ = survey.divided()
+        patients = self._deps.occupancy.pools.patients
+        expected_s = urgency.expected_wait_s(own, patients.waiting_tokens(service.name))
         limit_s = urgency.MAX_WAIT_SHARE * progress.left_s
         if expected_s > limit_s:
             self._refuse(service, progress, responder, expected_s - limit_s)
 
-    def _expected_wait_s(
-        self, service: routes.Service, progress: callprogress.Progress
-    ) -> float:
-        own, _ = self._survey(service, progress).divided()
-        waiting_tokens = self._deps.occupancy.pools.patients.waiting_tokens(
-            service.name
-        )
-        return urgency.expected_wait_s(own, waiting_tokens)
-
     async def _wait_for_turn(
         self,
         service: routes.Service,
@@ -228,7 +227,7 @@
             progress.call,
             excluded=progress.tried,
             max_gap_s=progress.route.max_gap_s,
-            version=progress.stream_version,
+            version=progress.endpoint_version,
             patience=self.patience(service.name, progress.route),
         )
 
