Read an unlimited number of descriptors as such

Without Limits.MaxFds, a process whose limit of descriptors is infinite would have taken that for less than the reserve, and allowed its callers 16 connections. 65,536 descriptors are assumed for it now.

--- a/acaciaward/gateway/connectionlimit.py
+++ b/acaciaward/gateway/connectionlimit.py
@@ -41,6 +41,11 @@
         """The number of open connections."""
         return self._count
 
+    @property
+    def max_count(self) -> int:
+        """The most connections that may be open."""
+        return self._max_count
+
     def add(self, connection: Connection) -> None:
         """Count a new connection, and close one if there are too many."""
         self._by_sender.setdefault(connection.sender, {})[connection] = None
--- a/acaciaward/gateway/features/budgets.feature
+++ b/acaciaward/gateway/features/budgets.feature
@@ -23,6 +23,17 @@
     When e asks for 100 kB
     Then nobody is dropped, and e has room
 
+  # A budget that doesn't follow the machine is too large for the smallest one.
+  Scenario Outline: A machine with <memory> MB and <descriptors> descriptors
+    Then its entry may hold <bytes> bytes and <connections> connections
+
+    Examples:
+      | memory | descriptors | bytes     | connections |
+      | 160    | 1638        | 33554432  | 719         |
+      | 552    | 10250       | 115762790 | 5025        |
+      | 20     | 210         | 8388608   | 16          |
+      | none   | 1638        | 107374182 | 719         |
+
   # Bytes that are counted wrongly would fill the budget for good.
   Scenario: Random holdings that come, grow and go leave an empty budget
     Then 20,000 random steps keep the budget's bounds, and leave nothing held
--- a/acaciaward/gateway/features/steps/budgets_steps.py
+++ b/acaciaward/gateway/features/steps/budgets_steps.py
@@ -6,10 +6,11 @@
 import h11
 from behave import given, then, when
 
-from acaciaward.gateway import bodybudget, connectionlimit, requestparser
+from acaciaward.gateway import bodybudget, connectionlimit, guarding, requestparser
 
 NOW = 1000.0
 LIMIT = 4
+LARGEST_BODY = 4 << 20
 MAX_HEAD_BYTES = 16384
 HOLDING = re.compile(r"(\w) of (\w) (\d+) kB(?: (\d+) s ago)?( running)?( trickling)?")
 CONNECTION = re.compile(r"(\w) of (\w)( busy)?( active)?")
@@ -125,6 +126,18 @@
     assert budget.held_bytes == 0
 
 
+@then(
+    "its entry may hold {size:d} bytes and {count:d} connections",
+)
+def check_machine(context, size, count):
+    row = context.active_outline
+    memory_mb = None if row["memory"] == "none" else float(row["memory"])
+    limits = {"memory_mb": memory_mb, "max_fds": int(row["descriptors"])}
+    guard = guarding.build(limits | {"body_s": 300.0}, lambda: LARGEST_BODY)
+    assert guard.budget.capacity_bytes == size, guard.budget.capacity_bytes
+    assert guard.connections.max_count == count, guard.connections.max_count
+
+
 @given("connections {text}")
 def add_connections(context, text):
     context.limit = connectionlimit.ConnectionLimit(LIMIT)
--- a/acaciaward/gateway/guarding.py
+++ b/acaciaward/gateway/guarding.py
@@ -24,6 +24,8 @@
 RESERVED_FDS = 200
 CALLERS_FD_SHARE = 0.5
 MIN_CONNECTIONS = 16
+# Descriptors that are assumed of a process without a limit.
+UNLIMITED_FDS = 65536
 DEFAULT_BODY_S = 300.0
 
 
@@ -70,7 +72,7 @@
 ) -> Guard:
     """Return the guard for a machine with the ``limits`` of the settings."""
     memory_mb = limits["memory_mb"] or DEFAULT_MEMORY_MB
-    max_fds = limits["max_fds"] or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    max_fds = limits["max_fds"] or _process_fds()
     max_connections = int((max_fds - RESERVED_FDS) * CALLERS_FD_SHARE)
     return Guard(
         bodybudget.BodyBudget(
@@ -82,6 +84,12 @@
     )
 
 
+def _process_fds() -> int:
+    """Return how many descriptors this process may open."""
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return UNLIMITED_FDS if limit == resource.RLIM_INFINITY else limit
+
+
 def build_default() -> Guard:
     """Return the guard for a machine of unknown size."""
     return build(
