End roll-outs whose target is lost, and go on after an order that came back

A roll-out whose target lost all endpoints after all requests had gone there never ended: it is rolled back once the duration has passed again after the deadline, and so is one whose answers stay in doubt. After a restore of the store, an older order may come back until the operator has written the newer one again; the newer one's target then got all requests at once, since nothing was left to compare it with. It is tried as before. An entry whose relay has no counts of a service no longer takes them for lost.

--- a/acaciaward/rollouts/decisions.py
+++ b/acaciaward/rollouts/decisions.py
@@ -158,6 +158,13 @@
     verdict: comparison.Verdict,
     bounds: Bounds,
 ) -> Step | None:
+    is_doubted = verdict.reason.startswith("in doubt")
+    late_s = situation.now - plan.order.deadline
+    if late_s >= EXTENSION * plan.order.duration_s:
+        if not situation.has_target:
+            return _roll_back("no endpoint of the target is ready any more")
+        if is_doubted:
+            return _roll_back(verdict.reason)
     if not situation.is_everywhere or situation.monitor.of_others().running:
         return None
     if not situation.has_others and not situation.monitor.of_others().sent:
@@ -167,7 +174,7 @@
     is_busy = situation.rate * FULL_S >= FULL_ANSWERS
     if situation.phase_s < FULL_S or (is_busy and ended < FULL_ANSWERS):
         return None
-    if verdict.reason.startswith("in doubt"):
+    if is_doubted:
         return None
     return Step(Phase.COMPLETED, 1.0, "sound with all requests")
 
--- a/acaciaward/rollouts/entryrollouts.py
+++ b/acaciaward/rollouts/entryrollouts.py
@@ -212,7 +212,10 @@
         monitor = self._monitors.get(service)
         if monitor is None:
             monitor = self._monitors[service] = comparison.Monitor(plan.order.target)
-        monitor.record(self._clock(), self.summed_counts(service))
+        counts = self.summed_counts(service)
+        if not counts:
+            return
+        monitor.record(self._clock(), counts)
         verdict = monitor.verdict()
         if not verdict.is_bad or self._suspended.get(service) == plan.number:
             return
--- a/acaciaward/rollouts/features/orders.feature
+++ b/acaciaward/rollouts/features/orders.feature
@@ -70,6 +70,21 @@
       | v2     | trial       | v1,v2    | v1     | full  | v2       |
       | v2     | rolled_back | v1,v2    | v2     | trial |          |
 
+  # A restore of the store brings an older order back until the operator has written the
+  # newer one again; its target would get all requests at once.
+  Scenario: A target that isn't proven goes on being tried after another order
+    Given a last plan that excluded "v3" and tried "v2"
+    And endpoints of v2,v3 are ready
+    When an order for "v3" is followed
+    Then its plan has the phase "trial" and excludes ""
+
+  # A roll-out that never ends, as its target's endpoints are gone.
+  Scenario: All requests go back when the target's endpoints don't return
+    Given the last plan was for "v2" with phase "full"
+    And endpoints of v1 are ready
+    When 30 s have passed since the order
+    Then the plan has now the phase "rolled_back"
+
   # An order that is withdrawn goes on.
   Scenario: A withdrawn order is rolled back, and its target stays excluded
     Given the last plan was for "v2" with phase "trial"
--- a/acaciaward/rollouts/features/steps/orders_steps.py
+++ b/acaciaward/rollouts/features/steps/orders_steps.py
@@ -119,13 +119,18 @@
     context.plan = None if target == "-" else _plan(target, phase)
 
 
+@given('a last plan that excluded "{other}" and tried "{target}"')
+def last_plan_excluding(context, other, target):
+    context.plan = _plan(target, "trial")._replace(excluded=(other,))
+
+
 @given("endpoints of {versions} are ready")
 def ready_versions(context, versions):
     context.versions = frozenset(versions.split(","))
 
 
-def _follow(context, order):
-    view = steering.View(0.0, 1001.0, {}, None, False, context.versions, 7)
+def _follow(context, order, now=1001.0):
+    view = steering.View(0.0, now, {}, None, False, context.versions, 7)
     bounds = decisions.Bounds()
     return steering.Steering(bounds).next_plan(order, context.plan, view)
 
@@ -148,6 +153,17 @@
     check_first_plan(context, phase, "")
 
 
+@when("{seconds:d} s have passed since the order")
+def pass_time(context, seconds):
+    order = context.plan.order
+    context.next_plan = _follow(context, order, order.ordered_at + seconds)
+
+
+@then('the plan has now the phase "{phase}"')
+def check_next_phase(context, phase):
+    assert context.next_plan.phase.value == phase, context.next_plan
+
+
 @when("the order is withdrawn")
 def withdraw(context):
     context.withdrawal = _order("", (1, 60))
--- a/acaciaward/rollouts/steering.py
+++ b/acaciaward/rollouts/steering.py
@@ -115,6 +115,11 @@
             if plan.phase is not plans.Phase.COMPLETED:
                 excluded.add(plan.order.target)
         excluded.discard(order.target)
+        is_unproven = plan is not None and order.target in plan.excluded
+        if is_unproven and not view.versions - {order.target, *excluded}:
+            # An order that a restore of the store brought back for a moment came in
+            # between. Without a version to compare with, all would go to the target.
+            excluded.discard(plan.order.target)
         step = decisions.begin(
             has_target=order.target in view.versions,
             has_others=bool(view.versions - {order.target, *excluded}),
