--- a/acaciaward/routing/features/urgency.feature
+++ b/acaciaward/routing/features/urgency.feature
@@ -13,8 +13,8 @@
       | engines | kind | gain | worst | worth | short | long |
       | 20 engines | long | 0.10 | 0.10 | 0.96 | 0.96 | 0.95 |
       | 20 engines | short | 0.10 | 0.10 | 0.96 | 0.96 | 0.95 |
-      | 12 engines | long | 0.20 | 0.05 | 0.58 | 0.55 | 0.50 |
-      | 9 engines | long | 0.02 | -0.05 | 0.28 | 0.20 | 0.25 |
+      | 12 engines | long | 0.20 | 0.20 | 0.65 | 0.70 | 0.50 |
+      | 9 engines | long | 0.02 | 0.0 | 0.28 | 0.25 | 0.25 |
       | 16 engines | long | 0.20 | 0.20 | 0.90 | 0.90 | 0.80 |
       | 16 engines | short | 0.20 | 0.20 | 0.88 | 0.88 | 0.80 |
       | 30 engines of which 18 are lost | long | 0.07 | 0.07 | 0.90 | 0.90 | 0.85 |
