--- a/acaciaward/gateway/stateexchange.py
+++ b/acaciaward/gateway/stateexchange.py
@@ -6,7 +6,7 @@
 from acaciaward.admission import quotas
 from acaciaward.catalogue import endpoints
 from acaciaward.quarantine import promptparts, suspects
-from acaciaward.relays import raterelays, relaying
+from acaciaward.relays import interfaces, raterelays
 from acaciaward.rollouts import entryrollouts
 from acaciaward.routing import demand, occupancy
 from acaciaward.usage import counting
@@ -30,7 +30,7 @@
 
 
 class GatewayStateExchange:
-    """Implements ``relaying.StateExchange``: the entry's side of reports and relays."""
+    """Implements ``interfaces.StateExchange``: this entry's side of the relays."""
 
     def __init__(
         self, components: Components, receive_version: abc.Callable[[int], None]
@@ -39,10 +39,10 @@
         self._demand: abc.Mapping[str, demand.ServiceDemand] = {}
         self.receive_version = receive_version
 
-    def collect_state(self) -> relaying.LocalState:
+    def collect_state(self) -> interfaces.LocalState:
         """Return this entry's report."""
         components = self._components
-        return relaying.LocalState(
+        return interfaces.LocalState(
             now=components.clock.now(),
             use=components.quotas.admitted_totals(),
             load=components.occupancy.load(),
@@ -69,7 +69,7 @@
         services = {endpoint.service for endpoint in self._components.directory.all()}
         return raterelays.Speeds(*rates.summarize(services))
 
-    def receive_state(self, state: relaying.RelayedState) -> None:
+    def receive_state(self, state: interfaces.RelayedState) -> None:
         """Apply the sums over all other entries."""
         sums = state.sums
         self._components.quotas.receive_totals(
--- a/acaciaward/relays/features/fakes.py
+++ b/acaciaward/relays/features/fakes.py
@@ -8,7 +8,7 @@
 
 from acaciaward.catalogue import endpoints
 from acaciaward.membership import interfaces
-from acaciaward.relays import raterelays, relaying
+from acaciaward.relays import interfaces as relay_interfaces, raterelays, relaying
 
 
 class DirectMembership:
@@ -53,7 +53,7 @@
     def __init__(self, name, members, clock, data_centre="dc"):
         self.age_s = 0.0
         self.directory = endpoints.Directory(clock)
-        self.state = relaying.LocalState(
+        self.state = relay_interfaces.LocalState(
             1000.0, {}, {}, {}, {"crashes": {}, "cleared": []}, {}, {}
         )
         self.received = []
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -10,7 +10,6 @@
 import logging
 import math
 import time
-import typing
 import zlib
 from collections import abc
 
@@ -22,17 +21,15 @@
     rendezvous,
 )
 from acaciaward.observability import logs
-from acaciaward.quarantine import crashreports, partreports
 from acaciaward.relays import (
     aggregation,
     excerpts,
+    interfaces,
     messages,
     raterelays,
     readerconfiguration,
     relaysizes,
 )
-from acaciaward.rollouts import messages as rollout_messages
-from acaciaward.routing import announcements, prefillrates, ratesums
 
 log = logging.getLogger(__name__)
 
@@ -59,64 +56,6 @@
 MAX_DIGEST_MISMATCHES = 3
 
 
-class LocalState(typing.NamedTuple):
-    """
-    The state that this entry reports; the reader also relays its ``levels``.
-
-    ``messages.Figures`` explains the fields.
-    """
-
-    now: float
-    use: dict[str, float]
-    load: dict[str, tuple[float, float]]
-    demand: dict[str, tuple[float, ...]]
-    crashes: crashreports.CrashReport
-    windows: dict[int, dict[str, int]]
-    levels: dict[str, float]
-    limits: announcements.Report = {}
-    parts: partreports.Report = partreports.empty_report()
-    leaving: abc.Sequence[endpoints.Incarnation] = ()
-    brittle: announcements.Report = {}
-    rates: ratesums.Report = {}
-    prefill_rates: prefillrates.Report = {}
-    rollouts: rollout_messages.News | None = None
-
-
-class RelayedState(typing.NamedTuple):
-    """
-    The content of a relay: the sums for this entry, and the reader's quota levels.
-
-    ``source`` identifies the reader's current run; ``is_recent_start`` is true if it
-    began less than ``aggregation.RECENT_START_S`` ago. ``speeds`` are those of
-    endpoints, None in most relays.
-    """
-
-    source: str
-    is_recent_start: bool
-    sums: aggregation.Sums
-    levels: dict[str, float]
-    speeds: raterelays.Speeds | None = None
-
-
-class StateExchange(typing.Protocol):
-    """Provides the state that this entry reports, and receives what relays contain."""
-
-    def collect_state(self) -> LocalState:
-        """Return the state to report."""
-
-    def summarize_rates(self, others: raterelays.RateFigures) -> raterelays.Speeds:
-        """Return what follows from the sums of all others and this entry's own."""
-
-    def receive_state(self, state: RelayedState) -> None:
-        """Receive the sums and quota levels of a relay."""
-
-    def receive_time(self, now: float) -> None:
-        """Receive the median Unix time of the entries' clocks."""
-
-    def receive_version(self, version: int) -> None:
-        """Receive the configuration version in force at the reader."""
-
-
 class Relaying:
     """Reports to the reader of the data centre, or acts as the reader when chosen."""
 
@@ -124,7 +63,7 @@
         self,
         membership: gossip.GossipMembership,
         directory: endpoints.Directory,
-        state_exchange: StateExchange,
+        state_exchange: interfaces.StateExchange,
         *,
         process_run: str,
         data_centre: str,
@@ -263,7 +202,7 @@
                 names.setdefault(peer.data_centre, []).append(peer.name)
         return names
 
-    def _make_report(self, own_state: LocalState) -> messages.Report:
+    def _make_report(self, own_state: interfaces.LocalState) -> messages.Report:
         fields = aggregation.without_missing(own_state)
         del fields["levels"]
         return {
@@ -277,7 +216,7 @@
     def _uptime_s(self) -> float:
         return time.monotonic() - self._started_at
 
-    def _send_relays(self, own_state: LocalState) -> None:
+    def _send_relays(self, own_state: interfaces.LocalState) -> None:
         summary = self._aggregator.summary()
         own_summary: messages.Summary = {
             "sender": self._process_run,
@@ -332,7 +271,7 @@
         sums: aggregation.Sums,
         changes: tuple[list[messages.EndpointFields], list[str]],
         digest: int,
-        own_state: LocalState,
+        own_state: interfaces.LocalState,
         majority_time: float | None,
     ) -> messages.Relay:
         return {
@@ -414,7 +353,7 @@
         )
         is_recent_start = relay["uptime_s"] < aggregation.RECENT_START_S
         self._state_exchange.receive_state(
-            RelayedState(
+            interfaces.RelayedState(
                 relay["start"],
                 is_recent_start,
                 sums,
--- a/script/run_features.py
+++ b/script/run_features.py
@@ -25,10 +25,12 @@
 # the run going while the other places are idle.
 LONG_FILES = frozenset(
     {
+        "acaciaward/catalogue/features/calls.feature",
         "acaciaward/gateway/features/brittle.feature",
         "acaciaward/gateway/features/crashing.feature",
         "acaciaward/gateway/features/joining.feature",
         "acaciaward/gateway/features/outofstep.feature",
+        "acaciaward/gateway/features/rollouts.feature",
         "acaciaward/gateway/features/silences.feature",
         "acaciaward/routing/features/signalrecords.feature",
         "features/experimentload.feature",
