Count how long relays were under way in the age of the reader's configuration

Cause: relays queued for seconds behind each other, and the ages in them don't count that.

Change: the delay of a relay against the fastest one of the same run of its reader, by the uptime that it carries, counts as age. readerconfiguration.feature has six more scenarios (13 passed), calls.feature 21, relays 13 and relaybytes 7 passed.

--- a/acaciaward/relays/features/steps/readerconfiguration_steps.py
+++ b/acaciaward/relays/features/steps/readerconfiguration_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from acaciaward.relays import readerconfiguration
+from acaciaward.relays import readerconfiguration, relaydelay
 
 STEP_S = 0.01
 
@@ -39,3 +39,30 @@
         context.now += STEP_S
     relied_s, context.now = context.now - began_at, began_at
     assert abs(relied_s - expected_s) < 2 * STEP_S, relied_s
+
+
+# The times that relays take, in seconds; they are sent four times a second.
+WAYS_S = {
+    "come in time": [0.01] * 20,
+    "take 0.2 s": [0.2] * 20,
+    "take longer and longer, up to 0.8 s": [0.01 + 0.04 * n for n in range(21)],
+    "take longer and longer, up to 3 s": [0.01 + 0.15 * n for n in range(21)],
+    "take 3 s once, and come in time again": [0.01] * 5
+    + [max(0.01, 3.0 - 0.25 * n) for n in range(16)],
+    "come in time, from a reader that took over": [0.01] * 20,
+}
+
+
+@when("relays {come}, each sent 0.1 s after the reader read version 4")
+def receive_relays(context, come):
+    delay = relaydelay.RelayDelay(lambda: context.now)
+    began_at, starts = context.now, ["edge-1/a"] * 30
+    if "took over" in come:
+        starts = ["edge-1/a"] * 10 + ["edge-2/b"] * 20
+    for index, way_s in enumerate(WAYS_S[come]):
+        sent_at = began_at + 0.25 * index
+        context.now = max(context.now, sent_at + way_s)
+        # Another reader has been up for longer.
+        uptime_s = sent_at if starts[index] == "edge-1/a" else sent_at + 1000.0
+        delay_s = delay.record(starts[index], uptime_s)
+        context.reader.receive(4, 0.1 + delay_s)
--- a/acaciaward/relays/relaying.py
+++ b/acaciaward/relays/relaying.py
@@ -28,6 +28,7 @@
     messages,
     raterelays,
     readerconfiguration,
+    relaydelay,
     relaysizes,
 )
 
@@ -82,6 +83,7 @@
         self._configuration_version = configuration_version
         self._aggregator = aggregation.Aggregator(time.monotonic)
         self._rate_relays = raterelays.RateRelays(time.monotonic)
+        self._relay_delay = relaydelay.RelayDelay(time.monotonic)
         self._sizes = relaysizes.RelaySizes()
         self._report_excerpts = excerpts.Excerpts()
         self._relay_excerpts = excerpts.Excerpts()
@@ -340,9 +342,9 @@
     def _apply_relay(self, relay: messages.Relay) -> None:
         self._last_relay_at = time.monotonic()
         self._store_read_at = self._last_relay_at - relay["age_s"]
-        self._reader_configuration.receive(
-            relay["version"], relay.get("configuration_age_s", relay["age_s"])
-        )
+        delay_s = self._relay_delay.record(relay["start"], relay["uptime_s"])
+        age_s = relay.get("configuration_age_s", relay["age_s"])
+        self._reader_configuration.receive(relay["version"], age_s + delay_s)
         self._entry_count = relay["heard"]
         sums = aggregation.Sums(
             **{
