--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -89,6 +89,25 @@
             one.close()
 
 
+def find_port_range(address: str, taken: list[int]) -> int:
+    """Return the first of three free ports in a row that aren't among ``taken``."""
+    while True:
+        (first,) = find_ports(address, 1)
+        ports = range(first, first + 3)
+        if not set(ports).isdisjoint(taken):
+            continue
+        sockets = [socket.socket() for _ in ports]
+        try:
+            for one, port in zip(sockets, ports, strict=True):
+                one.bind((address, port))
+        except (OSError, OverflowError):
+            continue
+        finally:
+            for one in sockets:
+                one.close()
+        return first
+
+
 class Record:
     """Writes what happens to ``record.txt``, with seconds since the begin."""
 
@@ -264,9 +283,10 @@
         self.name = f"edge-{number}"
         self.zone = ZONES[number % len(ZONES)]
         self.address = f"127.0.{number + 1}.1"
-        names = ("Frontend", "Readiness", "Control", "Directory", "Internal")
+        names = ("Frontend", "Readiness", "Control", "Directory")
         ports = find_ports(self.address, len(names))
         self.ports = dict(zip(names, ports, strict=True))
+        self.ports["Internal"] = find_port_range(self.address, ports)
         self.settings_path = folder / f"{self.name}.conf"
         self.log_path = folder / f"{self.name}.log"
         self.process: subprocess.Popen | None = None
